--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load, experiments and simulation.
--- /dev/null
+++ b/crates/cli/src/batch_commands.rs
@@ -0,0 +1,120 @@
+//! `stallmoor batch submit`, `status`, `results` and `cancel`.
+
+use std::io::Write;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bytes::Bytes;
+use clap::ArgMatches;
+use indicatif::ProgressBar;
+use serde_json::Value;
+use snafu::ResultExt;
+
+use crate::arguments::{node_of, text, wants_json};
+use crate::client::{Header, NodeClient};
+use crate::outcome::{CommandError, FileSnafu};
+
+/// How often `--wait` looks.
+const WAIT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Runs a batch command.
+pub async fn run(arguments: &ArgMatches) -> Result<(), CommandError> {
+    match arguments.subcommand() {
+        Some(("submit", arguments)) => submit(arguments).await,
+        Some(("status", arguments)) => status(arguments).await,
+        Some(("results", arguments)) => results(arguments).await,
+        Some(("cancel", arguments)) => cancel(arguments).await,
+        _ => Ok(()),
+    }
+}
+
+async fn submit(arguments: &ArgMatches) -> Result<(), CommandError> {
+    let path = arguments.get_one::<PathBuf>("file").cloned().unwrap_or_default();
+    let content = std::fs::read(&path).context(FileSnafu { path })?;
+    let client = NodeClient::new(node_of(arguments));
+    let mut headers: Vec<Header<'_>> = vec![("content-type", "application/jsonl")];
+    headers.extend(text(arguments, "tenant").map(|tenant| ("stallmoor-tenant", tenant)));
+    headers.extend(text(arguments, "key").map(|key| ("idempotency-key", key)));
+    let mut parameters = Vec::new();
+    parameters.extend(text(arguments, "model").map(|model| format!("model={model}")));
+    parameters.extend(text(arguments, "adapter").map(|adapter| format!("adapter={adapter}")));
+    parameters.extend(arguments.get_one::<u64>("within-ms").map(|within| format!("within_ms={within}")));
+    let path = format!("/v1/batches?{}", parameters.join("&"));
+    let mut job = client.post(&path, &headers, Bytes::from(content)).await?;
+    if arguments.get_flag("wait") {
+        job = wait(&client, &job).await?;
+    }
+    print_job(arguments, &job);
+    Ok(())
+}
+
+async fn wait(client: &NodeClient, job: &Value) -> Result<Value, CommandError> {
+    let id = id_of(job).to_owned();
+    let progress = ProgressBar::new(job["request_counts"]["total"].as_u64().unwrap_or(0));
+    loop {
+        let job = client.get(&format!("/v1/batches/{id}")).await?;
+        let counts = &job["request_counts"];
+        let done = counts["completed"].as_u64().unwrap_or(0) + counts["failed"].as_u64().unwrap_or(0);
+        progress.set_position(done);
+        if !matches!(job["status"].as_str(), Some("in_progress" | "validating")) {
+            progress.finish_and_clear();
+            return Ok(job);
+        }
+        tokio::time::sleep(WAIT_INTERVAL).await;
+    }
+}
+
+async fn status(arguments: &ArgMatches) -> Result<(), CommandError> {
+    let id = text(arguments, "job").unwrap_or_default();
+    let job = NodeClient::new(node_of(arguments)).get(&format!("/v1/batches/{id}")).await?;
+    print_job(arguments, &job);
+    Ok(())
+}
+
+async fn cancel(arguments: &ArgMatches) -> Result<(), CommandError> {
+    let id = text(arguments, "job").unwrap_or_default();
+    let client = NodeClient::new(node_of(arguments));
+    let job = client.post(&format!("/v1/batches/{id}/cancel"), &[], Bytes::new()).await?;
+    print_job(arguments, &job);
+    Ok(())
+}
+
+async fn results(arguments: &ArgMatches) -> Result<(), CommandError> {
+    let id = text(arguments, "job").unwrap_or_default();
+    let client = NodeClient::new(node_of(arguments));
+    let target = arguments.get_one::<PathBuf>("to").cloned();
+    let mut output: Box<dyn Write> = match &target {
+        Some(path) => Box::new(std::fs::File::create(path).context(FileSnafu { path })?),
+        None => Box::new(std::io::stdout()),
+    };
+    let path = target.unwrap_or_else(|| PathBuf::from("standard output"));
+    let mut first = Some(0);
+    while let Some(from) = first {
+        let page = client.get(&format!("/v1/batches/{id}/results?first={from}")).await?;
+        for result in page["results"].as_array().into_iter().flatten() {
+            writeln!(output, "{result}").context(FileSnafu { path: path.clone() })?;
+        }
+        first = page["next"].as_u64();
+    }
+    Ok(())
+}
+
+fn print_job(arguments: &ArgMatches, job: &Value) {
+    if wants_json(arguments) {
+        println!("{job}");
+        return;
+    }
+    let counts = &job["request_counts"];
+    println!(
+        "{} {}: {} of {} items completed, {} failed",
+        id_of(job),
+        job["status"].as_str().unwrap_or_default(),
+        counts["completed"],
+        counts["total"],
+        counts["failed"]
+    );
+}
+
+fn id_of(job: &Value) -> &str {
+    job["id"].as_str().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/cli/src/configuration_commands.rs
@@ -0,0 +1,189 @@
+//! `stallmoor check`, `apply` and `diff`.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use bytes::Bytes;
+use clap::ArgMatches;
+use indicatif::ProgressBar;
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use serde_json::{Value, json};
+use snafu::ResultExt;
+use stallmoor_core::configuration::{FleetConfiguration, SourceFile, check_files};
+
+use crate::arguments::{node_of, wants_json};
+use crate::client::NodeClient;
+use crate::outcome::{CommandError, FileSnafu};
+
+/// How often `apply --wait` looks.
+const WAIT_INTERVAL: Duration = Duration::from_millis(200);
+/// How long `apply --wait` looks.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Checks a set of files.
+pub fn check(arguments: &ArgMatches) -> Result<(), CommandError> {
+    let files = read_folder(arguments)?;
+    let fleet = match check_files(&files) {
+        Ok(fleet) => fleet,
+        Err(errors) => {
+            if wants_json(arguments) {
+                println!("{}", json!({"ok": false, "errors": errors}));
+            }
+            return Err(CommandError::Invalid { errors });
+        }
+    };
+    if wants_json(arguments) {
+        println!("{}", json!({"ok": true, "summary": summary(&fleet)}));
+    } else {
+        println!("ok: {}", text_summary(&fleet));
+    }
+    Ok(())
+}
+
+/// Applies a set of files.
+pub async fn apply(arguments: &ArgMatches) -> Result<(), CommandError> {
+    let files = read_folder(arguments)?;
+    check_files(&files).map_err(|errors| CommandError::Invalid { errors })?;
+    let client = NodeClient::new(node_of(arguments));
+    let expected = match arguments.get_one::<u64>("expect") {
+        Some(revision) => *revision,
+        None => client.get("/operator/configuration").await?["revision"].as_u64().unwrap_or(0),
+    };
+    // Numbers beyond 53 bits don't survive every JSON reader.
+    let apply_id = Xoshiro256PlusPlus::from_os_rng().random::<u64>() >> 11;
+    let contents: BTreeMap<&str, &str> = files.iter().map(|file| (file.name.as_str(), file.text.as_str())).collect();
+    let body = json!({"apply_id": apply_id, "expected_revision": expected, "files": contents});
+    let answer = client.post("/operator/configuration", &[], Bytes::from(body.to_string())).await?;
+    let revision = answer["revision"].as_u64().unwrap_or(0);
+    if arguments.get_flag("wait") {
+        wait_in_force(&client, revision).await?;
+    }
+    if wants_json(arguments) {
+        println!("{answer}");
+    } else if answer["changed"] == json!(true) {
+        println!("applied: revision {revision}");
+    } else {
+        println!("unchanged: revision {revision} is in force");
+    }
+    Ok(())
+}
+
+async fn wait_in_force(client: &NodeClient, revision: u64) -> Result<(), CommandError> {
+    let progress = ProgressBar::new_spinner().with_message(format!("waiting for revision {revision} on every node"));
+    let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
+    loop {
+        progress.tick();
+        let status = client.get("/operator/status").await?;
+        let nodes = status["nodes"].as_array().cloned().unwrap_or_default();
+        let behind = nodes.iter().filter(|node| node["configuration_revision"].as_u64().unwrap_or(0) < revision);
+        let behind = behind.count();
+        if behind == 0 && status["silent"].as_array().is_none_or(Vec::is_empty) {
+            progress.finish_and_clear();
+            return Ok(());
+        }
+        if tokio::time::Instant::now() >= deadline {
+            let message = format!("revision {revision} was accepted, but {behind} nodes don't have it yet");
+            return Err(CommandError::Refused {
+                code: "not_in_force_everywhere".to_owned(),
+                ran: "ran".to_owned(),
+                message,
+                retry_after_ms: None,
+            });
+        }
+        tokio::time::sleep(WAIT_INTERVAL).await;
+    }
+}
+
+/// Compares a set of files with those in force.
+pub async fn diff(arguments: &ArgMatches) -> Result<(), CommandError> {
+    let files = read_folder(arguments)?;
+    let answer = NodeClient::new(node_of(arguments)).get("/operator/configuration").await?;
+    let revision = answer["revision"].as_u64().unwrap_or(0);
+    let in_force = answer["files"].as_object().cloned().unwrap_or_default();
+    let mut changes = Vec::new();
+    for file in &files {
+        match in_force.get(&file.name).and_then(Value::as_str) {
+            None => changes.push(json!({"file": file.name, "change": "added"})),
+            Some(text) if text != file.text => {
+                let lines = changed_lines(text, &file.text);
+                changes.push(json!({"file": file.name, "change": "changed", "lines": lines}));
+            }
+            Some(_) => {}
+        }
+    }
+    for name in in_force.keys().filter(|name| files.iter().all(|file| file.name != **name)) {
+        changes.push(json!({"file": name, "change": "removed"}));
+    }
+    if wants_json(arguments) {
+        println!("{}", json!({"revision": revision, "changes": changes}));
+    } else {
+        print_changes(&changes);
+    }
+    if changes.is_empty() { Ok(()) } else { Err(CommandError::Differs { revision }) }
+}
+
+fn print_changes(changes: &[Value]) {
+    for change in changes {
+        println!("{} {}", change["change"].as_str().unwrap_or_default(), change["file"].as_str().unwrap_or_default());
+        for line in change["lines"].as_array().into_iter().flatten() {
+            println!("  {}", line.as_str().unwrap_or_default());
+        }
+    }
+}
+
+/// Lines that are in one text and not in the other, in order, marked with `-` and `+`.
+fn changed_lines(before: &str, after: &str) -> Vec<String> {
+    let mut remaining: Vec<&str> = after.lines().collect();
+    let mut changed = Vec::new();
+    for line in before.lines() {
+        match remaining.iter().position(|other| *other == line) {
+            Some(place) => {
+                remaining.remove(place);
+            }
+            None => changed.push(format!("- {line}")),
+        }
+    }
+    changed.extend(remaining.into_iter().map(|line| format!("+ {line}")));
+    changed
+}
+
+/// Reads the `*.toml` files of a folder, in order of name.
+fn read_folder(arguments: &ArgMatches) -> Result<Vec<SourceFile>, CommandError> {
+    let folder = arguments.get_one::<PathBuf>("folder").cloned().unwrap_or_default();
+    let entries = std::fs::read_dir(&folder).context(FileSnafu { path: folder.clone() })?;
+    let is_toml = |path: &PathBuf| path.extension().is_some_and(|extension| extension == "toml");
+    let mut paths: Vec<PathBuf> = entries.flatten().map(|entry| entry.path()).filter(is_toml).collect();
+    paths.sort();
+    paths.iter().map(|path| read_file(path)).collect()
+}
+
+fn read_file(path: &Path) -> Result<SourceFile, CommandError> {
+    let text = std::fs::read_to_string(path).context(FileSnafu { path })?;
+    let name = path.file_name().map(|name| name.to_string_lossy().into_owned()).unwrap_or_default();
+    Ok(SourceFile { name, text })
+}
+
+fn summary(fleet: &FleetConfiguration) -> Value {
+    json!({
+        "fleet": &*fleet.fleet.name,
+        "zones": fleet.zones.len(),
+        "services": fleet.services.len(),
+        "models": fleet.models.len(),
+        "machines": fleet.engines.len(),
+        "tenants": fleet.tenants.len(),
+    })
+}
+
+fn text_summary(fleet: &FleetConfiguration) -> String {
+    format!(
+        "fleet {}: {} zones, {} services, {} models, {} machines, {} tenants",
+        fleet.fleet.name,
+        fleet.zones.len(),
+        fleet.services.len(),
+        fleet.models.len(),
+        fleet.engines.len(),
+        fleet.tenants.len()
+    )
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,57 @@
+//! `stallmoor`: the node and the operators' commands in one program.
+//!
+//! | module | owns |
+//! |---|---|
+//! | `arguments` | the command line |
+//! | `node_command` | `stallmoor node` |
+//! | `configuration_commands` | `check`, `apply`, `diff` |
+//! | `fleet_commands` | `status`, `explain` |
+//! | `batch_commands` | `batch submit`, `status`, `results`, `cancel` |
+//! | `client` | HTTP to a node |
+//! | `logging` | where log lines go |
+
+mod arguments;
+mod batch_commands;
+mod client;
+mod configuration_commands;
+mod fleet_commands;
+mod logging;
+mod node_command;
+mod outcome;
+
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+
+use crate::outcome::CommandError;
+
+fn main() -> ExitCode {
+    let matches = arguments::command().get_matches();
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("stallmoor: can't start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run(&matches)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("stallmoor: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+async fn run(matches: &ArgMatches) -> Result<(), CommandError> {
+    match matches.subcommand() {
+        Some(("node", arguments)) => node_command::run(arguments).await,
+        Some(("check", arguments)) => configuration_commands::check(arguments),
+        Some(("apply", arguments)) => configuration_commands::apply(arguments).await,
+        Some(("diff", arguments)) => configuration_commands::diff(arguments).await,
+        Some(("status", arguments)) => fleet_commands::status(arguments).await,
+        Some(("explain", arguments)) => fleet_commands::explain(arguments).await,
+        Some(("batch", arguments)) => batch_commands::run(arguments).await,
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/core/src/error.rs
@@ -0,0 +1,138 @@
+//! The closed list of refusals, and the one table from kind to answer.
+//!
+//! Every refusal that a caller or operator sees carries one of these kinds. `docs/ERRORS.md` is
+//! tested against the table.
+
+use serde::{Deserialize, Serialize};
+
+/// Whether the refused request ran on an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ran {
+    /// Certainly not: nothing was sent to an engine, or the engine refused before running.
+    NotRun,
+    /// It may have run.
+    Unknown,
+    /// It ran.
+    Ran,
+}
+
+impl Ran {
+    /// The word used in answers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+            Self::Ran => "ran",
+        }
+    }
+}
+
+/// One row of the table from kind to answer.
+#[derive(Clone, Copy, Debug)]
+pub struct ErrorAnswer {
+    /// HTTP status code.
+    pub status: u16,
+    /// Whether the request ran, where the kind alone decides it.
+    pub ran: Ran,
+    /// When to come back, in milliseconds. `None` means that a resend can't help.
+    pub retry_after_ms: Option<u64>,
+    /// What happened, in one sentence.
+    pub meaning: &'static str,
+}
+
+macro_rules! error_kinds {
+    ($($(#[$doc:meta])* $name:ident = $code:literal, $status:literal, $ran:ident, $retry:expr, $meaning:literal;)*) => {
+        /// The closed list of refusals.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+        pub enum ErrorKind {
+            $(#[doc = $meaning] $(#[$doc])* $name,)*
+        }
+
+        impl ErrorKind {
+            /// Every kind, in the order of the table.
+            pub const ALL: &'static [ErrorKind] = &[$(ErrorKind::$name,)*];
+
+            /// The stable code in answers and documents.
+            pub fn code(self) -> &'static str {
+                match self { $(Self::$name => $code,)* }
+            }
+
+            /// The row of the table for this kind.
+            pub fn answer(self) -> ErrorAnswer {
+                match self {
+                    $(Self::$name => ErrorAnswer {
+                        status: $status,
+                        ran: Ran::$ran,
+                        retry_after_ms: $retry,
+                        meaning: $meaning,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+error_kinds! {
+    MalformedRequest = "malformed_request", 400, NotRun, None, "The request could not be read.";
+    BodyTooLarge = "body_too_large", 413, NotRun, None, "The body is over the limit.";
+    UnknownPath = "unknown_path", 404, NotRun, None, "There is nothing at this path.";
+    UnknownModel = "unknown_model", 404, NotRun, None, "No service offers this model.";
+    UnknownAdapter = "unknown_adapter", 404, NotRun, None, "The model has no such adapter.";
+    UnknownTenant = "unknown_tenant", 403, NotRun, None, "The configuration names no such tenant.";
+    UnknownJob = "unknown_job", 404, NotRun, None, "There is no such job.";
+    UnknownExplanation = "unknown_explanation", 404, NotRun, None, "This node holds no explanation under this id.";
+    KeyConflict = "key_conflict", 409, NotRun, None, "The idempotency key was used before with other content.";
+    JobCancelled = "job_cancelled", 409, NotRun, None, "The job was cancelled.";
+    TenantLimit = "tenant_limit", 429, NotRun, Some(1_000), "The tenant has reached its limit of requests in flight.";
+    Overloaded = "overloaded", 503, NotRun, Some(1_000), "No engine has room for the request.";
+    NoEngine = "no_engine", 503, NotRun, Some(2_000), "No live engine carries the model.";
+    NotConfigured = "not_configured", 503, NotRun, Some(2_000), "The node has no configuration yet.";
+    Stopping = "stopping", 503, NotRun, Some(500), "The node is stopping; another node takes the request.";
+    StateUnavailable = "state_unavailable", 503, NotRun, Some(1_000), "The replicated state could not be reached in time.";
+    EngineRefused = "engine_refused", 503, NotRun, Some(1_000), "The engine refused before running.";
+    EngineLost = "engine_lost", 502, Unknown, Some(1_000), "The engine was lost while the request ran.";
+    AnswerIncomplete = "answer_incomplete", 502, Ran, Some(1_000), "The answer broke off and could not be completed.";
+    DeadlineExceeded = "deadline_exceeded", 504, Unknown, Some(1_000), "The deadline passed first.";
+    DeadlineUnmet = "deadline_unmet", 504, NotRun, Some(1_000), "The deadline passed before the request was sent to an engine.";
+    OutcomeUnknown = "outcome_unknown", 409, Unknown, None, "The request is not repeatable, was sent before, and its outcome is not known.";
+    AlreadyRan = "already_ran", 409, Ran, None, "The request is not repeatable and already ran.";
+    ConfigurationInvalid = "configuration_invalid", 422, NotRun, None, "The configuration has errors; nothing was applied.";
+    ConfigurationConflict = "configuration_conflict", 409, NotRun, None, "Another revision was accepted since the one this change was made against.";
+    ConfigurationOutcomeUnknown = "configuration_outcome_unknown", 503, Unknown, Some(5_000), "The key-value service did not say whether the revision was accepted.";
+    PlatformUnavailable = "platform_unavailable", 503, NotRun, Some(5_000), "The key-value service can't be reached; nothing was applied.";
+    Internal = "internal", 500, Unknown, Some(1_000), "A fault in stallmoor itself.";
+}
+
+/// A refusal, ready to be answered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// The kind, which gives the status.
+    pub kind: ErrorKind,
+    /// Whether the request ran. Starts as the kind's own word and is only changed by what is known.
+    pub ran: Ran,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+    /// What exactly was wrong.
+    pub detail: String,
+}
+
+impl Refusal {
+    /// A refusal with the table's answer for `kind`.
+    pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
+        let answer = kind.answer();
+        Self { kind, ran: answer.ran, retry_after_ms: answer.retry_after_ms, detail: detail.into() }
+    }
+
+    /// The same refusal with another word on whether the request ran.
+    pub fn with_ran(mut self, ran: Ran) -> Self {
+        self.ran = ran;
+        self
+    }
+
+    /// The same refusal with another time to come back.
+    pub fn with_retry_after(mut self, millis: u64) -> Self {
+        self.retry_after_ms = Some(millis);
+        self
+    }
+}
--- /dev/null
+++ b/crates/core/src/log_event.rs
@@ -0,0 +1,80 @@
+//! The numbered log events. `docs/EVENTS.md` is tested against this list.
+
+/// How loud an event is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Severity {
+    /// An ordinary step that an operator may want to see.
+    Information,
+    /// Something failed and was handled.
+    Warning,
+    /// Something failed and needs an operator.
+    Error,
+}
+
+macro_rules! log_events {
+    ($($name:ident = $number:literal, $severity:ident, $meaning:literal;)*) => {
+        /// The closed list of log events.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+        pub enum LogEvent {
+            $(#[doc = $meaning] $name,)*
+        }
+
+        impl LogEvent {
+            /// Every event, in the order of the catalogue.
+            pub const ALL: &'static [LogEvent] = &[$(LogEvent::$name,)*];
+
+            /// The event's number, never reused.
+            pub fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)* }
+            }
+
+            /// How loud the event is.
+            pub fn severity(self) -> Severity {
+                match self { $(Self::$name => Severity::$severity,)* }
+            }
+
+            /// What happened, in one sentence.
+            pub fn meaning(self) -> &'static str {
+                match self { $(Self::$name => $meaning,)* }
+            }
+        }
+    };
+}
+
+log_events! {
+    NodeStarted = 100, Information, "The node is up and listens.";
+    NodeReady = 101, Information, "The node has a configuration and takes requests.";
+    NodeStopping = 102, Information, "A planned stop began.";
+    NodeStopped = 103, Information, "The planned stop is complete.";
+    StoreFormatted = 110, Information, "A blank data folder was formatted with a new identity.";
+    StoreCorrupted = 111, Error, "The data folder failed its checksum; it was set aside and a new identity made.";
+    StoreWriteFailed = 112, Error, "A write to the data folder failed; the node stops rather than acknowledge it.";
+    MemberJoined = 200, Information, "A node joined or came back.";
+    MemberSuspected = 201, Warning, "A node missed its probes.";
+    MemberDead = 202, Warning, "A node is held to be dead.";
+    MemberLeft = 203, Information, "A node left by a planned stop.";
+    GroupFounded = 300, Information, "A replica group was founded.";
+    LeaderElected = 301, Information, "This replica leads its group.";
+    LeaderStoodDown = 302, Information, "This replica leads its group no longer.";
+    ReplicaAdded = 303, Information, "A replica was added to a group.";
+    ReplicaRemoved = 304, Information, "A replica was removed from a group.";
+    SnapshotInstalled = 305, Information, "A replica was rebuilt from a snapshot.";
+    MessageRefused = 310, Warning, "A message from a peer was refused.";
+    ConfigurationInForce = 400, Information, "A configuration revision came into force on this node.";
+    ConfigurationAccepted = 401, Information, "An operator's change was accepted.";
+    ConfigurationRefused = 402, Warning, "An operator's change was refused.";
+    PlatformUnavailable = 410, Warning, "The key-value service did not answer.";
+    PlatformRecovered = 411, Information, "The key-value service answers again.";
+    EngineLeaving = 500, Information, "An engine is leaving and gets no new work.";
+    EngineEjected = 501, Warning, "An engine failed repeatedly and is passed over for a while.";
+    EngineReturned = 502, Information, "An engine takes work again.";
+    PieceDropped = 503, Warning, "A late or crossed piece of an answer was dropped.";
+    RequestMoved = 504, Information, "A request moved to another engine.";
+    RequestRefused = 505, Information, "A request was refused.";
+    RetryBudgetSpent = 506, Warning, "A retry was given up because the retry budget is spent.";
+    JobAccepted = 600, Information, "A batch job was accepted.";
+    JobCompleted = 601, Information, "Every item of a batch job has its result.";
+    JobCancelled = 602, Information, "A batch job was cancelled.";
+    BatchYielded = 610, Information, "Batch work stepped aside for online requests.";
+    ResultDropped = 611, Information, "A second result of an item was dropped.";
+}
--- /dev/null
+++ b/crates/core/src/node/batch_flow.rs
@@ -0,0 +1,497 @@
+//! Running batch items within the limits that stewards grant, and being such a steward.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::effect::{Effect, EngineRequest, RequestClass};
+use super::event::StreamEvent;
+use super::group_client::{GroupReply, Purpose};
+use super::machine::Node;
+use super::peer_message::{CreditMessage, PeerMessage};
+use crate::configuration::FleetConfiguration;
+use crate::hashing::{hash_bytes, hash_parts, rendezvous};
+use crate::identity::{AttemptId, EngineName, JobId, NodeId};
+use crate::log_event::LogEvent;
+use crate::partition::{Command, CommandOutcome, CompletedItem, ItemResult, ItemVerdict};
+use crate::scheduling::{BatchDispatcher, EngineLimit, GRANT_LIFETIME, JobRank, StewardSettings, StreamEnd};
+use crate::time::{Millis, Timestamp, UnixMillis};
+
+/// Time between two asks for room.
+const ASK_INTERVAL: Millis = Millis(400);
+/// Most engines asked by one node for one service.
+const MOST_ENGINES_ASKED: usize = 24;
+/// Online notices are repeated this often while there is anything to tell.
+const NOTICE_INTERVAL: Millis = Millis(1_500);
+/// A batch stream that brings nothing for this long counts as lost.
+const SILENCE_TIMEOUT: Millis = Millis(20_000);
+/// How long recording results is tried before the items are run again.
+const RECORD_TIMEOUT: Millis = Millis(10_000);
+/// Most startable items counted as demand.
+const MOST_DEMAND: u32 = 4_096;
+/// Time between two sweeps of state beyond its retention.
+const FORGET_INTERVAL: Millis = Millis(600_000);
+
+/// What a node keeps for batch.
+pub(super) struct BatchState {
+    pub(super) dispatcher: BatchDispatcher,
+    /// Something changed that may let streams start or end.
+    pub(super) is_dirty: bool,
+    /// Engines whose steward must be told of this node's online requests.
+    pub(super) notices_due: BTreeSet<EngineName>,
+    next_notice: Timestamp,
+    next_ask: Timestamp,
+    next_forget: Timestamp,
+    asked: BTreeSet<EngineName>,
+    results: BTreeMap<JobId, Vec<CompletedItem>>,
+}
+
+impl BatchState {
+    pub(super) fn new(now: Timestamp) -> Self {
+        Self {
+            dispatcher: BatchDispatcher::default(),
+            is_dirty: false,
+            notices_due: BTreeSet::new(),
+            next_notice: now,
+            next_ask: now,
+            next_forget: now + FORGET_INTERVAL,
+            asked: BTreeSet::new(),
+            results: BTreeMap::new(),
+        }
+    }
+}
+
+/// A running job as scheduling sees it.
+struct RunnableJob {
+    job: JobId,
+    item_count: u32,
+    service: std::sync::Arc<str>,
+    tenant: std::sync::Arc<str>,
+    weight: u32,
+    deadline: UnixMillis,
+}
+
+impl Node {
+    pub(super) fn tick_batch(&mut self) {
+        let now = self.clock.now;
+        self.drop_silent_streams();
+        self.schedule_batch();
+        if now >= self.batch.next_ask {
+            self.batch.next_ask = now + ASK_INTERVAL;
+            self.ask_for_room();
+        }
+        if now >= self.batch.next_forget {
+            self.batch.next_forget = now + FORGET_INTERVAL;
+            self.forget_old_state();
+        }
+    }
+
+    /// Ends streams that are not wanted, then starts what there is room for.
+    pub(super) fn schedule_batch(&mut self) {
+        self.batch.is_dirty = false;
+        let Some(fleet) = self.fleet() else { return };
+        self.abandon_ended_jobs();
+        if self.stopping.is_some() {
+            return;
+        }
+        let jobs = self.runnable_jobs(&fleet);
+        if jobs.is_empty() {
+            return;
+        }
+        loop {
+            let started = self.start_round(&jobs);
+            if started == 0 {
+                break;
+            }
+        }
+    }
+
+    /// One stream for each engine that has room, so that streams spread over the engines.
+    fn start_round(&mut self, jobs: &[RunnableJob]) -> usize {
+        let now = self.clock.now;
+        let mut started = 0;
+        for engine in self.batch.dispatcher.engines_with_room(now) {
+            let Some(state) = self.engines.get(&engine).filter(|state| state.is_usable(now)) else { continue };
+            let service = state.configured.service.clone();
+            let Some(place) = self.best_job(jobs, &service) else { continue };
+            if self.start_next_item(&jobs[place], &engine) {
+                started += 1;
+            }
+        }
+        started
+    }
+
+    fn runnable_jobs(&self, fleet: &FleetConfiguration) -> Vec<RunnableJob> {
+        let mut jobs = Vec::new();
+        for (_, hosted) in self.groups.led() {
+            for (id, job) in hosted.state.running_jobs() {
+                let specification = &job.specification;
+                let Some(service) = fleet.service_of_model(&specification.model) else { continue };
+                jobs.push(RunnableJob {
+                    job: id,
+                    item_count: specification.item_count,
+                    service: service.name.clone(),
+                    tenant: specification.tenant.clone(),
+                    weight: fleet.tenants.get(&specification.tenant).map_or(1, |tenant| tenant.batch_weight),
+                    deadline: specification.deadline,
+                });
+            }
+        }
+        jobs
+    }
+
+    fn best_job(&self, jobs: &[RunnableJob], service: &str) -> Option<usize> {
+        let now = self.clock.now;
+        let mut best: Option<(JobRank, usize)> = None;
+        for (place, job) in jobs.iter().enumerate() {
+            let startable =
+                &*job.service == service && self.batch.dispatcher.has_startable(job.job, job.item_count, now);
+            if !startable {
+                continue;
+            }
+            let usage = &self.batch.dispatcher.usage;
+            let rank = usage.rank(&job.tenant, job.weight, job.deadline, self.clock.civil);
+            if best.as_ref().is_none_or(|(lowest, _)| rank < *lowest) {
+                best = Some((rank, place));
+            }
+        }
+        best.map(|(_, place)| place)
+    }
+
+    /// Starts the next item of a job that has no result yet.
+    fn start_next_item(&mut self, job: &RunnableJob, engine: &EngineName) -> bool {
+        let now = self.clock.now;
+        while let Some(item) = self.batch.dispatcher.next_item(job.job, job.item_count, now) {
+            if self.start_item(job, item, engine) {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn start_item(&mut self, job: &RunnableJob, item: u32, engine: &EngineName) -> bool {
+        let now = self.clock.now;
+        let Some(state) = self.engines.get(engine) else { return false };
+        let address = state.configured.address;
+        let priority = self.fleet().and_then(|fleet| fleet.services.get(&job.service).map(|s| s.batch_priority));
+        let hosted = self.groups.get(job.job.group);
+        let held = hosted.and_then(|hosted| hosted.state.job(job.job));
+        let Some(held) = held else { return false };
+        let Some(prompt) = held.items.get(item as usize).and_then(|item| item.prompt.clone()) else { return false };
+        let specification = held.specification.clone();
+        let attempt = self.draw_attempt();
+        let from_token = self.batch.dispatcher.started(attempt, job.job, item, job.tenant.clone(), engine.clone(), now);
+        self.counters.batch_started += 1;
+        self.effects.push(Effect::StartStream(EngineRequest {
+            attempt,
+            engine: engine.clone(),
+            address,
+            class: RequestClass::Batch,
+            priority: priority.unwrap_or(u32::MAX),
+            model: specification.model,
+            adapter: specification.adapter,
+            prompt,
+            max_tokens: specification.max_tokens,
+            from_token,
+            repeatable: true,
+        }));
+        true
+    }
+
+    /// Streams of jobs that ended, or of groups that this node leads no longer, are stopped.
+    fn abandon_ended_jobs(&mut self) {
+        let known = self.batch.dispatcher.known_jobs();
+        for job in known {
+            let is_running = self.groups.get(job.group).is_some_and(|hosted| {
+                let held = hosted.state.job(job);
+                hosted.replica.is_leader()
+                    && held.is_some_and(|held| held.phase == crate::partition::JobPhase::Accepted && !held.has_ended())
+            });
+            if is_running {
+                continue;
+            }
+            for attempt in self.batch.dispatcher.forget_job(job) {
+                self.stop_stream(attempt, StreamEnd::Abandoned);
+            }
+            self.batch.results.remove(&job);
+        }
+    }
+
+    fn stop_stream(&mut self, attempt: AttemptId, end: StreamEnd) {
+        self.effects.push(Effect::CancelStream { attempt });
+        self.batch.dispatcher.ended(attempt, end, self.clock.now);
+    }
+
+    /// Gives back everything in hand, for a planned stop.
+    pub(super) fn give_back_batch(&mut self) {
+        let attempts: Vec<AttemptId> = self.batch.dispatcher.streams().map(|(attempt, _)| attempt).collect();
+        for attempt in attempts {
+            self.stop_stream(attempt, StreamEnd::Paused);
+        }
+        self.release_asks();
+    }
+
+    fn drop_silent_streams(&mut self) {
+        let now = self.clock.now;
+        let silent: Vec<(AttemptId, EngineName)> = self
+            .batch
+            .dispatcher
+            .streams()
+            .filter(|(_, stream)| now.since(stream.last_piece) >= SILENCE_TIMEOUT)
+            .map(|(attempt, stream)| (attempt, stream.engine.clone()))
+            .collect();
+        for (attempt, engine) in silent {
+            self.stop_stream(attempt, StreamEnd::Failed);
+            self.note_engine_failure(&engine);
+        }
+    }
+
+    // Pieces and results.
+
+    pub(super) fn on_batch_stream(&mut self, attempt: AttemptId, event: StreamEvent) {
+        match event {
+            StreamEvent::Piece { first, tokens, text, .. } => self.on_batch_piece(attempt, first, tokens, &text),
+            StreamEvent::End { length, .. } => self.on_batch_end(attempt, length),
+            StreamEvent::Rejected { detail } => {
+                let verdict = ItemVerdict::Rejected(detail.into());
+                self.complete_item(attempt, verdict);
+            }
+            StreamEvent::Refused { leaving } => {
+                self.fail_batch_stream(attempt, leaving);
+            }
+            StreamEvent::NotSent | StreamEvent::Broken { .. } => self.fail_batch_stream(attempt, false),
+        }
+        self.batch.is_dirty = true;
+    }
+
+    fn on_batch_piece(&mut self, attempt: AttemptId, first: u32, tokens: u32, text: &str) {
+        let now = self.clock.now;
+        let Some(stream) = self.batch.dispatcher.stream_mut(attempt) else { return };
+        stream.last_piece = now;
+        if first == stream.tokens {
+            stream.tokens += tokens;
+            stream.text.push_str(text);
+            return;
+        }
+        let is_gap = first > stream.tokens;
+        self.counters.pieces_dropped += 1;
+        if is_gap {
+            self.effects.push(Effect::CancelStream { attempt });
+            self.fail_batch_stream(attempt, false);
+        }
+    }
+
+    fn on_batch_end(&mut self, attempt: AttemptId, length: u32) {
+        let is_whole = self.batch.dispatcher.stream_mut(attempt).is_some_and(|stream| stream.tokens == length);
+        if is_whole {
+            self.complete_item(attempt, ItemVerdict::Completed);
+        } else {
+            self.fail_batch_stream(attempt, false);
+        }
+    }
+
+    fn fail_batch_stream(&mut self, attempt: AttemptId, leaving: bool) {
+        let Some(stream) = self.batch.dispatcher.ended(attempt, StreamEnd::Failed, self.clock.now) else { return };
+        if leaving {
+            self.engine_refused_as_leaving(&stream.engine);
+        } else {
+            self.note_engine_failure(&stream.engine);
+        }
+    }
+
+    fn complete_item(&mut self, attempt: AttemptId, verdict: ItemVerdict) {
+        let Some(stream) = self.batch.dispatcher.ended(attempt, StreamEnd::Whole, self.clock.now) else { return };
+        self.engines.succeeded(&stream.engine);
+        let result =
+            ItemResult { attempt, engine: stream.engine, verdict, text: stream.text.into(), tokens: stream.tokens };
+        self.batch.results.entry(stream.job).or_default().push(CompletedItem { item: stream.item, result });
+    }
+
+    /// Proposes the results gathered during one event, one command a job.
+    pub(super) fn flush_results(&mut self) {
+        let results = std::mem::take(&mut self.batch.results);
+        for (job, results) in results {
+            let items = results.iter().map(|completed| completed.item).collect();
+            let command = Command::CompleteItems { job, results, at: self.clock.civil };
+            self.command(job.group, command, Purpose::RecordResults(job, items), RECORD_TIMEOUT);
+        }
+        if self.batch.is_dirty {
+            self.schedule_batch();
+        }
+    }
+
+    pub(super) fn on_results_recorded(&mut self, job: JobId, items: &[u32], reply: GroupReply) {
+        match reply {
+            GroupReply::Outcome(CommandOutcome::ItemsCompleted { dropped }) => {
+                self.counters.batch_completed += items.len() as u64 - u64::from(dropped);
+                self.counters.batch_results_dropped += u64::from(dropped);
+                for item in items {
+                    self.batch.dispatcher.settled(job, *item);
+                }
+            }
+            GroupReply::Outcome(_) => {}
+            _ => {
+                for item in items {
+                    self.batch.dispatcher.proposal_lost(job, *item);
+                }
+            }
+        }
+        self.batch.is_dirty = true;
+    }
+
+    // Asking for room.
+
+    fn ask_for_room(&mut self) {
+        let Some(fleet) = self.fleet() else { return };
+        if self.stopping.is_some() {
+            return;
+        }
+        let jobs = self.runnable_jobs(&fleet);
+        let mut wanted: BTreeMap<EngineName, u32> = BTreeMap::new();
+        for service in fleet.services.keys() {
+            let demand = self.startable_items(&jobs, service);
+            if demand > 0 {
+                for engine in self.engines_to_ask(service) {
+                    wanted.insert(engine, demand);
+                }
+            }
+        }
+        for engine in self.batch.dispatcher.engines_in_use() {
+            wanted.entry(engine.clone()).or_insert(0);
+        }
+        let no_longer: Vec<EngineName> =
+            self.batch.asked.iter().filter(|engine| !wanted.contains_key(*engine)).cloned().collect();
+        for engine in no_longer {
+            self.send_ask(&engine, 0);
+        }
+        self.batch.asked = wanted.keys().cloned().collect();
+        for (engine, demand) in wanted {
+            let want = demand + self.batch.dispatcher.streams_at(&engine) as u32;
+            self.send_ask(&engine, want);
+        }
+    }
+
+    fn release_asks(&mut self) {
+        for engine in std::mem::take(&mut self.batch.asked) {
+            self.send_ask(&engine, 0);
+        }
+    }
+
+    fn send_ask(&mut self, engine: &EngineName, want: u32) {
+        let from = self.settings.id;
+        let message = CreditMessage::Ask { engine: engine.clone(), from, want };
+        self.send(self.steward_of(engine), PeerMessage::Credit(message));
+    }
+
+    fn startable_items(&self, jobs: &[RunnableJob], service: &str) -> u32 {
+        let now = self.clock.now;
+        let mut demand = 0;
+        for job in jobs.iter().filter(|job| &*job.service == service) {
+            if self.batch.dispatcher.has_startable(job.job, job.item_count, now) {
+                let left = self.groups.get(job.job.group).and_then(|hosted| hosted.state.job(job.job));
+                demand += left.map_or(0, |held| job.item_count - held.completed);
+            }
+        }
+        demand.min(MOST_DEMAND)
+    }
+
+    /// Usable engines of a service; where there are many, a part that differs from node to node.
+    fn engines_to_ask(&self, service: &str) -> Vec<EngineName> {
+        let now = self.clock.now;
+        let usable = self.engines.of_service(service).filter(|(_, state)| state.is_usable(now));
+        let key = hash_parts(&[b"ask", &self.settings.id.0.to_le_bytes()]);
+        let names = usable.map(|(name, _)| name);
+        rendezvous(key, names, |name| hash_bytes(name.0.as_bytes()), MOST_ENGINES_ASKED).into_iter().cloned().collect()
+    }
+
+    pub(super) fn on_batch_grant(&mut self, engine: EngineName, limit: u32, lifetime: Millis) {
+        let until = self.clock.now + lifetime;
+        self.batch.dispatcher.granted(engine.clone(), EngineLimit { limit, until });
+        let excess = self.batch.dispatcher.excess(&engine);
+        if !excess.is_empty() {
+            self.counters.batch_paused += excess.len() as u64;
+            self.log(LogEvent::BatchYielded, format!("{} streams at {engine}", excess.len()));
+        }
+        for attempt in excess {
+            self.stop_stream(attempt, StreamEnd::Paused);
+        }
+        self.batch.is_dirty = true;
+    }
+
+    // Being a steward.
+
+    pub(super) fn on_batch_ask(&mut self, engine: &EngineName, from: NodeId, want: u32) {
+        let now = self.clock.now;
+        let Some(settings) = self.steward_settings(engine) else { return };
+        let steward = self.stewards.entry(engine.clone()).or_default();
+        steward.ask(from, want, now);
+        let limit = steward.grant(from, settings);
+        self.send_grant(engine, from, limit);
+    }
+
+    pub(super) fn on_online_notice(&mut self, engine: &EngineName, from: NodeId, in_flight: u32) {
+        let now = self.clock.now;
+        let Some(settings) = self.steward_settings(engine) else { return };
+        let steward = self.stewards.entry(engine.clone()).or_default();
+        steward.online_notice(from, in_flight, now);
+        let recalls = steward.recalls(settings);
+        for recall in recalls {
+            self.send_grant(engine, recall.holder, recall.limit);
+        }
+    }
+
+    pub(super) fn tick_stewards(&mut self) {
+        let now = self.clock.now;
+        let engines: Vec<EngineName> = self.stewards.keys().cloned().collect();
+        for engine in engines {
+            let settings = self.steward_settings(&engine);
+            let Some(steward) = self.stewards.get_mut(&engine) else { continue };
+            steward.expire(now);
+            let recalls = settings.map(|settings| steward.recalls(settings)).unwrap_or_default();
+            for recall in recalls {
+                self.send_grant(&engine, recall.holder, recall.limit);
+            }
+        }
+    }
+
+    fn send_grant(&mut self, engine: &EngineName, holder: NodeId, limit: u32) {
+        let message = CreditMessage::Grant { engine: engine.clone(), limit, lifetime: GRANT_LIFETIME };
+        self.send(holder, PeerMessage::Credit(message));
+    }
+
+    /// What the steward of an engine goes by. A leaving engine has no slots to share out.
+    fn steward_settings(&self, engine: &EngineName) -> Option<StewardSettings> {
+        let state = self.engines.get(engine)?;
+        let fleet = self.configuration.in_force()?.fleet.clone();
+        let service = fleet.services.get(&state.configured.service)?;
+        let slots = if state.is_usable(self.clock.now) { state.slots() } else { 0 };
+        Some(StewardSettings { slots, online_headroom: service.online_headroom })
+    }
+
+    /// Tells stewards of online requests that started or ended here, and now and then of those that go on.
+    pub(super) fn flush_notices(&mut self) {
+        let now = self.clock.now;
+        if now >= self.batch.next_notice {
+            self.batch.next_notice = now + NOTICE_INTERVAL;
+            let busy = self.engines.iter().filter(|(_, state)| state.own_online > 0);
+            let busy: Vec<EngineName> = busy.map(|(name, _)| name.clone()).collect();
+            self.batch.notices_due.extend(busy);
+        }
+        let from = self.settings.id;
+        for engine in std::mem::take(&mut self.batch.notices_due) {
+            let in_flight = self.engines.get(&engine).map_or(0, |state| state.own_online);
+            let steward = self.steward_of(&engine);
+            let message = CreditMessage::OnlineNotice { engine, from, in_flight };
+            self.send(steward, PeerMessage::Credit(message));
+        }
+    }
+
+    // Retention.
+
+    fn forget_old_state(&mut self) {
+        let Some(fleet) = self.fleet() else { return };
+        let before = UnixMillis(self.clock.civil.0.saturating_sub(fleet.fleet.retention.0));
+        let led: Vec<_> = self.groups.led().map(|(group, _)| group).collect();
+        for group in led {
+            self.command(group, Command::Forget { before }, Purpose::Forget, RECORD_TIMEOUT);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/configuration_flow.rs
@@ -0,0 +1,432 @@
+//! Accepting, spreading and taking configuration, and the budget of calls to the key-value service.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use rand::Rng;
+
+use super::effect::{Effect, KeyValueOperation};
+use super::event::{CallerAnswer, KeyValueCall, KeyValueOutcome};
+use super::machine::Node;
+use super::peer_message::{ConfigurationMessage, PeerMessage};
+use super::settings::NodeSettings;
+use crate::configuration::apply::ApplyAnswer;
+use crate::configuration::bundle::PartContents;
+use crate::configuration::replica::OfferOutcome;
+use crate::configuration::{
+    ApplyId, ApplyOutcome, ApplyStep, Bundle, ConfigurationApply, InForce, Manifest, PartDigest,
+};
+use crate::control::GroupsRecord;
+use crate::error::{ErrorKind, Refusal};
+use crate::identity::{CallerId, NodeId};
+use crate::log_event::LogEvent;
+use crate::time::{Millis, Timestamp};
+
+/// Where the manifest is kept in the key-value service.
+pub(super) const MANIFEST_KEY: &str = "configuration/manifest";
+/// Parts are kept under this prefix and their digest.
+const PART_PREFIX: &str = "configuration/part/";
+/// How many nodes read the manifest on their own.
+const CONFIGURATION_WATCHERS: usize = 3;
+/// To how many nodes a new revision is offered by each that takes it.
+const SPREAD: usize = 4;
+/// Missing parts are asked for again this often.
+const FETCH_INTERVAL: Millis = Millis(400);
+/// The wait before a step of a change that got no answer is repeated.
+const APPLY_BACKOFF: Millis = Millis(150);
+/// Tokens that only a change of configuration may use.
+const RESERVED_CALLS: f64 = 4.0;
+/// Most tokens saved up.
+const MOST_CALLS_SAVED: f64 = 16.0;
+
+/// What a call to the key-value service is for.
+#[derive(Clone, Debug)]
+pub(super) enum KeyValuePurpose {
+    /// A watching node reads the manifest.
+    WatchManifest,
+    /// A watching node reads a part.
+    FetchPart(PartDigest),
+    /// A step of a change.
+    Apply(CallerId),
+    /// The founding record is read.
+    ReadGroups,
+    /// The founding record is written.
+    FoundGroups(GroupsRecord),
+}
+
+impl KeyValuePurpose {
+    /// Operators' changes may use the reserve.
+    fn is_urgent(&self) -> bool {
+        matches!(self, Self::Apply(_))
+    }
+}
+
+struct WaitingCall {
+    purpose: KeyValuePurpose,
+    operation: KeyValueOperation,
+    not_before: Timestamp,
+}
+
+/// What a node keeps for configuration and the key-value service.
+pub(super) struct ConfigurationState {
+    applies: BTreeMap<CallerId, ConfigurationApply>,
+    calls: BTreeMap<KeyValueCall, KeyValuePurpose>,
+    waiting: VecDeque<WaitingCall>,
+    next_call: u64,
+    tokens: f64,
+    tokens_at: Timestamp,
+    next_watch: Timestamp,
+    next_fetch: Timestamp,
+    source: Option<NodeId>,
+    service_answers: bool,
+}
+
+impl ConfigurationState {
+    pub(super) fn new(_settings: &NodeSettings, now: Timestamp) -> Self {
+        Self {
+            applies: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            next_call: 1,
+            tokens: MOST_CALLS_SAVED,
+            tokens_at: now,
+            next_watch: now,
+            next_fetch: now,
+            source: None,
+            service_answers: true,
+        }
+    }
+}
+
+impl Node {
+    /// Takes what the disk held, if it passes the check of this version.
+    pub(super) fn restore_configuration(&mut self, persisted: Option<(Manifest, PartContents)>) {
+        let Some((manifest, contents)) = persisted else { return };
+        self.configuration.offer(manifest);
+        for (digest, content) in contents {
+            self.configuration.offer_part(digest, content);
+        }
+        if let Some(in_force) = self.configuration.in_force().cloned() {
+            self.engines.configure(&in_force.fleet);
+            self.membership.set_configuration_revision(in_force.manifest.revision);
+        }
+    }
+
+    // Calls to the key-value service.
+
+    pub(super) fn call_key_value(&mut self, purpose: KeyValuePurpose, operation: KeyValueOperation) {
+        self.call_key_value_after(purpose, operation, Millis(0));
+    }
+
+    fn call_key_value_after(&mut self, purpose: KeyValuePurpose, operation: KeyValueOperation, wait: Millis) {
+        let not_before = self.clock.now + wait;
+        self.configuration_state.waiting.push_back(WaitingCall { purpose, operation, not_before });
+        self.send_waiting_calls();
+    }
+
+    /// Sends the calls that the rate limit allows; those of operators may use its reserve.
+    fn send_waiting_calls(&mut self) {
+        let now = self.clock.now;
+        let state = &mut self.configuration_state;
+        let earned = now.since(state.tokens_at).0 as f64 / 1_000.0 * self.settings.key_value_rate;
+        state.tokens = (state.tokens + earned).min(MOST_CALLS_SAVED);
+        state.tokens_at = now;
+        let mut kept = VecDeque::new();
+        while let Some(waiting) = state.waiting.pop_front() {
+            let floor = if waiting.purpose.is_urgent() { 1.0 } else { 1.0 + RESERVED_CALLS };
+            if now < waiting.not_before || state.tokens < floor {
+                kept.push_back(waiting);
+                continue;
+            }
+            state.tokens -= 1.0;
+            let call = KeyValueCall(state.next_call);
+            state.next_call += 1;
+            state.calls.insert(call, waiting.purpose);
+            self.effects.push(Effect::KeyValue { call, operation: waiting.operation });
+        }
+        state.waiting = kept;
+    }
+
+    pub(super) fn on_key_value(&mut self, call: KeyValueCall, outcome: KeyValueOutcome) {
+        let Some(purpose) = self.configuration_state.calls.remove(&call) else { return };
+        self.note_service(&outcome);
+        match purpose {
+            KeyValuePurpose::WatchManifest => self.on_watched_manifest(outcome),
+            KeyValuePurpose::FetchPart(digest) => {
+                if let KeyValueOutcome::Value { value, .. } = outcome {
+                    let offer = self.configuration.offer_part(digest, value);
+                    self.on_offer(offer, None);
+                }
+            }
+            KeyValuePurpose::Apply(caller) => self.on_apply_answer(caller, outcome),
+            KeyValuePurpose::ReadGroups => self.on_groups_read(outcome),
+            KeyValuePurpose::FoundGroups(record) => self.on_groups_founded(&record, outcome),
+        }
+    }
+
+    fn note_service(&mut self, outcome: &KeyValueOutcome) {
+        let answers = !matches!(outcome, KeyValueOutcome::NoAnswer);
+        if !answers {
+            self.counters.key_value_failures += 1;
+        }
+        if answers != self.configuration_state.service_answers {
+            self.configuration_state.service_answers = answers;
+            let event = if answers { LogEvent::PlatformRecovered } else { LogEvent::PlatformUnavailable };
+            self.log(event, "key-value service");
+        }
+    }
+
+    // An operator's change.
+
+    pub(super) fn begin_apply(
+        &mut self,
+        caller: CallerId,
+        id: ApplyId,
+        bundle: Bundle,
+        expected_revision: Option<u64>,
+    ) {
+        if let Err(errors) = bundle.check() {
+            self.log(LogEvent::ConfigurationRefused, format!("{} errors", errors.len()));
+            self.answer(caller, CallerAnswer::Invalid(errors));
+            return;
+        }
+        let apply = ConfigurationApply::new(id, bundle, expected_revision, self.clock.now);
+        let step = apply.begin();
+        self.configuration_state.applies.insert(caller, apply);
+        self.take_apply_step(caller, step, Millis(0));
+    }
+
+    fn take_apply_step(&mut self, caller: CallerId, step: ApplyStep, wait: Millis) {
+        let operation = match step {
+            ApplyStep::ReadManifest => KeyValueOperation::Get { key: MANIFEST_KEY.to_owned() },
+            ApplyStep::WritePart(digest) => {
+                let apply = self.configuration_state.applies.get(&caller);
+                let content = apply.and_then(|apply| apply.bundle().parts().get(&digest).cloned());
+                let value = content.unwrap_or_default().to_string();
+                KeyValueOperation::CompareAndSwap { key: part_key(digest), expected: 0, value }
+            }
+            ApplyStep::SwapManifest { expected, manifest } => {
+                let Ok(value) = serde_json::to_string(&manifest) else { return };
+                KeyValueOperation::CompareAndSwap { key: MANIFEST_KEY.to_owned(), expected, value }
+            }
+            ApplyStep::Done(outcome) => {
+                self.end_apply(caller, outcome);
+                return;
+            }
+        };
+        self.call_key_value_after(KeyValuePurpose::Apply(caller), operation, wait);
+    }
+
+    fn on_apply_answer(&mut self, caller: CallerId, outcome: KeyValueOutcome) {
+        let now = self.clock.now;
+        let is_part = self.configuration_state.applies.get(&caller).is_some_and(ConfigurationApply::writes_parts);
+        let Some(apply) = self.configuration_state.applies.get_mut(&caller) else { return };
+        let answer = match outcome {
+            KeyValueOutcome::Value { version, value } => match serde_json::from_str(&value) {
+                Ok(manifest) => ApplyAnswer::Manifest(Some((version, manifest))),
+                Err(_) => ApplyAnswer::NoAnswer,
+            },
+            KeyValueOutcome::NotFound => ApplyAnswer::Manifest(None),
+            // A part that exists already under its digest is as good as written.
+            KeyValueOutcome::Written | KeyValueOutcome::VersionMismatch if is_part => ApplyAnswer::PartWritten,
+            KeyValueOutcome::Written => ApplyAnswer::Swapped,
+            KeyValueOutcome::VersionMismatch => ApplyAnswer::VersionMismatch,
+            KeyValueOutcome::NoAnswer => ApplyAnswer::NoAnswer,
+        };
+        let wait = if answer == ApplyAnswer::NoAnswer { APPLY_BACKOFF } else { Millis(0) };
+        let step = apply.on_answer(answer, now);
+        self.take_apply_step(caller, step, wait);
+    }
+
+    fn end_apply(&mut self, caller: CallerId, outcome: ApplyOutcome) {
+        let Some(apply) = self.configuration_state.applies.remove(&caller) else { return };
+        match outcome {
+            ApplyOutcome::Accepted(manifest) => {
+                let revision = manifest.revision;
+                self.log(LogEvent::ConfigurationAccepted, format!("revision {revision}"));
+                self.take_manifest(manifest, Some(&apply.bundle().parts()));
+                self.answer(caller, CallerAnswer::Applied { revision, changed: true });
+            }
+            ApplyOutcome::Unchanged(manifest) => {
+                let revision = manifest.revision;
+                self.take_manifest(manifest, Some(&apply.bundle().parts()));
+                self.answer(caller, CallerAnswer::Applied { revision, changed: false });
+            }
+            ApplyOutcome::Conflict { current } => {
+                let detail = format!("revision {current} is in force; nothing was applied");
+                self.log(LogEvent::ConfigurationRefused, detail.clone());
+                self.refuse(caller, ErrorKind::ConfigurationConflict, detail);
+            }
+            ApplyOutcome::Unavailable => {
+                self.refuse(caller, ErrorKind::PlatformUnavailable, "nothing was applied");
+            }
+            ApplyOutcome::Unknown => {
+                let detail = "the change may be in force; compare `status` and apply again if it is not";
+                let refusal = Refusal::new(ErrorKind::ConfigurationOutcomeUnknown, detail);
+                self.answer(caller, CallerAnswer::Refused(refusal));
+            }
+        }
+    }
+
+    fn expire_applies(&mut self) {
+        let now = self.clock.now;
+        let late: Vec<CallerId> = self
+            .configuration_state
+            .applies
+            .iter()
+            .filter(|(_, apply)| now >= apply.deadline())
+            .map(|(caller, _)| *caller)
+            .collect();
+        for caller in late {
+            let outcome = self.configuration_state.applies.get(&caller).map(ConfigurationApply::give_up);
+            if let Some(outcome) = outcome {
+                self.end_apply(caller, outcome);
+            }
+        }
+    }
+
+    // Watching and spreading.
+
+    pub(super) fn tick_configuration(&mut self) {
+        let now = self.clock.now;
+        self.expire_applies();
+        if now >= self.configuration_state.next_watch {
+            let poll = self.settings.configuration_poll.0;
+            let wait = Millis(poll / 2 + self.random.random_range(0..=poll));
+            self.configuration_state.next_watch = now + wait;
+            let is_watcher = self.has_duty("configuration", CONFIGURATION_WATCHERS);
+            if is_watcher || self.configuration.revision() == 0 {
+                let operation = KeyValueOperation::Get { key: MANIFEST_KEY.to_owned() };
+                self.call_key_value(KeyValuePurpose::WatchManifest, operation);
+            }
+        }
+        if now >= self.configuration_state.next_fetch {
+            self.configuration_state.next_fetch = now + FETCH_INTERVAL;
+            self.fetch_missing_parts();
+        }
+        self.send_waiting_calls();
+    }
+
+    fn on_watched_manifest(&mut self, outcome: KeyValueOutcome) {
+        if let KeyValueOutcome::Value { value, .. } = outcome
+            && let Ok(manifest) = serde_json::from_str::<Manifest>(&value)
+        {
+            self.take_manifest(manifest, None);
+        }
+    }
+
+    fn take_manifest(&mut self, manifest: Manifest, contents: Option<&PartContents>) {
+        let mut offer = self.configuration.offer(manifest);
+        for (digest, content) in contents.into_iter().flatten() {
+            if matches!(offer, OfferOutcome::Missing(_)) {
+                offer = self.configuration.offer_part(*digest, content.clone());
+            }
+        }
+        self.on_offer(offer, None);
+    }
+
+    fn on_offer(&mut self, offer: OfferOutcome, from: Option<NodeId>) {
+        match offer {
+            OfferOutcome::Taken => self.configuration_taken(),
+            OfferOutcome::Missing(_) => {
+                if from.is_some() {
+                    self.configuration_state.source = from;
+                }
+            }
+            OfferOutcome::NotNewer => {}
+            OfferOutcome::Invalid => {
+                self.log(LogEvent::ConfigurationRefused, "an accepted revision does not pass this version's check");
+            }
+        }
+    }
+
+    fn configuration_taken(&mut self) {
+        let Some(in_force) = self.configuration.in_force().cloned() else { return };
+        let revision = in_force.manifest.revision;
+        self.engines.configure(&in_force.fleet);
+        self.membership.set_configuration_revision(revision);
+        if self.settings.stores {
+            self.effects.push(Effect::PersistConfiguration(Arc::<InForce>::clone(&in_force)));
+        }
+        self.log(LogEvent::ConfigurationInForce, format!("revision {revision}"));
+        let from = self.settings.id;
+        for node in self.membership.sample_present(SPREAD) {
+            self.send(node, PeerMessage::Configuration(ConfigurationMessage::Offer { from, revision }));
+        }
+        self.batch.is_dirty = true;
+    }
+
+    /// Asks for missing parts: from the node that offered the revision, from any other node, and if
+    /// this node watches, from the key-value service.
+    fn fetch_missing_parts(&mut self) {
+        let digests = self.configuration.missing();
+        if digests.is_empty() {
+            return;
+        }
+        let from = self.settings.id;
+        let mut sources = self.membership.sample_present(1);
+        sources.extend(self.configuration_state.source);
+        for node in sources {
+            let request = ConfigurationMessage::PartsRequest { from, digests: digests.clone() };
+            self.send(node, PeerMessage::Configuration(request));
+        }
+        if self.configuration_state.waiting.is_empty()
+            && let Some(digest) = digests.first()
+        {
+            let operation = KeyValueOperation::Get { key: part_key(*digest) };
+            self.call_key_value(KeyValuePurpose::FetchPart(*digest), operation);
+        }
+    }
+
+    pub(super) fn on_peer_revision(&mut self, peer: NodeId, revision: u64) {
+        let from = self.settings.id;
+        let own = self.configuration.revision();
+        if revision > self.configuration.newest_known() {
+            self.send(peer, PeerMessage::Configuration(ConfigurationMessage::ManifestRequest { from }));
+        } else if revision < own {
+            let offer = ConfigurationMessage::Offer { from, revision: own };
+            self.send(peer, PeerMessage::Configuration(offer));
+        }
+    }
+
+    pub(super) fn on_configuration_message(&mut self, message: ConfigurationMessage) {
+        match message {
+            ConfigurationMessage::Offer { from, revision } => {
+                if revision > self.configuration.newest_known() {
+                    self.on_peer_revision(from, revision);
+                }
+            }
+            ConfigurationMessage::ManifestRequest { from } => {
+                if let Some(in_force) = self.configuration.in_force() {
+                    let manifest = in_force.manifest.clone();
+                    let own = self.settings.id;
+                    let answer = ConfigurationMessage::ManifestAnswer { from: own, manifest };
+                    self.send(from, PeerMessage::Configuration(answer));
+                }
+            }
+            ConfigurationMessage::ManifestAnswer { from, manifest } => {
+                let offer = self.configuration.offer(manifest);
+                self.on_offer(offer, Some(from));
+                self.fetch_missing_parts();
+            }
+            ConfigurationMessage::PartsRequest { from, digests } => self.send_parts(from, &digests),
+            ConfigurationMessage::PartAnswer { digest, content } => {
+                let offer = self.configuration.offer_part(digest, content);
+                self.on_offer(offer, None);
+            }
+        }
+    }
+
+    fn send_parts(&mut self, to: NodeId, digests: &[PartDigest]) {
+        for digest in digests {
+            if let Some(content) = self.configuration.part(*digest).cloned() {
+                let answer = ConfigurationMessage::PartAnswer { digest: *digest, content };
+                self.send(to, PeerMessage::Configuration(answer));
+            }
+        }
+    }
+}
+
+fn part_key(digest: PartDigest) -> String {
+    format!("{PART_PREFIX}{:016x}", digest.0)
+}
--- /dev/null
+++ b/crates/core/src/node/engines_flow.rs
@@ -0,0 +1,164 @@
+//! Polling engines and the machine list, and spreading what leaves.
+
+use std::collections::BTreeMap;
+
+use super::effect::Effect;
+use super::event::MachineReport;
+use super::machine::Node;
+use super::peer_message::PeerMessage;
+use crate::hashing::{hash_bytes, hash_parts, rendezvous};
+use crate::identity::{EngineName, NodeId};
+use crate::log_event::LogEvent;
+use crate::routing::{CacheEventBatch, LeavingFact, LoadReport, PrefixIndex};
+use crate::time::{Millis, Timestamp};
+
+/// Most engines that one node polls besides those it is steward of.
+const MOST_POLLED: usize = 24;
+/// How many nodes read the machine list.
+const MACHINE_WATCHERS: usize = 3;
+/// To how many nodes a fact is passed on by each that learns it.
+const SPREAD: usize = 4;
+/// How many leaving facts are told to one node again at each tick of the reminder.
+const REMINDER_INTERVAL: Millis = Millis(5_000);
+
+/// When engines and machines are polled next.
+pub(super) struct EnginePolls {
+    due: BTreeMap<EngineName, Timestamp>,
+    next_machines: Timestamp,
+    next_reminder: Timestamp,
+    pub(super) prefix_index: PrefixIndex,
+}
+
+impl EnginePolls {
+    pub(super) fn new(now: Timestamp) -> Self {
+        Self {
+            due: BTreeMap::new(),
+            next_machines: now,
+            next_reminder: now + REMINDER_INTERVAL,
+            prefix_index: PrefixIndex::default(),
+        }
+    }
+}
+
+impl Node {
+    pub(super) fn tick_engines(&mut self) {
+        let now = self.clock.now;
+        if now >= self.polls.next_machines {
+            self.polls.next_machines = now + self.settings.machine_poll;
+            if self.has_duty("machine-list", MACHINE_WATCHERS) {
+                self.effects.push(Effect::ReadMachines);
+            }
+            self.choose_polled_engines();
+        }
+        if now >= self.polls.next_reminder {
+            self.polls.next_reminder = now + REMINDER_INTERVAL;
+            let chosen = self.membership.sample_present(1);
+            for node in chosen {
+                self.tell_leaving_facts(node);
+            }
+        }
+        self.poll_due_engines();
+    }
+
+    /// All engines where they are few, else a part that differs from node to node; and always those
+    /// that this node is steward of.
+    fn choose_polled_engines(&mut self) {
+        let now = self.clock.now;
+        let key = hash_parts(&[b"poll", &self.settings.id.0.to_le_bytes()]);
+        let names = self.engines.iter().map(|(name, _)| name);
+        let mut chosen: Vec<EngineName> =
+            rendezvous(key, names, |name| hash_bytes(name.0.as_bytes()), MOST_POLLED).into_iter().cloned().collect();
+        chosen.extend(self.stewards.keys().cloned());
+        let earlier = std::mem::take(&mut self.polls.due);
+        for (place, engine) in chosen.into_iter().enumerate() {
+            // Spread over the interval, so that polls don't come in bursts.
+            let offset = Millis(place as u64 * 37 % self.settings.engine_poll.0.max(1));
+            let due = earlier.get(&engine).copied().unwrap_or(now + offset);
+            self.polls.due.insert(engine, due);
+        }
+    }
+
+    fn poll_due_engines(&mut self) {
+        let now = self.clock.now;
+        let due: Vec<EngineName> =
+            self.polls.due.iter().filter(|(_, at)| now >= **at).map(|(engine, _)| engine.clone()).collect();
+        for engine in due {
+            self.polls.due.insert(engine.clone(), now + self.settings.engine_poll);
+            let Some(state) = self.engines.get(&engine) else { continue };
+            let address = state.configured.address;
+            let cache_from = self.polls.prefix_index.wanted(&engine);
+            self.effects.push(Effect::PollEngine { engine, address, cache_from });
+        }
+    }
+
+    pub(super) fn on_engine_load(
+        &mut self,
+        engine: &EngineName,
+        report: Option<LoadReport>,
+        cache: Option<&CacheEventBatch>,
+    ) {
+        let now = self.clock.now;
+        let Some(report) = report else {
+            self.note_engine_failure(engine);
+            return;
+        };
+        let restarted = self.engines.get(engine).is_some_and(|state| state.incarnation < report.incarnation);
+        if restarted {
+            self.polls.prefix_index.forget(engine);
+        }
+        if let Some(batch) = cache {
+            self.polls.prefix_index.record(engine, batch);
+        }
+        let news = self.engines.reported(engine, report, now);
+        self.spread_leaving(news.into_iter().collect());
+    }
+
+    pub(super) fn on_machines(&mut self, machines: &[MachineReport]) {
+        let mut news = Vec::new();
+        for machine in machines {
+            self.engines.learn_incarnation(&machine.engine, machine.incarnation);
+            if machine.leaving {
+                let fact = LeavingFact { engine: machine.engine.clone(), incarnation: machine.incarnation };
+                news.extend(self.engines.learn_leaving(&fact));
+            }
+        }
+        self.spread_leaving(news);
+    }
+
+    pub(super) fn on_engines_leaving(&mut self, facts: &[LeavingFact]) {
+        let news: Vec<LeavingFact> = facts.iter().filter_map(|fact| self.engines.learn_leaving(fact)).collect();
+        self.spread_leaving(news);
+    }
+
+    pub(super) fn engine_refused_as_leaving(&mut self, engine: &EngineName) {
+        let news = self.engines.refused_as_leaving(engine);
+        self.spread_leaving(news.into_iter().collect());
+    }
+
+    /// Passes news on to a few nodes, each of which does the same.
+    fn spread_leaving(&mut self, news: Vec<LeavingFact>) {
+        if news.is_empty() {
+            return;
+        }
+        for fact in &news {
+            self.log(LogEvent::EngineLeaving, format!("{} incarnation {}", fact.engine, fact.incarnation));
+        }
+        for node in self.membership.sample_present(SPREAD) {
+            self.send(node, PeerMessage::EnginesLeaving(news.clone()));
+        }
+        self.batch.is_dirty = true;
+    }
+
+    pub(super) fn tell_leaving_facts(&mut self, node: NodeId) {
+        let facts = self.engines.leaving_facts();
+        if !facts.is_empty() {
+            self.send(node, PeerMessage::EnginesLeaving(facts));
+        }
+    }
+
+    pub(super) fn note_engine_failure(&mut self, engine: &EngineName) {
+        if self.engines.failed(engine, self.clock.now) {
+            self.log(LogEvent::EngineEjected, engine.to_string());
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/group_client.rs
@@ -0,0 +1,240 @@
+//! Requests to groups, wherever their leaders are.
+//!
+//! A request is repeated until it is answered or its deadline passes: at the leader if one is known,
+//! else at the members in turn. All commands bear repeating.
+
+use std::collections::BTreeMap;
+
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use super::machine::Node;
+use super::peer_message::{GroupAnswer, GroupAnswerBody, GroupRefusal, GroupRequest, GroupRequestBody, PeerMessage};
+use crate::identity::{CallerId, GroupId, JobId, NodeId};
+use crate::partition::{Command, CommandOutcome, Query, QueryAnswer, RequestKey, SessionKey};
+use crate::time::{Millis, Timestamp};
+
+/// How long one try waits for its answer.
+const TRY_TIMEOUT: Millis = Millis(400);
+/// The wait after a refusal; doubles with each further one.
+const FIRST_BACKOFF: Millis = Millis(10);
+/// The longest wait after a refusal.
+const LONGEST_BACKOFF: Millis = Millis(400);
+/// Most requests that wait at once.
+const MOST_PENDING: usize = 16_384;
+
+/// Who asked, and for what.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Purpose {
+    /// A step of taking in a job.
+    Upload(CallerId),
+    /// A job's status for a caller.
+    JobStatus(CallerId, JobId),
+    /// A job's results for a caller.
+    JobResults(CallerId),
+    /// The acceptance of an uploaded job for a caller; the status is read after it.
+    AcceptJob(CallerId, JobId),
+    /// A cancellation for a caller; the status is read after it.
+    CancelJob(CallerId, JobId),
+    /// The mark of a not-repeatable request.
+    Mark(CallerId),
+    /// A settlement. Nobody waits.
+    Settle(RequestKey),
+    /// A session's record for a request.
+    FindSession(CallerId),
+    /// A session's new record. Nobody waits.
+    PlaceSession(SessionKey),
+    /// Results of batch items.
+    RecordResults(JobId, Vec<u32>),
+    /// Retention. Nobody waits.
+    Forget,
+}
+
+/// What became of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum GroupReply {
+    /// What the command did.
+    Outcome(CommandOutcome),
+    /// The answer to the query.
+    Answer(QueryAnswer),
+    /// No answer came in time. A command may have taken effect.
+    TimedOut,
+}
+
+struct Pending {
+    group: GroupId,
+    body: GroupRequestBody,
+    purpose: Purpose,
+    deadline: Timestamp,
+    next_try: Timestamp,
+    tries: u32,
+    refusals: u32,
+    target: Option<NodeId>,
+}
+
+/// Requests that wait for their answer.
+pub(super) struct GroupClient {
+    next_id: u64,
+    pending: BTreeMap<u64, Pending>,
+    random: Xoshiro256PlusPlus,
+}
+
+impl GroupClient {
+    pub(super) fn new(seed: u64) -> Self {
+        let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
+        // A restarted node must not take answers that were meant for its former self.
+        let next_id = random.random::<u64>() >> 1;
+        Self { next_id, pending: BTreeMap::new(), random }
+    }
+
+    /// Drops what a caller waits for that went away. Commands under way may still take effect.
+    pub(super) fn forget_caller(&mut self, caller: CallerId) {
+        self.pending.retain(|_, pending| match &pending.purpose {
+            Purpose::Upload(of)
+            | Purpose::JobStatus(of, _)
+            | Purpose::JobResults(of)
+            | Purpose::AcceptJob(of, _)
+            | Purpose::CancelJob(of, _)
+            | Purpose::Mark(of)
+            | Purpose::FindSession(of) => *of != caller,
+            _ => true,
+        });
+    }
+
+    /// How many requests wait.
+    pub(super) fn len(&self) -> usize {
+        self.pending.len()
+    }
+
+    fn jitter(&mut self, span: Millis) -> Millis {
+        Millis(span.0 / 2 + self.random.random_range(0..=span.0 / 2))
+    }
+}
+
+impl Node {
+    /// Sends a command to a group.
+    pub(super) fn command(&mut self, group: GroupId, command: Command, purpose: Purpose, within: Millis) {
+        self.request(group, GroupRequestBody::Command(command), purpose, within);
+    }
+
+    /// Sends a query to a group.
+    pub(super) fn query(&mut self, group: GroupId, query: Query, purpose: Purpose, within: Millis) {
+        self.request(group, GroupRequestBody::Query(query), purpose, within);
+    }
+
+    fn request(&mut self, group: GroupId, body: GroupRequestBody, purpose: Purpose, within: Millis) {
+        if self.client.pending.len() >= MOST_PENDING {
+            self.on_reply(purpose, GroupReply::TimedOut);
+            return;
+        }
+        let now = self.clock.now;
+        let id = self.client.next_id;
+        self.client.next_id += 1;
+        let pending = Pending {
+            group,
+            body,
+            purpose,
+            deadline: now + within,
+            next_try: now,
+            tries: 0,
+            refusals: 0,
+            target: None,
+        };
+        self.client.pending.insert(id, pending);
+        self.try_request(id);
+    }
+
+    fn try_request(&mut self, id: u64) {
+        let now = self.clock.now;
+        let wait = self.client.jitter(Millis(TRY_TIMEOUT.0 * 2));
+        let Some(pending) = self.client.pending.get_mut(&id) else { return };
+        let target = choose_target(self.directory.get(pending.group), pending.tries);
+        pending.tries += 1;
+        pending.next_try = now + wait;
+        pending.target = target;
+        let Some(target) = target else { return };
+        let request = GroupRequest { id, from: self.settings.id, group: pending.group, body: pending.body.clone() };
+        self.send(target, PeerMessage::GroupRequest(request));
+    }
+
+    pub(super) fn tick_client(&mut self) {
+        let now = self.clock.now;
+        let due = |pending: &Pending| now >= pending.deadline || now >= pending.next_try;
+        let ids: Vec<u64> = self.client.pending.iter().filter(|(_, pending)| due(pending)).map(|(id, _)| *id).collect();
+        for id in ids {
+            let Some(pending) = self.client.pending.get(&id) else { continue };
+            if now >= pending.deadline {
+                if let Some(pending) = self.client.pending.remove(&id) {
+                    self.on_reply(pending.purpose, GroupReply::TimedOut);
+                }
+                continue;
+            }
+            if let Some(silent) = pending.target {
+                let group = pending.group;
+                self.directory.forget_leader(group, silent);
+            }
+            self.try_request(id);
+        }
+    }
+
+    pub(super) fn on_group_answer(&mut self, answer: GroupAnswer) {
+        match answer.result {
+            Ok(body) => {
+                let Some(pending) = self.client.pending.remove(&answer.id) else { return };
+                let reply = match body {
+                    GroupAnswerBody::Outcome(outcome) => GroupReply::Outcome(outcome),
+                    GroupAnswerBody::Answer(answer) => GroupReply::Answer(answer),
+                };
+                self.on_reply(pending.purpose, reply);
+            }
+            Err(refusal) => self.on_group_refusal(answer.id, refusal),
+        }
+    }
+
+    fn on_group_refusal(&mut self, id: u64, refusal: GroupRefusal) {
+        let now = self.clock.now;
+        let Some(pending) = self.client.pending.get_mut(&id) else { return };
+        pending.refusals += 1;
+        let span = Millis((FIRST_BACKOFF.0 << pending.refusals.min(6)).min(LONGEST_BACKOFF.0));
+        let (group, target) = (pending.group, pending.target);
+        if let Some(target) = target {
+            pending.target = None;
+            self.directory.forget_leader(group, target);
+        }
+        if let GroupRefusal::NotLeader { term, leader: Some(leader) } = refusal {
+            self.directory.learn_leader(group, leader, term);
+        }
+        let wait = self.client.jitter(span);
+        if let Some(pending) = self.client.pending.get_mut(&id) {
+            pending.next_try = now + wait;
+        }
+    }
+
+    fn on_reply(&mut self, purpose: Purpose, reply: GroupReply) {
+        match purpose {
+            Purpose::Upload(caller) => self.on_upload_reply(caller, reply),
+            Purpose::JobStatus(caller, job) => self.on_job_status(caller, job, reply),
+            Purpose::JobResults(caller) => self.on_job_results(caller, reply),
+            Purpose::AcceptJob(caller, job) => self.on_job_accepted(caller, job, reply),
+            Purpose::CancelJob(caller, job) => self.on_job_cancelled(caller, job, reply),
+            Purpose::Mark(caller) => self.on_marked(caller, reply),
+            Purpose::FindSession(caller) => self.on_session_found(caller, reply),
+            Purpose::PlaceSession(session) => self.on_session_placed(session, reply),
+            Purpose::RecordResults(job, items) => self.on_results_recorded(job, &items, reply),
+            Purpose::Settle(_) | Purpose::Forget => {}
+        }
+    }
+}
+
+/// The leader, if one is known; else the members in turn.
+fn choose_target(entry: Option<&crate::control::DirectoryEntry>, tries: u32) -> Option<NodeId> {
+    let entry = entry?;
+    if let Some(leader) = entry.leader {
+        return Some(leader);
+    }
+    let count = entry.members.len();
+    if count == 0 {
+        return None;
+    }
+    Some(entry.members[tries as usize % count])
+}
--- /dev/null
+++ b/crates/core/src/node/machine.rs
@@ -0,0 +1,385 @@
+//! The node as a whole: its parts, and the way from an event to the part that handles it.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use super::batch_flow::BatchState;
+use super::configuration_flow::ConfigurationState;
+use super::effect::Effect;
+use super::engines_flow::EnginePolls;
+use super::event::{CallerAnswer, CallerCall, Clock, Event, OperatorCall};
+use super::founding_flow::FoundingState;
+use super::group_client::GroupClient;
+use super::groups::GroupHost;
+use super::online_flow::OnlineState;
+use super::peer_message::{CreditMessage, PeerMessage};
+use super::settings::NodeSettings;
+use super::status::{FleetStatus, NodeCounters, NodeStatus};
+use super::stopping::StopState;
+use super::upload::JobUpload;
+use crate::configuration::bundle::PartContents;
+use crate::configuration::{ConfigurationReplica, FleetConfiguration, InForce, Manifest};
+use crate::control::GroupDirectory;
+use crate::error::{ErrorKind, Refusal};
+use crate::hashing::{hash_parts, rendezvous};
+use crate::identity::{AttemptId, CallerId, EngineName, GroupId, NodeId};
+use crate::log_event::LogEvent;
+use crate::membership::{Member, MemberStatus, Membership, MembershipEffect};
+use crate::replication::PersistedReplica;
+use crate::routing::EngineTable;
+use crate::scheduling::Steward;
+use crate::time::{Millis, Timestamp};
+
+/// How long a fleet status waits for silent nodes.
+const STATUS_TIMEOUT: Millis = Millis(1_000);
+
+/// What a storing node's disk holds at its start.
+#[derive(Clone, Debug, Default)]
+pub struct PersistedNode {
+    /// Its replicas.
+    pub groups: BTreeMap<GroupId, PersistedReplica>,
+    /// The newest configuration it had.
+    pub configuration: Option<(Manifest, PartContents)>,
+}
+
+/// A fleet status that waits for answers.
+pub(super) struct StatusGathering {
+    waiting: BTreeSet<NodeId>,
+    gathered: Vec<NodeStatus>,
+    deadline: Timestamp,
+}
+
+/// One node.
+pub struct Node {
+    pub(super) settings: NodeSettings,
+    pub(super) clock: Clock,
+    pub(super) random: Xoshiro256PlusPlus,
+    pub(super) effects: Vec<Effect>,
+    pub(super) membership: Membership,
+    pub(super) configuration: ConfigurationReplica,
+    pub(super) configuration_state: ConfigurationState,
+    pub(super) directory: GroupDirectory,
+    pub(super) founding: FoundingState,
+    pub(super) groups: GroupHost,
+    pub(super) client: GroupClient,
+    pub(super) engines: EngineTable,
+    pub(super) polls: EnginePolls,
+    pub(super) online: OnlineState,
+    pub(super) uploads: BTreeMap<CallerId, JobUpload>,
+    pub(super) batch: BatchState,
+    pub(super) stewards: BTreeMap<EngineName, Steward>,
+    pub(super) stopping: Option<StopState>,
+    pub(super) counters: NodeCounters,
+    status_gatherings: BTreeMap<CallerId, StatusGathering>,
+    /// Messages from this node to itself, handled before the event ends.
+    loopback: VecDeque<PeerMessage>,
+}
+
+impl Node {
+    /// Starts a node from what its disk holds. `seed` decides everything that is random.
+    pub fn new(settings: NodeSettings, persisted: PersistedNode, clock: Clock, seed: u64) -> Self {
+        let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let own = Member {
+            id: settings.id,
+            incarnation: 1,
+            status: MemberStatus::Alive,
+            peer_address: settings.peer_address,
+            caller_address: settings.caller_address,
+            zone: settings.zone.clone(),
+            stores: settings.stores,
+        };
+        let membership = Membership::new(settings.membership, own, settings.seeds.clone(), clock.now, random.random());
+        let groups = GroupHost::new(&settings, persisted.groups, clock.now, random.random());
+        let mut node = Self {
+            clock,
+            effects: Vec::new(),
+            membership,
+            configuration: ConfigurationReplica::default(),
+            configuration_state: ConfigurationState::new(&settings, clock.now),
+            directory: GroupDirectory::default(),
+            founding: FoundingState::new(clock.now),
+            groups,
+            client: GroupClient::new(random.random()),
+            engines: EngineTable::default(),
+            polls: EnginePolls::new(clock.now),
+            online: OnlineState::default(),
+            uploads: BTreeMap::new(),
+            batch: BatchState::new(clock.now),
+            stewards: BTreeMap::new(),
+            stopping: None,
+            counters: NodeCounters::default(),
+            status_gatherings: BTreeMap::new(),
+            loopback: VecDeque::new(),
+            random,
+            settings,
+        };
+        node.restore_configuration(persisted.configuration);
+        node
+    }
+
+    /// This node's identity.
+    pub fn id(&self) -> NodeId {
+        self.settings.id
+    }
+
+    /// Takes an event and returns what to do.
+    pub fn handle(&mut self, event: Event, clock: Clock) -> Vec<Effect> {
+        self.clock = clock;
+        self.dispatch(event);
+        while let Some(message) = self.loopback.pop_front() {
+            self.on_peer(message);
+        }
+        self.flush_results();
+        self.flush_notices();
+        while let Some(message) = self.loopback.pop_front() {
+            self.on_peer(message);
+        }
+        self.drain_membership();
+        std::mem::take(&mut self.effects)
+    }
+
+    fn dispatch(&mut self, event: Event) {
+        match event {
+            Event::Tick => self.tick(),
+            Event::Peer(message) => self.on_peer(message),
+            Event::KeyValue { call, outcome } => self.on_key_value(call, outcome),
+            Event::Machines(machines) => self.on_machines(&machines),
+            Event::EngineLoad { engine, report, cache } => self.on_engine_load(&engine, report, cache.as_ref()),
+            Event::Stream { attempt, event } => self.on_stream(attempt, event),
+            Event::Call { caller, call } => self.on_call(caller, call),
+            Event::CallerGone(caller) => self.on_caller_gone(caller),
+            Event::Stop => self.begin_stop(),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.membership.tick(self.clock.now);
+        self.drain_membership();
+        self.tick_groups();
+        self.tick_client();
+        self.tick_configuration();
+        self.tick_founding();
+        self.tick_engines();
+        self.tick_online();
+        self.tick_stewards();
+        self.tick_batch();
+        self.tick_status();
+        self.tick_stop();
+    }
+
+    fn on_peer(&mut self, message: PeerMessage) {
+        match message {
+            PeerMessage::Membership(message) => {
+                self.membership.step(message, self.clock.now);
+                self.drain_membership();
+            }
+            PeerMessage::Replication(message) => self.on_replication(message),
+            PeerMessage::GroupRequest(request) => self.on_group_request(request),
+            PeerMessage::GroupAnswer(answer) => self.on_group_answer(answer),
+            PeerMessage::Configuration(message) => self.on_configuration_message(message),
+            PeerMessage::Credit(message) => self.on_credit(message),
+            PeerMessage::EnginesLeaving(facts) => self.on_engines_leaving(&facts),
+            PeerMessage::DirectoryRequest { from } => self.on_directory_request(from),
+            PeerMessage::DirectoryAnswer { group_count, entries } => self.on_directory_answer(group_count, entries),
+            PeerMessage::StatusRequest { from, id } => {
+                let status = self.status();
+                self.send(from, PeerMessage::StatusAnswer { id, status });
+            }
+            PeerMessage::StatusAnswer { id, status } => self.on_status_answer(CallerId(id), status),
+        }
+    }
+
+    fn on_credit(&mut self, message: CreditMessage) {
+        match message {
+            CreditMessage::OnlineNotice { engine, from, in_flight } => self.on_online_notice(&engine, from, in_flight),
+            CreditMessage::Ask { engine, from, want } => self.on_batch_ask(&engine, from, want),
+            CreditMessage::Grant { engine, limit, lifetime } => self.on_batch_grant(engine, limit, lifetime),
+        }
+    }
+
+    fn on_call(&mut self, caller: CallerId, call: CallerCall) {
+        match call {
+            CallerCall::Online(call) => self.on_online_call(caller, call),
+            CallerCall::Batch(call) => self.on_batch_call(caller, call),
+            CallerCall::Operator(call) => self.on_operator_call(caller, call),
+        }
+    }
+
+    fn on_caller_gone(&mut self, caller: CallerId) {
+        self.online_caller_gone(caller);
+        self.uploads.remove(&caller);
+        self.client.forget_caller(caller);
+        self.status_gatherings.remove(&caller);
+    }
+
+    fn on_operator_call(&mut self, caller: CallerId, call: OperatorCall) {
+        match call {
+            OperatorCall::Apply { id, bundle, expected_revision } => {
+                self.begin_apply(caller, id, bundle, expected_revision);
+            }
+            OperatorCall::ReadConfiguration => self.answer_configuration(caller),
+            OperatorCall::FleetStatus => self.begin_fleet_status(caller),
+            OperatorCall::NodeStatus => {
+                let status = self.status();
+                self.answer(caller, CallerAnswer::NodeStatus(status));
+            }
+            OperatorCall::Models => self.answer_models(caller),
+            OperatorCall::Explain(id) => self.answer_explanation(caller, &id),
+        }
+    }
+
+    // Shared by the flows.
+
+    /// The configuration in force.
+    pub(super) fn fleet(&self) -> Option<Arc<FleetConfiguration>> {
+        self.configuration.in_force().map(|in_force: &Arc<InForce>| in_force.fleet.clone())
+    }
+
+    /// Whether this node takes requests.
+    pub fn is_ready(&self) -> bool {
+        self.stopping.is_none() && self.configuration.in_force().is_some() && self.directory.group_count() > 0
+    }
+
+    pub(super) fn log(&mut self, event: LogEvent, detail: impl Into<String>) {
+        self.effects.push(Effect::Log { event, detail: detail.into() });
+    }
+
+    pub(super) fn answer(&mut self, caller: CallerId, answer: CallerAnswer) {
+        self.effects.push(answer.to(caller));
+    }
+
+    pub(super) fn refuse(&mut self, caller: CallerId, kind: ErrorKind, detail: impl Into<String>) {
+        self.answer(caller, CallerAnswer::Refused(Refusal::new(kind, detail)));
+    }
+
+    /// Sends to a node, itself included. A node that is not known gets nothing.
+    pub(super) fn send(&mut self, to: NodeId, message: PeerMessage) {
+        if to == self.settings.id {
+            self.loopback.push_back(message);
+            return;
+        }
+        if let Some(address) = self.address_of(to) {
+            self.effects.push(Effect::Send { to: address, message });
+        }
+    }
+
+    pub(super) fn address_of(&self, node: NodeId) -> Option<SocketAddr> {
+        self.membership.member(node).map(|member| member.peer_address)
+    }
+
+    pub(super) fn draw_attempt(&mut self) -> AttemptId {
+        AttemptId(self.random.random())
+    }
+
+    /// The node that shares out an engine: the same at every node with the same view.
+    pub(super) fn steward_of(&self, engine: &EngineName) -> NodeId {
+        let key = hash_parts(&[b"steward", engine.0.as_bytes()]);
+        let present = self.membership.present().map(|member| member.id);
+        rendezvous(key, present, |node| node.0, 1).first().copied().unwrap_or(self.settings.id)
+    }
+
+    /// Whether this node is one of the `count` that do a duty for all.
+    pub(super) fn has_duty(&self, duty: &str, count: usize) -> bool {
+        let key = hash_parts(&[b"duty", duty.as_bytes()]);
+        let present = self.membership.present().map(|member| member.id);
+        rendezvous(key, present, |node| node.0, count).contains(&self.settings.id)
+    }
+
+    fn drain_membership(&mut self) {
+        for effect in self.membership.take_effects() {
+            match effect {
+                MembershipEffect::Send { to, message } => {
+                    self.effects.push(Effect::Send { to, message: PeerMessage::Membership(message) });
+                }
+                MembershipEffect::Changed { member } => self.on_member_changed(&member),
+                MembershipEffect::PeerRevision { peer, revision } => self.on_peer_revision(peer, revision),
+            }
+        }
+    }
+
+    fn on_member_changed(&mut self, member: &Member) {
+        let event = match member.status {
+            MemberStatus::Alive => LogEvent::MemberJoined,
+            MemberStatus::Suspect => LogEvent::MemberSuspected,
+            MemberStatus::Dead => LogEvent::MemberDead,
+            MemberStatus::Left => LogEvent::MemberLeft,
+        };
+        self.log(event, format!("{} at {} in zone {}", member.id, member.peer_address, member.zone));
+        if member.status == MemberStatus::Alive {
+            self.tell_leaving_facts(member.id);
+        }
+    }
+
+    // Status.
+
+    /// How this node is.
+    pub fn status(&self) -> NodeStatus {
+        NodeStatus {
+            node: self.settings.id.to_string(),
+            zone: self.settings.zone.to_string(),
+            caller_address: self.settings.caller_address.to_string(),
+            stores: self.settings.stores,
+            ready: self.is_ready(),
+            stopping: self.stopping.is_some(),
+            configuration_revision: self.configuration.revision(),
+            configuration_digest: format!("{:016x}", self.configuration.digest()),
+            members_present: self.membership.present().count(),
+            online_requests: self.online.requests.len(),
+            batch_streams: self.batch.dispatcher.streams().count(),
+            groups: self.groups.statuses(),
+            counters: self.counters,
+        }
+    }
+
+    fn begin_fleet_status(&mut self, caller: CallerId) {
+        let others: BTreeSet<NodeId> =
+            self.membership.present().map(|member| member.id).filter(|id| *id != self.settings.id).collect();
+        let from = self.settings.id;
+        for node in &others {
+            self.send(*node, PeerMessage::StatusRequest { from, id: caller.0 });
+        }
+        let gathering = StatusGathering {
+            waiting: others,
+            gathered: vec![self.status()],
+            deadline: self.clock.now + STATUS_TIMEOUT,
+        };
+        self.status_gatherings.insert(caller, gathering);
+        self.finish_status_gatherings();
+    }
+
+    fn on_status_answer(&mut self, caller: CallerId, status: NodeStatus) {
+        if let Some(gathering) = self.status_gatherings.get_mut(&caller) {
+            let answered = gathering.waiting.iter().find(|id| id.to_string() == status.node).copied();
+            if let Some(id) = answered {
+                gathering.waiting.remove(&id);
+                gathering.gathered.push(status);
+            }
+        }
+        self.finish_status_gatherings();
+    }
+
+    fn tick_status(&mut self) {
+        self.finish_status_gatherings();
+    }
+
+    fn finish_status_gatherings(&mut self) {
+        let now = self.clock.now;
+        let done: Vec<CallerId> = self
+            .status_gatherings
+            .iter()
+            .filter(|(_, gathering)| gathering.waiting.is_empty() || now >= gathering.deadline)
+            .map(|(caller, _)| *caller)
+            .collect();
+        for caller in done {
+            let Some(gathering) = self.status_gatherings.remove(&caller) else { continue };
+            let silent = gathering.waiting.iter().map(NodeId::to_string).collect();
+            let mut nodes = gathering.gathered;
+            nodes.sort_by(|left, right| left.node.cmp(&right.node));
+            self.answer(caller, CallerAnswer::FleetStatus(FleetStatus { nodes, silent }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/mod.rs
@@ -0,0 +1,48 @@
+//! One node: the composition of all state machines.
+//!
+//! [`Node::handle`] takes an event and the time and returns effects. The running node feeds it from
+//! sockets and clocks; the simulation feeds it from a seeded queue. A driver carries out effects in
+//! order, and must make every persist effect durable before any later effect of the same batch.
+//!
+//! | module | owns |
+//! |---|---|
+//! | `callers` | what callers and operators ask, and the answers |
+//! | `online_flow` | an online request from admission to its last piece |
+//! | `upload` | taking in a batch job |
+//! | `batch_flow` | running batch items within granted limits |
+//! | `groups` | the replicas that this node hosts |
+//! | `group_client` | requests to groups, wherever they are |
+//! | `configuration_flow` | accepting, spreading and taking configuration |
+//! | `engines_flow` | polling engines and the machine list, spreading what leaves |
+//! | `founding_flow` | founding and finding groups |
+//! | `stopping` | the planned stop |
+
+mod batch_flow;
+mod callers;
+mod configuration_flow;
+mod effect;
+mod engines_flow;
+mod event;
+mod founding_flow;
+mod group_client;
+mod groups;
+mod machine;
+mod online_flow;
+mod peer_message;
+mod settings;
+mod status;
+mod stopping;
+mod upload;
+
+pub use effect::{Effect, EngineRequest, KeyValueOperation, RequestClass};
+pub use event::{
+    BatchCall, CallerAnswer, CallerCall, Clock, Event, JobSubmission, KeyValueCall, KeyValueOutcome, MachineReport,
+    ModelSummary, OperatorCall, StreamEvent,
+};
+pub use machine::{Node, PersistedNode};
+pub use peer_message::{
+    ConfigurationMessage, CreditMessage, GroupAnswer, GroupAnswerBody, GroupRefusal, GroupRequest, GroupRequestBody,
+    PeerMessage,
+};
+pub use settings::NodeSettings;
+pub use status::{FleetStatus, GroupStatus, NodeCounters, NodeStatus};
--- /dev/null
+++ b/crates/core/src/replication/progress.rs
@@ -0,0 +1,43 @@
+//! What a leader knows of one follower.
+
+use super::log::LogIndex;
+use crate::time::Timestamp;
+
+/// What a leader knows of one follower.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    /// The follower's log is known to match the leader's up to here.
+    pub matched: LogIndex,
+    /// The next entry to send.
+    pub next: LogIndex,
+    /// When the follower last answered in this term.
+    pub last_answer: Option<Timestamp>,
+    /// When entries or a snapshot were last sent.
+    pub last_sent: Timestamp,
+    /// A snapshot up to here is on its way.
+    pub pending_snapshot: Option<LogIndex>,
+}
+
+impl Progress {
+    /// A follower of which nothing is known yet.
+    pub fn new(next: LogIndex, now: Timestamp) -> Self {
+        Self { matched: LogIndex(0), next, last_answer: None, last_sent: now, pending_snapshot: None }
+    }
+
+    /// Notes that the follower's log matches up to `index`.
+    pub fn accepted(&mut self, index: LogIndex, now: Timestamp) {
+        self.last_answer = Some(now);
+        self.matched = self.matched.max(index);
+        self.next = self.next.max(self.matched.next());
+        if self.pending_snapshot.is_some_and(|pending| pending <= self.matched) {
+            self.pending_snapshot = None;
+        }
+    }
+
+    /// Notes that the follower's log doesn't fit at `next`, and where to try again.
+    pub fn rejected(&mut self, hint: LogIndex, now: Timestamp) {
+        self.last_answer = Some(now);
+        let floor = self.matched.next();
+        self.next = hint.next().min(self.next.previous()).max(floor);
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/engine_table.rs
@@ -0,0 +1,221 @@
+//! Every configured engine with what this node knows of it.
+
+use std::collections::BTreeMap;
+
+use super::load::LoadReport;
+use crate::configuration::fleet::{Engine, FleetConfiguration};
+use crate::identity::EngineName;
+use crate::time::{Millis, Timestamp};
+
+/// Failures in a row before an engine is passed over.
+const FAILURES_TO_EJECT: u32 = 3;
+/// How long an engine is passed over the first time; doubles each time after.
+const FIRST_EJECTION: Millis = Millis(2_000);
+/// The longest time that an engine is passed over.
+const LONGEST_EJECTION: Millis = Millis(30_000);
+/// A report older than this says nothing any more.
+const REPORT_LIFETIME: Millis = Millis(3_000);
+
+/// An engine's incarnation is leaving. This only grows: an incarnation that leaves never comes back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeavingFact {
+    /// The engine.
+    pub engine: EngineName,
+    /// All incarnations up to this one are leaving.
+    pub incarnation: u64,
+}
+
+/// What this node knows of one engine.
+#[derive(Clone, Debug)]
+pub struct EngineState {
+    /// What the operators' files say.
+    pub configured: Engine,
+    /// The latest incarnation heard of.
+    pub incarnation: u64,
+    /// Incarnations up to this one are leaving.
+    pub leaving_up_to: Option<u64>,
+    /// The latest report and when it came.
+    pub report: Option<(Timestamp, LoadReport)>,
+    /// Online requests that this node has there.
+    pub own_online: u32,
+    /// What `own_online` was when the latest report came.
+    own_online_at_report: u32,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Timestamp>,
+}
+
+/// Every configured engine.
+#[derive(Clone, Debug, Default)]
+pub struct EngineTable {
+    engines: BTreeMap<EngineName, EngineState>,
+}
+
+impl EngineState {
+    fn new(configured: Engine) -> Self {
+        Self {
+            configured,
+            incarnation: 0,
+            leaving_up_to: None,
+            report: None,
+            own_online: 0,
+            own_online_at_report: 0,
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+        }
+    }
+
+    /// Whether the engine's present incarnation is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_up_to.is_some_and(|incarnation| incarnation >= self.incarnation)
+    }
+
+    /// Whether the engine is passed over for its failures.
+    pub fn is_ejected(&self, now: Timestamp) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether the engine may be given new work.
+    pub fn is_usable(&self, now: Timestamp) -> bool {
+        !self.is_leaving() && !self.is_ejected(now)
+    }
+
+    /// Sequences the engine decodes at once.
+    pub fn slots(&self) -> u32 {
+        match &self.report {
+            Some((_, report)) if report.slots > 0 => report.slots,
+            _ => self.configured.slots,
+        }
+    }
+
+    /// Online sequences believed to be there: those reported, corrected by what this node itself sent
+    /// or saw finished since.
+    pub fn estimated_online(&self, now: Timestamp) -> u32 {
+        match &self.report {
+            Some((at, report)) if now.since(*at) < REPORT_LIFETIME => {
+                let others = report.online().saturating_sub(self.own_online_at_report);
+                others + self.own_online
+            }
+            _ => self.own_online,
+        }
+    }
+
+    /// Batch sequences last reported.
+    pub fn reported_batch(&self, now: Timestamp) -> u32 {
+        match &self.report {
+            Some((at, report)) if now.since(*at) < REPORT_LIFETIME => report.batch(),
+            _ => 0,
+        }
+    }
+}
+
+impl EngineTable {
+    /// Takes a new configuration. What is known of engines that stay is kept.
+    pub fn configure(&mut self, fleet: &FleetConfiguration) {
+        let mut earlier = std::mem::take(&mut self.engines);
+        for (name, engine) in &fleet.engines {
+            let state = match earlier.remove(name) {
+                Some(state) => EngineState { configured: engine.clone(), ..state },
+                None => EngineState::new(engine.clone()),
+            };
+            self.engines.insert(name.clone(), state);
+        }
+    }
+
+    /// One engine.
+    pub fn get(&self, name: &EngineName) -> Option<&EngineState> {
+        self.engines.get(name)
+    }
+
+    /// All engines, in order of name.
+    pub fn iter(&self) -> impl Iterator<Item = (&EngineName, &EngineState)> {
+        self.engines.iter()
+    }
+
+    /// Engines of a service, in order of name.
+    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (&'a EngineName, &'a EngineState)> {
+        self.engines.iter().filter(move |(_, state)| &*state.configured.service == service)
+    }
+
+    /// Notes that an online request was sent.
+    pub fn online_started(&mut self, name: &EngineName) {
+        if let Some(state) = self.engines.get_mut(name) {
+            state.own_online += 1;
+        }
+    }
+
+    /// Notes that an online request is there no more.
+    pub fn online_ended(&mut self, name: &EngineName) {
+        if let Some(state) = self.engines.get_mut(name) {
+            state.own_online = state.own_online.saturating_sub(1);
+        }
+    }
+
+    /// Takes a load report. Returns a fact to spread if the engine newly says that it is leaving.
+    pub fn reported(&mut self, name: &EngineName, report: LoadReport, now: Timestamp) -> Option<LeavingFact> {
+        let state = self.engines.get_mut(name)?;
+        if report.incarnation < state.incarnation {
+            return None;
+        }
+        let (leaving, incarnation) = (report.leaving, report.incarnation);
+        state.incarnation = incarnation;
+        state.own_online_at_report = state.own_online;
+        state.report = Some((now, report));
+        if leaving { self.learn_leaving(&LeavingFact { engine: name.clone(), incarnation }) } else { None }
+    }
+
+    /// Notes that an incarnation exists, from the machine list.
+    pub fn learn_incarnation(&mut self, name: &EngineName, incarnation: u64) {
+        if let Some(state) = self.engines.get_mut(name) {
+            state.incarnation = state.incarnation.max(incarnation);
+        }
+    }
+
+    /// Learns that an engine is leaving. Returns the fact if it is news.
+    pub fn learn_leaving(&mut self, fact: &LeavingFact) -> Option<LeavingFact> {
+        let state = self.engines.get_mut(&fact.engine)?;
+        let is_news = state.leaving_up_to.is_none_or(|known| known < fact.incarnation);
+        if is_news {
+            state.leaving_up_to = Some(fact.incarnation);
+        }
+        is_news.then(|| fact.clone())
+    }
+
+    /// An engine refused work because it is leaving. Returns the fact if it is news.
+    pub fn refused_as_leaving(&mut self, name: &EngineName) -> Option<LeavingFact> {
+        let incarnation = self.engines.get(name)?.incarnation;
+        self.learn_leaving(&LeavingFact { engine: name.clone(), incarnation })
+    }
+
+    /// All that is known of leaving engines.
+    pub fn leaving_facts(&self) -> Vec<LeavingFact> {
+        self.engines
+            .iter()
+            .filter_map(|(name, state)| Some(LeavingFact { engine: name.clone(), incarnation: state.leaving_up_to? }))
+            .collect()
+    }
+
+    /// Notes a whole answer.
+    pub fn succeeded(&mut self, name: &EngineName) {
+        if let Some(state) = self.engines.get_mut(name) {
+            state.failures = 0;
+            state.ejections = 0;
+            state.ejected_until = None;
+        }
+    }
+
+    /// Notes a failure. Returns whether the engine is passed over from now on.
+    pub fn failed(&mut self, name: &EngineName, now: Timestamp) -> bool {
+        let Some(state) = self.engines.get_mut(name) else { return false };
+        state.failures += 1;
+        if state.failures < FAILURES_TO_EJECT {
+            return false;
+        }
+        let span = FIRST_EJECTION.0 << state.ejections.min(8);
+        state.failures = 0;
+        state.ejections += 1;
+        state.ejected_until = Some(now + Millis(span.min(LONGEST_EJECTION.0)));
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduling/steward.rs
@@ -0,0 +1,129 @@
+//! The steward of one engine: it divides what online leaves free.
+
+use std::collections::BTreeMap;
+
+use crate::identity::NodeId;
+use crate::time::{Millis, Timestamp};
+
+/// How long a granted limit holds.
+pub const GRANT_LIFETIME: Millis = Millis(1_500);
+/// A node that says nothing for this long is held to have nothing at the engine.
+const NOTICE_LIFETIME: Millis = Millis(5_000);
+
+/// What a steward goes by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StewardSettings {
+    /// Sequences that the engine decodes at once.
+    pub slots: u32,
+    /// The share of the slots that batch leaves free.
+    pub online_headroom: f64,
+}
+
+/// What a leader asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchAsk {
+    /// How many streams it would like to have there in all.
+    pub want: u32,
+    /// When it asked.
+    pub at: Timestamp,
+}
+
+/// A limit for one holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchGrant {
+    /// The holder.
+    pub holder: NodeId,
+    /// Most batch streams it may have at the engine.
+    pub limit: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OnlineNotice {
+    in_flight: u32,
+    at: Timestamp,
+}
+
+/// The steward of one engine.
+#[derive(Clone, Debug, Default)]
+pub struct Steward {
+    online: BTreeMap<NodeId, OnlineNotice>,
+    asks: BTreeMap<NodeId, BatchAsk>,
+    granted: BTreeMap<NodeId, u32>,
+}
+
+impl Steward {
+    /// A node says how many online requests it has at the engine.
+    pub fn online_notice(&mut self, node: NodeId, in_flight: u32, now: Timestamp) {
+        if in_flight == 0 {
+            self.online.remove(&node);
+        } else {
+            self.online.insert(node, OnlineNotice { in_flight, at: now });
+        }
+    }
+
+    /// A leader asks for room.
+    pub fn ask(&mut self, holder: NodeId, want: u32, now: Timestamp) {
+        if want == 0 {
+            self.asks.remove(&holder);
+            self.granted.remove(&holder);
+        } else {
+            self.asks.insert(holder, BatchAsk { want, at: now });
+        }
+    }
+
+    /// Online requests at the engine, as told by the nodes.
+    pub fn online_in_flight(&self) -> u32 {
+        self.online.values().map(|notice| notice.in_flight).sum()
+    }
+
+    /// Forgets those who fell silent.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.online.retain(|_, notice| now.since(notice.at) < NOTICE_LIFETIME);
+        self.asks.retain(|_, ask| now.since(ask.at) < GRANT_LIFETIME);
+        let asks = &self.asks;
+        self.granted.retain(|holder, _| asks.contains_key(holder));
+    }
+
+    /// Streams that batch may have at the engine in all.
+    pub fn batch_capacity(&self, settings: StewardSettings) -> u32 {
+        let headroom = (f64::from(settings.slots) * settings.online_headroom).ceil() as u32;
+        settings.slots.saturating_sub(headroom).saturating_sub(self.online_in_flight())
+    }
+
+    /// Divides the capacity: everyone gets an equal share, and what one doesn't want goes to the others.
+    pub fn divide(&self, settings: StewardSettings) -> Vec<BatchGrant> {
+        let mut left = self.batch_capacity(settings);
+        let mut asks: Vec<(u32, NodeId)> = self.asks.iter().map(|(holder, ask)| (ask.want, *holder)).collect();
+        asks.sort_unstable();
+        let mut grants = Vec::new();
+        let count = asks.len();
+        for (place, (want, holder)) in asks.into_iter().enumerate() {
+            let waiting = (count - place) as u32;
+            let share = left.div_ceil(waiting);
+            let limit = want.min(share).min(left);
+            left -= limit;
+            grants.push(BatchGrant { holder, limit });
+        }
+        grants
+    }
+
+    /// Divides anew and returns the limits that are lower than what their holder was told.
+    pub fn recalls(&mut self, settings: StewardSettings) -> Vec<BatchGrant> {
+        let lowered: Vec<BatchGrant> = self
+            .divide(settings)
+            .into_iter()
+            .filter(|grant| self.granted.get(&grant.holder).is_some_and(|told| grant.limit < *told))
+            .collect();
+        for grant in &lowered {
+            self.granted.insert(grant.holder, grant.limit);
+        }
+        lowered
+    }
+
+    /// The limit to tell one holder now.
+    pub fn grant(&mut self, holder: NodeId, settings: StewardSettings) -> u32 {
+        let limit = self.divide(settings).iter().find(|grant| grant.holder == holder).map_or(0, |grant| grant.limit);
+        self.granted.insert(holder, limit);
+        limit
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/answer.rs
@@ -0,0 +1,35 @@
+//! What the emulated model answers: a function of model, prompt and place, so that a resumed answer
+//! continues where it broke off, and a checker can tell a whole answer from a shorter or another one.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// The shortest answer.
+const SHORTEST: u32 = 8;
+/// Answers are shorter than the shortest plus this.
+const SPREAD: u64 = 57;
+
+/// Tokens in the whole answer to a prompt.
+pub fn answer_length(model: &str, prompt: &str, max_tokens: u32) -> u32 {
+    let hash = prompt_hash(model, prompt);
+    let length = SHORTEST + (hash % SPREAD) as u32;
+    length.min(max_tokens).max(1)
+}
+
+/// The text of one token.
+pub fn answer_token(model: &str, prompt: &str, place: u32) -> String {
+    const SYLLABLES: [&str; 16] =
+        ["ba", "co", "di", "fu", "ga", "ho", "ji", "ku", "la", "mo", "ni", "pu", "ra", "so", "ti", "vu"];
+    let hash = xxh3_64_with_seed(&place.to_le_bytes(), prompt_hash(model, prompt));
+    let first = SYLLABLES[(hash % 16) as usize];
+    let second = SYLLABLES[(hash / 16 % 16) as usize];
+    format!("{first}{second} ")
+}
+
+/// The text of the whole answer.
+pub fn answer_text(model: &str, prompt: &str, max_tokens: u32) -> String {
+    (0..answer_length(model, prompt, max_tokens)).map(|place| answer_token(model, prompt, place)).collect()
+}
+
+fn prompt_hash(model: &str, prompt: &str) -> u64 {
+    xxh3_64_with_seed(prompt.as_bytes(), xxh3_64(model.as_bytes()))
+}
--- /dev/null
+++ b/crates/node/src/callers.rs
@@ -0,0 +1,86 @@
+//! Answers on their way to callers.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use stallmoor_core::identity::CallerId;
+use stallmoor_core::node::{CallerAnswer, CallerCall, Event};
+use tokio::sync::mpsc;
+
+use crate::events::EventSender;
+
+/// Most pieces that wait for one slow caller; one that is slower is cut off.
+const MOST_WAITING: usize = 16_384;
+
+/// The callers that wait for answers.
+#[derive(Clone, Default)]
+pub struct CallerRegistry {
+    waiting: Arc<Mutex<HashMap<CallerId, mpsc::Sender<CallerAnswer>>>>,
+    next: Arc<AtomicU64>,
+}
+
+/// One call under way. Dropping it before the final answer tells the node that the caller is gone.
+pub struct CallInProgress {
+    caller: CallerId,
+    registry: CallerRegistry,
+    events: EventSender,
+    answers: mpsc::Receiver<CallerAnswer>,
+    ended: bool,
+}
+
+impl CallerRegistry {
+    /// Sends a call to the node.
+    pub async fn call(&self, events: &EventSender, call: CallerCall) -> CallInProgress {
+        let caller = CallerId(self.next.fetch_add(1, Ordering::Relaxed) + 1);
+        let (sender, answers) = mpsc::channel(MOST_WAITING);
+        self.lock().insert(caller, sender);
+        events.send(Event::Call { caller, call }).await;
+        CallInProgress { caller, registry: self.clone(), events: events.clone(), answers, ended: false }
+    }
+
+    /// Gives an answer to a caller. Returns false if the caller is gone or too slow.
+    pub fn answer(&self, caller: CallerId, answer: CallerAnswer) -> bool {
+        let is_final = answer.is_final();
+        let mut waiting = self.lock();
+        let Some(sender) = waiting.get(&caller) else { return false };
+        let delivered = sender.try_send(answer).is_ok();
+        if is_final || !delivered {
+            waiting.remove(&caller);
+        }
+        delivered
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<CallerId, mpsc::Sender<CallerAnswer>>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl CallInProgress {
+    /// The next answer; `None` if the node stopped before the final one.
+    pub async fn next(&mut self) -> Option<CallerAnswer> {
+        std::future::poll_fn(|context| self.poll_next(context)).await
+    }
+
+    /// Polls for the next answer.
+    pub fn poll_next(&mut self, context: &mut std::task::Context<'_>) -> std::task::Poll<Option<CallerAnswer>> {
+        let polled = self.answers.poll_recv(context);
+        if let std::task::Poll::Ready(answer) = &polled {
+            self.ended |= answer.as_ref().is_none_or(CallerAnswer::is_final);
+        }
+        polled
+    }
+}
+
+impl Drop for CallInProgress {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        self.registry.lock().remove(&self.caller);
+        let (events, caller) = (self.events.clone(), self.caller);
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(async move { events.send(Event::CallerGone(caller)).await });
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/driver.rs
@@ -0,0 +1,176 @@
+//! The actor that feeds events to the decision code and carries out its effects.
+//!
+//! Events are taken in batches. All writes to disk of a batch go into one transaction, before anything
+//! else of the batch is carried out; so one flush of the disk serves many requests.
+
+use std::sync::Arc;
+
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use stallmoor_core::identity::EngineName;
+use stallmoor_core::log_event::{LogEvent, Severity};
+use stallmoor_core::node::{Effect, Event, KeyValueCall, KeyValueOperation, Node};
+use stallmoor_platform::{Engines, KeyValueService, MachineList};
+use stallmoor_storage::{Store, StoreWrite};
+
+use crate::callers::CallerRegistry;
+use crate::clock::SystemClock;
+use crate::events::EventSender;
+use crate::streams::StreamCommand;
+use crate::transport::Outgoing;
+
+/// A batch of events; the port is answered once all their effects are carried out.
+pub struct EventBatch {
+    /// The events, in order.
+    pub events: Vec<Event>,
+    /// Told whether the node goes on.
+    pub done: RpcReplyPort<bool>,
+}
+
+/// The actor.
+pub struct NodeDriver;
+
+/// What it drives.
+pub struct DriverState {
+    /// The decision code.
+    pub node: Node,
+    /// The disk, if the node has one.
+    pub store: Option<Store>,
+    /// The time.
+    pub clock: SystemClock,
+    /// The way back for answers of the platform.
+    pub events: EventSender,
+    /// The callers that wait.
+    pub callers: CallerRegistry,
+    /// Streams from engines.
+    pub streams: ActorRef<StreamCommand>,
+    /// Messages to peers.
+    pub transport: ActorRef<Outgoing>,
+    /// The key-value service.
+    pub key_value: Arc<dyn KeyValueService>,
+    /// The machine list.
+    pub machines: Arc<dyn MachineList>,
+    /// Engines.
+    pub engines: Arc<dyn Engines>,
+}
+
+impl Actor for NodeDriver {
+    type Msg = EventBatch;
+    type State = DriverState;
+    type Arguments = DriverState;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        arguments: Self::Arguments,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        Ok(arguments)
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        batch: Self::Msg,
+        state: &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        let mut effects = Vec::new();
+        for event in batch.events {
+            effects.extend(state.node.handle(event, state.clock.read()));
+        }
+        let goes_on = state.persist(&effects) && state.carry_out(effects);
+        // The other side only waits while the node runs.
+        let _ = batch.done.send(goes_on);
+        Ok(())
+    }
+}
+
+impl DriverState {
+    /// Writes everything that the batch wants kept. Returns false if the disk refused: then nothing of
+    /// the batch may be told to anyone, and the node stops.
+    fn persist(&self, effects: &[Effect]) -> bool {
+        let mut write = StoreWrite::default();
+        for effect in effects {
+            match effect {
+                Effect::Persist { group, write: log_write } => write.groups.push((*group, log_write.clone())),
+                Effect::PersistConfiguration(in_force) => write.configuration = Some(in_force.clone()),
+                _ => {}
+            }
+        }
+        let Some(store) = self.store.as_ref().filter(|_| !write.is_empty()) else { return true };
+        match tokio::task::block_in_place(|| store.write(&write)) {
+            Ok(()) => true,
+            Err(error) => {
+                log_event(LogEvent::StoreWriteFailed, &error.to_string());
+                false
+            }
+        }
+    }
+
+    /// Carries out the other effects, in order. Returns false if the node stops.
+    fn carry_out(&mut self, effects: Vec<Effect>) -> bool {
+        let mut goes_on = true;
+        for effect in effects {
+            match effect {
+                Effect::Persist { .. } | Effect::PersistConfiguration(_) => {}
+                Effect::Send { to, message } => {
+                    let _ = self.transport.cast(Outgoing { to, message });
+                }
+                Effect::KeyValue { call, operation } => self.call_key_value(call, operation),
+                Effect::ReadMachines => self.read_machines(),
+                Effect::PollEngine { engine, address, cache_from } => self.poll_engine(engine, address, cache_from),
+                Effect::StartStream(request) => {
+                    let _ = self.streams.cast(StreamCommand::Start(request));
+                }
+                Effect::CancelStream { attempt } => {
+                    let _ = self.streams.cast(StreamCommand::Cancel(attempt));
+                }
+                Effect::Answer { caller, answer } => {
+                    let is_final = answer.is_final();
+                    if !self.callers.answer(caller, answer) && !is_final {
+                        self.events.offer(Event::CallerGone(caller));
+                    }
+                }
+                Effect::Log { event, detail } => log_event(event, &detail),
+                Effect::Exit => goes_on = false,
+            }
+        }
+        goes_on
+    }
+
+    fn call_key_value(&self, call: KeyValueCall, operation: KeyValueOperation) {
+        let (service, events) = (self.key_value.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let outcome = service.call(operation).await;
+            events.send(Event::KeyValue { call, outcome }).await;
+        });
+    }
+
+    fn read_machines(&self) {
+        let (machines, events) = (self.machines.clone(), self.events.clone());
+        tokio::spawn(async move {
+            if let Some(list) = machines.read().await {
+                events.send(Event::Machines(list)).await;
+            }
+        });
+    }
+
+    fn poll_engine(&self, engine: EngineName, address: std::net::SocketAddr, cache_from: Option<u64>) {
+        let (engines, events) = (self.engines.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let (report, cache) = match engines.poll(address, cache_from).await {
+                Some(poll) => (Some(poll.report), poll.cache),
+                None => (None, None),
+            };
+            events.send(Event::EngineLoad { engine, report, cache }).await;
+        });
+    }
+}
+
+/// Writes a numbered event to the log.
+pub fn log_event(event: LogEvent, detail: &str) {
+    let level = match event.severity() {
+        Severity::Information => log::Level::Info,
+        Severity::Warning => log::Level::Warn,
+        Severity::Error => log::Level::Error,
+    };
+    log::log!(target: "stallmoor", level, "E{:03} {:?}: {detail}", event.number(), event);
+}
--- /dev/null
+++ b/crates/node/src/http/request.rs
@@ -0,0 +1,143 @@
+//! Reading requests: bounded bodies and typed headers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::HeaderMap;
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+use stallmoor_core::error::{ErrorKind, Refusal};
+use stallmoor_core::time::Millis;
+
+/// Who asks.
+pub const TENANT_HEADER: &str = "stallmoor-tenant";
+/// The session.
+pub const SESSION_HEADER: &str = "stallmoor-session";
+/// The idempotency key.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// `false` marks a request that must run at most once.
+pub const REPEATABLE_HEADER: &str = "stallmoor-repeatable";
+/// How long the caller waits, in milliseconds.
+pub const DEADLINE_HEADER: &str = "stallmoor-deadline-ms";
+/// The token to continue a broken stream from.
+pub const RESUME_HEADER: &str = "stallmoor-resume-from";
+/// The request's id, in answers.
+pub const REQUEST_HEADER: &str = "stallmoor-request-id";
+
+/// Most bytes of a header's value that names something.
+const MOST_NAME_BYTES: usize = 512;
+/// The longest deadline, in milliseconds.
+const LONGEST_DEADLINE_MS: u64 = 3_600_000;
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// The body is too large, broke off, or took too long.
+pub async fn read_body(body: Incoming, limit: usize, within: Millis) -> Result<Bytes, Refusal> {
+    let collect = Limited::new(body, limit).collect();
+    match tokio::time::timeout(Duration::from_millis(within.0), collect).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Refusal::new(ErrorKind::BodyTooLarge, format!("the limit is {limit} bytes")))
+        }
+        Ok(Err(error)) => Err(Refusal::new(ErrorKind::MalformedRequest, format!("the body broke off: {error}"))),
+        Err(_) => {
+            let detail = format!("the body did not arrive within {} ms", within.0);
+            Err(Refusal::new(ErrorKind::MalformedRequest, detail))
+        }
+    }
+}
+
+/// Parses a JSON body.
+///
+/// # Errors
+///
+/// The body is not what is expected; the detail names line and column.
+pub fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body).map_err(|error| Refusal::new(ErrorKind::MalformedRequest, error.to_string()))
+}
+
+/// What the headers of a caller's request say.
+#[derive(Clone, Debug)]
+pub struct CallerHeaders {
+    /// Who asks.
+    pub tenant: Arc<str>,
+    /// The session.
+    pub session: Option<Arc<str>>,
+    /// The idempotency key.
+    pub key: Option<Arc<str>>,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// How long the caller waits.
+    pub deadline: Option<Millis>,
+    /// The token to continue from.
+    pub resume_from: u32,
+}
+
+/// Reads the headers.
+///
+/// # Errors
+///
+/// The tenant is missing, or a header holds what it must not.
+pub fn read_headers(headers: &HeaderMap) -> Result<CallerHeaders, Refusal> {
+    let tenant = match name(headers, TENANT_HEADER)? {
+        Some(tenant) => tenant,
+        None => bearer(headers)?,
+    };
+    Ok(CallerHeaders {
+        tenant,
+        session: name(headers, SESSION_HEADER)?,
+        key: name(headers, KEY_HEADER)?,
+        repeatable: flag(headers, REPEATABLE_HEADER)?.unwrap_or(true),
+        deadline: number(headers, DEADLINE_HEADER, LONGEST_DEADLINE_MS)?.map(Millis),
+        resume_from: number(headers, RESUME_HEADER, u64::from(u32::MAX))?.unwrap_or(0) as u32,
+    })
+}
+
+/// OpenAI's clients send a key in this header; here it names the tenant.
+fn bearer(headers: &HeaderMap) -> Result<Arc<str>, Refusal> {
+    let value = name(headers, "authorization")?;
+    let tenant = value.as_deref().and_then(|value| value.strip_prefix("Bearer ")).map(Arc::from);
+    tenant.ok_or_else(|| {
+        let detail =
+            format!("a {TENANT_HEADER} header, or an authorization header with the tenant as bearer, is needed");
+        Refusal::new(ErrorKind::UnknownTenant, detail)
+    })
+}
+
+fn name(headers: &HeaderMap, header: &str) -> Result<Option<Arc<str>>, Refusal> {
+    let Some(value) = headers.get(header) else { return Ok(None) };
+    match value.to_str() {
+        Ok(text) if !text.is_empty() && text.len() <= MOST_NAME_BYTES => Ok(Some(Arc::from(text))),
+        _ => Err(invalid(header, "must be from 1 to 512 printable characters")),
+    }
+}
+
+fn flag(headers: &HeaderMap, header: &str) -> Result<Option<bool>, Refusal> {
+    match name(headers, header)?.as_deref() {
+        None => Ok(None),
+        Some("true") => Ok(Some(true)),
+        Some("false") => Ok(Some(false)),
+        Some(_) => Err(invalid(header, "must be true or false")),
+    }
+}
+
+fn number(headers: &HeaderMap, header: &str, most: u64) -> Result<Option<u64>, Refusal> {
+    let Some(text) = name(headers, header)? else { return Ok(None) };
+    match text.parse::<u64>() {
+        Ok(number) if number <= most => Ok(Some(number)),
+        _ => Err(invalid(header, &format!("must be a whole number up to {most}"))),
+    }
+}
+
+fn invalid(header: &str, message: &str) -> Refusal {
+    Refusal::new(ErrorKind::MalformedRequest, format!("header {header}: {message}"))
+}
+
+/// The value of a query parameter.
+pub fn query_parameter<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
+    query?.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, value)| value)
+}
--- /dev/null
+++ b/crates/node/src/http/server.rs
@@ -0,0 +1,46 @@
+//! Accepting connections of callers, within limits.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+
+use super::router::HttpService;
+
+/// The wait after a connection could not be accepted.
+const ACCEPT_WAIT: Duration = Duration::from_millis(50);
+
+/// Serves callers until the process ends.
+pub async fn serve(listener: TcpListener, service: HttpService) {
+    let permits = Arc::new(Semaphore::new(service.limits.connections));
+    loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else { return };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_WAIT).await;
+            continue;
+        };
+        // Small pieces must not wait for one another.
+        let _ = stream.set_nodelay(true);
+        let service = service.clone();
+        tokio::spawn(async move {
+            let limits = service.limits;
+            let handler = service_fn(move |request| {
+                let service = service.clone();
+                async move { Ok::<_, Infallible>(service.handle(request).await) }
+            });
+            // A connection that breaks tells the node so by dropping its call.
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(Duration::from_millis(limits.request_timeout.0))
+                .max_buf_size(limits.head_bytes)
+                .serve_connection(TokioIo::new(stream), handler)
+                .await;
+            drop(permit);
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/running.rs
@@ -0,0 +1,209 @@
+//! Starting a node and stopping it.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ractor::{Actor, ActorRef, SpawnErr};
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use snafu::{ResultExt, Snafu};
+use stallmoor_core::identity::NodeId;
+use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::node::{Event, Node, NodeSettings, PersistedNode};
+use stallmoor_platform::{HttpCaller, HttpEngines, HttpKeyValue, HttpMachineList};
+use stallmoor_storage::{FolderOwner, StorageError, Store};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, watch};
+
+use crate::callers::CallerRegistry;
+use crate::clock::SystemClock;
+use crate::driver::{DriverState, EventBatch, NodeDriver, log_event};
+use crate::events::EventSender;
+use crate::http::{HttpService, serve};
+use crate::settings::NodeFileSettings;
+use crate::streams::{EngineStreams, StreamsState};
+use crate::transport::{PeerTransport, TransportState, accept_peers, receive_datagrams};
+
+/// Time between two ticks of the decision code.
+const TICK: Duration = Duration::from_millis(25);
+/// Most events in one batch.
+const BATCH_EVENTS: usize = 512;
+
+/// Why a node can't start.
+#[derive(Debug, Snafu)]
+pub enum NodeError {
+    /// An address can't be listened on.
+    #[snafu(display("can't listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The data folder can't be used.
+    #[snafu(display("{source}"))]
+    Storage {
+        /// Why.
+        source: StorageError,
+    },
+    /// An actor did not start.
+    #[snafu(display("an actor did not start: {source}"))]
+    Spawn {
+        /// Why.
+        source: SpawnErr,
+    },
+}
+
+/// A node that runs.
+pub struct RunningNode {
+    events: EventSender,
+    stopped: watch::Receiver<bool>,
+    /// Where it serves callers.
+    pub caller_address: SocketAddr,
+    /// Where it takes messages of other nodes.
+    pub peer_address: SocketAddr,
+}
+
+impl RunningNode {
+    /// Begins a planned stop.
+    pub async fn stop(&self) {
+        self.events.send(Event::Stop).await;
+    }
+
+    /// Waits until the node has stopped.
+    pub async fn stopped(&mut self) {
+        // A closed channel means that the node is gone too.
+        let _ = self.stopped.wait_for(|stopped| *stopped).await;
+    }
+}
+
+/// What the disk gave.
+struct OpenedDisk {
+    id: NodeId,
+    store: Option<Store>,
+    persisted: PersistedNode,
+}
+
+/// Starts a node. Returns once it listens.
+///
+/// # Errors
+///
+/// An address or the data folder can't be used.
+pub async fn start(settings: &NodeFileSettings, adopt_data_folder: bool) -> Result<RunningNode, NodeError> {
+    let peer_listener = listen(settings.peer_address).await?;
+    let peer_address = peer_listener.local_addr().context(ListenSnafu { address: settings.peer_address })?;
+    let socket = UdpSocket::bind(peer_address).await.context(ListenSnafu { address: peer_address })?;
+    let caller_listener = listen(settings.caller_address).await?;
+    let caller_address = caller_listener.local_addr().context(ListenSnafu { address: settings.caller_address })?;
+
+    let mut random = Xoshiro256PlusPlus::from_os_rng();
+    let fresh_identity = NodeId(random.random::<u64>().max(1));
+    let disk = open_disk(settings.data_folder.as_deref(), peer_address, adopt_data_folder, fresh_identity)?;
+
+    let clock = SystemClock::new();
+    let node_settings = decision_settings(settings, disk.id, peer_address, caller_address);
+    let node = Node::new(node_settings, disk.persisted, clock.read(), random.random());
+
+    let (events, queue) = EventSender::channel();
+    let callers = CallerRegistry::default();
+    let caller = HttpCaller::default();
+    let engines = Arc::new(HttpEngines::new(caller.clone()));
+    let socket = Arc::new(socket);
+    let streams_state = StreamsState::new(engines.clone(), events.clone());
+    let (streams, _) = Actor::spawn(None, EngineStreams, streams_state).await.context(SpawnSnafu)?;
+    let transport_state = TransportState::new(socket.clone());
+    let (transport, _) = Actor::spawn(None, PeerTransport, transport_state).await.context(SpawnSnafu)?;
+    let driver_state = DriverState {
+        node,
+        store: disk.store,
+        clock,
+        events: events.clone(),
+        callers: callers.clone(),
+        streams,
+        transport,
+        key_value: Arc::new(HttpKeyValue::new(settings.key_value, caller.clone())),
+        machines: Arc::new(HttpMachineList::new(settings.machine_list, caller)),
+        engines,
+    };
+    let (driver, _) = Actor::spawn(None, NodeDriver, driver_state).await.context(SpawnSnafu)?;
+
+    let (stopped_sender, stopped) = watch::channel(false);
+    tokio::spawn(feed_driver(driver, queue, stopped_sender));
+    tokio::spawn(tick(events.clone()));
+    tokio::spawn(accept_peers(peer_listener, events.clone()));
+    tokio::spawn(receive_datagrams(socket, events.clone()));
+    let service = HttpService::new(events.clone(), callers, settings.limits);
+    tokio::spawn(serve(caller_listener, service));
+    let detail = format!("{} in zone {}: peers {peer_address}, callers {caller_address}", disk.id, settings.zone);
+    log_event(LogEvent::NodeStarted, &detail);
+    Ok(RunningNode { events, stopped, caller_address, peer_address })
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+fn open_disk(
+    folder: Option<&Path>,
+    peer_address: SocketAddr,
+    adopt: bool,
+    fresh_identity: NodeId,
+) -> Result<OpenedDisk, NodeError> {
+    let Some(folder) = folder else {
+        return Ok(OpenedDisk { id: fresh_identity, store: None, persisted: PersistedNode::default() });
+    };
+    let owner = FolderOwner { peer_address: peer_address.to_string(), adopt, fresh_identity };
+    let opened = Store::open(folder, &owner).context(StorageSnafu)?;
+    if let Some(aside) = &opened.set_aside {
+        log_event(LogEvent::StoreCorrupted, &format!("set aside as {}", aside.display()));
+    }
+    if opened.formatted {
+        log_event(LogEvent::StoreFormatted, &format!("{} in {}", opened.identity, folder.display()));
+    }
+    Ok(OpenedDisk { id: opened.identity, store: Some(opened.store), persisted: opened.persisted })
+}
+
+fn decision_settings(
+    settings: &NodeFileSettings,
+    id: NodeId,
+    peer_address: SocketAddr,
+    caller_address: SocketAddr,
+) -> NodeSettings {
+    NodeSettings {
+        seeds: settings.seeds.clone(),
+        stores: settings.data_folder.is_some(),
+        founding_stores: settings.founding_stores,
+        stop_timeout: settings.stop_timeout,
+        online_requests: settings.limits.online_requests,
+        key_value_rate: settings.key_value_rate,
+        configuration_poll: settings.configuration_poll,
+        ..NodeSettings::new(id, &settings.zone, peer_address, caller_address)
+    }
+}
+
+/// Passes events to the driver in batches, the next once the last is carried out.
+async fn feed_driver(driver: ActorRef<EventBatch>, mut queue: mpsc::Receiver<Event>, stopped: watch::Sender<bool>) {
+    loop {
+        let mut events = Vec::new();
+        if queue.recv_many(&mut events, BATCH_EVENTS).await == 0 {
+            break;
+        }
+        let goes_on = driver.call(|done| EventBatch { events, done }, None).await;
+        if !matches!(goes_on, Ok(ractor::rpc::CallResult::Success(true))) {
+            break;
+        }
+    }
+    // Whoever waits for the stop is told, or is gone.
+    let _ = stopped.send(true);
+}
+
+async fn tick(events: EventSender) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        interval.tick().await;
+        events.offer(Event::Tick);
+    }
+}
--- /dev/null
+++ b/crates/node/src/streams.rs
@@ -0,0 +1,93 @@
+//! The actor that holds the streams from engines.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use stallmoor_core::identity::AttemptId;
+use stallmoor_core::node::{EngineRequest, Event};
+use stallmoor_platform::Engines;
+use tokio::task::JoinHandle;
+
+use crate::events::EventSender;
+
+/// Ended streams are cleared away after this many starts.
+const SWEEP_AFTER: usize = 256;
+
+/// What the actor is told.
+pub enum StreamCommand {
+    /// Send a request.
+    Start(EngineRequest),
+    /// Drop a stream, which closes its connection and so cancels the request.
+    Cancel(AttemptId),
+}
+
+/// The actor.
+pub struct EngineStreams;
+
+/// What it needs and holds.
+pub struct StreamsState {
+    engines: Arc<dyn Engines>,
+    events: EventSender,
+    running: HashMap<AttemptId, JoinHandle<()>>,
+    starts: usize,
+}
+
+impl StreamsState {
+    /// A state without streams.
+    pub fn new(engines: Arc<dyn Engines>, events: EventSender) -> Self {
+        Self { engines, events, running: HashMap::new(), starts: 0 }
+    }
+
+    fn start(&mut self, request: EngineRequest) {
+        let attempt = request.attempt;
+        let (engines, events) = (self.engines.clone(), self.events.clone());
+        let task = tokio::spawn(async move {
+            let (sender, mut receiver) = tokio::sync::mpsc::unbounded_channel();
+            let sink = Box::new(move |event| sender.send(event).is_ok());
+            let forward = async move {
+                while let Some(event) = receiver.recv().await {
+                    events.send(Event::Stream { attempt, event }).await;
+                }
+            };
+            tokio::join!(engines.stream(request, sink), forward);
+        });
+        self.running.insert(attempt, task);
+        self.starts += 1;
+        if self.starts >= SWEEP_AFTER {
+            self.starts = 0;
+            self.running.retain(|_, task| !task.is_finished());
+        }
+    }
+}
+
+impl Actor for EngineStreams {
+    type Msg = StreamCommand;
+    type State = StreamsState;
+    type Arguments = StreamsState;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        arguments: Self::Arguments,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        Ok(arguments)
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        message: Self::Msg,
+        state: &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            StreamCommand::Start(request) => state.start(request),
+            StreamCommand::Cancel(attempt) => {
+                if let Some(task) = state.running.remove(&attempt) {
+                    task.abort();
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/node/src/transport.rs
@@ -0,0 +1,197 @@
+//! Messages between nodes: membership over UDP, everything else over TCP.
+//!
+//! A connection carries messages one way. Nothing waits for a slow or dead peer: each has a bounded
+//! queue, and what doesn't fit is dropped, as the decision code expects of a network.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::node::{Event, PeerMessage};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, BufWriter};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::mpsc;
+
+use crate::driver::log_event;
+use crate::events::EventSender;
+
+/// Most messages that wait for one peer.
+const PEER_QUEUE: usize = 4_096;
+/// Messages of at most this size go as one datagram.
+const MOST_DATAGRAM_BYTES: usize = 8_192;
+/// How long a connection attempt may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long one write may take before the connection is given up.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// The wait after a failed connection attempt; messages meanwhile are dropped.
+const RECONNECT_WAIT: Duration = Duration::from_millis(200);
+/// A connection without messages for this long is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A message to send.
+pub struct Outgoing {
+    /// Where to.
+    pub to: SocketAddr,
+    /// The message.
+    pub message: PeerMessage,
+}
+
+/// The actor that sends to peers.
+pub struct PeerTransport;
+
+/// What it holds.
+pub struct TransportState {
+    socket: Arc<UdpSocket>,
+    peers: HashMap<SocketAddr, mpsc::Sender<Vec<u8>>>,
+}
+
+impl TransportState {
+    /// A state without connections.
+    pub fn new(socket: Arc<UdpSocket>) -> Self {
+        Self { socket, peers: HashMap::new() }
+    }
+
+    fn send(&mut self, outgoing: &Outgoing) {
+        let bytes = stallmoor_wire::encode(&outgoing.message);
+        let is_membership = matches!(outgoing.message, PeerMessage::Membership(_));
+        if is_membership && bytes.len() <= MOST_DATAGRAM_BYTES {
+            // A full socket buffer loses the datagram, which membership bears.
+            let _ = self.socket.try_send_to(&bytes, outgoing.to);
+            return;
+        }
+        self.peers.retain(|_, sender| !sender.is_closed());
+        let sender = self.peers.entry(outgoing.to).or_insert_with(|| connect(outgoing.to));
+        let _ = sender.try_send(bytes);
+    }
+}
+
+impl Actor for PeerTransport {
+    type Msg = Outgoing;
+    type State = TransportState;
+    type Arguments = TransportState;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        arguments: Self::Arguments,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        Ok(arguments)
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Self::Msg>,
+        message: Self::Msg,
+        state: &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        state.send(&message);
+        Ok(())
+    }
+}
+
+/// Starts the task that keeps a connection to a peer.
+fn connect(peer: SocketAddr) -> mpsc::Sender<Vec<u8>> {
+    let (sender, receiver) = mpsc::channel(PEER_QUEUE);
+    tokio::spawn(keep_connection(peer, receiver));
+    sender
+}
+
+async fn keep_connection(peer: SocketAddr, mut frames: mpsc::Receiver<Vec<u8>>) {
+    loop {
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
+        if let Ok(Ok(stream)) = connected {
+            let _ = stream.set_nodelay(true);
+            if write_frames(stream, &mut frames).await {
+                return;
+            }
+        }
+        tokio::time::sleep(RECONNECT_WAIT).await;
+        while frames.try_recv().is_ok() {}
+    }
+}
+
+/// Writes frames until the connection breaks (false) or there is nothing to send any more (true).
+async fn write_frames(stream: TcpStream, frames: &mut mpsc::Receiver<Vec<u8>>) -> bool {
+    let mut writer = BufWriter::new(stream);
+    loop {
+        let frame = match tokio::time::timeout(IDLE_TIMEOUT, frames.recv()).await {
+            Ok(Some(frame)) => frame,
+            Ok(None) => return true,
+            Err(_) => {
+                frames.close();
+                return true;
+            }
+        };
+        let write = async {
+            write_frame(&mut writer, &frame).await?;
+            while let Ok(frame) = frames.try_recv() {
+                write_frame(&mut writer, &frame).await?;
+            }
+            writer.flush().await
+        };
+        if !matches!(tokio::time::timeout(WRITE_TIMEOUT, write).await, Ok(Ok(()))) {
+            return false;
+        }
+    }
+}
+
+async fn write_frame(writer: &mut BufWriter<TcpStream>, frame: &[u8]) -> std::io::Result<()> {
+    writer.write_all(&(frame.len() as u32).to_le_bytes()).await?;
+    writer.write_all(frame).await
+}
+
+/// Accepts connections of peers and passes their messages on.
+pub async fn accept_peers(listener: TcpListener, events: EventSender) {
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            tokio::time::sleep(RECONNECT_WAIT).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        tokio::spawn(read_frames(stream, peer, events.clone()));
+    }
+}
+
+async fn read_frames(stream: TcpStream, peer: SocketAddr, events: EventSender) {
+    let mut reader = BufReader::new(stream);
+    loop {
+        let mut length = [0; 4];
+        if reader.read_exact(&mut length).await.is_err() {
+            return;
+        }
+        let length = u32::from_le_bytes(length) as usize;
+        if length > stallmoor_wire::MAX_FRAME_BYTES {
+            log_event(LogEvent::MessageRefused, &format!("a frame of {length} bytes from {peer}"));
+            return;
+        }
+        // Read piece by piece, so that a length without bytes behind it costs no memory.
+        let mut frame = Vec::new();
+        let mut limited = (&mut reader).take(length as u64);
+        if limited.read_to_end(&mut frame).await.is_err() || frame.len() < length {
+            return;
+        }
+        match stallmoor_wire::decode(&frame) {
+            Ok(message) => {
+                events.offer(Event::Peer(message));
+            }
+            Err(error) => log_event(LogEvent::MessageRefused, &format!("from {peer}: {error}")),
+        }
+    }
+}
+
+/// Receives datagrams and passes their messages on.
+pub async fn receive_datagrams(socket: Arc<UdpSocket>, events: EventSender) {
+    let mut buffer = vec![0; 65_536];
+    loop {
+        let Ok((length, peer)) = socket.recv_from(&mut buffer).await else { continue };
+        match stallmoor_wire::decode(&buffer[..length]) {
+            Ok(message) => {
+                events.offer(Event::Peer(message));
+            }
+            Err(error) => log_event(LogEvent::MessageRefused, &format!("from {peer}: {error}")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/engine.rs
@@ -0,0 +1,252 @@
+//! Engines over HTTP.
+//!
+//! `POST /v1/generate` streams server-sent events: `{"attempt", "first", "tokens", "text"}` for pieces
+//! and `{"attempt", "length"}` for the end. A refusal before running is 503 with `{"refused"}`, one for
+//! the request itself 400 with `{"rejected"}`. `GET /v1/load` gives load and cache events. Closing the
+//! connection cancels the request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use stallmoor_core::identity::AttemptId;
+use stallmoor_core::node::{EngineRequest, RequestClass, StreamEvent};
+use stallmoor_core::routing::{BlockHash, CacheEvent, CacheEventBatch, LoadReport};
+
+use crate::http::{HttpCaller, HttpError};
+use crate::{BoxFuture, EnginePoll, Engines, StreamSink};
+
+/// How long a poll may take.
+const POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long an engine may take to begin its answer.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Most bytes of one event.
+const MOST_EVENT_BYTES: usize = 1 << 20;
+
+/// Engines over HTTP.
+pub struct HttpEngines {
+    caller: HttpCaller,
+}
+
+#[derive(Serialize)]
+struct GenerateBody<'a> {
+    attempt: String,
+    class: &'a str,
+    priority: u32,
+    model: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    adapter: Option<&'a str>,
+    prompt: &'a str,
+    max_tokens: u32,
+    from_token: u32,
+    repeatable: bool,
+}
+
+#[derive(Deserialize)]
+struct GenerateEvent {
+    attempt: String,
+    #[serde(default)]
+    first: u32,
+    #[serde(default)]
+    tokens: u32,
+    #[serde(default)]
+    text: String,
+    length: Option<u32>,
+}
+
+#[derive(Deserialize)]
+struct RefusalBody {
+    refused: Option<String>,
+    rejected: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct LoadBody {
+    incarnation: u64,
+    slots: u32,
+    running_online: u32,
+    running_batch: u32,
+    queued_online: u32,
+    queued_batch: u32,
+    leaving: bool,
+    #[serde(default)]
+    loaded: Vec<String>,
+    cache: Option<CacheBody>,
+}
+
+#[derive(Deserialize)]
+struct CacheBody {
+    first: u64,
+    snapshot: bool,
+    events: Vec<CacheEventBody>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum CacheEventBody {
+    Stored(u64),
+    Removed(u64),
+}
+
+impl HttpEngines {
+    /// A client of engines.
+    pub fn new(caller: HttpCaller) -> Self {
+        Self { caller }
+    }
+
+    async fn generate(&self, request: EngineRequest, sink: &StreamSink) {
+        let head = match tokio::time::timeout(HEAD_TIMEOUT, self.send_generate(&request)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(HttpError::NotSent { .. })) => {
+                sink(StreamEvent::NotSent);
+                return;
+            }
+            Ok(Err(error)) => {
+                sink(StreamEvent::Broken { detail: error.to_string() });
+                return;
+            }
+            Err(_) => {
+                sink(StreamEvent::Broken { detail: "the engine did not begin its answer".to_owned() });
+                return;
+            }
+        };
+        if head.status() == StatusCode::OK {
+            read_events(head, request.attempt, sink).await;
+        } else {
+            sink(read_refusal(head).await);
+        }
+    }
+
+    async fn send_generate(&self, request: &EngineRequest) -> Result<Response<Incoming>, HttpError> {
+        let body = GenerateBody {
+            attempt: request.attempt.to_string(),
+            class: match request.class {
+                RequestClass::Online => "online",
+                RequestClass::Batch => "batch",
+            },
+            priority: request.priority,
+            model: &request.model,
+            adapter: request.adapter.as_deref(),
+            prompt: &request.prompt,
+            max_tokens: request.max_tokens,
+            from_token: request.from_token,
+            repeatable: request.repeatable,
+        };
+        let uri = format!("http://{}/v1/generate", request.address);
+        let bytes = serde_json::to_vec(&body).unwrap_or_default();
+        let http_request = Request::builder()
+            .method(Method::POST)
+            .uri(&uri)
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(bytes)))
+            .map_err(|error| HttpError::Broken { uri: uri.clone(), detail: error.to_string() })?;
+        self.caller.send(http_request).await
+    }
+}
+
+/// Reads server-sent events until the end, or until nothing more is wanted.
+async fn read_events(response: Response<Incoming>, own: AttemptId, sink: &StreamSink) {
+    let mut body = response.into_body();
+    let mut buffer: Vec<u8> = Vec::new();
+    let ended = loop {
+        let Some(frame) = body.frame().await else { break None };
+        let data = match frame {
+            Ok(frame) => frame.into_data().unwrap_or_default(),
+            Err(error) => break Some(error.to_string()),
+        };
+        buffer.extend_from_slice(&data);
+        while let Some(event) = take_event(&mut buffer) {
+            // Another attempt's end is not the end of this stream.
+            let is_end = match &event {
+                StreamEvent::End { attempt, .. } => *attempt == own,
+                StreamEvent::Broken { .. } => true,
+                _ => false,
+            };
+            if !sink(event) || is_end {
+                return;
+            }
+        }
+        if buffer.len() > MOST_EVENT_BYTES {
+            break Some("an event is too large".to_owned());
+        }
+    };
+    sink(StreamEvent::Broken { detail: ended.unwrap_or_else(|| "the stream closed without an end".to_owned()) });
+}
+
+/// Takes the first whole event out of the buffer.
+fn take_event(buffer: &mut Vec<u8>) -> Option<StreamEvent> {
+    let end = buffer.windows(2).position(|pair| pair == b"\n\n")?;
+    let rest = buffer.split_off(end + 2);
+    let block = std::mem::replace(buffer, rest);
+    let payload = block.strip_prefix(b"data: ").unwrap_or(&block);
+    let Ok(event) = serde_json::from_slice::<GenerateEvent>(payload.trim_ascii()) else {
+        return Some(StreamEvent::Broken { detail: "an event could not be read".to_owned() });
+    };
+    // An attempt that can't be read is nobody's, so it is judged as crossed.
+    let attempt = AttemptId::parse(&event.attempt).unwrap_or(AttemptId(0));
+    Some(match event.length {
+        Some(length) => StreamEvent::End { attempt, length },
+        None => StreamEvent::Piece { attempt, first: event.first, tokens: event.tokens, text: event.text },
+    })
+}
+
+/// An engine that says it refused is believed; any other status leaves open whether it ran.
+async fn read_refusal(response: Response<Incoming>) -> StreamEvent {
+    let status = response.status();
+    let body = match response.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return StreamEvent::Broken { detail: error.to_string() },
+    };
+    match serde_json::from_slice::<RefusalBody>(&body) {
+        Ok(RefusalBody { refused: Some(reason), .. }) => StreamEvent::Refused { leaving: reason == "leaving" },
+        Ok(RefusalBody { rejected: Some(detail), .. }) => StreamEvent::Rejected { detail },
+        _ => StreamEvent::Broken { detail: format!("the engine answered {status}") },
+    }
+}
+
+impl Engines for HttpEngines {
+    fn stream(&self, request: EngineRequest, sink: StreamSink) -> BoxFuture<'_, ()> {
+        Box::pin(async move { self.generate(request, &sink).await })
+    }
+
+    fn poll(&self, address: SocketAddr, cache_from: Option<u64>) -> BoxFuture<'_, Option<EnginePoll>> {
+        Box::pin(async move {
+            let from = cache_from.map_or_else(|| "all".to_owned(), |from| from.to_string());
+            let uri = format!("http://{address}/v1/load?cache_from={from}");
+            let answer = self.caller.call(Method::GET, &uri, Bytes::new(), POLL_TIMEOUT).await;
+            let Ok((StatusCode::OK, body)) = answer else { return None };
+            let load: LoadBody = serde_json::from_slice(&body).ok()?;
+            Some(poll_of(load))
+        })
+    }
+}
+
+fn poll_of(load: LoadBody) -> EnginePoll {
+    let cache = load.cache.map(|cache| CacheEventBatch {
+        first: cache.first,
+        is_snapshot: cache.snapshot,
+        events: cache
+            .events
+            .into_iter()
+            .map(|event| match event {
+                CacheEventBody::Stored(block) => CacheEvent::Stored(BlockHash(block)),
+                CacheEventBody::Removed(block) => CacheEvent::Removed(BlockHash(block)),
+            })
+            .collect(),
+    });
+    let report = LoadReport {
+        incarnation: load.incarnation,
+        slots: load.slots,
+        running_online: load.running_online,
+        running_batch: load.running_batch,
+        queued_online: load.queued_online,
+        queued_batch: load.queued_batch,
+        leaving: load.leaving,
+        loaded: load.loaded,
+    };
+    EnginePoll { report, cache }
+}
--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,116 @@
+//! `stallmoor-standins`: each stand-in as a program of its own.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use stallmoor_emulator::EngineSettings;
+use stallmoor_standins::engine::{EngineOptions, StandinEngine};
+use stallmoor_standins::http;
+use stallmoor_standins::key_value::{KeyValue, KeyValueFaults};
+use stallmoor_standins::machines::MachineDirectory;
+use stallmoor_standins::weights::WeightStore;
+use tokio::net::TcpListener;
+
+fn command() -> Command {
+    let listen = Arg::new("listen")
+        .long("listen")
+        .value_name("ADDRESS")
+        .help("IP address and port to listen on; port 0 takes a free one, printed on standard output")
+        .value_parser(value_parser!(SocketAddr))
+        .default_value("127.0.0.1:0");
+    let number = |name: &'static str, help: &'static str, default: &'static str| {
+        Arg::new(name).long(name).value_name("N").help(help).value_parser(value_parser!(u64)).default_value(default)
+    };
+    Command::new("stallmoor-standins")
+        .about("Stand-ins for the platform, for tests and trials. Faults are switched by POST /fault")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("engine")
+                .about("An engine emulator")
+                .arg(listen.clone())
+                .arg(number("slots", "Sequences decoded at once", "16"))
+                .arg(number("iteration-us", "The shortest iteration, in microseconds", "8000"))
+                .arg(number("report-lag-ms", "Age of load reports, in milliseconds", "200"))
+                .arg(number("incarnation", "Names this start of the engine", "1"))
+                .arg(number("seed", "Decides which pieces faults hit", "1")),
+        )
+        .subcommand(
+            Command::new("kv")
+                .about("The key-value service")
+                .arg(listen.clone())
+                .arg(number("calls-per-second", "Rate limit; 0 for none", "0"))
+                .arg(number("seed", "Decides which calls faults hit", "1")),
+        )
+        .subcommand(Command::new("machines").about("The machine list").arg(listen.clone()).arg(number(
+            "lag-ms",
+            "Age of the list, in milliseconds",
+            "1000",
+        )))
+        .subcommand(Command::new("weights").about("The weight store").arg(listen).arg(number(
+            "fetch-ms",
+            "Time for one model, in milliseconds",
+            "500",
+        )))
+}
+
+fn number(matches: &ArgMatches, name: &str) -> u64 {
+    matches.get_one::<u64>(name).copied().unwrap_or_default()
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let Some((name, arguments)) = matches.subcommand() else { return ExitCode::from(2) };
+    let Some(address) = arguments.get_one::<SocketAddr>("listen") else { return ExitCode::from(2) };
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            eprintln!("can't listen on {address}: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match listener.local_addr() {
+        Ok(bound) => println!("listening on {bound}"),
+        Err(error) => eprintln!("the address is not known: {error}"),
+    }
+    run(name, arguments, listener).await;
+    ExitCode::SUCCESS
+}
+
+async fn run(name: &str, arguments: &ArgMatches, listener: TcpListener) {
+    match name {
+        "engine" => {
+            let settings = EngineSettings {
+                slots: number(arguments, "slots") as usize,
+                iteration_us: number(arguments, "iteration-us"),
+                ..EngineSettings::default()
+            };
+            let engine = StandinEngine::new(EngineOptions {
+                settings,
+                report_lag: Duration::from_millis(number(arguments, "report-lag-ms")),
+                incarnation: number(arguments, "incarnation"),
+                seed: number(arguments, "seed"),
+            });
+            tokio::spawn(engine.clone().run());
+            http::serve(listener, move |call| engine.clone().handle(call)).await;
+        }
+        "kv" => {
+            let faults = KeyValueFaults {
+                calls_per_second: number(arguments, "calls-per-second") as u32,
+                ..KeyValueFaults::default()
+            };
+            let service = KeyValue::new(faults, number(arguments, "seed"));
+            http::serve(listener, move |call| service.clone().handle(call)).await;
+        }
+        "machines" => {
+            let list = MachineDirectory::new(Duration::from_millis(number(arguments, "lag-ms")));
+            http::serve(listener, move |call| list.clone().handle(call)).await;
+        }
+        _ => {
+            let store = WeightStore::new(Duration::from_millis(number(arguments, "fetch-ms")));
+            http::serve(listener, move |call| store.clone().handle(call)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/storage/src/store.rs
@@ -0,0 +1,334 @@
+//! The store of one node.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+use stallmoor_core::configuration::bundle::PartContents;
+use stallmoor_core::configuration::{InForce, Manifest};
+use stallmoor_core::identity::{GroupId, NodeId};
+use stallmoor_core::node::PersistedNode;
+use stallmoor_core::partition::PartitionState;
+use stallmoor_core::replication::{Entry, HardState, LogIndex, LogWrite, PersistedReplica, Snapshot};
+
+use crate::checked::{self, Damaged};
+use crate::error::{DatabaseSnafu, FolderSnafu, StorageError};
+
+/// The format that this version writes.
+const FORMAT: u32 = 1;
+/// The database's file in the data folder.
+const FILE_NAME: &str = "store.redb";
+
+const HEADER: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("header");
+const HARD_STATES: TableDefinition<'_, u32, &[u8]> = TableDefinition::new("hard_states");
+const SNAPSHOTS: TableDefinition<'_, u32, &[u8]> = TableDefinition::new("snapshots");
+const ENTRIES: TableDefinition<'_, (u32, u64), &[u8]> = TableDefinition::new("entries");
+const CONFIGURATION: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("configuration");
+
+const HEADER_KEY: &str = "header";
+const CONFIGURATION_KEY: &str = "newest";
+
+/// Whose folder it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FolderOwner {
+    /// The node's address for peers.
+    pub peer_address: String,
+    /// Take the folder over from a node at another address.
+    pub adopt: bool,
+    /// The identity to give a blank folder.
+    pub fresh_identity: NodeId,
+}
+
+/// The first thing written to a folder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Header {
+    format: u32,
+    identity: NodeId,
+    owner: String,
+}
+
+/// The newest configuration.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct StoredConfiguration {
+    manifest: Manifest,
+    contents: PartContents,
+}
+
+/// Everything that one batch of events wrote.
+#[derive(Default)]
+pub struct StoreWrite {
+    /// Writes to logs, in order.
+    pub groups: Vec<(GroupId, LogWrite)>,
+    /// The newest configuration, if it changed.
+    pub configuration: Option<Arc<InForce>>,
+}
+
+impl StoreWrite {
+    /// Whether there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.groups.is_empty() && self.configuration.is_none()
+    }
+}
+
+/// A store that was opened, and what it held.
+pub struct OpenedStore {
+    /// The store.
+    pub store: Store,
+    /// The node's identity.
+    pub identity: NodeId,
+    /// What it held.
+    pub persisted: PersistedNode,
+    /// The folder was blank.
+    pub formatted: bool,
+    /// Where a damaged store was set aside to.
+    pub set_aside: Option<PathBuf>,
+}
+
+/// The store of one node.
+pub struct Store {
+    folder: PathBuf,
+    database: Database,
+}
+
+/// Why an existing file can't be used as it is.
+enum Unusable {
+    Damaged,
+    Fatal(StorageError),
+}
+
+impl From<Damaged> for Unusable {
+    fn from(_: Damaged) -> Self {
+        Self::Damaged
+    }
+}
+
+impl Store {
+    /// Opens the store in a folder, or formats a blank one. A damaged store is set aside first.
+    ///
+    /// # Errors
+    ///
+    /// The folder is in use, belongs to another node, has another format, or can't be written.
+    pub fn open(folder: &Path, owner: &FolderOwner) -> Result<OpenedStore, StorageError> {
+        fs::create_dir_all(folder).context(FolderSnafu { folder })?;
+        let path = folder.join(FILE_NAME);
+        if !path.exists() {
+            return Self::format(folder, owner, None);
+        }
+        match Self::open_existing(folder, owner) {
+            Ok(opened) => Ok(opened),
+            Err(Unusable::Fatal(error)) => Err(error),
+            Err(Unusable::Damaged) => {
+                let aside = set_aside(folder)?;
+                Self::format(folder, owner, Some(aside))
+            }
+        }
+    }
+
+    fn format(folder: &Path, owner: &FolderOwner, set_aside: Option<PathBuf>) -> Result<OpenedStore, StorageError> {
+        let identity = owner.fresh_identity;
+        let database = match Database::create(folder.join(FILE_NAME)) {
+            Ok(database) => database,
+            Err(error) => return Err(database_error(folder, error)),
+        };
+        let store = Self { folder: folder.to_owned(), database };
+        store.write_header(&Header { format: FORMAT, identity, owner: owner.peer_address.clone() })?;
+        let persisted = PersistedNode::default();
+        Ok(OpenedStore { store, identity, persisted, formatted: true, set_aside })
+    }
+
+    fn open_existing(folder: &Path, owner: &FolderOwner) -> Result<OpenedStore, Unusable> {
+        let database = match Database::open(folder.join(FILE_NAME)) {
+            Ok(database) => database,
+            Err(redb::DatabaseError::DatabaseAlreadyOpen) => {
+                return Err(Unusable::Fatal(StorageError::Locked { folder: folder.to_owned() }));
+            }
+            Err(redb::DatabaseError::Storage(redb::StorageError::Io(source)))
+                if source.kind() != std::io::ErrorKind::InvalidData =>
+            {
+                return Err(Unusable::Fatal(StorageError::Folder { folder: folder.to_owned(), source }));
+            }
+            Err(_) => return Err(Unusable::Damaged),
+        };
+        let store = Self { folder: folder.to_owned(), database };
+        let header = store.read_header()?;
+        store.check_header(&header, owner).map_err(Unusable::Fatal)?;
+        let persisted = store.read_all()?;
+        Ok(OpenedStore { store, identity: header.identity, persisted, formatted: false, set_aside: None })
+    }
+
+    fn check_header(&self, header: &Header, owner: &FolderOwner) -> Result<(), StorageError> {
+        if header.format != FORMAT {
+            let folder = self.folder.clone();
+            return Err(StorageError::OtherFormat { folder, found: header.format, expected: FORMAT });
+        }
+        if header.owner == owner.peer_address {
+            return Ok(());
+        }
+        if !owner.adopt {
+            return Err(StorageError::Foreign { folder: self.folder.clone(), owner: header.owner.clone() });
+        }
+        self.write_header(&Header { owner: owner.peer_address.clone(), ..header.clone() })
+    }
+
+    /// Writes a batch durably, as a whole.
+    ///
+    /// # Errors
+    ///
+    /// The disk refused, for want of space for instance. Nothing of the batch may be relied on.
+    pub fn write(&self, batch: &StoreWrite) -> Result<(), StorageError> {
+        self.try_write(batch).context(DatabaseSnafu { folder: &self.folder })
+    }
+
+    fn try_write(&self, batch: &StoreWrite) -> Result<(), redb::Error> {
+        let transaction = self.database.begin_write()?;
+        {
+            let mut hard_states = transaction.open_table(HARD_STATES)?;
+            let mut snapshots = transaction.open_table(SNAPSHOTS)?;
+            let mut entries = transaction.open_table(ENTRIES)?;
+            for (group, write) in &batch.groups {
+                let group = group.0;
+                if let Some(hard_state) = &write.hard_state {
+                    hard_states.insert(group, &checked::encode(hard_state)[..])?;
+                }
+                if let Some(from) = write.truncate_from {
+                    entries.retain_in((group, from.0)..=(group, u64::MAX), |_, _| false)?;
+                }
+                if let Some(snapshot) = &write.snapshot {
+                    snapshots.insert(group, &checked::encode(snapshot)[..])?;
+                    entries.retain_in((group, 0)..=(group, snapshot.index.0), |_, _| false)?;
+                }
+                for entry in &write.entries {
+                    entries.insert((group, entry.index.0), &checked::encode(entry)[..])?;
+                }
+            }
+            if let Some(in_force) = &batch.configuration {
+                let stored =
+                    StoredConfiguration { manifest: in_force.manifest.clone(), contents: in_force.contents.clone() };
+                let mut configuration = transaction.open_table(CONFIGURATION)?;
+                configuration.insert(CONFIGURATION_KEY, &checked::encode(&stored)[..])?;
+            }
+        }
+        transaction.commit()?;
+        Ok(())
+    }
+
+    fn write_header(&self, header: &Header) -> Result<(), StorageError> {
+        self.try_write_header(header).context(DatabaseSnafu { folder: &self.folder })
+    }
+
+    fn try_write_header(&self, header: &Header) -> Result<(), redb::Error> {
+        let transaction = self.database.begin_write()?;
+        {
+            let mut table = transaction.open_table(HEADER)?;
+            table.insert(HEADER_KEY, &checked::encode(header)[..])?;
+            transaction.open_table(HARD_STATES)?;
+            transaction.open_table(SNAPSHOTS)?;
+            transaction.open_table(ENTRIES)?;
+            transaction.open_table(CONFIGURATION)?;
+        }
+        transaction.commit()?;
+        Ok(())
+    }
+
+    fn read_header(&self) -> Result<Header, Unusable> {
+        let read = || -> Result<Option<Vec<u8>>, redb::Error> {
+            let transaction = self.database.begin_read()?;
+            let table = transaction.open_table(HEADER)?;
+            Ok(table.get(HEADER_KEY)?.map(|value| value.value().to_vec()))
+        };
+        let bytes = read().map_err(|_| Unusable::Damaged)?.ok_or(Unusable::Damaged)?;
+        Ok(checked::decode(&bytes)?)
+    }
+
+    fn read_all(&self) -> Result<PersistedNode, Unusable> {
+        let raw = self.read_raw().map_err(|_| Unusable::Damaged)?;
+        let mut groups: BTreeMap<GroupId, PersistedReplica> = BTreeMap::new();
+        for (group, bytes) in &raw.hard_states {
+            groups.entry(GroupId(*group)).or_default().hard_state = checked::decode::<HardState>(bytes)?;
+        }
+        for (group, bytes) in &raw.snapshots {
+            let snapshot = checked::decode::<Snapshot>(bytes)?;
+            PartitionState::decode(&snapshot.state).ok_or(Unusable::Damaged)?;
+            groups.entry(GroupId(*group)).or_default().snapshot = snapshot;
+        }
+        for (group, bytes) in &raw.entries {
+            groups.entry(GroupId(*group)).or_default().entries.push(checked::decode::<Entry>(bytes)?);
+        }
+        if groups.values().any(|replica| !is_contiguous(replica)) {
+            return Err(Unusable::Damaged);
+        }
+        let configuration = match raw.configuration {
+            Some(bytes) => {
+                let stored: StoredConfiguration = checked::decode(&bytes)?;
+                Some((stored.manifest, stored.contents))
+            }
+            None => None,
+        };
+        Ok(PersistedNode { groups, configuration })
+    }
+
+    fn read_raw(&self) -> Result<RawContents, redb::Error> {
+        let transaction = self.database.begin_read()?;
+        let mut raw = RawContents::default();
+        for row in transaction.open_table(HARD_STATES)?.iter()? {
+            let (group, value) = row?;
+            raw.hard_states.push((group.value(), value.value().to_vec()));
+        }
+        for row in transaction.open_table(SNAPSHOTS)?.iter()? {
+            let (group, value) = row?;
+            raw.snapshots.push((group.value(), value.value().to_vec()));
+        }
+        for row in transaction.open_table(ENTRIES)?.iter()? {
+            let (place, value) = row?;
+            raw.entries.push((place.value().0, value.value().to_vec()));
+        }
+        let configuration = transaction.open_table(CONFIGURATION)?;
+        raw.configuration = configuration.get(CONFIGURATION_KEY)?.map(|value| value.value().to_vec());
+        Ok(raw)
+    }
+}
+
+/// Rows as they lie on disk.
+#[derive(Default)]
+struct RawContents {
+    hard_states: Vec<(u32, Vec<u8>)>,
+    snapshots: Vec<(u32, Vec<u8>)>,
+    entries: Vec<(u32, Vec<u8>)>,
+    configuration: Option<Vec<u8>>,
+}
+
+/// A log without gaps that starts right after its snapshot.
+fn is_contiguous(replica: &PersistedReplica) -> bool {
+    let mut expected = replica.snapshot.index.next();
+    for entry in &replica.entries {
+        if entry.index != expected {
+            return false;
+        }
+        expected = LogIndex(expected.0 + 1);
+    }
+    true
+}
+
+fn database_error(folder: &Path, error: redb::DatabaseError) -> StorageError {
+    match error {
+        redb::DatabaseError::DatabaseAlreadyOpen => StorageError::Locked { folder: folder.to_owned() },
+        other => StorageError::Database { folder: folder.to_owned(), source: other.into() },
+    }
+}
+
+/// Renames the damaged file, so that an operator can look at it.
+fn set_aside(folder: &Path) -> Result<PathBuf, StorageError> {
+    let mut number = 1;
+    loop {
+        let target = folder.join(format!("{FILE_NAME}.damaged-{number}"));
+        if !target.exists() {
+            fs::rename(folder.join(FILE_NAME), &target).context(FolderSnafu { folder })?;
+            return Ok(target);
+        }
+        number += 1;
+    }
+}
