Simulate the nodes' decision code under failure

Change: crates/bench simulates nodes, network, disks, key-value service, machine list, engines, callers and operators on a virtual clock, drives the same Node the process runs, and holds what callers saw against what engines did.

--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,18 @@
+//! `stallmoor-bench`: simulation, experiments and load.
+
+mod simulate_command;
+
+use std::process::ExitCode;
+
+use clap::Command;
+
+fn main() -> ExitCode {
+    let command = Command::new("stallmoor-bench")
+        .about("Simulation, experiments and load")
+        .subcommand_required(true)
+        .subcommand(simulate_command::command());
+    match command.get_matches().subcommand() {
+        Some(("simulate", arguments)) => simulate_command::run(arguments),
+        _ => ExitCode::from(2),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/simulate_command.rs
@@ -0,0 +1,108 @@
+//! `stallmoor-bench simulate`.
+
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc;
+use std::time::Instant;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use stallmoor_bench::simulation::{SimulationOptions, SimulationReport, simulate};
+
+/// Violations printed at most.
+const PRINTED_VIOLATIONS: usize = 20;
+
+/// The subcommand.
+pub fn command() -> Command {
+    let number = |name: &'static str, help: &'static str, default: &'static str| {
+        Arg::new(name).long(name).value_name("N").help(help).value_parser(value_parser!(u64)).default_value(default)
+    };
+    Command::new("simulate")
+        .about("Runs the nodes' decision code on a virtual clock, under failure, and checks what must hold")
+        .after_help(
+            "Example: stallmoor-bench simulate --seeds 200 --minutes 10\n\
+             Exit codes: 0 everything held; 1 something was violated. To replay a seed with its trace:\n\
+             stallmoor-bench simulate --seeds 1 --first-seed SEED --trace",
+        )
+        .arg(number("seeds", "Seeds to run", "20"))
+        .arg(number("first-seed", "The first seed", "1"))
+        .arg(number("nodes", "Nodes in each run", "7"))
+        .arg(number("minutes", "Minutes to simulate for each seed", "10"))
+        .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print the report as JSON"))
+        .arg(Arg::new("trace").long("trace").action(ArgAction::SetTrue).help("Print the trace's last lines"))
+}
+
+/// Runs the subcommand.
+pub fn run(arguments: &ArgMatches) -> ExitCode {
+    let number = |name: &str| arguments.get_one::<u64>(name).copied().unwrap_or(1);
+    let options = SimulationOptions {
+        seed: number("first-seed"),
+        nodes: number("nodes") as usize,
+        minutes: number("minutes"),
+        trace: arguments.get_flag("trace"),
+    };
+    let began = Instant::now();
+    let report = run_seeds(options, number("seeds"));
+    for line in &report.trace {
+        println!("{line}");
+    }
+    for (seed, violation) in report.violations.iter().take(PRINTED_VIOLATIONS) {
+        eprintln!("seed {seed}: {violation}");
+    }
+    if arguments.get_flag("json") {
+        println!("{}", serde_json::to_string(&report).unwrap_or_default());
+    } else {
+        print_report(&report, began);
+    }
+    if report.has_violations() { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
+
+/// Runs seeds on all cores. Each is a function of its own seed, so their order doesn't matter.
+fn run_seeds(options: SimulationOptions, seeds: u64) -> SimulationReport {
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    let next = AtomicU64::new(0);
+    let (sender, receiver) = mpsc::channel();
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            let (next, sender) = (&next, sender.clone());
+            scope.spawn(move || {
+                loop {
+                    let place = next.fetch_add(1, Ordering::Relaxed);
+                    if place >= seeds {
+                        return;
+                    }
+                    let report = simulate(SimulationOptions { seed: options.seed + place, ..options });
+                    // The receiver lives as long as the scope.
+                    let _ = sender.send(report);
+                }
+            });
+        }
+    });
+    drop(sender);
+    let mut total = SimulationReport::default();
+    for report in receiver {
+        total.merge(report);
+    }
+    total.violations.sort();
+    total
+}
+
+fn print_report(report: &SimulationReport, began: Instant) {
+    println!("{} seeds, {} simulated minutes, {:.1} s", report.seeds, report.simulated_minutes, began.elapsed().as_secs_f64());
+    println!("operations:");
+    for (name, count) in &report.operations {
+        println!("  {name:<36} {count:>10}");
+    }
+    println!("failures injected:");
+    for (name, count) in &report.faults {
+        println!("  {name:<36} {count:>10}");
+    }
+    println!("invariants:");
+    for (name, tally) in &report.invariants {
+        println!("  {name:<36} {:>10} checked {:>6} violated", tally.checked, tally.violations);
+    }
+    println!("after the failures end:");
+    for (name, tally) in &report.liveness {
+        let outcome = format!("{:>10} checked {:>6} violated", tally.checked, tally.violations);
+        println!("  {name:<36} {outcome}, worst {} ms", tally.worst_ms);
+    }
+}
--- /dev/null
+++ b/crates/bench/src/simulation/engines.rs
@@ -0,0 +1,307 @@
+//! Engines with their faults, and their own count of runs.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use rand::Rng;
+use stallmoor_core::identity::{AttemptId, EngineName};
+use stallmoor_core::node::{EngineRequest, Event, MachineReport, RequestClass, StreamEvent};
+use stallmoor_core::routing::LoadReport;
+use stallmoor_emulator::{answer_length, answer_token};
+
+use super::oracle;
+use super::world::{SimEvent, World, ZONES};
+
+/// Engines.
+pub const ENGINES: usize = 6;
+/// Sequences that an engine takes at once.
+const SLOTS: usize = 12;
+/// Tokens in one piece.
+const PIECE_TOKENS: u32 = 12;
+/// A leaving engine may be offered work for this long beyond the machine list's lag.
+const LEAVING_GRACE_MS: u64 = 3_000;
+
+/// What ails an engine now. Shares are from 0 to 1.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EngineAilments {
+    /// Share of steps at which a stream breaks off.
+    pub truncated: f64,
+    /// Share of pieces sent twice.
+    pub doubled: f64,
+    /// Share of steps at which another stream's piece comes along.
+    pub crossed: f64,
+    /// Share of pieces left out.
+    pub gaps: f64,
+    /// Most milliseconds of extra delay of a piece.
+    pub late_ms: u64,
+}
+
+/// A stream at an engine.
+struct EngineStream {
+    request: EngineRequest,
+    slot: usize,
+    process: u64,
+    next_token: u32,
+    length: u32,
+    /// Pieces arrive in order: none earlier than this.
+    earliest_ms: u64,
+}
+
+/// An engine.
+pub struct EngineModel {
+    /// Its name.
+    pub name: EngineName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Raised with each start.
+    pub incarnation: u64,
+    /// Whether it runs.
+    pub is_up: bool,
+    /// Since when it is leaving.
+    pub leaving_since_ms: Option<u64>,
+    /// Until when it does nothing.
+    pub frozen_until_ms: u64,
+    /// What ails it.
+    pub ailments: EngineAilments,
+    streams: BTreeMap<AttemptId, EngineStream>,
+    /// Runs by prompt, over all incarnations.
+    pub runs: BTreeMap<String, u64>,
+}
+
+impl World {
+    /// Adds the engines.
+    pub fn add_engines(&mut self) {
+        for place in 0..ENGINES {
+            let ip = IpAddr::V4(Ipv4Addr::new(10, 9, 0, place as u8 + 1));
+            self.engines.push(EngineModel {
+                name: EngineName::new(&format!("engine-{place}")),
+                address: SocketAddr::new(ip, 8_000),
+                incarnation: 1,
+                is_up: true,
+                leaving_since_ms: None,
+                frozen_until_ms: 0,
+                ailments: EngineAilments::default(),
+                streams: BTreeMap::new(),
+                runs: BTreeMap::new(),
+            });
+            self.report_machine(place, false);
+        }
+    }
+
+    /// The configuration file that lists the engines.
+    pub fn machines_file(&self) -> String {
+        let mut text = String::new();
+        for (place, engine) in self.engines.iter().enumerate() {
+            text.push_str(&format!(
+                "[[machine]]\nname = \"{}\"\naddress = \"{}\"\nzone = \"zone-{}\"\nservice = \"service\"\nslots = {SLOTS}\n\n",
+                engine.name,
+                engine.address,
+                place % ZONES
+            ));
+        }
+        text
+    }
+
+    /// How often a prompt ran, over all engines.
+    pub fn runs_of(&self, prompt: &str) -> u64 {
+        self.engines.iter().filter_map(|engine| engine.runs.get(prompt)).sum()
+    }
+
+    fn report_machine(&mut self, engine: usize, leaving: bool) {
+        let now_ms = self.now_ms;
+        let model = &self.engines[engine];
+        let report = MachineReport { engine: model.name.clone(), incarnation: model.incarnation, leaving };
+        self.machines.report(now_ms, report);
+    }
+
+    /// A node asks an engine for its load.
+    pub fn poll_engine(&mut self, slot: usize, process: u64, engine: &EngineName, address: SocketAddr) {
+        let found = self.engines.iter().find(|model| model.address == address);
+        let report = found.filter(|model| model.is_up && self.now_ms >= model.frozen_until_ms).map(load_of);
+        let delay = if report.is_some() { 30 } else { 1_500 };
+        let event = Box::new(Event::EngineLoad { engine: engine.clone(), report, cache: None });
+        self.schedule(delay, SimEvent::Node { slot, process: Some(process), event });
+    }
+
+    /// A request arrives at an engine.
+    pub fn offer_to_engine(&mut self, request: EngineRequest, slot: usize, process: u64) {
+        let attempt = request.attempt;
+        let found = self.engines.iter().position(|engine| engine.address == request.address && engine.is_up);
+        let Some(place) = found else {
+            self.stream_event(1, slot, process, attempt, StreamEvent::NotSent);
+            return;
+        };
+        self.check_leaving(place, slot);
+        let frozen_for = self.engines[place].frozen_until_ms.saturating_sub(self.now_ms);
+        let engine = &mut self.engines[place];
+        if engine.leaving_since_ms.is_some() {
+            self.stream_event(1, slot, process, attempt, StreamEvent::Refused { leaving: true });
+            return;
+        }
+        if engine.streams.len() >= SLOTS * 2 {
+            self.stream_event(1, slot, process, attempt, StreamEvent::Refused { leaving: false });
+            return;
+        }
+        let length = answer_length(&request.model, &request.prompt, request.max_tokens);
+        *engine.runs.entry(request.prompt.to_string()).or_default() += 1;
+        let next_token = request.from_token;
+        let stream = EngineStream { request, slot, process, next_token, length, earliest_ms: 0 };
+        engine.streams.insert(attempt, stream);
+        self.schedule(frozen_for + 20, SimEvent::EngineStep { engine: place, attempt });
+    }
+
+    fn check_leaving(&mut self, engine: usize, slot: usize) {
+        let Some(since) = self.engines[engine].leaving_since_ms else { return };
+        let now_ms = self.now_ms;
+        let bound = self.machines.lag_ms + LEAVING_GRACE_MS;
+        let disturbed = self.slots[slot].disturbed_ms.max(self.faults.disturbed_ms);
+        // A node that was paused or cut off can't have heard.
+        if now_ms < disturbed + bound || self.network.has_cuts() {
+            return;
+        }
+        let name = self.engines[engine].name.clone();
+        self.oracle.check(oracle::LEAVING_GETS_NOTHING, now_ms <= since + bound, now_ms, || {
+            format!("{name} is leaving since {since} ms and was offered work by node {slot}")
+        });
+    }
+
+    /// A cancellation arrives.
+    pub fn cancel_at_engine(&mut self, attempt: AttemptId) {
+        for engine in &mut self.engines {
+            engine.streams.remove(&attempt);
+        }
+    }
+
+    /// A node's connections broke: its streams end.
+    pub fn drop_streams_of(&mut self, slot: usize, process: u64) {
+        for engine in &mut self.engines {
+            engine.streams.retain(|_, stream| stream.slot != slot || stream.process != process);
+        }
+    }
+
+    /// A stream makes a step: a piece, and at last the end.
+    pub fn step_engine(&mut self, engine: usize, attempt: AttemptId) {
+        let model = &self.engines[engine];
+        if !model.is_up || !model.streams.contains_key(&attempt) {
+            return;
+        }
+        let frozen_for = model.frozen_until_ms.saturating_sub(self.now_ms);
+        if frozen_for > 0 {
+            self.schedule(frozen_for, SimEvent::EngineStep { engine, attempt });
+            return;
+        }
+        let ailments = model.ailments;
+        let load = model.streams.len() as u64;
+        if hits(&mut self.random, ailments.truncated) {
+            self.break_stream(engine, attempt);
+            return;
+        }
+        self.send_piece(engine, attempt, ailments);
+        if hits(&mut self.random, ailments.crossed) {
+            self.cross_streams(engine, attempt);
+        }
+        self.schedule(60 + load * 4, SimEvent::EngineStep { engine, attempt });
+    }
+
+    fn send_piece(&mut self, engine: usize, attempt: AttemptId, ailments: EngineAilments) {
+        let delay = 1 + self.random.random_range(0..=ailments.late_ms);
+        let now_ms = self.now_ms;
+        let Some(stream) = self.engines[engine].streams.get_mut(&attempt) else { return };
+        let (slot, process) = (stream.slot, stream.process);
+        // One connection keeps its order.
+        stream.earliest_ms = stream.earliest_ms.max(now_ms + delay);
+        let after = stream.earliest_ms - now_ms;
+        if stream.next_token >= stream.length {
+            let length = stream.length;
+            self.engines[engine].streams.remove(&attempt);
+            self.stream_event(after, slot, process, attempt, StreamEvent::End { attempt, length });
+            return;
+        }
+        let first = stream.next_token;
+        let tokens = PIECE_TOKENS.min(stream.length - first);
+        stream.next_token += tokens;
+        let event = piece_of(attempt, &stream.request, first, tokens);
+        if hits(&mut self.random, ailments.gaps) {
+            return;
+        }
+        if hits(&mut self.random, ailments.doubled) {
+            self.stream_event(after, slot, process, attempt, event.clone());
+        }
+        self.stream_event(after, slot, process, attempt, event);
+    }
+
+    /// A piece of another stream comes along on this one.
+    fn cross_streams(&mut self, engine: usize, attempt: AttemptId) {
+        let streams = &self.engines[engine].streams;
+        let Some(stream) = streams.get(&attempt) else { return };
+        let (slot, process) = (stream.slot, stream.process);
+        let other = streams.iter().find(|(other, _)| **other != attempt);
+        let Some((other_attempt, other_stream)) = other else { return };
+        let event = piece_of(*other_attempt, &other_stream.request, other_stream.next_token, 1);
+        self.stream_event(1, slot, process, attempt, event);
+    }
+
+    fn break_stream(&mut self, engine: usize, attempt: AttemptId) {
+        if let Some(stream) = self.engines[engine].streams.remove(&attempt) {
+            let detail = "the connection broke".to_owned();
+            self.stream_event(1, stream.slot, stream.process, attempt, StreamEvent::Broken { detail });
+        }
+    }
+
+    /// An engine dies with its streams in flight.
+    pub fn kill_engine(&mut self, engine: usize) {
+        self.engines[engine].is_up = false;
+        let attempts: Vec<AttemptId> = self.engines[engine].streams.keys().copied().collect();
+        for attempt in attempts {
+            self.break_stream(engine, attempt);
+        }
+    }
+
+    /// An engine comes back as a new incarnation.
+    pub fn start_engine(&mut self, engine: usize) {
+        let model = &mut self.engines[engine];
+        if model.is_up && model.leaving_since_ms.is_none() {
+            return;
+        }
+        model.is_up = true;
+        model.leaving_since_ms = None;
+        model.incarnation += 1;
+        model.streams.clear();
+        self.report_machine(engine, false);
+    }
+
+    /// An engine takes no new work from now on.
+    pub fn begin_leaving(&mut self, engine: usize) {
+        self.engines[engine].leaving_since_ms = Some(self.now_ms);
+        self.report_machine(engine, true);
+    }
+
+    /// A frozen engine goes on. Its streams have their own timers.
+    pub fn thaw_engine(&mut self, engine: usize) {
+        self.engines[engine].frozen_until_ms = 0;
+    }
+}
+
+fn load_of(engine: &EngineModel) -> LoadReport {
+    let online = engine.streams.values().filter(|stream| stream.request.class == RequestClass::Online).count() as u32;
+    let batch = engine.streams.len() as u32 - online;
+    LoadReport {
+        incarnation: engine.incarnation,
+        slots: SLOTS as u32,
+        running_online: online,
+        running_batch: batch,
+        queued_online: 0,
+        queued_batch: 0,
+        leaving: engine.leaving_since_ms.is_some(),
+        loaded: Vec::new(),
+    }
+}
+
+fn piece_of(attempt: AttemptId, request: &EngineRequest, first: u32, tokens: u32) -> StreamEvent {
+    let text = (first..first + tokens).map(|place| answer_token(&request.model, &request.prompt, place)).collect();
+    StreamEvent::Piece { attempt, first, tokens, text }
+}
+
+fn hits(random: &mut rand_xoshiro::Xoshiro256PlusPlus, share: f64) -> bool {
+    share > 0.0 && random.random_bool(share)
+}
--- /dev/null
+++ b/crates/bench/src/simulation/operators.rs
@@ -0,0 +1,159 @@
+//! Operators who apply files, at times at the same moment.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use rand::Rng;
+use stallmoor_core::configuration::{ApplyId, Bundle, Manifest};
+use stallmoor_core::error::ErrorKind;
+use stallmoor_core::node::{CallerAnswer, CallerCall, OperatorCall};
+
+use super::callers::{MODEL, TENANT};
+use super::oracle;
+use super::world::{CallPurpose, SimEvent, World, ZONES, zone_name};
+
+/// The mean time between two changes, in milliseconds.
+const MEAN_GAP_MS: u64 = 15_000;
+/// Where the manifest is kept.
+const MANIFEST_KEY: &str = "configuration/manifest";
+
+/// One change as its operator sees it.
+struct Change {
+    id: ApplyId,
+    /// Refused as not applied.
+    refused: bool,
+}
+
+/// Operators.
+#[derive(Default)]
+pub struct OperatorModel {
+    changes: Vec<Change>,
+    /// Which change was accepted as which revision.
+    accepted: BTreeMap<u64, usize>,
+    /// When a revision was accepted, and which nodes have it not yet.
+    spreading: BTreeMap<u64, Spread>,
+    /// The newest revision accepted.
+    pub newest_accepted: u64,
+    /// The longest that an accepted revision took to every node that was undisturbed, in milliseconds.
+    pub worst_spread_ms: u64,
+}
+
+struct Spread {
+    accepted_ms: u64,
+    waiting: BTreeSet<usize>,
+}
+
+impl World {
+    /// An operator applies a change; at times two do so at once.
+    pub fn step_operators(&mut self) {
+        let gap = self.random.random_range(1..=2 * MEAN_GAP_MS);
+        let is_first = self.operators.newest_accepted == 0;
+        let wait = if is_first { 1_500 } else { gap };
+        if self.is_quiet() && !is_first {
+            return;
+        }
+        self.schedule(wait, SimEvent::OperatorStep);
+        let count = if self.random.random_bool(0.3) { 2 } else { 1 };
+        let expected = if is_first { None } else { Some(self.operators.newest_accepted) };
+        if count == 2 {
+            *self.faults.counts.entry("operators_race").or_default() += 1;
+        }
+        for _ in 0..count {
+            self.apply_change(expected);
+        }
+    }
+
+    fn apply_change(&mut self, expected_revision: Option<u64>) {
+        self.count("changes_sent");
+        let number = self.operators.changes.len();
+        let id = ApplyId(self.random.random());
+        self.operators.changes.push(Change { id, refused: false });
+        let bundle = self.bundle(number);
+        let slot = self.random_node();
+        let call = CallerCall::Operator(OperatorCall::Apply { id, bundle, expected_revision });
+        self.call(slot, CallPurpose::Apply(number), call);
+    }
+
+    fn bundle(&self, number: usize) -> Bundle {
+        let mut zones = String::new();
+        for zone in 0..ZONES {
+            zones.push_str(&format!("[[zone]]\nname = \"{}\"\nregion = \"region\"\n\n", zone_name(zone)));
+        }
+        let fleet = format!("[fleet]\nname = \"simulated\"\nreplica_groups = 4\n\n{zones}");
+        let service = format!(
+            "[[service]]\nname = \"service\"\nmax_tokens = 512\n\n[[model]]\nname = \"{MODEL}\"\nservice = \"service\"\n"
+        );
+        let tenants =
+            format!("[[tenant]]\nname = \"{TENANT}\"\nrequests_in_flight = {}\n", 1_000 + number);
+        let files = [
+            ("fleet.toml", fleet),
+            ("services.toml", service),
+            ("machines.toml", self.machines_file()),
+            ("tenants.toml", tenants),
+        ];
+        Bundle { files: files.into_iter().map(|(name, text)| (name.to_owned(), Arc::from(text))).collect() }
+    }
+
+    /// The answer to a change.
+    pub fn on_applied(&mut self, change: usize, answer: Option<CallerAnswer>) {
+        match answer {
+            Some(CallerAnswer::Applied { revision, changed: true }) => self.accept_change(change, revision),
+            Some(CallerAnswer::Refused(refusal)) => {
+                self.count("changes_refused");
+                let not_applied = [ErrorKind::ConfigurationConflict, ErrorKind::PlatformUnavailable];
+                self.operators.changes[change].refused = not_applied.contains(&refusal.kind);
+            }
+            _ => {}
+        }
+    }
+
+    fn accept_change(&mut self, change: usize, revision: u64) {
+        self.count("changes_accepted");
+        let now_ms = self.now_ms;
+        let id = self.operators.changes[change].id;
+        // The answer gives the newest revision; the change's own is in the manifest.
+        let own = self.stored_manifest().and_then(|manifest| manifest.revision_of(id)).unwrap_or(revision);
+        let other = self.operators.accepted.insert(own, change);
+        self.oracle.check(oracle::ONE_CHANGE_PER_REVISION, other.is_none(), now_ms, || {
+            format!("revision {own} was accepted for two changes")
+        });
+        self.operators.newest_accepted = self.operators.newest_accepted.max(own);
+        let waiting = (0..self.slots.len())
+            .filter(|slot| self.slots[*slot].node.as_ref().is_some_and(|node| node.configuration_revision() < own));
+        let spread = Spread { accepted_ms: now_ms, waiting: waiting.collect() };
+        self.operators.spreading.insert(own, spread);
+    }
+
+    /// A node has a revision in force.
+    pub fn note_revision(&mut self, slot: usize, revision: u64) {
+        let now_ms = self.now_ms;
+        let disturbed = self.slots[slot].disturbed_ms.max(self.faults.disturbed_ms);
+        let has_cuts = self.network.has_cuts();
+        let mut worst = self.operators.worst_spread_ms;
+        for (_, spread) in self.operators.spreading.range_mut(..=revision) {
+            // Only nodes that were neither paused, cut off nor started meanwhile count.
+            if spread.waiting.remove(&slot) && disturbed < spread.accepted_ms && !has_cuts {
+                worst = worst.max(now_ms - spread.accepted_ms);
+            }
+        }
+        self.operators.worst_spread_ms = worst;
+    }
+
+    fn stored_manifest(&self) -> Option<Manifest> {
+        self.key_value.value(MANIFEST_KEY).and_then(|value| serde_json::from_str(value).ok())
+    }
+
+    /// At the end: what was refused as not applied is in no manifest.
+    pub fn check_operators_at_end(&mut self) {
+        let now_ms = self.now_ms;
+        let Some(manifest) = self.stored_manifest() else { return };
+        let refused: Vec<ApplyId> =
+            self.operators.changes.iter().filter(|change| change.refused).map(|change| change.id).collect();
+        for id in refused {
+            let is_applied = manifest.revision_of(id).is_some();
+            self.oracle.check(oracle::REFUSED_CHANGE_NOT_APPLIED, !is_applied, now_ms, || {
+                format!("change {id:?} was refused as not applied, but it was")
+            });
+        }
+    }
+}
--- a/crates/core/src/node/groups.rs
+++ b/crates/core/src/node/groups.rs
@@ -111,6 +111,7 @@
                 leads: hosted.replica.is_leader(),
                 term: hosted.replica.term().0,
                 commit: hosted.replica.commit().0,
+                caught_up: hosted.replica.is_established_leader() && hosted.replica.all_voters_caught_up(),
                 voters: name_all(&hosted.replica.membership().voters),
                 learners: name_all(&hosted.replica.membership().learners),
             })
@@ -157,8 +158,9 @@
         if self.groups.get(group).is_none() {
             self.groups.open(group, PersistedReplica::default(), self.clock.now);
         }
+        let now = self.clock.now;
         if let Some(hosted) = self.groups.hosted.get_mut(&group) {
-            hosted.replica.found(membership);
+            hosted.replica.found(membership, now);
         }
         self.settle_group(group);
     }
--- a/crates/core/src/node/machine.rs
+++ b/crates/core/src/node/machine.rs
@@ -126,6 +126,11 @@
         self.settings.id
     }
 
+    /// The configuration revision in force; 0 for none.
+    pub fn configuration_revision(&self) -> u64 {
+        self.configuration.revision()
+    }
+
     /// Takes an event and returns what to do.
     pub fn handle(&mut self, event: Event, clock: Clock) -> Vec<Effect> {
         self.clock = clock;
--- a/crates/core/src/node/online_flow.rs
+++ b/crates/core/src/node/online_flow.rs
@@ -54,6 +54,8 @@
         match self.admit(&call) {
             Ok(service) => self.begin_online(caller, call, &service),
             Err(refusal) => {
+                // Without the mark nothing is known of earlier submissions under the same key.
+                let refusal = if call.repeatable { refusal } else { refusal.with_ran(Ran::Unknown) };
                 self.counters.online_refused += 1;
                 let step =
                     DecisionStep::Refused { code: refusal.kind.code().to_owned(), detail: refusal.detail.clone() };
@@ -103,6 +105,7 @@
             delivery: Delivery { next_token: call.from_token, begun: false },
             holder,
             marked: false,
+            mark_confirmed: false,
             may_have_run: false,
             excluded: BTreeSet::new(),
             session: None,
@@ -155,6 +158,7 @@
             GroupReply::Outcome(CommandOutcome::Marked) => {
                 if let Some(request) = self.online.requests.get_mut(&caller) {
                     request.marked = true;
+                    request.mark_confirmed = true;
                 }
                 self.note(caller, DecisionStep::Marked);
                 self.find_session(caller);
@@ -588,6 +592,8 @@
         ErrorKind::OutcomeUnknown => Ran::Unknown,
         _ if request.delivery.begun => Ran::Ran,
         _ if request.may_have_run => Ran::Unknown,
+        ErrorKind::KeyConflict => Ran::NotRun,
+        _ if !request.call.repeatable && !request.mark_confirmed => Ran::Unknown,
         _ => Ran::NotRun,
     }
 }
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -71,6 +71,8 @@
     pub term: u64,
     /// How far it has committed.
     pub commit: u64,
+    /// Whether this replica leads and all members hold all that is applied.
+    pub caught_up: bool,
     /// Voters.
     pub voters: Vec<String>,
     /// Learners.
--- a/crates/core/src/online/request.rs
+++ b/crates/core/src/online/request.rs
@@ -90,8 +90,11 @@
     pub delivery: Delivery,
     /// The holder of its mark, if it is not repeatable.
     pub holder: AttemptId,
-    /// Whether its mark is replicated.
+    /// Whether its mark may be replicated, so that it must be settled.
     pub marked: bool,
+    /// Whether its mark is replicated for certain. Only then is it known that no earlier submission
+    /// under the same key ran.
+    pub mark_confirmed: bool,
     /// Whether it was sent to an engine that may have run it.
     pub may_have_run: bool,
     /// Engines that failed it.
--- a/crates/core/src/replication/replica.rs
+++ b/crates/core/src/replication/replica.rs
@@ -150,10 +150,17 @@
 
     /// Gives a replica that holds nothing its first membership. Only the founding record of the group
     /// may be the source: it was accepted by one compare-and-swap, so all founders get the same.
-    pub fn found(&mut self, membership: GroupMembership) {
+    ///
+    /// One founder, another for each group, stands for election at once, so that a new fleet need not
+    /// wait for a time-out and leadership starts out spread.
+    pub fn found(&mut self, membership: GroupMembership, now: Timestamp) {
         if self.log.last_index() > LogIndex(0) || !self.log.membership().voters.is_empty() {
             return;
         }
+        let first = membership.voters.iter().nth(self.group.0 as usize % membership.voters.len().max(1));
+        if first == Some(&self.id) {
+            self.election_deadline = now + self.settings.heartbeat_interval;
+        }
         let snapshot = Snapshot { membership, ..Snapshot::default() };
         self.log.compact(snapshot.clone());
         self.write.snapshot = Some(snapshot);
