Let a surplus replica go after its replacement was promoted

Ruled out: learners stuck (none were left), leaders not whole (they were). Change: plan_repair removes a voter in a shared zone, never the leader.

--- a/crates/bench/src/simulate_command.rs
+++ b/crates/bench/src/simulate_command.rs
@@ -87,7 +87,12 @@
 }
 
 fn print_report(report: &SimulationReport, began: Instant) {
-    println!("{} seeds, {} simulated minutes, {:.1} s", report.seeds, report.simulated_minutes, began.elapsed().as_secs_f64());
+    println!(
+        "{} seeds, {} simulated minutes, {:.1} s",
+        report.seeds,
+        report.simulated_minutes,
+        began.elapsed().as_secs_f64()
+    );
     println!("operations:");
     for (name, count) in &report.operations {
         println!("  {name:<36} {count:>10}");
--- a/crates/bench/src/simulation/callers.rs
+++ b/crates/bench/src/simulation/callers.rs
@@ -142,9 +142,8 @@
         let expected = answer_text(MODEL, &probe.prompt, MAX_TOKENS);
         let is_whole = probe.text == expected;
         let prompt = probe.prompt.clone();
-        self.oracle.check(oracle::WHOLE_ANSWERS, is_whole, now_ms, || {
-            format!("{prompt}: the answer is not the whole one")
-        });
+        self.oracle
+            .check(oracle::WHOLE_ANSWERS, is_whole, now_ms, || format!("{prompt}: the answer is not the whole one"));
     }
 
     /// What is said about running is held against the engines' own count.
--- a/crates/bench/src/simulation/network.rs
+++ b/crates/bench/src/simulation/network.rs
@@ -32,12 +32,7 @@
 
 impl Network {
     /// Decides what becomes of a message.
-    pub fn route(
-        &self,
-        from: (usize, usize),
-        to: (usize, usize),
-        random: &mut Xoshiro256PlusPlus,
-    ) -> Deliveries {
+    pub fn route(&self, from: (usize, usize), to: (usize, usize), random: &mut Xoshiro256PlusPlus) -> Deliveries {
         let (from_slot, from_zone) = from;
         let (to_slot, to_zone) = to;
         let crosses_cut =
--- a/crates/bench/src/simulation/operators.rs
+++ b/crates/bench/src/simulation/operators.rs
@@ -83,8 +83,7 @@
         let service = format!(
             "[[service]]\nname = \"service\"\nmax_tokens = 512\n\n[[model]]\nname = \"{MODEL}\"\nservice = \"service\"\n"
         );
-        let tenants =
-            format!("[[tenant]]\nname = \"{TENANT}\"\nrequests_in_flight = {}\n", 1_000 + number);
+        let tenants = format!("[[tenant]]\nname = \"{TENANT}\"\nrequests_in_flight = {}\n", 1_000 + number);
         let files = [
             ("fleet.toml", fleet),
             ("services.toml", service),
--- a/crates/bench/src/simulation/platform.rs
+++ b/crates/bench/src/simulation/platform.rs
@@ -81,9 +81,7 @@
     fn carry_out(&mut self, operation: &KeyValueOperation, random: &mut Xoshiro256PlusPlus) -> KeyValueOutcome {
         match operation {
             KeyValueOperation::Get { key } => self.get(key, random),
-            KeyValueOperation::CompareAndSwap { key, expected, value } => {
-                self.compare_and_swap(key, *expected, value)
-            }
+            KeyValueOperation::CompareAndSwap { key, expected, value } => self.compare_and_swap(key, *expected, value),
         }
     }
 
--- a/crates/bench/src/simulation/world.rs
+++ b/crates/bench/src/simulation/world.rs
@@ -31,7 +31,7 @@
 /// A node's monotonic clock starts here at each start of the node.
 const MONOTONIC_START_MS: u64 = 3_600_000;
 /// Trace lines kept.
-const TRACE_LINES: usize = 4_000;
+const TRACE_LINES: usize = 400_000;
 /// Zones.
 pub const ZONES: usize = 3;
 /// Events that a paused node's buffers hold.
@@ -471,8 +471,7 @@
         target.stopping = false;
         target.crash = None;
         target.held.clear();
-        let mut settings =
-            NodeSettings::new(target.identity, &zone_name(target.zone), target.address, target.address);
+        let mut settings = NodeSettings::new(target.identity, &zone_name(target.zone), target.address, target.address);
         settings.seeds = seeds;
         settings.stores = target.stores;
         settings.founding_stores = 3;
@@ -756,19 +755,45 @@
         let details: Vec<String> = led
             .iter()
             .filter(|(_, is_led)| !**is_led)
-            .map(|(group, _)| format!("group {group} has no leader with three whole replicas"))
+            .map(|(group, _)| {
+                format!("group {group} has no leader with three whole replicas: {}", self.describe_group(*group))
+            })
             .collect();
-        let tally =
-            LivenessTally { checked: led.len() as u64, violations: details.len() as u64, worst_ms: self.faults.worst_healthy_ms };
+        let tally = LivenessTally {
+            checked: led.len() as u64,
+            violations: details.len() as u64,
+            worst_ms: self.faults.worst_healthy_ms,
+        };
         ("groups_whole", tally, details)
     }
 
+    fn describe_group(&self, group: u32) -> String {
+        let mut text = String::new();
+        for (place, slot) in self.slots.iter().enumerate() {
+            let Some(node) = &slot.node else { continue };
+            for status in node.status().groups.iter().filter(|status| status.group == group) {
+                text.push_str(&format!(
+                    "[slot {place} {} leads {} term {} commit {} whole {} voters {:?} learners {:?}] ",
+                    slot.identity,
+                    status.leads,
+                    status.term,
+                    status.commit,
+                    status.caught_up,
+                    status.voters,
+                    status.learners
+                ));
+            }
+        }
+        text
+    }
+
     fn configuration_liveness(&self) -> (&'static str, LivenessTally, Vec<String>) {
         let running = self.slots.iter().filter_map(|slot| slot.node.as_ref());
         let revisions: Vec<u64> = running.map(Node::configuration_revision).collect();
         let newest = revisions.iter().copied().max().unwrap_or(0).max(self.operators.newest_accepted);
         let behind = revisions.iter().filter(|revision| **revision < newest).count();
-        let details = if behind > 0 { vec![format!("{behind} nodes are behind revision {newest}")] } else { Vec::new() };
+        let details =
+            if behind > 0 { vec![format!("{behind} nodes are behind revision {newest}")] } else { Vec::new() };
         let worst_ms = self.operators.worst_spread_ms;
         let tally = LivenessTally { checked: revisions.len() as u64, violations: behind as u64, worst_ms };
         ("configuration_everywhere", tally, details)
@@ -778,8 +803,11 @@
         let running: Vec<&Node> = self.slots.iter().filter_map(|slot| slot.node.as_ref()).collect();
         let expected = running.len();
         let wrong = running.iter().filter(|node| node.status().members_present != expected).count();
-        let details =
-            if wrong > 0 { vec![format!("{wrong} nodes don't see exactly {expected} nodes present")] } else { Vec::new() };
+        let details = if wrong > 0 {
+            vec![format!("{wrong} nodes don't see exactly {expected} nodes present")]
+        } else {
+            Vec::new()
+        };
         let tally = LivenessTally { checked: expected as u64, violations: wrong as u64, worst_ms: 0 };
         ("membership_agrees", tally, details)
     }
--- a/crates/core/src/control/repair.rs
+++ b/crates/core/src/control/repair.rs
@@ -29,6 +29,8 @@
 pub struct RepairInput<'a> {
     /// The group.
     pub group: GroupId,
+    /// Its leader, which makes the plan.
+    pub leader: NodeId,
     /// Its membership.
     pub membership: &'a GroupMembership,
     /// What is known of its members.
@@ -58,12 +60,29 @@
     {
         return Some(RepairStep(MembershipChange::Remove(*voter)));
     }
+    if sound > REPLICAS_PER_GROUP {
+        return choose_surplus(input).map(|node| RepairStep(MembershipChange::Remove(node)));
+    }
     if sound < REPLICAS_PER_GROUP && input.membership.learners.is_empty() {
         return choose_spare(input, &lost).map(|node| RepairStep(MembershipChange::AddLearner(node)));
     }
     None
 }
 
+/// A member that came back after it was replaced is one too many: the voter to let go is one that
+/// shares its zone with another, and among those the last in the order of rendezvous hashing.
+fn choose_surplus(input: &RepairInput<'_>) -> Option<NodeId> {
+    let voters: Vec<&StoreCandidate> = rank_candidates(input.candidates, input.group)
+        .into_iter()
+        .filter(|candidate| input.membership.voters.contains(&candidate.node))
+        .collect();
+    let shares_zone =
+        |candidate: &&&StoreCandidate| voters.iter().filter(|other| other.zone == candidate.zone).count() > 1;
+    let may_go = |candidate: &&&StoreCandidate| candidate.node != input.leader;
+    let last_in_shared_zone = voters.iter().rev().filter(may_go).find(shares_zone);
+    last_in_shared_zone.or_else(|| voters.iter().rev().find(may_go)).map(|candidate| candidate.node)
+}
+
 fn promote_caught_up(input: &RepairInput<'_>) -> Option<RepairStep> {
     let is_caught_up = |node: &NodeId| {
         input.health.iter().any(|health| health.node == *node && health.is_caught_up && !health.is_lost)
--- a/crates/core/src/node/groups.rs
+++ b/crates/core/src/node/groups.rs
@@ -379,7 +379,13 @@
             let membership = hosted.replica.membership().clone();
             let health: Vec<ReplicaHealth> =
                 membership.members().map(|node| self.replica_health(hosted, node)).collect();
-            let input = RepairInput { group, membership: &membership, health: &health, candidates: &candidates };
+            let input = RepairInput {
+                group,
+                leader: self.settings.id,
+                membership: &membership,
+                health: &health,
+                candidates: &candidates,
+            };
             if let Some(step) = plan_repair(&input) {
                 self.change_membership(group, step.0);
             }
