--- a/crates/core/src/replication/replica.rs
+++ b/crates/core/src/replication/replica.rs
@@ -765,7 +765,11 @@
 
     fn on_snapshot(&mut self, from: NodeId, snapshot: Snapshot) {
         let index = snapshot.index;
-        if index > self.commit {
+        if self.log.term_at(index) == Some(snapshot.term) {
+            // The log holds the snapshot's last entry, so all up to it matches, and what follows may
+            // have been acknowledged: it must stay (Raft, section 7).
+            self.commit = self.commit.max(index);
+        } else if index > self.commit {
             self.write.truncate_from = Some(LogIndex(0));
             self.write.snapshot = Some(snapshot.clone());
             self.log.restore(snapshot.clone());
