Finish operators' calls before a planned stop, and say unknown before the mark

Change: both count; after the goodbye every call is refused; a not-repeatable request refused before its mark was read is called unknown.

--- a/crates/core/src/node/configuration_flow.rs
+++ b/crates/core/src/node/configuration_flow.rs
@@ -178,6 +178,11 @@
 
     // An operator's change.
 
+    /// Whether an operator waits for a change.
+    pub(super) fn has_applies(&self) -> bool {
+        !self.configuration_state.applies.is_empty()
+    }
+
     pub(super) fn begin_apply(
         &mut self,
         caller: CallerId,
--- a/crates/core/src/node/machine.rs
+++ b/crates/core/src/node/machine.rs
@@ -15,7 +15,7 @@
 use super::founding_flow::FoundingState;
 use super::group_client::GroupClient;
 use super::groups::GroupHost;
-use super::online_flow::OnlineState;
+use super::online_flow::{OnlineState, refusal_before_mark};
 use super::peer_message::{CreditMessage, PeerMessage};
 use super::settings::NodeSettings;
 use super::status::{FleetStatus, NodeCounters, NodeStatus};
@@ -207,6 +207,15 @@
     }
 
     fn on_call(&mut self, caller: CallerId, call: CallerCall) {
+        if self.has_said_goodbye() {
+            let refusal = Refusal::new(ErrorKind::Stopping, "ask another node");
+            let refusal = match &call {
+                CallerCall::Online(call) => refusal_before_mark(call, refusal),
+                _ => refusal,
+            };
+            self.answer(caller, CallerAnswer::Refused(refusal));
+            return;
+        }
         match call {
             CallerCall::Online(call) => self.on_online_call(caller, call),
             CallerCall::Batch(call) => self.on_batch_call(caller, call),
@@ -321,6 +330,11 @@
 
     // Status.
 
+    /// Whether a fleet status is being gathered.
+    pub(super) fn gathers_status(&self) -> bool {
+        !self.status_gatherings.is_empty()
+    }
+
     /// How this node is.
     pub fn status(&self) -> NodeStatus {
         NodeStatus {
--- a/crates/core/src/node/online_flow.rs
+++ b/crates/core/src/node/online_flow.rs
@@ -54,8 +54,7 @@
         match self.admit(&call) {
             Ok(service) => self.begin_online(caller, call, &service),
             Err(refusal) => {
-                // Without the mark nothing is known of earlier submissions under the same key.
-                let refusal = if call.repeatable { refusal } else { refusal.with_ran(Ran::Unknown) };
+                let refusal = refusal_before_mark(&call, refusal);
                 self.counters.online_refused += 1;
                 let step =
                     DecisionStep::Refused { code: refusal.kind.code().to_owned(), detail: refusal.detail.clone() };
@@ -585,6 +584,11 @@
     }
 }
 
+/// A refusal of a request whose mark was not read: nothing is known of earlier submissions under its key.
+pub(super) fn refusal_before_mark(call: &OnlineCall, refusal: Refusal) -> Refusal {
+    if call.repeatable { refusal } else { refusal.with_ran(Ran::Unknown) }
+}
+
 /// What is known about whether a refused request ran.
 fn truth_of(request: &OnlineRequest, refusal: &Refusal) -> Ran {
     match refusal.kind {
--- a/crates/core/src/node/stopping.rs
+++ b/crates/core/src/node/stopping.rs
@@ -39,7 +39,9 @@
         let now = self.clock.now;
         let Some(stop) = &mut self.stopping else { return };
         if let Some(exit_at) = stop.exit_at {
-            if now >= exit_at {
+            // Whoever came in before the goodbye is still answered.
+            let is_late = now.since(stop.began) >= self.settings.stop_timeout + GOODBYE;
+            if now >= exit_at && (self.is_idle() || is_late) {
                 self.log(LogEvent::NodeStopped, self.settings.id.to_string());
                 self.effects.push(Effect::Exit);
             }
@@ -52,12 +54,25 @@
         }
         let leads_none = if hand_over_due { self.hand_over_leadership() } else { self.groups.led().next().is_none() };
         let handed_over = leads_none || waited >= HAND_OVER_TIMEOUT;
-        let is_idle = self.online.requests.is_empty() && self.uploads.is_empty() && self.client.len() == 0;
-        if (handed_over && is_idle) || waited >= self.settings.stop_timeout {
+        if (handed_over && self.is_idle()) || waited >= self.settings.stop_timeout {
             self.say_goodbye();
         }
     }
 
+    /// Whether nobody waits for an answer of this node.
+    fn is_idle(&self) -> bool {
+        self.online.requests.is_empty()
+            && self.uploads.is_empty()
+            && self.client.len() == 0
+            && !self.has_applies()
+            && !self.gathers_status()
+    }
+
+    /// Whether the node has said goodbye and takes no call of any kind any more.
+    pub(super) fn has_said_goodbye(&self) -> bool {
+        self.stopping.as_ref().is_some_and(|stop| stop.exit_at.is_some())
+    }
+
     fn say_goodbye(&mut self) {
         let exit_at = self.clock.now + GOODBYE;
         self.membership.leave();
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -33,6 +33,14 @@
     }
 }
 
+impl Add for Millis {
+    type Output = Millis;
+
+    fn add(self, span: Millis) -> Millis {
+        Millis(self.0.saturating_add(span.0))
+    }
+}
+
 impl Add<Millis> for Timestamp {
     type Output = Timestamp;
 
