Carry the first membership in the log, and find nodes when all seeds are gone

Ruled out: the founding compare-and-swap; it was won once. Change: the founding membership is the log's first entry; one node keeps a short list of present addresses in the key-value service, read by a node that sees nobody.

--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -1,6 +1,6 @@
 //! The SWIM state machine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use rand::SeedableRng;
@@ -12,6 +12,9 @@
 use crate::identity::NodeId;
 use crate::time::{Millis, Timestamp};
 
+/// Most seeds remembered; the oldest are dropped.
+const MOST_SEEDS: usize = 64;
+
 /// Times and limits of the membership protocol.
 #[derive(Clone, Copy, Debug)]
 pub struct MembershipSettings {
@@ -168,6 +171,17 @@
         self.configuration_revision = revision;
     }
 
+    /// Adds addresses of nodes that may be up.
+    pub fn add_seeds(&mut self, addresses: &BTreeSet<SocketAddr>) {
+        for address in addresses {
+            if *address != self.own.peer_address && !self.seeds.contains(address) {
+                self.seeds.push(*address);
+            }
+        }
+        let excess = self.seeds.len().saturating_sub(MOST_SEEDS);
+        self.seeds.drain(..excess);
+    }
+
     /// Some members that are present, at random.
     pub fn sample_present(&mut self, count: usize) -> Vec<NodeId> {
         let present: Vec<NodeId> = self.others().filter(|member| member.is_present()).map(|member| member.id).collect();
--- a/crates/core/src/node/configuration_flow.rs
+++ b/crates/core/src/node/configuration_flow.rs
@@ -48,6 +48,10 @@
     FetchPart(PartDigest),
     /// A step of a change.
     Apply(CallerId),
+    /// A node looks for others.
+    ReadNodes,
+    /// Addresses of present nodes are written.
+    WriteNodes,
     /// The founding record is read.
     ReadGroups,
     /// The founding record is written.
@@ -159,6 +163,8 @@
                 }
             }
             KeyValuePurpose::Apply(caller) => self.on_apply_answer(caller, outcome),
+            KeyValuePurpose::ReadNodes => self.on_nodes_read(&outcome),
+            KeyValuePurpose::WriteNodes => {}
             KeyValuePurpose::ReadGroups => self.on_groups_read(outcome),
             KeyValuePurpose::FoundGroups(record) => self.on_groups_founded(&record, outcome),
         }
--- a/crates/core/src/node/machine.rs
+++ b/crates/core/src/node/machine.rs
@@ -9,6 +9,7 @@
 
 use super::batch_flow::BatchState;
 use super::configuration_flow::ConfigurationState;
+use super::discovery_flow::DiscoveryState;
 use super::effect::Effect;
 use super::engines_flow::EnginePolls;
 use super::event::{CallerAnswer, CallerCall, Clock, Event, OperatorCall};
@@ -64,6 +65,7 @@
     pub(super) configuration_state: ConfigurationState,
     pub(super) directory: GroupDirectory,
     pub(super) founding: FoundingState,
+    pub(super) discovery: DiscoveryState,
     pub(super) groups: GroupHost,
     pub(super) client: GroupClient,
     pub(super) engines: EngineTable,
@@ -102,6 +104,7 @@
             configuration_state: ConfigurationState::new(&settings, clock.now),
             directory: GroupDirectory::default(),
             founding: FoundingState::new(clock.now),
+            discovery: DiscoveryState::new(clock.now),
             groups,
             client: GroupClient::new(random.random()),
             engines: EngineTable::default(),
@@ -167,6 +170,7 @@
         self.tick_groups();
         self.tick_client();
         self.tick_configuration();
+        self.tick_discovery();
         self.tick_founding();
         self.tick_engines();
         self.tick_online();
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -14,12 +14,14 @@
 //! | `group_client` | requests to groups, wherever they are |
 //! | `configuration_flow` | accepting, spreading and taking configuration |
 //! | `engines_flow` | polling engines and the machine list, spreading what leaves |
+//! | `discovery_flow` | finding other nodes when no seed answers |
 //! | `founding_flow` | founding and finding groups |
 //! | `stopping` | the planned stop |
 
 mod batch_flow;
 mod callers;
 mod configuration_flow;
+mod discovery_flow;
 mod effect;
 mod engines_flow;
 mod event;
--- a/crates/core/src/replication/replica.rs
+++ b/crates/core/src/replication/replica.rs
@@ -148,22 +148,26 @@
         replica
     }
 
-    /// Gives a replica that holds nothing its first membership. Only the founding record of the group
-    /// may be the source: it was accepted by one compare-and-swap, so all founders get the same.
+    /// Gives a replica that holds nothing its first membership, as the first entry of its log. Only the
+    /// founding record of the group may be the source: it was accepted by one compare-and-swap, so all
+    /// founders get the same entry, and it counts as committed. A founder that hears from the leader
+    /// before it has read the record gets the entry from there.
     ///
     /// One founder, another for each group, stands for election at once, so that a new fleet need not
     /// wait for a time-out and leadership starts out spread.
     pub fn found(&mut self, membership: GroupMembership, now: Timestamp) {
-        if self.log.last_index() > LogIndex(0) || !self.log.membership().voters.is_empty() {
+        if self.log.last_index() > LogIndex(0) || membership.voters.is_empty() {
             return;
         }
-        let first = membership.voters.iter().nth(self.group.0 as usize % membership.voters.len().max(1));
+        let first = membership.voters.iter().nth(self.group.0 as usize % membership.voters.len());
         if first == Some(&self.id) {
             self.election_deadline = now + self.settings.heartbeat_interval;
         }
-        let snapshot = Snapshot { membership, ..Snapshot::default() };
-        self.log.compact(snapshot.clone());
-        self.write.snapshot = Some(snapshot);
+        let payload = EntryPayload::Membership(membership);
+        let entry = Entry { term: Term(0), index: LogIndex(1), payload };
+        self.log.append(entry.clone());
+        self.write.entries.push(entry);
+        self.commit = LogIndex(1);
         self.flush();
     }
 
