--- /dev/null
+++ b/crates/bench/tests/simulation.rs
@@ -0,0 +1,40 @@
+//! A short simulation of every kind of failure holds, and a run is a function of its seed.
+
+use stallmoor_bench::simulation::{SimulationOptions, SimulationReport, simulate};
+
+fn run(seed: u64, nodes: usize, minutes: u64) -> SimulationReport {
+    simulate(SimulationOptions { seed, nodes, minutes, trace: false })
+}
+
+#[test]
+fn nothing_is_violated_in_a_few_seeds() {
+    for seed in 1..=12 {
+        let report = run(seed, 7, 6);
+        assert!(!report.has_violations(), "seed {seed}: {:?}", report.violations);
+        assert!(report.invariants.values().any(|tally| tally.checked > 0));
+    }
+}
+
+/// Seeds that once showed a fault, each by its own failure.
+#[test]
+fn seeds_that_showed_faults_stay_clean() {
+    for seed in [2, 11, 13, 23, 368, 388] {
+        let report = run(seed, 7, 10);
+        assert!(!report.has_violations(), "seed {seed}: {:?}", report.violations);
+    }
+}
+
+#[test]
+fn a_run_is_a_function_of_its_seed() {
+    let (first, second) = (run(5, 7, 4), run(5, 7, 4));
+    assert_eq!(first.invariants, second.invariants);
+    assert_eq!(first.operations, second.operations);
+    assert_eq!(first.faults, second.faults);
+    assert_ne!(run(6, 7, 4).operations, first.operations);
+}
+
+#[test]
+fn sixty_nodes_agree() {
+    let report = run(1, 60, 4);
+    assert!(!report.has_violations(), "{:?}", report.violations);
+}
