Answer an operator once other nodes have the revision too

Change: the answer waits up to 2 s for two other nodes to say that it is in force there. The simulation now takes the service down and kills the accepting node right after an acceptance, and cancels jobs while their items complete.

--- a/crates/bench/src/simulation/faults.rs
+++ b/crates/bench/src/simulation/faults.rs
@@ -161,6 +161,24 @@
         }
     }
 
+    /// A change was accepted: at times the key-value service goes down right after, and the node that
+    /// accepted it dies.
+    pub fn on_accepted_change(&mut self, slot: usize) {
+        if self.is_quiet() || !self.random.random_bool(0.15) {
+            return;
+        }
+        self.tally("key_value_down_after_apply");
+        self.key_value.ailments = KeyValueAilments { down: true, ..KeyValueAilments::default() };
+        let span = self.lasting(20_000, 90_000);
+        self.schedule(span, SimEvent::EndFault(Fault::KeyValue));
+        if self.random.random_bool(0.5) {
+            self.tally("accepting_node_dies");
+            self.kill_node(slot);
+            let back = self.lasting(5_000, 60_000);
+            self.schedule(back, SimEvent::Start { slot });
+        }
+    }
+
     /// Three copies bear the loss of one disk at a time: a second may go only once every group is whole.
     fn may_lose_disk(&self) -> bool {
         self.groups_are_whole()
--- a/crates/bench/src/simulation/jobs.rs
+++ b/crates/bench/src/simulation/jobs.rs
@@ -46,7 +46,6 @@
     read_all: bool,
     /// How often a cancelled job was read again.
     rereads: u32,
-    submitted_ms: u64,
     completed_ms: Option<u64>,
     /// A call is under way since then.
     calling_since_ms: Option<u64>,
@@ -70,7 +69,7 @@
         let seed = self.options.seed;
         let items = self.random.random_range(3..=40);
         let prompts = (0..items).map(|item| format!("item {item} of job {number} of seed {seed}")).collect();
-        let wants_cancel = self.random.random_bool(0.15);
+        let wants_cancel = self.random.random_bool(0.3);
         self.jobs.probes.push(JobProbe {
             key: format!("job-{number}"),
             prompts,
@@ -82,7 +81,6 @@
             next_read: 0,
             read_all: false,
             rereads: 0,
-            submitted_ms: self.now_ms,
             completed_ms: None,
             calling_since_ms: None,
         });
@@ -102,10 +100,9 @@
         if probe.calling_since_ms.is_some_and(|since| now_ms < since + PATIENCE_MS) {
             return;
         }
-        let age = now_ms - probe.submitted_ms;
         match probe.accepted {
             None => self.submit_job(job),
-            Some(id) if probe.wants_cancel && probe.cancelled_at.is_none() && age > 3_000 => {
+            Some(id) if probe.wants_cancel && probe.cancelled_at.is_none() => {
                 self.job_call(job, CallPurpose::Cancel(job), BatchCall::Cancel(id));
             }
             Some(id) if probe.ended => {
@@ -186,6 +183,11 @@
         self.count("jobs_accepted");
         self.jobs.probes[job].accepted = Some(id);
         self.note(|| format!("job {job} accepted as {id}"));
+        if self.jobs.probes[job].wants_cancel {
+            // While its items run and complete.
+            let soon = self.random.random_range(20..1_500);
+            self.schedule(soon, SimEvent::JobStep { job });
+        }
         self.on_acknowledged_write(id.group);
         match self.random.random_range(0..4) {
             0 => self.resend_job(job),
--- a/crates/bench/src/simulation/operators.rs
+++ b/crates/bench/src/simulation/operators.rs
@@ -22,6 +22,8 @@
     id: ApplyId,
     /// Refused as not applied.
     refused: bool,
+    /// The node that it was sent to.
+    slot: usize,
 }
 
 /// Operators.
@@ -54,22 +56,23 @@
         }
         self.schedule(wait, SimEvent::OperatorStep);
         let count = if self.random.random_bool(0.3) { 2 } else { 1 };
-        let expected = if is_first { None } else { Some(self.operators.newest_accepted) };
         if count == 2 {
             *self.faults.counts.entry("operators_race").or_default() += 1;
         }
         for _ in 0..count {
-            self.apply_change(expected);
+            self.apply_change();
         }
     }
 
-    fn apply_change(&mut self, expected_revision: Option<u64>) {
+    fn apply_change(&mut self) {
         self.count("changes_sent");
         let number = self.operators.changes.len();
         let id = ApplyId(self.random.random());
-        self.operators.changes.push(Change { id, refused: false });
         let bundle = self.bundle(number);
         let slot = self.random_node();
+        self.operators.changes.push(Change { id, refused: false, slot });
+        // The operator saw what is in force at that node.
+        let expected_revision = self.slots[slot].node.as_ref().map(|node| node.configuration_revision());
         let call = CallerCall::Operator(OperatorCall::Apply { id, bundle, expected_revision });
         self.call(slot, CallPurpose::Apply(number), call);
     }
@@ -109,7 +112,7 @@
     fn accept_change(&mut self, change: usize, revision: u64) {
         self.count("changes_accepted");
         let now_ms = self.now_ms;
-        let id = self.operators.changes[change].id;
+        let Change { id, slot, .. } = self.operators.changes[change];
         // The answer gives the newest revision; the change's own is in the manifest.
         let own = self.stored_manifest().and_then(|manifest| manifest.revision_of(id)).unwrap_or(revision);
         let other = self.operators.accepted.insert(own, change);
@@ -121,6 +124,7 @@
             .filter(|slot| self.slots[*slot].node.as_ref().is_some_and(|node| node.configuration_revision() < own));
         let spread = Spread { accepted_ms: now_ms, waiting: waiting.collect() };
         self.operators.spreading.insert(own, spread);
+        self.on_accepted_change(slot);
     }
 
     /// A node has a revision in force.
--- a/crates/core/src/node/configuration_flow.rs
+++ b/crates/core/src/node/configuration_flow.rs
@@ -1,6 +1,6 @@
 //! Accepting, spreading and taking configuration, and the budget of calls to the key-value service.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use rand::Rng;
@@ -32,6 +32,11 @@
 const SPREAD: usize = 4;
 /// Missing parts are asked for again this often.
 const FETCH_INTERVAL: Millis = Millis(400);
+/// How many other nodes must have an accepted revision in force before the operator is answered, so that
+/// it outlives the node that accepted it even if the key-value service goes down right after.
+const CONFIRMATIONS: usize = 2;
+/// How long that is waited for. The revision is accepted either way.
+const CONFIRMATION_TIMEOUT: Millis = Millis(2_000);
 /// The wait before a step of a change that got no answer is repeated.
 const APPLY_BACKOFF: Millis = Millis(150);
 /// Tokens that only a change of configuration may use.
@@ -71,9 +76,19 @@
     not_before: Timestamp,
 }
 
+/// An accepted change whose operator waits until other nodes have it.
+struct Confirmation {
+    revision: u64,
+    changed: bool,
+    needed: usize,
+    holders: BTreeSet<NodeId>,
+    deadline: Timestamp,
+}
+
 /// What a node keeps for configuration and the key-value service.
 pub(super) struct ConfigurationState {
     applies: BTreeMap<CallerId, ConfigurationApply>,
+    confirmations: BTreeMap<CallerId, Confirmation>,
     calls: BTreeMap<KeyValueCall, KeyValuePurpose>,
     waiting: VecDeque<WaitingCall>,
     next_call: u64,
@@ -89,6 +104,7 @@
     pub(super) fn new(_settings: &NodeSettings, now: Timestamp) -> Self {
         Self {
             applies: BTreeMap::new(),
+            confirmations: BTreeMap::new(),
             calls: BTreeMap::new(),
             waiting: VecDeque::new(),
             next_call: 1,
@@ -159,7 +175,7 @@
             KeyValuePurpose::FetchPart(digest) => {
                 if let KeyValueOutcome::Value { value, .. } = outcome {
                     let offer = self.configuration.offer_part(digest, value);
-                    self.on_offer(offer, None);
+                    self.on_offer(offer);
                 }
             }
             KeyValuePurpose::Apply(caller) => self.on_apply_answer(caller, outcome),
@@ -186,7 +202,7 @@
 
     /// Whether an operator waits for a change.
     pub(super) fn has_applies(&self) -> bool {
-        !self.configuration_state.applies.is_empty()
+        !self.configuration_state.applies.is_empty() || !self.configuration_state.confirmations.is_empty()
     }
 
     pub(super) fn begin_apply(
@@ -256,12 +272,12 @@
                 let revision = manifest.revision;
                 self.log(LogEvent::ConfigurationAccepted, format!("revision {revision}"));
                 self.take_manifest(manifest, Some(&apply.bundle().parts()));
-                self.answer(caller, CallerAnswer::Applied { revision, changed: true });
+                self.await_confirmations(caller, revision, true);
             }
             ApplyOutcome::Unchanged(manifest) => {
                 let revision = manifest.revision;
                 self.take_manifest(manifest, Some(&apply.bundle().parts()));
-                self.answer(caller, CallerAnswer::Applied { revision, changed: false });
+                self.await_confirmations(caller, revision, false);
             }
             ApplyOutcome::Conflict { current } => {
                 let detail = format!("revision {current} is in force; nothing was applied");
@@ -279,6 +295,49 @@
         }
     }
 
+    fn await_confirmations(&mut self, caller: CallerId, revision: u64, changed: bool) {
+        let others = self.membership.present().filter(|member| member.id != self.settings.id).count();
+        let confirmation = Confirmation {
+            revision,
+            changed,
+            needed: CONFIRMATIONS.min(others),
+            holders: BTreeSet::new(),
+            deadline: self.clock.now + CONFIRMATION_TIMEOUT,
+        };
+        self.configuration_state.confirmations.insert(caller, confirmation);
+        self.finish_confirmations();
+    }
+
+    /// A peer has a revision in force.
+    fn note_holder(&mut self, peer: NodeId, revision: u64) {
+        for confirmation in self.configuration_state.confirmations.values_mut() {
+            if revision >= confirmation.revision {
+                confirmation.holders.insert(peer);
+            }
+        }
+        self.finish_confirmations();
+    }
+
+    fn finish_confirmations(&mut self) {
+        let now = self.clock.now;
+        let is_done = |confirmation: &Confirmation| {
+            confirmation.holders.len() >= confirmation.needed || now >= confirmation.deadline
+        };
+        let done: Vec<CallerId> = self
+            .configuration_state
+            .confirmations
+            .iter()
+            .filter(|(_, confirmation)| is_done(confirmation))
+            .map(|(caller, _)| *caller)
+            .collect();
+        for caller in done {
+            if let Some(Confirmation { revision, changed, .. }) = self.configuration_state.confirmations.remove(&caller)
+            {
+                self.answer(caller, CallerAnswer::Applied { revision, changed });
+            }
+        }
+    }
+
     fn expire_applies(&mut self) {
         let now = self.clock.now;
         let late: Vec<CallerId> = self
@@ -301,6 +360,7 @@
     pub(super) fn tick_configuration(&mut self) {
         let now = self.clock.now;
         self.expire_applies();
+        self.finish_confirmations();
         if now >= self.configuration_state.next_watch {
             let poll = self.settings.configuration_poll.0;
             let wait = Millis(poll / 2 + self.random.random_range(0..=poll));
@@ -333,18 +393,13 @@
                 offer = self.configuration.offer_part(*digest, content.clone());
             }
         }
-        self.on_offer(offer, None);
+        self.on_offer(offer);
     }
 
-    fn on_offer(&mut self, offer: OfferOutcome, from: Option<NodeId>) {
+    fn on_offer(&mut self, offer: OfferOutcome) {
         match offer {
             OfferOutcome::Taken => self.configuration_taken(),
-            OfferOutcome::Missing(_) => {
-                if from.is_some() {
-                    self.configuration_state.source = from;
-                }
-            }
-            OfferOutcome::NotNewer => {}
+            OfferOutcome::Missing(_) | OfferOutcome::NotNewer => {}
             OfferOutcome::Invalid => {
                 self.log(LogEvent::ConfigurationRefused, "an accepted revision does not pass this version's check");
             }
@@ -361,7 +416,10 @@
         }
         self.log(LogEvent::ConfigurationInForce, format!("revision {revision}"));
         let from = self.settings.id;
-        for node in self.membership.sample_present(SPREAD) {
+        let mut told = self.membership.sample_present(SPREAD);
+        // Whoever offered it learns that it is in force here.
+        told.extend(self.configuration_state.source.take().filter(|source| !told.contains(source)));
+        for node in told {
             self.send(node, PeerMessage::Configuration(ConfigurationMessage::Offer { from, revision }));
         }
         self.batch.is_dirty = true;
@@ -392,6 +450,7 @@
     pub(super) fn on_peer_revision(&mut self, peer: NodeId, revision: u64) {
         let from = self.settings.id;
         let own = self.configuration.revision();
+        self.note_holder(peer, revision);
         if revision > self.configuration.newest_known() {
             self.send(peer, PeerMessage::Configuration(ConfigurationMessage::ManifestRequest { from }));
         } else if revision < own {
@@ -403,6 +462,7 @@
     pub(super) fn on_configuration_message(&mut self, message: ConfigurationMessage) {
         match message {
             ConfigurationMessage::Offer { from, revision } => {
+                self.note_holder(from, revision);
                 if revision > self.configuration.newest_known() {
                     self.on_peer_revision(from, revision);
                 }
@@ -416,14 +476,15 @@
                 }
             }
             ConfigurationMessage::ManifestAnswer { from, manifest } => {
+                self.configuration_state.source = Some(from);
                 let offer = self.configuration.offer(manifest);
-                self.on_offer(offer, Some(from));
+                self.on_offer(offer);
                 self.fetch_missing_parts();
             }
             ConfigurationMessage::PartsRequest { from, digests } => self.send_parts(from, &digests),
             ConfigurationMessage::PartAnswer { digest, content } => {
                 let offer = self.configuration.offer_part(digest, content);
-                self.on_offer(offer, None);
+                self.on_offer(offer);
             }
         }
     }
