--- /dev/null
+++ b/crates/bench/src/chaos/batch.rs
@@ -0,0 +1,165 @@
+//! Jobs under failure.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use serde_json::{Value, json};
+use stallmoor_emulator::answer_text;
+
+use super::{ChaosOptions, MAX_TOKENS};
+use crate::fleet_client::{FleetClient, RefusalSeen};
+
+/// The mean time between two jobs, in milliseconds.
+const MEAN_GAP_MS: u64 = 2_500;
+/// Time between two looks at a job.
+const LOOK: Duration = Duration::from_millis(500);
+/// How long one node may take to become readable at the end.
+const READ_PATIENCE: Duration = Duration::from_secs(60);
+
+/// A job that was accepted.
+#[derive(Clone, Debug)]
+pub struct AcceptedJob {
+    id: String,
+    prompts: Vec<String>,
+}
+
+/// What the check of all jobs came to.
+#[derive(Clone, Debug, Default)]
+pub struct CheckedJobs {
+    /// Jobs accepted.
+    pub jobs: usize,
+    /// Items accepted.
+    pub items: usize,
+    /// What was wrong.
+    pub violations: Vec<String>,
+}
+
+/// Submits jobs until the load is over; each is sent again until it is accepted.
+pub async fn submit_jobs(client: FleetClient, options: Arc<ChaosOptions>) -> Vec<AcceptedJob> {
+    let mut random = Xoshiro256PlusPlus::seed_from_u64(options.seed ^ 0x6a6f_6273);
+    let ends = Instant::now() + options.load;
+    let mut jobs = Vec::new();
+    let mut number = 0;
+    while Instant::now() < ends {
+        number += 1;
+        let items = random.random_range(20..=150);
+        let prompts: Vec<String> =
+            (0..items).map(|item| format!("item {item} of job {number} of {}", options.seed)).collect();
+        let key = format!("chaos-{}-{number}", options.seed);
+        if let Some(id) = submit_until_accepted(&client, &options, &key, &prompts, &mut random).await {
+            jobs.push(AcceptedJob { id, prompts });
+        }
+        tokio::time::sleep(Duration::from_millis(random.random_range(1..=2 * MEAN_GAP_MS))).await;
+    }
+    jobs
+}
+
+async fn submit_until_accepted(
+    client: &FleetClient,
+    options: &ChaosOptions,
+    key: &str,
+    prompts: &[String],
+    random: &mut Xoshiro256PlusPlus,
+) -> Option<String> {
+    const TRIES: usize = 40;
+    let lines: String = prompts
+        .iter()
+        .enumerate()
+        .map(|(place, prompt)| json!({"custom_id": place.to_string(), "prompt": prompt}).to_string() + "\n")
+        .collect();
+    for _ in 0..TRIES {
+        let node = options.nodes[random.random_range(0..options.nodes.len())];
+        match client.submit(node, &options.tenant, &options.model, key, lines.clone()).await {
+            Ok(id) => return Some(id),
+            Err(refusal) => {
+                let wait = refusal.as_ref().and_then(|refusal: &RefusalSeen| refusal.retry_after_ms).unwrap_or(500);
+                tokio::time::sleep(Duration::from_millis(wait)).await;
+            }
+        }
+    }
+    None
+}
+
+/// Waits until all jobs are complete and reads all results from every node.
+pub async fn check_jobs(client: &FleetClient, options: &ChaosOptions, jobs: &[AcceptedJob]) -> CheckedJobs {
+    let mut checked =
+        CheckedJobs { jobs: jobs.len(), items: jobs.iter().map(|job| job.prompts.len()).sum(), violations: Vec::new() };
+    let deadline = Instant::now() + options.settle;
+    for job in jobs {
+        if !wait_complete(client, options, job, deadline).await {
+            checked.violations.push(format!("{} is not complete", job.id));
+        }
+    }
+    for job in jobs {
+        let mut first: Option<BTreeMap<u64, Value>> = None;
+        for node in &options.nodes {
+            let Some(results) = read_patiently(client, *node, &job.id).await else {
+                checked.violations.push(format!("{} is not readable at {node}", job.id));
+                continue;
+            };
+            checked.violations.extend(check_results(options, job, &results));
+            let by_item: BTreeMap<u64, Value> =
+                results.into_iter().filter_map(|result| Some((result["item"].as_u64()?, result))).collect();
+            match &first {
+                None => first = Some(by_item),
+                Some(first) if *first != by_item => {
+                    checked.violations.push(format!("{} reads differently at {node}", job.id));
+                }
+                Some(_) => {}
+            }
+        }
+    }
+    checked
+}
+
+async fn wait_complete(client: &FleetClient, options: &ChaosOptions, job: &AcceptedJob, deadline: Instant) -> bool {
+    let mut place = 0;
+    while Instant::now() < deadline {
+        let node = options.nodes[place % options.nodes.len()];
+        place += 1;
+        let status = client.get(node, &format!("/v1/batches/{}", job.id)).await;
+        if status.is_some_and(|status| status["status"] == "completed") {
+            return true;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    false
+}
+
+async fn read_patiently(client: &FleetClient, node: std::net::SocketAddr, job: &str) -> Option<Vec<Value>> {
+    let deadline = Instant::now() + READ_PATIENCE;
+    loop {
+        if let Some(results) = client.results(node, job).await {
+            return Some(results);
+        }
+        if Instant::now() >= deadline {
+            return None;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Each item has exactly one result, which is the whole answer to its prompt.
+fn check_results(options: &ChaosOptions, job: &AcceptedJob, results: &[Value]) -> Vec<String> {
+    let mut violations = Vec::new();
+    let mut seen = vec![0; job.prompts.len()];
+    for result in results {
+        let item = result["item"].as_u64().unwrap_or(u64::MAX) as usize;
+        let Some(prompt) = job.prompts.get(item) else {
+            violations.push(format!("{} has a result for item {item}", job.id));
+            continue;
+        };
+        seen[item] += 1;
+        let expected = answer_text(&options.model, prompt, MAX_TOKENS);
+        if result["text"].as_str() != Some(&expected) || result["custom_id"].as_str() != Some(&item.to_string()) {
+            violations.push(format!("{} item {item}: not the whole answer to its prompt", job.id));
+        }
+    }
+    for (item, count) in seen.iter().enumerate().filter(|(_, count)| **count != 1) {
+        violations.push(format!("{} item {item} has {count} results", job.id));
+    }
+    violations
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,10 @@
 //!
 //! | module | owns |
 //! |---|---|
+//! | [`chaos`] | load and checks against a running fleet that somebody breaks |
+//! | [`fleet_client`] | a client of a running fleet |
 //! | [`simulation`] | many nodes on a virtual clock under failure, checked against an oracle |
 
+pub mod chaos;
+pub mod fleet_client;
 pub mod simulation;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! `stallmoor-bench`: simulation, experiments and load.
 
+mod chaos_command;
 mod simulate_command;
 
 use std::process::ExitCode;
@@ -10,9 +11,11 @@
     let command = Command::new("stallmoor-bench")
         .about("Simulation, experiments and load")
         .subcommand_required(true)
-        .subcommand(simulate_command::command());
+        .subcommand(simulate_command::command())
+        .subcommand(chaos_command::command());
     match command.get_matches().subcommand() {
         Some(("simulate", arguments)) => simulate_command::run(arguments),
+        Some(("chaos", arguments)) => chaos_command::run(arguments),
         _ => ExitCode::from(2),
     }
 }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -162,6 +162,7 @@
         report_lag: Duration::from_millis(50),
         incarnation: 1,
         seed,
+        runs_file: None,
     });
     tokio::spawn(engine.clone().run());
     serve(move |call| engine.clone().handle(call)).await
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -2,6 +2,9 @@
 //! late and gappy cache events, fenced orders, and the export and import of cached prefixes.
 
 use std::collections::{HashMap, VecDeque};
+use std::fs::{File, OpenOptions};
+use std::io::Write;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -53,6 +56,8 @@
     pub incarnation: u64,
     /// Decides which pieces the faults hit.
     pub seed: u64,
+    /// Where each run is written down as a line of JSON, so that the count outlives the engine.
+    pub runs_file: Option<PathBuf>,
 }
 
 /// One run, for the checkers' own count.
@@ -118,6 +123,7 @@
     streams: HashMap<u128, Stream>,
     next_stream: u128,
     runs: Vec<RunRecord>,
+    runs_file: Option<File>,
     reports: VecDeque<(Instant, Value)>,
     cache_events: VecDeque<(u64, CacheChange)>,
     next_cache_event: u64,
@@ -144,6 +150,7 @@
             streams: HashMap::new(),
             next_stream: 1,
             runs: Vec::new(),
+            runs_file: options.runs_file.as_ref().and_then(open_runs_file),
             reports: VecDeque::new(),
             cache_events: VecDeque::new(),
             next_cache_event: 0,
@@ -272,6 +279,11 @@
     }
 }
 
+fn open_runs_file(path: &PathBuf) -> Option<File> {
+    let opened = OpenOptions::new().create(true).append(true).open(path);
+    opened.inspect_err(|error| eprintln!("{}: {error}", path.display())).ok()
+}
+
 impl State {
     fn now_us(&self) -> u64 {
         self.started.elapsed().as_micros() as u64
@@ -307,7 +319,7 @@
             Err(EngineRefusal::Leaving) => json(StatusCode::SERVICE_UNAVAILABLE, &json!({"refused": "leaving"})),
             Err(EngineRefusal::Full) => json(StatusCode::SERVICE_UNAVAILABLE, &json!({"refused": "full"})),
             Ok(()) => {
-                self.runs.push(record);
+                self.record_run(record);
                 let (pieces, receiver) = mpsc::unbounded_channel();
                 let is_hit = self.faults.truncated > 0.0 && self.random.random_bool(self.faults.truncated.min(1.0));
                 let break_after = is_hit.then(|| self.random.random_range(0..6));
@@ -318,6 +330,15 @@
         }
     }
 
+    fn record_run(&mut self, record: RunRecord) {
+        if let Some(file) = &mut self.runs_file
+            && let Err(error) = writeln!(file, "{}", json!(record))
+        {
+            eprintln!("a run could not be written down: {error}");
+        }
+        self.runs.push(record);
+    }
+
     fn advance(&mut self) {
         let now = self.now_us();
         let gone: Vec<u128> =
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,6 +1,7 @@
 //! `stallmoor-standins`: each stand-in as a program of its own.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -34,7 +35,14 @@
                 .arg(number("iteration-us", "The shortest iteration, in microseconds", "8000"))
                 .arg(number("report-lag-ms", "Age of load reports, in milliseconds", "200"))
                 .arg(number("incarnation", "Names this start of the engine", "1"))
-                .arg(number("seed", "Decides which pieces faults hit", "1")),
+                .arg(number("seed", "Decides which pieces faults hit", "1"))
+                .arg(
+                    Arg::new("runs-file")
+                        .long("runs-file")
+                        .value_name("PATH")
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Write each run down here, one JSON object a line"),
+                ),
         )
         .subcommand(
             Command::new("kv")
@@ -92,6 +100,7 @@
                 report_lag: Duration::from_millis(number(arguments, "report-lag-ms")),
                 incarnation: number(arguments, "incarnation"),
                 seed: number(arguments, "seed"),
+                runs_file: arguments.get_one::<PathBuf>("runs-file").cloned(),
             });
             tokio::spawn(engine.clone().run());
             http::serve(listener, move |call| engine.clone().handle(call)).await;
