--- a/crates/bench/src/simulation/engines.rs
+++ b/crates/bench/src/simulation/engines.rs
@@ -4,8 +4,9 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use rand::Rng;
+use stallmoor_core::control::ModelOrder;
 use stallmoor_core::identity::{AttemptId, EngineName};
-use stallmoor_core::node::{EngineRequest, Event, MachineReport, RequestClass, StreamEvent};
+use stallmoor_core::node::{EngineOrder, EngineRequest, Event, MachineReport, OrderOutcome, RequestClass, StreamEvent};
 use stallmoor_core::routing::LoadReport;
 use stallmoor_emulator::{answer_length, answer_token};
 
@@ -61,6 +62,12 @@
     pub leaving_since_ms: Option<u64>,
     /// Until when it does nothing.
     pub frozen_until_ms: u64,
+    /// The latest epoch that it accepts orders of.
+    pub fence: u64,
+    /// The latest epoch of an order that it carried out.
+    pub executed_epoch: u64,
+    /// Model versions it has loaded.
+    pub loaded: Vec<String>,
     /// What ails it.
     pub ailments: EngineAilments,
     streams: BTreeMap<AttemptId, EngineStream>,
@@ -80,6 +87,9 @@
                 is_up: true,
                 leaving_since_ms: None,
                 frozen_until_ms: 0,
+                fence: 0,
+                executed_epoch: 0,
+                loaded: Vec::new(),
                 ailments: EngineAilments::default(),
                 streams: BTreeMap::new(),
                 runs: BTreeMap::new(),
@@ -123,6 +133,45 @@
         self.schedule(delay, SimEvent::Node { slot, process: Some(process), event });
     }
 
+    /// A node gives an order. It may arrive late.
+    pub fn order_engine(&mut self, slot: usize, process: u64, order: EngineOrder) {
+        let now_ms = self.now_ms;
+        let other = self.other_control_holder(slot);
+        self.oracle.check(oracle::ONE_CONTROL_HOLDER, other.is_none(), now_ms, || {
+            format!("node {slot} gives orders while node {other:?} holds the lease too")
+        });
+        let delay = self.random.random_range(1..=30) * self.random.random_range(1..=30);
+        self.schedule(delay, SimEvent::EngineOrder { order: Box::new(order), slot, process });
+    }
+
+    /// An order arrives at an engine.
+    pub fn carry_out_order(&mut self, order: &EngineOrder, slot: usize, process: u64) {
+        let now_ms = self.now_ms;
+        let found = self.engines.iter_mut().find(|engine| engine.address == order.address && engine.is_up);
+        let outcome = match found {
+            None => OrderOutcome::NoAnswer,
+            Some(engine) if order.epoch < engine.fence => OrderOutcome::Fenced,
+            Some(engine) => {
+                let before = engine.executed_epoch;
+                engine.fence = order.epoch;
+                engine.executed_epoch = before.max(order.epoch);
+                match &order.order {
+                    ModelOrder::Load(model) => engine.loaded.push(model.clone()),
+                    ModelOrder::Unload(model) => engine.loaded.retain(|loaded| loaded != model),
+                }
+                let loaded = engine.loaded.clone();
+                let epoch = order.epoch;
+                self.oracle.check(oracle::ORDERS_ARE_FENCED, epoch >= before, now_ms, || {
+                    format!("an order of epoch {epoch} was carried out after one of {before}")
+                });
+                OrderOutcome::Done { loaded }
+            }
+        };
+        self.count("orders");
+        let event = Box::new(Event::Ordered { engine: order.engine.clone(), outcome });
+        self.schedule(2, SimEvent::Node { slot, process: Some(process), event });
+    }
+
     /// A request arrives at an engine.
     pub fn offer_to_engine(&mut self, request: EngineRequest, slot: usize, process: u64) {
         let attempt = request.attempt;
@@ -267,6 +316,7 @@
         model.leaving_since_ms = None;
         model.incarnation += 1;
         model.streams.clear();
+        model.loaded.clear();
         self.report_machine(engine, false);
     }
 
@@ -293,7 +343,7 @@
         queued_online: 0,
         queued_batch: 0,
         leaving: engine.leaving_since_ms.is_some(),
-        loaded: Vec::new(),
+        loaded: engine.loaded.clone(),
     }
 }
 
--- a/crates/bench/src/simulation/operators.rs
+++ b/crates/bench/src/simulation/operators.rs
@@ -84,7 +84,8 @@
         }
         let fleet = format!("[fleet]\nname = \"simulated\"\nreplica_groups = 4\n\n{zones}");
         let service = format!(
-            "[[service]]\nname = \"service\"\nmax_tokens = 512\n\n[[model]]\nname = \"{MODEL}\"\nservice = \"service\"\n"
+            "[[service]]\nname = \"service\"\nmax_tokens = 512\n\n[[model]]\nname = \"{MODEL}\"\nservice = \"service\"\nversion = \"{}\"\n",
+            number / 3
         );
         let tenants = format!("[[tenant]]\nname = \"{TENANT}\"\nrequests_in_flight = {}\n", 1_000 + number);
         let files = [
--- a/crates/bench/src/simulation/oracle.rs
+++ b/crates/bench/src/simulation/oracle.rs
@@ -35,10 +35,16 @@
 pub const ONE_CHANGE_PER_REVISION: &str = "one_change_per_revision";
 /// A change that was refused as not applied is never in force.
 pub const REFUSED_CHANGE_NOT_APPLIED: &str = "refused_change_not_applied";
+/// No two nodes act under the control lease at the same moment.
+pub const ONE_CONTROL_HOLDER: &str = "one_control_holder";
+/// An engine carries out no order of an epoch before the latest that it has seen.
+pub const ORDERS_ARE_FENCED: &str = "orders_are_fenced";
 /// A refusal that may be tried again says when.
 pub const REFUSAL_SAYS_WHEN: &str = "refusal_says_when";
 
-const ALL: [&str; 12] = [
+const ALL: [&str; 14] = [
+    ONE_CONTROL_HOLDER,
+    ORDERS_ARE_FENCED,
     EXACTLY_ONCE,
     RESULTS_READABLE,
     CANCEL_STOPS,
--- a/crates/bench/src/simulation/world.rs
+++ b/crates/bench/src/simulation/world.rs
@@ -109,6 +109,15 @@
         /// The start of the sender.
         process: u64,
     },
+    /// An order arrives at an engine.
+    EngineOrder {
+        /// The order.
+        order: Box<stallmoor_core::node::EngineOrder>,
+        /// Who gave it.
+        slot: usize,
+        /// The start of the giver.
+        process: u64,
+    },
     /// A cancellation arrives at an engine.
     EngineCancel {
         /// The stream.
@@ -437,6 +446,7 @@
             SimEvent::Answer { caller, answer } => self.on_answer(caller, answer.map(|answer| *answer)),
             SimEvent::EngineStep { engine, attempt } => self.step_engine(engine, attempt),
             SimEvent::EngineRequest { request, slot, process } => self.offer_to_engine(*request, slot, process),
+            SimEvent::EngineOrder { order, slot, process } => self.carry_out_order(&order, slot, process),
             SimEvent::EngineCancel { attempt } => self.cancel_at_engine(attempt),
             SimEvent::EngineStart { engine } => self.start_engine(engine),
             SimEvent::EngineThaw { engine } => self.thaw_engine(engine),
@@ -586,6 +596,7 @@
                 self.schedule(5, SimEvent::Node { slot, process: Some(process), event });
             }
             Effect::PollEngine { engine, address, .. } => self.poll_engine(slot, process, &engine, address),
+            Effect::Order(order) => self.order_engine(slot, process, order),
             Effect::StartStream(request) => {
                 self.schedule(1, SimEvent::EngineRequest { request: Box::new(request), slot, process });
             }
@@ -600,6 +611,15 @@
         }
     }
 
+    /// Whether any node but one believes to hold the control lease now.
+    pub fn other_control_holder(&self, slot: usize) -> Option<usize> {
+        (0..self.slots.len()).filter(|other| *other != slot && !self.slots[*other].paused).find(|other| {
+            let other = &self.slots[*other];
+            let now = clock_of(other, self.now_ms).now;
+            other.node.as_ref().is_some_and(|node| node.control_epoch(now).is_some())
+        })
+    }
+
     fn send(&mut self, from: usize, to: SocketAddr, message: PeerMessage) {
         let Some(target) = self.by_address.get(&to).copied() else { return };
         let ends = ((from, self.slots[from].zone), (target, self.slots[target].zone));
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,9 +1,13 @@
-//! Founding, finding and repairing replica groups.
+//! Founding, finding and repairing replica groups; the control lease, and the placement of models.
 
 mod directory;
 mod founding;
+mod lease;
+mod placement;
 mod repair;
 
 pub use directory::{DirectoryEntry, GroupDirectory};
 pub use founding::{GROUPS_KEY, GroupsRecord, StoreCandidate, plan_groups};
+pub use lease::{ControlLease, LEASE_DURATION, LEASE_KEY, LEASE_MARGIN, LeaseAnswer, LeaseRecord, LeaseStep};
+pub use placement::{EnginePlacement, ModelOrder, plan_placement};
 pub use repair::{REPAIR_DELAY, RepairInput, RepairStep, ReplicaHealth, plan_repair};
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -65,6 +65,10 @@
     ConfigurationRefused = 402, Warning, "An operator's change was refused.";
     PlatformUnavailable = 410, Warning, "The key-value service did not answer.";
     PlatformRecovered = 411, Information, "The key-value service answers again.";
+    ControlTaken = 420, Information, "This node holds the control lease.";
+    ControlLost = 421, Information, "This node holds the control lease no longer.";
+    OrderGiven = 422, Information, "An order was given to an engine.";
+    OrderFenced = 423, Warning, "An engine refused an order because it has seen a later epoch.";
     EngineLeaving = 500, Information, "An engine is leaving and gets no new work.";
     EngineEjected = 501, Warning, "An engine failed repeatedly and is passed over for a while.";
     EngineReturned = 502, Information, "An engine takes work again.";
--- a/crates/core/src/node/configuration_flow.rs
+++ b/crates/core/src/node/configuration_flow.rs
@@ -53,6 +53,8 @@
     FetchPart(PartDigest),
     /// A step of a change.
     Apply(CallerId),
+    /// A step of the control lease.
+    Lease,
     /// A node looks for others.
     ReadNodes,
     /// Addresses of present nodes are written.
@@ -179,6 +181,7 @@
                 }
             }
             KeyValuePurpose::Apply(caller) => self.on_apply_answer(caller, outcome),
+            KeyValuePurpose::Lease => self.on_lease_answer(outcome),
             KeyValuePurpose::ReadNodes => self.on_nodes_read(&outcome),
             KeyValuePurpose::WriteNodes => {}
             KeyValuePurpose::ReadGroups => self.on_groups_read(outcome),
--- a/crates/core/src/node/effect.rs
+++ b/crates/core/src/node/effect.rs
@@ -6,6 +6,7 @@
 use super::event::{CallerAnswer, KeyValueCall};
 use super::peer_message::PeerMessage;
 use crate::configuration::InForce;
+use crate::control::ModelOrder;
 use crate::identity::{AttemptId, CallerId, EngineName, GroupId};
 use crate::log_event::LogEvent;
 use crate::replication::LogWrite;
@@ -47,6 +48,8 @@
         /// The next cache event wanted, or `None` for the whole state.
         cache_from: Option<u64>,
     },
+    /// Give an order to an engine.
+    Order(EngineOrder),
     /// Send a request to an engine.
     StartStream(EngineRequest),
     /// Stop a stream. Nothing more of it is wanted.
@@ -91,6 +94,19 @@
     },
 }
 
+/// An order to an engine, which refuses it if it has seen a later epoch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineOrder {
+    /// The engine.
+    pub engine: EngineName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The control epoch that it is given under.
+    pub epoch: u64,
+    /// What to do.
+    pub order: ModelOrder,
+}
+
 /// Whether a person waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestClass {
--- a/crates/core/src/node/engines_flow.rs
+++ b/crates/core/src/node/engines_flow.rs
@@ -78,6 +78,18 @@
         }
     }
 
+    /// Polls every engine once, for the holder of the control lease.
+    pub(super) fn poll_all_engines(&mut self) {
+        let polled: Vec<EngineName> = self.polls.due.keys().cloned().collect();
+        let others = self.engines.iter().filter(|(name, _)| !polled.contains(name));
+        let others: Vec<(EngineName, std::net::SocketAddr)> =
+            others.map(|(name, state)| (name.clone(), state.configured.address)).collect();
+        for (engine, address) in others {
+            let cache_from = self.polls.prefix_index.wanted(&engine);
+            self.effects.push(Effect::PollEngine { engine, address, cache_from });
+        }
+    }
+
     fn poll_due_engines(&mut self) {
         let now = self.clock.now;
         let due: Vec<EngineName> =
--- a/crates/core/src/node/event.rs
+++ b/crates/core/src/node/event.rs
@@ -49,6 +49,13 @@
         /// Its cache events since the last poll.
         cache: Option<CacheEventBatch>,
     },
+    /// How an order to an engine ended.
+    Ordered {
+        /// The engine.
+        engine: EngineName,
+        /// How.
+        outcome: OrderOutcome,
+    },
     /// Something came on a stream from an engine.
     Stream {
         /// The attempt that the stream is for.
@@ -69,6 +76,20 @@
     Stop,
 }
 
+/// How an order to an engine ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It was carried out.
+    Done {
+        /// What the engine has loaded now, each as `model@version`.
+        loaded: Vec<String>,
+    },
+    /// The engine has seen a later epoch.
+    Fenced,
+    /// No answer; it may have been carried out.
+    NoAnswer,
+}
+
 /// Numbers a call to the key-value service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct KeyValueCall(pub u64);
--- a/crates/core/src/node/machine.rs
+++ b/crates/core/src/node/machine.rs
@@ -9,6 +9,7 @@
 
 use super::batch_flow::BatchState;
 use super::configuration_flow::ConfigurationState;
+use super::control_flow::ControlState;
 use super::discovery_flow::DiscoveryState;
 use super::effect::Effect;
 use super::engines_flow::EnginePolls;
@@ -66,6 +67,7 @@
     pub(super) directory: GroupDirectory,
     pub(super) founding: FoundingState,
     pub(super) discovery: DiscoveryState,
+    pub(super) control: ControlState,
     pub(super) groups: GroupHost,
     pub(super) client: GroupClient,
     pub(super) engines: EngineTable,
@@ -105,6 +107,7 @@
             directory: GroupDirectory::default(),
             founding: FoundingState::new(clock.now),
             discovery: DiscoveryState::new(clock.now),
+            control: ControlState::new(settings.id, clock.now),
             groups,
             client: GroupClient::new(random.random()),
             engines: EngineTable::default(),
@@ -157,6 +160,7 @@
             Event::KeyValue { call, outcome } => self.on_key_value(call, outcome),
             Event::Machines(machines) => self.on_machines(&machines),
             Event::EngineLoad { engine, report, cache } => self.on_engine_load(&engine, report, cache.as_ref()),
+            Event::Ordered { engine, outcome } => self.on_ordered(&engine, outcome),
             Event::Stream { attempt, event } => self.on_stream(attempt, event),
             Event::Call { caller, call } => self.on_call(caller, call),
             Event::CallerGone(caller) => self.on_caller_gone(caller),
@@ -172,6 +176,7 @@
         self.tick_configuration();
         self.tick_discovery();
         self.tick_founding();
+        self.tick_control();
         self.tick_engines();
         self.tick_online();
         self.tick_stewards();
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -14,6 +14,7 @@
 //! | `group_client` | requests to groups, wherever they are |
 //! | `configuration_flow` | accepting, spreading and taking configuration |
 //! | `engines_flow` | polling engines and the machine list, spreading what leaves |
+//! | `control_flow` | the control lease and the orders given under it |
 //! | `discovery_flow` | finding other nodes when no seed answers |
 //! | `founding_flow` | founding and finding groups |
 //! | `stopping` | the planned stop |
@@ -21,6 +22,7 @@
 mod batch_flow;
 mod callers;
 mod configuration_flow;
+mod control_flow;
 mod discovery_flow;
 mod effect;
 mod engines_flow;
@@ -36,10 +38,10 @@
 mod stopping;
 mod upload;
 
-pub use effect::{Effect, EngineRequest, KeyValueOperation, RequestClass};
+pub use effect::{Effect, EngineOrder, EngineRequest, KeyValueOperation, RequestClass};
 pub use event::{
     BatchCall, CallerAnswer, CallerCall, Clock, Event, JobSubmission, KeyValueCall, KeyValueOutcome, MachineReport,
-    ModelSummary, OperatorCall, StreamEvent,
+    ModelSummary, OperatorCall, OrderOutcome, StreamEvent,
 };
 pub use machine::{Node, PersistedNode};
 pub use peer_message::{
--- a/crates/core/src/routing/engine_table.rs
+++ b/crates/core/src/routing/engine_table.rs
@@ -49,6 +49,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct EngineTable {
     engines: BTreeMap<EngineName, EngineState>,
+    /// Incarnations up to these are leaving. Kept apart, since news of an engine may come before the
+    /// configuration that names it.
+    leaving: BTreeMap<EngineName, u64>,
 }
 
 impl EngineState {
@@ -115,10 +118,11 @@
     pub fn configure(&mut self, fleet: &FleetConfiguration) {
         let mut earlier = std::mem::take(&mut self.engines);
         for (name, engine) in &fleet.engines {
-            let state = match earlier.remove(name) {
+            let mut state = match earlier.remove(name) {
                 Some(state) => EngineState { configured: engine.clone(), ..state },
                 None => EngineState::new(engine.clone()),
             };
+            state.leaving_up_to = self.leaving.get(name).copied();
             self.engines.insert(name.clone(), state);
         }
     }
@@ -165,6 +169,14 @@
         if leaving { self.learn_leaving(&LeavingFact { engine: name.clone(), incarnation }) } else { None }
     }
 
+    /// Notes what an engine has loaded, from its answer to an order.
+    pub fn note_loaded(&mut self, name: &EngineName, loaded: Vec<String>) {
+        let state = self.engines.get_mut(name);
+        if let Some((_, report)) = state.and_then(|state| state.report.as_mut()) {
+            report.loaded = loaded;
+        }
+    }
+
     /// Notes that an incarnation exists, from the machine list.
     pub fn learn_incarnation(&mut self, name: &EngineName, incarnation: u64) {
         if let Some(state) = self.engines.get_mut(name) {
@@ -174,12 +186,15 @@
 
     /// Learns that an engine is leaving. Returns the fact if it is news.
     pub fn learn_leaving(&mut self, fact: &LeavingFact) -> Option<LeavingFact> {
-        let state = self.engines.get_mut(&fact.engine)?;
-        let is_news = state.leaving_up_to.is_none_or(|known| known < fact.incarnation);
-        if is_news {
+        let is_news = self.leaving.get(&fact.engine).is_none_or(|known| *known < fact.incarnation);
+        if !is_news {
+            return None;
+        }
+        self.leaving.insert(fact.engine.clone(), fact.incarnation);
+        if let Some(state) = self.engines.get_mut(&fact.engine) {
             state.leaving_up_to = Some(fact.incarnation);
         }
-        is_news.then(|| fact.clone())
+        Some(fact.clone())
     }
 
     /// An engine refused work because it is leaving. Returns the fact if it is news.
@@ -190,10 +205,11 @@
 
     /// All that is known of leaving engines.
     pub fn leaving_facts(&self) -> Vec<LeavingFact> {
-        self.engines
-            .iter()
-            .filter_map(|(name, state)| Some(LeavingFact { engine: name.clone(), incarnation: state.leaving_up_to? }))
-            .collect()
+        let fact_of = |(engine, incarnation): (&EngineName, &u64)| LeavingFact {
+            engine: engine.clone(),
+            incarnation: *incarnation,
+        };
+        self.leaving.iter().map(fact_of).collect()
     }
 
     /// Notes a whole answer.
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -8,7 +8,7 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use stallmoor_core::identity::EngineName;
 use stallmoor_core::log_event::{LogEvent, Severity};
-use stallmoor_core::node::{Effect, Event, KeyValueCall, KeyValueOperation, Node};
+use stallmoor_core::node::{Effect, EngineOrder, Event, KeyValueCall, KeyValueOperation, Node};
 use stallmoor_platform::{Engines, KeyValueService, MachineList};
 use stallmoor_storage::{Store, StoreWrite};
 
@@ -117,6 +117,7 @@
                 Effect::KeyValue { call, operation } => self.call_key_value(call, operation),
                 Effect::ReadMachines => self.read_machines(),
                 Effect::PollEngine { engine, address, cache_from } => self.poll_engine(engine, address, cache_from),
+                Effect::Order(order) => self.give_order(order),
                 Effect::StartStream(request) => {
                     let _ = self.streams.cast(StreamCommand::Start(request));
                 }
@@ -153,6 +154,15 @@
         });
     }
 
+    fn give_order(&self, order: EngineOrder) {
+        let (engines, events) = (self.engines.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let engine = order.engine.clone();
+            let outcome = engines.order(order).await;
+            events.send(Event::Ordered { engine, outcome }).await;
+        });
+    }
+
     fn poll_engine(&self, engine: EngineName, address: std::net::SocketAddr, cache_from: Option<u64>) {
         let (engines, events) = (self.engines.clone(), self.events.clone());
         tokio::spawn(async move {
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -13,8 +13,9 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
+use stallmoor_core::control::ModelOrder;
 use stallmoor_core::identity::AttemptId;
-use stallmoor_core::node::{EngineRequest, RequestClass, StreamEvent};
+use stallmoor_core::node::{EngineOrder, EngineRequest, OrderOutcome, RequestClass, StreamEvent};
 use stallmoor_core::routing::{BlockHash, CacheEvent, CacheEventBatch, LoadReport};
 
 use crate::http::{HttpCaller, HttpError};
@@ -22,6 +23,8 @@
 
 /// How long a poll may take.
 const POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long an engine may take to carry out an order, a load of weights included.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(50);
 /// How long an engine may take to begin its answer.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// Most bytes of one event.
@@ -208,7 +211,44 @@
     }
 }
 
+#[derive(Serialize)]
+struct OrderBody<'a> {
+    epoch: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    load: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    unload: Option<&'a str>,
+}
+
+#[derive(Deserialize)]
+struct OrderedBody {
+    loaded: Vec<String>,
+}
+
+impl HttpEngines {
+    async fn give_order(&self, order: &EngineOrder) -> OrderOutcome {
+        let (load, unload) = match &order.order {
+            ModelOrder::Load(model) => (Some(model.as_str()), None),
+            ModelOrder::Unload(model) => (None, Some(model.as_str())),
+        };
+        let body = serde_json::to_vec(&OrderBody { epoch: order.epoch, load, unload }).unwrap_or_default();
+        let uri = format!("http://{}/v1/order", order.address);
+        match self.caller.call(Method::POST, &uri, Bytes::from(body), ORDER_TIMEOUT).await {
+            Ok((StatusCode::OK, body)) => match serde_json::from_slice::<OrderedBody>(&body) {
+                Ok(ordered) => OrderOutcome::Done { loaded: ordered.loaded },
+                Err(_) => OrderOutcome::NoAnswer,
+            },
+            Ok((StatusCode::PRECONDITION_FAILED, _)) => OrderOutcome::Fenced,
+            _ => OrderOutcome::NoAnswer,
+        }
+    }
+}
+
 impl Engines for HttpEngines {
+    fn order(&self, order: EngineOrder) -> BoxFuture<'_, OrderOutcome> {
+        Box::pin(async move { self.give_order(&order).await })
+    }
+
     fn stream(&self, request: EngineRequest, sink: StreamSink) -> BoxFuture<'_, ()> {
         Box::pin(async move { self.generate(request, &sink).await })
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,7 +12,9 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 
-use stallmoor_core::node::{EngineRequest, KeyValueOperation, KeyValueOutcome, MachineReport, StreamEvent};
+use stallmoor_core::node::{
+    EngineOrder, EngineRequest, KeyValueOperation, KeyValueOutcome, MachineReport, OrderOutcome, StreamEvent,
+};
 use stallmoor_core::routing::{CacheEventBatch, LoadReport};
 
 pub use engine::HttpEngines;
@@ -53,6 +55,9 @@
     /// Dropping the future cancels the request at the engine.
     fn stream(&self, request: EngineRequest, sink: StreamSink) -> BoxFuture<'_, ()>;
 
+    /// Gives an order to an engine.
+    fn order(&self, order: EngineOrder) -> BoxFuture<'_, OrderOutcome>;
+
     /// Polls an engine; `None` if it doesn't answer.
     fn poll(&self, address: SocketAddr, cache_from: Option<u64>) -> BoxFuture<'_, Option<EnginePoll>>;
 }
