Answer reads only under a read lease

Ruled out: loss of the entry; the new leader had it. Change: appends carry the leader's clock and answers give it back; reads are answered only while a majority followed since less than 80% of the time for which it refuses other candidates; restarted replicas keep to that time too; a leader whose hand-over failed stands down.

--- a/crates/core/src/node/groups.rs
+++ b/crates/core/src/node/groups.rs
@@ -175,7 +175,7 @@
         };
         match request.body {
             GroupRequestBody::Query(query) => {
-                let result = if hosted.replica.is_established_leader() {
+                let result = if hosted.replica.may_answer_reads(now) {
                     Ok(GroupAnswerBody::Answer(hosted.state.query(&query)))
                 } else {
                     Err(refusal_of(&hosted.replica))
--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -2,6 +2,7 @@
 
 use super::log::{Entry, LogIndex, Snapshot, Term};
 use crate::identity::{GroupId, NodeId};
+use crate::time::Timestamp;
 
 /// What a message is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,6 +41,8 @@
         previous_term: Term,
         /// How far the leader has committed.
         commit: LogIndex,
+        /// When the leader sent this, by its own clock; the answer gives it back.
+        sent_at: Timestamp,
         /// The entries.
         entries: Vec<Entry>,
     },
@@ -49,6 +52,8 @@
         accepted: bool,
         /// If accepted, how far the receiver's log matches the leader's; else where to try next.
         index: LogIndex,
+        /// When the leader sent what is answered, by the leader's clock.
+        echo: Option<Timestamp>,
     },
     /// The whole state, for a receiver too far behind.
     InstallSnapshot(Snapshot),
--- a/crates/core/src/replication/progress.rs
+++ b/crates/core/src/replication/progress.rs
@@ -12,6 +12,8 @@
     pub next: LogIndex,
     /// When the follower last answered in this term.
     pub last_answer: Option<Timestamp>,
+    /// When the latest message that the follower answered was sent: it follows since then at least.
+    pub follows_since: Option<Timestamp>,
     /// When entries or a snapshot were last sent.
     pub last_sent: Timestamp,
     /// A snapshot up to here is on its way.
@@ -21,7 +23,14 @@
 impl Progress {
     /// A follower of which nothing is known yet.
     pub fn new(next: LogIndex, now: Timestamp) -> Self {
-        Self { matched: LogIndex(0), next, last_answer: None, last_sent: now, pending_snapshot: None }
+        Self {
+            matched: LogIndex(0),
+            next,
+            last_answer: None,
+            follows_since: None,
+            last_sent: now,
+            pending_snapshot: None,
+        }
     }
 
     /// Notes that the follower's log matches up to `index`.
--- a/crates/core/src/replication/replica.rs
+++ b/crates/core/src/replication/replica.rs
@@ -13,6 +13,9 @@
 use crate::identity::{GroupId, NodeId};
 use crate::time::{Millis, Timestamp};
 
+/// A leader's read lease, in percent of the time for which its followers keep to it.
+const READ_LEASE_PERCENT: u64 = 80;
+
 /// Times and limits of a replica.
 #[derive(Clone, Copy, Debug)]
 pub struct ReplicaSettings {
@@ -128,6 +131,7 @@
         seed: u64,
     ) -> Self {
         let start = persisted.snapshot.index;
+        let was_in_use = persisted.hard_state.term > Term(0) || !persisted.entries.is_empty();
         let mut replica = Self {
             group,
             id,
@@ -138,7 +142,8 @@
             applied: start,
             role: Role::Follower { leader: None },
             election_deadline: now,
-            last_leader_contact: None,
+            // A restarted replica may have answered a leader just before, whose read lease still runs.
+            last_leader_contact: was_in_use.then_some(now),
             random: Xoshiro256PlusPlus::seed_from_u64(seed),
             write: LogWrite::default(),
             messages: Vec::new(),
@@ -203,6 +208,23 @@
         }
     }
 
+    /// Whether this leader may answer reads from its state: it knows all that is committed, and a majority
+    /// followed it so recently that none of them can have helped to elect another leader since. The lease
+    /// counts from when the leader sent what they answered, and is shorter than they keep to it.
+    pub fn may_answer_reads(&self, now: Timestamp) -> bool {
+        let Role::Leader(state) = &self.role else { return false };
+        if state.transfer.is_some() || !self.is_established_leader() {
+            return false;
+        }
+        let lease = Millis(self.settings.election_timeout.0 * READ_LEASE_PERCENT / 100);
+        let membership = self.log.membership();
+        let follows = |voter: &NodeId| {
+            let since = state.progress.get(voter).and_then(|progress| progress.follows_since);
+            *voter == self.id || since.is_some_and(|at| now.since(at) < lease)
+        };
+        membership.voters.iter().filter(|voter| follows(voter)).count() >= membership.majority()
+    }
+
     /// How far the group has committed, as known here.
     pub fn commit(&self) -> LogIndex {
         self.commit
@@ -368,7 +390,7 @@
         match message.kind {
             MessageKind::Append { .. } | MessageKind::InstallSnapshot(_) => {
                 let index = self.log.last_index();
-                self.send(message.from, MessageKind::AppendAnswer { accepted: false, index });
+                self.send(message.from, MessageKind::AppendAnswer { accepted: false, index, echo: None });
             }
             MessageKind::PreVote { .. } => {
                 self.send(message.from, MessageKind::PreVoteAnswer { granted: false });
@@ -386,11 +408,14 @@
             MessageKind::PreVoteAnswer { granted } => self.on_pre_vote_answer(from, granted, now),
             MessageKind::Vote { last_index, last_term, .. } => self.on_vote(from, last_index, last_term, now),
             MessageKind::VoteAnswer { granted } => self.on_vote_answer(from, granted, now),
-            MessageKind::Append { previous_index, previous_term, commit, entries } => {
+            MessageKind::Append { previous_index, previous_term, commit, sent_at, entries } => {
                 self.follow(from, now);
-                self.on_append(from, previous_index, previous_term, commit, entries);
+                let (accepted, index) = self.on_append(previous_index, previous_term, commit, entries);
+                self.send(from, MessageKind::AppendAnswer { accepted, index, echo: Some(sent_at) });
+            }
+            MessageKind::AppendAnswer { accepted, index, echo } => {
+                self.on_append_answer(from, accepted, index, echo, now);
             }
-            MessageKind::AppendAnswer { accepted, index } => self.on_append_answer(from, accepted, index, now),
             MessageKind::InstallSnapshot(snapshot) => {
                 self.follow(from, now);
                 self.on_snapshot(from, snapshot);
@@ -559,7 +584,9 @@
         let heartbeat = self.settings.heartbeat_interval;
         let Role::Leader(state) = &mut self.role else { return };
         if state.transfer.is_some_and(|transfer| now >= transfer.deadline) {
-            state.transfer = None;
+            // The target may still act on it at any time, so this leader can't go on as if nothing was.
+            self.become_follower(self.hard_state.term, None, now);
+            return;
         }
         if now.since(state.last_heartbeat) >= heartbeat {
             state.last_heartbeat = now;
@@ -638,7 +665,7 @@
         let entries = self.log.entries_from(progress.next, self.settings.append_bytes);
         let sent_up_to = entries.last().map(|entry| entry.index);
         let commit = self.commit;
-        self.send(to, MessageKind::Append { previous_index, previous_term, commit, entries });
+        self.send(to, MessageKind::Append { previous_index, previous_term, commit, sent_at: now, entries });
         if let Role::Leader(state) = &mut self.role
             && let Some(progress) = state.progress.get_mut(&to)
             && let Some(index) = sent_up_to
@@ -661,10 +688,18 @@
         self.send(to, MessageKind::InstallSnapshot(snapshot));
     }
 
-    fn on_append_answer(&mut self, from: NodeId, accepted: bool, index: LogIndex, now: Timestamp) {
+    fn on_append_answer(
+        &mut self,
+        from: NodeId,
+        accepted: bool,
+        index: LogIndex,
+        echo: Option<Timestamp>,
+        now: Timestamp,
+    ) {
         let last = self.log.last_index();
         let Role::Leader(state) = &mut self.role else { return };
         let Some(progress) = state.progress.get_mut(&from) else { return };
+        progress.follows_since = progress.follows_since.max(echo);
         if accepted {
             progress.accepted(index.min(last), now);
         } else {
@@ -722,29 +757,25 @@
 
     // Following.
 
+    /// Takes entries. Returns whether they fit, and the place to answer with.
     fn on_append(
         &mut self,
-        from: NodeId,
         previous_index: LogIndex,
         previous_term: Term,
         commit: LogIndex,
         entries: Vec<Entry>,
-    ) {
+    ) -> (bool, LogIndex) {
         if previous_index < self.log.snapshot().index {
             // All up to the snapshot is committed, so it matches.
-            let index = self.log.snapshot().index;
-            self.send(from, MessageKind::AppendAnswer { accepted: true, index });
-            return;
+            return (true, self.log.snapshot().index);
         }
         if self.log.term_at(previous_index) != Some(previous_term) {
-            let index = self.log.last_index().min(previous_index.previous());
-            self.send(from, MessageKind::AppendAnswer { accepted: false, index });
-            return;
+            return (false, self.log.last_index().min(previous_index.previous()));
         }
         let matched = entries.last().map_or(previous_index, |entry| entry.index);
         self.append_as_follower(entries);
         self.commit = self.commit.max(commit.min(matched));
-        self.send(from, MessageKind::AppendAnswer { accepted: true, index: matched });
+        (true, matched)
     }
 
     fn append_as_follower(&mut self, entries: Vec<Entry>) {
@@ -782,7 +813,7 @@
             self.effects.push(ReplicaEffect::Restore(snapshot));
         }
         let index = self.commit;
-        self.send(from, MessageKind::AppendAnswer { accepted: true, index });
+        self.send(from, MessageKind::AppendAnswer { accepted: true, index, echo: None });
     }
 
     // Plumbing.
--- a/crates/core/tests/replicated_log.rs
+++ b/crates/core/tests/replicated_log.rs
@@ -300,6 +300,7 @@
             previous_index: LogIndex(1),
             previous_term: Term(0),
             commit: LogIndex(1),
+            sent_at: now,
             entries: (2..=9).map(entry).collect(),
         }),
         now,
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -71,11 +71,15 @@
   previous @0 :Position;
   commit @1 :UInt64;
   entries @2 :List(Entry);
+  # By the leader's clock, in milliseconds; the answer gives it back.
+  sentAt @3 :UInt64;
 }
 
 struct AppendAnswer {
   accepted @0 :Bool;
   index @1 :UInt64;
+  # What is answered was sent then, by the leader's clock; 0 for none.
+  echo @2 :UInt64;
 }
 
 struct Vote {
--- a/crates/wire/src/codec/replication.rs
+++ b/crates/wire/src/codec/replication.rs
@@ -8,6 +8,8 @@
     Entry, EntryPayload, GroupMembership, LogIndex, MessageKind, ReplicationMessage, Snapshot, Term,
 };
 
+use stallmoor_core::time::Timestamp;
+
 use super::{DamagedSnafu, UnknownKindSnafu, WireResult};
 use crate::generated::peer_capnp::{entry, group_membership, position, replication, snapshot};
 
@@ -31,19 +33,21 @@
             write_position(vote.init_last(), *last_index, *last_term);
         }
         MessageKind::VoteAnswer { granted } => builder.set_vote_answer(*granted),
-        MessageKind::Append { previous_index, previous_term, commit, entries } => {
+        MessageKind::Append { previous_index, previous_term, commit, sent_at, entries } => {
             let mut append = builder.init_append();
             append.set_commit(commit.0);
+            append.set_sent_at(sent_at.as_millis());
             write_position(append.reborrow().init_previous(), *previous_index, *previous_term);
             let mut list = append.init_entries(entries.len() as u32);
             for (place, entry) in entries.iter().enumerate() {
                 write_entry(list.reborrow().get(place as u32), entry);
             }
         }
-        MessageKind::AppendAnswer { accepted, index } => {
+        MessageKind::AppendAnswer { accepted, index, echo } => {
             let mut answer = builder.init_append_answer();
             answer.set_accepted(*accepted);
             answer.set_index(index.0);
+            answer.set_echo(echo.map_or(0, Timestamp::as_millis));
         }
         MessageKind::InstallSnapshot(snapshot) => write_snapshot(builder.init_install_snapshot(), snapshot),
         MessageKind::TimeoutNow => builder.set_timeout_now(()),
@@ -82,12 +86,18 @@
                 previous_index,
                 previous_term,
                 commit: LogIndex(append.get_commit()),
+                sent_at: Timestamp::from_millis(append.get_sent_at()),
                 entries: entries.iter().map(read_entry).collect::<WireResult<_>>()?,
             }
         }
         Which::AppendAnswer(answer) => {
             let answer = answer.context(DamagedSnafu)?;
-            MessageKind::AppendAnswer { accepted: answer.get_accepted(), index: LogIndex(answer.get_index()) }
+            let echo = answer.get_echo();
+            MessageKind::AppendAnswer {
+                accepted: answer.get_accepted(),
+                index: LogIndex(answer.get_index()),
+                echo: (echo != 0).then_some(Timestamp::from_millis(echo)),
+            }
         }
         Which::InstallSnapshot(snapshot) => {
             MessageKind::InstallSnapshot(read_snapshot(snapshot.context(DamagedSnafu)?)?)
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -16,7 +16,7 @@
     Entry, EntryPayload, GroupMembership, LogIndex, MessageKind, ReplicationMessage, Snapshot, Term,
 };
 use stallmoor_core::routing::LeavingFact;
-use stallmoor_core::time::Millis;
+use stallmoor_core::time::{Millis, Timestamp};
 use stallmoor_wire::{WireError, decode, encode};
 
 fn member(id: u64, status: MemberStatus) -> Member {
@@ -72,8 +72,15 @@
         MessageKind::PreVoteAnswer { granted: true },
         MessageKind::Vote { last_index: LogIndex(3), last_term: Term(4), transfer: true },
         MessageKind::VoteAnswer { granted: false },
-        MessageKind::Append { previous_index: LogIndex(7), previous_term: Term(3), commit: LogIndex(6), entries },
-        MessageKind::AppendAnswer { accepted: true, index: LogIndex(10) },
+        MessageKind::Append {
+            previous_index: LogIndex(7),
+            previous_term: Term(3),
+            commit: LogIndex(6),
+            sent_at: Timestamp::from_millis(17),
+            entries,
+        },
+        MessageKind::AppendAnswer { accepted: true, index: LogIndex(10), echo: Some(Timestamp::from_millis(17)) },
+        MessageKind::AppendAnswer { accepted: false, index: LogIndex(10), echo: None },
         MessageKind::InstallSnapshot(Snapshot {
             index: LogIndex(5),
             term: Term(2),
