--- a/crates/bench/src/simulate_command.rs
+++ b/crates/bench/src/simulate_command.rs
@@ -105,6 +105,8 @@
     for (name, tally) in &report.invariants {
         println!("  {name:<36} {:>10} checked {:>6} violated", tally.checked, tally.violations);
     }
+    let (slowest_ms, seed) = report.slowest_spread;
+    println!("slowest spread of a revision: {slowest_ms} ms, in seed {seed}");
     println!("after the failures end:");
     for (name, tally) in &report.liveness {
         let outcome = format!("{:>10} checked {:>6} violated", tally.checked, tally.violations);
--- a/crates/bench/src/simulation/faults.rs
+++ b/crates/bench/src/simulation/faults.rs
@@ -115,10 +115,6 @@
         self.tally("crash_in_write");
         let after = self.random.random_bool(0.5);
         self.slots[slot].crash = Some(if after { CrashPoint::AfterWrite } else { CrashPoint::BeforeWrite });
-        // Starting a node that has not crashed does nothing.
-        let back = self.lasting(3_000, 10_000);
-        self.schedule(back, SimEvent::Start { slot });
-        self.schedule(back + 30_000, SimEvent::Start { slot });
     }
 
     fn pause(&mut self) {
--- a/crates/bench/src/simulation/report.rs
+++ b/crates/bench/src/simulation/report.rs
@@ -32,6 +32,9 @@
     pub liveness: BTreeMap<String, LivenessTally>,
     /// What callers did, by kind.
     pub operations: BTreeMap<String, u64>,
+    /// How long the slowest spread of an accepted revision took in milliseconds, and its seed.
+    #[serde(skip)]
+    pub slowest_spread: (u64, u64),
     /// What was violated, by seed.
     #[serde(skip)]
     pub violations: Vec<(u64, String)>,
@@ -62,6 +65,7 @@
             sum.violations += tally.violations;
             sum.worst_ms = sum.worst_ms.max(tally.worst_ms);
         }
+        self.slowest_spread = self.slowest_spread.max(other.slowest_spread);
         self.violations.extend(other.violations);
         self.trace.extend(other.trace);
     }
--- a/crates/bench/src/simulation/world.rs
+++ b/crates/bench/src/simulation/world.rs
@@ -554,14 +554,14 @@
         let writes = effects.iter().any(|effect| matches!(effect, Effect::Persist { .. }));
         let crash = if writes { self.slots[slot].crash.take() } else { None };
         if crash == Some(CrashPoint::BeforeWrite) {
-            self.kill_node(slot);
+            self.crash_node(slot);
             return;
         }
         for effect in &effects {
             self.persist(slot, effect);
         }
         if crash == Some(CrashPoint::AfterWrite) {
-            self.kill_node(slot);
+            self.crash_node(slot);
             return;
         }
         for effect in effects {
@@ -570,6 +570,13 @@
         self.check_revision(slot);
     }
 
+    /// A node dies in the middle of a write and comes back a little later.
+    fn crash_node(&mut self, slot: usize) {
+        self.kill_node(slot);
+        let back = self.random.random_range(500..=8_000);
+        self.schedule(back, SimEvent::Start { slot });
+    }
+
     fn persist(&mut self, slot: usize, effect: &Effect) {
         let disk = &mut self.slots[slot].disk;
         match effect {
@@ -754,6 +761,7 @@
             faults: self.faults.counts.iter().map(|(name, count)| ((*name).to_owned(), *count)).collect(),
             liveness,
             operations: self.operations.iter().map(|(name, count)| ((*name).to_owned(), *count)).collect(),
+            slowest_spread: (self.operators.worst_spread_ms, seed),
             violations: violations.into_iter().map(|violation| (seed, violation)).collect(),
             trace: self.trace.into_iter().collect(),
         }
