Measure batch throughput against harm, policies side by side

Change: stallmoor-bench experiment shared-fleet runs the nodes' decision code against the engine emulator on a virtual clock, on both adopters' profiles, with four other policies on the same arrivals; SVG plot.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,9 +3,11 @@
 //! | module | owns |
 //! |---|---|
 //! | [`chaos`] | load and checks against a running fleet that somebody breaks |
+//! | [`experiment`] | the shared-fleet experiment on a virtual clock |
 //! | [`fleet_client`] | a client of a running fleet |
 //! | [`simulation`] | many nodes on a virtual clock under failure, checked against an oracle |
 
 pub mod chaos;
+pub mod experiment;
 pub mod fleet_client;
 pub mod simulation;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! `stallmoor-bench`: simulation, experiments and load.
 
 mod chaos_command;
+mod experiment_command;
 mod simulate_command;
 
 use std::process::ExitCode;
@@ -12,9 +13,11 @@
         .about("Simulation, experiments and load")
         .subcommand_required(true)
         .subcommand(simulate_command::command())
-        .subcommand(chaos_command::command());
+        .subcommand(chaos_command::command())
+        .subcommand(experiment_command::command());
     match command.get_matches().subcommand() {
         Some(("simulate", arguments)) => simulate_command::run(arguments),
+        Some(("experiment", arguments)) => experiment_command::run(arguments),
         Some(("chaos", arguments)) => chaos_command::run(arguments),
         _ => ExitCode::from(2),
     }
--- a/crates/bench/src/simulation/operators.rs
+++ b/crates/bench/src/simulation/operators.rs
@@ -122,7 +122,9 @@
         });
         self.operators.newest_accepted = self.operators.newest_accepted.max(own);
         let waiting = (0..self.slots.len())
-            .filter(|slot| self.slots[*slot].node.as_ref().is_some_and(|node| node.configuration_revision() < own));
+            .filter(|slot| self.slots[*slot].node.as_ref().is_some_and(|node| node.configuration_revision() < own))
+            // A node that has found nobody yet is no part of the fleet.
+            .filter(|slot| self.slots[*slot].node.as_ref().is_some_and(|node| node.status().members_present > 1));
         let spread = Spread { accepted_ms: now_ms, waiting: waiting.collect() };
         self.operators.spreading.insert(own, spread);
         self.on_accepted_change(slot);
--- a/crates/core/src/node/machine.rs
+++ b/crates/core/src/node/machine.rs
@@ -137,6 +137,11 @@
         self.configuration.revision()
     }
 
+    /// The online load that this node goes by, for each engine.
+    pub fn estimated_loads(&self, now: Timestamp) -> impl Iterator<Item = (&EngineName, u32)> {
+        self.engines.iter().map(move |(name, state)| (name, state.estimated_online(now)))
+    }
+
     /// Takes an event and returns what to do.
     pub fn handle(&mut self, event: Event, clock: Clock) -> Vec<Effect> {
         self.clock = clock;
@@ -290,8 +295,12 @@
         }
     }
 
+    /// Where a node is. The address of a node that is gone may be another's by now.
     pub(super) fn address_of(&self, node: NodeId) -> Option<SocketAddr> {
-        self.membership.member(node).map(|member| member.peer_address)
+        let member = self.membership.member(node)?;
+        let address = member.peer_address;
+        let is_taken = !member.is_present() && self.membership.present().any(|other| other.peer_address == address);
+        (!is_taken).then_some(address)
     }
 
     pub(super) fn draw_attempt(&mut self) -> AttemptId {
