Raise batch limits as soon as online requests end

Cause: a steward told lower limits at once but higher ones only when next asked, every 400 ms, and the first ask of a job waited as long; so capacity stayed unused after each burst.

--- a/crates/core/src/configuration/check.rs
+++ b/crates/core/src/configuration/check.rs
@@ -103,6 +103,7 @@
     let online_queue = table.number("online_queue", 0.0..=16.0, 1.0);
     let online_priority = table.integer("online_priority", 0..=100, 0) as u32;
     let batch_priority = table.integer("batch_priority", 0..=100, 10) as u32;
+    let batch_start_interval = Millis(table.integer("batch_start_interval_ms", 0..=10_000, 10));
     let max_tokens = table.integer("max_tokens", 1..=1_000_000, 4_096) as u32;
     let online_deadline = Millis(table.integer("online_deadline_ms", 100..=3_600_000, 60_000));
     if batch_priority <= online_priority {
@@ -116,6 +117,7 @@
         online_queue,
         online_priority,
         batch_priority,
+        batch_start_interval,
         max_tokens,
         online_deadline,
     };
--- a/crates/core/src/configuration/fleet.rs
+++ b/crates/core/src/configuration/fleet.rs
@@ -59,6 +59,9 @@
     pub online_priority: u32,
     /// The priority that batch items carry at the engine.
     pub batch_priority: u32,
+    /// Shortest time between two starts of batch streams at one engine by one node, so that their
+    /// prefills don't fall into one iteration.
+    pub batch_start_interval: Millis,
     /// Most tokens generated for one request.
     pub max_tokens: u32,
     /// The deadline of an online request that names none.
--- a/crates/core/src/node/batch_flow.rs
+++ b/crates/core/src/node/batch_flow.rs
@@ -96,6 +96,10 @@
         if jobs.is_empty() {
             return;
         }
+        if self.batch.asked.is_empty() {
+            // The first job need not wait for the next round of asking.
+            self.ask_for_room();
+        }
         loop {
             let started = self.start_round(&jobs);
             if started == 0 {
@@ -171,7 +175,8 @@
         let now = self.clock.now;
         let Some(state) = self.engines.get(engine) else { return false };
         let address = state.configured.address;
-        let priority = self.fleet().and_then(|fleet| fleet.services.get(&job.service).map(|s| s.batch_priority));
+        let Some(fleet) = self.fleet() else { return false };
+        let Some(service) = fleet.services.get(&job.service) else { return false };
         let hosted = self.groups.get(job.job.group);
         let held = hosted.and_then(|hosted| hosted.state.job(job.job));
         let Some(held) = held else { return false };
@@ -179,13 +184,14 @@
         let specification = held.specification.clone();
         let attempt = self.draw_attempt();
         let from_token = self.batch.dispatcher.started(attempt, job.job, item, job.tenant.clone(), engine.clone(), now);
+        self.batch.dispatcher.pace(engine, service.batch_start_interval, now);
         self.counters.batch_started += 1;
         self.effects.push(Effect::StartStream(EngineRequest {
             attempt,
             engine: engine.clone(),
             address,
             class: RequestClass::Batch,
-            priority: priority.unwrap_or(u32::MAX),
+            priority: service.batch_priority,
             model: specification.model,
             adapter: specification.adapter,
             prompt,
@@ -445,9 +451,10 @@
             let settings = self.steward_settings(&engine);
             let Some(steward) = self.stewards.get_mut(&engine) else { continue };
             steward.expire(now);
-            let recalls = settings.map(|settings| steward.recalls(settings)).unwrap_or_default();
-            for recall in recalls {
-                self.send_grant(&engine, recall.holder, recall.limit);
+            // Limits are lowered at once where they must be; they are raised at the next tick.
+            let changes = settings.map(|settings| steward.changes(settings)).unwrap_or_default();
+            for change in changes {
+                self.send_grant(&engine, change.holder, change.limit);
             }
         }
     }
--- a/crates/core/src/scheduling/dispatcher.rs
+++ b/crates/core/src/scheduling/dispatcher.rs
@@ -75,6 +75,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct BatchDispatcher {
     limits: BTreeMap<EngineName, EngineLimit>,
+    /// No stream starts at an engine before this.
+    next_start: BTreeMap<EngineName, Timestamp>,
     streams: BTreeMap<AttemptId, BatchStream>,
     by_engine: BTreeMap<EngineName, BTreeSet<AttemptId>>,
     in_flight: BTreeSet<ItemKey>,
@@ -105,9 +107,15 @@
         limit.limit.saturating_sub(self.streams_at(engine) as u32)
     }
 
+    /// Notes a start, and when the next may be.
+    pub fn pace(&mut self, engine: &EngineName, interval: Millis, now: Timestamp) {
+        self.next_start.insert(engine.clone(), now + interval);
+    }
+
     /// Engines with room for more streams.
     pub fn engines_with_room(&self, now: Timestamp) -> Vec<EngineName> {
-        self.limits.keys().filter(|engine| self.room(engine, now) > 0).cloned().collect()
+        let is_due = |engine: &&EngineName| self.next_start.get(*engine).is_none_or(|at| now >= *at);
+        self.limits.keys().filter(is_due).filter(|engine| self.room(engine, now) > 0).cloned().collect()
     }
 
     /// Streams at an engine.
--- a/crates/core/src/scheduling/steward.rs
+++ b/crates/core/src/scheduling/steward.rs
@@ -109,15 +109,21 @@
 
     /// Divides anew and returns the limits that are lower than what their holder was told.
     pub fn recalls(&mut self, settings: StewardSettings) -> Vec<BatchGrant> {
-        let lowered: Vec<BatchGrant> = self
-            .divide(settings)
-            .into_iter()
-            .filter(|grant| self.granted.get(&grant.holder).is_some_and(|told| grant.limit < *told))
-            .collect();
-        for grant in &lowered {
+        self.retell(settings, |limit, told| limit < told)
+    }
+
+    /// Divides anew and returns all limits that differ from what their holder was told.
+    pub fn changes(&mut self, settings: StewardSettings) -> Vec<BatchGrant> {
+        self.retell(settings, |limit, told| limit != told)
+    }
+
+    fn retell(&mut self, settings: StewardSettings, is_due: impl Fn(u32, u32) -> bool) -> Vec<BatchGrant> {
+        let mut grants = self.divide(settings);
+        grants.retain(|grant| self.granted.get(&grant.holder).is_some_and(|told| is_due(grant.limit, *told)));
+        for grant in &grants {
             self.granted.insert(grant.holder, grant.limit);
         }
-        lowered
+        grants
     }
 
     /// The limit to tell one holder now.
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -5,7 +5,7 @@
 //! shows in the tail of online requests. A sequence that runs is not preempted; priorities order the
 //! queue.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::answer::{answer_length, answer_token};
 use crate::cache::{PrefixCache, prompt_blocks};
@@ -141,8 +141,10 @@
     pub cache: PrefixCache,
     /// Tokens generated, all classes.
     pub generated: u64,
-    /// Online sequences that waited while a batch sequence held a slot.
+    /// Online sequences that were left waiting at the start of an iteration while batch held a slot.
     pub online_behind_batch: u64,
+    /// Those of them that still wait.
+    behind: BTreeSet<u128>,
 }
 
 impl EngineEmulator {
@@ -158,6 +160,7 @@
             cache: PrefixCache::new(settings.cache_blocks),
             generated: 0,
             online_behind_batch: 0,
+            behind: BTreeSet::new(),
         }
     }
 
@@ -188,9 +191,6 @@
         if self.queue.len() >= self.settings.queue && self.running.len() >= self.settings.slots {
             return Err(EngineRefusal::Full);
         }
-        if request.class == SequenceClass::Online && self.is_behind_batch() {
-            self.online_behind_batch += 1;
-        }
         self.arrivals += 1;
         self.queue.insert((request.priority, self.arrivals), request);
         if self.iteration_ends_us.is_none() {
@@ -199,12 +199,17 @@
         Ok(())
     }
 
-    /// Whether an online arrival finds every slot taken, some of them by batch.
-    fn is_behind_batch(&self) -> bool {
-        let online_waiting = self.queue.values().filter(|request| request.class == SequenceClass::Online).count();
-        let batch_running =
-            self.running.iter().filter(|sequence| sequence.request.class == SequenceClass::Batch).count();
-        batch_running > 0 && self.running.len() + online_waiting >= self.settings.slots
+    /// Counts each online sequence once that waits while batch holds a slot.
+    fn count_behind_batch(&mut self) {
+        let is_batch = |sequence: &Sequence| sequence.request.class == SequenceClass::Batch;
+        if !self.running.iter().any(is_batch) {
+            return;
+        }
+        for request in self.queue.values().filter(|request| request.class == SequenceClass::Online) {
+            if self.behind.insert(request.attempt) {
+                self.online_behind_batch += 1;
+            }
+        }
     }
 
     /// Drops a request wherever it is. Its slot is free from the next iteration on.
@@ -249,9 +254,11 @@
     fn begin_iteration(&mut self, now_us: u64) {
         while self.running.len() < self.settings.slots {
             let Some((_, request)) = self.queue.pop_first() else { break };
+            self.behind.remove(&request.attempt);
             let sequence = self.admit(request);
             self.running.push(sequence);
         }
+        self.count_behind_batch();
         let mut budget = self.settings.prefill_budget;
         let mut prefilled = 0;
         // Online prefills go first, as the priorities say.
