--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! | module | owns |
 //! |---|---|
+//! | [`capacity`] | what each role costs, measured at several sizes |
 //! | [`chaos`] | load and checks against a running fleet that somebody breaks |
 //! | [`experiment`] | the shared-fleet experiment on a virtual clock |
 //! | [`fleet_client`] | a client of a running fleet |
 //! | [`simulation`] | many nodes on a virtual clock under failure, checked against an oracle |
 
+pub mod capacity;
 pub mod chaos;
 pub mod experiment;
 pub mod fleet_client;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! `stallmoor-bench`: simulation, experiments and load.
 
+mod capacity_command;
 mod chaos_command;
 mod experiment_command;
 mod simulate_command;
@@ -13,10 +14,12 @@
         .about("Simulation, experiments and load")
         .subcommand_required(true)
         .subcommand(simulate_command::command())
+        .subcommand(capacity_command::command())
         .subcommand(chaos_command::command())
         .subcommand(experiment_command::command());
     match command.get_matches().subcommand() {
         Some(("simulate", arguments)) => simulate_command::run(arguments),
+        Some(("capacity", arguments)) => capacity_command::run(arguments),
         Some(("experiment", arguments)) => experiment_command::run(arguments),
         Some(("chaos", arguments)) => chaos_command::run(arguments),
         _ => ExitCode::from(2),
