Spare the key-value service at a cold start, and pack messages

Cause: nodes without configuration all read the manifest every 2 s and all nodes the founding record every second; 320 of them starve a service of 60 calls a second, so that no group was founded in 4 minutes. Ruled out: membership (all 320 agreed). Change: only watchers, and nodes that see nobody, read the manifest; storing nodes read the record at a rate shared between them and only until they have it; messages are packed.

--- a/crates/core/src/node/configuration_flow.rs
+++ b/crates/core/src/node/configuration_flow.rs
@@ -368,8 +368,10 @@
             let poll = self.settings.configuration_poll.0;
             let wait = Millis(poll / 2 + self.random.random_range(0..=poll));
             self.configuration_state.next_watch = now + wait;
-            let is_watcher = self.has_duty("configuration", CONFIGURATION_WATCHERS);
-            if is_watcher || self.configuration.revision() == 0 {
+            // The others hear of revisions from the watchers; at a cold start of the whole fleet their reads
+            // together would be more than the service bears.
+            let is_alone = self.membership.present().count() <= 1;
+            if is_alone || self.has_duty("configuration", CONFIGURATION_WATCHERS) {
                 let operation = KeyValueOperation::Get { key: MANIFEST_KEY.to_owned() };
                 self.call_key_value(KeyValuePurpose::WatchManifest, operation);
             }
--- a/crates/core/src/node/founding_flow.rs
+++ b/crates/core/src/node/founding_flow.rs
@@ -1,5 +1,7 @@
 //! Founding groups, and finding those that were founded.
 
+use rand::Rng;
+
 use super::configuration_flow::KeyValuePurpose;
 use super::effect::KeyValueOperation;
 use super::event::KeyValueOutcome;
@@ -13,6 +15,8 @@
 
 /// Time between two tries to learn of the groups.
 const FIND_INTERVAL: Millis = Millis(1_000);
+/// Time between two reads of the founding record by any of the storing nodes.
+const READ_SPREAD: Millis = Millis(200);
 /// Time between two looks at the directory once it is known.
 const REFRESH_INTERVAL: Millis = Millis(5_000);
 
@@ -20,11 +24,15 @@
 pub(super) struct FoundingState {
     next: Timestamp,
     call_pending: bool,
+    /// The record was read, so that it need not be again: it never changes.
+    record_read: bool,
+    /// When the record may be read next.
+    next_read: Timestamp,
 }
 
 impl FoundingState {
     pub(super) fn new(now: Timestamp) -> Self {
-        Self { next: now, call_pending: false }
+        Self { next: now, call_pending: false, record_read: false, next_read: now }
     }
 }
 
@@ -37,17 +45,26 @@
         let is_known = self.directory.group_count() > 0;
         self.founding.next = now + if is_known { REFRESH_INTERVAL } else { FIND_INTERVAL };
         self.ask_directory();
-        let needs_record = !is_known || self.lacks_own_replicas();
-        if needs_record && !self.founding.call_pending {
+        if self.may_read_record() {
             self.founding.call_pending = true;
             let operation = KeyValueOperation::Get { key: GROUPS_KEY.to_owned() };
             self.call_key_value(KeyValuePurpose::ReadGroups, operation);
         }
     }
 
-    /// A storing node without a replica may be named in the founding record.
-    fn lacks_own_replicas(&self) -> bool {
-        self.settings.stores && self.groups.is_empty()
+    /// Storing nodes read the record until they have it, since it may name them; together they do so no
+    /// more often than a few times a second. The others learn of the groups from their peers.
+    fn may_read_record(&mut self) -> bool {
+        let now = self.clock.now;
+        let founding = &self.founding;
+        if founding.record_read || founding.call_pending || now < founding.next_read || !self.settings.stores {
+            return false;
+        }
+        let stores = self.membership.present().filter(|member| member.stores).count() as u64;
+        let spread = READ_SPREAD.0 * stores.max(1);
+        let wait = spread / 2 + self.random.random_range(0..=spread);
+        self.founding.next_read = now + Millis(wait);
+        true
     }
 
     /// Asks a storing node where the groups are, if this node knows too little.
@@ -83,6 +100,7 @@
         match outcome {
             KeyValueOutcome::Value { value, .. } => {
                 if let Ok(record) = serde_json::from_str::<GroupsRecord>(&value) {
+                    self.founding.record_read = true;
                     self.take_groups(&record);
                 }
             }
@@ -116,7 +134,9 @@
     pub(super) fn on_groups_founded(&mut self, record: &GroupsRecord, outcome: KeyValueOutcome) {
         self.founding.call_pending = false;
         self.founding.next = self.clock.now;
+        self.founding.next_read = self.clock.now;
         if matches!(outcome, KeyValueOutcome::Written) {
+            self.founding.record_read = true;
             self.log(LogEvent::GroupFounded, format!("{} groups", record.groups.len()));
             self.take_groups(record);
         }
--- a/crates/core/src/node/groups.rs
+++ b/crates/core/src/node/groups.rs
@@ -90,10 +90,6 @@
         self.hosted.keys().copied().collect()
     }
 
-    pub(super) fn is_empty(&self) -> bool {
-        self.hosted.is_empty()
-    }
-
     /// Groups that this node leads and knows all of.
     pub(super) fn led(&self) -> impl Iterator<Item = (GroupId, &HostedGroup)> {
         self.hosted
--- a/crates/wire/src/codec/mod.rs
+++ b/crates/wire/src/codec/mod.rs
@@ -5,7 +5,7 @@
 mod replication;
 
 use capnp::message::{Builder, ReaderOptions};
-use capnp::serialize;
+use capnp::serialize_packed;
 use snafu::{ResultExt, Snafu};
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::node::PeerMessage;
@@ -57,7 +57,12 @@
     let mut root = builder.init_root::<envelope::Builder<'_>>();
     root.set_version(PROTOCOL_VERSION);
     write_message(root.init_message(), message);
-    serialize::write_message_to_words(&builder)
+    let mut bytes = Vec::new();
+    // Writing to memory can't fail; an empty message would be refused by its reader.
+    if serialize_packed::write_message(&mut bytes, &builder).is_err() {
+        bytes.clear();
+    }
+    bytes
 }
 
 /// Decodes a message.
@@ -68,8 +73,7 @@
 pub fn decode(bytes: &[u8]) -> Result<PeerMessage, WireError> {
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(crate::MAX_FRAME_BYTES / 8));
-    let mut slice = bytes;
-    let reader = serialize::read_message_from_flat_slice(&mut slice, options).context(DamagedSnafu)?;
+    let reader = serialize_packed::read_message(bytes, options).context(DamagedSnafu)?;
     let root = reader.get_root::<envelope::Reader<'_>>().context(DamagedSnafu)?;
     if root.get_version() != PROTOCOL_VERSION {
         return Err(WireError::OtherVersion { found: root.get_version() });
