--- a/crates/bench/src/capacity/fleet.rs
+++ b/crates/bench/src/capacity/fleet.rs
@@ -8,8 +8,8 @@
 use stallmoor_core::configuration::{ApplyId, Bundle};
 use stallmoor_core::identity::{CallerId, EngineName, NodeId};
 use stallmoor_core::node::{
-    CallerCall, Clock, Effect, EngineRequest, Event, KeyValueOperation, KeyValueOutcome, Node, NodeSettings,
-    OperatorCall, PeerMessage, PersistedNode,
+    CallerAnswer, CallerCall, Clock, Effect, EngineRequest, Event, KeyValueOperation, KeyValueOutcome, MachineReport,
+    Node, NodeSettings, OperatorCall, PeerMessage, PersistedNode,
 };
 use stallmoor_core::replication::{EntryPayload, LogWrite};
 use stallmoor_core::routing::LoadReport;
@@ -68,6 +68,15 @@
     pub spending: Spending,
     /// Requests that nodes sent to engines and nobody has taken yet, with the sender.
     pub requests: Vec<(usize, EngineRequest)>,
+    /// Nodes that are down.
+    pub down: BTreeSet<usize>,
+    /// The key-value service answers nothing.
+    pub key_value_down: bool,
+    /// Answers to callers, in order.
+    pub answers: Vec<(CallerId, CallerAnswer)>,
+    /// What the machine list says.
+    pub machines: Vec<MachineReport>,
+    seed: u64,
     by_address: BTreeMap<SocketAddr, usize>,
     now_ms: u64,
     inbox: VecDeque<(usize, Event)>,
@@ -82,10 +91,20 @@
 impl Fleet {
     /// Starts `nodes` nodes, the first `stores` of which store, that know each other.
     pub fn start(nodes: usize, stores: usize, engines: usize) -> Self {
+        Self::start_seeded(nodes, stores, engines, 0)
+    }
+
+    /// The same, with a seed that decides everything random.
+    pub fn start_seeded(nodes: usize, stores: usize, engines: usize, seed: u64) -> Self {
         let mut fleet = Self {
             nodes: Vec::new(),
             spending: Spending::default(),
             requests: Vec::new(),
+            down: BTreeSet::new(),
+            key_value_down: false,
+            answers: Vec::new(),
+            machines: Vec::new(),
+            seed,
             by_address: BTreeMap::new(),
             now_ms: 0,
             inbox: VecDeque::new(),
@@ -93,19 +112,46 @@
             engines,
         };
         for place in 0..nodes {
-            let zone = format!("zone-{}", place % ZONES);
-            let id = NodeId(place as u64 + 1);
-            let mut settings = NodeSettings::new(id, &zone, address_of(place), address_of(place));
-            settings.seeds = vec![address_of(0), address_of(place / 2)];
-            settings.stores = place < stores;
-            settings.compact_bytes = usize::MAX;
             fleet.by_address.insert(address_of(place), place);
-            let node = Node::new(settings, PersistedNode::default(), fleet.clock(), place as u64);
+            let node = fleet.new_node(place, NodeId(place as u64 + 1), place < stores);
             fleet.nodes.push(node);
         }
         fleet
     }
 
+    fn new_node(&self, place: usize, id: NodeId, stores: bool) -> Node {
+        let zone = format!("zone-{}", place % ZONES);
+        let mut settings = NodeSettings::new(id, &zone, address_of(place), address_of(place));
+        settings.seeds = vec![address_of(0), address_of(1), address_of(place / 2)];
+        settings.stores = stores;
+        settings.compact_bytes = usize::MAX;
+        Node::new(settings, PersistedNode::default(), self.clock(), self.seed * 1_000 + id.0)
+    }
+
+    /// Replaces a storing node by one with a blank disk at the same address.
+    pub fn replace_blank(&mut self, place: usize) {
+        let id = NodeId(self.nodes[place].id().0 + 10_000);
+        self.nodes[place] = self.new_node(place, id, true);
+        self.down.remove(&place);
+    }
+
+    /// Virtual time since the start, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Runs until something holds, for at most `limit_ms`. Returns how long it took.
+    pub fn run_until(&mut self, limit_ms: u64, mut holds: impl FnMut(&Fleet) -> bool) -> Option<u64> {
+        let began = self.now_ms;
+        while self.now_ms < began + limit_ms {
+            self.run(TICK_MS);
+            if holds(self) {
+                return Some(self.now_ms - began);
+            }
+        }
+        None
+    }
+
     fn clock(&self) -> Clock {
         Clock {
             now: Timestamp::from_millis(MONOTONIC_START_MS + self.now_ms),
@@ -140,6 +186,9 @@
 
     /// Gives an event to a node and carries out what it wants.
     pub fn feed(&mut self, node: usize, event: Event) {
+        if self.down.contains(&node) {
+            return;
+        }
         let clock = self.clock();
         let began = Instant::now();
         let effects = self.nodes[node].handle(event, clock);
@@ -169,6 +218,8 @@
                 self.spending.polls += 1;
                 self.inbox.push_back((node, load_event(engine)));
             }
+            Effect::Answer { caller, answer } => self.answers.push((caller, answer)),
+            Effect::ReadMachines => self.inbox.push_back((node, Event::Machines(self.machines.clone()))),
             Effect::StartStream(request) => self.requests.push((node, request)),
             Effect::Persist { write, .. } => {
                 self.spending.disk_writes += 1;
@@ -179,6 +230,9 @@
     }
 
     fn call_key_value(&mut self, operation: KeyValueOperation) -> KeyValueOutcome {
+        if self.key_value_down {
+            return KeyValueOutcome::NoAnswer;
+        }
         match operation {
             KeyValueOperation::Get { key } => match self.key_value.get(&key) {
                 Some((version, value)) => KeyValueOutcome::Value { version: *version, value: value.clone() },
--- a/crates/bench/src/capacity/mod.rs
+++ b/crates/bench/src/capacity/mod.rs
@@ -4,7 +4,7 @@
 //! spent in the decision code, the messages and their bytes, and the memory are real; only the clock
 //! and the network are not. `docs/CAPACITY.md` is worked out from these slopes.
 
-mod fleet;
+pub mod fleet;
 mod measures;
 mod slope;
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,10 +6,12 @@
 //! | [`chaos`] | load and checks against a running fleet that somebody breaks |
 //! | [`experiment`] | the shared-fleet experiment on a virtual clock |
 //! | [`fleet_client`] | a client of a running fleet |
+//! | [`recovery`] | how long the fleet takes to recover, on a virtual clock |
 //! | [`simulation`] | many nodes on a virtual clock under failure, checked against an oracle |
 
 pub mod capacity;
 pub mod chaos;
 pub mod experiment;
 pub mod fleet_client;
+pub mod recovery;
 pub mod simulation;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 mod capacity_command;
 mod chaos_command;
 mod experiment_command;
+mod recovery_command;
 mod simulate_command;
 
 use std::process::ExitCode;
@@ -16,10 +17,12 @@
         .subcommand(simulate_command::command())
         .subcommand(capacity_command::command())
         .subcommand(chaos_command::command())
-        .subcommand(experiment_command::command());
+        .subcommand(experiment_command::command())
+        .subcommand(recovery_command::command());
     match command.get_matches().subcommand() {
         Some(("simulate", arguments)) => simulate_command::run(arguments),
         Some(("capacity", arguments)) => capacity_command::run(arguments),
+        Some(("recovery", arguments)) => recovery_command::run(arguments),
         Some(("experiment", arguments)) => experiment_command::run(arguments),
         Some(("chaos", arguments)) => chaos_command::run(arguments),
         _ => ExitCode::from(2),
