Add the load tool, and poll less in a large fleet

Cause: a node of 710 engines polled 24 of them twice a second, which at some 500 bytes a poll is 24 KB a second, over the 13 KB asked for control. Change: beyond 48 engines a node polls 8 and those it is steward of, once a second. stallmoor-bench load sends open-loop arrivals and counts from when each was due.

--- a/crates/bench/src/capacity/measures.rs
+++ b/crates/bench/src/capacity/measures.rs
@@ -15,8 +15,8 @@
 use super::fleet::{Fleet, MODELS};
 use super::slope::{Point, Slope, fit};
 
-/// Virtual time over which a steady state is measured, in milliseconds.
-const STEADY_MS: u64 = 10_000;
+/// Virtual time over which a steady state is measured, in milliseconds: one interval of full exchanges.
+const STEADY_MS: u64 = 30_000;
 /// Virtual time after which all nodes of a fleet that started at once know each other, in milliseconds.
 const WARM_UP_MS: u64 = 90_000;
 
--- a/crates/bench/src/experiment/measure.rs
+++ b/crates/bench/src/experiment/measure.rs
@@ -107,8 +107,8 @@
     }
 }
 
-/// From a microsecond to an hour, three digits.
-fn new_histogram() -> Histogram<u64> {
+/// A histogram in microseconds, up to an hour, of three digits.
+pub fn new_histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, 3_600_000_000, 3)
         .unwrap_or_else(|_| unreachable!("the bounds are constant and valid"))
 }
@@ -116,8 +116,8 @@
 impl Measured {
     /// The report, against the run without batch.
     pub fn report(&self, floor: &Measured) -> PolicyReport {
-        let (ttft_ms, itl_ms) = (percentiles(&self.first_token), percentiles(&self.between));
-        let (floor_ttft, floor_itl) = (percentiles(&floor.first_token), percentiles(&floor.between));
+        let (ttft_ms, itl_ms) = (Percentiles::of(&self.first_token), Percentiles::of(&self.between));
+        let (floor_ttft, floor_itl) = (Percentiles::of(&floor.first_token), Percentiles::of(&floor.between));
         let ratio = |own: f64, floor: f64| if floor > 0.0 { own / floor } else { 1.0 };
         let seconds = (self.load_us as f64 / 1_000_000.0).max(1e-9);
         let (error, samples) = self.load_error;
@@ -138,7 +138,10 @@
     }
 }
 
-fn percentiles(histogram: &Histogram<u64>) -> Percentiles {
-    let at = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
-    Percentiles { p50: at(0.50), p95: at(0.95), p99: at(0.99) }
+impl Percentiles {
+    /// The percentiles of a histogram in microseconds.
+    pub fn of(histogram: &Histogram<u64>) -> Self {
+        let at = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+        Self { p50: at(0.50), p95: at(0.95), p99: at(0.99) }
+    }
 }
--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -20,7 +20,7 @@
 mod workload;
 mod world;
 
-pub use measure::{ExperimentReport, Percentiles, PolicyReport};
+pub use measure::{ExperimentReport, Percentiles, PolicyReport, new_histogram};
 pub use plot::{PlotError, plot_report};
 pub use policy::Policy;
 pub use profile::Profile;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 //! | [`chaos`] | load and checks against a running fleet that somebody breaks |
 //! | [`experiment`] | the shared-fleet experiment on a virtual clock |
 //! | [`fleet_client`] | a client of a running fleet |
+//! | [`load`] | open-loop load against a running fleet |
 //! | [`recovery`] | how long the fleet takes to recover, on a virtual clock |
 //! | [`simulation`] | many nodes on a virtual clock under failure, checked against an oracle |
 
@@ -13,5 +14,6 @@
 pub mod chaos;
 pub mod experiment;
 pub mod fleet_client;
+pub mod load;
 pub mod recovery;
 pub mod simulation;
--- a/crates/core/src/node/engines_flow.rs
+++ b/crates/core/src/node/engines_flow.rs
@@ -12,8 +12,14 @@
 use crate::routing::{CacheEventBatch, LeavingFact, LoadReport, PrefixIndex};
 use crate::time::{Millis, Timestamp};
 
-/// Most engines that one node polls besides those it is steward of.
-const MOST_POLLED: usize = 24;
+/// Up to this many engines every node polls many of them.
+const SMALL_FLEET: usize = 48;
+/// Most engines that one node of a small fleet polls besides those it is steward of.
+const POLLED_IN_SMALL_FLEET: usize = 24;
+/// The same in a large fleet, where polls would otherwise be most of what a node sends.
+const POLLED_IN_LARGE_FLEET: usize = 8;
+/// In a large fleet polls are this many times as far apart.
+const LARGE_FLEET_SLOWDOWN: u64 = 2;
 /// How many nodes read the machine list.
 const MACHINE_WATCHERS: usize = 3;
 /// To how many nodes a fact is passed on by each that learns it.
@@ -60,6 +66,19 @@
         self.poll_due_engines();
     }
 
+    fn is_large_fleet(&self) -> bool {
+        self.engines.iter().count() > SMALL_FLEET
+    }
+
+    fn most_polled(&self) -> usize {
+        if self.is_large_fleet() { POLLED_IN_LARGE_FLEET } else { POLLED_IN_SMALL_FLEET }
+    }
+
+    fn poll_interval(&self) -> Millis {
+        let slowdown = if self.is_large_fleet() { LARGE_FLEET_SLOWDOWN } else { 1 };
+        Millis(self.settings.engine_poll.0 * slowdown)
+    }
+
     /// All engines where they are few, else a part that differs from node to node; and always those
     /// that this node is steward of.
     fn choose_polled_engines(&mut self) {
@@ -67,12 +86,15 @@
         let key = hash_parts(&[b"poll", &self.settings.id.0.to_le_bytes()]);
         let names = self.engines.iter().map(|(name, _)| name);
         let mut chosen: Vec<EngineName> =
-            rendezvous(key, names, |name| hash_bytes(name.0.as_bytes()), MOST_POLLED).into_iter().cloned().collect();
+            rendezvous(key, names, |name| hash_bytes(name.0.as_bytes()), self.most_polled())
+                .into_iter()
+                .cloned()
+                .collect();
         chosen.extend(self.stewards.keys().cloned());
         let earlier = std::mem::take(&mut self.polls.due);
         for (place, engine) in chosen.into_iter().enumerate() {
             // Spread over the interval, so that polls don't come in bursts.
-            let offset = Millis(place as u64 * 37 % self.settings.engine_poll.0.max(1));
+            let offset = Millis(place as u64 * 37 % self.poll_interval().0.max(1));
             let due = earlier.get(&engine).copied().unwrap_or(now + offset);
             self.polls.due.insert(engine, due);
         }
@@ -95,7 +117,7 @@
         let due: Vec<EngineName> =
             self.polls.due.iter().filter(|(_, at)| now >= **at).map(|(engine, _)| engine.clone()).collect();
         for engine in due {
-            self.polls.due.insert(engine.clone(), now + self.settings.engine_poll);
+            self.polls.due.insert(engine.clone(), now + self.poll_interval());
             let Some(state) = self.engines.get(&engine) else { continue };
             let address = state.configured.address;
             let cache_from = self.polls.prefix_index.wanted(&engine);
