--- /dev/null
+++ b/crates/core/tests/replication_rules.rs
@@ -0,0 +1,162 @@
+//! Single rules of replication and of a change of configuration, each by its own scenario.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use stallmoor_core::configuration::apply::ApplyAnswer;
+use stallmoor_core::configuration::{ApplyId, ApplyStep, Bundle, ConfigurationApply, Manifest};
+use stallmoor_core::identity::{GroupId, NodeId};
+use stallmoor_core::replication::{
+    Entry, EntryPayload, GroupMembership, HardState, LogIndex, MembershipChange, MessageKind, PersistedReplica,
+    ProposalError, Replica, ReplicaEffect, ReplicaSettings, ReplicationMessage, Term,
+};
+use stallmoor_core::time::{Millis, Timestamp};
+
+const GROUP: GroupId = GroupId(0);
+const SELF: NodeId = NodeId(1);
+
+/// One replica and its disk.
+struct Harness {
+    replica: Replica,
+    disk: PersistedReplica,
+    now: u64,
+}
+
+impl Harness {
+    fn open(disk: PersistedReplica) -> Self {
+        let now = 100_000;
+        let at = Timestamp::from_millis(now);
+        let replica = Replica::new(GROUP, SELF, ReplicaSettings::default(), disk.clone(), at, 7);
+        Self { replica, disk, now }
+    }
+
+    fn founded() -> Self {
+        let mut harness = Self::open(PersistedReplica::default());
+        let founders = GroupMembership::of_voters([SELF, NodeId(2), NodeId(3)]);
+        let now = harness.time();
+        harness.replica.found(founders, now);
+        harness.drain();
+        harness
+    }
+
+    fn time(&self) -> Timestamp {
+        Timestamp::from_millis(self.now)
+    }
+
+    /// Carries out writes and returns the messages.
+    fn drain(&mut self) -> Vec<ReplicationMessage> {
+        let mut messages = Vec::new();
+        for effect in self.replica.take_effects() {
+            match effect {
+                ReplicaEffect::Persist(write) => self.disk.write(&write),
+                ReplicaEffect::Send(message) => messages.push(message),
+                ReplicaEffect::Restore(_) => {}
+            }
+        }
+        messages
+    }
+
+    fn step(&mut self, from: u64, term: u64, kind: MessageKind) -> Vec<ReplicationMessage> {
+        let message = ReplicationMessage { group: GROUP, from: NodeId(from), to: SELF, term: Term(term), kind };
+        let now = self.time();
+        self.replica.step(message, now);
+        self.drain()
+    }
+
+    /// Waits for the time-out, and wins the election with the vote of replica 2.
+    fn win_election(&mut self) {
+        self.now += 10_000;
+        let now = self.time();
+        self.replica.tick(now);
+        self.drain();
+        let term = self.replica.term().0;
+        self.step(2, term + 1, MessageKind::PreVoteAnswer { granted: true });
+        self.step(2, term + 1, MessageKind::VoteAnswer { granted: true });
+        assert!(self.replica.is_leader());
+    }
+
+    fn acknowledge(&mut self, from: u64, index: u64) {
+        let echo = Some(self.time());
+        let kind = MessageKind::AppendAnswer { accepted: true, index: LogIndex(index), echo };
+        let term = self.replica.term().0;
+        self.step(from, term, kind);
+    }
+}
+
+fn asks_vote() -> MessageKind {
+    MessageKind::Vote { last_index: LogIndex(50), last_term: Term(4), transfer: false }
+}
+
+fn grants(messages: &[ReplicationMessage]) -> bool {
+    messages.iter().any(|message| message.kind == MessageKind::VoteAnswer { granted: true })
+}
+
+#[test]
+fn a_vote_outlives_a_restart() {
+    let mut harness = Harness::founded();
+    assert!(grants(&harness.step(2, 5, asks_vote())));
+    let mut restarted = Harness::open(harness.disk);
+    restarted.now += 10_000;
+    assert!(!grants(&restarted.step(3, 5, asks_vote())), "two candidates must not get one term's vote");
+    assert!(grants(&restarted.step(2, 5, asks_vote())), "the same candidate may ask again");
+}
+
+#[test]
+fn an_entry_of_an_earlier_term_is_committed_only_through_one_of_the_leaders_own() {
+    let founders = GroupMembership::of_voters([SELF, NodeId(2), NodeId(3)]);
+    let entry = |index: u64, term: u64, payload| Entry { term: Term(term), index: LogIndex(index), payload };
+    let disk = PersistedReplica {
+        hard_state: HardState { term: Term(3), voted_for: None },
+        entries: vec![
+            entry(1, 0, EntryPayload::Membership(founders)),
+            entry(2, 2, EntryPayload::Command(Arc::from([1].as_slice()))),
+        ],
+        ..PersistedReplica::default()
+    };
+    let mut harness = Harness::open(disk);
+    harness.win_election();
+    harness.acknowledge(2, 2);
+    assert!(harness.replica.commit() < LogIndex(2), "a majority holds it, but it may still be overwritten");
+    harness.acknowledge(2, 3);
+    assert_eq!(harness.replica.commit(), LogIndex(3));
+}
+
+#[test]
+fn a_second_change_of_membership_waits_for_the_first() {
+    let mut harness = Harness::founded();
+    harness.win_election();
+    harness.acknowledge(2, 2);
+    while harness.replica.next_committed().is_some() {}
+    let now = harness.time();
+    let first = harness.replica.propose_membership(MembershipChange::AddLearner(NodeId(4)), now);
+    assert!(first.is_ok(), "{first:?}");
+    let second = harness.replica.propose_membership(MembershipChange::Remove(NodeId(3)), now);
+    assert_eq!(second, Err(ProposalError::Busy));
+    harness.acknowledge(2, 3);
+    while harness.replica.next_committed().is_some() {}
+    let third = harness.replica.propose_membership(MembershipChange::Remove(NodeId(3)), now);
+    assert!(third.is_ok(), "{third:?}");
+}
+
+#[test]
+fn a_leader_answers_reads_only_while_a_majority_follows_it() {
+    let mut harness = Harness::founded();
+    harness.win_election();
+    harness.acknowledge(2, 2);
+    while harness.replica.next_committed().is_some() {}
+    assert!(harness.replica.may_answer_reads(harness.time()));
+    let paused = harness.time() + Millis(5_000);
+    assert!(!harness.replica.may_answer_reads(paused), "it woke from a pause and has not ticked yet");
+}
+
+#[test]
+fn a_stale_read_is_not_called_a_conflict() {
+    let now = Timestamp::from_millis(1_000);
+    let files = BTreeMap::from([("fleet.toml".to_owned(), Arc::from("[fleet]"))]);
+    let mut change = ConfigurationApply::new(ApplyId(1), Bundle { files }, Some(5), now);
+    let manifest = |revision| Manifest { revision, ..Manifest::default() };
+    let step = change.on_answer(ApplyAnswer::Manifest(Some((4, manifest(4)))), now);
+    assert_eq!(step, ApplyStep::ReadManifest);
+    let step = change.on_answer(ApplyAnswer::Manifest(Some((5, manifest(5)))), now);
+    assert!(matches!(step, ApplyStep::WritePart(_)), "{step:?}");
+}
