--- a/crates/bench/src/capacity/measures.rs
+++ b/crates/bench/src/capacity/measures.rs
@@ -17,8 +17,8 @@
 
 /// Virtual time over which a steady state is measured, in milliseconds: one interval of full exchanges.
 const STEADY_MS: u64 = 30_000;
-/// Virtual time after which all nodes of a fleet that started at once know each other, in milliseconds.
-const WARM_UP_MS: u64 = 90_000;
+/// Virtual time after which a fleet that started at once has nothing left to spread, in milliseconds.
+const WARM_UP_MS: u64 = 300_000;
 
 /// One thing measured at several sizes.
 #[derive(Clone, Debug, Serialize)]
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`experiment`] | the shared-fleet experiment on a virtual clock |
 //! | [`fleet_client`] | a client of a running fleet |
 //! | [`load`] | open-loop load against a running fleet |
+//! | [`overhead`] | what a node adds to a request, against a bare pass-through |
 //! | [`recovery`] | how long the fleet takes to recover, on a virtual clock |
 //! | [`simulation`] | many nodes on a virtual clock under failure, checked against an oracle |
 
@@ -15,5 +16,6 @@
 pub mod experiment;
 pub mod fleet_client;
 pub mod load;
+pub mod overhead;
 pub mod recovery;
 pub mod simulation;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,7 @@
 mod chaos_command;
 mod experiment_command;
 mod load_command;
+mod overhead_command;
 mod recovery_command;
 mod simulate_command;
 
@@ -20,11 +21,13 @@
         .subcommand(chaos_command::command())
         .subcommand(experiment_command::command())
         .subcommand(recovery_command::command())
+        .subcommand(overhead_command::command())
         .subcommand(load_command::command());
     match command.get_matches().subcommand() {
         Some(("simulate", arguments)) => simulate_command::run(arguments),
         Some(("capacity", arguments)) => capacity_command::run(arguments),
         Some(("load", arguments)) => load_command::run(arguments),
+        Some(("overhead", arguments)) => overhead_command::run(arguments),
         Some(("recovery", arguments)) => recovery_command::run(arguments),
         Some(("experiment", arguments)) => experiment_command::run(arguments),
         Some(("chaos", arguments)) => chaos_command::run(arguments),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -7,6 +7,9 @@
 use stallmoor_core::configuration::{ConfigurationError, SourceFile};
 use stallmoor_core::time::Millis;
 
+/// The least severe level that is logged.
+pub use log::LevelFilter as LogLevel;
+
 /// What a settings file says.
 #[derive(Clone, Debug, PartialEq)]
 pub struct NodeFileSettings {
