Split what had grown large, and share one event queue

Cause: replica.rs held elections, leading and following; the node's flows held stewards, key-value calls and the records of online requests beside their own job; two worlds of the bench had the same queue. Change: moved into files of their own; behaviour and tests unchanged.

--- a/crates/bench/src/experiment/world.rs
+++ b/crates/bench/src/experiment/world.rs
@@ -1,7 +1,6 @@
 //! The virtual clock, nodes, engines and the network between them.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
@@ -26,6 +25,7 @@
 use super::policy::{Feeder, FeederItem, Policy};
 use super::profile::Profile;
 use super::workload::{WARM_UP_US, Workload};
+use crate::event_queue::EventQueue;
 
 const TICK_US: u64 = 25_000;
 /// Time between two looks of the feeder at the engines, in microseconds.
@@ -64,32 +64,6 @@
     Sample,
 }
 
-struct Scheduled {
-    at_us: u64,
-    sequence: u64,
-    event: WorldEvent,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at_us, self.sequence) == (other.at_us, other.sequence)
-    }
-}
-
-impl Eq for Scheduled {}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at_us, self.sequence).cmp(&(other.at_us, other.sequence))
-    }
-}
-
 struct EngineSlot {
     emulator: EngineEmulator,
     address: SocketAddr,
@@ -128,8 +102,7 @@
     headroom: f64,
     workload: &'a Workload,
     now_us: u64,
-    sequence: u64,
-    queue: BinaryHeap<Reverse<Scheduled>>,
+    queue: EventQueue<WorldEvent>,
     random: Xoshiro256PlusPlus,
     nodes: Vec<Node>,
     node_addresses: BTreeMap<SocketAddr, usize>,
@@ -162,8 +135,7 @@
             headroom: options.headroom.unwrap_or(profile.headroom()),
             workload,
             now_us: 0,
-            sequence: 0,
-            queue: BinaryHeap::new(),
+            queue: EventQueue::default(),
             random: Xoshiro256PlusPlus::seed_from_u64(options.seed),
             nodes: Vec::new(),
             node_addresses: BTreeMap::new(),
@@ -239,12 +211,12 @@
     /// Runs to the end of the arrivals.
     pub fn run(mut self) -> Measured {
         let end_us = self.workload.end_us;
-        while let Some(Reverse(next)) = self.queue.pop() {
-            if next.at_us > end_us {
+        while let Some((at_us, event)) = self.queue.pop() {
+            if at_us > end_us {
                 break;
             }
-            self.now_us = next.at_us;
-            self.happen(next.event);
+            self.now_us = at_us;
+            self.happen(event);
         }
         self.now_us = end_us;
         for engine in 0..self.engines.len() {
@@ -257,9 +229,7 @@
     }
 
     fn schedule(&mut self, after_us: u64, event: WorldEvent) {
-        self.sequence += 1;
-        let at_us = self.now_us + after_us;
-        self.queue.push(Reverse(Scheduled { at_us, sequence: self.sequence, event }));
+        self.queue.push(self.now_us + after_us, event);
     }
 
     fn clock(&self) -> Clock {
@@ -505,7 +475,7 @@
             }
             Some(refusal) => {
                 let leaving = refusal == EngineRefusal::Leaving;
-                self.to_node(engine, node, request.attempt, StreamEvent::Refused { leaving });
+                self.send_to_node(engine, node, request.attempt, StreamEvent::Refused { leaving });
             }
         }
     }
@@ -534,7 +504,7 @@
         Some(stream)
     }
 
-    fn to_node(&mut self, engine: usize, node: usize, attempt: AttemptId, event: StreamEvent) {
+    fn send_to_node(&mut self, engine: usize, node: usize, attempt: AttemptId, event: StreamEvent) {
         let latency = self.engine_latency(node, self.engines[engine].address);
         let event = Box::new(Event::Stream { attempt, event });
         self.schedule(latency, WorldEvent::Node { node, event });
@@ -582,7 +552,7 @@
         stream.tokens += 1;
         if let Some(node) = stream.node {
             let event = StreamEvent::Piece { attempt, first: place, tokens: 1, text };
-            self.to_node(engine, node, attempt, event);
+            self.send_to_node(engine, node, attempt, event);
         }
     }
 
@@ -592,7 +562,7 @@
             self.on_item_done(&stream);
         }
         if let Some(node) = stream.node {
-            self.to_node(engine, node, attempt, StreamEvent::End { attempt, length });
+            self.send_to_node(engine, node, attempt, StreamEvent::End { attempt, length });
         }
     }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod capacity;
 pub mod chaos;
+mod event_queue;
 pub mod experiment;
 pub mod fleet_client;
 pub mod load;
--- a/crates/bench/src/simulation/world.rs
+++ b/crates/bench/src/simulation/world.rs
@@ -1,7 +1,6 @@
 //! The world: the queue of events, the clock, and carrying out the nodes' effects.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use rand::{Rng, SeedableRng};
@@ -21,6 +20,7 @@
 use super::oracle::{self, Oracle};
 use super::platform::{KeyValueModel, MachineModel, USUAL_LAG_MS};
 use super::report::{LivenessTally, SimulationReport};
+use crate::event_queue::EventQueue;
 
 /// Time between two ticks of a node, in milliseconds.
 const TICK_MS: u64 = 50;
@@ -155,32 +155,6 @@
     EndFault(Fault),
 }
 
-struct Scheduled {
-    at_ms: u64,
-    sequence: u64,
-    event: SimEvent,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at_ms, self.sequence) == (other.at_ms, other.sequence)
-    }
-}
-
-impl Eq for Scheduled {}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at_ms, self.sequence).cmp(&(other.at_ms, other.sequence))
-    }
-}
-
 /// When a node is to crash in the middle of its next write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashPoint {
@@ -230,8 +204,7 @@
     pub options: SimulationOptions,
     /// Now.
     pub now_ms: u64,
-    queue: BinaryHeap<Reverse<Scheduled>>,
-    sequence: u64,
+    queue: EventQueue<SimEvent>,
     /// Decides everything that is not a node's own.
     pub random: Xoshiro256PlusPlus,
     /// Nodes.
@@ -306,8 +279,7 @@
         let mut world = Self {
             options,
             now_ms: 0,
-            queue: BinaryHeap::new(),
-            sequence: 0,
+            queue: EventQueue::default(),
             random: Xoshiro256PlusPlus::seed_from_u64(options.seed),
             slots: Vec::new(),
             by_address: BTreeMap::new(),
@@ -388,8 +360,7 @@
 
     /// Schedules something `after_ms` from now.
     pub fn schedule(&mut self, after_ms: u64, event: SimEvent) {
-        self.sequence += 1;
-        self.queue.push(Reverse(Scheduled { at_ms: self.now_ms + after_ms, sequence: self.sequence, event }));
+        self.queue.push(self.now_ms + after_ms, event);
     }
 
     /// Adds a line to the trace.
@@ -410,12 +381,12 @@
 
     fn run(&mut self) {
         let end = self.end_ms();
-        while let Some(Reverse(next)) = self.queue.pop() {
-            if next.at_ms > end {
+        while let Some((at_ms, event)) = self.queue.pop() {
+            if at_ms > end {
                 break;
             }
-            self.now_ms = next.at_ms;
-            self.happen(next.event);
+            self.now_ms = at_ms;
+            self.happen(event);
         }
         self.now_ms = end;
         self.check_at_end();
@@ -493,7 +464,7 @@
         let process = target.process;
         self.note(|| format!("node {slot} starts, process {process}"));
         self.check_revision(slot);
-        self.schedule(self.sequence % TICK_MS, SimEvent::Tick { slot, process });
+        self.schedule(self.queue.count() % TICK_MS, SimEvent::Tick { slot, process });
     }
 
     /// Ends a node's process at once. Its disk stays as it is.
@@ -652,7 +623,7 @@
     }
 
     fn has_answer_on_its_way(&self, caller: CallerId) -> bool {
-        self.queue.iter().any(|Reverse(scheduled)| match &scheduled.event {
+        self.queue.events().any(|event| match event {
             SimEvent::Answer { caller: to, answer: Some(answer) } => *to == caller && answer.is_final(),
             SimEvent::Node { event, .. } => matches!(&**event, Event::Call { caller: by, .. } if *by == caller),
             _ => false,
--- a/crates/core/src/node/configuration_flow.rs
+++ b/crates/core/src/node/configuration_flow.rs
@@ -1,22 +1,21 @@
-//! Accepting, spreading and taking configuration, and the budget of calls to the key-value service.
+//! Accepting, spreading and taking configuration.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use rand::Rng;
 
 use super::effect::{Effect, KeyValueOperation};
-use super::event::{CallerAnswer, KeyValueCall, KeyValueOutcome};
+use super::event::{CallerAnswer, KeyValueOutcome};
+use super::key_value_flow::KeyValuePurpose;
 use super::machine::Node;
 use super::peer_message::{ConfigurationMessage, PeerMessage};
-use super::settings::NodeSettings;
 use crate::configuration::apply::ApplyAnswer;
 use crate::configuration::bundle::PartContents;
 use crate::configuration::replica::OfferOutcome;
 use crate::configuration::{
     ApplyId, ApplyOutcome, ApplyStep, Bundle, ConfigurationApply, InForce, Manifest, PartDigest,
 };
-use crate::control::GroupsRecord;
 use crate::error::{ErrorKind, Refusal};
 use crate::identity::{CallerId, NodeId};
 use crate::log_event::LogEvent;
@@ -39,44 +38,6 @@
 const CONFIRMATION_TIMEOUT: Millis = Millis(2_000);
 /// The wait before a step of a change that got no answer is repeated.
 const APPLY_BACKOFF: Millis = Millis(150);
-/// Tokens that only a change of configuration may use.
-const RESERVED_CALLS: f64 = 4.0;
-/// Most tokens saved up.
-const MOST_CALLS_SAVED: f64 = 16.0;
-
-/// What a call to the key-value service is for.
-#[derive(Clone, Debug)]
-pub(super) enum KeyValuePurpose {
-    /// A watching node reads the manifest.
-    WatchManifest,
-    /// A watching node reads a part.
-    FetchPart(PartDigest),
-    /// A step of a change.
-    Apply(CallerId),
-    /// A step of the control lease.
-    Lease,
-    /// A node looks for others.
-    ReadNodes,
-    /// Addresses of present nodes are written.
-    WriteNodes,
-    /// The founding record is read.
-    ReadGroups,
-    /// The founding record is written.
-    FoundGroups(GroupsRecord),
-}
-
-impl KeyValuePurpose {
-    /// Operators' changes may use the reserve.
-    fn is_urgent(&self) -> bool {
-        matches!(self, Self::Apply(_))
-    }
-}
-
-struct WaitingCall {
-    purpose: KeyValuePurpose,
-    operation: KeyValueOperation,
-    not_before: Timestamp,
-}
 
 /// An accepted change whose operator waits until other nodes have it.
 struct Confirmation {
@@ -87,35 +48,23 @@
     deadline: Timestamp,
 }
 
-/// What a node keeps for configuration and the key-value service.
+/// What a node keeps for configuration.
 pub(super) struct ConfigurationState {
     applies: BTreeMap<CallerId, ConfigurationApply>,
     confirmations: BTreeMap<CallerId, Confirmation>,
-    calls: BTreeMap<KeyValueCall, KeyValuePurpose>,
-    waiting: VecDeque<WaitingCall>,
-    next_call: u64,
-    tokens: f64,
-    tokens_at: Timestamp,
     next_watch: Timestamp,
     next_fetch: Timestamp,
     source: Option<NodeId>,
-    service_answers: bool,
 }
 
 impl ConfigurationState {
-    pub(super) fn new(_settings: &NodeSettings, now: Timestamp) -> Self {
+    pub(super) fn new(now: Timestamp) -> Self {
         Self {
             applies: BTreeMap::new(),
             confirmations: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            waiting: VecDeque::new(),
-            next_call: 1,
-            tokens: MOST_CALLS_SAVED,
-            tokens_at: now,
             next_watch: now,
             next_fetch: now,
             source: None,
-            service_answers: true,
         }
     }
 }
@@ -134,73 +83,6 @@
         }
     }
 
-    // Calls to the key-value service.
-
-    pub(super) fn call_key_value(&mut self, purpose: KeyValuePurpose, operation: KeyValueOperation) {
-        self.call_key_value_after(purpose, operation, Millis(0));
-    }
-
-    fn call_key_value_after(&mut self, purpose: KeyValuePurpose, operation: KeyValueOperation, wait: Millis) {
-        let not_before = self.clock.now + wait;
-        self.configuration_state.waiting.push_back(WaitingCall { purpose, operation, not_before });
-        self.send_waiting_calls();
-    }
-
-    /// Sends the calls that the rate limit allows; those of operators may use its reserve.
-    fn send_waiting_calls(&mut self) {
-        let now = self.clock.now;
-        let state = &mut self.configuration_state;
-        let earned = now.since(state.tokens_at).0 as f64 / 1_000.0 * self.settings.key_value_rate;
-        state.tokens = (state.tokens + earned).min(MOST_CALLS_SAVED);
-        state.tokens_at = now;
-        let mut kept = VecDeque::new();
-        while let Some(waiting) = state.waiting.pop_front() {
-            let floor = if waiting.purpose.is_urgent() { 1.0 } else { 1.0 + RESERVED_CALLS };
-            if now < waiting.not_before || state.tokens < floor {
-                kept.push_back(waiting);
-                continue;
-            }
-            state.tokens -= 1.0;
-            let call = KeyValueCall(state.next_call);
-            state.next_call += 1;
-            state.calls.insert(call, waiting.purpose);
-            self.effects.push(Effect::KeyValue { call, operation: waiting.operation });
-        }
-        state.waiting = kept;
-    }
-
-    pub(super) fn on_key_value(&mut self, call: KeyValueCall, outcome: KeyValueOutcome) {
-        let Some(purpose) = self.configuration_state.calls.remove(&call) else { return };
-        self.note_service(&outcome);
-        match purpose {
-            KeyValuePurpose::WatchManifest => self.on_watched_manifest(outcome),
-            KeyValuePurpose::FetchPart(digest) => {
-                if let KeyValueOutcome::Value { value, .. } = outcome {
-                    let offer = self.configuration.offer_part(digest, value);
-                    self.on_offer(offer);
-                }
-            }
-            KeyValuePurpose::Apply(caller) => self.on_apply_answer(caller, outcome),
-            KeyValuePurpose::Lease => self.on_lease_answer(outcome),
-            KeyValuePurpose::ReadNodes => self.on_nodes_read(&outcome),
-            KeyValuePurpose::WriteNodes => {}
-            KeyValuePurpose::ReadGroups => self.on_groups_read(outcome),
-            KeyValuePurpose::FoundGroups(record) => self.on_groups_founded(&record, outcome),
-        }
-    }
-
-    fn note_service(&mut self, outcome: &KeyValueOutcome) {
-        let answers = !matches!(outcome, KeyValueOutcome::NoAnswer);
-        if !answers {
-            self.counters.key_value_failures += 1;
-        }
-        if answers != self.configuration_state.service_answers {
-            self.configuration_state.service_answers = answers;
-            let event = if answers { LogEvent::PlatformRecovered } else { LogEvent::PlatformUnavailable };
-            self.log(event, "key-value service");
-        }
-    }
-
     // An operator's change.
 
     /// Whether an operator waits for a change.
@@ -247,7 +129,7 @@
         self.call_key_value_after(KeyValuePurpose::Apply(caller), operation, wait);
     }
 
-    fn on_apply_answer(&mut self, caller: CallerId, outcome: KeyValueOutcome) {
+    pub(super) fn on_apply_answer(&mut self, caller: CallerId, outcome: KeyValueOutcome) {
         let now = self.clock.now;
         let is_part = self.configuration_state.applies.get(&caller).is_some_and(ConfigurationApply::writes_parts);
         let Some(apply) = self.configuration_state.applies.get_mut(&caller) else { return };
@@ -383,7 +265,7 @@
         self.send_waiting_calls();
     }
 
-    fn on_watched_manifest(&mut self, outcome: KeyValueOutcome) {
+    pub(super) fn on_watched_manifest(&mut self, outcome: KeyValueOutcome) {
         if let KeyValueOutcome::Value { value, .. } = outcome
             && let Ok(manifest) = serde_json::from_str::<Manifest>(&value)
         {
@@ -401,7 +283,7 @@
         self.on_offer(offer);
     }
 
-    fn on_offer(&mut self, offer: OfferOutcome) {
+    pub(super) fn on_offer(&mut self, offer: OfferOutcome) {
         match offer {
             OfferOutcome::Taken => self.configuration_taken(),
             OfferOutcome::Missing(_) | OfferOutcome::NotNewer => {}
@@ -444,7 +326,7 @@
             let request = ConfigurationMessage::PartsRequest { from, digests: digests.clone() };
             self.send(node, PeerMessage::Configuration(request));
         }
-        if self.configuration_state.waiting.is_empty()
+        if self.key_value.is_idle()
             && let Some(digest) = digests.first()
         {
             let operation = KeyValueOperation::Get { key: part_key(*digest) };
--- a/crates/core/src/node/control_flow.rs
+++ b/crates/core/src/node/control_flow.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use super::configuration_flow::KeyValuePurpose;
 use super::effect::{Effect, EngineOrder, KeyValueOperation};
 use super::event::{KeyValueOutcome, OrderOutcome};
+use super::key_value_flow::KeyValuePurpose;
 use super::machine::Node;
 use crate::control::{
     ControlLease, EnginePlacement, LEASE_KEY, LeaseAnswer, LeaseRecord, LeaseStep, ModelOrder, plan_placement,
--- a/crates/core/src/node/discovery_flow.rs
+++ b/crates/core/src/node/discovery_flow.rs
@@ -7,9 +7,9 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use super::configuration_flow::KeyValuePurpose;
 use super::effect::KeyValueOperation;
 use super::event::KeyValueOutcome;
+use super::key_value_flow::KeyValuePurpose;
 use super::machine::Node;
 use crate::time::{Millis, Timestamp};
 
--- a/crates/core/src/node/founding_flow.rs
+++ b/crates/core/src/node/founding_flow.rs
@@ -2,9 +2,9 @@
 
 use rand::Rng;
 
-use super::configuration_flow::KeyValuePurpose;
 use super::effect::KeyValueOperation;
 use super::event::KeyValueOutcome;
+use super::key_value_flow::KeyValuePurpose;
 use super::machine::Node;
 use super::peer_message::PeerMessage;
 use crate::control::{DirectoryEntry, GROUPS_KEY, GroupsRecord, StoreCandidate, plan_groups};
--- a/crates/core/src/node/machine.rs
+++ b/crates/core/src/node/machine.rs
@@ -17,6 +17,7 @@
 use super::founding_flow::FoundingState;
 use super::group_client::GroupClient;
 use super::groups::GroupHost;
+use super::key_value_flow::KeyValueState;
 use super::online_flow::{OnlineState, refusal_before_mark};
 use super::peer_message::{CreditMessage, PeerMessage};
 use super::settings::NodeSettings;
@@ -64,6 +65,7 @@
     pub(super) membership: Membership,
     pub(super) configuration: ConfigurationReplica,
     pub(super) configuration_state: ConfigurationState,
+    pub(super) key_value: KeyValueState,
     pub(super) directory: GroupDirectory,
     pub(super) founding: FoundingState,
     pub(super) discovery: DiscoveryState,
@@ -103,7 +105,8 @@
             effects: Vec::new(),
             membership,
             configuration: ConfigurationReplica::default(),
-            configuration_state: ConfigurationState::new(&settings, clock.now),
+            configuration_state: ConfigurationState::new(clock.now),
+            key_value: KeyValueState::new(clock.now),
             directory: GroupDirectory::default(),
             founding: FoundingState::new(clock.now),
             discovery: DiscoveryState::new(clock.now),
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | `callers` | what callers and operators ask, and the answers |
 //! | `online_flow` | an online request from admission to its last piece |
+//! | `online_records` | marks of not-repeatable requests, and session records |
 //! | `upload` | taking in a batch job |
 //! | `batch_flow` | running batch items within granted limits |
 //! | `groups` | the replicas that this node hosts |
@@ -17,6 +18,8 @@
 //! | `control_flow` | the control lease and the orders given under it |
 //! | `discovery_flow` | finding other nodes when no seed answers |
 //! | `founding_flow` | founding and finding groups |
+//! | `key_value_flow` | calls to the key-value service, within its rate limit |
+//! | `steward_flow` | dividing an engine between batch holders |
 //! | `stopping` | the planned stop |
 
 mod batch_flow;
@@ -30,11 +33,14 @@
 mod founding_flow;
 mod group_client;
 mod groups;
+mod key_value_flow;
 mod machine;
 mod online_flow;
+mod online_records;
 mod peer_message;
 mod settings;
 mod status;
+mod steward_flow;
 mod stopping;
 mod upload;
 
--- a/crates/core/src/node/online_flow.rs
+++ b/crates/core/src/node/online_flow.rs
@@ -9,29 +9,20 @@
 
 use super::effect::{Effect, EngineRequest, RequestClass};
 use super::event::{CallerAnswer, StreamEvent};
-use super::group_client::{GroupReply, Purpose};
 use super::machine::Node;
 use crate::configuration::fleet::Service;
 use crate::error::{ErrorKind, Ran, Refusal};
-use crate::hashing::{group_of, hash_parts};
+use crate::hashing::hash_parts;
 use crate::identity::{AttemptId, CallerId, EngineName};
 use crate::log_event::LogEvent;
 use crate::online::{
     DecisionStep, Delivery, ExplanationStore, OnlineCall, OnlinePhase, OnlineRequest, PieceOutcome, RetryBudget,
     SessionCache,
 };
-use crate::partition::{
-    Command, CommandOutcome, Query, QueryAnswer, RequestKey, SessionKey, SessionRecord, Settlement,
-};
+use crate::partition::{RequestKey, Settlement};
 use crate::routing::{OnlineDemand, RoutingRefusal, Selection, prompt_blocks, select_online};
 use crate::time::{Millis, Timestamp};
 
-/// How long the mark of a not-repeatable request may take.
-const MARK_TIMEOUT: Millis = Millis(3_000);
-/// How long a session's record may take; after it the request is placed without.
-const SESSION_TIMEOUT: Millis = Millis(600);
-/// How long a settlement or a session's new record is tried.
-const BACKGROUND_TIMEOUT: Millis = Millis(15_000);
 /// An engine that sends nothing for this long counts as lost.
 const SILENCE_TIMEOUT: Millis = Millis(10_000);
 /// Bytes of the prompt that make the affinity of a request without a session.
@@ -45,7 +36,7 @@
     last_heard: BTreeMap<AttemptId, Timestamp>,
     tenant_in_flight: BTreeMap<Arc<str>, u32>,
     retry_budget: RetryBudget,
-    sessions: SessionCache,
+    pub(super) sessions: SessionCache,
     pub(super) explanations: ExplanationStore,
 }
 
@@ -125,154 +116,10 @@
         }
     }
 
-    // The mark of a not-repeatable request.
-
-    fn mark(&mut self, caller: CallerId) {
-        let group_count = self.directory.group_count();
-        let at = self.clock.civil;
-        let Some(request) = self.online.requests.get_mut(&caller) else { return };
-        request.phase = OnlinePhase::Marking;
-        let Some(key) = request_key(request) else { return };
-        if group_count == 0 {
-            self.refuse_online(caller, Refusal::new(ErrorKind::StateUnavailable, "replica groups are not known yet"));
-            return;
-        }
-        let command = Command::MarkRequest {
-            digest: request_digest(&request.call),
-            holder: request.holder,
-            at,
-            request: key.clone(),
-        };
-        let group = group_of(&key.tenant, &key.key, group_count);
-        let left = request.deadline.since(self.clock.now);
-        let within = Millis(MARK_TIMEOUT.0.min(left.0));
-        self.command(group, command, Purpose::Mark(caller), within);
-    }
-
-    pub(super) fn on_marked(&mut self, caller: CallerId, reply: GroupReply) {
-        if !self.online.requests.contains_key(&caller) {
-            return;
-        }
-        match reply {
-            GroupReply::Outcome(CommandOutcome::Marked) => {
-                if let Some(request) = self.online.requests.get_mut(&caller) {
-                    request.marked = true;
-                    request.mark_confirmed = true;
-                }
-                self.note(caller, DecisionStep::Marked);
-                self.find_session(caller);
-            }
-            GroupReply::Outcome(CommandOutcome::AlreadyMarked { settlement: Some(Settlement::Answered) }) => {
-                let detail = "the request ran and was answered";
-                self.refuse_online(caller, Refusal::new(ErrorKind::AlreadyRan, detail));
-            }
-            GroupReply::Outcome(CommandOutcome::AlreadyMarked { .. }) => {
-                let detail = "the request was sent before; whether it ran is not known";
-                self.refuse_online(caller, Refusal::new(ErrorKind::OutcomeUnknown, detail));
-            }
-            GroupReply::Outcome(CommandOutcome::MarkConflict) => {
-                let detail = "the key was used for another request";
-                self.refuse_online(caller, Refusal::new(ErrorKind::KeyConflict, detail));
-            }
-            _ => {
-                // The mark may be replicated all the same; settling it lets a resend through.
-                if let Some(request) = self.online.requests.get_mut(&caller) {
-                    request.marked = true;
-                }
-                let detail = "the request could not be marked in time, so it was not sent";
-                self.refuse_online(caller, Refusal::new(ErrorKind::StateUnavailable, detail));
-            }
-        }
-    }
-
-    fn settle(&mut self, request: &OnlineRequest, settlement: Settlement) {
-        if !request.marked {
-            return;
-        }
-        let Some(key) = request_key(request) else { return };
-        let command = Command::SettleRequest {
-            request: key.clone(),
-            digest: request_digest(&request.call),
-            holder: request.holder,
-            settlement,
-            at: self.clock.civil,
-        };
-        let group = group_of(&key.tenant, &key.key, self.directory.group_count());
-        self.command(group, command, Purpose::Settle(key), BACKGROUND_TIMEOUT);
-    }
-
-    // The session's record.
-
-    fn find_session(&mut self, caller: CallerId) {
-        let group_count = self.directory.group_count();
-        let Some(request) = self.online.requests.get_mut(&caller) else { return };
-        request.phase = OnlinePhase::LookingUpSession;
-        let Some(key) = request.session_key().filter(|_| group_count > 0) else {
-            self.place(caller);
-            return;
-        };
-        if let Some(record) = self.online.sessions.get(&key) {
-            self.use_session(caller, record);
-            return;
-        }
-        let group = group_of(&key.tenant, &key.session, group_count);
-        self.query(group, Query::Session { session: key }, Purpose::FindSession(caller), SESSION_TIMEOUT);
-    }
-
-    pub(super) fn on_session_found(&mut self, caller: CallerId, reply: GroupReply) {
-        match reply {
-            GroupReply::Answer(QueryAnswer::Session(Some(record))) => {
-                let key = self.online.requests.get(&caller).and_then(OnlineRequest::session_key);
-                if let Some(key) = key {
-                    self.online.sessions.insert(key, record.clone());
-                }
-                self.use_session(caller, record);
-            }
-            GroupReply::Answer(_) => self.place(caller),
-            _ => {
-                self.note(caller, DecisionStep::SessionUnavailable);
-                self.place(caller);
-            }
-        }
-    }
-
-    fn use_session(&mut self, caller: CallerId, record: SessionRecord) {
-        let step = DecisionStep::SessionFound { engine: record.engine.clone(), generation: record.generation };
-        if let Some(request) = self.online.requests.get_mut(&caller) {
-            request.session = Some(record);
-        }
-        self.note(caller, step);
-        self.place(caller);
-    }
-
-    /// Replicates where a session lives, if that changed.
-    fn record_session(&mut self, caller: CallerId, engine: &EngineName) {
-        let at = self.clock.civil;
-        let group_count = self.directory.group_count();
-        let Some(request) = self.online.requests.get_mut(&caller) else { return };
-        let Some(key) = request.session_key().filter(|_| group_count > 0) else { return };
-        if request.session.as_ref().is_some_and(|record| record.engine == *engine) {
-            return;
-        }
-        let generation = request.session.as_ref().map_or(0, |record| record.generation) + 1;
-        let record =
-            SessionRecord { model: request.call.model.clone(), engine: engine.clone(), generation, placed_at: at };
-        request.session = Some(record.clone());
-        let group = group_of(&key.tenant, &key.session, group_count);
-        let command = Command::PlaceSession { session: key.clone(), record };
-        self.command(group, command, Purpose::PlaceSession(key), BACKGROUND_TIMEOUT);
-    }
-
-    pub(super) fn on_session_placed(&mut self, session: SessionKey, reply: GroupReply) {
-        if let GroupReply::Outcome(CommandOutcome::Session(record)) = reply {
-            self.online.sessions.insert(session, record);
-        }
-    }
-
     // Engines.
 
     /// Chooses an engine and sends the request there.
-    fn place(&mut self, caller: CallerId) {
+    pub(super) fn place(&mut self, caller: CallerId) {
         let now = self.clock.now;
         let Some(fleet) = self.fleet() else { return };
         let Some(request) = self.online.requests.get(&caller) else { return };
@@ -480,7 +327,7 @@
     // Endings.
 
     /// Ends a request with a refusal that says truthfully whether it ran.
-    fn refuse_online(&mut self, caller: CallerId, refusal: Refusal) {
+    pub(super) fn refuse_online(&mut self, caller: CallerId, refusal: Refusal) {
         let Some(request) = self.take_online(caller) else { return };
         let ran = truth_of(&request, &refusal);
         let refusal = refusal.with_ran(ran);
@@ -571,7 +418,7 @@
         self.refuse_online(caller, Refusal::new(kind, "the deadline passed"));
     }
 
-    fn note(&mut self, caller: CallerId, step: DecisionStep) {
+    pub(super) fn note(&mut self, caller: CallerId, step: DecisionStep) {
         if let Some(request) = self.online.requests.get(&caller) {
             let after = self.clock.now.since(request.arrived);
             self.online.explanations.note(&request.call.id, after.0, step);
@@ -602,12 +449,12 @@
     }
 }
 
-fn request_key(request: &OnlineRequest) -> Option<RequestKey> {
+pub(super) fn request_key(request: &OnlineRequest) -> Option<RequestKey> {
     let key = request.call.key.clone()?;
     Some(RequestKey { tenant: request.call.tenant.clone(), key })
 }
 
-fn request_digest(call: &OnlineCall) -> u64 {
+pub(super) fn request_digest(call: &OnlineCall) -> u64 {
     let adapter: &[u8] = call.adapter.as_ref().map_or(b"", |adapter| adapter.as_bytes());
     hash_parts(&[call.model.as_bytes(), adapter, call.prompt.as_bytes()])
 }
--- /dev/null
+++ b/crates/core/src/node/steward_flow.rs
@@ -0,0 +1,79 @@
+//! Being the steward of engines: dividing what online leaves free.
+
+use super::machine::Node;
+use super::peer_message::{CreditMessage, PeerMessage};
+use crate::identity::{EngineName, NodeId};
+use crate::scheduling::{GRANT_LIFETIME, StewardSettings};
+use crate::time::Millis;
+
+/// Online notices are repeated this often while there is anything to tell.
+const NOTICE_INTERVAL: Millis = Millis(1_500);
+
+impl Node {
+    pub(super) fn on_batch_ask(&mut self, engine: &EngineName, from: NodeId, want: u32) {
+        let now = self.clock.now;
+        let Some(settings) = self.steward_settings(engine) else { return };
+        let steward = self.stewards.entry(engine.clone()).or_default();
+        steward.ask(from, want, now);
+        let limit = steward.grant(from, settings);
+        self.send_grant(engine, from, limit);
+    }
+
+    pub(super) fn on_online_notice(&mut self, engine: &EngineName, from: NodeId, in_flight: u32) {
+        let now = self.clock.now;
+        let Some(settings) = self.steward_settings(engine) else { return };
+        let steward = self.stewards.entry(engine.clone()).or_default();
+        steward.online_notice(from, in_flight, now);
+        let recalls = steward.recalls(settings);
+        for recall in recalls {
+            self.send_grant(engine, recall.holder, recall.limit);
+        }
+    }
+
+    pub(super) fn tick_stewards(&mut self) {
+        let now = self.clock.now;
+        let engines: Vec<EngineName> = self.stewards.keys().cloned().collect();
+        for engine in engines {
+            let settings = self.steward_settings(&engine);
+            let Some(steward) = self.stewards.get_mut(&engine) else { continue };
+            steward.expire(now);
+            // Limits are lowered at once where they must be; they are raised at the next tick.
+            let changes = settings.map(|settings| steward.changes(settings)).unwrap_or_default();
+            for change in changes {
+                self.send_grant(&engine, change.holder, change.limit);
+            }
+        }
+    }
+
+    fn send_grant(&mut self, engine: &EngineName, holder: NodeId, limit: u32) {
+        let message = CreditMessage::Grant { engine: engine.clone(), limit, lifetime: GRANT_LIFETIME };
+        self.send(holder, PeerMessage::Credit(message));
+    }
+
+    /// What the steward of an engine goes by. A leaving engine has no slots to share out.
+    fn steward_settings(&self, engine: &EngineName) -> Option<StewardSettings> {
+        let state = self.engines.get(engine)?;
+        let fleet = self.configuration.in_force()?.fleet.clone();
+        let service = fleet.services.get(&state.configured.service)?;
+        let slots = if state.is_usable(self.clock.now) { state.slots() } else { 0 };
+        Some(StewardSettings { slots, online_headroom: service.online_headroom })
+    }
+
+    /// Tells stewards of online requests that started or ended here, and now and then of those that go on.
+    pub(super) fn flush_notices(&mut self) {
+        let now = self.clock.now;
+        if now >= self.batch.next_notice {
+            self.batch.next_notice = now + NOTICE_INTERVAL;
+            let busy = self.engines.iter().filter(|(_, state)| state.own_online > 0);
+            let busy: Vec<EngineName> = busy.map(|(name, _)| name.clone()).collect();
+            self.batch.notices_due.extend(busy);
+        }
+        let from = self.settings.id;
+        for engine in std::mem::take(&mut self.batch.notices_due) {
+            let in_flight = self.engines.get(&engine).map_or(0, |state| state.own_online);
+            let steward = self.steward_of(&engine);
+            let message = CreditMessage::OnlineNotice { engine, from, in_flight };
+            self.send(steward, PeerMessage::Credit(message));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/replication/election.rs
@@ -0,0 +1,131 @@
+//! Elections: asking for votes and giving them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::log::{EntryPayload, HardState, LogIndex, Term};
+use super::message::MessageKind;
+use super::replica::{LeaderState, Replica, Role};
+use crate::identity::NodeId;
+use crate::time::Timestamp;
+
+impl Replica {
+    pub(super) fn campaign(&mut self, now: Timestamp) {
+        self.reset_election_deadline(now);
+        if !self.log.membership().voters.contains(&self.id) {
+            return;
+        }
+        self.role = Role::PreCandidate { votes: BTreeSet::from([self.id]) };
+        let kind = MessageKind::PreVote { last_index: self.log.last_index(), last_term: self.log.last_term() };
+        self.broadcast_to_voters(Term(self.hard_state.term.0 + 1), kind);
+        self.count_votes(now);
+    }
+
+    pub(super) fn become_candidate(&mut self, transfer: bool, now: Timestamp) {
+        self.hard_state = HardState { term: Term(self.hard_state.term.0 + 1), voted_for: Some(self.id) };
+        self.write.hard_state = Some(self.hard_state);
+        self.reset_election_deadline(now);
+        self.role = Role::Candidate { votes: BTreeSet::from([self.id]) };
+        let kind = MessageKind::Vote { last_index: self.log.last_index(), last_term: self.log.last_term(), transfer };
+        self.broadcast_to_voters(self.hard_state.term, kind);
+        self.count_votes(now);
+    }
+
+    pub(super) fn count_votes(&mut self, now: Timestamp) {
+        let membership = self.log.membership();
+        let won = |votes: &BTreeSet<NodeId>| votes.intersection(&membership.voters).count() >= membership.majority();
+        match &self.role {
+            Role::PreCandidate { votes } if won(votes) => self.become_candidate(false, now),
+            Role::Candidate { votes } if won(votes) => self.become_leader(now),
+            _ => {}
+        }
+    }
+
+    pub(super) fn on_pre_vote(
+        &mut self,
+        from: NodeId,
+        term: Term,
+        last_index: LogIndex,
+        last_term: Term,
+        now: Timestamp,
+    ) {
+        let granted =
+            term > self.hard_state.term && !self.leader_lease_holds(now) && self.is_up_to_date(last_index, last_term);
+        let answer_term = if granted { term } else { self.hard_state.term };
+        self.send_in_term(answer_term, from, MessageKind::PreVoteAnswer { granted });
+    }
+
+    pub(super) fn on_pre_vote_answer(&mut self, from: NodeId, granted: bool, now: Timestamp) {
+        if let Role::PreCandidate { votes } = &mut self.role
+            && granted
+        {
+            votes.insert(from);
+            self.count_votes(now);
+        }
+    }
+
+    pub(super) fn on_vote(&mut self, from: NodeId, last_index: LogIndex, last_term: Term, now: Timestamp) {
+        let free = self.hard_state.voted_for.is_none_or(|node| node == from);
+        let granted =
+            free && matches!(self.role, Role::Follower { leader: None }) && self.is_up_to_date(last_index, last_term);
+        if granted {
+            self.hard_state.voted_for = Some(from);
+            self.write.hard_state = Some(self.hard_state);
+            self.reset_election_deadline(now);
+        }
+        self.send(from, MessageKind::VoteAnswer { granted });
+    }
+
+    pub(super) fn on_vote_answer(&mut self, from: NodeId, granted: bool, now: Timestamp) {
+        if let Role::Candidate { votes } = &mut self.role
+            && granted
+        {
+            votes.insert(from);
+            self.count_votes(now);
+        }
+    }
+
+    /// A log is up to date if its last entry has a later term, or the same term and no lower index.
+    pub(super) fn is_up_to_date(&self, last_index: LogIndex, last_term: Term) -> bool {
+        (last_term, last_index) >= (self.log.last_term(), self.log.last_index())
+    }
+
+    /// A node that heard its leader a short while ago doesn't help to depose it.
+    pub(super) fn leader_lease_holds(&self, now: Timestamp) -> bool {
+        if self.is_leader() {
+            return true;
+        }
+        self.last_leader_contact.is_some_and(|at| now.since(at) < self.settings.election_timeout)
+    }
+
+    pub(super) fn become_follower(&mut self, term: Term, leader: Option<NodeId>, now: Timestamp) {
+        if term > self.hard_state.term {
+            self.hard_state = HardState { term, voted_for: None };
+            self.write.hard_state = Some(self.hard_state);
+        }
+        self.role = Role::Follower { leader };
+        self.reset_election_deadline(now);
+    }
+
+    pub(super) fn follow(&mut self, leader: NodeId, now: Timestamp) {
+        if !matches!(self.role, Role::Follower { leader: Some(known) } if known == leader) {
+            self.become_follower(self.hard_state.term, Some(leader), now);
+        }
+        self.last_leader_contact = Some(now);
+        self.reset_election_deadline(now);
+    }
+
+    pub(super) fn become_leader(&mut self, now: Timestamp) {
+        let first_index = self.log.last_index().next();
+        self.role = Role::Leader(LeaderState {
+            progress: BTreeMap::new(),
+            elected_at: now,
+            first_index,
+            last_heartbeat: now,
+            transfer: None,
+        });
+        self.append_as_leader(EntryPayload::Empty);
+        self.track_members(now);
+        self.broadcast_appends(now);
+        self.advance_commit();
+    }
+}
--- /dev/null
+++ b/crates/core/src/replication/following.rs
@@ -0,0 +1,67 @@
+//! Following: taking the leader's entries and snapshots.
+
+use super::log::{Entry, LogIndex, Snapshot, Term};
+use super::message::MessageKind;
+use super::replica::{Replica, ReplicaEffect};
+use crate::identity::NodeId;
+
+impl Replica {
+    /// Takes entries. Returns whether they fit, and the place to answer with.
+    pub(super) fn on_append(
+        &mut self,
+        previous_index: LogIndex,
+        previous_term: Term,
+        commit: LogIndex,
+        entries: Vec<Entry>,
+    ) -> (bool, LogIndex) {
+        if previous_index < self.log.snapshot().index {
+            // All up to the snapshot is committed, so it matches.
+            return (true, self.log.snapshot().index);
+        }
+        if self.log.term_at(previous_index) != Some(previous_term) {
+            return (false, self.log.last_index().min(previous_index.previous()));
+        }
+        let matched = entries.last().map_or(previous_index, |entry| entry.index);
+        self.append_as_follower(entries);
+        self.commit = self.commit.max(commit.min(matched));
+        (true, matched)
+    }
+
+    pub(super) fn append_as_follower(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            match self.log.term_at(entry.index) {
+                Some(term) if term == entry.term => continue,
+                Some(_) => self.truncate_from(entry.index),
+                None => {}
+            }
+            self.log.append(entry.clone());
+            self.write.entries.push(entry);
+        }
+    }
+
+    pub(super) fn truncate_from(&mut self, index: LogIndex) {
+        debug_assert!(index > self.commit, "a committed entry must never be dropped");
+        self.log.truncate_from(index);
+        self.write.entries.retain(|entry| entry.index < index);
+        let lowest = self.write.truncate_from.map_or(index, |earlier| earlier.min(index));
+        self.write.truncate_from = Some(lowest);
+    }
+
+    pub(super) fn on_snapshot(&mut self, from: NodeId, snapshot: Snapshot) {
+        let index = snapshot.index;
+        if self.log.term_at(index) == Some(snapshot.term) {
+            // The log holds the snapshot's last entry, so all up to it matches, and what follows may
+            // have been acknowledged: it must stay (Raft, section 7).
+            self.commit = self.commit.max(index);
+        } else if index > self.commit {
+            self.write.truncate_from = Some(LogIndex(0));
+            self.write.snapshot = Some(snapshot.clone());
+            self.log.restore(snapshot.clone());
+            self.commit = index;
+            self.applied = index;
+            self.effects.push(ReplicaEffect::Restore(snapshot));
+        }
+        let index = self.commit;
+        self.send(from, MessageKind::AppendAnswer { accepted: true, index, echo: None });
+    }
+}
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -11,6 +11,9 @@
 //! * Writes to disk are effects. A driver carries out all [`Persist`](ReplicaEffect::Persist) effects
 //!   before any later effect, so that nothing is said which the disk doesn't hold.
 
+mod election;
+mod following;
+mod leading;
 mod log;
 mod membership;
 mod message;
