--- a/crates/bench/src/capacity/measures.rs
+++ b/crates/bench/src/capacity/measures.rs
@@ -61,14 +61,51 @@
     }
 }
 
-/// Runs all measurements.
-pub fn run_all() -> CapacityReport {
-    let mut measures = measure_nodes();
-    measures.extend(measure_requests());
-    measures.extend(measure_items());
-    measures.extend(measure_engines());
-    measures.extend(measure_tenants());
-    CapacityReport { measures }
+/// The measurements, each by the name of what varies.
+pub const PARTS: [(&str, fn() -> Vec<Measure>); 6] = [
+    ("nodes", measure_nodes),
+    ("groups", measure_groups),
+    ("requests", measure_requests),
+    ("items", measure_items),
+    ("engines", measure_engines),
+    ("tenants", measure_tenants),
+];
+
+/// Runs all measurements, or one part of them.
+pub fn run_parts(only: Option<&str>) -> CapacityReport {
+    let wanted = PARTS.iter().filter(|(name, _)| only.is_none_or(|only| only == *name));
+    CapacityReport { measures: wanted.flat_map(|(_, part)| part()).collect() }
+}
+
+/// What a storing node spends on its replicas at rest, by the number of replicas it holds.
+fn measure_groups() -> Vec<Measure> {
+    /// 256 groups of three replicas over 96 storing nodes.
+    const TARGET: f64 = 256.0 * 3.0 / 96.0;
+    const NODES: usize = 6;
+    let mut bytes = Vec::new();
+    let mut messages = Vec::new();
+    let mut busy = Vec::new();
+    for groups in [8, 16, 32, 64] {
+        let mut fleet = Fleet::start(NODES, NODES, 0);
+        fleet.run(3_000);
+        let bundle = fleet.bundle(10, groups);
+        fleet.apply(bundle);
+        fleet.run(20_000);
+        fleet.spending = super::fleet::Spending::default();
+        fleet.run(STEADY_MS);
+        let per_node = NODES as f64 * STEADY_MS as f64 / 1_000.0;
+        let size = groups as f64 * 3.0 / NODES as f64;
+        let traffic = fleet.spending.traffic.get("replication").copied().unwrap_or_default();
+        bytes.push(Point { size, value: traffic.bytes as f64 / per_node });
+        messages.push(Point { size, value: traffic.messages as f64 / per_node });
+        busy.push(Point { size, value: fleet.spending.busy.as_secs_f64() / per_node * 100.0 });
+    }
+    let per = "replica at a node";
+    vec![
+        Measure::new("storing: replication at rest", per, "bytes/s", TARGET, bytes),
+        Measure::new("storing: replication messages at rest", per, "messages/s", TARGET, messages),
+        Measure::new("storing: decision code at rest", per, "% of a core", TARGET, busy),
+    ]
 }
 
 /// What a node spends at rest, by the number of nodes.
--- a/crates/bench/src/capacity/mod.rs
+++ b/crates/bench/src/capacity/mod.rs
@@ -8,5 +8,5 @@
 mod measures;
 mod slope;
 
-pub use measures::{CapacityReport, Measure, run_all};
+pub use measures::{CapacityReport, Measure, PARTS, run_parts};
 pub use slope::{Point, Slope, fit};
--- a/crates/bench/src/capacity_command.rs
+++ b/crates/bench/src/capacity_command.rs
@@ -2,19 +2,27 @@
 
 use std::process::ExitCode;
 
+use clap::builder::PossibleValuesParser;
 use clap::{Arg, ArgAction, ArgMatches, Command};
-use stallmoor_bench::capacity::{Measure, run_all};
+use stallmoor_bench::capacity::{Measure, PARTS, run_parts};
 
 /// The subcommand.
 pub fn command() -> Command {
     Command::new("capacity")
         .about("Measures what each role costs at four sizes or more, for docs/CAPACITY.md")
+        .arg(
+            Arg::new("part")
+                .long("part")
+                .value_name("PART")
+                .value_parser(PossibleValuesParser::new(PARTS.map(|(name, _)| name)))
+                .help("Only what this varies; all parts take some minutes"),
+        )
         .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print JSON and nothing else"))
 }
 
 /// Runs the subcommand.
 pub fn run(arguments: &ArgMatches) -> ExitCode {
-    let report = run_all();
+    let report = run_parts(arguments.get_one::<String>("part").map(String::as_str));
     if arguments.get_flag("json") {
         println!("{}", serde_json::to_string(&report).unwrap_or_default());
         return ExitCode::SUCCESS;
