--- a/crates/bench/src/capacity/measures.rs
+++ b/crates/bench/src/capacity/measures.rs
@@ -61,20 +61,28 @@
     }
 }
 
-/// The measurements, each by the name of what varies.
-pub const PARTS: [(&str, fn() -> Vec<Measure>); 6] = [
-    ("nodes", measure_nodes),
-    ("groups", measure_groups),
-    ("requests", measure_requests),
-    ("items", measure_items),
-    ("engines", measure_engines),
-    ("tenants", measure_tenants),
+/// Measurements that vary one thing.
+#[derive(Clone, Copy)]
+pub struct Part {
+    /// What varies.
+    pub name: &'static str,
+    run: fn() -> Vec<Measure>,
+}
+
+/// All measurements.
+pub const PARTS: [Part; 6] = [
+    Part { name: "nodes", run: measure_nodes },
+    Part { name: "groups", run: measure_groups },
+    Part { name: "requests", run: measure_requests },
+    Part { name: "items", run: measure_items },
+    Part { name: "engines", run: measure_engines },
+    Part { name: "tenants", run: measure_tenants },
 ];
 
 /// Runs all measurements, or one part of them.
 pub fn run_parts(only: Option<&str>) -> CapacityReport {
-    let wanted = PARTS.iter().filter(|(name, _)| only.is_none_or(|only| only == *name));
-    CapacityReport { measures: wanted.flat_map(|(_, part)| part()).collect() }
+    let wanted = PARTS.iter().filter(|part| only.is_none_or(|only| only == part.name));
+    CapacityReport { measures: wanted.flat_map(|part| (part.run)()).collect() }
 }
 
 /// What a storing node spends on its replicas at rest, by the number of replicas it holds.
--- a/crates/bench/src/capacity_command.rs
+++ b/crates/bench/src/capacity_command.rs
@@ -14,7 +14,7 @@
             Arg::new("part")
                 .long("part")
                 .value_name("PART")
-                .value_parser(PossibleValuesParser::new(PARTS.map(|(name, _)| name)))
+                .value_parser(PossibleValuesParser::new(PARTS.map(|part| part.name)))
                 .help("Only what this varies; all parts take some minutes"),
         )
         .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print JSON and nothing else"))
