List a tenant's batches

Change: GET /v1/batches asks each group in turn, so that no index of its own is kept. Measured: the job of a test is listed once, at another node than the one it was sent to.

--- a/crates/core/src/node/event.rs
+++ b/crates/core/src/node/event.rs
@@ -9,7 +9,7 @@
 use super::status::{FleetStatus, NodeStatus};
 use crate::configuration::{ApplyId, Bundle, ConfigurationError};
 use crate::error::Refusal;
-use crate::identity::{AttemptId, CallerId, EngineName, JobId};
+use crate::identity::{AttemptId, CallerId, EngineName, GroupId, JobId};
 use crate::online::{Explanation, OnlineCall};
 use crate::partition::{FinishedItem, JobSummary, NewItem};
 use crate::routing::{CacheEventBatch, LoadReport};
@@ -204,6 +204,15 @@
     Submit(JobSubmission),
     /// Accept a job that was uploaded before.
     Accept(JobId),
+    /// A tenant's jobs in one group; groups are numbered from 0.
+    List {
+        /// The tenant.
+        tenant: Arc<str>,
+        /// The group.
+        group: GroupId,
+        /// Most jobs wanted.
+        limit: u32,
+    },
     /// How far a job is.
     Status(JobId),
     /// Results from an item on.
@@ -271,6 +280,13 @@
         /// What it is and how far.
         summary: JobSummary,
     },
+    /// A tenant's jobs in one group.
+    Jobs {
+        /// The jobs.
+        jobs: Vec<(JobId, JobSummary)>,
+        /// How many groups there are.
+        group_count: u32,
+    },
     /// Results of a job.
     Results {
         /// Those present among the items looked at.
--- a/crates/core/src/node/group_client.rs
+++ b/crates/core/src/node/group_client.rs
@@ -30,6 +30,8 @@
     Upload(CallerId),
     /// A job's status for a caller.
     JobStatus(CallerId, JobId),
+    /// A tenant's jobs in one group for a caller.
+    JobList(CallerId),
     /// A job's results for a caller.
     JobResults(CallerId),
     /// The acceptance of an uploaded job for a caller; the status is read after it.
@@ -92,6 +94,7 @@
         self.pending.retain(|_, pending| match &pending.purpose {
             Purpose::Upload(of)
             | Purpose::JobStatus(of, _)
+            | Purpose::JobList(of)
             | Purpose::JobResults(of)
             | Purpose::AcceptJob(of, _)
             | Purpose::CancelJob(of, _)
@@ -214,6 +217,7 @@
         match purpose {
             Purpose::Upload(caller) => self.on_upload_reply(caller, reply),
             Purpose::JobStatus(caller, job) => self.on_job_status(caller, job, reply),
+            Purpose::JobList(caller) => self.on_job_list(caller, reply),
             Purpose::JobResults(caller) => self.on_job_results(caller, reply),
             Purpose::AcceptJob(caller, job) => self.on_job_accepted(caller, job, reply),
             Purpose::CancelJob(caller, job) => self.on_job_cancelled(caller, job, reply),
--- a/crates/core/src/node/upload.rs
+++ b/crates/core/src/node/upload.rs
@@ -47,6 +47,10 @@
                 let command = Command::AcceptJob { job };
                 self.command(job.group, command, Purpose::AcceptJob(caller, job), STEP_TIMEOUT);
             }
+            BatchCall::List { tenant, group, limit } => {
+                let query = Query::JobList { tenant, limit };
+                self.query(group, query, Purpose::JobList(caller), READ_TIMEOUT);
+            }
             BatchCall::Status(job) => {
                 self.query(job.group, Query::JobStatus { job }, Purpose::JobStatus(caller, job), READ_TIMEOUT);
             }
@@ -186,6 +190,16 @@
         }
     }
 
+    pub(super) fn on_job_list(&mut self, caller: CallerId, reply: GroupReply) {
+        let group_count = self.directory.group_count();
+        match reply {
+            GroupReply::Answer(QueryAnswer::Jobs(jobs)) => {
+                self.answer(caller, CallerAnswer::Jobs { jobs, group_count })
+            }
+            _ => self.refuse(caller, ErrorKind::StateUnavailable, "a group did not answer in time"),
+        }
+    }
+
     pub(super) fn on_job_results(&mut self, caller: CallerId, reply: GroupReply) {
         match reply {
             GroupReply::Answer(QueryAnswer::Results { results, next }) => {
--- a/crates/core/src/partition/query.rs
+++ b/crates/core/src/partition/query.rs
@@ -25,6 +25,13 @@
         /// Most items looked at.
         limit: u32,
     },
+    /// A tenant's jobs in this group, in order of id.
+    JobList {
+        /// The tenant.
+        tenant: Arc<str>,
+        /// Most jobs wanted.
+        limit: u32,
+    },
     /// Where a session lives.
     Session {
         /// The session.
@@ -57,6 +64,8 @@
         /// The first item not looked at; `None` at the job's end.
         next: Option<u32>,
     },
+    /// Jobs.
+    Jobs(Vec<(JobId, JobSummary)>),
     /// The session's record, if there is one.
     Session(Option<SessionRecord>),
 }
--- a/crates/core/src/partition/state.rs
+++ b/crates/core/src/partition/state.rs
@@ -77,6 +77,7 @@
                 self.jobs.get(job).map_or(QueryAnswer::UnknownJob, |job| QueryAnswer::Job(job.summary()))
             }
             Query::JobResults { job, first, limit } => self.results(*job, *first, *limit),
+            Query::JobList { tenant, limit } => self.job_list(tenant, *limit),
             Query::Session { session } => QueryAnswer::Session(self.sessions.get(session).cloned()),
         }
     }
@@ -233,6 +234,11 @@
         CommandOutcome::Forgotten
     }
 
+    fn job_list(&self, tenant: &str, limit: u32) -> QueryAnswer {
+        let of_tenant = self.jobs.iter().filter(|(_, job)| &*job.specification.tenant == tenant);
+        QueryAnswer::Jobs(of_tenant.take(limit as usize).map(|(id, job)| (*id, job.summary())).collect())
+    }
+
     fn results(&self, id: JobId, first: u32, limit: u32) -> QueryAnswer {
         let Some(job) = self.jobs.get(&id) else { return QueryAnswer::UnknownJob };
         let mut results = Vec::new();
--- a/crates/node/src/http/batch.rs
+++ b/crates/node/src/http/batch.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 use stallmoor_core::error::{ErrorKind, Refusal};
-use stallmoor_core::identity::JobId;
+use stallmoor_core::identity::{GroupId, JobId};
 use stallmoor_core::node::{BatchCall, CallerAnswer, CallerCall, JobSubmission};
 use stallmoor_core::partition::{FinishedItem, ItemVerdict, JobPhase, JobSummary, NewItem};
 use stallmoor_core::time::Millis;
@@ -22,6 +22,8 @@
 
 /// How long a job may take where the caller doesn't say.
 const DEFAULT_WITHIN: Millis = Millis(24 * 3_600_000);
+/// Most jobs in one list.
+const LISTED_JOBS: u32 = 1_000;
 /// Items looked at in one page of results.
 const PAGE_ITEMS: u32 = 5_000;
 /// Most items looked at in one page on request.
@@ -90,6 +92,36 @@
     created.map_or_else(|response| response, |(job, summary)| answer::json(StatusCode::OK, &batch_json(job, &summary)))
 }
 
+/// `GET /v1/batches?limit=N`: the tenant's jobs, by group and id.
+pub async fn list_batches(service: &HttpService, headers: &HeaderMap, query: Option<&str>) -> Response<AnswerBody> {
+    let caller = match read_headers(headers) {
+        Ok(caller) => caller,
+        Err(refusal) => return answer::refusal(&refusal),
+    };
+    let Ok(limit) = query_parameter(query, "limit").map(str::parse::<u32>).transpose() else {
+        return answer::refuse(ErrorKind::MalformedRequest, "limit must be a whole number");
+    };
+    let limit = limit.unwrap_or(LISTED_JOBS).min(LISTED_JOBS) as usize;
+    let mut listed = Vec::new();
+    let mut group = 0;
+    let mut group_count = 1;
+    while group < group_count && listed.len() < limit {
+        let left = (limit - listed.len()) as u32;
+        let call = BatchCall::List { tenant: caller.tenant.clone(), group: GroupId(group), limit: left };
+        let mut call = service.callers.call(&service.events, CallerCall::Batch(call)).await;
+        match call.next().await {
+            Some(CallerAnswer::Jobs { jobs, group_count: count }) => {
+                listed.extend(jobs.iter().map(|(job, summary)| batch_json(*job, summary)));
+                group_count = count;
+            }
+            Some(CallerAnswer::Refused(refusal)) => return answer::refusal(&refusal),
+            _ => return answer::unexpected(),
+        }
+        group += 1;
+    }
+    answer::json(StatusCode::OK, &json!({"object": "list", "data": listed}))
+}
+
 /// `GET /v1/batches/JOB`.
 pub async fn batch_status(service: &HttpService, id: &str) -> Response<AnswerBody> {
     let asked = match parse_job(id) {
--- a/crates/node/src/http/router.rs
+++ b/crates/node/src/http/router.rs
@@ -63,6 +63,7 @@
             (&Method::POST, ["v1", "files"]) => batch::upload_file(self, headers, query, &body).await,
             (&Method::GET, ["v1", "files", file, "content"]) => batch::file_content(self, file).await,
             (&Method::POST, ["v1", "batches"]) => batch::create_batch(self, headers, query, &body).await,
+            (&Method::GET, ["v1", "batches"]) => batch::list_batches(self, headers, query).await,
             (&Method::GET, ["v1", "batches", job]) => batch::batch_status(self, job).await,
             (&Method::POST, ["v1", "batches", job, "cancel"]) => batch::cancel_batch(self, job).await,
             (&Method::GET, ["v1", "batches", job, "results"]) => batch::batch_results(self, job, query).await,
--- a/crates/node/tests/serving.rs
+++ b/crates/node/tests/serving.rs
@@ -74,6 +74,12 @@
     }
     let again = fleet.submit(2, "sweep-1", lines(60)).await;
     assert_eq!(again.json()["id"], job.as_str(), "a resend is the same job");
+    let headers = [("stallmoor-tenant", TENANT)];
+    let listed = fleet.client.send(Method::GET, fleet.caller_address(1), "/v1/batches", &headers, "").await.json();
+    assert_eq!(
+        (listed["data"][0]["id"].as_str(), listed["data"].as_array().map(Vec::len)),
+        (Some(job.as_str()), Some(1))
+    );
     let other = fleet.submit(0, "sweep-1", lines(59)).await;
     assert_eq!((other.status, other.code().as_str()), (StatusCode::CONFLICT, "key_conflict"));
 }
