--- a/crates/node/tests/serving.rs
+++ b/crates/node/tests/serving.rs
@@ -13,9 +13,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_online_answer_is_whole_in_one_piece_and_in_many() {
     let fleet = fleet(1, 2).await;
-    let whole = fleet.ask(0, &[("stallmoor-session", "desk-1")], "how is district 7?").await;
+    let whole = fleet.ask(0, &[("stallmoor-session", "desk-1")], "how are the readings?").await;
     assert_eq!(whole.status, StatusCode::OK, "{:?}", whole.body);
-    assert_eq!(whole.json()["choices"][0]["text"], answer_text(MODEL, "how is district 7?", 40));
+    assert_eq!(whole.json()["choices"][0]["text"], answer_text(MODEL, "how are the readings?", 40));
 
     let body =
         json!({"model": MODEL, "stream": true, "max_tokens": 40, "messages": [{"role": "user", "content": "hello"}]});
