--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -19,6 +19,8 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(node())
+        .subcommand(gateway())
+        .subcommand(storage())
         .subcommand(check())
         .subcommand(apply())
         .subcommand(diff())
@@ -44,6 +46,24 @@
         )
 }
 
+fn gateway() -> Command {
+    Command::new("gateway")
+        .about("Runs a gateway on the users' platform: passes requests through to workers")
+        .after_help("Example: stallmoor gateway --settings /etc/stallmoor/local.toml")
+        .arg(serving_settings())
+}
+
+fn storage() -> Command {
+    Command::new("storage")
+        .about("Runs a storing node on the users' platform: keeps batch jobs and runs their items")
+        .after_help("Example: stallmoor storage --settings /etc/stallmoor/local.toml")
+        .arg(serving_settings())
+}
+
+fn serving_settings() -> Arg {
+    path("settings", "The settings file; without it, the one that the platform names")
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Checks a set of operators' files without applying it")
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | `arguments` | the command line |
 //! | `node_command` | `stallmoor node` |
+//! | `serving_commands` | `stallmoor gateway`, `stallmoor storage` |
 //! | `configuration_commands` | `check`, `apply`, `diff` |
 //! | `fleet_commands` | `status`, `explain` |
 //! | `batch_commands` | `batch submit`, `status`, `results`, `cancel` |
@@ -18,6 +19,7 @@
 mod logging;
 mod node_command;
 mod outcome;
+mod serving_commands;
 
 use std::process::ExitCode;
 
@@ -27,7 +29,12 @@
 
 fn main() -> ExitCode {
     let matches = arguments::command().get_matches();
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    // A process on the users' platform has one core; a second thread would only cost switches.
+    let mut builder = match matches.subcommand_name() {
+        Some("gateway" | "storage") => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let runtime = match builder.enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("stallmoor: can't start: {error}");
@@ -46,6 +53,8 @@
 async fn run(matches: &ArgMatches) -> Result<(), CommandError> {
     match matches.subcommand() {
         Some(("node", arguments)) => node_command::run(arguments).await,
+        Some(("gateway", arguments)) => serving_commands::gateway(arguments).await,
+        Some(("storage", arguments)) => serving_commands::storage(arguments).await,
         Some(("check", arguments)) => configuration_commands::check(arguments),
         Some(("apply", arguments)) => configuration_commands::apply(arguments).await,
         Some(("diff", arguments)) => configuration_commands::diff(arguments).await,
--- a/crates/cli/src/outcome.rs
+++ b/crates/cli/src/outcome.rs
@@ -4,6 +4,8 @@
 
 use snafu::Snafu;
 use stallmoor_core::configuration::ConfigurationError;
+use stallmoor_gateway::process::ProcessError;
+use stallmoor_gateway::settings::SettingsError;
 use stallmoor_node::NodeError;
 
 /// Why a command failed. The exit codes are documented in the help of the program.
@@ -56,6 +58,21 @@
         /// Why.
         source: NodeError,
     },
+    /// The settings of a gateway or storing node can't be used.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// Why.
+        source: SettingsError,
+    },
+    /// A gateway or storing node can't start or go on.
+    #[snafu(display("{source}"))]
+    Serving {
+        /// Why.
+        source: ProcessError,
+    },
+    /// No settings file is named.
+    #[snafu(display("no settings file: give --settings"))]
+    NoSettings,
     /// The files differ from those in force.
     #[snafu(display("the files differ from revision {revision}"))]
     Differs {
@@ -69,7 +86,9 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Refused { .. } | Self::File { .. } | Self::Start { .. } | Self::Differs { .. } => 1,
-            Self::Invalid { .. } => 3,
+            Self::Serving { .. } => 1,
+            Self::NoSettings => 2,
+            Self::Invalid { .. } | Self::Settings { .. } => 3,
             Self::Conflict { .. } => 4,
             Self::Unreachable { .. } => 5,
         }
--- /dev/null
+++ b/crates/cli/src/serving_commands.rs
@@ -0,0 +1,34 @@
+//! `stallmoor gateway` and `stallmoor storage`: the processes on the users' platform.
+
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use snafu::ResultExt;
+use stallmoor_adapter::Platform;
+use stallmoor_gateway::settings::ServingSettings;
+use stallmoor_gateway::{log_writer, process};
+
+use crate::outcome::{CommandError, FileSnafu, ServingSnafu, SettingsSnafu};
+
+/// Runs a gateway until it is told to stop.
+pub async fn gateway(arguments: &ArgMatches) -> Result<(), CommandError> {
+    let (path, settings) = prepare(arguments)?;
+    let platform = Platform::new(settings.metadata.address);
+    process::run_gateway(&settings, &path, &platform).await.context(ServingSnafu)
+}
+
+/// Runs a storing node until it is told to stop.
+pub async fn storage(arguments: &ArgMatches) -> Result<(), CommandError> {
+    let (path, settings) = prepare(arguments)?;
+    let platform = Platform::new(settings.metadata.address);
+    process::run_storage(&settings, &path, &platform).await.context(ServingSnafu)
+}
+
+/// Reads the settings and sets up the log.
+fn prepare(arguments: &ArgMatches) -> Result<(PathBuf, ServingSettings), CommandError> {
+    let named = arguments.get_one::<PathBuf>("settings").cloned();
+    let path = named.or_else(stallmoor_adapter::settings_path).ok_or(CommandError::NoSettings)?;
+    let settings = ServingSettings::read(&path).context(SettingsSnafu)?;
+    log_writer::set_up(settings.log.level).context(FileSnafu { path: PathBuf::new() })?;
+    Ok((path, settings))
+}
--- /dev/null
+++ b/crates/core/src/gateway/attempt.rs
@@ -0,0 +1,68 @@
+//! How an attempt at a worker ended, and what follows from it.
+//!
+//! One place decides whether a request may have run. Only a connection that never came up, a worker's
+//! own word, or a write of which no byte left count as "not run".
+
+use super::configuration::RouteKind;
+
+/// How an attempt ended before anything of it was passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// No connection: nothing was sent.
+    NotConnected,
+    /// The worker says that it did not run the request.
+    NotRun {
+        /// It is not the worker that was meant.
+        other_instance: bool,
+    },
+    /// The worker failed the request with a status of its own.
+    Failed {
+        /// The status.
+        status: u16,
+    },
+    /// The connection broke, or brought what is no answer to this request.
+    Broken,
+    /// Nothing came for too long.
+    Silent,
+}
+
+impl AttemptEnd {
+    /// Whether the worker may have run the request.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Self::NotConnected | Self::NotRun { .. })
+    }
+}
+
+/// What is known of a request's attempts so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AttemptLedger {
+    /// Attempts that may have run.
+    pub ran: u32,
+    /// Attempts that certainly did not run.
+    pub not_run: u32,
+}
+
+/// Most attempts of one request that ended without running.
+const MOST_NOT_RUN: u32 = 6;
+
+impl AttemptLedger {
+    /// Notes the end of an attempt.
+    pub fn note(&mut self, end: AttemptEnd) {
+        if end.may_have_run() {
+            self.ran += 1;
+        } else {
+            self.not_run += 1;
+        }
+    }
+
+    /// Whether another attempt is allowed.
+    pub fn may_try_again(&self, kind: RouteKind, max_attempts: u32) -> bool {
+        let allowed_to_run = self.ran == 0 || (kind.may_run_again() && self.ran < max_attempts);
+        allowed_to_run && self.not_run < MOST_NOT_RUN
+    }
+
+    /// Whether a promise that the request never runs would be true.
+    pub fn certainly_not_run(&self) -> bool {
+        self.ran == 0
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/configuration.rs
@@ -0,0 +1,144 @@
+//! The configuration that a gateway goes by: routes, services and limits.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::time::Millis;
+
+/// Whether and how a request may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    /// A request may run any number of times.
+    Repeatable,
+    /// A request runs at most once.
+    AtMostOnce,
+    /// The answer is a stream of events.
+    Stream {
+        /// Another worker may go on after the last event that was passed on.
+        resumable: bool,
+    },
+    /// Batch jobs are submitted here.
+    Batch,
+}
+
+impl RouteKind {
+    /// Whether a request may run on a second worker after it may have run on a first.
+    pub fn may_run_again(self) -> bool {
+        matches!(self, Self::Repeatable | Self::Stream { resumable: true } | Self::Batch)
+    }
+}
+
+/// A part of a route's traffic and the service that takes it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteTarget {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its share, against the weights of the route's other targets.
+    pub weight: u32,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The host that it belongs to.
+    pub host: Arc<str>,
+    /// The path prefix, which begins and ends with a slash.
+    pub prefix: Arc<str>,
+    /// Whether and how its requests may run again.
+    pub kind: RouteKind,
+    /// The longest time for which a request may be held.
+    pub timeout: Millis,
+    /// The time to the first piece of the answer that counts as in time.
+    pub objective: Millis,
+    /// The longest pause between events that counts as in time, if the route has one.
+    pub gap_target: Option<Millis>,
+    /// Its rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Most workers that one request may run on.
+    pub max_attempts: u32,
+    /// Where its requests go.
+    pub targets: Vec<RouteTarget>,
+    /// For batch: after which time from the submission results are due.
+    pub due: Millis,
+    /// For batch: after which time from the submission an item may be given up.
+    pub give_up_after: Option<Millis>,
+    /// For batch: most tokens that may wait; `None` for no limit.
+    pub queued_token_limit: Option<u64>,
+}
+
+/// One service: workers that are alike.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Most connections that one worker accepts from all nodes together.
+    pub max_connections: u32,
+    /// Requests that one worker runs at once.
+    pub slots: u32,
+    /// Tokens that fit into one worker's memory; 0 if not known.
+    pub cache_tokens: u64,
+}
+
+/// What a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerBounds {
+    /// Most bytes in a request's head.
+    pub head_bytes: usize,
+    /// Most bytes in a request's body.
+    pub body_bytes: usize,
+    /// Longest time for a request's head to arrive.
+    pub head_timeout: Millis,
+    /// Longest rest of a connection between requests.
+    pub idle_timeout: Millis,
+}
+
+impl Default for CallerBounds {
+    fn default() -> Self {
+        Self { head_bytes: 16 << 10, body_bytes: 4 << 20, head_timeout: Millis(3_000), idle_timeout: Millis(15_000) }
+    }
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GatewayConfiguration {
+    /// Grows with each change.
+    pub version: u64,
+    /// The routes of each host, longest prefix first.
+    routes: BTreeMap<Arc<str>, Vec<Arc<Route>>>,
+    /// The services by name.
+    pub services: BTreeMap<Arc<str>, Service>,
+    /// What callers may send.
+    pub bounds: CallerBounds,
+}
+
+impl GatewayConfiguration {
+    /// Builds a version from its parts.
+    pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>, bounds: CallerBounds) -> Self {
+        let mut by_host: BTreeMap<Arc<str>, Vec<Arc<Route>>> = BTreeMap::new();
+        for route in routes {
+            by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services = services.into_iter().map(|service| (service.name.clone(), service)).collect();
+        Self { version, routes: by_host, services, bounds }
+    }
+
+    /// The route of a request: of its host's routes, the one with the longest prefix of the path.
+    pub fn route_for(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        self.routes.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// The route of that name.
+    pub fn route_named(&self, name: &str) -> Option<&Arc<Route>> {
+        self.routes.values().flatten().find(|route| &*route.name == name)
+    }
+
+    /// Whether a host has any route.
+    pub fn knows_host(&self, host: &str) -> bool {
+        self.routes.contains_key(host)
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/mod.rs
@@ -0,0 +1,18 @@
+//! Decisions for requests that pass through unchanged: which route a request takes, which worker
+//! serves it, and what follows from how an attempt ended.
+//!
+//! | module | owns |
+//! |---|---|
+//! | [`configuration`] | routes, services and limits as the operator wrote them |
+//! | [`request`] | what the decisions need to know of a request |
+//! | [`prefix_cache`] | which prompt parts a worker is thought to hold |
+//! | [`workers`] | the workers, what is believed of each, and the choice among them |
+//! | [`attempt`] | how an attempt ended and what may be done next |
+//! | [`event_stream`] | splitting an answer into whole events |
+
+pub mod attempt;
+pub mod configuration;
+pub mod event_stream;
+pub mod prefix_cache;
+pub mod request;
+pub mod workers;
--- /dev/null
+++ b/crates/core/src/gateway/prefix_cache.rs
@@ -0,0 +1,54 @@
+//! What one worker is thought to hold of prompts, from what this node sent there.
+
+use std::collections::BTreeMap;
+
+use super::request::PrefixLink;
+use crate::time::Timestamp;
+
+/// The share of a worker's memory that cached parts are thought to have, in percent.
+const CACHED_PERCENT: u64 = 70;
+/// Tokens thought to be cached where the worker's memory is not known.
+const USUAL_CAPACITY: u64 = 50_000;
+
+#[derive(Clone, Copy, Debug)]
+struct CachedLink {
+    tokens: u32,
+    used_at: Timestamp,
+}
+
+/// The parts that a worker is thought to hold; those unused longest give way.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixCache {
+    links: BTreeMap<u64, CachedLink>,
+    tokens: u64,
+}
+
+impl PrefixCache {
+    /// Tokens of a prompt that need not be read again: those of the links held without a gap.
+    pub fn held_tokens(&self, prefix: &[PrefixLink]) -> u32 {
+        prefix.iter().take_while(|link| self.links.contains_key(&link.chain)).map(|link| link.tokens).sum()
+    }
+
+    /// Notes that a prompt was read by the worker. `memory_tokens` is the worker's memory, 0 if not known.
+    pub fn note(&mut self, prefix: &[PrefixLink], memory_tokens: u64, now: Timestamp) {
+        for link in prefix {
+            let fresh = CachedLink { tokens: link.tokens, used_at: now };
+            if self.links.insert(link.chain, fresh).is_none() {
+                self.tokens += u64::from(link.tokens);
+            }
+        }
+        let capacity = if memory_tokens == 0 { USUAL_CAPACITY } else { memory_tokens * CACHED_PERCENT / 100 };
+        while self.tokens > capacity && self.evict_oldest() {}
+    }
+
+    fn evict_oldest(&mut self) -> bool {
+        let Some((chain, link)) =
+            self.links.iter().min_by_key(|(_, link)| link.used_at).map(|(chain, link)| (*chain, *link))
+        else {
+            return false;
+        };
+        self.links.remove(&chain);
+        self.tokens -= u64::from(link.tokens);
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/request.rs
@@ -0,0 +1,50 @@
+//! What the decisions need to know of a request.
+
+use std::sync::Arc;
+
+use crate::hashing::hash_parts;
+use crate::time::Millis;
+
+/// One part of a prompt. Parts with the same id are the same text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Names the text.
+    pub id: Arc<str>,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// A prompt part together with all parts before it: what a worker caches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PrefixLink {
+    /// Names the model and the parts up to here.
+    pub chain: u64,
+    /// Tokens of the last part alone.
+    pub tokens: u32,
+}
+
+/// What a request says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RequestFacts {
+    /// The caller's id for this try.
+    pub id: Arc<str>,
+    /// How long the caller waits, from when the request was read.
+    pub deadline: Option<Millis>,
+    /// The caller has the events up to this one.
+    pub last_event: Option<u64>,
+    /// The chain of its prompt.
+    pub prefix: Vec<PrefixLink>,
+    /// Tokens in its prompt.
+    pub prompt_tokens: u32,
+}
+
+/// Chains the parts of a prompt, so that a link names all parts before it too.
+pub fn chain_prefix(model: &str, parts: &[PromptPart]) -> Vec<PrefixLink> {
+    let mut links = Vec::with_capacity(parts.len());
+    let mut chain = hash_parts(&[model.as_bytes()]);
+    for part in parts {
+        chain = hash_parts(&[&chain.to_le_bytes(), part.id.as_bytes()]);
+        links.push(PrefixLink { chain, tokens: part.tokens });
+    }
+    links
+}
--- /dev/null
+++ b/crates/core/src/gateway/workers.rs
@@ -0,0 +1,423 @@
+//! The workers, what this node believes of each, and the choice among them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::Rng;
+
+use super::prefix_cache::PrefixCache;
+use super::request::PrefixLink;
+use crate::hashing::{hash_bytes, rendezvous_weight};
+use crate::time::{Millis, Timestamp};
+
+/// How long a worker that failed once is passed over; doubles with each failure in a row.
+const FIRST_PASS_OVER: Millis = Millis(300);
+/// Longest time for which a failing worker is passed over.
+const LONGEST_PASS_OVER: Millis = Millis(4_000);
+/// A load report is believed for this long.
+const REPORT_LIFETIME: Millis = Millis(2_000);
+/// A worker that vanished without notice may still be used as a last resort for this long.
+const GONE_LAST_RESORT: Millis = Millis(1_000);
+/// A worker that is gone is forgotten after this long.
+const GONE_REMEMBERED: Millis = Millis(60_000);
+/// The estimated cost of reading one prompt token, in milliseconds.
+const READ_MS_PER_TOKEN: f64 = 0.018;
+/// The cost of a full worker against an idle one, in milliseconds.
+const BUSY_MS: f64 = 40.0;
+/// The cost of each request that would wait for a slot, in milliseconds.
+const WAIT_MS: f64 = 80.0;
+/// The cost of leaving the zone, in milliseconds.
+const ZONE_MS: f64 = 4.0;
+/// The cost of each kilobyte that leaves the zone, in milliseconds.
+const ZONE_MS_PER_KILOBYTE: f64 = 0.4;
+/// The share of a prompt believed to be held where the shared parts always go.
+const HOME_BELIEF: f64 = 0.6;
+/// Spread of the random part of the cost, in milliseconds: nodes must not all choose alike.
+const JITTER_MS: f64 = 3.0;
+
+/// Names one start of a worker.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WorkerId(pub Arc<str>);
+
+impl std::fmt::Display for WorkerId {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+/// What a worker says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerRecord {
+    /// Its id.
+    pub id: WorkerId,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// It takes no new requests.
+    pub draining: bool,
+}
+
+/// A worker's load as it told it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkerLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// Whether a worker may be sent requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Presence {
+    Ready,
+    Draining,
+    Gone { since: Timestamp },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LoadReport {
+    load: WorkerLoad,
+    in_flight_then: u32,
+    at: Timestamp,
+}
+
+#[derive(Clone, Debug)]
+struct WorkerEntry {
+    record: WorkerRecord,
+    presence: Presence,
+    in_flight: u32,
+    batch_in_flight: u32,
+    report: Option<LoadReport>,
+    failures: u32,
+    passed_over_until: Option<Timestamp>,
+    cache: PrefixCache,
+    /// Smoothed time to the first event against what was expected, 1.0 being as expected.
+    slowness: f64,
+}
+
+impl WorkerEntry {
+    fn new(record: WorkerRecord) -> Self {
+        let presence = if record.draining { Presence::Draining } else { Presence::Ready };
+        Self {
+            record,
+            presence,
+            in_flight: 0,
+            batch_in_flight: 0,
+            report: None,
+            failures: 0,
+            passed_over_until: None,
+            cache: PrefixCache::default(),
+            slowness: 1.0,
+        }
+    }
+
+    /// Requests at the worker: its last report corrected by what this node sent and ended since.
+    fn estimated_load(&self, now: Timestamp) -> u32 {
+        match self.report {
+            Some(report) if now.since(report.at) < REPORT_LIFETIME => {
+                let told = report.load.running + report.load.waiting;
+                (told + self.in_flight).saturating_sub(report.in_flight_then).max(self.in_flight)
+            }
+            _ => self.in_flight,
+        }
+    }
+
+    fn is_passed_over(&self, now: Timestamp) -> bool {
+        self.passed_over_until.is_some_and(|until| now < until)
+    }
+}
+
+/// What is asked of a worker.
+#[derive(Clone, Debug)]
+pub struct WorkerAsk<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The zone that the request is in.
+    pub zone: &'a str,
+    /// The prompt.
+    pub prefix: &'a [PrefixLink],
+    /// Tokens in the prompt.
+    pub prompt_tokens: u32,
+    /// Bytes that would be sent.
+    pub body_bytes: usize,
+    /// Workers that were tried before.
+    pub tried: &'a [WorkerId],
+}
+
+/// A worker that was chosen, and why.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The worker.
+    pub id: WorkerId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Requests believed to be at it.
+    pub load: u32,
+    /// Prompt tokens believed to be cached there.
+    pub held_tokens: u32,
+    /// How many workers could be chosen from.
+    pub candidates: usize,
+}
+
+/// All workers.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerTable {
+    workers: BTreeMap<WorkerId, WorkerEntry>,
+}
+
+/// What changed in the table, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WorkerChange {
+    /// A worker appeared.
+    Seen(WorkerId),
+    /// A worker states that it leaves.
+    Draining(WorkerId),
+    /// A worker's record was removed.
+    Gone(WorkerId),
+}
+
+impl WorkerTable {
+    /// Takes a worker's record. A worker that drains or is gone never takes requests again.
+    pub fn upsert(&mut self, record: WorkerRecord) -> Option<WorkerChange> {
+        let id = record.id.clone();
+        let Some(entry) = self.workers.get_mut(&id) else {
+            let change =
+                if record.draining { WorkerChange::Draining(id.clone()) } else { WorkerChange::Seen(id.clone()) };
+            self.workers.insert(id, WorkerEntry::new(record));
+            return Some(change);
+        };
+        let was = entry.presence;
+        entry.presence = match (was, record.draining) {
+            (Presence::Draining, _) | (_, true) => Presence::Draining,
+            // A record may vanish while the store is down and be written again by the same worker.
+            (Presence::Gone { .. } | Presence::Ready, false) => Presence::Ready,
+        };
+        entry.record = record;
+        match (was, entry.presence) {
+            (Presence::Draining, _) => None,
+            (_, Presence::Draining) => Some(WorkerChange::Draining(id)),
+            (Presence::Gone { .. }, _) => Some(WorkerChange::Seen(id)),
+            _ => None,
+        }
+    }
+
+    /// A worker's record is gone.
+    pub fn remove(&mut self, id: &WorkerId, now: Timestamp) -> Option<WorkerChange> {
+        let entry = self.workers.get_mut(id)?;
+        if matches!(entry.presence, Presence::Gone { .. }) {
+            return None;
+        }
+        // One that was draining must not become a last resort.
+        if entry.presence == Presence::Draining {
+            return None;
+        }
+        entry.presence = Presence::Gone { since: now };
+        Some(WorkerChange::Gone(id.clone()))
+    }
+
+    /// Ids of all workers whose records are believed to exist.
+    pub fn present(&self) -> Vec<WorkerId> {
+        let is_present = |entry: &&WorkerEntry| !matches!(entry.presence, Presence::Gone { .. });
+        self.workers.values().filter(is_present).map(|entry| entry.record.id.clone()).collect()
+    }
+
+    /// Forgets workers that are gone for long.
+    pub fn forget_gone(&mut self, now: Timestamp) {
+        self.workers.retain(|_, entry| match entry.presence {
+            Presence::Gone { since } => now.since(since) < GONE_REMEMBERED || entry.in_flight > 0,
+            _ => true,
+        });
+    }
+
+    /// How many workers of a service take requests.
+    pub fn ready_count(&self, service: &str) -> usize {
+        let is_ready = |entry: &&WorkerEntry| entry.presence == Presence::Ready && &*entry.record.service == service;
+        self.workers.values().filter(is_ready).count()
+    }
+
+    /// The worker with the least estimated time to the first event. Workers that failed of late are
+    /// passed over while there are others, and workers that vanished serve only when nobody else can.
+    pub fn choose(&self, ask: &WorkerAsk<'_>, now: Timestamp, random: &mut impl Rng) -> Option<Choice> {
+        let of_service = || self.workers.values().filter(|entry| &*entry.record.service == ask.service);
+        let untried = |entry: &&WorkerEntry| !ask.tried.contains(&entry.record.id);
+        let ready: Vec<&WorkerEntry> =
+            of_service().filter(|entry| entry.presence == Presence::Ready).filter(untried).collect();
+        let sound: Vec<&WorkerEntry> = ready.iter().copied().filter(|entry| !entry.is_passed_over(now)).collect();
+        let candidates = if !sound.is_empty() {
+            sound
+        } else if !ready.is_empty() {
+            ready
+        } else {
+            of_service().filter(untried).filter(|entry| is_last_resort(entry, now)).collect()
+        };
+        let home = self.home_of(ask, &candidates);
+        let cost = |entry: &WorkerEntry, random: &mut dyn FnMut() -> f64| {
+            let is_home = home.as_ref() == Some(&entry.record.id);
+            estimate_cost(entry, ask, is_home, now) + random() * JITTER_MS
+        };
+        let mut draw = || random.random::<f64>();
+        let chosen = candidates
+            .iter()
+            .map(|entry| (cost(entry, &mut draw), *entry))
+            .min_by(|left, right| left.0.total_cmp(&right.0))?
+            .1;
+        Some(Choice {
+            id: chosen.record.id.clone(),
+            address: chosen.record.address,
+            load: chosen.estimated_load(now),
+            held_tokens: chosen.cache.held_tokens(ask.prefix),
+            candidates: candidates.len(),
+        })
+    }
+
+    /// Where the shared parts of a prompt go from every node: workers of the zone first, so that
+    /// nodes agree without asking each other.
+    fn home_of(&self, ask: &WorkerAsk<'_>, candidates: &[&WorkerEntry]) -> Option<WorkerId> {
+        let shared = ask.prefix.len().checked_sub(2).map(|place| ask.prefix[place].chain)?;
+        let in_zone = candidates.iter().filter(|entry| &*entry.record.zone == ask.zone);
+        let weight = |entry: &&&WorkerEntry| rendezvous_weight(shared, hash_bytes(entry.record.id.0.as_bytes()));
+        let home = in_zone.max_by_key(weight).or_else(|| candidates.iter().max_by_key(weight));
+        home.map(|entry| entry.record.id.clone())
+    }
+
+    /// A request leaves for a worker.
+    pub fn started(&mut self, id: &WorkerId, prefix: &[PrefixLink], memory_tokens: u64, now: Timestamp) {
+        if let Some(entry) = self.workers.get_mut(id) {
+            entry.in_flight += 1;
+            entry.cache.note(prefix, memory_tokens, now);
+        }
+    }
+
+    /// A request at a worker ended, however it did.
+    pub fn ended(&mut self, id: &WorkerId) {
+        if let Some(entry) = self.workers.get_mut(id) {
+            entry.in_flight = entry.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// A batch item leaves for a worker.
+    pub fn batch_started(&mut self, id: &WorkerId) {
+        if let Some(entry) = self.workers.get_mut(id) {
+            entry.batch_in_flight += 1;
+        }
+    }
+
+    /// A batch item at a worker ended.
+    pub fn batch_ended(&mut self, id: &WorkerId) {
+        if let Some(entry) = self.workers.get_mut(id) {
+            entry.batch_in_flight = entry.batch_in_flight.saturating_sub(1);
+        }
+    }
+
+    /// A worker told its load.
+    pub fn reported(&mut self, id: &WorkerId, load: WorkerLoad, now: Timestamp) {
+        if let Some(entry) = self.workers.get_mut(id) {
+            entry.report = Some(LoadReport { load, in_flight_then: entry.in_flight, at: now });
+        }
+    }
+
+    /// A worker answered as it should. `took` is the time to its first event, `expected` the time
+    /// that would have been in order.
+    pub fn succeeded(&mut self, id: &WorkerId, took: Millis, expected: Millis) {
+        if let Some(entry) = self.workers.get_mut(id) {
+            entry.failures = 0;
+            entry.passed_over_until = None;
+            let ratio = (took.0 as f64 / expected.0.max(1) as f64).clamp(0.2, 8.0);
+            entry.slowness = entry.slowness * 0.7 + ratio * 0.3;
+        }
+    }
+
+    /// A worker failed. Returns for how long it is passed over.
+    pub fn failed(&mut self, id: &WorkerId, now: Timestamp) -> Option<Millis> {
+        let entry = self.workers.get_mut(id)?;
+        entry.failures += 1;
+        let doubled = FIRST_PASS_OVER.0 << (entry.failures - 1).min(6);
+        let span = Millis(doubled.min(LONGEST_PASS_OVER.0));
+        entry.passed_over_until = Some(now + span);
+        Some(span)
+    }
+
+    /// A worker had no room: it is believed to be full until it reports again.
+    pub fn was_full(&mut self, id: &WorkerId, now: Timestamp) {
+        if let Some(entry) = self.workers.get_mut(id) {
+            let load = WorkerLoad { running: entry.record.slots, waiting: entry.record.slots / 2 };
+            entry.report = Some(LoadReport { load, in_flight_then: entry.in_flight, at: now });
+        }
+    }
+
+    /// The worker for a batch item: the one with the most room beyond `reserve_percent` of its slots,
+    /// which stay free for online requests.
+    pub fn choose_for_batch(
+        &self,
+        ask: &WorkerAsk<'_>,
+        reserve_percent: u32,
+        now: Timestamp,
+        random: &mut impl Rng,
+    ) -> Option<Choice> {
+        let has_room = |entry: &&WorkerEntry| {
+            let free_for_batch = entry.record.slots - entry.record.slots * reserve_percent / 100;
+            entry.batch_in_flight < free_for_batch.max(1) && entry.estimated_load(now) < entry.record.slots
+        };
+        let candidates: Vec<&WorkerEntry> = self
+            .workers
+            .values()
+            .filter(|entry| &*entry.record.service == ask.service && entry.presence == Presence::Ready)
+            .filter(|entry| !ask.tried.contains(&entry.record.id) && !entry.is_passed_over(now))
+            .filter(has_room)
+            .collect();
+        let mut draw = || random.random::<f64>();
+        let chosen = candidates
+            .iter()
+            .map(|entry| {
+                let crowd = f64::from(entry.batch_in_flight) * 6.0;
+                (estimate_cost(entry, ask, false, now) + crowd + draw() * JITTER_MS, *entry)
+            })
+            .min_by(|left, right| left.0.total_cmp(&right.0))?
+            .1;
+        Some(Choice {
+            id: chosen.record.id.clone(),
+            address: chosen.record.address,
+            load: chosen.estimated_load(now),
+            held_tokens: chosen.cache.held_tokens(ask.prefix),
+            candidates: candidates.len(),
+        })
+    }
+
+    /// The slots of a worker; `None` if it is not known.
+    pub fn record(&self, id: &WorkerId) -> Option<&WorkerRecord> {
+        self.workers.get(id).map(|entry| &entry.record)
+    }
+}
+
+fn is_last_resort(entry: &WorkerEntry, now: Timestamp) -> bool {
+    match entry.presence {
+        Presence::Gone { since } => now.since(since) < GONE_LAST_RESORT,
+        Presence::Ready => true,
+        Presence::Draining => false,
+    }
+}
+
+/// The estimated time to the first event, in milliseconds, with what the way there costs.
+fn estimate_cost(entry: &WorkerEntry, ask: &WorkerAsk<'_>, is_home: bool, now: Timestamp) -> f64 {
+    let slots = f64::from(entry.record.slots.max(1));
+    let load = f64::from(entry.estimated_load(now));
+    let held = f64::from(entry.cache.held_tokens(ask.prefix));
+    let shared: u32 = ask.prefix.iter().rev().skip(1).map(|link| link.tokens).sum();
+    let believed = if is_home { held.max(f64::from(shared) * HOME_BELIEF) } else { held };
+    let unread = (f64::from(ask.prompt_tokens) - believed).max(0.0);
+    let busy = load / slots * BUSY_MS;
+    let waiting = (load + 1.0 - slots).max(0.0) * WAIT_MS;
+    let away = if &*entry.record.zone == ask.zone {
+        0.0
+    } else {
+        ZONE_MS + ask.body_bytes as f64 / 1_024.0 * ZONE_MS_PER_KILOBYTE
+    };
+    let slow = (entry.slowness - 1.0).max(0.0) * 30.0;
+    unread * READ_MS_PER_TOKEN + busy + waiting + away + slow
+}
--- /dev/null
+++ b/crates/core/src/jobs/command.rs
@@ -0,0 +1,142 @@
+//! Changes of the job table and their outcomes.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::time::{Millis, UnixMillis};
+
+/// Names a job: the id that its submitter gave.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct JobKey(pub Arc<str>);
+
+impl std::fmt::Display for JobKey {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+/// Names an item: its job and its place there.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ItemKey {
+    /// The job.
+    pub job: JobKey,
+    /// The place in the job's list, from 0.
+    pub item: u32,
+}
+
+/// A header of an item's request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemHeader {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its value.
+    pub value: Arc<str>,
+}
+
+/// An item as it was submitted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobItem {
+    /// Its id, which the worker gets too.
+    pub id: Arc<str>,
+    /// The path of its request.
+    pub path: Arc<str>,
+    /// The headers of its request.
+    pub headers: Vec<ItemHeader>,
+    /// The body of its request.
+    pub body: Arc<[u8]>,
+    /// Its size in tokens: the prompt and the most that is generated.
+    pub token_count: u64,
+}
+
+/// A job as it was submitted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Submission {
+    /// Its id.
+    pub key: JobKey,
+    /// The route that it came on.
+    pub route: Arc<str>,
+    /// The host that it came to.
+    pub host: Arc<str>,
+    /// Its items.
+    pub items: Vec<JobItem>,
+    /// The version of the configuration that its route was read from.
+    pub configuration_version: u64,
+    /// When the first node read it, by that node's clock.
+    pub received_at: UnixMillis,
+    /// After which time from then results are due.
+    pub due: Millis,
+    /// Most tokens that may wait on its route; `None` for no limit.
+    pub queued_token_limit: Option<u64>,
+}
+
+impl Submission {
+    /// The tokens of all items.
+    pub fn token_count(&self) -> u64 {
+        self.items.iter().map(|item| item.token_count).sum()
+    }
+}
+
+/// How an item ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ItemState {
+    /// A worker gave its whole output.
+    Completed,
+    /// It was given up.
+    GivenUp,
+}
+
+/// A change of the table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobCommand {
+    /// Take a job.
+    Accept(Submission),
+    /// List an item's result.
+    Finish {
+        /// The item.
+        key: ItemKey,
+        /// How it ended.
+        state: ItemState,
+        /// Its output.
+        text: Arc<str>,
+    },
+    /// End a job: no item of it starts any more.
+    End {
+        /// The job.
+        job: JobKey,
+    },
+    /// Forget jobs that are over and were received before a time.
+    Forget {
+        /// The time.
+        before: UnixMillis,
+    },
+}
+
+/// What a command did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobOutcome {
+    /// The job is in the table, whether by this command or an earlier one.
+    Accepted,
+    /// The result is listed.
+    Listed,
+    /// The item had a result before, or its job has ended; nothing changed.
+    Dropped,
+    /// The job has ended.
+    Ended,
+    /// There is no such job.
+    UnknownJob,
+    /// Old jobs are forgotten.
+    Forgotten,
+}
+
+impl JobCommand {
+    /// Encodes the command for the log.
+    pub fn encode(&self) -> Arc<[u8]> {
+        postcard::to_stdvec(self).map(Arc::from).unwrap_or_default()
+    }
+
+    /// Reads a command from the log.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
--- /dev/null
+++ b/crates/core/src/jobs/dispatch.rs
@@ -0,0 +1,241 @@
+//! Which item runs next, and what follows from how a run ended. Only the table's leader dispatches.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use super::command::{ItemKey, ItemState, JobCommand, JobKey};
+use super::table::{Job, JobTable};
+use crate::time::{Millis, Timestamp, UnixMillis};
+
+/// The wait after a run that failed or broke off; doubles with each in a row.
+const FIRST_DELAY: Millis = Millis(40);
+/// Longest wait between two runs of an item.
+const LONGEST_DELAY: Millis = Millis(640);
+
+/// How a run of an item ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The whole output came.
+    Completed,
+    /// The worker says that the item can never be done.
+    Impossible,
+    /// The worker failed the item.
+    Failed,
+    /// The run broke off; what came so far is kept.
+    BrokenOff,
+    /// The item did not run.
+    NotRun,
+}
+
+/// What an item has put out so far.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PartialOutput {
+    /// The data of the events so far, joined by line feeds.
+    pub text: String,
+    /// The id of the last event.
+    pub last_event: Option<u64>,
+}
+
+impl PartialOutput {
+    /// Adds an event's data.
+    pub fn push(&mut self, data: &str, id: Option<u64>) {
+        if self.last_event.is_some() {
+            self.text.push('\n');
+        }
+        self.text.push_str(data);
+        self.last_event = id.or(self.last_event).or(Some(0));
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Phase {
+    Ready,
+    Delayed { until: Timestamp },
+    Running,
+    Finished { state: ItemState },
+}
+
+#[derive(Clone, Debug)]
+struct Progress {
+    phase: Phase,
+    due: UnixMillis,
+    failures: u32,
+    delays: u32,
+    output: PartialOutput,
+}
+
+/// The items without a result, and how far each is.
+#[derive(Clone, Debug, Default)]
+pub struct Dispatcher {
+    items: BTreeMap<ItemKey, Progress>,
+    ready: BTreeSet<(UnixMillis, ItemKey)>,
+    delayed: BTreeSet<(Timestamp, ItemKey)>,
+    finished: BTreeSet<ItemKey>,
+}
+
+impl Dispatcher {
+    /// Starts anew from the table: this node became the leader.
+    pub fn restart(&mut self, table: &JobTable) {
+        *self = Self::default();
+        for (_, job) in table.jobs() {
+            self.add_job(job);
+        }
+    }
+
+    /// Drops everything: this node leads no longer.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Adds the open items of a job.
+    pub fn add_job(&mut self, job: &Job) {
+        let submission = &job.submission;
+        let due = UnixMillis(submission.received_at.0 + submission.due.0);
+        for item in job.open_items() {
+            let key = ItemKey { job: submission.key.clone(), item };
+            if self.items.contains_key(&key) {
+                continue;
+            }
+            self.ready.insert((due, key.clone()));
+            let output = PartialOutput::default();
+            self.items.insert(key, Progress { phase: Phase::Ready, due, failures: 0, delays: 0, output });
+        }
+    }
+
+    /// Takes the most urgent item that may run now.
+    pub fn take_next(&mut self, now: Timestamp) -> Option<(ItemKey, PartialOutput)> {
+        self.wake_delayed(now);
+        let (_, key) = self.ready.pop_first()?;
+        let progress = self.items.get_mut(&key)?;
+        progress.phase = Phase::Running;
+        Some((key, std::mem::take(&mut progress.output)))
+    }
+
+    /// Whether an item may run now.
+    pub fn has_ready(&mut self, now: Timestamp) -> bool {
+        self.wake_delayed(now);
+        !self.ready.is_empty()
+    }
+
+    /// Gives back an item that was taken and not sent.
+    pub fn put_back(&mut self, key: &ItemKey, output: PartialOutput) {
+        if let Some(progress) = self.items.get_mut(key) {
+            progress.output = output;
+            progress.phase = Phase::Ready;
+            self.ready.insert((progress.due, key.clone()));
+        }
+    }
+
+    /// A run ended. Returns whether a result is to be listed ([`Dispatcher::unlisted`]).
+    pub fn run_ended(
+        &mut self,
+        key: &ItemKey,
+        end: &RunEnd,
+        output: PartialOutput,
+        max_attempts: u32,
+        now: Timestamp,
+    ) -> bool {
+        let Some(progress) = self.items.get_mut(key) else { return false };
+        let made_progress = output.last_event > progress.output.last_event;
+        progress.output = output;
+        match end {
+            RunEnd::Completed => return self.finish(key, ItemState::Completed),
+            RunEnd::Impossible => return self.finish(key, ItemState::GivenUp),
+            RunEnd::Failed => {
+                progress.failures += 1;
+                if progress.failures >= max_attempts {
+                    return self.finish(key, ItemState::GivenUp);
+                }
+            }
+            RunEnd::BrokenOff if made_progress => progress.delays = 0,
+            RunEnd::BrokenOff | RunEnd::NotRun => {}
+        }
+        self.delay(key, now);
+        false
+    }
+
+    /// Gives an item up: its route is gone, or its time.
+    pub fn give_up(&mut self, key: &ItemKey) -> bool {
+        self.finish(key, ItemState::GivenUp)
+    }
+
+    /// The commands for results that are not listed yet.
+    pub fn unlisted(&self) -> Vec<JobCommand> {
+        let command = |key: &ItemKey| {
+            let progress = self.items.get(key)?;
+            let Phase::Finished { state } = progress.phase else { return None };
+            let text: Arc<str> = Arc::from(progress.output.text.as_str());
+            Some(JobCommand::Finish { key: key.clone(), state, text })
+        };
+        self.finished.iter().filter_map(command).collect()
+    }
+
+    /// Items of a job that run, for a job that ended. The job is forgotten.
+    pub fn remove_job(&mut self, job: &JobKey) -> Vec<ItemKey> {
+        let keys: Vec<ItemKey> = self.items.keys().filter(|key| key.job == *job).cloned().collect();
+        let mut running = Vec::new();
+        for key in keys {
+            let is_running = matches!(self.items.get(&key), Some(progress) if matches!(progress.phase, Phase::Running));
+            if is_running {
+                running.push(key.clone());
+            }
+            self.remove(&key);
+        }
+        running
+    }
+
+    /// An item's result is listed.
+    pub fn remove(&mut self, key: &ItemKey) {
+        if let Some(progress) = self.items.remove(key) {
+            self.ready.remove(&(progress.due, key.clone()));
+            if let Phase::Delayed { until } = progress.phase {
+                self.delayed.remove(&(until, key.clone()));
+            }
+            self.finished.remove(key);
+        }
+    }
+
+    /// How many items have no result.
+    pub fn open_count(&self) -> usize {
+        self.items.len()
+    }
+
+    /// How many runs of an item failed.
+    pub fn failures(&self, key: &ItemKey) -> u32 {
+        self.items.get(key).map_or(0, |progress| progress.failures)
+    }
+
+    fn finish(&mut self, key: &ItemKey, state: ItemState) -> bool {
+        let Some(progress) = self.items.get_mut(key) else { return false };
+        if state == ItemState::GivenUp {
+            progress.output = PartialOutput::default();
+        }
+        self.ready.remove(&(progress.due, key.clone()));
+        progress.phase = Phase::Finished { state };
+        self.finished.insert(key.clone());
+        true
+    }
+
+    fn delay(&mut self, key: &ItemKey, now: Timestamp) {
+        if let Some(progress) = self.items.get_mut(key) {
+            let span = FIRST_DELAY.0 << progress.delays.min(8);
+            progress.delays += 1;
+            let until = now + Millis(span.min(LONGEST_DELAY.0));
+            progress.phase = Phase::Delayed { until };
+            self.delayed.insert((until, key.clone()));
+        }
+    }
+
+    fn wake_delayed(&mut self, now: Timestamp) {
+        while let Some((until, key)) = self.delayed.first().cloned() {
+            if until > now {
+                return;
+            }
+            self.delayed.pop_first();
+            if let Some(progress) = self.items.get_mut(&key) {
+                progress.phase = Phase::Ready;
+                self.ready.insert((progress.due, key));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/jobs/mod.rs
@@ -0,0 +1,20 @@
+//! Batch jobs whose items pass through to workers unchanged.
+//!
+//! | module | owns |
+//! |---|---|
+//! | [`command`] | changes of the replicated table, and their outcomes |
+//! | [`table`] | the replicated table: jobs, items, results at fixed positions |
+//! | [`request`] | what other nodes ask of the table's leader |
+//! | [`node`] | one replica of the table: the log, the table, and the acknowledgements |
+//! | [`dispatch`] | which item runs next, and what follows from how a run ended |
+//! | [`directory`] | the storing nodes, and which of them should hold the table |
+//!
+//! The table is changed only by commands in the order of the replicated log
+//! ([`crate::replication`]). Applying a command is a pure function, and every command may arrive twice.
+
+pub mod command;
+pub mod directory;
+pub mod dispatch;
+pub mod node;
+pub mod request;
+pub mod table;
--- /dev/null
+++ b/crates/core/src/jobs/node.rs
@@ -0,0 +1,318 @@
+//! One replica of the job table: the replicated log, the table, and acknowledgements.
+//!
+//! A driver takes the effects of each call in order. A [`JobsEffect::Persist`] must be durable before
+//! any later effect is carried out; meanwhile further events may be handled, their effects queue up.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::command::{ItemKey, JobCommand, JobKey, JobOutcome, Submission};
+use super::request::JobsAnswer;
+use super::table::JobTable;
+use crate::identity::{GroupId, NodeId};
+use crate::replication::{
+    EntryPayload, GroupMembership, LogIndex, LogWrite, MembershipChange, PersistedReplica, ProposalError, Replica,
+    ReplicaEffect, ReplicaSettings, ReplicationMessage, Snapshot, Term,
+};
+use crate::time::{Millis, Timestamp};
+
+/// The log is replaced by a snapshot once it holds this many bytes.
+const COMPACT_BYTES: usize = 12 << 20;
+
+/// Names who waits for an answer, as the driver numbers them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Waiter(pub u64);
+
+/// What a driver must do, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JobsEffect {
+    /// Write to disk, durably, before anything after it.
+    Persist(LogWrite),
+    /// Send to another replica.
+    Send(ReplicationMessage),
+    /// Replace the table ([`JobsNode::restore`]).
+    Restore(Snapshot),
+    /// Apply what is committed ([`JobsNode::apply_up_to`]).
+    ApplyUpTo(LogIndex),
+}
+
+/// What applying the log brought about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JobsChange {
+    /// Someone's answer.
+    Answer {
+        /// Who waits.
+        waiter: Waiter,
+        /// The answer.
+        answer: JobsAnswer,
+    },
+    /// A job is in the table.
+    Accepted(JobKey),
+    /// An item's result is listed.
+    Listed(ItemKey),
+    /// A job has ended.
+    Ended(JobKey),
+}
+
+/// Why a command was not proposed. Nothing of it will take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotProposed {
+    /// Another replica leads, if known.
+    NotLeader(Option<NodeId>),
+    /// This replica leads and is not ready.
+    Busy,
+    /// The job does not fit.
+    OverQuota {
+        /// Tokens that wait now.
+        waiting: u64,
+    },
+}
+
+struct Proposal {
+    term: Term,
+    waiter: Option<Waiter>,
+    /// A submission's route and tokens, which count against the limit meanwhile.
+    tokens: Option<(Arc<str>, u64)>,
+}
+
+struct HeldAnswer {
+    index: LogIndex,
+    waiter: Waiter,
+    answer: JobsAnswer,
+    deadline: Timestamp,
+}
+
+/// One replica of the job table.
+pub struct JobsNode {
+    replica: Replica,
+    table: JobTable,
+    proposals: BTreeMap<LogIndex, Proposal>,
+    held: Vec<HeldAnswer>,
+    announced: LogIndex,
+    /// A snapshot was taken over by the log and not yet by the table.
+    restoring: bool,
+    acknowledge_wait: Millis,
+}
+
+impl JobsNode {
+    /// Starts a replica from what its disk holds. Returns `None` if the snapshot can't be read.
+    pub fn new(
+        id: NodeId,
+        settings: ReplicaSettings,
+        persisted: PersistedReplica,
+        now: Timestamp,
+        seed: u64,
+    ) -> Option<Self> {
+        let table = JobTable::decode(&persisted.snapshot.state)?;
+        let announced = persisted.snapshot.index;
+        let replica = Replica::new(GroupId(0), id, settings, persisted, now, seed);
+        let proposals = BTreeMap::new();
+        let acknowledge_wait = settings.acknowledge_wait;
+        Some(Self { replica, table, proposals, held: Vec::new(), announced, restoring: false, acknowledge_wait })
+    }
+
+    /// The replica.
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// The table as far as it was applied.
+    pub fn table(&self) -> &JobTable {
+        &self.table
+    }
+
+    /// Whether this replica leads and knows all that is committed.
+    pub fn may_answer(&self, now: Timestamp) -> bool {
+        self.replica.may_answer_reads(now)
+    }
+
+    /// Gives a replica without a log its first membership.
+    pub fn found(&mut self, membership: GroupMembership, now: Timestamp) -> Vec<JobsEffect> {
+        self.replica.found(membership, now);
+        self.gather()
+    }
+
+    /// Takes a message of another replica.
+    pub fn step(&mut self, message: ReplicationMessage, now: Timestamp) -> Vec<JobsEffect> {
+        self.replica.step(message, now);
+        self.gather()
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<JobsEffect> {
+        self.replica.tick(now);
+        if self.replica.log().bytes() > COMPACT_BYTES && !self.restoring {
+            self.replica.compact(self.table.encode());
+        }
+        self.gather()
+    }
+
+    /// Proposes to take a job.
+    ///
+    /// # Errors
+    ///
+    /// [`NotProposed`]: nothing of the job will run because of this call.
+    pub fn submit(
+        &mut self,
+        submission: Submission,
+        waiter: Waiter,
+        now: Timestamp,
+    ) -> Result<Vec<JobsEffect>, NotProposed> {
+        self.check_leading(now)?;
+        if self.table.job(&submission.key).is_none()
+            && let Some(limit) = submission.queued_token_limit
+        {
+            let waiting = self.waiting_tokens(&submission.route);
+            if waiting + submission.token_count() > limit {
+                return Err(NotProposed::OverQuota { waiting });
+            }
+        }
+        let tokens = Some((submission.route.clone(), submission.token_count()));
+        self.propose_with(&JobCommand::Accept(submission), Some(waiter), tokens, now)
+    }
+
+    /// Proposes a command.
+    ///
+    /// # Errors
+    ///
+    /// [`NotProposed`]: it was not proposed.
+    pub fn propose(
+        &mut self,
+        command: &JobCommand,
+        waiter: Option<Waiter>,
+        now: Timestamp,
+    ) -> Result<Vec<JobsEffect>, NotProposed> {
+        self.check_leading(now)?;
+        self.propose_with(command, waiter, None, now)
+    }
+
+    /// Proposes a change of one member. Refused while an earlier change is uncommitted.
+    pub fn change_membership(&mut self, change: MembershipChange, now: Timestamp) -> Vec<JobsEffect> {
+        // A refusal means that the next plan tries again.
+        let _ = self.replica.propose_membership(change, now);
+        self.gather()
+    }
+
+    /// Hands leadership over.
+    pub fn transfer_leadership(&mut self, target: NodeId, now: Timestamp) -> Vec<JobsEffect> {
+        self.replica.transfer_leadership(target, now);
+        self.gather()
+    }
+
+    /// Replaces the table by a snapshot's.
+    pub fn restore(&mut self, snapshot: &Snapshot) {
+        if let Some(table) = JobTable::decode(&snapshot.state) {
+            self.table = table;
+        }
+        self.restoring = false;
+    }
+
+    /// Applies what is committed up to a place.
+    pub fn apply_up_to(&mut self, index: LogIndex, now: Timestamp) -> Vec<JobsChange> {
+        let mut changes = Vec::new();
+        while self.replica.applied() < index {
+            let Some(entry) = self.replica.next_committed() else { break };
+            let proposal = self.proposals.remove(&entry.index);
+            let mine = proposal.as_ref().is_some_and(|proposal| proposal.term == entry.term);
+            let waiter = proposal.and_then(|proposal| proposal.waiter);
+            let EntryPayload::Command(bytes) = &entry.payload else {
+                changes.extend(waiter.map(|waiter| JobsChange::Answer { waiter, answer: JobsAnswer::Unsure }));
+                continue;
+            };
+            let Some(command) = JobCommand::decode(bytes) else { continue };
+            let change = self.apply(command);
+            changes.extend(change.1);
+            if let Some(waiter) = waiter {
+                let answer = if mine { change.0 } else { JobsAnswer::Unsure };
+                let deadline = now + self.acknowledge_wait;
+                self.held.push(HeldAnswer { index: entry.index, waiter, answer, deadline });
+            }
+        }
+        changes.extend(self.release_answers(now));
+        changes
+    }
+
+    /// Answers that waited until every replica that answers holds their entry on disk, or long enough.
+    pub fn release_answers(&mut self, now: Timestamp) -> Vec<JobsChange> {
+        let replica = &self.replica;
+        let is_due = |held: &HeldAnswer| held.deadline <= now || replica.is_held_by_all_answering(held.index, now);
+        let (due, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.held).into_iter().partition(is_due);
+        self.held = waiting;
+        due.into_iter().map(|held| JobsChange::Answer { waiter: held.waiter, answer: held.answer }).collect()
+    }
+
+    /// Proposals of an earlier term whose fate this node can't tell any more.
+    pub fn abandon_lost_proposals(&mut self) -> Vec<JobsChange> {
+        if self.replica.is_leader() {
+            return Vec::new();
+        }
+        let lost = std::mem::take(&mut self.proposals);
+        let waiters = lost.into_values().filter_map(|proposal| proposal.waiter);
+        waiters.map(|waiter| JobsChange::Answer { waiter, answer: JobsAnswer::Unsure }).collect()
+    }
+
+    fn apply(&mut self, command: JobCommand) -> (JobsAnswer, Option<JobsChange>) {
+        let key = match &command {
+            JobCommand::Accept(submission) => Some(JobsChange::Accepted(submission.key.clone())),
+            JobCommand::Finish { key, .. } => Some(JobsChange::Listed(key.clone())),
+            JobCommand::End { job } => Some(JobsChange::Ended(job.clone())),
+            JobCommand::Forget { .. } => None,
+        };
+        let answer = match self.table.apply(command) {
+            JobOutcome::Accepted | JobOutcome::Listed | JobOutcome::Forgotten => JobsAnswer::Accepted,
+            JobOutcome::Dropped | JobOutcome::Ended => JobsAnswer::Ended,
+            JobOutcome::UnknownJob => JobsAnswer::UnknownJob,
+        };
+        (answer, key)
+    }
+
+    fn waiting_tokens(&self, route: &str) -> u64 {
+        let proposed = self.proposals.values().filter_map(|proposal| proposal.tokens.as_ref());
+        let proposed: u64 = proposed.filter(|(name, _)| &**name == route).map(|(_, tokens)| tokens).sum();
+        self.table.open_tokens(route) + proposed
+    }
+
+    fn check_leading(&self, now: Timestamp) -> Result<(), NotProposed> {
+        if !self.replica.is_leader() {
+            return Err(NotProposed::NotLeader(self.replica.leader()));
+        }
+        if !self.replica.may_answer_reads(now) {
+            return Err(NotProposed::Busy);
+        }
+        Ok(())
+    }
+
+    fn propose_with(
+        &mut self,
+        command: &JobCommand,
+        waiter: Option<Waiter>,
+        tokens: Option<(Arc<str>, u64)>,
+        now: Timestamp,
+    ) -> Result<Vec<JobsEffect>, NotProposed> {
+        let index = self.replica.propose(command.encode(), now).map_err(|error| match error {
+            ProposalError::NotLeader(leader) => NotProposed::NotLeader(leader),
+            ProposalError::Busy => NotProposed::Busy,
+        })?;
+        self.proposals.insert(index, Proposal { term: self.replica.term(), waiter, tokens });
+        Ok(self.gather())
+    }
+
+    fn gather(&mut self) -> Vec<JobsEffect> {
+        let mut effects: Vec<JobsEffect> = self
+            .replica
+            .take_effects()
+            .into_iter()
+            .map(|effect| match effect {
+                ReplicaEffect::Persist(write) => JobsEffect::Persist(write),
+                ReplicaEffect::Send(message) => JobsEffect::Send(message),
+                ReplicaEffect::Restore(snapshot) => JobsEffect::Restore(snapshot),
+            })
+            .collect();
+        self.restoring |= effects.iter().any(|effect| matches!(effect, JobsEffect::Restore(_)));
+        if self.replica.commit() > self.announced {
+            self.announced = self.replica.commit();
+            effects.push(JobsEffect::ApplyUpTo(self.announced));
+        }
+        effects
+    }
+}
--- /dev/null
+++ b/crates/core/src/jobs/request.rs
@@ -0,0 +1,63 @@
+//! What nodes ask of the table's leader.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::command::{JobKey, Submission};
+use super::table::ResultPage;
+use crate::time::Millis;
+
+/// A request to the leader.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobsRequest {
+    /// Take a job.
+    Submit(Submission),
+    /// Results from a position on. Held for up to `wait` until there is one.
+    Read {
+        /// The job.
+        job: JobKey,
+        /// The first position wanted.
+        first: u32,
+        /// How long to wait for a result.
+        wait: Millis,
+    },
+    /// The body of an item without a result.
+    Body {
+        /// The job.
+        job: JobKey,
+        /// The item's id.
+        item: Arc<str>,
+    },
+    /// End a job.
+    End {
+        /// The job.
+        job: JobKey,
+    },
+    /// The sender is there and could hold the table.
+    Greet,
+}
+
+/// The leader's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobsAnswer {
+    /// The job is taken, and safe.
+    Accepted,
+    /// The job does not fit, and nothing of it was taken.
+    OverQuota {
+        /// Tokens that wait now.
+        waiting: u64,
+    },
+    /// There is no such job.
+    UnknownJob,
+    /// Results.
+    Page(ResultPage),
+    /// A body.
+    Body(Arc<[u8]>),
+    /// The job has no such item without a result.
+    UnknownItem,
+    /// The job has ended.
+    Ended,
+    /// The command was proposed, and whether it took effect is not known.
+    Unsure,
+}
--- /dev/null
+++ b/crates/core/src/jobs/table.rs
@@ -0,0 +1,184 @@
+//! The replicated table of jobs.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::command::{ItemKey, ItemState, JobCommand, JobItem, JobKey, JobOutcome, Submission};
+use crate::time::UnixMillis;
+
+/// A result. Its position in its job never changes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedResult {
+    /// The item's place in its job.
+    pub item: u32,
+    /// The item's id.
+    pub id: Arc<str>,
+    /// How it ended.
+    pub state: ItemState,
+    /// Its output.
+    pub text: Arc<str>,
+}
+
+/// Results from a position on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResultPage {
+    /// How many items the job has.
+    pub total: u32,
+    /// The results, in order of position.
+    pub results: Vec<ListedResult>,
+    /// Whether nothing more will be listed.
+    pub is_over: bool,
+}
+
+/// One job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    /// What was submitted. The body of a listed item is dropped.
+    pub submission: Submission,
+    /// The results in the order in which they were listed.
+    pub results: Vec<ListedResult>,
+    /// Whether each item is listed.
+    listed: Vec<bool>,
+    /// Whether the submitter ended the job.
+    pub ended: bool,
+}
+
+impl Job {
+    fn new(submission: Submission) -> Self {
+        let listed = vec![false; submission.items.len()];
+        Self { submission, results: Vec::new(), listed, ended: false }
+    }
+
+    /// Whether nothing of the job will run any more.
+    pub fn is_over(&self) -> bool {
+        self.ended || self.results.len() == self.submission.items.len()
+    }
+
+    /// Whether an item has its result.
+    pub fn is_listed(&self, item: u32) -> bool {
+        self.listed.get(item as usize).copied().unwrap_or(false)
+    }
+
+    /// The places of items that have no result yet, unless the job has ended.
+    pub fn open_items(&self) -> impl Iterator<Item = u32> + '_ {
+        let ended = self.ended;
+        (0..self.listed.len() as u32).filter(move |item| !ended && !self.is_listed(*item))
+    }
+
+    /// Tokens of items that have no result yet.
+    pub fn open_tokens(&self) -> u64 {
+        self.open_items().map(|item| self.submission.items[item as usize].token_count).sum()
+    }
+
+    /// The item with that id, while it has no result.
+    pub fn open_item_named(&self, id: &str) -> Option<&JobItem> {
+        let place = self.submission.items.iter().position(|item| &*item.id == id)?;
+        (!self.listed[place]).then(|| &self.submission.items[place])
+    }
+
+    /// Results from `first` on, at least one if there is one and at most `most_bytes` of text.
+    pub fn page(&self, first: u32, most_bytes: usize) -> ResultPage {
+        let mut bytes = 0;
+        let mut results = Vec::new();
+        for result in self.results.iter().skip(first as usize) {
+            bytes += result.text.len();
+            if !results.is_empty() && bytes > most_bytes {
+                break;
+            }
+            results.push(result.clone());
+        }
+        ResultPage { total: self.submission.items.len() as u32, results, is_over: self.is_over() }
+    }
+}
+
+/// The table.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobTable {
+    jobs: BTreeMap<JobKey, Job>,
+    /// Tokens of items without a result, by route.
+    open_tokens: BTreeMap<Arc<str>, u64>,
+}
+
+impl JobTable {
+    /// A job.
+    pub fn job(&self, key: &JobKey) -> Option<&Job> {
+        self.jobs.get(key)
+    }
+
+    /// All jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = (&JobKey, &Job)> {
+        self.jobs.iter()
+    }
+
+    /// Tokens of items without a result on a route.
+    pub fn open_tokens(&self, route: &str) -> u64 {
+        self.open_tokens.get(route).copied().unwrap_or(0)
+    }
+
+    /// Applies a command.
+    pub fn apply(&mut self, command: JobCommand) -> JobOutcome {
+        match command {
+            JobCommand::Accept(submission) => self.accept(submission),
+            JobCommand::Finish { key, state, text } => self.finish(&key, state, text),
+            JobCommand::End { job } => self.end(&job),
+            JobCommand::Forget { before } => self.forget(before),
+        }
+    }
+
+    /// Encodes the table for a snapshot.
+    pub fn encode(&self) -> Arc<[u8]> {
+        postcard::to_stdvec(self).map(Arc::from).unwrap_or_default()
+    }
+
+    /// Reads the table from a snapshot. The empty snapshot of a new log is the empty table.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        if bytes.is_empty() {
+            return Some(Self::default());
+        }
+        postcard::from_bytes(bytes).ok()
+    }
+
+    fn accept(&mut self, submission: Submission) -> JobOutcome {
+        if !self.jobs.contains_key(&submission.key) {
+            *self.open_tokens.entry(submission.route.clone()).or_default() += submission.token_count();
+            self.jobs.insert(submission.key.clone(), Job::new(submission));
+        }
+        JobOutcome::Accepted
+    }
+
+    fn finish(&mut self, key: &ItemKey, state: ItemState, text: Arc<str>) -> JobOutcome {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return JobOutcome::UnknownJob };
+        let place = key.item as usize;
+        if job.ended || job.listed.get(place).copied().unwrap_or(true) {
+            return JobOutcome::Dropped;
+        }
+        job.listed[place] = true;
+        let item = &mut job.submission.items[place];
+        job.results.push(ListedResult { item: key.item, id: item.id.clone(), state, text });
+        item.body = Arc::from([]);
+        let (route, tokens) = (job.submission.route.clone(), item.token_count);
+        self.release(&route, tokens);
+        JobOutcome::Listed
+    }
+
+    fn end(&mut self, key: &JobKey) -> JobOutcome {
+        let Some(job) = self.jobs.get_mut(key) else { return JobOutcome::UnknownJob };
+        let (route, tokens) = (job.submission.route.clone(), job.open_tokens());
+        job.ended = true;
+        self.release(&route, tokens);
+        JobOutcome::Ended
+    }
+
+    fn forget(&mut self, before: UnixMillis) -> JobOutcome {
+        self.jobs.retain(|_, job| !(job.is_over() && job.submission.received_at < before));
+        JobOutcome::Forgotten
+    }
+
+    fn release(&mut self, route: &Arc<str>, tokens: u64) {
+        if let Some(open) = self.open_tokens.get_mut(route) {
+            *open = open.saturating_sub(tokens);
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,13 +14,17 @@
 //! | [`scheduling`] | batch credits and the dispatch of batch items |
 //! | [`online`] | the life of one online request, from admission to its last piece |
 //! | [`control`] | founding and repair of replica groups |
+//! | [`gateway`] | routes, workers and attempts of requests that pass through unchanged |
+//! | [`jobs`] | batch jobs whose items pass through unchanged: their replicated table and their dispatch |
 //! | [`node`] | the composition of all of the above into one node |
 
 pub mod configuration;
 pub mod control;
 pub mod error;
+pub mod gateway;
 pub mod hashing;
 pub mod identity;
+pub mod jobs;
 pub mod log_event;
 pub mod membership;
 pub mod node;
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -46,6 +46,7 @@
     NodeReady = 101, Information, "The node has a configuration and takes requests.";
     NodeStopping = 102, Information, "A planned stop began.";
     NodeStopped = 103, Information, "The planned stop is complete.";
+    SettingsReloaded = 104, Information, "The settings file was read again.";
     StoreFormatted = 110, Information, "A blank data folder was formatted with a new identity.";
     StoreCorrupted = 111, Error, "The data folder failed its checksum; it was set aside and a new identity made.";
     StoreWriteFailed = 112, Error, "A write to the data folder failed; the node stops rather than acknowledge it.";
@@ -59,6 +60,7 @@
     ReplicaAdded = 303, Information, "A replica was added to a group.";
     ReplicaRemoved = 304, Information, "A replica was removed from a group.";
     SnapshotInstalled = 305, Information, "A replica was rebuilt from a snapshot.";
+    MembershipChanging = 306, Information, "The leader proposes a change of its group's members.";
     MessageRefused = 310, Warning, "A message from a peer was refused.";
     ConfigurationInForce = 400, Information, "A configuration revision came into force on this node.";
     ConfigurationAccepted = 401, Information, "An operator's change was accepted.";
@@ -76,6 +78,15 @@
     RequestMoved = 504, Information, "A request moved to another engine.";
     RequestRefused = 505, Information, "A request was refused.";
     RetryBudgetSpent = 506, Warning, "A retry was given up because the retry budget is spent.";
+    WorkerSeen = 510, Information, "A worker was seen and takes requests.";
+    WorkerDraining = 511, Information, "A worker states that it leaves and gets no new requests.";
+    WorkerGone = 512, Information, "A worker's record was removed; it gets no new requests.";
+    AttemptEnded = 520, Warning, "An attempt at a worker ended without a whole answer.";
+    RequestEnded = 521, Information, "A request that passes through has ended.";
+    StorageNodeSeen = 530, Information, "A storing node's record was read.";
+    ItemRunEnded = 540, Information, "A run of a batch item ended.";
+    ItemListed = 541, Information, "A batch item's result is listed.";
+    EmptyingReported = 550, Information, "The emptying of a machine was reported.";
     JobAccepted = 600, Information, "A batch job was accepted.";
     JobCompleted = 601, Information, "Every item of a batch job has its result.";
     JobCancelled = 602, Information, "A batch job was cancelled.";
--- a/crates/core/src/node/groups.rs
+++ b/crates/core/src/node/groups.rs
@@ -170,6 +170,11 @@
             return;
         };
         match request.body {
+            // The groups of this node hold no pass-through jobs.
+            GroupRequestBody::Jobs(_) => {
+                let result = Err(GroupRefusal::Busy);
+                self.answer_group_request(request.from, request.id, request.group, result);
+            }
             GroupRequestBody::Query(query) => {
                 let result = if hosted.replica.may_answer_reads(now) {
                     Ok(GroupAnswerBody::Answer(hosted.state.query(&query)))
--- a/crates/core/src/node/peer_message.rs
+++ b/crates/core/src/node/peer_message.rs
@@ -8,6 +8,7 @@
 use crate::configuration::{Manifest, PartDigest};
 use crate::control::DirectoryEntry;
 use crate::identity::{EngineName, GroupId, NodeId};
+use crate::jobs::request::{JobsAnswer, JobsRequest};
 use crate::membership::MembershipMessage;
 use crate::partition::{Command, CommandOutcome, Query, QueryAnswer};
 use crate::replication::{ReplicationMessage, Term};
@@ -79,6 +80,8 @@
     Command(Command),
     /// A read.
     Query(Query),
+    /// Something of the table of pass-through jobs.
+    Jobs(JobsRequest),
 }
 
 /// The answer to a group request.
@@ -99,6 +102,8 @@
     Outcome(CommandOutcome),
     /// The answer to the query.
     Answer(QueryAnswer),
+    /// The answer of the table of pass-through jobs.
+    Jobs(JobsAnswer),
 }
 
 /// Why a group request was not served. The command may have taken effect all the same if the leader
--- /dev/null
+++ b/crates/gateway/src/connections.rs
@@ -0,0 +1,247 @@
+//! Kept connections to workers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::task::AbortHandle;
+
+/// How long a connection attempt may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long sent bytes may stay unacknowledged before the connection counts as dead.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// A connection without traffic is probed after this long.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Idle connections are reused for this long where the worker does not say.
+const USUAL_IDLE: Duration = Duration::from_secs(4);
+/// The share of the worker's own idle time for which a connection is reused, in percent.
+const IDLE_PERCENT: u32 = 75;
+/// How long a connection may take to become free after an answer.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A connection that serves one request now.
+pub struct WorkerConnection {
+    /// `None` only while the connection is given back.
+    sender: Option<SendRequest<Full<Bytes>>>,
+    address: SocketAddr,
+    task: AbortHandle,
+    pool: Arc<ConnectionPool>,
+    keep: Option<Duration>,
+}
+
+struct IdleConnection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    until: Instant,
+}
+
+#[derive(Default)]
+struct AddressConnections {
+    idle: Vec<IdleConnection>,
+    open: usize,
+}
+
+/// Why there is no connection. Nothing was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoConnection {
+    /// The worker's share of connections is in use.
+    AllInUse,
+    /// The worker can't be reached.
+    Unreachable,
+}
+
+/// The connections of this node to all workers.
+#[derive(Default)]
+pub struct ConnectionPool {
+    addresses: Mutex<HashMap<SocketAddr, AddressConnections>>,
+}
+
+impl ConnectionPool {
+    /// A connection that is idle, or a new one while there are fewer than `most`.
+    ///
+    /// # Errors
+    ///
+    /// [`NoConnection`]: nothing was sent.
+    pub async fn take(self: &Arc<Self>, address: SocketAddr, most: usize) -> Result<WorkerConnection, NoConnection> {
+        {
+            let mut addresses = self.lock();
+            let connections = addresses.entry(address).or_default();
+            while let Some(idle) = connections.idle.pop() {
+                if !idle.sender.is_closed() && idle.sender.is_ready() && Instant::now() < idle.until {
+                    let pool = self.clone();
+                    return Ok(WorkerConnection {
+                        sender: Some(idle.sender),
+                        address,
+                        task: idle.task,
+                        pool,
+                        keep: None,
+                    });
+                }
+                idle.task.abort();
+                connections.open = connections.open.saturating_sub(1);
+            }
+            if connections.open >= most {
+                return Err(NoConnection::AllInUse);
+            }
+            connections.open += 1;
+        }
+        let slot = OpenSlot { pool: self.clone(), address, kept: false };
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await;
+        let Ok(Ok((sender, task))) = connected else { return Err(NoConnection::Unreachable) };
+        slot.keep();
+        Ok(WorkerConnection { sender: Some(sender), address, task, pool: self.clone(), keep: None })
+    }
+
+    /// Closes idle connections that are over their time.
+    pub fn close_stale(&self) {
+        let now = Instant::now();
+        let mut addresses = self.lock();
+        for connections in addresses.values_mut() {
+            let before = connections.idle.len();
+            connections.idle.retain(|idle| {
+                let is_live = now < idle.until && !idle.sender.is_closed();
+                if !is_live {
+                    idle.task.abort();
+                }
+                is_live
+            });
+            connections.open = connections.open.saturating_sub(before - connections.idle.len());
+        }
+        addresses.retain(|_, connections| connections.open > 0);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, AddressConnections>> {
+        self.addresses.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn released(&self, address: SocketAddr) {
+        if let Some(connections) = self.lock().get_mut(&address) {
+            connections.open = connections.open.saturating_sub(1);
+        }
+    }
+
+    fn put_back(&self, address: SocketAddr, idle: IdleConnection) {
+        self.lock().entry(address).or_default().idle.push(idle);
+    }
+}
+
+/// Counts a connection attempt until it has become a connection.
+struct OpenSlot {
+    pool: Arc<ConnectionPool>,
+    address: SocketAddr,
+    kept: bool,
+}
+
+impl OpenSlot {
+    fn keep(mut self) {
+        self.kept = true;
+    }
+}
+
+impl Drop for OpenSlot {
+    fn drop(&mut self) {
+        if !self.kept {
+            self.pool.released(self.address);
+        }
+    }
+}
+
+/// Why a request brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendFailure {
+    /// No byte of it left.
+    NotSent,
+    /// It may have arrived.
+    MayHaveArrived,
+}
+
+impl WorkerConnection {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`SendFailure`]: there was no answer.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendFailure> {
+        let Some(sender) = self.sender.as_mut() else { return Err(SendFailure::NotSent) };
+        sender
+            .try_send_request(request)
+            .await
+            .map_err(|error| if error.message().is_some() { SendFailure::NotSent } else { SendFailure::MayHaveArrived })
+    }
+
+    /// The answer was whole: the connection may serve another request within `keep_alive`, where the
+    /// worker told that.
+    pub fn keep(&mut self, keep_alive: Option<Duration>) {
+        self.keep = Some(keep_alive.map_or(USUAL_IDLE, |span| span * IDLE_PERCENT / 100));
+    }
+}
+
+impl Drop for WorkerConnection {
+    fn drop(&mut self) {
+        let (address, pool, task) = (self.address, self.pool.clone(), self.task.clone());
+        let sender = self.sender.take().filter(|sender| !sender.is_closed());
+        let (Some(sender), Some(idle)) = (sender, self.keep.filter(|idle| !idle.is_zero())) else {
+            task.abort();
+            pool.released(address);
+            return;
+        };
+        if sender.is_ready() {
+            pool.put_back(address, IdleConnection { sender, task, until: Instant::now() + idle });
+            return;
+        }
+        tokio::spawn(return_when_ready(sender, address, pool, task, idle));
+    }
+}
+
+async fn return_when_ready(
+    mut sender: SendRequest<Full<Bytes>>,
+    address: SocketAddr,
+    pool: Arc<ConnectionPool>,
+    task: AbortHandle,
+    idle: Duration,
+) {
+    let ready = tokio::time::timeout(RELEASE_TIMEOUT, sender.ready()).await;
+    if matches!(ready, Ok(Ok(()))) {
+        pool.put_back(address, IdleConnection { sender, task, until: Instant::now() + idle });
+    } else {
+        task.abort();
+        pool.released(address);
+    }
+}
+
+async fn connect(address: SocketAddr) -> std::io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
+    let stream = connect_tuned(address).await?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+    let task = tokio::spawn(async move {
+        // How it ended shows at the requests that it carried.
+        let _ = connection.await;
+    });
+    Ok((sender, task.abort_handle()))
+}
+
+/// A connection that finds out by itself that its peer is silent.
+///
+/// # Errors
+///
+/// The peer can't be reached.
+pub async fn connect_tuned(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    tune(&socket)?;
+    socket.connect(address).await
+}
+
+fn tune(socket: &TcpSocket) -> std::io::Result<()> {
+    socket.set_nodelay(true)?;
+    let reference = socket2::SockRef::from(socket);
+    reference.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    let probes = socket2::TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_AFTER).with_retries(2);
+    reference.set_tcp_keepalive(&probes)
+}
--- /dev/null
+++ b/crates/gateway/src/fleet_view.rs
@@ -0,0 +1,162 @@
+//! What this node believes of the fleet: the configuration in force, the workers, the storing nodes.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use stallmoor_core::gateway::configuration::{GatewayConfiguration, Route};
+use stallmoor_core::gateway::workers::{WorkerChange, WorkerId, WorkerTable};
+use stallmoor_core::jobs::directory::{StorageDirectory, StorageRecord};
+use stallmoor_core::log_event::LogEvent;
+use tokio::sync::watch;
+
+use crate::clock::NodeClock;
+use crate::journal::{Field, record};
+use crate::metadata::{FleetUpdate, MetadataItem};
+
+/// The product's keys of storing nodes begin so.
+pub const STORAGE_KEYS: &str = "stallmoor/storage/";
+
+/// What changes with the store's news, and who wants to know.
+pub struct FleetView {
+    /// The node's clocks.
+    pub clock: NodeClock,
+    /// The node's zone.
+    pub zone: Arc<str>,
+    configuration: Mutex<Option<Arc<GatewayConfiguration>>>,
+    workers: Mutex<WorkerTable>,
+    storage: Mutex<StorageDirectory>,
+    random: Mutex<Xoshiro256PlusPlus>,
+    changed: watch::Sender<u64>,
+}
+
+impl FleetView {
+    /// A view that knows nothing yet.
+    pub fn new(clock: NodeClock, zone: Arc<str>, seed: u64) -> Self {
+        Self {
+            clock,
+            zone,
+            configuration: Mutex::default(),
+            workers: Mutex::default(),
+            storage: Mutex::default(),
+            random: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(seed)),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Arc<GatewayConfiguration>> {
+        lock(&self.configuration).clone()
+    }
+
+    /// The workers.
+    pub fn workers(&self) -> MutexGuard<'_, WorkerTable> {
+        lock(&self.workers)
+    }
+
+    /// The storing nodes.
+    pub fn storage(&self) -> MutexGuard<'_, StorageDirectory> {
+        lock(&self.storage)
+    }
+
+    /// The source of all that is random in this process.
+    pub fn random(&self) -> MutexGuard<'_, Xoshiro256PlusPlus> {
+        lock(&self.random)
+    }
+
+    /// Tells each change of the view.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// The memory of one worker of a service, in tokens; 0 if not known.
+    pub fn worker_memory(&self, service: &str) -> u64 {
+        let configuration = self.configuration();
+        configuration.and_then(|known| known.services.get(service).map(|found| found.cache_tokens)).unwrap_or(0)
+    }
+
+    /// Takes what the store told.
+    pub fn apply(&self, update: &FleetUpdate) {
+        match update {
+            FleetUpdate::Configuration(configuration) => self.take_configuration(configuration),
+            FleetUpdate::Worker(worker) => {
+                let change = self.workers().upsert(worker.clone());
+                log_worker(change, Some(worker.address.to_string()));
+            }
+            FleetUpdate::WorkerGone(id) => self.remove_worker(id),
+            FleetUpdate::WorkersListed(listed) => {
+                let known = self.workers().present();
+                for id in known.iter().filter(|id| !listed.contains(id)) {
+                    self.remove_worker(id);
+                }
+            }
+            FleetUpdate::Item(item) => self.take_item(item),
+            FleetUpdate::Reached => record(LogEvent::PlatformRecovered, &[]),
+            FleetUpdate::Lost { detail } => record(LogEvent::PlatformUnavailable, &[Field::text("detail", detail)]),
+            FleetUpdate::EmptyMachine { .. } => {}
+        }
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    fn take_configuration(&self, configuration: &Arc<GatewayConfiguration>) {
+        let mut known = lock(&self.configuration);
+        // A stale read must never bring an older version back.
+        if known.as_ref().is_some_and(|known| known.version >= configuration.version) {
+            return;
+        }
+        record(LogEvent::ConfigurationInForce, &[Field::number("version", configuration.version)]);
+        *known = Some(configuration.clone());
+    }
+
+    fn remove_worker(&self, id: &WorkerId) {
+        let now = self.clock.now();
+        let change = self.workers().remove(id, now);
+        log_worker(change, None);
+        self.workers().forget_gone(now);
+    }
+
+    fn take_item(&self, item: &MetadataItem) {
+        let Some(name) = item.key.strip_prefix(STORAGE_KEYS) else { return };
+        let stored = item.value.as_ref().and_then(|value| serde_json::from_slice::<StorageRecord>(value).ok());
+        match stored {
+            Some(stored) => {
+                let fields = [Field::text("machine", name), Field::text("node", stored.node)];
+                record(LogEvent::StorageNodeSeen, &fields);
+                self.storage().upsert(stored);
+            }
+            None => self.storage().remove(name),
+        }
+    }
+
+    /// The service that takes a request of a route, by the targets' weights.
+    pub fn draw_service(&self, route: &Route) -> Option<Arc<str>> {
+        use rand::Rng;
+        if route.targets.len() < 2 {
+            return route.targets.first().map(|target| target.service.clone());
+        }
+        let total: u32 = route.targets.iter().map(|target| target.weight).sum();
+        let mut drawn = if total == 0 { 0 } else { self.random().random_range(0..total) };
+        for target in &route.targets {
+            if drawn < target.weight {
+                return Some(target.service.clone());
+            }
+            drawn -= target.weight;
+        }
+        route.targets.first().map(|target| target.service.clone())
+    }
+}
+
+/// Locks; a panic elsewhere leaves values that are still whole.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn log_worker(change: Option<WorkerChange>, address: Option<String>) {
+    let (event, id) = match change {
+        None => return,
+        Some(WorkerChange::Seen(id)) => (LogEvent::WorkerSeen, id),
+        Some(WorkerChange::Draining(id)) => (LogEvent::WorkerDraining, id),
+        Some(WorkerChange::Gone(id)) => (LogEvent::WorkerGone, id),
+    };
+    record(event, &[Field::text("worker", id), Field::text("address", address.unwrap_or_default())]);
+}
--- /dev/null
+++ b/crates/gateway/src/headers.rs
@@ -0,0 +1,45 @@
+//! Headers that pertain to one connection only.
+
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+
+const CONNECTION_HEADERS: [HeaderName; 9] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    EXPECT,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+const KEEP_ALIVE: &str = "keep-alive";
+const PROXY_CONNECTION: &str = "proxy-connection";
+
+/// The headers that are passed on: all but those of one connection, those that `Connection` names, and
+/// the length, which follows from the body.
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let is_passed_on = |name: &HeaderName| {
+        !CONNECTION_HEADERS.contains(name)
+            && name != KEEP_ALIVE
+            && name != PROXY_CONNECTION
+            && !named.iter().any(|other| other == name.as_str())
+    };
+    let mut passed_on = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        if is_passed_on(name) {
+            passed_on.append(name.clone(), value.clone());
+        }
+    }
+    passed_on
+}
--- /dev/null
+++ b/crates/gateway/src/item_run.rs
@@ -0,0 +1,105 @@
+//! One run of a batch item at a worker.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::{Method, StatusCode, Uri};
+use stallmoor_core::gateway::attempt::AttemptEnd;
+use stallmoor_core::gateway::event_stream::EventSplitter;
+use stallmoor_core::gateway::workers::Choice;
+use stallmoor_core::jobs::command::JobItem;
+use stallmoor_core::jobs::dispatch::{PartialOutput, RunEnd};
+
+use crate::attempt::{Attempt, OpenAnswer, WorkerClient};
+use crate::dialect::AttemptTerms;
+
+/// How long the first event is waited for.
+const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(2_500);
+/// How long each further event is waited for.
+const EVENT_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// An item and where it runs.
+pub struct ItemRun {
+    /// The item.
+    pub item: JobItem,
+    /// The host that its job came to.
+    pub host: Arc<str>,
+    /// The service of its route.
+    pub service: Arc<str>,
+    /// The worker.
+    pub choice: Choice,
+    /// What earlier runs put out.
+    pub output: PartialOutput,
+}
+
+impl ItemRun {
+    /// Runs the item to its end. The output so far is handed back however that is.
+    pub async fn run(mut self, client: &WorkerClient) -> (RunEnd, PartialOutput) {
+        let end = self.try_run(client).await;
+        (end, self.output)
+    }
+
+    async fn try_run(&mut self, client: &WorkerClient) -> RunEnd {
+        let Ok(target) = self.item.path.parse::<Uri>() else { return RunEnd::Impossible };
+        let terms = AttemptTerms { worker: &self.choice.id, remaining: None, after_event: self.output.last_event };
+        let attempt = Attempt {
+            service: self.service.clone(),
+            request_id: self.item.id.clone(),
+            method: Method::POST,
+            target,
+            headers: client.dialect.item_headers(&self.item, &self.host, &terms),
+            body: bytes::Bytes::copy_from_slice(&self.item.body),
+            prefix: client.dialect.item_facts(&self.item).prefix,
+            is_batch: true,
+            choice: self.choice.clone(),
+        };
+        match client.open(attempt, FIRST_EVENT_PATIENCE).await {
+            Ok(answer) if answer.status.is_success() => self.read(client, answer).await,
+            Ok(answer) if answer.status == StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Impossible,
+            Ok(_) => RunEnd::Failed,
+            Err(AttemptEnd::NotConnected | AttemptEnd::NotRun { .. }) => RunEnd::NotRun,
+            Err(_) => RunEnd::BrokenOff,
+        }
+    }
+
+    async fn read(&mut self, client: &WorkerClient, mut answer: OpenAnswer) -> RunEnd {
+        let mut splitter = EventSplitter::default();
+        loop {
+            let frame = tokio::time::timeout(EVENT_PATIENCE, answer.body.frame()).await;
+            match frame {
+                Ok(Some(Ok(frame))) => {
+                    for event in splitter.push(&frame.into_data().unwrap_or_default()) {
+                        if !self.take_event(&event.data(), event.id) {
+                            return self.broken(client, &answer);
+                        }
+                    }
+                }
+                Ok(None) if splitter.pending().is_empty() && self.output.last_event.is_some() => {
+                    answer.release();
+                    return RunEnd::Completed;
+                }
+                _ => return self.broken(client, &answer),
+            }
+        }
+    }
+
+    /// Takes an event that follows the last one. Returns whether the stream is in order.
+    fn take_event(&mut self, data: &str, id: Option<u64>) -> bool {
+        if let (Some(id), Some(last)) = (id, self.output.last_event) {
+            if id <= last {
+                return true;
+            }
+            if id > last + 1 {
+                return false;
+            }
+        }
+        self.output.push(data, id);
+        true
+    }
+
+    fn broken(&self, client: &WorkerClient, answer: &OpenAnswer) -> RunEnd {
+        client.view.workers().failed(&answer.worker, client.view.clock.now());
+        RunEnd::BrokenOff
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/job_calls.rs
@@ -0,0 +1,140 @@
+//! Calls about batch jobs, as callers make them.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use stallmoor_core::error::{ErrorKind, Ran, Refusal};
+use stallmoor_core::gateway::configuration::Route;
+use stallmoor_core::gateway::request::RequestFacts;
+use stallmoor_core::jobs::command::{JobKey, Submission};
+use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
+use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::time::{Millis, Timestamp};
+
+use crate::answer_body::AnswerBody;
+use crate::dialect::{Dialect, JobCall};
+use crate::fleet_view::FleetView;
+use crate::jobs_client::{JobsClient, NoLeader};
+use crate::journal::{Field, record};
+use crate::refusal;
+
+/// How long a submission is tried where the caller gives no deadline.
+const SUBMIT_WITHIN: Millis = Millis(2_500);
+/// How long a read or an end is tried, beyond the wait that the caller asks for.
+const CALL_WITHIN: Millis = Millis(1_200);
+/// The longest wait for a result.
+const LONGEST_WAIT: Millis = Millis(2_000);
+/// When a caller whose job did not fit should come back.
+const OVER_QUOTA_COME_BACK: Millis = Millis(1_000);
+/// When a caller should come back while the table has no leader.
+const NO_LEADER_COME_BACK: Millis = Millis(300);
+
+/// Serves calls about batch jobs.
+pub struct JobCalls {
+    /// What is known of the fleet.
+    pub view: Arc<FleetView>,
+    /// The spelling of the wire.
+    pub dialect: Arc<dyn Dialect>,
+    /// The way to the table's leader.
+    pub client: JobsClient,
+}
+
+impl JobCalls {
+    /// Takes a job.
+    pub async fn submit(
+        &self,
+        facts: &RequestFacts,
+        route: &Route,
+        version: u64,
+        body: &Bytes,
+        arrived_at: Timestamp,
+    ) -> Response<AnswerBody> {
+        let submission = match self.dialect.submission(facts, route, body, self.view.clock.civil()) {
+            Ok(submission) => Submission { configuration_version: version, ..submission },
+            Err(bad) => return refusal::of_kind(ErrorKind::MalformedRequest, &bad.detail),
+        };
+        let held = facts.deadline.unwrap_or(SUBMIT_WITHIN).min(SUBMIT_WITHIN).min(route.timeout);
+        let key = submission.key.clone();
+        let items = submission.items.len() as u64;
+        let result = self.client.ask(JobsRequest::Submit(submission), arrived_at + held).await;
+        self.log_submission(&key, items, &result, arrived_at);
+        match result {
+            Ok(JobsAnswer::Accepted | JobsAnswer::Ended) => empty(StatusCode::ACCEPTED),
+            Ok(JobsAnswer::OverQuota { waiting }) => {
+                let detail = format!("{waiting} tokens wait on this route");
+                let refused = Refusal::new(ErrorKind::TenantLimit, detail).with_retry_after(OVER_QUOTA_COME_BACK.0);
+                refusal::answer(&refused)
+            }
+            Ok(_) => refusal::of_kind(ErrorKind::Internal, "an answer that does not fit a submission"),
+            Err(no_leader) => refusal::answer(&refuse_without_leader(no_leader)),
+        }
+    }
+
+    /// Serves a call about a job that was submitted.
+    pub async fn call(&self, call: JobCall, arrived_at: Timestamp) -> Response<AnswerBody> {
+        match call {
+            JobCall::Read { job, first, wait } => self.read(job, first, wait.min(LONGEST_WAIT), arrived_at).await,
+            JobCall::Body { job, item } => {
+                let request = JobsRequest::Body { job, item };
+                match self.client.ask(request, arrived_at + CALL_WITHIN).await {
+                    Ok(JobsAnswer::Body(body)) => whole(Bytes::from(body.to_vec()), "application/octet-stream"),
+                    other => refuse_call(other),
+                }
+            }
+            JobCall::End { job } => match self.client.ask(JobsRequest::End { job }, arrived_at + CALL_WITHIN).await {
+                Ok(JobsAnswer::Ended | JobsAnswer::Accepted) => empty(StatusCode::OK),
+                other => refuse_call(other),
+            },
+        }
+    }
+
+    async fn read(&self, job: JobKey, first: u32, wait: Millis, arrived_at: Timestamp) -> Response<AnswerBody> {
+        let until = arrived_at + wait + CALL_WITHIN;
+        match self.client.ask(JobsRequest::Read { job, first, wait }, until).await {
+            Ok(JobsAnswer::Page(page)) => whole(self.dialect.result_page(first, &page), "application/json"),
+            other => refuse_call(other),
+        }
+    }
+
+    fn log_submission(&self, key: &JobKey, items: u64, result: &Result<JobsAnswer, NoLeader>, arrived_at: Timestamp) {
+        let fields = [
+            Field::text("job", key),
+            Field::number("items", items),
+            Field::text("result", format!("{result:?}")),
+            Field::number("age_ms", self.view.clock.now().since(arrived_at).0),
+        ];
+        record(LogEvent::JobAccepted, &fields);
+    }
+}
+
+/// A submission that may have arrived is not refused: the caller may ask again, and finds it taken.
+fn refuse_without_leader(no_leader: NoLeader) -> Refusal {
+    let detail = "the job table has no leader that answers";
+    if no_leader.may_have_arrived {
+        return Refusal::new(ErrorKind::DeadlineExceeded, detail).with_ran(Ran::Unknown);
+    }
+    Refusal::new(ErrorKind::StateUnavailable, detail).with_retry_after(NO_LEADER_COME_BACK.0)
+}
+
+fn refuse_call(result: Result<JobsAnswer, NoLeader>) -> Response<AnswerBody> {
+    match result {
+        Ok(JobsAnswer::UnknownJob) => refusal::of_kind(ErrorKind::UnknownJob, "there is no such job"),
+        Ok(JobsAnswer::UnknownItem) => refusal::of_kind(ErrorKind::UnknownPath, "no such item without a result"),
+        Ok(_) => refusal::of_kind(ErrorKind::Internal, "an answer that does not fit the call"),
+        Err(_) => refusal::of_kind(ErrorKind::StateUnavailable, "the job table has no leader that answers"),
+    }
+}
+
+fn empty(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+fn whole(body: Bytes, content_type: &'static str) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(body));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/log_writer.rs
@@ -0,0 +1,81 @@
+//! Where structured lines go: standard output, by a thread of its own, so that nothing waits for it.
+
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::LevelFilter;
+
+use crate::journal::TARGET;
+
+/// Lines that may wait; further ones are dropped and counted.
+const LINES: usize = 4_096;
+
+/// Hands lines to the thread that writes them.
+struct LineQueue {
+    lines: SyncSender<String>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl LineQueue {
+    /// Hands a line over. One that finds no room is dropped and counted: nothing waits for the log.
+    fn push(&self, line: String) {
+        if self.lines.try_send(line).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Sets up the process's log: one JSON object a line on standard output.
+///
+/// # Errors
+///
+/// Logging was set up before, or the system gives no thread.
+pub fn set_up(level: LevelFilter) -> io::Result<()> {
+    let (lines, waiting) = sync_channel(LINES);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let counted = dropped.clone();
+    std::thread::Builder::new().name("log".to_owned()).spawn(move || write_lines(&waiting, &counted))?;
+    let queue = LineQueue { lines, dropped };
+    fern::Dispatch::new()
+        .format(|out, message, record| {
+            if record.target() == TARGET {
+                out.finish(format_args!("{{\"at\":{},\"level\":\"{}\",{message}", now(), record.level()));
+            } else {
+                let text = serde_json::Value::String(message.to_string());
+                out.finish(format_args!("{{\"at\":{},\"level\":\"{}\",\"text\":{text}}}", now(), record.level()));
+            }
+        })
+        .level(LevelFilter::Warn)
+        .level_for(TARGET, LevelFilter::Trace)
+        .chain(fern::Output::call(move |record| queue.push(record.args().to_string())))
+        .apply()
+        .map_err(io::Error::other)?;
+    log::set_max_level(level);
+    Ok(())
+}
+
+fn write_lines(lines: &Receiver<String>, dropped: &AtomicU64) {
+    let mut out = io::stdout();
+    while let Ok(first) = lines.recv() {
+        let mut text = first;
+        text.push('\n');
+        while let Ok(next) = lines.try_recv() {
+            text.push_str(&next);
+            text.push('\n');
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            text.push_str(&format!("{{\"at\":{},\"level\":\"WARN\",\"dropped\":{lost}}}\n", now()));
+        }
+        // Nobody reads the lines if this fails; the process serves on.
+        let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    }
+}
+
+/// Milliseconds since the Unix epoch.
+fn now() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis())
+}
--- /dev/null
+++ b/crates/gateway/src/peer_link.rs
@@ -0,0 +1,189 @@
+//! Connections to other nodes: messages that may be lost, and requests that are answered.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use stallmoor_core::identity::{GroupId, NodeId};
+use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
+use stallmoor_core::node::{GroupAnswer, GroupAnswerBody, GroupRefusal, GroupRequest, GroupRequestBody, PeerMessage};
+use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::connections::connect_tuned;
+use crate::frames::{read_message, write_frame};
+
+/// Most messages that wait for one peer; what doesn't fit is dropped.
+const QUEUE: usize = 1_024;
+/// How long a connection attempt may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long one write may take before the connection is given up.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Why a request brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkFailure {
+    /// It was not sent.
+    NotSent,
+    /// It may have arrived.
+    NoAnswer,
+}
+
+type Pending = Arc<Mutex<HashMap<u64, oneshot::Sender<GroupAnswer>>>>;
+
+struct Outgoing {
+    frame: Vec<u8>,
+    /// Told once the frame is about to be written.
+    sent: Option<oneshot::Sender<()>>,
+}
+
+struct Link {
+    queue: mpsc::Sender<Outgoing>,
+    pending: Pending,
+}
+
+/// The connections of this node to other nodes.
+pub struct PeerLinks {
+    id: NodeId,
+    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+    next: Mutex<u64>,
+}
+
+impl PeerLinks {
+    /// No connections yet.
+    pub fn new(id: NodeId) -> Self {
+        Self { id, links: Mutex::default(), next: Mutex::new(1) }
+    }
+
+    /// Sends a message that may be lost.
+    pub fn send(&self, to: SocketAddr, message: &PeerMessage) {
+        let frame = stallmoor_wire::encode(message);
+        // A full queue loses the message, which its sender must bear.
+        let _ = self.link(to).queue.try_send(Outgoing { frame, sent: None });
+    }
+
+    /// Sends a request whose answer nobody waits for.
+    pub fn notify(&self, to: SocketAddr, request: JobsRequest) {
+        let id = self.next_id();
+        let body = GroupRequestBody::Jobs(request);
+        self.send(to, &PeerMessage::GroupRequest(GroupRequest { id, from: self.id, group: GroupId(0), body }));
+    }
+
+    /// Sends a request and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkFailure`]: there is none.
+    pub async fn ask(
+        &self,
+        to: SocketAddr,
+        request: JobsRequest,
+        within: Duration,
+    ) -> Result<Result<JobsAnswer, GroupRefusal>, LinkFailure> {
+        let id = self.next_id();
+        let body = GroupRequestBody::Jobs(request);
+        let message = PeerMessage::GroupRequest(GroupRequest { id, from: self.id, group: GroupId(0), body });
+        let frame = stallmoor_wire::encode(&message);
+        let link = self.link(to);
+        let (answer_sender, answer) = oneshot::channel();
+        let (sent_sender, mut sent) = oneshot::channel();
+        lock(&link.pending).insert(id, answer_sender);
+        let _forget = ForgetPending { pending: link.pending.clone(), id };
+        if link.queue.try_send(Outgoing { frame, sent: Some(sent_sender) }).is_err() {
+            return Err(LinkFailure::NotSent);
+        }
+        match tokio::time::timeout(within, answer).await {
+            Ok(Ok(GroupAnswer { result: Ok(GroupAnswerBody::Jobs(answer)), .. })) => Ok(Ok(answer)),
+            Ok(Ok(GroupAnswer { result: Err(refusal), .. })) => Ok(Err(refusal)),
+            _ => {
+                // Refuse to send it any more, unless it has gone already.
+                sent.close();
+                let was_sent = sent.try_recv().is_ok();
+                Err(if was_sent { LinkFailure::NoAnswer } else { LinkFailure::NotSent })
+            }
+        }
+    }
+
+    fn next_id(&self) -> u64 {
+        let mut next = self.next.lock().unwrap_or_else(PoisonError::into_inner);
+        *next += 1;
+        *next
+    }
+
+    fn link(&self, to: SocketAddr) -> Arc<Link> {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.retain(|_, link| !link.queue.is_closed());
+        links.entry(to).or_insert_with(|| open_link(to)).clone()
+    }
+}
+
+/// Forgets a request whose asker does not wait any more.
+struct ForgetPending {
+    pending: Pending,
+    id: u64,
+}
+
+impl Drop for ForgetPending {
+    fn drop(&mut self) {
+        lock(&self.pending).remove(&self.id);
+    }
+}
+
+fn lock(pending: &Pending) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<GroupAnswer>>> {
+    pending.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn open_link(to: SocketAddr) -> Arc<Link> {
+    let (queue, receiver) = mpsc::channel(QUEUE);
+    let pending = Pending::default();
+    tokio::spawn(run_link(to, receiver, pending.clone()));
+    Arc::new(Link { queue, pending })
+}
+
+/// Keeps one connection until it breaks; then the link is over, and the next message opens another.
+async fn run_link(to: SocketAddr, mut queue: mpsc::Receiver<Outgoing>, pending: Pending) {
+    if let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, connect_tuned(to)).await {
+        let (reader, writer) = stream.into_split();
+        let reading = read_answers(BufReader::new(reader), pending.clone());
+        let writing = write_queue(BufWriter::new(writer), &mut queue);
+        tokio::select! {
+            () = reading => {}
+            () = writing => {}
+        }
+    }
+    queue.close();
+    // Dropping the senders tells those who wait that no answer comes.
+    lock(&pending).clear();
+}
+
+async fn read_answers(mut reader: BufReader<tokio::net::tcp::OwnedReadHalf>, pending: Pending) {
+    while let Ok(message) = read_message(&mut reader).await {
+        if let PeerMessage::GroupAnswer(answer) = message
+            && let Some(waiting) = lock(&pending).remove(&answer.id)
+        {
+            // Whoever waited may have left.
+            let _ = waiting.send(answer);
+        }
+    }
+}
+
+async fn write_queue(mut writer: BufWriter<tokio::net::tcp::OwnedWriteHalf>, queue: &mut mpsc::Receiver<Outgoing>) {
+    while let Some(first) = queue.recv().await {
+        let write = async {
+            let mut next = Some(first);
+            while let Some(outgoing) = next {
+                // One that is not awaited any more must not be sent: its asker counts it as not sent.
+                let wanted = outgoing.sent.is_none_or(|sent| sent.send(()).is_ok());
+                if wanted {
+                    write_frame(&mut writer, &outgoing.frame).await?;
+                }
+                next = queue.try_recv().ok();
+            }
+            writer.flush().await
+        };
+        if !matches!(tokio::time::timeout(WRITE_TIMEOUT, write).await, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process.rs
@@ -0,0 +1,290 @@
+//! A gateway or a storing node as a process: its parts put together, its stop and its reload.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use snafu::{ResultExt, Snafu};
+use stallmoor_core::identity::NodeId;
+use stallmoor_core::jobs::directory::StorageRecord;
+use stallmoor_core::jobs::node::JobsNode;
+use stallmoor_core::jobs::table::JobTable;
+use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::replication::ReplicaSettings;
+use stallmoor_storage::{FolderOwner, StorageError, Store};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+
+use crate::adapter::PlatformAdapter;
+use crate::attempt::WorkerClient;
+use crate::clock::NodeClock;
+use crate::connections::ConnectionPool;
+use crate::disk_writer::DiskWriter;
+use crate::fleet_view::FleetView;
+use crate::job_calls::JobCalls;
+use crate::jobs_client::JobsClient;
+use crate::journal::{Field, record};
+use crate::metadata::FleetUpdate;
+use crate::registration;
+use crate::server::{CallerServer, StopPhase, serve_readiness};
+use crate::settings::ServingSettings;
+use crate::storage_server::accept_peers;
+use crate::storage_service::{StorageInputs, StorageParts, StorageService};
+
+/// For how long a leaving gateway still takes new connections: its callers are told within two
+/// questions a second apart.
+const LEAVING: Duration = Duration::from_millis(2_600);
+/// What is left of the grace when the process ends at the latest.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// How long a storing node hands its leadership over before it stops all the same.
+const HAND_OVER: Duration = Duration::from_millis(1_500);
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Messages of peers that wait.
+const PEER_EVENTS: usize = 4_096;
+
+/// Why a process ends.
+#[derive(Debug, Snafu)]
+pub enum ProcessError {
+    /// The system refused something.
+    #[snafu(display("{what}: {source}"))]
+    System {
+        /// What it refused.
+        what: &'static str,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The disk refused something.
+    #[snafu(display("{source}"))]
+    Disk {
+        /// Why.
+        source: StorageError,
+    },
+    /// The settings lack what this kind of process needs.
+    #[snafu(display("the settings lack {field}"))]
+    Lacking {
+        /// The field.
+        field: &'static str,
+    },
+    /// The disk holds a table that this version can't read.
+    #[snafu(display("the job table on the disk can't be read"))]
+    UnreadableTable,
+}
+
+/// Parts that both kinds of process have.
+struct Common {
+    view: Arc<FleetView>,
+    workers: Arc<WorkerClient>,
+}
+
+fn common(settings: &ServingSettings, adapter: &dyn PlatformAdapter) -> Common {
+    let seed = draw();
+    let view = Arc::new(FleetView::new(NodeClock::start(), Arc::from(settings.node.zone.as_str()), seed));
+    let connections = Arc::new(ConnectionPool::default());
+    let workers = Arc::new(WorkerClient { view: view.clone(), dialect: adapter.dialect(), connections });
+    Common { view, workers }
+}
+
+/// A number from the system's source of randomness.
+fn draw() -> u64 {
+    Xoshiro256PlusPlus::from_os_rng().random()
+}
+
+/// An identity that no other node has; 0 stands for none on the wire.
+fn fresh_identity() -> NodeId {
+    NodeId(draw().max(1))
+}
+
+fn log_start(settings: &ServingSettings, role: &str) {
+    let fields = [
+        Field::text("machine", &settings.node.name),
+        Field::text("role", role),
+        Field::text("version", env!("CARGO_PKG_VERSION")),
+    ];
+    record(LogEvent::NodeStarted, &fields);
+}
+
+/// Follows what the store tells, and passes it on.
+async fn follow_updates(
+    view: Arc<FleetView>,
+    mut updates: mpsc::UnboundedReceiver<FleetUpdate>,
+    further: Option<mpsc::UnboundedSender<FleetUpdate>>,
+) {
+    while let Some(update) = updates.recv().await {
+        view.apply(&update);
+        if let Some(further) = &further
+            && further.send(update).is_err()
+        {
+            return;
+        }
+    }
+}
+
+/// Runs a gateway until it is told to stop.
+///
+/// # Errors
+///
+/// [`ProcessError`]: it can't start.
+pub async fn run_gateway(
+    settings: &ServingSettings,
+    settings_path: &Path,
+    adapter: &dyn PlatformAdapter,
+) -> Result<(), ProcessError> {
+    let callers = settings.listen.callers.ok_or(ProcessError::Lacking { field: "listen.callers" })?;
+    let readiness = settings.listen.readiness.ok_or(ProcessError::Lacking { field: "listen.readiness" })?;
+    let common = common(settings, adapter);
+    let (updates, received) = mpsc::unbounded_channel();
+    adapter.watch(updates);
+    tokio::spawn(follow_updates(common.view.clone(), received, None));
+    let id = fresh_identity();
+    let jobs = JobCalls {
+        view: common.view.clone(),
+        dialect: adapter.dialect(),
+        client: JobsClient::new(common.view.clone(), id),
+    };
+    let (stop, stopping) = watch::channel(StopPhase::Serving);
+    let (alive, mut all_closed) = mpsc::channel(1);
+    let server =
+        Arc::new(CallerServer { workers: common.workers.clone(), jobs: Arc::new(jobs), stop: stopping.clone(), alive });
+    let caller_listener = listen(callers)?;
+    let readiness_listener = listen(readiness)?;
+    let accepting = tokio::spawn(server.run(caller_listener));
+    let view = common.view.clone();
+    let is_ready = move || *stopping.borrow() == StopPhase::Serving && view.configuration().is_some();
+    tokio::spawn(serve_readiness(readiness_listener, is_ready));
+    tokio::spawn(close_stale(common.workers.clone()));
+    log_start(settings, "gateway");
+    wait_for_stop(settings_path).await?;
+    record(LogEvent::NodeStopping, &[]);
+    // Callers hear first that the node leaves; connections that come meanwhile are served.
+    let grace = Duration::from_secs_f64(settings.stop.grace_s).saturating_sub(GRACE_MARGIN);
+    let leaving = LEAVING.min(grace / 2);
+    let ends_at = tokio::time::Instant::now() + grace;
+    let _ = stop.send(StopPhase::Leaving);
+    tokio::time::sleep(leaving).await;
+    accepting.abort();
+    let _ = stop.send(StopPhase::Closing);
+    // Every connection holds a sender; the channel ends with the last of them.
+    let _ = tokio::time::timeout_at(ends_at, all_closed.recv()).await;
+    record(LogEvent::NodeStopped, &[]);
+    Ok(())
+}
+
+/// Runs a storing node until it is told to stop.
+///
+/// # Errors
+///
+/// [`ProcessError`]: it can't start, or its disk failed.
+pub async fn run_storage(
+    settings: &ServingSettings,
+    settings_path: &Path,
+    adapter: &dyn PlatformAdapter,
+) -> Result<(), ProcessError> {
+    let folder = settings.node.data_folder.clone().ok_or(ProcessError::Lacking { field: "node.data_folder" })?;
+    let common = common(settings, adapter);
+    let owner = FolderOwner {
+        peer_address: settings.peer_address().to_string(),
+        adopt: false,
+        fresh_identity: fresh_identity(),
+    };
+    let is_readable = |state: &[u8]| JobTable::decode(state).is_some();
+    let mut opened = Store::open_checked(&folder, &owner, is_readable).context(DiskSnafu)?;
+    if opened.formatted {
+        record(LogEvent::StoreFormatted, &[Field::text("node", opened.identity)]);
+    }
+    let persisted = opened.persisted.groups.remove(&stallmoor_core::identity::GroupId(0)).unwrap_or_default();
+    let id = opened.identity;
+    let now = common.view.clock.now();
+    let node =
+        JobsNode::new(id, ReplicaSettings::default(), persisted, now, draw()).ok_or(ProcessError::UnreadableTable)?;
+    let (results, writes) = mpsc::unbounded_channel();
+    let disk = DiskWriter::start(opened.store, results).context(SystemSnafu { what: "the disk's thread" })?;
+    let (peer_events, peers) = mpsc::channel(PEER_EVENTS);
+    tokio::spawn(accept_peers(listen(settings.peer_address())?, peer_events));
+    let (updates, received) = mpsc::unbounded_channel();
+    let (further, service_updates) = mpsc::unbounded_channel();
+    adapter.watch(updates);
+    tokio::spawn(follow_updates(common.view.clone(), received, Some(further)));
+    let machine: Arc<str> = Arc::from(settings.node.name.as_str());
+    let own = StorageRecord {
+        name: machine.clone(),
+        node: id,
+        address: settings.peer_address(),
+        zone: Arc::from(settings.node.zone.as_str()),
+    };
+    tokio::spawn(registration::register(adapter.metadata(), own));
+    let (founders, founding) = mpsc::unbounded_channel();
+    tokio::spawn(registration::found(
+        common.view.clone(),
+        adapter.metadata(),
+        id,
+        settings.tolerance.machines,
+        founders,
+    ));
+    let (stop, stopping) = watch::channel(false);
+    let parts = StorageParts { node, id, machine, workers: common.workers, metadata: adapter.metadata(), disk };
+    let inputs = StorageInputs { peers, writes, updates: service_updates, founding, stop: stopping };
+    log_start(settings, "storage");
+    let service = StorageService::run(parts, inputs);
+    tokio::pin!(service);
+    tokio::select! {
+        ended = service.as_mut() => return ended.context(DiskSnafu),
+        stopped = wait_for_stop(settings_path) => stopped?,
+    }
+    record(LogEvent::NodeStopping, &[]);
+    let _ = stop.send(true);
+    if let Ok(ended) = tokio::time::timeout(HAND_OVER, service).await {
+        ended.context(DiskSnafu)?;
+    }
+    record(LogEvent::NodeStopped, &[]);
+    Ok(())
+}
+
+fn listen(address: std::net::SocketAddr) -> Result<TcpListener, ProcessError> {
+    let bind = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    bind().context(SystemSnafu { what: "listening" })
+}
+
+async fn close_stale(workers: Arc<WorkerClient>) {
+    let mut ticks = tokio::time::interval(Duration::from_millis(500));
+    loop {
+        ticks.tick().await;
+        workers.connections.close_stale();
+    }
+}
+
+/// Waits for the signal to stop, and reads the settings again at each signal to reload.
+async fn wait_for_stop(settings_path: &Path) -> Result<(), ProcessError> {
+    let handler = |kind| signal(kind).context(SystemSnafu { what: "a signal handler" });
+    let mut terminate = handler(SignalKind::terminate())?;
+    let mut interrupt = handler(SignalKind::interrupt())?;
+    let mut reload = handler(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = reload.recv() => reload_settings(settings_path),
+        }
+    }
+}
+
+/// Takes what may change while the process runs. Settings that can't be used change nothing.
+fn reload_settings(settings_path: &Path) {
+    match ServingSettings::read(settings_path) {
+        Ok(settings) => {
+            log::set_max_level(settings.log.level);
+            record(LogEvent::SettingsReloaded, &[Field::flag("taken", true)]);
+        }
+        Err(error) => {
+            record(LogEvent::SettingsReloaded, &[Field::flag("taken", false), Field::text("detail", error)]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/refusal.rs
@@ -0,0 +1,32 @@
+//! Refusals of the gateway's own, by the one table of kinds.
+
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use stallmoor_core::error::{ErrorKind, Refusal};
+
+use crate::answer_body::AnswerBody;
+
+/// The answer for a refusal. One that promises that the request did not run says when to come back.
+pub fn answer(refusal: &Refusal) -> Response<AnswerBody> {
+    let status = StatusCode::from_u16(refusal.kind.answer().status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let body = serde_json::json!({
+        "error": refusal.kind.code(),
+        "ran": refusal.ran.as_str(),
+        "detail": refusal.detail,
+    });
+    let mut response = Response::new(AnswerBody::whole(body.to_string()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(wait) = refusal.retry_after_ms {
+        let seconds = format!("{}.{:03}", wait / 1_000, wait % 1_000);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// The answer for a kind of refusal.
+pub fn of_kind(kind: ErrorKind, detail: &str) -> Response<AnswerBody> {
+    answer(&Refusal::new(kind, detail))
+}
--- /dev/null
+++ b/crates/gateway/src/registration.rs
@@ -0,0 +1,102 @@
+//! A storing node's record in the metadata store, and the founding of the job table's group.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use stallmoor_core::identity::NodeId;
+use stallmoor_core::jobs::directory::StorageRecord;
+use stallmoor_core::replication::GroupMembership;
+use stallmoor_core::time::Millis;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::fleet_view::{FleetView, STORAGE_KEYS};
+use crate::metadata::{MetadataStore, PutOutcome};
+
+/// The key of the group's founding record. It is written once.
+pub const FOUNDING_KEY: &str = "stallmoor/jobs/founding";
+/// The wait after a call that brought nothing.
+const RETRY_WAIT: Duration = Duration::from_millis(300);
+/// How long a founder waits for more storing nodes than the fewest that may found.
+const FOUNDING_PATIENCE: Millis = Millis(3_000);
+/// The wait of each further founder, so that one goes first.
+const FOUNDING_STAGGER: Duration = Duration::from_millis(400);
+
+/// Who founded the group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct FoundingRecord {
+    voters: BTreeSet<NodeId>,
+}
+
+/// Writes the node's record until it is there.
+pub async fn register(metadata: Arc<dyn MetadataStore>, record: StorageRecord) {
+    let key = format!("{STORAGE_KEYS}{}", record.name);
+    let Ok(value) = serde_json::to_vec(&record) else { return };
+    let mut expected = 0;
+    loop {
+        match metadata.put(key.clone(), value.clone(), expected).await {
+            PutOutcome::Written(_) => return,
+            PutOutcome::Unknown => tokio::time::sleep(RETRY_WAIT).await,
+            PutOutcome::Conflict => {}
+        }
+        match metadata.get(key.clone()).await {
+            Some(item) if item.value.as_deref() == Some(&value[..]) => return,
+            Some(item) if item.value.is_some() => expected = item.revision,
+            Some(_) => expected = 0,
+            None => tokio::time::sleep(RETRY_WAIT).await,
+        }
+    }
+}
+
+/// Finds the founding record, or writes it if this node is among the first. One conditional write
+/// decides, so that all founders begin with the same membership.
+pub async fn found(
+    view: Arc<FleetView>,
+    metadata: Arc<dyn MetadataStore>,
+    id: NodeId,
+    tolerated: usize,
+    founders: UnboundedSender<GroupMembership>,
+) {
+    let started = view.clock.now();
+    let wanted = 2 * tolerated + 1;
+    loop {
+        if let Some(item) = metadata.get(FOUNDING_KEY.to_owned()).await {
+            let stored = item.value.and_then(|value| serde_json::from_slice::<FoundingRecord>(&value).ok());
+            if let Some(record) = stored {
+                let _ = founders.send(GroupMembership::of_voters(record.voters));
+                return;
+            }
+            let waited = view.clock.now().since(started) >= FOUNDING_PATIENCE;
+            if let Some(voters) = choose_founders(&view, wanted, tolerated, waited) {
+                let place = voters.iter().position(|voter| *voter == id).unwrap_or(voters.len());
+                tokio::time::sleep(FOUNDING_STAGGER * place as u32).await;
+                if let Ok(value) = serde_json::to_vec(&FoundingRecord { voters }) {
+                    // Whoever was first, the next round reads the record.
+                    let _ = metadata.put(FOUNDING_KEY.to_owned(), value, 0).await;
+                }
+                continue;
+            }
+        }
+        tokio::time::sleep(RETRY_WAIT).await;
+    }
+}
+
+/// The nodes that found the group: from as many zones as there are.
+fn choose_founders(view: &FleetView, wanted: usize, tolerated: usize, waited: bool) -> Option<BTreeSet<NodeId>> {
+    let storage = view.storage();
+    let enough = if waited { tolerated + 1 } else { wanted };
+    if storage.len() < enough {
+        return None;
+    }
+    let mut voters = BTreeSet::new();
+    let mut zones = BTreeSet::new();
+    let in_new_zone = storage.records().filter(|record| zones.insert(record.zone.clone()));
+    voters.extend(in_new_zone.take(wanted).map(|record| record.node));
+    for record in storage.records() {
+        if voters.len() < wanted {
+            voters.insert(record.node);
+        }
+    }
+    Some(voters)
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,177 @@
+//! The listener for callers and the one for readiness.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use stallmoor_core::error::ErrorKind;
+use stallmoor_core::gateway::configuration::{CallerBounds, RouteKind};
+use stallmoor_core::time::Timestamp;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::answer_body::AnswerBody;
+use crate::attempt::WorkerClient;
+use crate::job_calls::JobCalls;
+use crate::online::{self, OnlineRequest};
+use crate::refusal;
+
+/// The wait after a failed accept: the process is out of descriptors.
+const ACCEPT_WAIT: Duration = Duration::from_millis(20);
+/// An idle connection is kept this much longer than callers were told.
+const IDLE_MARGIN: Duration = Duration::from_secs(2);
+/// Least size of the buffer for a head that the library takes.
+const LEAST_HEAD_BUFFER: usize = 8_192;
+
+/// How far a planned stop is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// No stop.
+    Serving,
+    /// The node calls itself not ready and still takes requests.
+    Leaving,
+    /// Connections close after the request that they carry.
+    Closing,
+}
+
+/// Serves callers.
+pub struct CallerServer {
+    /// The way to workers.
+    pub workers: Arc<WorkerClient>,
+    /// Calls about batch jobs.
+    pub jobs: Arc<JobCalls>,
+    /// How far a planned stop is.
+    pub stop: watch::Receiver<StopPhase>,
+    /// Lives as long as any connection does.
+    pub alive: tokio::sync::mpsc::Sender<()>,
+}
+
+impl CallerServer {
+    /// Accepts connections until the process ends.
+    pub async fn run(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(self.clone().serve(stream));
+                }
+                Err(_) => tokio::time::sleep(ACCEPT_WAIT).await,
+            }
+        }
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream) {
+        let _alive = self.alive.clone();
+        let _ = stream.set_nodelay(true);
+        let bounds = self.bounds();
+        let idle = Duration::from_millis(bounds.idle_timeout.0) + IDLE_MARGIN;
+        let server = self.clone();
+        let service = service_fn(move |request| {
+            let server = server.clone();
+            async move { Ok::<_, Infallible>(server.handle(request).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(idle)
+            .max_buf_size(bounds.head_bytes.max(LEAST_HEAD_BUFFER))
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        let mut stop = self.stop.clone();
+        let closing = async move {
+            // An error means that the sender is gone, which ends the process too.
+            let _ = stop.wait_for(|phase| *phase >= StopPhase::Closing).await;
+        };
+        tokio::select! {
+            // How a connection ended was told by the requests that it carried.
+            _ = connection.as_mut() => return,
+            () = closing => {}
+        }
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+
+    fn bounds(&self) -> CallerBounds {
+        self.workers.view.configuration().map(|known| known.bounds).unwrap_or_default()
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let arrived_at = self.workers.view.clock.now();
+        let mut response = self.answer(request, arrived_at).await;
+        if *self.stop.borrow() >= StopPhase::Leaving {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn answer(&self, request: Request<Incoming>, arrived_at: Timestamp) -> Response<AnswerBody> {
+        let view = &self.workers.view;
+        let Some(configuration) = view.configuration() else {
+            return refusal::of_kind(ErrorKind::NotConfigured, "no configuration is known yet");
+        };
+        let (parts, body) = request.into_parts();
+        let dialect = &self.workers.dialect;
+        match dialect.job_call(&parts.method, &parts.uri, &parts.headers) {
+            Ok(None) => {}
+            Ok(Some(call)) => return self.jobs.call(call, arrived_at).await,
+            Err(bad) => return refusal::of_kind(ErrorKind::MalformedRequest, &bad.detail),
+        }
+        let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+        let host = host.split(':').next().unwrap_or_default();
+        let Some(route) = configuration.route_for(host, parts.uri.path()).cloned() else {
+            return refusal::of_kind(ErrorKind::UnknownPath, "no route has this host and path");
+        };
+        let facts = match dialect.request_facts(&parts.headers) {
+            Ok(facts) => facts,
+            Err(bad) => return refusal::of_kind(ErrorKind::MalformedRequest, &bad.detail),
+        };
+        let body = match Limited::new(body, configuration.bounds.body_bytes).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                return refusal::of_kind(ErrorKind::BodyTooLarge, "the body is over the limit");
+            }
+            Err(_) => return refusal::of_kind(ErrorKind::MalformedRequest, "the body broke off"),
+        };
+        if route.kind == RouteKind::Batch {
+            return self.jobs.submit(&facts, &route, configuration.version, &body, arrived_at).await;
+        }
+        let request = OnlineRequest {
+            method: parts.method,
+            target: parts.uri,
+            headers: parts.headers,
+            body,
+            facts,
+            route,
+            arrived_at,
+        };
+        online::serve(self.workers.clone(), request).await
+    }
+}
+
+/// Answers whether the node takes requests.
+pub async fn serve_readiness(listener: TcpListener, is_ready: impl Fn() -> bool + Clone + Send + 'static) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_WAIT).await;
+            continue;
+        };
+        let is_ready = is_ready.clone();
+        let service = service_fn(move |_request: Request<Incoming>| {
+            let status = if is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+            *response.status_mut() = status;
+            async move { Ok::<_, Infallible>(response) }
+        });
+        tokio::spawn(async move {
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // A probe that breaks off is asked again.
+            let _ = connection.await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,178 @@
+//! The settings file of a gateway or storing node.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu};
+
+/// Why settings can't be used.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[snafu(display("{}: {source}", path.display()))]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The file is not a settings file. The library names line and field.
+    #[snafu(display("{}: {source}", path.display()))]
+    Malformed {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong, and where.
+        source: Box<toml::de::Error>,
+    },
+    /// A field holds what it must not.
+    #[snafu(display("{}: {field} {problem}", path.display()))]
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// The field.
+        field: &'static str,
+        /// What is wrong with it.
+        problem: &'static str,
+    },
+}
+
+/// The settings of one process.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServingSettings {
+    /// The node.
+    pub node: NodeTable,
+    /// Where it listens.
+    pub listen: ListenTable,
+    /// The metadata store.
+    pub metadata: MetadataTable,
+    /// What the system must bear.
+    #[serde(default)]
+    pub tolerance: ToleranceTable,
+    /// The planned stop.
+    #[serde(default)]
+    pub stop: StopTable,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogTable,
+}
+
+/// The table `[node]`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeTable {
+    /// The machine's name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its address.
+    pub address: IpAddr,
+    /// The folder of a storing node.
+    #[serde(default)]
+    pub data_folder: Option<PathBuf>,
+}
+
+/// The table `[listen]`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenTable {
+    /// For callers; a gateway needs it.
+    #[serde(default)]
+    pub callers: Option<SocketAddr>,
+    /// For the question whether the node is ready; a gateway needs it.
+    #[serde(default)]
+    pub readiness: Option<SocketAddr>,
+    /// For other nodes, on the node's address.
+    pub peer_port: u16,
+}
+
+/// The table `[metadata]`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MetadataTable {
+    /// The address of the metadata store.
+    pub address: SocketAddr,
+}
+
+/// The table `[tolerance]`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ToleranceTable {
+    /// How many storing machines may be lost at once.
+    pub machines: usize,
+}
+
+impl Default for ToleranceTable {
+    fn default() -> Self {
+        Self { machines: 1 }
+    }
+}
+
+/// The table `[stop]`.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StopTable {
+    /// How long a planned stop may take, in seconds.
+    pub grace_s: f64,
+}
+
+impl Default for StopTable {
+    fn default() -> Self {
+        Self { grace_s: 8.0 }
+    }
+}
+
+/// The table `[log]`.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LogTable {
+    /// The least level that is written: off, error, warn, info, debug or trace.
+    pub level: log::LevelFilter,
+}
+
+impl Default for LogTable {
+    fn default() -> Self {
+        Self { level: log::LevelFilter::Info }
+    }
+}
+
+impl ServingSettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// The file can't be read, or holds what it must not; the error names the place.
+    pub fn read(path: &std::path::Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).context(UnreadableSnafu { path })?;
+        Self::parse(&text, path)
+    }
+
+    /// Checks the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// As [`ServingSettings::read`].
+    pub fn parse(text: &str, path: &std::path::Path) -> Result<Self, SettingsError> {
+        let settings: Self = toml::from_str(text).map_err(Box::new).context(MalformedSnafu { path })?;
+        let invalid = |field, problem| Err(SettingsError::Invalid { path: path.to_owned(), field, problem });
+        if settings.node.name.is_empty() {
+            return invalid("node.name", "must not be empty");
+        }
+        if settings.node.zone.is_empty() {
+            return invalid("node.zone", "must not be empty");
+        }
+        if !(0.1..=3_600.0).contains(&settings.stop.grace_s) {
+            return invalid("stop.grace_s", "must be from 0.1 to 3600");
+        }
+        if settings.listen.peer_port == 0 {
+            return invalid("listen.peer_port", "must not be 0");
+        }
+        Ok(settings)
+    }
+
+    /// Where other nodes reach this one.
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.node.address, self.listen.peer_port)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/storage_server.rs
@@ -0,0 +1,117 @@
+//! The listener of a storing node for other nodes.
+
+use std::time::Duration;
+
+use stallmoor_core::identity::{GroupId, NodeId};
+use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
+use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::node::{GroupAnswer, GroupAnswerBody, GroupRefusal, GroupRequest, GroupRequestBody, PeerMessage};
+use stallmoor_core::replication::ReplicationMessage;
+use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::frames::{read_message, write_frame};
+use crate::journal::{Field, record};
+
+/// The wait after a failed accept.
+const ACCEPT_WAIT: Duration = Duration::from_millis(20);
+/// Most answers that wait for one peer.
+const ANSWERS: usize = 4_096;
+/// How long one write may take before the connection is given up.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The answer to a request, or why there is none.
+pub type Reply = oneshot::Sender<Result<JobsAnswer, GroupRefusal>>;
+
+/// What arrives from other nodes.
+pub enum PeerEvent {
+    /// A message between replicas.
+    Replication(ReplicationMessage),
+    /// A request to the leader.
+    Request {
+        /// Who asks.
+        from: NodeId,
+        /// What is asked.
+        request: JobsRequest,
+        /// Where the answer goes.
+        reply: Reply,
+    },
+}
+
+/// Accepts connections of other nodes and passes on what they say.
+pub async fn accept_peers(listener: TcpListener, events: mpsc::Sender<PeerEvent>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                tokio::spawn(serve_peer(stream, events.clone()));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_WAIT).await,
+        }
+    }
+}
+
+async fn serve_peer(stream: TcpStream, events: mpsc::Sender<PeerEvent>) {
+    let peer = stream.peer_addr().map_or_else(|_| String::new(), |address| address.to_string());
+    let (reader, writer) = stream.into_split();
+    let mut reader = BufReader::new(reader);
+    let (answers, queue) = mpsc::channel(ANSWERS);
+    tokio::spawn(write_answers(BufWriter::new(writer), queue));
+    loop {
+        match read_message(&mut reader).await {
+            Ok(PeerMessage::Replication(message)) => {
+                if events.send(PeerEvent::Replication(message)).await.is_err() {
+                    return;
+                }
+            }
+            Ok(PeerMessage::GroupRequest(request)) => {
+                if !take_request(request, &events, &answers).await {
+                    return;
+                }
+            }
+            Ok(_) => {}
+            Err(error) if error.kind() == std::io::ErrorKind::InvalidData => {
+                let fields = [Field::text("peer", peer), Field::text("detail", error)];
+                record(LogEvent::MessageRefused, &fields);
+                return;
+            }
+            Err(_) => return,
+        }
+    }
+}
+
+async fn take_request(
+    request: GroupRequest,
+    events: &mpsc::Sender<PeerEvent>,
+    answers: &mpsc::Sender<PeerMessage>,
+) -> bool {
+    let GroupRequestBody::Jobs(body) = request.body else { return true };
+    let (reply, answer) = oneshot::channel();
+    let event = PeerEvent::Request { from: request.from, request: body, reply };
+    if events.send(event).await.is_err() {
+        return false;
+    }
+    let (id, answers) = (request.id, answers.clone());
+    tokio::spawn(async move {
+        let Ok(result) = answer.await else { return };
+        let result = result.map(GroupAnswerBody::Jobs);
+        let message = PeerMessage::GroupAnswer(GroupAnswer { id, group: GroupId(0), result });
+        // A peer that left asks another node.
+        let _ = answers.send(message).await;
+    });
+    true
+}
+
+async fn write_answers(mut writer: BufWriter<tokio::net::tcp::OwnedWriteHalf>, mut queue: mpsc::Receiver<PeerMessage>) {
+    while let Some(message) = queue.recv().await {
+        let frame = stallmoor_wire::encode(&message);
+        let write = async {
+            write_frame(&mut writer, &frame).await?;
+            writer.flush().await
+        };
+        if !matches!(tokio::time::timeout(WRITE_TIMEOUT, write).await, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/storage_service.rs
@@ -0,0 +1,708 @@
+//! A storing node at work: one replica of the job table, and the running of items while it leads.
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use stallmoor_core::control::{RepairInput, ReplicaHealth, StoreCandidate, plan_repair};
+use stallmoor_core::identity::{GroupId, NodeId};
+use stallmoor_core::jobs::command::{ItemKey, JobCommand, JobKey};
+use stallmoor_core::jobs::dispatch::{Dispatcher, PartialOutput, RunEnd};
+use stallmoor_core::jobs::node::{JobsChange, JobsEffect, JobsNode, NotProposed, Waiter};
+use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
+use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::node::{GroupRefusal, PeerMessage};
+use stallmoor_core::replication::{GroupMembership, MembershipChange};
+use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
+use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
+
+use crate::attempt::WorkerClient;
+use crate::disk_writer::{DiskWriter, WriteNumber, WriteResult};
+use crate::item_run::ItemRun;
+use crate::journal::{Field, record};
+use crate::metadata::{EmptyingState, FleetUpdate, MetadataStore};
+use crate::peer_link::PeerLinks;
+use crate::storage_server::{PeerEvent, Reply};
+
+/// The time between two looks at the clock.
+const TICK: Duration = Duration::from_millis(40);
+/// A member that has not answered for this long is replaced where there is a spare.
+const LOST_AFTER: Millis = Millis(2_200);
+/// A spare that was not heard of for this long is not chosen.
+const SPARE_HEARD_WITHIN: Millis = Millis(1_500);
+/// The time between two greetings of a spare.
+const GREETING_INTERVAL: Millis = Millis(400);
+/// The time between two looks at the membership.
+const REPAIR_INTERVAL: Millis = Millis(100);
+/// Slots of each worker that batch leaves to online requests, in percent.
+const ONLINE_RESERVE_PERCENT: u32 = 35;
+/// An item is given up this long after its submitter allows it, since clocks may be off.
+const GIVE_UP_MARGIN: Millis = Millis(10_000);
+/// Jobs that are over are remembered this long after they came.
+const REMEMBERED: Millis = Millis(600_000);
+/// The time between two rounds of forgetting.
+const FORGET_INTERVAL: Millis = Millis(60_000);
+/// Most bytes of text in one page of results.
+const PAGE_BYTES: usize = 900_000;
+
+/// A run that ended.
+pub struct RunReport {
+    key: ItemKey,
+    run: u64,
+    end: RunEnd,
+    output: PartialOutput,
+}
+
+struct Running {
+    run: u64,
+    task: AbortHandle,
+}
+
+struct HeldRead {
+    job: JobKey,
+    first: u32,
+    deadline: Timestamp,
+    reply: Reply,
+}
+
+/// What the service is made of.
+pub struct StorageParts {
+    /// The replica.
+    pub node: JobsNode,
+    /// The node's identity.
+    pub id: NodeId,
+    /// The machine's name.
+    pub machine: Arc<str>,
+    /// The way to workers, and what is known of the fleet.
+    pub workers: Arc<WorkerClient>,
+    /// The metadata store's writes.
+    pub metadata: Arc<dyn MetadataStore>,
+    /// The disk.
+    pub disk: DiskWriter,
+}
+
+/// A storing node at work.
+pub struct StorageService {
+    node: JobsNode,
+    id: NodeId,
+    workers: Arc<WorkerClient>,
+    metadata: Arc<dyn MetadataStore>,
+    disk: DiskWriter,
+    links: PeerLinks,
+    /// Effects that wait for the disk, in order.
+    queue: VecDeque<JobsEffect>,
+    /// The write that the head of the queue waits for.
+    awaited_write: Option<WriteNumber>,
+    replies: HashMap<Waiter, Reply>,
+    next_waiter: u64,
+    reads: Vec<HeldRead>,
+    dispatcher: Dispatcher,
+    running: BTreeMap<ItemKey, Running>,
+    next_run: u64,
+    leads: bool,
+    proposed: HashSet<ItemKey>,
+    heard: BTreeMap<NodeId, Timestamp>,
+    emptying: BTreeMap<Arc<str>, Option<EmptyingState>>,
+    founding: Option<GroupMembership>,
+    last_repair: Timestamp,
+    last_greeting: Timestamp,
+    last_forget: Timestamp,
+    reports: mpsc::UnboundedSender<RunReport>,
+    emptying_reports: mpsc::UnboundedSender<(Arc<str>, EmptyingState)>,
+}
+
+/// The ends of the channels that feed the service.
+pub struct StorageInputs {
+    /// From other nodes.
+    pub peers: mpsc::Receiver<PeerEvent>,
+    /// From the disk.
+    pub writes: mpsc::UnboundedReceiver<WriteResult>,
+    /// From the metadata store.
+    pub updates: mpsc::UnboundedReceiver<FleetUpdate>,
+    /// The founding membership, once it is known.
+    pub founding: mpsc::UnboundedReceiver<GroupMembership>,
+    /// The planned stop.
+    pub stop: watch::Receiver<bool>,
+}
+
+impl StorageService {
+    /// Runs until a planned stop is complete or the disk fails.
+    ///
+    /// # Errors
+    ///
+    /// The disk failed: nothing more may be acknowledged.
+    pub async fn run(parts: StorageParts, mut inputs: StorageInputs) -> Result<(), stallmoor_storage::StorageError> {
+        let (reports, mut run_reports) = mpsc::unbounded_channel();
+        let (emptying_reports, mut reported) = mpsc::unbounded_channel();
+        let now = parts.workers.view.clock.now();
+        let mut service = Self {
+            links: PeerLinks::new(parts.id),
+            node: parts.node,
+            id: parts.id,
+            workers: parts.workers,
+            metadata: parts.metadata,
+            disk: parts.disk,
+            queue: VecDeque::new(),
+            awaited_write: None,
+            replies: HashMap::new(),
+            next_waiter: 0,
+            reads: Vec::new(),
+            dispatcher: Dispatcher::default(),
+            running: BTreeMap::new(),
+            next_run: 0,
+            leads: false,
+            proposed: HashSet::new(),
+            heard: BTreeMap::new(),
+            emptying: BTreeMap::new(),
+            founding: None,
+            last_repair: now,
+            last_greeting: now,
+            last_forget: now,
+            reports,
+            emptying_reports,
+        };
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                Some(event) = inputs.peers.recv() => service.on_peer(event),
+                Some(result) = inputs.writes.recv() => service.on_written(result?),
+                Some(report) = run_reports.recv() => service.on_run_ended(report),
+                Some(update) = inputs.updates.recv() => service.on_update(&update),
+                Some(founding) = inputs.founding.recv() => service.founding = Some(founding),
+                Some((machine, state)) = reported.recv() => {
+                    service.emptying.insert(machine, Some(state));
+                }
+                _ = ticks.tick() => service.tick(),
+                Ok(()) = inputs.stop.changed() => {}
+            }
+            service.follow_leadership();
+            if *inputs.stop.borrow() {
+                if service.stop() {
+                    return Ok(());
+                }
+            } else {
+                service.dispatch();
+            }
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        self.workers.view.clock.now()
+    }
+
+    // Effects, in order, each after the writes before it.
+
+    fn take(&mut self, effects: Vec<JobsEffect>) {
+        self.queue.extend(effects);
+        self.advance();
+    }
+
+    fn advance(&mut self) {
+        while self.awaited_write.is_none() {
+            let Some(effect) = self.queue.pop_front() else { return };
+            match effect {
+                JobsEffect::Persist(write) => self.awaited_write = Some(self.disk.write(write)),
+                JobsEffect::Send(message) => {
+                    if let Some(address) = self.address_of(message.to) {
+                        self.links.send(address, &PeerMessage::Replication(message));
+                    }
+                }
+                JobsEffect::Restore(snapshot) => {
+                    self.node.restore(&snapshot);
+                    record(LogEvent::SnapshotInstalled, &[Field::number("index", snapshot.index.0)]);
+                }
+                JobsEffect::ApplyUpTo(index) => {
+                    let now = self.now();
+                    let changes = self.node.apply_up_to(index, now);
+                    self.on_changes(changes);
+                }
+            }
+        }
+    }
+
+    fn on_written(&mut self, number: WriteNumber) {
+        if self.awaited_write.is_some_and(|awaited| awaited <= number) {
+            self.awaited_write = None;
+            self.advance();
+        }
+    }
+
+    fn address_of(&self, node: NodeId) -> Option<std::net::SocketAddr> {
+        self.workers.view.storage().of_node(node).map(|record| record.address)
+    }
+
+    // Events.
+
+    fn on_peer(&mut self, event: PeerEvent) {
+        match event {
+            PeerEvent::Replication(message) => {
+                let now = self.now();
+                self.heard.insert(message.from, now);
+                let effects = self.node.step(message, now);
+                self.take(effects);
+                let changes = self.node.release_answers(now);
+                self.on_changes(changes);
+            }
+            PeerEvent::Request { from, request, reply } => self.on_request(from, request, reply),
+        }
+    }
+
+    fn on_update(&mut self, update: &FleetUpdate) {
+        if let FleetUpdate::EmptyMachine { machine } = update {
+            self.emptying.entry(machine.clone()).or_insert(None);
+        }
+    }
+
+    fn on_request(&mut self, from: NodeId, request: JobsRequest, reply: Reply) {
+        let now = self.now();
+        match request {
+            JobsRequest::Greet => {
+                self.heard.insert(from, now);
+                let _ = reply.send(Ok(JobsAnswer::Accepted));
+            }
+            _ if !self.node.may_answer(now) => {
+                let _ = reply.send(Err(self.refusal()));
+            }
+            JobsRequest::Submit(submission) => {
+                let waiter = self.wait(reply);
+                let proposed = self.node.submit(submission, waiter, now);
+                self.on_proposed(waiter, proposed);
+            }
+            JobsRequest::End { job } => {
+                let waiter = self.wait(reply);
+                let proposed = self.node.propose(&JobCommand::End { job }, Some(waiter), now);
+                self.on_proposed(waiter, proposed);
+            }
+            JobsRequest::Read { job, first, wait } => {
+                self.reads.push(HeldRead { job, first, deadline: now + wait, reply });
+                self.answer_reads();
+            }
+            JobsRequest::Body { job, item } => {
+                let found = self.node.table().job(&job).map(|found| found.open_item_named(&item));
+                let answer = match found {
+                    None => JobsAnswer::UnknownJob,
+                    Some(None) => JobsAnswer::UnknownItem,
+                    Some(Some(item)) => JobsAnswer::Body(item.body.clone()),
+                };
+                let _ = reply.send(Ok(answer));
+            }
+        }
+    }
+
+    fn wait(&mut self, reply: Reply) -> Waiter {
+        self.next_waiter += 1;
+        let waiter = Waiter(self.next_waiter);
+        self.replies.insert(waiter, reply);
+        waiter
+    }
+
+    fn on_proposed(&mut self, waiter: Waiter, proposed: Result<Vec<JobsEffect>, NotProposed>) {
+        match proposed {
+            Ok(effects) => self.take(effects),
+            Err(not_proposed) => {
+                let result = match not_proposed {
+                    NotProposed::OverQuota { waiting } => Ok(JobsAnswer::OverQuota { waiting }),
+                    NotProposed::Busy => Err(GroupRefusal::Busy),
+                    NotProposed::NotLeader(_) => Err(self.refusal()),
+                };
+                if let Some(reply) = self.replies.remove(&waiter) {
+                    let _ = reply.send(result);
+                }
+            }
+        }
+    }
+
+    fn refusal(&self) -> GroupRefusal {
+        let replica = self.node.replica();
+        if replica.is_leader() {
+            return GroupRefusal::Busy;
+        }
+        GroupRefusal::NotLeader { term: replica.term(), leader: replica.leader() }
+    }
+
+    fn on_changes(&mut self, changes: Vec<JobsChange>) {
+        let mut reads_may_go_on = false;
+        for change in changes {
+            match change {
+                JobsChange::Answer { waiter, answer } => {
+                    if let Some(reply) = self.replies.remove(&waiter) {
+                        let _ = reply.send(Ok(answer));
+                    }
+                }
+                JobsChange::Accepted(key) => {
+                    if let Some(job) = self.node.table().job(&key).filter(|_| self.leads) {
+                        self.dispatcher.add_job(job);
+                    }
+                }
+                JobsChange::Listed(key) => {
+                    self.dispatcher.remove(&key);
+                    self.proposed.remove(&key);
+                    if let Some(running) = self.running.remove(&key) {
+                        running.task.abort();
+                    }
+                    record(LogEvent::ItemListed, &[Field::text("job", &key.job), Field::number("item", key.item)]);
+                    reads_may_go_on = true;
+                }
+                JobsChange::Ended(job) => {
+                    for key in self.dispatcher.remove_job(&job) {
+                        if let Some(running) = self.running.remove(&key) {
+                            running.task.abort();
+                        }
+                    }
+                    record(LogEvent::JobCancelled, &[Field::text("job", &job)]);
+                    reads_may_go_on = true;
+                }
+            }
+        }
+        if reads_may_go_on {
+            self.answer_reads();
+        }
+    }
+
+    /// Answers the reads that have something to answer, or have waited long enough.
+    fn answer_reads(&mut self) {
+        let now = self.now();
+        let may_answer = self.node.may_answer(now);
+        let reads = std::mem::take(&mut self.reads);
+        for read in reads {
+            if !may_answer {
+                let _ = read.reply.send(Err(self.refusal()));
+                continue;
+            }
+            let Some(job) = self.node.table().job(&read.job) else {
+                let _ = read.reply.send(Ok(JobsAnswer::UnknownJob));
+                continue;
+            };
+            let has_more = job.results.len() > read.first as usize;
+            if has_more || job.is_over() || now >= read.deadline {
+                let _ = read.reply.send(Ok(JobsAnswer::Page(job.page(read.first, PAGE_BYTES))));
+            } else {
+                self.reads.push(read);
+            }
+        }
+    }
+
+    // Time.
+
+    fn tick(&mut self) {
+        let now = self.now();
+        let effects = self.node.tick(now);
+        self.take(effects);
+        let mut changes = self.node.release_answers(now);
+        changes.extend(self.node.abandon_lost_proposals());
+        self.on_changes(changes);
+        self.answer_reads();
+        self.found_if_told();
+        self.greet();
+        if self.leads {
+            self.propose_results();
+            self.repair();
+            self.forget();
+        }
+        self.workers.connections.close_stale();
+    }
+
+    fn found_if_told(&mut self) {
+        let Some(founding) = self.founding.clone() else { return };
+        if self.node.replica().log().last_index().0 == 0 && founding.voters.contains(&self.id) {
+            record(LogEvent::GroupFounded, &[Field::text("members", format!("{founding:?}"))]);
+            let effects = self.node.found(founding, self.now());
+            self.take(effects);
+        }
+    }
+
+    /// A node outside the membership tells all that it is there, so that the leader may take it in.
+    fn greet(&mut self) {
+        let now = self.now();
+        if self.node.replica().membership().contains(self.id) && self.node.replica().leader().is_some() {
+            return;
+        }
+        if now.since(self.last_greeting) < GREETING_INTERVAL {
+            return;
+        }
+        self.last_greeting = now;
+        let view = self.workers.view.clone();
+        let others: Vec<_> =
+            view.storage().records().filter(|record| record.node != self.id).map(|record| record.address).collect();
+        for address in others {
+            self.links.notify(address, JobsRequest::Greet);
+        }
+    }
+
+    fn follow_leadership(&mut self) {
+        let now = self.now();
+        let leads = self.node.may_answer(now) || (self.leads && self.node.replica().is_leader());
+        if leads == self.leads {
+            return;
+        }
+        self.leads = leads;
+        let term = self.node.replica().term().0;
+        if leads {
+            record(LogEvent::LeaderElected, &[Field::number("term", term)]);
+            self.dispatcher.restart(self.node.table());
+        } else {
+            record(LogEvent::LeaderStoodDown, &[Field::number("term", term)]);
+            self.dispatcher.clear();
+        }
+        self.proposed.clear();
+        for (_, running) in std::mem::take(&mut self.running) {
+            running.task.abort();
+        }
+    }
+
+    // Running items.
+
+    fn dispatch(&mut self) {
+        let now = self.now();
+        if !self.leads || !self.dispatcher.has_ready(now) {
+            return;
+        }
+        let Some(configuration) = self.workers.view.configuration() else { return };
+        while let Some((key, output)) = self.dispatcher.take_next(now) {
+            let Some(job) = self.node.table().job(&key.job) else { continue };
+            let submission = &job.submission;
+            let Some(item) = submission.items.get(key.item as usize).cloned() else { continue };
+            let Some(route) = configuration.route_for(&submission.host, &item.path).cloned() else {
+                let is_known_gone = configuration.version >= submission.configuration_version;
+                if is_known_gone {
+                    self.dispatcher.give_up(&key);
+                } else {
+                    self.dispatcher.put_back(&key, output);
+                    return;
+                }
+                continue;
+            };
+            let age = Millis(self.workers.view.clock.civil().0.saturating_sub(submission.received_at.0));
+            if route.give_up_after.is_some_and(|limit| age > limit + GIVE_UP_MARGIN) {
+                self.dispatcher.give_up(&key);
+                continue;
+            }
+            let host = submission.host.clone();
+            if !self.start_run(&key, item, host, &route, output, now) {
+                return;
+            }
+        }
+        self.propose_results();
+    }
+
+    /// Starts an item at the worker with the most room. Returns false if none has any.
+    fn start_run(
+        &mut self,
+        key: &ItemKey,
+        item: stallmoor_core::jobs::command::JobItem,
+        host: Arc<str>,
+        route: &stallmoor_core::gateway::configuration::Route,
+        output: PartialOutput,
+        now: Timestamp,
+    ) -> bool {
+        let view = self.workers.view.clone();
+        let facts = self.workers.dialect.item_facts(&item);
+        let choice = view.draw_service(route).and_then(|service| {
+            let ask = stallmoor_core::gateway::workers::WorkerAsk {
+                service: &service,
+                zone: &view.zone,
+                prefix: &facts.prefix,
+                prompt_tokens: facts.prompt_tokens,
+                body_bytes: item.body.len(),
+                tried: &[],
+            };
+            let mut random = view.random();
+            let choice = view.workers().choose_for_batch(&ask, ONLINE_RESERVE_PERCENT, now, &mut *random);
+            choice.map(|choice| (service, choice))
+        });
+        let Some((service, choice)) = choice else {
+            self.dispatcher.put_back(key, output);
+            return false;
+        };
+        self.next_run += 1;
+        let run = self.next_run;
+        let (client, reports, report_key) = (self.workers.clone(), self.reports.clone(), key.clone());
+        let item_run = ItemRun { item, host, service, choice, output };
+        let task = tokio::spawn(async move {
+            let (end, output) = item_run.run(&client).await;
+            // The service is gone only when the process ends.
+            let _ = reports.send(RunReport { key: report_key, run, end, output });
+        });
+        self.running.insert(key.clone(), Running { run, task: task.abort_handle() });
+        true
+    }
+
+    fn on_run_ended(&mut self, report: RunReport) {
+        let is_current = self.running.get(&report.key).is_some_and(|running| running.run == report.run);
+        if !is_current {
+            return;
+        }
+        self.running.remove(&report.key);
+        let fields = [
+            Field::text("job", &report.key.job),
+            Field::number("item", report.key.item),
+            Field::text("end", format!("{:?}", report.end)),
+            Field::number("events", report.output.last_event.unwrap_or(0)),
+        ];
+        record(LogEvent::ItemRunEnded, &fields);
+        let max_attempts = self.max_attempts(&report.key.job);
+        let now = self.now();
+        if self.dispatcher.run_ended(&report.key, &report.end, report.output, max_attempts, now) {
+            self.propose_results();
+        }
+    }
+
+    fn max_attempts(&self, job: &JobKey) -> u32 {
+        const USUAL: u32 = 3;
+        let Some(job) = self.node.table().job(job) else { return USUAL };
+        let configuration = self.workers.view.configuration();
+        let route = configuration.and_then(|known| known.route_named(&job.submission.route).cloned());
+        route.map_or(USUAL, |route| route.max_attempts.max(1))
+    }
+
+    fn propose_results(&mut self) {
+        let now = self.now();
+        for command in self.dispatcher.unlisted() {
+            let JobCommand::Finish { key, .. } = &command else { continue };
+            if !self.proposed.insert(key.clone()) {
+                continue;
+            }
+            match self.node.propose(&command, None, now) {
+                Ok(effects) => self.take(effects),
+                Err(_) => {
+                    self.proposed.remove(key);
+                    return;
+                }
+            }
+        }
+    }
+
+    // Membership.
+
+    fn repair(&mut self) {
+        let now = self.now();
+        if now.since(self.last_repair) < REPAIR_INTERVAL {
+            return;
+        }
+        self.last_repair = now;
+        let membership = self.node.replica().membership().clone();
+        let storage = self.workers.view.storage().clone();
+        let is_emptied =
+            |node: NodeId| storage.of_node(node).is_some_and(|record| self.emptying.contains_key(&record.name));
+        let candidates: Vec<StoreCandidate> = storage
+            .records()
+            .filter(|record| !self.emptying.contains_key(&record.name))
+            .filter(|record| self.is_there(record.node, now))
+            .map(|record| StoreCandidate { node: record.node, zone: record.zone.clone() })
+            .collect();
+        let health: Vec<ReplicaHealth> = membership
+            .members()
+            .map(|node| ReplicaHealth {
+                node,
+                is_lost: is_emptied(node) || self.is_lost(node, now),
+                is_caught_up: self.is_caught_up(node),
+            })
+            .collect();
+        let emptied_voter = membership.voters.iter().copied().find(|voter| is_emptied(*voter));
+        if let Some(voter) = emptied_voter.filter(|voter| *voter == self.id) {
+            self.hand_over_leadership(voter);
+            return;
+        }
+        let input = RepairInput {
+            group: GroupId(0),
+            leader: self.id,
+            membership: &membership,
+            health: &health,
+            candidates: &candidates,
+        };
+        let mut step = plan_repair(&input).map(|step| step.0);
+        if step.is_none() && membership.learners.is_empty() {
+            // No spare takes the emptied machine's place: the others go on without it.
+            step = emptied_voter.map(MembershipChange::Remove);
+        }
+        if let Some(change) = step {
+            record(LogEvent::MembershipChanging, &[Field::text("change", format!("{change:?}"))]);
+            let effects = self.node.change_membership(change, now);
+            self.take(effects);
+        }
+        self.report_emptying(&membership);
+    }
+
+    fn is_there(&self, node: NodeId, now: Timestamp) -> bool {
+        node == self.id || self.heard.get(&node).is_some_and(|at| now.since(*at) < SPARE_HEARD_WITHIN)
+    }
+
+    /// A member is lost once another identity lies on its machine's disk, or it is silent for long.
+    fn is_lost(&self, node: NodeId, now: Timestamp) -> bool {
+        if node == self.id {
+            return false;
+        }
+        let is_listed = self.workers.view.storage().of_node(node).is_some();
+        let silent_since = self.node.replica().progress(node).and_then(|progress| progress.last_answer);
+        let is_silent = silent_since.is_none_or(|at| now.since(at) >= LOST_AFTER)
+            && self.heard.get(&node).is_none_or(|at| now.since(*at) >= LOST_AFTER);
+        !is_listed || is_silent
+    }
+
+    fn is_caught_up(&self, node: NodeId) -> bool {
+        let replica = self.node.replica();
+        node == self.id || replica.progress(node).is_some_and(|progress| progress.matched >= replica.commit())
+    }
+
+    fn hand_over_leadership(&mut self, from: NodeId) {
+        let voters = self.node.replica().membership().voters.clone();
+        let target = voters.into_iter().find(|voter| *voter != from && self.is_caught_up(*voter));
+        if let Some(target) = target {
+            let effects = self.node.transfer_leadership(target, self.now());
+            self.take(effects);
+        }
+    }
+
+    /// Tells the operator of machines whose duty has been moved: they hold no member, the change is
+    /// committed, and all members hold the whole log.
+    fn report_emptying(&mut self, membership: &GroupMembership) {
+        let replica = self.node.replica();
+        let is_settled = replica.log().membership_index() <= replica.commit()
+            && replica.all_voters_caught_up()
+            && membership.learners.is_empty();
+        let storage = self.workers.view.storage().clone();
+        let mut due = Vec::new();
+        for (machine, told) in &self.emptying {
+            let holds_member = storage.of_machine(machine).is_some_and(|record| membership.contains(record.node));
+            let state = if holds_member || !is_settled { EmptyingState::InProgress } else { EmptyingState::Completed };
+            if *told != Some(state) && *told != Some(EmptyingState::Completed) {
+                due.push((machine.clone(), state));
+            }
+        }
+        for (machine, state) in due {
+            self.emptying.insert(machine.clone(), Some(state));
+            let fields = [Field::text("machine", &machine), Field::text("state", format!("{state:?}"))];
+            record(LogEvent::EmptyingReported, &fields);
+            let (metadata, reports) = (self.metadata.clone(), self.emptying_reports.clone());
+            tokio::spawn(async move {
+                while !metadata.report_emptying(machine.clone(), state).await {
+                    tokio::time::sleep(Duration::from_millis(250)).await;
+                }
+                let _ = reports.send((machine, state));
+            });
+        }
+    }
+
+    fn forget(&mut self) {
+        let now = self.now();
+        if now.since(self.last_forget) < FORGET_INTERVAL {
+            return;
+        }
+        self.last_forget = now;
+        let before = UnixMillis(self.workers.view.clock.civil().0.saturating_sub(REMEMBERED.0));
+        if let Ok(effects) = self.node.propose(&JobCommand::Forget { before }, None, now) {
+            self.take(effects);
+        }
+    }
+
+    /// Begins or goes on with a planned stop. Returns whether the process may end.
+    fn stop(&mut self) -> bool {
+        if !self.node.replica().is_leader() {
+            return self.queue.is_empty() && self.awaited_write.is_none();
+        }
+        self.hand_over_leadership(self.id);
+        false
+    }
+}
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -113,12 +113,26 @@
     ///
     /// The folder is in use, belongs to another node, has another format, or can't be written.
     pub fn open(folder: &Path, owner: &FolderOwner) -> Result<OpenedStore, StorageError> {
+        Self::open_checked(folder, owner, |state| PartitionState::decode(state).is_some())
+    }
+
+    /// As [`Store::open`], for replicas of another state machine: a snapshot is damaged unless
+    /// `is_readable` says of its state that it can be read.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::open`].
+    pub fn open_checked(
+        folder: &Path,
+        owner: &FolderOwner,
+        is_readable: fn(&[u8]) -> bool,
+    ) -> Result<OpenedStore, StorageError> {
         fs::create_dir_all(folder).context(FolderSnafu { folder })?;
         let path = folder.join(FILE_NAME);
         if !path.exists() {
             return Self::format(folder, owner, None);
         }
-        match Self::open_existing(folder, owner) {
+        match Self::open_existing(folder, owner, is_readable) {
             Ok(opened) => Ok(opened),
             Err(Unusable::Fatal(error)) => Err(error),
             Err(Unusable::Damaged) => {
@@ -140,7 +154,11 @@
         Ok(OpenedStore { store, identity, persisted, formatted: true, set_aside })
     }
 
-    fn open_existing(folder: &Path, owner: &FolderOwner) -> Result<OpenedStore, Unusable> {
+    fn open_existing(
+        folder: &Path,
+        owner: &FolderOwner,
+        is_readable: fn(&[u8]) -> bool,
+    ) -> Result<OpenedStore, Unusable> {
         let database = match Database::open(folder.join(FILE_NAME)) {
             Ok(database) => database,
             Err(redb::DatabaseError::DatabaseAlreadyOpen) => {
@@ -156,7 +174,7 @@
         let store = Self { folder: folder.to_owned(), database };
         let header = store.read_header()?;
         store.check_header(&header, owner).map_err(Unusable::Fatal)?;
-        let persisted = store.read_all()?;
+        let persisted = store.read_all(is_readable)?;
         Ok(OpenedStore { store, identity: header.identity, persisted, formatted: false, set_aside: None })
     }
 
@@ -244,7 +262,7 @@
         Ok(checked::decode(&bytes)?)
     }
 
-    fn read_all(&self) -> Result<PersistedNode, Unusable> {
+    fn read_all(&self, is_readable: fn(&[u8]) -> bool) -> Result<PersistedNode, Unusable> {
         let raw = self.read_raw().map_err(|_| Unusable::Damaged)?;
         let mut groups: BTreeMap<GroupId, PersistedReplica> = BTreeMap::new();
         for (group, bytes) in &raw.hard_states {
@@ -252,7 +270,9 @@
         }
         for (group, bytes) in &raw.snapshots {
             let snapshot = checked::decode::<Snapshot>(bytes)?;
-            PartitionState::decode(&snapshot.state).ok_or(Unusable::Damaged)?;
+            if !is_readable(&snapshot.state) {
+                return Err(Unusable::Damaged);
+            }
             groups.entry(GroupId(*group)).or_default().snapshot = snapshot;
         }
         for (group, bytes) in &raw.entries {
