--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -9,10 +9,12 @@
 //! | [`workers`] | the workers, what is believed of each, and the choice among them |
 //! | [`attempt`] | how an attempt ended and what may be done next |
 //! | [`event_stream`] | splitting an answer into whole events |
+//! | [`move_budget`] | how many requests may move away from slow workers |
 
 pub mod attempt;
 pub mod configuration;
 pub mod event_stream;
+pub mod move_budget;
 pub mod prefix_cache;
 pub mod request;
 pub mod workers;
--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 
 use super::prefix_cache::PrefixCache;
 use super::request::PrefixLink;
@@ -15,8 +16,12 @@
 const FIRST_PASS_OVER: Millis = Millis(300);
 /// Longest time for which a failing worker is passed over.
 const LONGEST_PASS_OVER: Millis = Millis(4_000);
+/// Batch leaves one in this many slots of a worker free.
+const RESERVE_PART: u32 = 6;
 /// A load report is believed for this long.
 const REPORT_LIFETIME: Millis = Millis(2_000);
+/// A gathered load is believed for this long.
+const SHARED_LIFETIME: Millis = Millis(1_200);
 /// A worker that vanished without notice may still be used as a last resort for this long.
 const GONE_LAST_RESORT: Millis = Millis(1_000);
 /// A worker that is gone is forgotten after this long.
@@ -37,7 +42,7 @@
 const JITTER_MS: f64 = 3.0;
 
 /// Names one start of a worker.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct WorkerId(pub Arc<str>);
 
 impl std::fmt::Display for WorkerId {
@@ -72,6 +77,15 @@
     pub waiting: u32,
 }
 
+/// How many requests are at a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerCount {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Requests.
+    pub requests: u32,
+}
+
 /// Whether a worker may be sent requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Presence {
@@ -87,6 +101,12 @@
     at: Timestamp,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct SharedLoad {
+    load: u32,
+    at: Timestamp,
+}
+
 #[derive(Clone, Debug)]
 struct WorkerEntry {
     record: WorkerRecord,
@@ -94,6 +114,8 @@
     in_flight: u32,
     batch_in_flight: u32,
     report: Option<LoadReport>,
+    /// Requests of other nodes, as the table's leader gathered them.
+    others: Option<SharedLoad>,
     failures: u32,
     passed_over_until: Option<Timestamp>,
     cache: PrefixCache,
@@ -110,6 +132,7 @@
             in_flight: 0,
             batch_in_flight: 0,
             report: None,
+            others: None,
             failures: 0,
             passed_over_until: None,
             cache: PrefixCache::default(),
@@ -117,8 +140,12 @@
         }
     }
 
-    /// Requests at the worker: its last report corrected by what this node sent and ended since.
+    /// Requests at the worker: those of this node and, as last gathered, of all others. Where nothing
+    /// was gathered of late, the worker's own report corrected by what this node sent and ended since.
     fn estimated_load(&self, now: Timestamp) -> u32 {
+        if let Some(others) = self.others.filter(|others| now.since(others.at) < SHARED_LIFETIME) {
+            return others.load + self.in_flight;
+        }
         match self.report {
             Some(report) if now.since(report.at) < REPORT_LIFETIME => {
                 let told = report.load.running + report.load.waiting;
@@ -169,6 +196,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct WorkerTable {
     workers: BTreeMap<WorkerId, WorkerEntry>,
+    /// Smoothed time to the first event over all workers, in milliseconds.
+    typical_first_ms: f64,
 }
 
 /// What changed in the table, for the log.
@@ -325,6 +354,7 @@
     /// A worker answered as it should. `took` is the time to its first event, `expected` the time
     /// that would have been in order.
     pub fn succeeded(&mut self, id: &WorkerId, took: Millis, expected: Millis) {
+        self.typical_first_ms = self.typical_first_ms * 0.95 + took.0 as f64 * 0.05;
         if let Some(entry) = self.workers.get_mut(id) {
             entry.failures = 0;
             entry.passed_over_until = None;
@@ -333,6 +363,11 @@
         }
     }
 
+    /// The usual time to the first event, over all workers.
+    pub fn typical_first_event(&self) -> Millis {
+        Millis(self.typical_first_ms as u64)
+    }
+
     /// A worker failed. Returns for how long it is passed over.
     pub fn failed(&mut self, id: &WorkerId, now: Timestamp) -> Option<Millis> {
         let entry = self.workers.get_mut(id)?;
@@ -351,18 +386,39 @@
         }
     }
 
-    /// The worker for a batch item: the one with the most room beyond `reserve_percent` of its slots,
-    /// which stay free for online requests.
-    pub fn choose_for_batch(
-        &self,
-        ask: &WorkerAsk<'_>,
-        reserve_percent: u32,
-        now: Timestamp,
-        random: &mut impl Rng,
-    ) -> Option<Choice> {
+    /// Requests of this node at each worker, those without any left out.
+    pub fn own_loads(&self) -> Vec<WorkerCount> {
+        let busy = self.workers.values().filter(|entry| entry.in_flight > 0);
+        busy.map(|entry| WorkerCount { worker: entry.record.id.clone(), requests: entry.in_flight }).collect()
+    }
+
+    /// Takes the loads of all other nodes. A worker that is not listed has none.
+    pub fn set_shared_loads(&mut self, loads: &[WorkerCount], now: Timestamp) {
+        for entry in self.workers.values_mut() {
+            entry.others = Some(SharedLoad { load: 0, at: now });
+        }
+        for count in loads {
+            if let Some(entry) = self.workers.get_mut(&count.worker) {
+                entry.others = Some(SharedLoad { load: count.requests, at: now });
+            }
+        }
+    }
+
+    /// Workers that are full while batch items run there, and how many of those must go.
+    pub fn overfull(&self, now: Timestamp) -> Vec<WorkerCount> {
+        let excess = |entry: &WorkerEntry| {
+            let over = (entry.estimated_load(now) + 1).saturating_sub(entry.record.slots).min(entry.batch_in_flight);
+            (over > 0).then(|| WorkerCount { worker: entry.record.id.clone(), requests: over })
+        };
+        self.workers.values().filter_map(excess).collect()
+    }
+
+    /// The worker for a batch item: the one with the most room beyond a reserve that stays free for
+    /// online requests.
+    pub fn choose_for_batch(&self, ask: &WorkerAsk<'_>, now: Timestamp, random: &mut impl Rng) -> Option<Choice> {
         let has_room = |entry: &&WorkerEntry| {
-            let free_for_batch = entry.record.slots - entry.record.slots * reserve_percent / 100;
-            entry.batch_in_flight < free_for_batch.max(1) && entry.estimated_load(now) < entry.record.slots
+            let reserve = (entry.record.slots / RESERVE_PART).max(1);
+            entry.estimated_load(now) + reserve < entry.record.slots.max(reserve + 1)
         };
         let candidates: Vec<&WorkerEntry> = self
             .workers
--- a/crates/core/src/jobs/dispatch.rs
+++ b/crates/core/src/jobs/dispatch.rs
@@ -23,6 +23,8 @@
     Failed,
     /// The run broke off; what came so far is kept.
     BrokenOff,
+    /// The run was stopped for online requests; what came so far is kept.
+    Paused,
     /// The item did not run.
     NotRun,
 }
@@ -148,7 +150,7 @@
                 }
             }
             RunEnd::BrokenOff if made_progress => progress.delays = 0,
-            RunEnd::BrokenOff | RunEnd::NotRun => {}
+            RunEnd::BrokenOff | RunEnd::NotRun | RunEnd::Paused => {}
         }
         self.delay(key, now);
         false
--- a/crates/core/src/jobs/request.rs
+++ b/crates/core/src/jobs/request.rs
@@ -6,6 +6,7 @@
 
 use super::command::{JobKey, Submission};
 use super::table::ResultPage;
+use crate::gateway::workers::WorkerCount;
 use crate::time::Millis;
 
 /// A request to the leader.
@@ -36,6 +37,8 @@
     },
     /// The sender is there and could hold the table.
     Greet,
+    /// The sender's online requests at each worker; those of all others are wanted.
+    ShareLoad(Vec<WorkerCount>),
 }
 
 /// The leader's answer.
@@ -58,6 +61,8 @@
     UnknownItem,
     /// The job has ended.
     Ended,
+    /// Requests at each worker, of all nodes but the asker, batch items among them.
+    Loads(Vec<WorkerCount>),
     /// The command was proposed, and whether it took effect is not known.
     Unsure,
 }
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -5,6 +5,7 @@
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use stallmoor_core::gateway::configuration::{GatewayConfiguration, Route};
+use stallmoor_core::gateway::move_budget::MoveBudget;
 use stallmoor_core::gateway::workers::{WorkerChange, WorkerId, WorkerTable};
 use stallmoor_core::jobs::directory::{StorageDirectory, StorageRecord};
 use stallmoor_core::log_event::LogEvent;
@@ -27,6 +28,7 @@
     workers: Mutex<WorkerTable>,
     storage: Mutex<StorageDirectory>,
     random: Mutex<Xoshiro256PlusPlus>,
+    moves: Mutex<MoveBudget>,
     changed: watch::Sender<u64>,
 }
 
@@ -40,6 +42,7 @@
             workers: Mutex::default(),
             storage: Mutex::default(),
             random: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(seed)),
+            moves: Mutex::default(),
             changed: watch::Sender::new(0),
         }
     }
@@ -64,6 +67,11 @@
         lock(&self.random)
     }
 
+    /// The budget for moving requests away from slow workers.
+    pub fn moves(&self) -> MutexGuard<'_, MoveBudget> {
+        lock(&self.moves)
+    }
+
     /// Tells each change of the view.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
--- a/crates/gateway/src/item_run.rs
+++ b/crates/gateway/src/item_run.rs
@@ -11,6 +11,8 @@
 use stallmoor_core::jobs::command::JobItem;
 use stallmoor_core::jobs::dispatch::{PartialOutput, RunEnd};
 
+use tokio::sync::Notify;
+
 use crate::attempt::{Attempt, OpenAnswer, WorkerClient};
 use crate::dialect::AttemptTerms;
 
@@ -31,6 +33,8 @@
     pub choice: Choice,
     /// What earlier runs put out.
     pub output: PartialOutput,
+    /// Told when the run should stop for online requests.
+    pub pause: Arc<Notify>,
 }
 
 impl ItemRun {
@@ -54,7 +58,12 @@
             is_batch: true,
             choice: self.choice.clone(),
         };
-        match client.open(attempt, FIRST_EVENT_PATIENCE).await {
+        let pause = self.pause.clone();
+        let opened = tokio::select! {
+            opened = client.open(attempt, FIRST_EVENT_PATIENCE) => opened,
+            () = pause.notified() => return RunEnd::Paused,
+        };
+        match opened {
             Ok(answer) if answer.status.is_success() => self.read(client, answer).await,
             Ok(answer) if answer.status == StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Impossible,
             Ok(_) => RunEnd::Failed,
@@ -65,8 +74,12 @@
 
     async fn read(&mut self, client: &WorkerClient, mut answer: OpenAnswer) -> RunEnd {
         let mut splitter = EventSplitter::default();
+        let pause = self.pause.clone();
         loop {
-            let frame = tokio::time::timeout(EVENT_PATIENCE, answer.body.frame()).await;
+            let frame = tokio::select! {
+                frame = tokio::time::timeout(EVENT_PATIENCE, answer.body.frame()) => frame,
+                () = pause.notified() => return RunEnd::Paused,
+            };
             match frame {
                 Ok(Some(Ok(frame))) => {
                     for event in splitter.push(&frame.into_data().unwrap_or_default()) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`attempt`], [`connections`] | one attempt at one worker, and kept connections |
 //! | [`job_calls`], [`jobs_client`] | callers' calls about batch jobs, and the way to the leader |
 //! | [`storage_service`], [`storage_server`], [`item_run`], [`disk_writer`] | a storing node at work |
+//! | [`load_sharing`] | exchanging loads with the leader |
 //! | [`registration`] | a storing node's record, and the founding of the group |
 //! | [`peer_link`], [`frames`] | messages between nodes |
 //! | [`headers`] | which headers are passed on |
@@ -35,6 +36,7 @@
 pub mod job_calls;
 pub mod jobs_client;
 pub mod journal;
+pub mod load_sharing;
 pub mod log_writer;
 pub mod metadata;
 pub mod online;
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -24,6 +24,8 @@
 
 /// The share of the objective for which a first attempt is waited for before another worker is tried.
 const FIRST_PATIENCE_PERCENT: u64 = 50;
+/// An attempt is waited for at least this many times the usual time to the first event.
+const USUAL_TIMES: u64 = 4;
 /// Least time for which an attempt is waited for.
 const LEAST_PATIENCE: Millis = Millis(60);
 /// The share of the longest pause that is in time after which another worker goes on.
@@ -70,6 +72,7 @@
         return refusal::of_kind(ErrorKind::NoEngine, "the route leads to no service");
     };
     let held = request.facts.deadline.map_or(request.route.timeout, |wait| wait.min(request.route.timeout));
+    client.view.moves().earn();
     let ends_at = request.arrived_at + held;
     let last_event = request.facts.last_event;
     let ledger = AttemptLedger::default();
@@ -136,6 +139,7 @@
                 }
                 Ok(answer) => return Ok(answer),
                 Err(end) => {
+                    self.note_move(end);
                     self.ledger.note(end);
                     if !self.may_try_again() {
                         let detail = format!("the last attempt ended as {end:?}");
@@ -146,6 +150,12 @@
         }
     }
 
+    fn note_move(&self, end: AttemptEnd) {
+        if end == AttemptEnd::Silent {
+            self.client.view.moves().spend();
+        }
+    }
+
     fn may_try_again(&self) -> bool {
         self.ledger.may_try_again(self.request.route.kind, self.request.route.max_attempts)
     }
@@ -160,14 +170,18 @@
         let route = &self.request.route;
         let remaining = self.remaining();
         let is_last = !self.may_run_again() || self.ledger.ran + 1 >= route.max_attempts;
-        let span = if is_last {
-            remaining
-        } else {
-            Millis(route.objective.0 * FIRST_PATIENCE_PERCENT / 100).max(LEAST_PATIENCE).min(remaining)
-        };
+        let may_move = !is_last && self.client.view.moves().has_one();
+        let span = if may_move { self.first_patience().min(remaining) } else { remaining };
         Duration::from_millis(span.0)
     }
 
+    /// How long the first event is waited for before another worker is tried.
+    fn first_patience(&self) -> Millis {
+        let of_objective = Millis(self.request.route.objective.0 * FIRST_PATIENCE_PERCENT / 100);
+        let usual = self.client.view.workers().typical_first_event();
+        of_objective.max(LEAST_PATIENCE).max(Millis(usual.0 * USUAL_TIMES))
+    }
+
     async fn attempt(&mut self, choice: Choice, patience: Duration) -> Result<OpenAnswer, AttemptEnd> {
         let remaining = self.request.facts.deadline.map(|wait| (self.request.arrived_at + wait).since(self.now()));
         let remaining = remaining.map(|left| left.min(self.remaining()));
@@ -237,6 +251,7 @@
                     let now = self.now();
                     self.client.view.workers().failed(&worker, now);
                     self.log_attempt(&worker, end);
+                    self.note_move(end);
                     self.ledger.note(end);
                 }
             }
@@ -334,11 +349,12 @@
     fn event_patience(&self, first: bool, sent_at: Timestamp) -> Duration {
         let remaining = self.remaining();
         let route = &self.request.route;
-        let can_move = self.may_run_again() && self.ledger.ran + 1 < route.max_attempts;
+        let can_move =
+            self.may_run_again() && self.ledger.ran + 1 < route.max_attempts && self.client.view.moves().has_one();
         let gap = route.gap_target.filter(|_| can_move);
         let Some(gap) = gap else { return Duration::from_millis(remaining.0) };
         let target = if first && self.events == 0 {
-            let allowed = Millis(route.objective.0 * FIRST_PATIENCE_PERCENT / 100).max(LEAST_PATIENCE);
+            let allowed = self.first_patience();
             Millis(allowed.0.saturating_sub(self.now().since(sent_at).0)).max(Millis(20))
         } else {
             Millis(gap.0 * GAP_PATIENCE_PERCENT / 100)
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -27,6 +27,7 @@
 use crate::job_calls::JobCalls;
 use crate::jobs_client::JobsClient;
 use crate::journal::{Field, record};
+use crate::load_sharing::share_loads;
 use crate::metadata::FleetUpdate;
 use crate::registration;
 use crate::server::{CallerServer, StopPhase, serve_readiness};
@@ -145,10 +146,11 @@
         dialect: adapter.dialect(),
         client: JobsClient::new(common.view.clone(), id),
     };
+    let jobs = Arc::new(jobs);
+    tokio::spawn(share_loads(common.view.clone(), jobs.clone()));
     let (stop, stopping) = watch::channel(StopPhase::Serving);
     let (alive, mut all_closed) = mpsc::channel(1);
-    let server =
-        Arc::new(CallerServer { workers: common.workers.clone(), jobs: Arc::new(jobs), stop: stopping.clone(), alive });
+    let server = Arc::new(CallerServer { workers: common.workers.clone(), jobs, stop: stopping.clone(), alive });
     let caller_listener = listen(callers)?;
     let readiness_listener = listen(readiness)?;
     let accepting = tokio::spawn(server.run(caller_listener));
--- a/crates/gateway/src/storage_service.rs
+++ b/crates/gateway/src/storage_service.rs
@@ -5,16 +5,18 @@
 use std::time::Duration;
 
 use stallmoor_core::control::{RepairInput, ReplicaHealth, StoreCandidate, plan_repair};
+use stallmoor_core::gateway::workers::WorkerId;
 use stallmoor_core::identity::{GroupId, NodeId};
 use stallmoor_core::jobs::command::{ItemKey, JobCommand, JobKey};
 use stallmoor_core::jobs::dispatch::{Dispatcher, PartialOutput, RunEnd};
+use stallmoor_core::jobs::load_share::LoadShare;
 use stallmoor_core::jobs::node::{JobsChange, JobsEffect, JobsNode, NotProposed, Waiter};
 use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::node::{GroupRefusal, PeerMessage};
 use stallmoor_core::replication::{GroupMembership, MembershipChange};
 use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::AbortHandle;
 
 use crate::attempt::WorkerClient;
@@ -35,8 +37,6 @@
 const GREETING_INTERVAL: Millis = Millis(400);
 /// The time between two looks at the membership.
 const REPAIR_INTERVAL: Millis = Millis(100);
-/// Slots of each worker that batch leaves to online requests, in percent.
-const ONLINE_RESERVE_PERCENT: u32 = 35;
 /// An item is given up this long after its submitter allows it, since clocks may be off.
 const GIVE_UP_MARGIN: Millis = Millis(10_000);
 /// Jobs that are over are remembered this long after they came.
@@ -56,7 +56,10 @@
 
 struct Running {
     run: u64,
+    worker: WorkerId,
     task: AbortHandle,
+    /// Asks the run to stop and hand back what it has.
+    pause: Arc<Notify>,
 }
 
 struct HeldRead {
@@ -98,6 +101,7 @@
     next_waiter: u64,
     reads: Vec<HeldRead>,
     dispatcher: Dispatcher,
+    load_share: LoadShare,
     running: BTreeMap<ItemKey, Running>,
     next_run: u64,
     leads: bool,
@@ -149,6 +153,7 @@
             next_waiter: 0,
             reads: Vec::new(),
             dispatcher: Dispatcher::default(),
+            load_share: LoadShare::default(),
             running: BTreeMap::new(),
             next_run: 0,
             leads: false,
@@ -262,9 +267,21 @@
                 self.heard.insert(from, now);
                 let _ = reply.send(Ok(JobsAnswer::Accepted));
             }
+            JobsRequest::ShareLoad(loads) if self.leads => {
+                self.load_share.tell(from, loads, now);
+                let batch = self.workers.view.workers().own_loads();
+                let totals = self.load_share.without(Some(from), &batch, now);
+                let online = self.load_share.without(None, &[], now);
+                self.workers.view.workers().set_shared_loads(&online, now);
+                let _ = reply.send(Ok(JobsAnswer::Loads(totals)));
+                self.yield_to_online(now);
+            }
             _ if !self.node.may_answer(now) => {
                 let _ = reply.send(Err(self.refusal()));
             }
+            JobsRequest::ShareLoad(_) => {
+                let _ = reply.send(Err(self.refusal()));
+            }
             JobsRequest::Submit(submission) => {
                 let waiter = self.wait(reply);
                 let proposed = self.node.submit(submission, waiter, now);
@@ -445,6 +462,7 @@
         } else {
             record(LogEvent::LeaderStoodDown, &[Field::number("term", term)]);
             self.dispatcher.clear();
+            self.load_share.clear();
         }
         self.proposed.clear();
         for (_, running) in std::mem::take(&mut self.running) {
@@ -452,6 +470,30 @@
         }
     }
 
+    /// Takes batch items off workers that are full. They go on later, after their last event.
+    fn yield_to_online(&mut self, now: Timestamp) {
+        let overfull = self.workers.view.workers().overfull(now);
+        for count in overfull {
+            let mut there: Vec<(u64, ItemKey)> = self
+                .running
+                .iter()
+                .filter(|(_, running)| running.worker == count.worker)
+                .map(|(key, running)| (running.run, key.clone()))
+                .collect();
+            // The youngest has the least to read again.
+            there.sort_by_key(|(run, _)| std::cmp::Reverse(*run));
+            for (_, key) in there.into_iter().take(count.requests as usize) {
+                if let Some(running) = self.running.get(&key) {
+                    running.pause.notify_one();
+                }
+            }
+            record(
+                LogEvent::BatchYielded,
+                &[Field::text("worker", &count.worker), Field::number("items", count.requests)],
+            );
+        }
+    }
+
     // Running items.
 
     fn dispatch(&mut self) {
@@ -509,7 +551,7 @@
                 tried: &[],
             };
             let mut random = view.random();
-            let choice = view.workers().choose_for_batch(&ask, ONLINE_RESERVE_PERCENT, now, &mut *random);
+            let choice = view.workers().choose_for_batch(&ask, now, &mut *random);
             choice.map(|choice| (service, choice))
         });
         let Some((service, choice)) = choice else {
@@ -519,13 +561,15 @@
         self.next_run += 1;
         let run = self.next_run;
         let (client, reports, report_key) = (self.workers.clone(), self.reports.clone(), key.clone());
-        let item_run = ItemRun { item, host, service, choice, output };
+        let worker = choice.id.clone();
+        let pause = Arc::new(Notify::new());
+        let item_run = ItemRun { item, host, service, choice, output, pause: pause.clone() };
         let task = tokio::spawn(async move {
             let (end, output) = item_run.run(&client).await;
             // The service is gone only when the process ends.
             let _ = reports.send(RunReport { key: report_key, run, end, output });
         });
-        self.running.insert(key.clone(), Running { run, task: task.abort_handle() });
+        self.running.insert(key.clone(), Running { run, worker, task: task.abort_handle(), pause });
         true
     }
 
