Count pausing items once; measure slowness against the usual

Cause: several load reports in one moment each paused items again that were pausing already; a worker's slowness against a fixed time passed over half the fleet in bursts. Change: pausing items are marked; slowness is against the usual of all workers and loses its weight within 4 s.

--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -36,6 +36,12 @@
 const ZONE_MS: f64 = 4.0;
 /// The cost of each kilobyte that leaves the zone, in milliseconds.
 const ZONE_MS_PER_KILOBYTE: f64 = 0.4;
+/// A worker counts as slow from this many times the usual time to the first event.
+const SLOW_ABOVE: f64 = 1.5;
+/// The cost of each further time the usual, in milliseconds.
+const SLOW_MS: f64 = 15.0;
+/// What was measured of a worker's slowness loses its weight over this time.
+const SLOWNESS_LIFETIME: Millis = Millis(4_000);
 /// The share of a prompt believed to be held where the shared parts always go.
 const HOME_BELIEF: f64 = 0.6;
 /// Spread of the random part of the cost, in milliseconds: nodes must not all choose alike.
@@ -119,8 +125,10 @@
     failures: u32,
     passed_over_until: Option<Timestamp>,
     cache: PrefixCache,
-    /// Smoothed time to the first event against what was expected, 1.0 being as expected.
+    /// Smoothed time to the first event against the usual of all workers, 1.0 being as usual.
     slowness: f64,
+    /// When the slowness was last measured.
+    measured_at: Timestamp,
 }
 
 impl WorkerEntry {
@@ -137,6 +145,7 @@
             passed_over_until: None,
             cache: PrefixCache::default(),
             slowness: 1.0,
+            measured_at: Timestamp::default(),
         }
     }
 
@@ -351,15 +360,16 @@
         }
     }
 
-    /// A worker answered as it should. `took` is the time to its first event, `expected` the time
-    /// that would have been in order.
-    pub fn succeeded(&mut self, id: &WorkerId, took: Millis, expected: Millis) {
-        self.typical_first_ms = self.typical_first_ms * 0.95 + took.0 as f64 * 0.05;
+    /// A worker answered as it should. `took` is the time to its first event.
+    pub fn succeeded(&mut self, id: &WorkerId, took: Millis, now: Timestamp) {
+        let took = took.0 as f64;
+        let ratio = (took / self.typical_first_ms.max(5.0)).clamp(0.5, 5.0);
+        self.typical_first_ms = self.typical_first_ms * 0.95 + took * 0.05;
         if let Some(entry) = self.workers.get_mut(id) {
             entry.failures = 0;
             entry.passed_over_until = None;
-            let ratio = (took.0 as f64 / expected.0.max(1) as f64).clamp(0.2, 8.0);
-            entry.slowness = entry.slowness * 0.7 + ratio * 0.3;
+            entry.slowness = entry.slowness * 0.8 + ratio * 0.2;
+            entry.measured_at = now;
         }
     }
 
@@ -474,6 +484,8 @@
     } else {
         ZONE_MS + ask.body_bytes as f64 / 1_024.0 * ZONE_MS_PER_KILOBYTE
     };
-    let slow = (entry.slowness - 1.0).max(0.0) * 30.0;
+    let measured = now.since(entry.measured_at).0.min(SLOWNESS_LIFETIME.0) as f64;
+    let trust = 1.0 - measured / SLOWNESS_LIFETIME.0 as f64;
+    let slow = (entry.slowness - SLOW_ABOVE).max(0.0) * SLOW_MS * trust;
     unread * READ_MS_PER_TOKEN + busy + waiting + away + slow
 }
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -341,8 +341,7 @@
 
     fn note_first_event(&self, answer: &OpenAnswer) {
         let now = self.now();
-        let expected = Millis(20 + u64::from(self.request.facts.prompt_tokens) / 40);
-        self.client.view.workers().succeeded(&answer.worker, now.since(answer.sent_at), expected);
+        self.client.view.workers().succeeded(&answer.worker, now.since(answer.sent_at), now);
     }
 
     /// How long the next event is waited for.
--- a/crates/gateway/src/storage_service.rs
+++ b/crates/gateway/src/storage_service.rs
@@ -60,6 +60,7 @@
     task: AbortHandle,
     /// Asks the run to stop and hand back what it has.
     pause: Arc<Notify>,
+    is_pausing: bool,
 }
 
 struct HeldRead {
@@ -474,16 +475,16 @@
     fn yield_to_online(&mut self, now: Timestamp) {
         let overfull = self.workers.view.workers().overfull(now);
         for count in overfull {
-            let mut there: Vec<(u64, ItemKey)> = self
-                .running
-                .iter()
-                .filter(|(_, running)| running.worker == count.worker)
-                .map(|(key, running)| (running.run, key.clone()))
-                .collect();
+            let there = self.running.iter().filter(|(_, running)| running.worker == count.worker);
+            let (leaving, staying): (Vec<_>, Vec<_>) = there.partition(|(_, running)| running.is_pausing);
+            let mut staying: Vec<(u64, ItemKey)> =
+                staying.into_iter().map(|(key, running)| (running.run, key.clone())).collect();
             // The youngest has the least to read again.
-            there.sort_by_key(|(run, _)| std::cmp::Reverse(*run));
-            for (_, key) in there.into_iter().take(count.requests as usize) {
-                if let Some(running) = self.running.get(&key) {
+            staying.sort_by_key(|(run, _)| std::cmp::Reverse(*run));
+            let due = (count.requests as usize).saturating_sub(leaving.len());
+            for (_, key) in staying.into_iter().take(due) {
+                if let Some(running) = self.running.get_mut(&key) {
+                    running.is_pausing = true;
                     running.pause.notify_one();
                 }
             }
@@ -569,7 +570,7 @@
             // The service is gone only when the process ends.
             let _ = reports.send(RunReport { key: report_key, run, end, output });
         });
-        self.running.insert(key.clone(), Running { run, worker, task: task.abort_handle(), pause });
+        self.running.insert(key.clone(), Running { run, worker, task: task.abort_handle(), pause, is_pausing: false });
         true
     }
 
