Find where a follower's log parts from the leader's before sending entries

Change: a follower is probed with empty appends until one is accepted; entries count as lost after three heartbeats; silent followers get heartbeats only. Batch starts by the smoothed load and pauses only past a full worker.

--- a/crates/core/src/gateway/move_budget.rs
+++ b/crates/core/src/gateway/move_budget.rs
@@ -4,7 +4,7 @@
 //! would add load without end; so they come from a budget that requests earn.
 
 /// Moves that each request earns.
-const EARNED: f64 = 0.08;
+const EARNED: f64 = 0.03;
 /// Most moves that are saved up.
 const MOST: f64 = 8.0;
 
--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -18,6 +18,11 @@
 const LONGEST_PASS_OVER: Millis = Millis(4_000);
 /// Batch leaves one in this many slots of a worker free.
 const RESERVE_PART: u32 = 6;
+/// Batch items leave a worker once this many requests more than it has slots are there. A short wait
+/// costs less than reading a prompt again.
+const BATCH_TOLERANCE: u32 = 1;
+/// The time over which the load of other nodes is smoothed.
+const SMOOTHING: Millis = Millis(700);
 /// A load report is believed for this long.
 const REPORT_LIFETIME: Millis = Millis(2_000);
 /// A gathered load is believed for this long.
@@ -110,6 +115,8 @@
 #[derive(Clone, Copy, Debug)]
 struct SharedLoad {
     load: u32,
+    /// The load smoothed over [`SMOOTHING`].
+    smoothed: f64,
     at: Timestamp,
 }
 
@@ -164,6 +171,11 @@
         }
     }
 
+    /// Requests of this node with the smoothed ones of all others, rounded up.
+    fn smoothed_load(&self) -> u32 {
+        self.in_flight + self.others.map_or(0, |others| others.smoothed.ceil() as u32)
+    }
+
     fn is_passed_over(&self, now: Timestamp) -> bool {
         self.passed_over_until.is_some_and(|until| now < until)
     }
@@ -404,20 +416,23 @@
 
     /// Takes the loads of all other nodes. A worker that is not listed has none.
     pub fn set_shared_loads(&mut self, loads: &[WorkerCount], now: Timestamp) {
-        for entry in self.workers.values_mut() {
-            entry.others = Some(SharedLoad { load: 0, at: now });
-        }
-        for count in loads {
-            if let Some(entry) = self.workers.get_mut(&count.worker) {
-                entry.others = Some(SharedLoad { load: count.requests, at: now });
-            }
+        let by_worker: BTreeMap<&WorkerId, u32> = loads.iter().map(|count| (&count.worker, count.requests)).collect();
+        for (id, entry) in &mut self.workers {
+            let load = by_worker.get(id).copied().unwrap_or(0);
+            let smoothed = entry.others.map_or(f64::from(load), |earlier| {
+                let passed = now.since(earlier.at).0 as f64;
+                let weight = 1.0 - (-passed / SMOOTHING.0 as f64).exp();
+                earlier.smoothed + (f64::from(load) - earlier.smoothed) * weight
+            });
+            entry.others = Some(SharedLoad { load, smoothed, at: now });
         }
     }
 
     /// Workers that are full while batch items run there, and how many of those must go.
     pub fn overfull(&self, now: Timestamp) -> Vec<WorkerCount> {
         let excess = |entry: &WorkerEntry| {
-            let over = (entry.estimated_load(now) + 1).saturating_sub(entry.record.slots).min(entry.batch_in_flight);
+            let allowed = entry.record.slots + BATCH_TOLERANCE;
+            let over = entry.estimated_load(now).saturating_sub(allowed).min(entry.batch_in_flight);
             (over > 0).then(|| WorkerCount { worker: entry.record.id.clone(), requests: over })
         };
         self.workers.values().filter_map(excess).collect()
@@ -428,7 +443,8 @@
     pub fn choose_for_batch(&self, ask: &WorkerAsk<'_>, now: Timestamp, random: &mut impl Rng) -> Option<Choice> {
         let has_room = |entry: &&WorkerEntry| {
             let reserve = (entry.record.slots / RESERVE_PART).max(1);
-            entry.estimated_load(now) + reserve < entry.record.slots.max(reserve + 1)
+            let load = entry.estimated_load(now).max(entry.smoothed_load());
+            load + reserve < entry.record.slots.max(reserve + 1)
         };
         let candidates: Vec<&WorkerEntry> = self
             .workers
--- a/crates/core/src/replication/leading.rs
+++ b/crates/core/src/replication/leading.rs
@@ -9,6 +9,13 @@
 use crate::identity::NodeId;
 use crate::time::{Millis, Timestamp};
 
+/// Entries count as lost after this many heartbeats without an answer: a disk may be slow.
+const RESEND_HEARTBEATS: u64 = 3;
+/// A snapshot counts as lost after this many times as long.
+const SNAPSHOT_PATIENCE: u64 = 4;
+/// A follower is silent after this many heartbeats without an answer.
+const SILENT_HEARTBEATS: u64 = 4;
+
 impl Replica {
     pub(super) fn check_proposal(&self) -> Result<(), ProposalError> {
         let Role::Leader(state) = &self.role else {
@@ -61,16 +68,23 @@
         }
     }
 
+    /// A follower that has not answered for this long is not sent entries.
+    fn silence_limit(&self) -> Millis {
+        Millis(self.settings.heartbeat_interval.0 * SILENT_HEARTBEATS)
+    }
+
     /// Entries sent a while ago and not yet answered count as lost.
     pub(super) fn resend_lost(&mut self, now: Timestamp) {
-        let wait = self.settings.heartbeat_interval;
+        let wait = Millis(self.settings.heartbeat_interval.0 * RESEND_HEARTBEATS);
         if let Role::Leader(state) = &mut self.role {
             for progress in state.progress.values_mut() {
                 let idle = now.since(progress.last_sent);
-                if idle >= wait && progress.pending_snapshot.is_none() {
+                let awaits_answer = progress.next > progress.matched.next();
+                if awaits_answer && idle >= wait && progress.pending_snapshot.is_none() {
                     progress.next = progress.matched.next().max(LogIndex(1));
+                    progress.probing = true;
                 }
-                if idle >= Millis(wait.0 * 8) {
+                if idle >= Millis(wait.0 * SNAPSHOT_PATIENCE) {
                     progress.pending_snapshot = None;
                 }
             }
@@ -103,7 +117,7 @@
         let waiting: Vec<NodeId> = state
             .progress
             .iter()
-            .filter(|(_, progress)| progress.next <= last && progress.pending_snapshot.is_none())
+            .filter(|(_, progress)| progress.next <= last && !progress.probing && progress.pending_snapshot.is_none())
             .map(|(node, _)| *node)
             .collect();
         for node in waiting {
@@ -127,7 +141,13 @@
             self.send_snapshot(to, now);
             return;
         };
-        let entries = self.log.entries_from(progress.next, self.settings.append_bytes);
+        // A follower that does not answer gets heartbeats only; entries would be sent in vain.
+        let is_silent = progress.last_answer.is_none_or(|at| now.since(at) >= self.silence_limit());
+        let entries = if is_silent || progress.probing {
+            Vec::new()
+        } else {
+            self.log.entries_from(progress.next, self.settings.append_bytes)
+        };
         let sent_up_to = entries.last().map(|entry| entry.index);
         let commit = self.commit;
         self.send(to, MessageKind::Append { previous_index, previous_term, commit, sent_at: now, entries });
