--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -471,6 +471,18 @@
         })
     }
 
+    /// What is believed of a worker's load, for the log.
+    pub fn describe(&self, id: &WorkerId, now: Timestamp) -> String {
+        let Some(entry) = self.workers.get(id) else { return String::new() };
+        format!(
+            "load {} of {} slots, {} of batch, {:?}",
+            entry.estimated_load(now),
+            entry.record.slots,
+            entry.batch_in_flight,
+            entry.others
+        )
+    }
+
     /// The slots of a worker; `None` if it is not known.
     pub fn record(&self, id: &WorkerId) -> Option<&WorkerRecord> {
         self.workers.get(id).map(|entry| &entry.record)
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -38,7 +38,7 @@
 pub struct Attempt {
     /// The worker.
     pub choice: Choice,
-    /// The service that it belongs to.
+    /// The service that the worker belongs to.
     pub service: Arc<str>,
     /// The request's id.
     pub request_id: Arc<str>,
@@ -50,10 +50,8 @@
     pub headers: HeaderMap,
     /// The request's body.
     pub body: Bytes,
-    /// The chain of its prompt.
-    pub prefix: Vec<PrefixLink>,
-    /// It is an item of a batch job.
-    pub is_batch: bool,
+    /// Counts the request as being at the worker.
+    pub in_flight: InFlight,
 }
 
 /// Counts a request as being at a worker for as long as it lives.
@@ -63,20 +61,6 @@
     is_batch: bool,
 }
 
-impl InFlight {
-    fn start(client: &WorkerClient, attempt: &Attempt, now: Timestamp) -> Self {
-        let memory = client.view.worker_memory(&attempt.service);
-        let worker = attempt.choice.id.clone();
-        let mut workers = client.view.workers();
-        workers.started(&worker, &attempt.prefix, memory, now);
-        if attempt.is_batch {
-            workers.batch_started(&worker);
-        }
-        drop(workers);
-        Self { view: client.view.clone(), worker, is_batch: attempt.is_batch }
-    }
-}
-
 impl Drop for InFlight {
     fn drop(&mut self) {
         let mut workers = self.view.workers();
@@ -121,6 +105,20 @@
 }
 
 impl WorkerClient {
+    /// Counts a request as being at the worker that was chosen for it. This must come right after the
+    /// choice: of many requests that are placed in one moment, each must see those before it.
+    pub fn place(&self, choice: &Choice, service: &str, prefix: &[PrefixLink], is_batch: bool) -> InFlight {
+        let memory = self.view.worker_memory(service);
+        let now = self.view.clock.now();
+        let mut workers = self.view.workers();
+        workers.started(&choice.id, prefix, memory, now);
+        if is_batch {
+            workers.batch_started(&choice.id);
+        }
+        drop(workers);
+        InFlight { view: self.view.clone(), worker: choice.id.clone(), is_batch }
+    }
+
     /// Sends a request and waits up to `patience` for the head of its answer. What was learned of the
     /// worker is noted.
     ///
@@ -151,7 +149,6 @@
 
     async fn try_open(&self, attempt: Attempt, patience: Duration) -> Result<OpenAnswer, AttemptEnd> {
         let now = self.view.clock.now();
-        let in_flight = InFlight::start(self, &attempt, now);
         let most = self.most_connections(&attempt.service);
         let mut connection =
             self.connections.take(attempt.choice.address, most).await.map_err(|error| match error {
@@ -195,7 +192,7 @@
             worker: attempt.choice.id,
             sent_at: now,
             connection,
-            _in_flight: in_flight,
+            _in_flight: attempt.in_flight,
         })
     }
 
--- a/crates/gateway/src/item_run.rs
+++ b/crates/gateway/src/item_run.rs
@@ -13,7 +13,7 @@
 
 use tokio::sync::Notify;
 
-use crate::attempt::{Attempt, OpenAnswer, WorkerClient};
+use crate::attempt::{Attempt, InFlight, OpenAnswer, WorkerClient};
 use crate::dialect::AttemptTerms;
 
 /// How long the first event is waited for.
@@ -39,12 +39,12 @@
 
 impl ItemRun {
     /// Runs the item to its end. The output so far is handed back however that is.
-    pub async fn run(mut self, client: &WorkerClient) -> (RunEnd, PartialOutput) {
-        let end = self.try_run(client).await;
+    pub async fn run(mut self, client: &WorkerClient, in_flight: InFlight) -> (RunEnd, PartialOutput) {
+        let end = self.try_run(client, in_flight).await;
         (end, self.output)
     }
 
-    async fn try_run(&mut self, client: &WorkerClient) -> RunEnd {
+    async fn try_run(&mut self, client: &WorkerClient, in_flight: InFlight) -> RunEnd {
         let Ok(target) = self.item.path.parse::<Uri>() else { return RunEnd::Impossible };
         let terms = AttemptTerms { worker: &self.choice.id, remaining: None, after_event: self.output.last_event };
         let attempt = Attempt {
@@ -54,8 +54,7 @@
             target,
             headers: client.dialect.item_headers(&self.item, &self.host, &terms),
             body: bytes::Bytes::copy_from_slice(&self.item.body),
-            prefix: client.dialect.item_facts(&self.item).prefix,
-            is_batch: true,
+            in_flight,
             choice: self.choice.clone(),
         };
         let pause = self.pause.clone();
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -189,6 +189,7 @@
         let headers = self.client.dialect.attempt_headers(&self.request.headers, &terms);
         let worker = choice.id.clone();
         self.tried.push(worker.clone());
+        let in_flight = self.client.place(&choice, &self.service, &self.request.facts.prefix, false);
         let attempt = Attempt {
             choice,
             service: self.service.clone(),
@@ -197,8 +198,7 @@
             target: self.request.target.clone(),
             headers,
             body: self.request.body.clone(),
-            prefix: self.request.facts.prefix.clone(),
-            is_batch: false,
+            in_flight,
         };
         let result = self.client.open(attempt, patience).await;
         if let Err(end) = &result {
--- a/crates/gateway/src/storage_service.rs
+++ b/crates/gateway/src/storage_service.rs
@@ -488,10 +488,12 @@
                     running.pause.notify_one();
                 }
             }
-            record(
-                LogEvent::BatchYielded,
-                &[Field::text("worker", &count.worker), Field::number("items", count.requests)],
-            );
+            let fields = [
+                Field::text("worker", &count.worker),
+                Field::number("items", count.requests),
+                Field::text("inputs", self.workers.view.workers().describe(&count.worker, now)),
+            ];
+            record(LogEvent::BatchYielded, &fields);
         }
     }
 
@@ -564,9 +566,10 @@
         let (client, reports, report_key) = (self.workers.clone(), self.reports.clone(), key.clone());
         let worker = choice.id.clone();
         let pause = Arc::new(Notify::new());
+        let in_flight = self.workers.place(&choice, &service, &facts.prefix, true);
         let item_run = ItemRun { item, host, service, choice, output, pause: pause.clone() };
         let task = tokio::spawn(async move {
-            let (end, output) = item_run.run(&client).await;
+            let (end, output) = item_run.run(&client, in_flight).await;
             // The service is gone only when the process ends.
             let _ = reports.send(RunReport { key: report_key, run, end, output });
         });
