Run items that can still be in time before those that can't

Change: how long runs take is learned; an item whose remaining run ends past its due time goes behind all that can be in time.

--- a/crates/core/src/jobs/dispatch.rs
+++ b/crates/core/src/jobs/dispatch.rs
@@ -64,11 +64,57 @@
     failures: u32,
     delays: u32,
     output: PartialOutput,
+    /// When the last run began, and after which event.
+    started_at: Timestamp,
+    started_after: u64,
+}
+
+/// How long whole runs take, from those that ended, so that an item that can't be in time any more is
+/// known early.
+#[derive(Clone, Copy, Debug)]
+struct RunEstimate {
+    /// Events in a whole output.
+    events: f64,
+    /// Milliseconds for each event.
+    ms_per_event: f64,
+}
+
+impl Default for RunEstimate {
+    fn default() -> Self {
+        Self { events: 1.0, ms_per_event: 0.0 }
+    }
+}
+
+impl RunEstimate {
+    /// Notes a run that put out `events` events in `took`.
+    fn note(&mut self, events: u64, is_whole: bool, took: Millis) {
+        const WEIGHT: f64 = 0.1;
+        if events == 0 {
+            return;
+        }
+        let is_first = self.ms_per_event == 0.0;
+        let ms_per_event = took.0 as f64 / events as f64;
+        let weight = if is_first { 1.0 } else { WEIGHT };
+        self.ms_per_event += (ms_per_event - self.ms_per_event) * weight;
+        if is_whole {
+            let weight = if self.events == 1.0 { 1.0 } else { WEIGHT };
+            self.events += (events as f64 - self.events) * weight;
+        }
+    }
+
+    /// How long an item with so many events behind it still takes.
+    fn remaining(&self, events_done: u64) -> Millis {
+        Millis(((self.events - events_done as f64).max(0.0) * self.ms_per_event) as u64)
+    }
 }
 
 /// The items without a result, and how far each is.
+///
+/// Ready items run in the order of their due time, but those that can't be in time any more come after
+/// all that can: under overload the plain order would make every item late.
 #[derive(Clone, Debug, Default)]
 pub struct Dispatcher {
+    estimate: RunEstimate,
     items: BTreeMap<ItemKey, Progress>,
     ready: BTreeSet<(UnixMillis, ItemKey)>,
     delayed: BTreeSet<(Timestamp, ItemKey)>,
@@ -100,17 +146,37 @@
             }
             self.ready.insert((due, key.clone()));
             let output = PartialOutput::default();
-            self.items.insert(key, Progress { phase: Phase::Ready, due, failures: 0, delays: 0, output });
+            let progress = Progress {
+                phase: Phase::Ready,
+                due,
+                failures: 0,
+                delays: 0,
+                output,
+                started_at: Timestamp::default(),
+                started_after: 0,
+            };
+            self.items.insert(key, progress);
         }
     }
 
-    /// Takes the most urgent item that may run now.
-    pub fn take_next(&mut self, now: Timestamp) -> Option<(ItemKey, PartialOutput)> {
+    /// Takes the most urgent item that may run now. `civil` is the time of day, which due times are in.
+    pub fn take_next(&mut self, now: Timestamp, civil: UnixMillis) -> Option<(ItemKey, PartialOutput)> {
         self.wake_delayed(now);
-        let (_, key) = self.ready.pop_first()?;
-        let progress = self.items.get_mut(&key)?;
+        let chosen = self
+            .ready
+            .iter()
+            .find(|(due, key)| {
+                let done = self.items.get(key).and_then(|progress| progress.output.last_event).unwrap_or(0);
+                civil.0 + self.estimate.remaining(done).0 <= due.0
+            })
+            .or_else(|| self.ready.first())
+            .cloned()?;
+        self.ready.remove(&chosen);
+        let progress = self.items.get_mut(&chosen.1)?;
         progress.phase = Phase::Running;
-        Some((key, std::mem::take(&mut progress.output)))
+        progress.started_at = now;
+        progress.started_after = progress.output.last_event.unwrap_or(0);
+        Some((chosen.1, std::mem::take(&mut progress.output)))
     }
 
     /// Whether an item may run now.
@@ -138,7 +204,10 @@
         now: Timestamp,
     ) -> bool {
         let Some(progress) = self.items.get_mut(key) else { return false };
-        let made_progress = output.last_event > progress.output.last_event;
+        let done = output.last_event.unwrap_or(0);
+        let made_progress = done > progress.started_after;
+        let whole = *end == RunEnd::Completed && progress.started_after == 0;
+        self.estimate.note(done.saturating_sub(progress.started_after), whole, now.since(progress.started_at));
         progress.output = output;
         match end {
             RunEnd::Completed => return self.finish(key, ItemState::Completed),
--- a/crates/gateway/src/storage_service.rs
+++ b/crates/gateway/src/storage_service.rs
@@ -505,7 +505,8 @@
             return;
         }
         let Some(configuration) = self.workers.view.configuration() else { return };
-        while let Some((key, output)) = self.dispatcher.take_next(now) {
+        let civil = self.workers.view.clock.civil();
+        while let Some((key, output)) = self.dispatcher.take_next(now, civil) {
             let Some(job) = self.node.table().job(&key.job) else { continue };
             let submission = &job.submission;
             let Some(item) = submission.items.get(key.item as usize).cloned() else { continue };
@@ -519,7 +520,7 @@
                 }
                 continue;
             };
-            let age = Millis(self.workers.view.clock.civil().0.saturating_sub(submission.received_at.0));
+            let age = Millis(civil.0.saturating_sub(submission.received_at.0));
             if route.give_up_after.is_some_and(|limit| age > limit + GIVE_UP_MARGIN) {
                 self.dispatcher.give_up(&key);
                 continue;
