Let one member of a group of two go on alone, decided by the metadata store

Ruled out: keeping the emptied member until a spare comes (the machine is taken away). Change: core/jobs/pair: one record, changed by compare-and-swap only, says whether a pair is whole, survived or dissolved; an emptying is completed only with a whole record; a pair is dissolved before the group grows.

--- a/crates/core/src/jobs/node.rs
+++ b/crates/core/src/jobs/node.rs
@@ -193,6 +193,12 @@
         self.gather()
     }
 
+    /// Goes on as the only voter; see [`super::pair`] for when this is right.
+    pub fn continue_alone(&mut self, now: Timestamp) -> Vec<JobsEffect> {
+        self.replica.continue_alone(now);
+        self.gather()
+    }
+
     /// Hands leadership over.
     pub fn transfer_leadership(&mut self, target: NodeId, now: Timestamp) -> Vec<JobsEffect> {
         self.replica.transfer_leadership(target, now);
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -61,6 +61,8 @@
     ReplicaRemoved = 304, Information, "A replica was removed from a group.";
     SnapshotInstalled = 305, Information, "A replica was rebuilt from a snapshot.";
     MembershipChanging = 306, Information, "The leader proposes a change of its group's members.";
+    PairRecorded = 307, Information, "The record of a group of two is written.";
+    WentOnAlone = 308, Warning, "This replica goes on as the only voter of a group of two.";
     MessageRefused = 310, Warning, "A message from a peer was refused.";
     ConfigurationInForce = 400, Information, "A configuration revision came into force on this node.";
     ConfigurationAccepted = 401, Information, "An operator's change was accepted.";
--- a/crates/core/src/replication/replica.rs
+++ b/crates/core/src/replication/replica.rs
@@ -319,6 +319,25 @@
         self.flush();
     }
 
+    /// Goes on as the only voter of a group of two whose other member is lost. The caller must hold the
+    /// proof that the other member never goes on: both commit only together, so this log holds all that
+    /// was committed.
+    pub fn continue_alone(&mut self, now: Timestamp) -> bool {
+        let voters = &self.log.membership().voters;
+        if voters.len() != 2 || !voters.contains(&self.id) {
+            return false;
+        }
+        self.hard_state = HardState { term: Term(self.hard_state.term.0 + 1), voted_for: Some(self.id) };
+        self.write.hard_state = Some(self.hard_state);
+        self.become_leader(now);
+        let learners = self.log.membership().learners.clone();
+        self.append_as_leader(EntryPayload::Membership(GroupMembership { voters: [self.id].into(), learners }));
+        self.track_members(now);
+        self.replicate(now);
+        self.flush();
+        true
+    }
+
     /// Whether every voter that answers holds the log up to `index` on disk.
     pub fn is_held_by_all_answering(&self, index: LogIndex, now: Timestamp) -> bool {
         let Role::Leader(state) = &self.role else { return false };
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -16,6 +16,8 @@
 
 /// The key of the group's founding record. It is written once.
 pub const FOUNDING_KEY: &str = "stallmoor/jobs/founding";
+/// The key of the record of a group of two.
+pub const PAIR_KEY: &str = "stallmoor/jobs/pair";
 /// The wait after a call that brought nothing.
 const RETRY_WAIT: Duration = Duration::from_millis(300);
 /// How long a founder waits for more storing nodes than the fewest that may found.
--- a/crates/gateway/src/storage_service.rs
+++ b/crates/gateway/src/storage_service.rs
@@ -11,6 +11,7 @@
 use stallmoor_core::jobs::dispatch::{Dispatcher, PartialOutput, RunEnd};
 use stallmoor_core::jobs::load_share::LoadShare;
 use stallmoor_core::jobs::node::{JobsChange, JobsEffect, JobsNode, NotProposed, Waiter};
+use stallmoor_core::jobs::pair::{PairView, StoredPair};
 use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::node::{GroupRefusal, PeerMessage};
@@ -23,8 +24,9 @@
 use crate::disk_writer::{DiskWriter, WriteNumber, WriteResult};
 use crate::item_run::ItemRun;
 use crate::journal::{Field, record};
-use crate::metadata::{EmptyingState, FleetUpdate, MetadataStore};
+use crate::metadata::{EmptyingState, FleetUpdate, MetadataItem, MetadataStore, PutOutcome};
 use crate::peer_link::PeerLinks;
+use crate::registration::PAIR_KEY;
 use crate::storage_server::{PeerEvent, Reply};
 
 /// The time between two looks at the clock.
@@ -43,6 +45,10 @@
 const REMEMBERED: Millis = Millis(600_000);
 /// The time between two rounds of forgetting.
 const FORGET_INTERVAL: Millis = Millis(60_000);
+/// A member of a pair counts as lost once it was not heard of for this long.
+const PAIR_LOST_AFTER: Millis = Millis(3_500);
+/// The wait before the pair's record is read after a write that did not succeed.
+const PAIR_RETRY: Duration = Duration::from_millis(200);
 /// Most bytes of text in one page of results.
 const PAGE_BYTES: usize = 900_000;
 
@@ -110,11 +116,16 @@
     heard: BTreeMap<NodeId, Timestamp>,
     emptying: BTreeMap<Arc<str>, Option<EmptyingState>>,
     founding: Option<GroupMembership>,
+    started_at: Timestamp,
     last_repair: Timestamp,
     last_greeting: Timestamp,
     last_forget: Timestamp,
     reports: mpsc::UnboundedSender<RunReport>,
     emptying_reports: mpsc::UnboundedSender<(Arc<str>, EmptyingState)>,
+    pair: StoredPair,
+    /// A write of the pair's record is under way.
+    pair_write: bool,
+    pair_reads: mpsc::UnboundedSender<Option<StoredPair>>,
 }
 
 /// The ends of the channels that feed the service.
@@ -140,6 +151,7 @@
     pub async fn run(parts: StorageParts, mut inputs: StorageInputs) -> Result<(), stallmoor_storage::StorageError> {
         let (reports, mut run_reports) = mpsc::unbounded_channel();
         let (emptying_reports, mut reported) = mpsc::unbounded_channel();
+        let (pair_reads, mut pairs) = mpsc::unbounded_channel();
         let now = parts.workers.view.clock.now();
         let mut service = Self {
             links: PeerLinks::new(parts.id),
@@ -162,11 +174,15 @@
             heard: BTreeMap::new(),
             emptying: BTreeMap::new(),
             founding: None,
+            started_at: now,
             last_repair: now,
             last_greeting: now,
             last_forget: now,
             reports,
             emptying_reports,
+            pair: StoredPair::default(),
+            pair_write: false,
+            pair_reads,
         };
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -180,6 +196,12 @@
                 Some((machine, state)) = reported.recv() => {
                     service.emptying.insert(machine, Some(state));
                 }
+                Some(read) = pairs.recv() => {
+                    service.pair_write = false;
+                    if let Some(pair) = read {
+                        service.pair.take(pair);
+                    }
+                }
                 _ = ticks.tick() => service.tick(),
                 Ok(()) = inputs.stop.changed() => {}
             }
@@ -256,8 +278,12 @@
     }
 
     fn on_update(&mut self, update: &FleetUpdate) {
-        if let FleetUpdate::EmptyMachine { machine } = update {
-            self.emptying.entry(machine.clone()).or_insert(None);
+        match update {
+            FleetUpdate::EmptyMachine { machine } => {
+                self.emptying.entry(machine.clone()).or_insert(None);
+            }
+            FleetUpdate::Item(item) if &*item.key == PAIR_KEY => self.pair.take(read_pair(item)),
+            _ => {}
         }
     }
 
@@ -414,6 +440,7 @@
         self.answer_reads();
         self.found_if_told();
         self.greet();
+        self.survive_pair();
         if self.leads {
             self.propose_results();
             self.repair();
@@ -666,6 +693,12 @@
             // No spare takes the emptied machine's place: the others go on without it.
             step = emptied_voter.map(MembershipChange::Remove);
         }
+        let changes_voters = matches!(step, Some(MembershipChange::Promote(_) | MembershipChange::Remove(_)));
+        self.keep_pair_record(changes_voters, false);
+        let index = self.node.replica().log().membership_index();
+        if changes_voters && !self.pair.allows_change(&membership, index) {
+            return;
+        }
         if let Some(change) = step {
             record(LogEvent::MembershipChanging, &[Field::text("change", format!("{change:?}"))]);
             let effects = self.node.change_membership(change, now);
@@ -674,6 +707,66 @@
         self.report_emptying(&membership);
     }
 
+    /// Writes the record of a group of two where it is due.
+    fn keep_pair_record(&mut self, wants_change: bool, other_is_lost: bool) {
+        let replica = self.node.replica();
+        let index = replica.log().membership_index();
+        let view = PairView {
+            own: self.id,
+            leads: self.leads,
+            membership: replica.membership(),
+            index,
+            is_committed: index <= replica.commit(),
+            other_is_lost,
+            wants_change,
+        };
+        if self.pair_write {
+            return;
+        }
+        let Some(next) = self.pair.next_write(&view) else { return };
+        self.pair_write = true;
+        record(LogEvent::PairRecorded, &[Field::text("record", format!("{next:?}"))]);
+        let (metadata, reads, revision) = (self.metadata.clone(), self.pair_reads.clone(), self.pair.revision);
+        tokio::spawn(async move {
+            let value = serde_json::to_vec(&next).unwrap_or_default();
+            let read = match metadata.put(PAIR_KEY.to_owned(), value, revision).await {
+                PutOutcome::Written(revision) => Some(StoredPair { record: Some(next), revision }),
+                // Whatever became of it, the store knows.
+                PutOutcome::Conflict | PutOutcome::Unknown => {
+                    tokio::time::sleep(PAIR_RETRY).await;
+                    metadata.get(PAIR_KEY.to_owned()).await.map(|item| read_pair(&item))
+                }
+            };
+            let _ = reads.send(read);
+        });
+    }
+
+    /// A member of a pair whose other member is lost becomes the survivor, once the store says so.
+    fn survive_pair(&mut self) {
+        let now = self.now();
+        let replica = self.node.replica();
+        let membership = replica.membership().clone();
+        let index = replica.log().membership_index();
+        if replica.is_leader() || membership.voters.len() != 2 || !membership.voters.contains(&self.id) {
+            return;
+        }
+        let Some(other) = membership.voters.iter().copied().find(|voter| *voter != self.id) else { return };
+        if self.pair.makes_survivor(self.id, &membership, index) {
+            record(LogEvent::WentOnAlone, &[Field::text("lost", other)]);
+            let effects = self.node.continue_alone(now);
+            self.take(effects);
+            return;
+        }
+        let is_replaced = !self.workers.view.storage().is_empty()
+            && self.workers.view.storage().of_node(self.id).is_some()
+            && self.workers.view.storage().of_node(other).is_none();
+        let heard_at = self.heard.get(&other).copied().unwrap_or(self.started_at);
+        let is_lost = is_replaced || now.since(heard_at) >= PAIR_LOST_AFTER;
+        if is_lost {
+            self.keep_pair_record(false, true);
+        }
+    }
+
     fn is_there(&self, node: NodeId, now: Timestamp) -> bool {
         node == self.id || self.heard.get(&node).is_some_and(|at| now.since(*at) < SPARE_HEARD_WITHIN)
     }
@@ -708,7 +801,9 @@
     /// committed, and all members hold the whole log.
     fn report_emptying(&mut self, membership: &GroupMembership) {
         let replica = self.node.replica();
-        let is_settled = replica.log().membership_index() <= replica.commit()
+        let index = replica.log().membership_index();
+        let is_settled = index <= replica.commit()
+            && self.pair.is_whole(membership, index)
             && replica.all_voters_caught_up()
             && membership.learners.is_empty();
         let storage = self.workers.view.storage().clone();
@@ -755,3 +850,9 @@
         false
     }
 }
+
+/// The pair's record as the store holds it.
+fn read_pair(item: &MetadataItem) -> StoredPair {
+    let record = item.value.as_ref().and_then(|value| serde_json::from_slice(value).ok());
+    StoredPair { record, revision: item.revision }
+}
