--- /dev/null
+++ b/crates/core/src/jobs/members.rs
@@ -0,0 +1,288 @@
+//! Who should hold the job table: lost members are replaced, machines are emptied by order, and a group
+//! of two is kept able to lose one.
+//!
+//! Every replica has one of these; [`Members::plan`] says what is due, and a driver carries it out.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use super::directory::StorageDirectory;
+use super::pair::{PairRecord, PairView, StoredPair};
+use crate::control::{RepairInput, ReplicaHealth, StoreCandidate, plan_repair};
+use crate::identity::{GroupId, NodeId};
+use crate::replication::{GroupMembership, MembershipChange, Replica};
+use crate::time::{Millis, Timestamp};
+
+/// A member that has not answered for this long is replaced where there is a spare.
+const LOST_AFTER: Millis = Millis(2_200);
+/// A spare that was not heard of for this long is not chosen.
+const SPARE_HEARD_WITHIN: Millis = Millis(1_500);
+/// The time between two looks.
+const INTERVAL: Millis = Millis(100);
+/// A member of a pair counts as lost once it was not heard of for this long.
+const PAIR_LOST_AFTER: Millis = Millis(3_500);
+
+/// How far the emptying of a machine is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EmptyingState {
+    /// Copies are being made elsewhere.
+    InProgress,
+    /// The machine holds nothing that is needed.
+    Completed,
+}
+
+/// Something that is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MembersAction {
+    /// Change one member.
+    Change(MembershipChange),
+    /// Hand leadership to a member.
+    HandOver(NodeId),
+    /// Write the pair's record if the store's revision of it is still this one.
+    WritePair {
+        /// The record.
+        record: PairRecord,
+        /// The revision.
+        revision: u64,
+    },
+    /// Go on as the only voter: the store says so.
+    GoOnAlone,
+    /// Tell the operator how far the emptying of a machine is.
+    ReportEmptying {
+        /// The machine.
+        machine: Arc<str>,
+        /// How far it is.
+        state: EmptyingState,
+    },
+}
+
+/// What one replica knows of the others, and what it has told.
+#[derive(Clone, Debug)]
+pub struct Members {
+    own: NodeId,
+    started_at: Timestamp,
+    looked_at: Timestamp,
+    heard: BTreeMap<NodeId, Timestamp>,
+    emptying: BTreeMap<Arc<str>, Option<EmptyingState>>,
+    pair: StoredPair,
+    pair_write_under_way: bool,
+}
+
+impl Members {
+    /// Knows nothing of the others yet.
+    pub fn new(own: NodeId, now: Timestamp) -> Self {
+        Self {
+            own,
+            started_at: now,
+            looked_at: now,
+            heard: BTreeMap::new(),
+            emptying: BTreeMap::new(),
+            pair: StoredPair::default(),
+            pair_write_under_way: false,
+        }
+    }
+
+    /// Another node was heard of.
+    pub fn heard(&mut self, node: NodeId, now: Timestamp) {
+        self.heard.insert(node, now);
+    }
+
+    /// The operator wants a machine emptied.
+    pub fn empty(&mut self, machine: Arc<str>) {
+        self.emptying.entry(machine).or_insert(None);
+    }
+
+    /// The store told the pair's record.
+    pub fn pair_told(&mut self, pair: StoredPair) {
+        self.pair.take(pair);
+    }
+
+    /// A write of the pair's record ended; `read` is the record after it, if known.
+    pub fn pair_written(&mut self, read: Option<StoredPair>) {
+        self.pair_write_under_way = false;
+        if let Some(pair) = read {
+            self.pair.take(pair);
+        }
+    }
+
+    /// What is due now.
+    pub fn plan(
+        &mut self,
+        replica: &Replica,
+        leads: bool,
+        directory: &StorageDirectory,
+        now: Timestamp,
+    ) -> Vec<MembersAction> {
+        if now.since(self.looked_at) < INTERVAL {
+            return Vec::new();
+        }
+        self.looked_at = now;
+        if leads {
+            self.plan_as_leader(replica, directory, now)
+        } else {
+            self.plan_as_survivor(replica, directory, now)
+        }
+    }
+
+    /// A caught-up voter that could lead in this node's place.
+    pub fn successor(&self, replica: &Replica) -> Option<NodeId> {
+        let voters = replica.membership().voters.iter().copied();
+        voters.filter(|voter| *voter != self.own).find(|voter| self.is_caught_up(replica, *voter))
+    }
+
+    fn plan_as_leader(
+        &mut self,
+        replica: &Replica,
+        directory: &StorageDirectory,
+        now: Timestamp,
+    ) -> Vec<MembersAction> {
+        let membership = replica.membership();
+        let emptied = self.emptied_nodes(directory);
+        if emptied.contains(&self.own) && membership.voters.contains(&self.own) {
+            return self.successor(replica).map(MembersAction::HandOver).into_iter().collect();
+        }
+        let mut actions = Vec::new();
+        let step = self.next_step(replica, directory, &emptied, now);
+        let changes_voters = matches!(step, Some(MembershipChange::Promote(_) | MembershipChange::Remove(_)));
+        actions.extend(self.pair_write(replica, true, changes_voters, false));
+        if changes_voters && !self.pair.allows_change(membership, replica.log().membership_index()) {
+            return actions;
+        }
+        actions.extend(step.map(MembersAction::Change));
+        actions.extend(self.emptying_reports(replica, directory));
+        actions
+    }
+
+    fn next_step(
+        &self,
+        replica: &Replica,
+        directory: &StorageDirectory,
+        emptied: &BTreeSet<NodeId>,
+        now: Timestamp,
+    ) -> Option<MembershipChange> {
+        let membership = replica.membership();
+        let candidates: Vec<StoreCandidate> = directory
+            .records()
+            .filter(|record| !emptied.contains(&record.node) && self.is_there(record.node, now))
+            .map(|record| StoreCandidate { node: record.node, zone: record.zone.clone() })
+            .collect();
+        let health: Vec<ReplicaHealth> = membership
+            .members()
+            .map(|node| ReplicaHealth {
+                node,
+                is_lost: emptied.contains(&node) || self.is_lost(replica, directory, node, now),
+                is_caught_up: self.is_caught_up(replica, node),
+            })
+            .collect();
+        let input =
+            RepairInput { group: GroupId(0), leader: self.own, membership, health: &health, candidates: &candidates };
+        let step = plan_repair(&input).map(|step| step.0);
+        // Where no spare takes an emptied machine's place, the others go on without it.
+        let emptied_voter = || membership.voters.iter().copied().find(|voter| emptied.contains(voter));
+        let removal = || emptied_voter().filter(|_| membership.learners.is_empty()).map(MembershipChange::Remove);
+        step.or_else(removal)
+    }
+
+    /// A member of a pair whose other member is lost becomes the survivor, once the store says so.
+    fn plan_as_survivor(
+        &mut self,
+        replica: &Replica,
+        directory: &StorageDirectory,
+        now: Timestamp,
+    ) -> Vec<MembersAction> {
+        let membership = replica.membership();
+        if replica.is_leader() || membership.voters.len() != 2 || !membership.voters.contains(&self.own) {
+            return Vec::new();
+        }
+        if self.pair.makes_survivor(self.own, membership, replica.log().membership_index()) {
+            return vec![MembersAction::GoOnAlone];
+        }
+        if !self.other_of_pair_is_lost(membership, directory, now) {
+            return Vec::new();
+        }
+        self.pair_write(replica, false, false, true).into_iter().collect()
+    }
+
+    fn other_of_pair_is_lost(
+        &self,
+        membership: &GroupMembership,
+        directory: &StorageDirectory,
+        now: Timestamp,
+    ) -> bool {
+        let Some(other) = membership.voters.iter().copied().find(|voter| *voter != self.own) else { return false };
+        // The directory is known if it lists this node; then another identity lies on the other's disk.
+        let is_replaced = directory.of_node(self.own).is_some() && directory.of_node(other).is_none();
+        let heard_at = self.heard.get(&other).copied().unwrap_or(self.started_at);
+        is_replaced || now.since(heard_at) >= PAIR_LOST_AFTER
+    }
+
+    fn pair_write(
+        &mut self,
+        replica: &Replica,
+        leads: bool,
+        wants_change: bool,
+        other_is_lost: bool,
+    ) -> Option<MembersAction> {
+        if self.pair_write_under_way {
+            return None;
+        }
+        let index = replica.log().membership_index();
+        let view = PairView {
+            own: self.own,
+            leads,
+            membership: replica.membership(),
+            index,
+            is_committed: index <= replica.commit(),
+            other_is_lost,
+            wants_change,
+        };
+        let record = self.pair.next_write(&view)?;
+        self.pair_write_under_way = true;
+        Some(MembersAction::WritePair { record, revision: self.pair.revision })
+    }
+
+    fn emptied_nodes(&self, directory: &StorageDirectory) -> BTreeSet<NodeId> {
+        let records = self.emptying.keys().filter_map(|machine| directory.of_machine(machine));
+        records.map(|record| record.node).collect()
+    }
+
+    fn is_there(&self, node: NodeId, now: Timestamp) -> bool {
+        node == self.own || self.heard.get(&node).is_some_and(|at| now.since(*at) < SPARE_HEARD_WITHIN)
+    }
+
+    /// A member is lost once another identity lies on its machine's disk, or it is silent for long.
+    fn is_lost(&self, replica: &Replica, directory: &StorageDirectory, node: NodeId, now: Timestamp) -> bool {
+        if node == self.own {
+            return false;
+        }
+        let is_silent = |at: Option<Timestamp>| at.is_none_or(|at| now.since(at) >= LOST_AFTER);
+        let answered_at = replica.progress(node).and_then(|progress| progress.last_answer);
+        let heard_at = self.heard.get(&node).copied();
+        directory.of_node(node).is_none() || (is_silent(answered_at) && is_silent(heard_at))
+    }
+
+    fn is_caught_up(&self, replica: &Replica, node: NodeId) -> bool {
+        node == self.own || replica.progress(node).is_some_and(|progress| progress.matched >= replica.commit())
+    }
+
+    /// Machines whose duty has been moved: they hold no member, the change is committed, and all members
+    /// hold the whole log.
+    fn emptying_reports(&mut self, replica: &Replica, directory: &StorageDirectory) -> Vec<MembersAction> {
+        let membership = replica.membership();
+        let index = replica.log().membership_index();
+        let is_settled = index <= replica.commit()
+            && self.pair.is_whole(membership, index)
+            && replica.all_voters_caught_up()
+            && membership.learners.is_empty();
+        let mut reports = Vec::new();
+        for (machine, told) in &mut self.emptying {
+            let holds_member = directory.of_machine(machine).is_some_and(|record| membership.contains(record.node));
+            let state = if holds_member || !is_settled { EmptyingState::InProgress } else { EmptyingState::Completed };
+            if *told != Some(state) && *told != Some(EmptyingState::Completed) {
+                *told = Some(state);
+                reports.push(MembersAction::ReportEmptying { machine: machine.clone(), state });
+            }
+        }
+        reports
+    }
+}
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 //! | [`request`] | what other nodes ask of the table's leader |
 //! | [`node`] | one replica of the table: the log, the table, and the acknowledgements |
 //! | [`dispatch`] | which item runs next, and what follows from how a run ended |
+//! | [`members`] | who should hold the table |
 //! | [`pair`] | who goes on if one of two replicas is lost |
 //! | [`load_share`] | the online requests of all nodes, gathered at the leader |
 //! | [`directory`] | the storing nodes, and which of them should hold the table |
@@ -18,6 +19,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod load_share;
+pub mod members;
 pub mod node;
 pub mod pair;
 pub mod request;
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -7,6 +7,7 @@
 
 use stallmoor_core::gateway::configuration::GatewayConfiguration;
 use stallmoor_core::gateway::workers::{WorkerId, WorkerRecord};
+use stallmoor_core::jobs::members::EmptyingState;
 
 /// One of the product's own keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,15 +47,6 @@
     },
 }
 
-/// How far the emptying of a machine is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EmptyingState {
-    /// Copies are being made elsewhere.
-    InProgress,
-    /// The machine holds nothing that is needed.
-    Completed,
-}
-
 /// How a conditional write ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PutOutcome {
--- a/crates/gateway/src/storage_service.rs
+++ b/crates/gateway/src/storage_service.rs
@@ -4,18 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stallmoor_core::control::{RepairInput, ReplicaHealth, StoreCandidate, plan_repair};
 use stallmoor_core::gateway::workers::WorkerId;
-use stallmoor_core::identity::{GroupId, NodeId};
+use stallmoor_core::identity::NodeId;
 use stallmoor_core::jobs::command::{ItemKey, JobCommand, JobKey};
 use stallmoor_core::jobs::dispatch::{Dispatcher, PartialOutput, RunEnd};
 use stallmoor_core::jobs::load_share::LoadShare;
+use stallmoor_core::jobs::members::{EmptyingState, Members, MembersAction};
 use stallmoor_core::jobs::node::{JobsChange, JobsEffect, JobsNode, NotProposed, Waiter};
-use stallmoor_core::jobs::pair::{PairView, StoredPair};
+use stallmoor_core::jobs::pair::{PairRecord, StoredPair};
 use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::node::{GroupRefusal, PeerMessage};
-use stallmoor_core::replication::{GroupMembership, MembershipChange};
+use stallmoor_core::replication::GroupMembership;
 use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::AbortHandle;
@@ -24,29 +24,23 @@
 use crate::disk_writer::{DiskWriter, WriteNumber, WriteResult};
 use crate::item_run::ItemRun;
 use crate::journal::{Field, record};
-use crate::metadata::{EmptyingState, FleetUpdate, MetadataItem, MetadataStore, PutOutcome};
+use crate::metadata::{FleetUpdate, MetadataItem, MetadataStore, PutOutcome};
 use crate::peer_link::PeerLinks;
 use crate::registration::PAIR_KEY;
 use crate::storage_server::{PeerEvent, Reply};
 
 /// The time between two looks at the clock.
 const TICK: Duration = Duration::from_millis(40);
-/// A member that has not answered for this long is replaced where there is a spare.
-const LOST_AFTER: Millis = Millis(2_200);
-/// A spare that was not heard of for this long is not chosen.
-const SPARE_HEARD_WITHIN: Millis = Millis(1_500);
 /// The time between two greetings of a spare.
 const GREETING_INTERVAL: Millis = Millis(400);
-/// The time between two looks at the membership.
-const REPAIR_INTERVAL: Millis = Millis(100);
 /// An item is given up this long after its submitter allows it, since clocks may be off.
 const GIVE_UP_MARGIN: Millis = Millis(10_000);
 /// Jobs that are over are remembered this long after they came.
 const REMEMBERED: Millis = Millis(600_000);
 /// The time between two rounds of forgetting.
 const FORGET_INTERVAL: Millis = Millis(60_000);
-/// A member of a pair counts as lost once it was not heard of for this long.
-const PAIR_LOST_AFTER: Millis = Millis(3_500);
+/// The wait before an emptying is reported again.
+const EMPTYING_RETRY: Duration = Duration::from_millis(250);
 /// The wait before the pair's record is read after a write that did not succeed.
 const PAIR_RETRY: Duration = Duration::from_millis(200);
 /// Most bytes of text in one page of results.
@@ -113,18 +107,11 @@
     next_run: u64,
     leads: bool,
     proposed: HashSet<ItemKey>,
-    heard: BTreeMap<NodeId, Timestamp>,
-    emptying: BTreeMap<Arc<str>, Option<EmptyingState>>,
+    members: Members,
     founding: Option<GroupMembership>,
-    started_at: Timestamp,
-    last_repair: Timestamp,
     last_greeting: Timestamp,
     last_forget: Timestamp,
     reports: mpsc::UnboundedSender<RunReport>,
-    emptying_reports: mpsc::UnboundedSender<(Arc<str>, EmptyingState)>,
-    pair: StoredPair,
-    /// A write of the pair's record is under way.
-    pair_write: bool,
     pair_reads: mpsc::UnboundedSender<Option<StoredPair>>,
 }
 
@@ -150,7 +137,6 @@
     /// The disk failed: nothing more may be acknowledged.
     pub async fn run(parts: StorageParts, mut inputs: StorageInputs) -> Result<(), stallmoor_storage::StorageError> {
         let (reports, mut run_reports) = mpsc::unbounded_channel();
-        let (emptying_reports, mut reported) = mpsc::unbounded_channel();
         let (pair_reads, mut pairs) = mpsc::unbounded_channel();
         let now = parts.workers.view.clock.now();
         let mut service = Self {
@@ -171,17 +157,11 @@
             next_run: 0,
             leads: false,
             proposed: HashSet::new(),
-            heard: BTreeMap::new(),
-            emptying: BTreeMap::new(),
+            members: Members::new(parts.id, now),
             founding: None,
-            started_at: now,
-            last_repair: now,
             last_greeting: now,
             last_forget: now,
             reports,
-            emptying_reports,
-            pair: StoredPair::default(),
-            pair_write: false,
             pair_reads,
         };
         let mut ticks = tokio::time::interval(TICK);
@@ -193,14 +173,8 @@
                 Some(report) = run_reports.recv() => service.on_run_ended(report),
                 Some(update) = inputs.updates.recv() => service.on_update(&update),
                 Some(founding) = inputs.founding.recv() => service.founding = Some(founding),
-                Some((machine, state)) = reported.recv() => {
-                    service.emptying.insert(machine, Some(state));
-                }
                 Some(read) = pairs.recv() => {
-                    service.pair_write = false;
-                    if let Some(pair) = read {
-                        service.pair.take(pair);
-                    }
+                    service.members.pair_written(read);
                 }
                 _ = ticks.tick() => service.tick(),
                 Ok(()) = inputs.stop.changed() => {}
@@ -267,7 +241,7 @@
         match event {
             PeerEvent::Replication(message) => {
                 let now = self.now();
-                self.heard.insert(message.from, now);
+                self.members.heard(message.from, now);
                 let effects = self.node.step(message, now);
                 self.take(effects);
                 let changes = self.node.release_answers(now);
@@ -280,9 +254,9 @@
     fn on_update(&mut self, update: &FleetUpdate) {
         match update {
             FleetUpdate::EmptyMachine { machine } => {
-                self.emptying.entry(machine.clone()).or_insert(None);
+                self.members.empty(machine.clone());
             }
-            FleetUpdate::Item(item) if &*item.key == PAIR_KEY => self.pair.take(read_pair(item)),
+            FleetUpdate::Item(item) if &*item.key == PAIR_KEY => self.members.pair_told(read_pair(item)),
             _ => {}
         }
     }
@@ -291,7 +265,7 @@
         let now = self.now();
         match request {
             JobsRequest::Greet => {
-                self.heard.insert(from, now);
+                self.members.heard(from, now);
                 let _ = reply.send(Ok(JobsAnswer::Accepted));
             }
             JobsRequest::ShareLoad(loads) if self.leads => {
@@ -440,10 +414,9 @@
         self.answer_reads();
         self.found_if_told();
         self.greet();
-        self.survive_pair();
+        self.keep_members();
         if self.leads {
             self.propose_results();
-            self.repair();
             self.forget();
         }
         self.workers.connections.close_stale();
@@ -652,85 +625,41 @@
 
     // Membership.
 
-    fn repair(&mut self) {
+    /// Carries out what is due of the membership.
+    fn keep_members(&mut self) {
         let now = self.now();
-        if now.since(self.last_repair) < REPAIR_INTERVAL {
-            return;
-        }
-        self.last_repair = now;
-        let membership = self.node.replica().membership().clone();
-        let storage = self.workers.view.storage().clone();
-        let is_emptied =
-            |node: NodeId| storage.of_node(node).is_some_and(|record| self.emptying.contains_key(&record.name));
-        let candidates: Vec<StoreCandidate> = storage
-            .records()
-            .filter(|record| !self.emptying.contains_key(&record.name))
-            .filter(|record| self.is_there(record.node, now))
-            .map(|record| StoreCandidate { node: record.node, zone: record.zone.clone() })
-            .collect();
-        let health: Vec<ReplicaHealth> = membership
-            .members()
-            .map(|node| ReplicaHealth {
-                node,
-                is_lost: is_emptied(node) || self.is_lost(node, now),
-                is_caught_up: self.is_caught_up(node),
-            })
-            .collect();
-        let emptied_voter = membership.voters.iter().copied().find(|voter| is_emptied(*voter));
-        if let Some(voter) = emptied_voter.filter(|voter| *voter == self.id) {
-            self.hand_over_leadership(voter);
-            return;
-        }
-        let input = RepairInput {
-            group: GroupId(0),
-            leader: self.id,
-            membership: &membership,
-            health: &health,
-            candidates: &candidates,
-        };
-        let mut step = plan_repair(&input).map(|step| step.0);
-        if step.is_none() && membership.learners.is_empty() {
-            // No spare takes the emptied machine's place: the others go on without it.
-            step = emptied_voter.map(MembershipChange::Remove);
-        }
-        let changes_voters = matches!(step, Some(MembershipChange::Promote(_) | MembershipChange::Remove(_)));
-        self.keep_pair_record(changes_voters, false);
-        let index = self.node.replica().log().membership_index();
-        if changes_voters && !self.pair.allows_change(&membership, index) {
-            return;
-        }
-        if let Some(change) = step {
-            record(LogEvent::MembershipChanging, &[Field::text("change", format!("{change:?}"))]);
-            let effects = self.node.change_membership(change, now);
-            self.take(effects);
+        let directory = self.workers.view.storage().clone();
+        let actions = self.members.plan(self.node.replica(), self.leads, &directory, now);
+        for action in actions {
+            match action {
+                MembersAction::Change(change) => {
+                    record(LogEvent::MembershipChanging, &[Field::text("change", format!("{change:?}"))]);
+                    let effects = self.node.change_membership(change, now);
+                    self.take(effects);
+                }
+                MembersAction::HandOver(target) => {
+                    let effects = self.node.transfer_leadership(target, now);
+                    self.take(effects);
+                }
+                MembersAction::WritePair { record, revision } => self.write_pair(record, revision),
+                MembersAction::GoOnAlone => {
+                    let index = self.node.replica().log().membership_index().0;
+                    record(LogEvent::WentOnAlone, &[Field::number("membership", index)]);
+                    let effects = self.node.continue_alone(now);
+                    self.take(effects);
+                }
+                MembersAction::ReportEmptying { machine, state } => self.report_emptying(machine, state),
+            }
         }
-        self.report_emptying(&membership);
     }
 
-    /// Writes the record of a group of two where it is due.
-    fn keep_pair_record(&mut self, wants_change: bool, other_is_lost: bool) {
-        let replica = self.node.replica();
-        let index = replica.log().membership_index();
-        let view = PairView {
-            own: self.id,
-            leads: self.leads,
-            membership: replica.membership(),
-            index,
-            is_committed: index <= replica.commit(),
-            other_is_lost,
-            wants_change,
-        };
-        if self.pair_write {
-            return;
-        }
-        let Some(next) = self.pair.next_write(&view) else { return };
-        self.pair_write = true;
-        record(LogEvent::PairRecorded, &[Field::text("record", format!("{next:?}"))]);
-        let (metadata, reads, revision) = (self.metadata.clone(), self.pair_reads.clone(), self.pair.revision);
+    fn write_pair(&self, pair: PairRecord, revision: u64) {
+        record(LogEvent::PairRecorded, &[Field::text("record", format!("{pair:?}"))]);
+        let (metadata, reads) = (self.metadata.clone(), self.pair_reads.clone());
         tokio::spawn(async move {
-            let value = serde_json::to_vec(&next).unwrap_or_default();
+            let value = serde_json::to_vec(&pair).unwrap_or_default();
             let read = match metadata.put(PAIR_KEY.to_owned(), value, revision).await {
-                PutOutcome::Written(revision) => Some(StoredPair { record: Some(next), revision }),
+                PutOutcome::Written(revision) => Some(StoredPair { record: Some(pair), revision }),
                 // Whatever became of it, the store knows.
                 PutOutcome::Conflict | PutOutcome::Unknown => {
                     tokio::time::sleep(PAIR_RETRY).await;
@@ -741,92 +670,15 @@
         });
     }
 
-    /// A member of a pair whose other member is lost becomes the survivor, once the store says so.
-    fn survive_pair(&mut self) {
-        let now = self.now();
-        let replica = self.node.replica();
-        let membership = replica.membership().clone();
-        let index = replica.log().membership_index();
-        if replica.is_leader() || membership.voters.len() != 2 || !membership.voters.contains(&self.id) {
-            return;
-        }
-        let Some(other) = membership.voters.iter().copied().find(|voter| *voter != self.id) else { return };
-        if self.pair.makes_survivor(self.id, &membership, index) {
-            record(LogEvent::WentOnAlone, &[Field::text("lost", other)]);
-            let effects = self.node.continue_alone(now);
-            self.take(effects);
-            return;
-        }
-        let is_replaced = !self.workers.view.storage().is_empty()
-            && self.workers.view.storage().of_node(self.id).is_some()
-            && self.workers.view.storage().of_node(other).is_none();
-        let heard_at = self.heard.get(&other).copied().unwrap_or(self.started_at);
-        let is_lost = is_replaced || now.since(heard_at) >= PAIR_LOST_AFTER;
-        if is_lost {
-            self.keep_pair_record(false, true);
-        }
-    }
-
-    fn is_there(&self, node: NodeId, now: Timestamp) -> bool {
-        node == self.id || self.heard.get(&node).is_some_and(|at| now.since(*at) < SPARE_HEARD_WITHIN)
-    }
-
-    /// A member is lost once another identity lies on its machine's disk, or it is silent for long.
-    fn is_lost(&self, node: NodeId, now: Timestamp) -> bool {
-        if node == self.id {
-            return false;
-        }
-        let is_listed = self.workers.view.storage().of_node(node).is_some();
-        let silent_since = self.node.replica().progress(node).and_then(|progress| progress.last_answer);
-        let is_silent = silent_since.is_none_or(|at| now.since(at) >= LOST_AFTER)
-            && self.heard.get(&node).is_none_or(|at| now.since(*at) >= LOST_AFTER);
-        !is_listed || is_silent
-    }
-
-    fn is_caught_up(&self, node: NodeId) -> bool {
-        let replica = self.node.replica();
-        node == self.id || replica.progress(node).is_some_and(|progress| progress.matched >= replica.commit())
-    }
-
-    fn hand_over_leadership(&mut self, from: NodeId) {
-        let voters = self.node.replica().membership().voters.clone();
-        let target = voters.into_iter().find(|voter| *voter != from && self.is_caught_up(*voter));
-        if let Some(target) = target {
-            let effects = self.node.transfer_leadership(target, self.now());
-            self.take(effects);
-        }
-    }
-
-    /// Tells the operator of machines whose duty has been moved: they hold no member, the change is
-    /// committed, and all members hold the whole log.
-    fn report_emptying(&mut self, membership: &GroupMembership) {
-        let replica = self.node.replica();
-        let index = replica.log().membership_index();
-        let is_settled = index <= replica.commit()
-            && self.pair.is_whole(membership, index)
-            && replica.all_voters_caught_up()
-            && membership.learners.is_empty();
-        let storage = self.workers.view.storage().clone();
-        let mut due = Vec::new();
-        for (machine, told) in &self.emptying {
-            let holds_member = storage.of_machine(machine).is_some_and(|record| membership.contains(record.node));
-            let state = if holds_member || !is_settled { EmptyingState::InProgress } else { EmptyingState::Completed };
-            if *told != Some(state) && *told != Some(EmptyingState::Completed) {
-                due.push((machine.clone(), state));
+    fn report_emptying(&self, machine: Arc<str>, state: EmptyingState) {
+        let fields = [Field::text("machine", &machine), Field::text("state", format!("{state:?}"))];
+        record(LogEvent::EmptyingReported, &fields);
+        let metadata = self.metadata.clone();
+        tokio::spawn(async move {
+            while !metadata.report_emptying(machine.clone(), state).await {
+                tokio::time::sleep(EMPTYING_RETRY).await;
             }
-        }
-        for (machine, state) in due {
-            self.emptying.insert(machine.clone(), Some(state));
-            let fields = [Field::text("machine", &machine), Field::text("state", format!("{state:?}"))];
-            record(LogEvent::EmptyingReported, &fields);
-            let (metadata, reports) = (self.metadata.clone(), self.emptying_reports.clone());
-            tokio::spawn(async move {
-                while !metadata.report_emptying(machine.clone(), state).await {
-                    tokio::time::sleep(Duration::from_millis(250)).await;
-                }
-                let _ = reports.send((machine, state));
-            });
-        }
+        });
     }
 
     fn forget(&mut self) {
@@ -846,7 +698,10 @@
         if !self.node.replica().is_leader() {
             return self.queue.is_empty() && self.awaited_write.is_none();
         }
-        self.hand_over_leadership(self.id);
+        if let Some(target) = self.members.successor(self.node.replica()) {
+            let effects = self.node.transfer_leadership(target, self.now());
+            self.take(effects);
+        }
         false
     }
 }
