--- /dev/null
+++ b/crates/core/tests/gateway_rules.rs
@@ -0,0 +1,255 @@
+//! Rules of requests that pass through: routes, attempts, whole events, and the choice of a worker.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use stallmoor_core::gateway::attempt::{AttemptEnd, AttemptLedger};
+use stallmoor_core::gateway::configuration::{
+    CallerBounds, GatewayConfiguration, Route, RouteKind, RouteTarget, Service,
+};
+use stallmoor_core::gateway::event_stream::{EventSplitter, WholeEvent};
+use stallmoor_core::gateway::move_budget::MoveBudget;
+use stallmoor_core::gateway::request::{PrefixLink, PromptPart, chain_prefix};
+use stallmoor_core::gateway::workers::{
+    WorkerAsk, WorkerChange, WorkerCount, WorkerId, WorkerLoad, WorkerRecord, WorkerTable,
+};
+use stallmoor_core::time::{Millis, Timestamp};
+
+mod support;
+
+const SERVICE: &str = "service";
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+fn random() -> Xoshiro256PlusPlus {
+    Xoshiro256PlusPlus::seed_from_u64(7)
+}
+
+fn worker(name: &str, zone: &str) -> WorkerRecord {
+    WorkerRecord {
+        id: WorkerId(Arc::from(name)),
+        service: Arc::from(SERVICE),
+        address: SocketAddr::from(([10, 0, 0, name.len() as u8], 80)),
+        zone: Arc::from(zone),
+        slots: 8,
+        draining: false,
+    }
+}
+
+fn id(name: &str) -> WorkerId {
+    WorkerId(Arc::from(name))
+}
+
+fn ask<'a>(prefix: &'a [PrefixLink], tried: &'a [WorkerId]) -> WorkerAsk<'a> {
+    let prompt_tokens = prefix.iter().map(|link| link.tokens).sum();
+    WorkerAsk { service: SERVICE, zone: "a", prefix, prompt_tokens, body_bytes: 1_000, tried }
+}
+
+fn choose(table: &WorkerTable, millis: u64) -> Option<WorkerId> {
+    table.choose(&ask(&[], &[]), at(millis), &mut random()).map(|choice| choice.id)
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: Arc::from(name),
+        host: Arc::from(host),
+        prefix: Arc::from(prefix),
+        kind: RouteKind::Stream { resumable: true },
+        timeout: Millis(5_000),
+        objective: Millis(200),
+        gap_target: Some(Millis(250)),
+        priority: 0,
+        max_attempts: 2,
+        targets: vec![RouteTarget { service: Arc::from(SERVICE), weight: 1 }],
+        due: Millis(0),
+        give_up_after: None,
+        queued_token_limit: None,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_takes_the_request() {
+    let routes =
+        vec![route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "g", "/a/b/c/")];
+    let service = Service { name: Arc::from(SERVICE), max_connections: 10, slots: 8, cache_tokens: 0 };
+    let configuration = GatewayConfiguration::new(3, routes, vec![service], CallerBounds::default());
+    let found = |host: &str, path: &str| configuration.route_for(host, path).map(|route| route.name.to_string());
+    assert_eq!(found("h", "/a/b/c/d").as_deref(), Some("long"));
+    assert_eq!(found("h", "/a/c").as_deref(), Some("short"));
+    assert_eq!(found("h", "/ab"), None);
+    assert_eq!(found("x", "/a/"), None);
+}
+
+#[test]
+fn a_request_that_may_have_run_is_never_promised_and_runs_again_only_where_it_may() {
+    let stream = RouteKind::Stream { resumable: false };
+    let mut ledger = AttemptLedger::default();
+    ledger.note(AttemptEnd::NotRun { other_instance: false });
+    ledger.note(AttemptEnd::NotConnected);
+    assert!(ledger.certainly_not_run());
+    assert!(ledger.may_try_again(stream, 1), "attempts that did not run don't count as runs");
+    ledger.note(AttemptEnd::Broken);
+    assert!(!ledger.certainly_not_run());
+    assert!(!ledger.may_try_again(stream, 5), "at most once");
+    assert!(ledger.may_try_again(RouteKind::Repeatable, 2));
+    assert!(!ledger.may_try_again(RouteKind::Repeatable, 1), "no more workers than allowed");
+}
+
+#[test]
+fn attempts_that_never_run_come_to_an_end() {
+    let mut ledger = AttemptLedger::default();
+    let mut attempts = 0;
+    while ledger.may_try_again(RouteKind::Repeatable, 2) {
+        ledger.note(AttemptEnd::NotRun { other_instance: false });
+        attempts += 1;
+        assert!(attempts < 20);
+    }
+    assert!(ledger.certainly_not_run());
+}
+
+#[test]
+fn a_storm_of_moves_runs_out_of_budget() {
+    let mut budget = MoveBudget::default();
+    let mut moves = 0;
+    for _ in 0..1_000 {
+        budget.earn();
+        if budget.has_one() {
+            budget.spend();
+            moves += 1;
+        }
+    }
+    assert!((20..60).contains(&moves), "{moves} moves of 1,000 requests");
+}
+
+proptest! {
+    #![proptest_config(support::fuzz_config())]
+
+    /// However the bytes are cut up, the same whole events come out, and nothing is lost.
+    #[test]
+    fn events_are_whole_however_the_bytes_arrive(
+        events in prop::collection::vec((0..500_u64, "[ -~]{0,40}", any::<bool>()), 1..12),
+        tail in "[a-z]{0,10}",
+        cuts in prop::collection::vec(1..40_usize, 1..60),
+    ) {
+        let mut bytes = Vec::new();
+        for (number, data, carriage) in &events {
+            let end = if *carriage { "\r\n" } else { "\n" };
+            bytes.extend_from_slice(format!("id: {number}{end}data: {data}{end}{end}").as_bytes());
+        }
+        bytes.extend_from_slice(tail.as_bytes());
+        let mut splitter = EventSplitter::default();
+        let mut whole: Vec<WholeEvent> = Vec::new();
+        let mut rest = &bytes[..];
+        for cut in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (piece, further) = rest.split_at((*cut).min(rest.len()));
+            whole.extend(splitter.push(piece));
+            rest = further;
+        }
+        prop_assert_eq!(whole.len(), events.len());
+        for (event, (number, data, _)) in whole.iter().zip(&events) {
+            prop_assert_eq!(event.id, Some(*number));
+            prop_assert_eq!(event.data(), data.clone());
+        }
+        let mut all: Vec<u8> = whole.iter().flat_map(|event| event.bytes.clone()).collect();
+        all.extend_from_slice(splitter.pending());
+        prop_assert_eq!(all, bytes);
+    }
+}
+
+#[test]
+fn a_draining_worker_never_takes_requests_again() {
+    let mut table = WorkerTable::default();
+    table.upsert(worker("one", "a"));
+    let leaving = WorkerRecord { draining: true, ..worker("one", "a") };
+    assert_eq!(table.upsert(leaving), Some(WorkerChange::Draining(id("one"))));
+    assert_eq!(choose(&table, 0), None);
+    table.upsert(worker("one", "a"));
+    assert_eq!(choose(&table, 0), None, "an older record read again changes nothing");
+    table.remove(&id("one"), at(0));
+    assert_eq!(choose(&table, 10), None, "nor does its removal make it a last resort");
+}
+
+#[test]
+fn a_worker_that_vanished_is_a_last_resort_for_a_short_time_only() {
+    let mut table = WorkerTable::default();
+    table.upsert(worker("one", "a"));
+    table.upsert(worker("three", "a"));
+    table.remove(&id("three"), at(0));
+    for _ in 0..20 {
+        assert_eq!(choose(&table, 100), Some(id("one")));
+    }
+    table.remove(&id("one"), at(200));
+    assert!(choose(&table, 300).is_some(), "better than a refusal");
+    assert_eq!(choose(&table, 1_300), None);
+}
+
+#[test]
+fn a_failing_worker_is_passed_over_and_returns() {
+    let mut table = WorkerTable::default();
+    table.upsert(worker("one", "a"));
+    table.upsert(worker("three", "b"));
+    table.failed(&id("one"), at(0));
+    assert_eq!(choose(&table, 100), Some(id("three")));
+    assert_eq!(choose(&table, 400), Some(id("one")), "its zone is nearer");
+    let first = table.failed(&id("one"), at(400)).expect("it is known");
+    let second = table.failed(&id("one"), at(400)).expect("it is known");
+    assert!(second > first);
+    table.succeeded(&id("one"), Millis(30), at(500));
+    assert_eq!(choose(&table, 501), Some(id("one")));
+}
+
+#[test]
+fn a_prompt_goes_where_its_parts_are_held_unless_that_worker_is_full() {
+    let part = |name: &str, tokens| PromptPart { id: Arc::from(name), tokens };
+    let prefix = chain_prefix("m", &[part("shared", 4_000), part("session", 2_000), part("own", 100)]);
+    let mut table = WorkerTable::default();
+    for name in ["one", "three", "seven77"] {
+        table.upsert(worker(name, "a"));
+    }
+    table.started(&id("three"), &prefix, 100_000, at(0));
+    table.ended(&id("three"));
+    let chosen = |table: &WorkerTable| table.choose(&ask(&prefix, &[]), at(10), &mut random()).expect("there is one");
+    assert_eq!(chosen(&table).id, id("three"));
+    assert_eq!(chosen(&table).held_tokens, 6_100);
+    for _ in 0..10 {
+        table.started(&id("three"), &[], 100_000, at(10));
+    }
+    assert_ne!(chosen(&table).id, id("three"));
+}
+
+#[test]
+fn gathered_loads_steer_away_from_what_other_nodes_use() {
+    let mut table = WorkerTable::default();
+    table.upsert(worker("one", "a"));
+    table.upsert(worker("three", "a"));
+    table.set_shared_loads(&[WorkerCount { worker: id("one"), requests: 6 }], at(0));
+    assert_eq!(choose(&table, 10), Some(id("three")));
+    table.reported(&id("three"), WorkerLoad { running: 8, waiting: 4 }, at(10));
+    assert_eq!(choose(&table, 20), Some(id("three")), "what was gathered is newer than a report");
+}
+
+#[test]
+fn batch_leaves_room_and_only_the_excess_has_to_go() {
+    let mut table = WorkerTable::default();
+    table.upsert(worker("one", "a"));
+    let mut started = 0;
+    while let Some(choice) = table.choose_for_batch(&ask(&[], &[]), at(0), &mut random()) {
+        table.started(&choice.id, &[], 0, at(0));
+        table.batch_started(&choice.id);
+        started += 1;
+        assert!(started <= 8);
+    }
+    assert_eq!(started, 7, "a slot of eight stays free");
+    assert!(table.overfull(at(0)).is_empty());
+    table.set_shared_loads(&[WorkerCount { worker: id("one"), requests: 4 }], at(10));
+    assert_eq!(table.overfull(at(10)), vec![WorkerCount { worker: id("one"), requests: 2 }]);
+    assert!(table.choose_for_batch(&ask(&[], &[]), at(10), &mut random()).is_none());
+}
--- /dev/null
+++ b/crates/core/tests/jobs_rules.rs
@@ -0,0 +1,266 @@
+//! Rules of batch jobs: the table, the order in which items run, and a group of two.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use stallmoor_core::gateway::workers::{WorkerCount, WorkerId};
+use stallmoor_core::identity::NodeId;
+use stallmoor_core::jobs::command::{ItemKey, ItemState, JobCommand, JobItem, JobKey, JobOutcome, Submission};
+use stallmoor_core::jobs::dispatch::{Dispatcher, PartialOutput, RunEnd};
+use stallmoor_core::jobs::load_share::LoadShare;
+use stallmoor_core::jobs::pair::{PairRecord, PairState, PairView, StoredPair};
+use stallmoor_core::jobs::table::JobTable;
+use stallmoor_core::replication::{GroupMembership, LogIndex};
+use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
+
+mod support;
+
+fn key(name: &str) -> JobKey {
+    JobKey(Arc::from(name))
+}
+
+fn submission(name: &str, items: u32, received_at: u64, due: u64) -> Submission {
+    let item = |number: u32| JobItem {
+        id: Arc::from(format!("{name}-{number}")),
+        path: Arc::from("/batch/x"),
+        headers: Vec::new(),
+        body: Arc::from(vec![number as u8; 10]),
+        token_count: 100,
+    };
+    Submission {
+        key: key(name),
+        route: Arc::from("route"),
+        host: Arc::from("host"),
+        items: (0..items).map(item).collect(),
+        configuration_version: 1,
+        received_at: UnixMillis(received_at),
+        due: Millis(due),
+        queued_token_limit: None,
+    }
+}
+
+fn accept(table: &mut JobTable, name: &str, items: u32, received_at: u64, due: u64) {
+    assert_eq!(table.apply(JobCommand::Accept(submission(name, items, received_at, due))), JobOutcome::Accepted);
+}
+
+fn finish(name: &str, item: u32, text: &str) -> JobCommand {
+    let key = ItemKey { job: key(name), item };
+    JobCommand::Finish { key, state: ItemState::Completed, text: Arc::from(text) }
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+fn output(events: u64) -> PartialOutput {
+    PartialOutput { text: "x".to_owned(), last_event: Some(events) }
+}
+
+#[test]
+fn a_job_is_taken_once_and_a_result_keeps_its_position() {
+    let mut table = JobTable::default();
+    accept(&mut table, "j", 3, 0, 1_000);
+    assert_eq!(table.apply(finish("j", 1, "first")), JobOutcome::Listed);
+    accept(&mut table, "j", 3, 500, 1_000);
+    assert_eq!(table.apply(finish("j", 1, "second")), JobOutcome::Dropped);
+    assert_eq!(table.apply(finish("j", 0, "zero")), JobOutcome::Listed);
+    let job = table.job(&key("j")).expect("it was accepted");
+    let texts: Vec<&str> = job.results.iter().map(|result| &*result.text).collect();
+    assert_eq!(texts, ["first", "zero"]);
+    assert_eq!(table.open_tokens("route"), 100);
+    assert!(job.open_item_named("j-1").is_none(), "a listed item has no body");
+    assert!(job.open_item_named("j-2").is_some());
+}
+
+#[test]
+fn an_ended_job_lists_nothing_more_and_frees_its_tokens() {
+    let mut table = JobTable::default();
+    accept(&mut table, "j", 3, 0, 1_000);
+    table.apply(finish("j", 0, "zero"));
+    assert_eq!(table.apply(JobCommand::End { job: key("j") }), JobOutcome::Ended);
+    assert_eq!(table.apply(JobCommand::End { job: key("j") }), JobOutcome::Ended);
+    assert_eq!(table.open_tokens("route"), 0);
+    assert_eq!(table.apply(finish("j", 1, "late")), JobOutcome::Dropped);
+    assert_eq!(table.job(&key("j")).map(|job| job.page(0, 1_000).results.len()), Some(1));
+}
+
+#[test]
+fn a_page_has_one_result_at_least_and_stops_at_its_size() {
+    let mut table = JobTable::default();
+    accept(&mut table, "j", 4, 0, 1_000);
+    for item in 0..4 {
+        table.apply(finish("j", item, &"t".repeat(60)));
+    }
+    let job = table.job(&key("j")).expect("it was accepted");
+    assert_eq!(job.page(0, 10).results.len(), 1);
+    assert_eq!(job.page(0, 130).results.len(), 2);
+    assert_eq!(job.page(3, 130).results.len(), 1);
+    assert_eq!(job.page(9, 130).results.len(), 0);
+}
+
+proptest! {
+    #![proptest_config(support::fuzz_config())]
+
+    /// The table survives its encoding, and commands that arrive twice change nothing more.
+    #[test]
+    fn the_table_bears_repetition_and_encoding(steps in prop::collection::vec((0..3_u32, 0..4_u32, 0..5_u32), 1..60)) {
+        let mut table = JobTable::default();
+        for (job, item, what) in steps {
+            let name = format!("job-{job}");
+            let command = match what {
+                0 => JobCommand::Accept(submission(&name, 4, u64::from(job), 1_000)),
+                1 => JobCommand::End { job: key(&name) },
+                _ => finish(&name, item, &format!("{job} {item} {what}")),
+            };
+            let decoded = JobCommand::decode(&command.encode());
+            prop_assert_eq!(decoded.as_ref(), Some(&command));
+            let before = table.clone();
+            table.apply(command.clone());
+            let once = table.clone();
+            table.apply(command);
+            prop_assert_eq!(&table, &once);
+            for (key, job) in before.jobs() {
+                let now = table.job(key).expect("jobs stay");
+                prop_assert_eq!(&now.results[..job.results.len()], &job.results[..]);
+            }
+            let open: u64 = table.jobs().map(|(_, job)| job.open_tokens()).sum();
+            prop_assert_eq!(table.open_tokens("route"), open);
+            prop_assert_eq!(JobTable::decode(&table.encode()), Some(table.clone()));
+        }
+    }
+}
+
+#[test]
+fn items_that_can_be_in_time_go_before_those_that_cannot() {
+    let mut table = JobTable::default();
+    accept(&mut table, "early", 1, 0, 5_000);
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.restart(&table);
+    let (first, _) = dispatcher.take_next(at(0), UnixMillis(0)).expect("one is ready");
+    // A whole run takes 2,000 ms.
+    assert!(dispatcher.run_ended(&first, &RunEnd::Completed, output(200), 3, at(2_000)));
+    dispatcher.remove(&first);
+    accept(&mut table, "hopeless", 1, 0, 6_000);
+    accept(&mut table, "possible", 1, 0, 9_000);
+    for name in ["hopeless", "possible"] {
+        dispatcher.add_job(table.job(&key(name)).expect("it was accepted"));
+    }
+    let order: Vec<JobKey> = std::iter::from_fn(|| dispatcher.take_next(at(5_000), UnixMillis(5_000)))
+        .map(|(taken, _)| taken.job)
+        .collect();
+    assert_eq!(order, [key("possible"), key("hopeless")]);
+}
+
+#[test]
+fn a_broken_run_goes_on_after_its_last_event_and_failures_are_counted() {
+    let mut table = JobTable::default();
+    accept(&mut table, "j", 1, 0, 20_000);
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.restart(&table);
+    let (item, _) = dispatcher.take_next(at(0), UnixMillis(0)).expect("it is ready");
+    assert!(!dispatcher.run_ended(&item, &RunEnd::BrokenOff, output(17), 2, at(100)));
+    assert!(dispatcher.take_next(at(101), UnixMillis(101)).is_none(), "it waits a little");
+    let (_, kept) = dispatcher.take_next(at(1_000), UnixMillis(1_000)).expect("it is ready again");
+    assert_eq!(kept.last_event, Some(17));
+    assert!(!dispatcher.run_ended(&item, &RunEnd::Failed, kept, 2, at(1_100)));
+    let (_, kept) = dispatcher.take_next(at(3_000), UnixMillis(3_000)).expect("it is ready again");
+    assert!(dispatcher.run_ended(&item, &RunEnd::Failed, kept, 2, at(3_100)), "the second failure ends it");
+    let given_up = JobCommand::Finish { key: item, state: ItemState::GivenUp, text: Arc::from("") };
+    assert_eq!(dispatcher.unlisted(), vec![given_up]);
+}
+
+#[test]
+fn an_impossible_item_is_given_up_at_once_and_an_ended_job_is_dropped() {
+    let mut table = JobTable::default();
+    accept(&mut table, "j", 2, 0, 20_000);
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.restart(&table);
+    let (first, _) = dispatcher.take_next(at(0), UnixMillis(0)).expect("it is ready");
+    let (second, _) = dispatcher.take_next(at(0), UnixMillis(0)).expect("it is ready");
+    assert!(dispatcher.run_ended(&first, &RunEnd::Impossible, PartialOutput::default(), 3, at(10)));
+    assert_eq!(dispatcher.remove_job(&key("j")), vec![second.clone()], "what runs must be stopped");
+    assert!(!dispatcher.run_ended(&second, &RunEnd::Completed, output(5), 3, at(20)));
+    assert_eq!(dispatcher.open_count(), 0);
+}
+
+#[test]
+fn outputs_are_joined_by_line_feeds() {
+    let mut partial = PartialOutput::default();
+    partial.push("", Some(1));
+    partial.push("two", Some(2));
+    partial.push("three", Some(3));
+    assert_eq!(partial.text, "\ntwo\nthree");
+    assert_eq!(partial.last_event, Some(3));
+}
+
+#[test]
+fn shared_loads_leave_out_the_asker_and_old_news() {
+    let count = |name: &str, requests| WorkerCount { worker: WorkerId(Arc::from(name)), requests };
+    let mut share = LoadShare::default();
+    share.tell(NodeId(1), vec![count("w", 3)], at(0));
+    share.tell(NodeId(2), vec![count("w", 4), count("v", 1)], at(500));
+    let batch = [count("v", 2)];
+    assert_eq!(share.without(Some(NodeId(1)), &batch, at(500)), vec![count("v", 3), count("w", 4)]);
+    assert_eq!(share.without(None, &[], at(500)), vec![count("v", 1), count("w", 7)]);
+    assert_eq!(share.without(None, &[], at(1_200)), vec![count("v", 1), count("w", 4)]);
+}
+
+fn pair() -> GroupMembership {
+    GroupMembership::of_voters([NodeId(1), NodeId(2)])
+}
+
+fn view(membership: &GroupMembership, own: u64, leads: bool) -> PairView<'_> {
+    PairView {
+        own: NodeId(own),
+        leads,
+        membership,
+        index: LogIndex(50),
+        is_committed: true,
+        other_is_lost: false,
+        wants_change: false,
+    }
+}
+
+fn stored(state: PairState, index: u64) -> StoredPair {
+    let record = PairRecord { index: LogIndex(index), voters: pair().voters, state };
+    StoredPair { record: Some(record), revision: 9 }
+}
+
+#[test]
+fn a_pair_is_recorded_only_once_it_is_committed() {
+    let membership = pair();
+    let nothing = StoredPair::default();
+    let uncommitted = PairView { is_committed: false, ..view(&membership, 1, true) };
+    assert_eq!(nothing.next_write(&uncommitted), None);
+    let written = nothing.next_write(&view(&membership, 1, true)).expect("it is due");
+    assert_eq!(written.state, PairState::Whole);
+    assert_eq!(nothing.next_write(&view(&membership, 2, false)), None, "a follower writes nothing");
+    let three = GroupMembership::of_voters([NodeId(1), NodeId(2), NodeId(3)]);
+    assert_eq!(nothing.next_write(&view(&three, 1, true)), None);
+}
+
+#[test]
+fn only_a_member_of_the_recorded_pair_may_survive_it() {
+    let membership = pair();
+    let lost = PairView { other_is_lost: true, ..view(&membership, 2, false) };
+    let written = stored(PairState::Whole, 50).next_write(&lost).expect("it is due");
+    assert_eq!(written.state, PairState::Survived(NodeId(2)));
+    assert_eq!(stored(PairState::Whole, 49).next_write(&lost), None, "the record is of another membership");
+    assert_eq!(stored(PairState::Dissolved, 50).next_write(&lost), None, "the group has grown since");
+    assert_eq!(stored(PairState::Survived(NodeId(1)), 50).next_write(&lost), None, "the other was first");
+    assert!(stored(PairState::Survived(NodeId(2)), 50).makes_survivor(NodeId(2), &membership, LogIndex(50)));
+    assert!(!stored(PairState::Survived(NodeId(1)), 50).makes_survivor(NodeId(2), &membership, LogIndex(50)));
+}
+
+#[test]
+fn a_pair_is_dissolved_before_the_group_grows() {
+    let membership = pair();
+    let grows = PairView { wants_change: true, ..view(&membership, 1, true) };
+    for known in [StoredPair::default(), stored(PairState::Whole, 50)] {
+        assert!(!known.allows_change(&membership, LogIndex(50)));
+        assert_eq!(known.next_write(&grows).map(|record| record.state), Some(PairState::Dissolved));
+    }
+    let dissolved = stored(PairState::Dissolved, 50);
+    assert!(dissolved.allows_change(&membership, LogIndex(50)));
+    assert_eq!(dissolved.next_write(&grows), None);
+}
