--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -74,8 +74,7 @@
 
 #[test]
 fn the_longest_prefix_of_the_host_takes_the_request() {
-    let routes =
-        vec![route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "g", "/a/b/c/")];
+    let routes = vec![route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "g", "/a/b/c/")];
     let service = Service { name: Arc::from(SERVICE), max_connections: 10, slots: 8, cache_tokens: 0 };
     let configuration = GatewayConfiguration::new(3, routes, vec![service], CallerBounds::default());
     let found = |host: &str, path: &str| configuration.route_for(host, path).map(|route| route.name.to_string());
--- a/crates/core/tests/jobs_rules.rs
+++ b/crates/core/tests/jobs_rules.rs
@@ -145,9 +145,8 @@
     for name in ["hopeless", "possible"] {
         dispatcher.add_job(table.job(&key(name)).expect("it was accepted"));
     }
-    let order: Vec<JobKey> = std::iter::from_fn(|| dispatcher.take_next(at(5_000), UnixMillis(5_000)))
-        .map(|(taken, _)| taken.job)
-        .collect();
+    let order: Vec<JobKey> =
+        std::iter::from_fn(|| dispatcher.take_next(at(5_000), UnixMillis(5_000))).map(|(taken, _)| taken.job).collect();
     assert_eq!(order, [key("possible"), key("hopeless")]);
 }
 
--- a/crates/core/tests/jobs_simulation.rs
+++ b/crates/core/tests/jobs_simulation.rs
@@ -164,8 +164,7 @@
         let settings = ReplicaSettings::default();
         let node = JobsNode::new(machine.id, settings, machine.disk.clone(), now, seed).expect("it can be read");
         let members = Members::new(machine.id, now);
-        machine.process =
-            Some(Process { node, members, queue: VecDeque::new(), syncing: None, greeted_at: 0 });
+        machine.process = Some(Process { node, members, queue: VecDeque::new(), syncing: None, greeted_at: 0 });
         machine.starts_at = None;
         let record = StorageRecord {
             name: Arc::from(name),
@@ -361,7 +360,9 @@
                 .node
                 .table()
                 .jobs()
-                .flat_map(|(key, job)| job.open_items().map(|item| ItemKey { job: key.clone(), item }).collect::<Vec<_>>())
+                .flat_map(|(key, job)| {
+                    job.open_items().map(|item| ItemKey { job: key.clone(), item }).collect::<Vec<_>>()
+                })
                 .collect();
             if !open.is_empty() {
                 let key = open[self.random.random_range(0..open.len())].clone();
@@ -398,9 +399,11 @@
     }
 
     fn may_lose_disk(&self) -> bool {
-        let all_up = self.machines.values().filter(|machine| !machine.removed).all(|machine| {
-            machine.process.is_some() && machine.cut_until <= self.now
-        });
+        let all_up = self
+            .machines
+            .values()
+            .filter(|machine| !machine.removed)
+            .all(|machine| machine.process.is_some() && machine.cut_until <= self.now);
         all_up && self.now > self.disk_lost_at + CATCH_UP
     }
 
