Smooth gathered loads for 300 ms; pass unreached workers over for longer

Cause: after each online burst batch stayed away for most of a second (load smoothed over 700 ms) while every slot was needed; each try of an unreachable worker cost a request 250 ms.

--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -14,6 +14,8 @@
 
 /// How long a worker that failed once is passed over; doubles with each failure in a row.
 const FIRST_PASS_OVER: Millis = Millis(300);
+/// How long a worker that could not be reached is passed over at first.
+const FIRST_PASS_OVER_UNREACHED: Millis = Millis(1_200);
 /// Longest time for which a failing worker is passed over.
 const LONGEST_PASS_OVER: Millis = Millis(4_000);
 /// Batch leaves one in this many slots of a worker free.
@@ -22,7 +24,7 @@
 /// costs less than reading a prompt again.
 const BATCH_TOLERANCE: u32 = 1;
 /// The time over which the load of other nodes is smoothed.
-const SMOOTHING: Millis = Millis(700);
+const SMOOTHING: Millis = Millis(300);
 /// A load report is believed for this long.
 const REPORT_LIFETIME: Millis = Millis(2_000);
 /// A gathered load is believed for this long.
@@ -45,6 +47,8 @@
 const SLOW_ABOVE: f64 = 1.5;
 /// The cost of each further time the usual, in milliseconds.
 const SLOW_MS: f64 = 15.0;
+/// The usual time to the first event before any was measured, in milliseconds.
+const TYPICAL_AT_START_MS: f64 = 60.0;
 /// What was measured of a worker's slowness loses its weight over this time.
 const SLOWNESS_LIFETIME: Millis = Millis(4_000);
 /// The share of a prompt believed to be held where the shared parts always go.
@@ -214,13 +218,19 @@
 }
 
 /// All workers.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct WorkerTable {
     workers: BTreeMap<WorkerId, WorkerEntry>,
     /// Smoothed time to the first event over all workers, in milliseconds.
     typical_first_ms: f64,
 }
 
+impl Default for WorkerTable {
+    fn default() -> Self {
+        Self { workers: BTreeMap::new(), typical_first_ms: TYPICAL_AT_START_MS }
+    }
+}
+
 /// What changed in the table, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkerChange {
@@ -390,11 +400,13 @@
         Millis(self.typical_first_ms as u64)
     }
 
-    /// A worker failed. Returns for how long it is passed over.
-    pub fn failed(&mut self, id: &WorkerId, now: Timestamp) -> Option<Millis> {
+    /// A worker failed. Returns for how long it is passed over: longer if it could not even be reached,
+    /// since each try costs a request the whole time to connect.
+    pub fn failed(&mut self, id: &WorkerId, was_reached: bool, now: Timestamp) -> Option<Millis> {
         let entry = self.workers.get_mut(id)?;
         entry.failures += 1;
-        let doubled = FIRST_PASS_OVER.0 << (entry.failures - 1).min(6);
+        let first = if was_reached { FIRST_PASS_OVER } else { FIRST_PASS_OVER_UNREACHED };
+        let doubled = first.0 << (entry.failures - 1).min(6);
         let span = Millis(doubled.min(LONGEST_PASS_OVER.0));
         entry.passed_over_until = Some(now + span);
         Some(span)
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -195,11 +195,11 @@
     let mut table = WorkerTable::default();
     table.upsert(worker("one", "a"));
     table.upsert(worker("three", "b"));
-    table.failed(&id("one"), at(0));
+    table.failed(&id("one"), true, at(0));
     assert_eq!(choose(&table, 100), Some(id("three")));
     assert_eq!(choose(&table, 400), Some(id("one")), "its zone is nearer");
-    let first = table.failed(&id("one"), at(400)).expect("it is known");
-    let second = table.failed(&id("one"), at(400)).expect("it is known");
+    let first = table.failed(&id("one"), true, at(400)).expect("it is known");
+    let second = table.failed(&id("one"), true, at(400)).expect("it is known");
     assert!(second > first);
     table.succeeded(&id("one"), Millis(30), at(500));
     assert_eq!(choose(&table, 501), Some(id("one")));
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -140,8 +140,8 @@
                 // Another worker has the address: this one is gone, whatever the store says.
                 self.view.workers().remove(&worker, now);
             }
-            Err(_) => {
-                self.view.workers().failed(&worker, now);
+            Err(end) => {
+                self.view.workers().failed(&worker, *end != AttemptEnd::NotConnected, now);
             }
         }
         result
--- a/crates/gateway/src/item_run.rs
+++ b/crates/gateway/src/item_run.rs
@@ -111,7 +111,7 @@
     }
 
     fn broken(&self, client: &WorkerClient, answer: &OpenAnswer) -> RunEnd {
-        client.view.workers().failed(&answer.worker, client.view.clock.now());
+        client.view.workers().failed(&answer.worker, true, client.view.clock.now());
         RunEnd::BrokenOff
     }
 }
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -130,7 +130,7 @@
             match self.attempt(choice, patience).await {
                 Ok(answer) if self.should_try_elsewhere(&answer) => {
                     let end = AttemptEnd::Failed { status: answer.status.as_u16() };
-                    self.client.view.workers().failed(&answer.worker, self.now());
+                    self.client.view.workers().failed(&answer.worker, true, self.now());
                     self.log_attempt(&answer.worker, end);
                     self.ledger.note(end);
                     if !self.may_try_again() {
@@ -249,7 +249,7 @@
                 StreamEnd::OutOfTime => break,
                 StreamEnd::Broken(end) => {
                     let now = self.now();
-                    self.client.view.workers().failed(&worker, now);
+                    self.client.view.workers().failed(&worker, true, now);
                     self.log_attempt(&worker, end);
                     self.note_move(end);
                     self.ledger.note(end);
