--- a/crates/bench/src/fleet_client.rs
+++ b/crates/bench/src/fleet_client.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::{Value, json};
-use stallmoor_platform::HttpCaller;
+use stallmoor_clients::HttpCaller;
 
 /// How long one call may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(40);
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -6,10 +6,10 @@
 use std::sync::Arc;
 
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use stallmoor_clients::{Engines, KeyValueService, MachineList};
 use stallmoor_core::identity::EngineName;
 use stallmoor_core::log_event::{LogEvent, Severity};
 use stallmoor_core::node::{Effect, EngineOrder, Event, KeyValueCall, KeyValueOperation, Node};
-use stallmoor_platform::{Engines, KeyValueService, MachineList};
 use stallmoor_storage::{Store, StoreWrite};
 
 use crate::callers::CallerRegistry;
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use ractor::{Actor, ActorProcessingErr, ActorRef};
+use stallmoor_clients::Engines;
 use stallmoor_core::identity::AttemptId;
 use stallmoor_core::node::{EngineRequest, Event};
-use stallmoor_platform::Engines;
 use tokio::task::JoinHandle;
 
 use crate::events::EventSender;
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -8,6 +8,8 @@
 start_listening() {
   local log=$1
   shift
+  # The started process may not have made its file yet when it is first read.
+  : >"$log"
   "$@" >"$log" 2>"$log.err" &
   STARTED+=($!)
   for _ in $(seq 1 200); do
