--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -113,9 +113,21 @@
 
 fn explain() -> Command {
     Command::new("explain")
-        .about("Shows each decision for a request, at the node that served it")
-        .after_help("Example: stallmoor explain request-5f3a9c01-17 --node 127.0.0.1:7200")
-        .arg(Arg::new("id").value_name("ID").required(true).help("The request's id, from its answer"))
+        .about("Shows each decision for a request, at the node that served it or from logs")
+        .after_help(
+            "Examples: stallmoor explain request-5f3a9c01-17 --node 127.0.0.1:7200\n          \
+             stallmoor explain 9c41d07be2a35f68 --log gateway-1.log --log storage-1.log",
+        )
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .required(true)
+                .help("A request's id; with --log also a job, worker or machine"),
+        )
+        .arg(
+            path("log", "Read the decisions from this log of a gateway or storing node; may be given often")
+                .action(ArgAction::Append),
+        )
         .arg(node_address())
         .arg(output())
 }
--- a/crates/cli/src/fleet_commands.rs
+++ b/crates/cli/src/fleet_commands.rs
@@ -1,11 +1,14 @@
 //! `stallmoor status` and `explain`.
 
+use std::path::PathBuf;
+
 use clap::ArgMatches;
 use serde_json::Value;
 use stallmoor_core::node::{FleetStatus, NodeStatus};
 
 use crate::arguments::{node_of, text, wants_json};
 use crate::client::NodeClient;
+use crate::log_story;
 use crate::outcome::CommandError;
 
 /// Shows every node.
@@ -52,6 +55,10 @@
 /// Shows the decisions for a request.
 pub async fn explain(arguments: &ArgMatches) -> Result<(), CommandError> {
     let id = text(arguments, "id").unwrap_or_default();
+    let logs: Vec<PathBuf> = arguments.get_many::<PathBuf>("log").into_iter().flatten().cloned().collect();
+    if !logs.is_empty() {
+        return log_story::print(id, &logs);
+    }
     let value = NodeClient::new(node_of(arguments)).get(&format!("/operator/explain/{id}")).await?;
     if wants_json(arguments) {
         println!("{value}");
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,7 +6,7 @@
 //! | `node_command` | `stallmoor node` |
 //! | `serving_commands` | `stallmoor gateway`, `stallmoor storage` |
 //! | `configuration_commands` | `check`, `apply`, `diff` |
-//! | `fleet_commands` | `status`, `explain` |
+//! | `fleet_commands`, `log_story` | `status`, `explain` |
 //! | `batch_commands` | `batch submit`, `status`, `results`, `cancel` |
 //! | `client` | HTTP to a node |
 //! | `logging` | where log lines go |
@@ -16,6 +16,7 @@
 mod client;
 mod configuration_commands;
 mod fleet_commands;
+mod log_story;
 mod logging;
 mod node_command;
 mod outcome;
--- a/crates/cli/src/outcome.rs
+++ b/crates/cli/src/outcome.rs
@@ -70,6 +70,12 @@
         /// Why.
         source: ProcessError,
     },
+    /// No line of the logs is about what was asked for.
+    #[snafu(display("no line of these logs is about {id}"))]
+    NotInLogs {
+        /// What was asked for.
+        id: String,
+    },
     /// No settings file is named.
     #[snafu(display("no settings file: give --settings"))]
     NoSettings,
@@ -86,7 +92,7 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Refused { .. } | Self::File { .. } | Self::Start { .. } | Self::Differs { .. } => 1,
-            Self::Serving { .. } => 1,
+            Self::Serving { .. } | Self::NotInLogs { .. } => 1,
             Self::NoSettings => 2,
             Self::Invalid { .. } | Self::Settings { .. } => 3,
             Self::Conflict { .. } => 4,
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -189,3 +189,40 @@
         assert!(errors.contains(expected), "{expected:?} in:\n{errors}");
     }
 }
+
+#[test]
+fn logs_of_several_processes_are_put_in_order() {
+    let folder = tempfile::TempDir::new().expect("a folder");
+    let gateway = folder.path().join("gateway.log");
+    let storage = folder.path().join("storage.log");
+    let moved = r#"{"at":2000,"level":"INFO","event":504,"name":"RequestMoved","request":"abc","worker":"w-2"}"#;
+    let ended = r#"{"at":2600,"level":"INFO","event":521,"name":"RequestEnded","request":"abc","end":"whole"}"#;
+    let other = r#"{"at":1000,"level":"INFO","event":521,"name":"RequestEnded","request":"xyz-9"}"#;
+    std::fs::write(&gateway, format!("{ended}\n{other}\nnot a line\n{{\"at\": broken\n")).expect("it can be written");
+    std::fs::write(&storage, format!("  12.5 edge-1 {moved}\n")).expect("it can be written");
+    let logs = [gateway.display().to_string(), storage.display().to_string()];
+    let shown = stallmoor(&["explain", "abc", "--log", &logs[0], "--log", &logs[1]]);
+    assert_eq!(shown.status.code(), Some(0), "{}", text(&shown.stderr));
+    let story = text(&shown.stdout);
+    let first = story.find("A request moved to another engine").expect("the move is told");
+    let last = story.find("A request that passes through has ended").expect("the end is told");
+    assert!(first < last, "{story}");
+    assert!(story.contains("600 ms") && story.contains("edge-1") && !story.contains("xyz-9"), "{story}");
+    let unknown = stallmoor(&["explain", "nobody", "--log", &logs[0]]);
+    assert_eq!(unknown.status.code(), Some(1));
+    assert!(text(&unknown.stderr).contains("nobody"));
+}
+
+#[test]
+fn a_gateway_without_sound_settings_says_what_is_wrong() {
+    let folder = tempfile::TempDir::new().expect("a folder");
+    let file = folder.path().join("node.toml");
+    std::fs::write(&file, "[node]\nname = 3\n").expect("it can be written");
+    let refused = stallmoor(&["gateway", "--settings", &file.display().to_string()]);
+    assert_eq!(refused.status.code(), Some(3));
+    let message = text(&refused.stderr);
+    assert!(message.contains("node.toml") && message.contains("line 2"), "{message}");
+    let without =
+        Command::new(env!("CARGO_BIN_EXE_stallmoor")).env_clear().arg("storage").output().expect("the program runs");
+    assert_eq!(without.status.code(), Some(2));
+}
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -88,6 +88,7 @@
     StorageNodeSeen = 530, Information, "A storing node's record was read.";
     ItemRunEnded = 540, Information, "A run of a batch item ended.";
     ItemListed = 541, Information, "A batch item's result is listed.";
+    ItemRunStarted = 542, Information, "A run of a batch item began.";
     EmptyingReported = 550, Information, "The emptying of a machine was reported.";
     JobAccepted = 600, Information, "A batch job was accepted.";
     JobCompleted = 601, Information, "Every item of a batch job has its result.";
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -64,6 +64,10 @@
     /// The last event that was passed on, or that the caller had from before.
     last_event: Option<u64>,
     events: u32,
+    /// The last choice of a worker, for the log.
+    last_choice: Option<Choice>,
+    /// The time from the request's arrival to its first event.
+    first_event_after: Option<Millis>,
 }
 
 /// Serves a request.
@@ -76,7 +80,18 @@
     let ends_at = request.arrived_at + held;
     let last_event = request.facts.last_event;
     let ledger = AttemptLedger::default();
-    let mut passage = Passage { client, request, service, ledger, tried: Vec::new(), ends_at, last_event, events: 0 };
+    let mut passage = Passage {
+        client,
+        request,
+        service,
+        ledger,
+        tried: Vec::new(),
+        ends_at,
+        last_event,
+        events: 0,
+        last_choice: None,
+        first_event_after: None,
+    };
     let answer = match passage.open().await {
         Ok(answer) => answer,
         Err(refused) => {
@@ -188,6 +203,10 @@
         let terms = AttemptTerms { worker: &choice.id, remaining, after_event: self.last_event };
         let headers = self.client.dialect.attempt_headers(&self.request.headers, &terms);
         let worker = choice.id.clone();
+        self.last_choice = Some(choice.clone());
+        if !self.tried.is_empty() {
+            self.log_move();
+        }
         self.tried.push(worker.clone());
         let in_flight = self.client.place(&choice, &self.service, &self.request.facts.prefix, false);
         let attempt = Attempt {
@@ -220,8 +239,12 @@
     async fn whole(self, answer: OpenAnswer) -> Response<AnswerBody> {
         let OpenAnswerParts { answer, body } = match read_whole(answer, self.remaining()).await {
             Ok(parts) => parts,
-            Err(Aborted) => return refusal::of_kind(ErrorKind::AnswerIncomplete, "the worker broke off its answer"),
+            Err(Aborted) => {
+                self.log_end("broken off");
+                return refusal::of_kind(ErrorKind::AnswerIncomplete, "the worker broke off its answer");
+            }
         };
+        self.log_end(answer.status.as_str());
         let mut response = Response::new(AnswerBody::whole(body));
         *response.status_mut() = answer.status;
         *response.headers_mut() = self.client.dialect.answer_headers(answer.status, &answer.headers);
@@ -295,6 +318,7 @@
             }
             if first {
                 first = false;
+                self.first_event_after.get_or_insert(self.now().since(self.request.arrived_at));
                 self.note_first_event(&answer);
             }
             match self.pass_on_events(events, sender).await {
@@ -372,6 +396,28 @@
         record(LogEvent::AttemptEnded, &fields);
     }
 
+    /// What decided the choice of the worker: its load and cache as believed here.
+    fn choice_fields(&self) -> Vec<Field> {
+        let Some(choice) = &self.last_choice else { return Vec::new() };
+        vec![
+            Field::text("worker", &choice.id),
+            Field::number("load", choice.load),
+            Field::number("held_tokens", choice.held_tokens),
+            Field::number("candidates", choice.candidates as u64),
+        ]
+    }
+
+    fn log_move(&self) {
+        let mut fields = vec![
+            Field::text("request", &self.request.facts.id),
+            Field::number("after_event", self.last_event.unwrap_or(0)),
+            Field::number("attempt", self.tried.len() as u64 + 1),
+            Field::number("age_ms", self.now().since(self.request.arrived_at).0),
+        ];
+        fields.extend(self.choice_fields());
+        record(LogEvent::RequestMoved, &fields);
+    }
+
     fn log_refusal(&self, refused: &Refusal) {
         let fields = [
             Field::text("request", &self.request.facts.id),
@@ -380,12 +426,13 @@
             Field::text("detail", &refused.detail),
             Field::number("age_ms", self.now().since(self.request.arrived_at).0),
             Field::number("ready_workers", self.client.view.workers().ready_count(&self.service) as u64),
+            Field::number("configuration", self.client.view.configuration().map_or(0, |known| known.version)),
         ];
         record(LogEvent::RequestRefused, &fields);
     }
 
     fn log_end(&self, how: &str) {
-        let fields = [
+        let mut fields = vec![
             Field::text("request", &self.request.facts.id),
             Field::text("route", &self.request.route.name),
             Field::text("end", how),
@@ -393,6 +440,8 @@
             Field::number("attempts", self.tried.len() as u64),
             Field::number("age_ms", self.now().since(self.request.arrived_at).0),
         ];
+        fields.extend(self.first_event_after.map(|after| Field::number("first_event_ms", after.0)));
+        fields.extend(self.choice_fields());
         record(LogEvent::RequestEnded, &fields);
     }
 }
--- a/crates/gateway/src/storage_service.rs
+++ b/crates/gateway/src/storage_service.rs
@@ -360,7 +360,11 @@
                     if let Some(running) = self.running.remove(&key) {
                         running.task.abort();
                     }
-                    record(LogEvent::ItemListed, &[Field::text("job", &key.job), Field::number("item", key.item)]);
+                    let listed = self.node.table().job(&key.job).and_then(|job| job.results.last());
+                    let state = listed.map_or_else(String::new, |result| format!("{:?}", result.state));
+                    let fields =
+                        [Field::text("job", &key.job), Field::number("item", key.item), Field::text("state", state)];
+                    record(LogEvent::ItemListed, &fields);
                     reads_may_go_on = true;
                 }
                 JobsChange::Ended(job) => {
@@ -567,6 +571,15 @@
         let (client, reports, report_key) = (self.workers.clone(), self.reports.clone(), key.clone());
         let worker = choice.id.clone();
         let pause = Arc::new(Notify::new());
+        let fields = [
+            Field::text("job", &key.job),
+            Field::number("item", key.item),
+            Field::text("worker", &choice.id),
+            Field::number("after_event", output.last_event.unwrap_or(0)),
+            Field::number("load", choice.load),
+            Field::number("candidates", choice.candidates as u64),
+        ];
+        record(LogEvent::ItemRunStarted, &fields);
         let in_flight = self.workers.place(&choice, &service, &facts.prefix, true);
         let item_run = ItemRun { item, host, service, choice, output, pause: pause.clone() };
         let task = tokio::spawn(async move {
