Split what had grown large: the storing node's service, the workers' table

Change: storage_service/{mod,requests,running,membership}.rs, gateway/cost.rs; no decision changed. A stream that ends for want of time says so in its line.

--- /dev/null
+++ b/crates/core/src/gateway/cost.rs
@@ -0,0 +1,44 @@
+//! What it costs to send a request to a worker: the estimated time to its first event.
+
+use super::workers::{WorkerAsk, WorkerEntry};
+use crate::time::{Millis, Timestamp};
+
+/// The estimated cost of reading one prompt token, in milliseconds.
+const READ_MS_PER_TOKEN: f64 = 0.018;
+/// The cost of a full worker against an idle one, in milliseconds.
+const BUSY_MS: f64 = 40.0;
+/// The cost of each request that would wait for a slot, in milliseconds.
+const WAIT_MS: f64 = 80.0;
+/// The cost of leaving the zone, in milliseconds.
+const ZONE_MS: f64 = 4.0;
+/// The cost of each kilobyte that leaves the zone, in milliseconds.
+const ZONE_MS_PER_KILOBYTE: f64 = 0.4;
+/// A worker counts as slow from this many times the usual time to the first event.
+const SLOW_ABOVE: f64 = 1.5;
+/// The cost of each further time the usual, in milliseconds.
+const SLOW_MS: f64 = 15.0;
+/// What was measured of a worker's slowness loses its weight over this time.
+const SLOWNESS_LIFETIME: Millis = Millis(4_000);
+/// The share of a prompt believed to be held where the shared parts always go.
+const HOME_BELIEF: f64 = 0.6;
+
+/// The estimated time to the first event, in milliseconds, with what the way there costs.
+pub(super) fn estimate_cost(entry: &WorkerEntry, ask: &WorkerAsk<'_>, is_home: bool, now: Timestamp) -> f64 {
+    let slots = f64::from(entry.record.slots.max(1));
+    let load = f64::from(entry.estimated_load(now));
+    let held = f64::from(entry.cache.held_tokens(ask.prefix));
+    let shared: u32 = ask.prefix.iter().rev().skip(1).map(|link| link.tokens).sum();
+    let believed = if is_home { held.max(f64::from(shared) * HOME_BELIEF) } else { held };
+    let unread = (f64::from(ask.prompt_tokens) - believed).max(0.0);
+    let busy = load / slots * BUSY_MS;
+    let waiting = (load + 1.0 - slots).max(0.0) * WAIT_MS;
+    let away = if &*entry.record.zone == ask.zone {
+        0.0
+    } else {
+        ZONE_MS + ask.body_bytes as f64 / 1_024.0 * ZONE_MS_PER_KILOBYTE
+    };
+    let measured = now.since(entry.measured_at).0.min(SLOWNESS_LIFETIME.0) as f64;
+    let trust = 1.0 - measured / SLOWNESS_LIFETIME.0 as f64;
+    let slow = (entry.slowness - SLOW_ABOVE).max(0.0) * SLOW_MS * trust;
+    unread * READ_MS_PER_TOKEN + busy + waiting + away + slow
+}
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! | [`configuration`] | routes, services and limits as the operator wrote them |
 //! | [`request`] | what the decisions need to know of a request |
 //! | [`prefix_cache`] | which prompt parts a worker is thought to hold |
+//! | `cost` | what it costs to send a request to a worker |
 //! | [`workers`] | the workers, what is believed of each, and the choice among them |
 //! | [`attempt`] | how an attempt ended and what may be done next |
 //! | [`event_stream`] | splitting an answer into whole events |
@@ -13,6 +14,7 @@
 
 pub mod attempt;
 pub mod configuration;
+mod cost;
 pub mod event_stream;
 pub mod move_budget;
 pub mod prefix_cache;
--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
+use super::cost::estimate_cost;
 use super::prefix_cache::PrefixCache;
 use super::request::PrefixLink;
 use crate::hashing::{hash_bytes, rendezvous_weight};
@@ -33,26 +34,8 @@
 const GONE_LAST_RESORT: Millis = Millis(1_000);
 /// A worker that is gone is forgotten after this long.
 const GONE_REMEMBERED: Millis = Millis(60_000);
-/// The estimated cost of reading one prompt token, in milliseconds.
-const READ_MS_PER_TOKEN: f64 = 0.018;
-/// The cost of a full worker against an idle one, in milliseconds.
-const BUSY_MS: f64 = 40.0;
-/// The cost of each request that would wait for a slot, in milliseconds.
-const WAIT_MS: f64 = 80.0;
-/// The cost of leaving the zone, in milliseconds.
-const ZONE_MS: f64 = 4.0;
-/// The cost of each kilobyte that leaves the zone, in milliseconds.
-const ZONE_MS_PER_KILOBYTE: f64 = 0.4;
-/// A worker counts as slow from this many times the usual time to the first event.
-const SLOW_ABOVE: f64 = 1.5;
-/// The cost of each further time the usual, in milliseconds.
-const SLOW_MS: f64 = 15.0;
 /// The usual time to the first event before any was measured, in milliseconds.
 const TYPICAL_AT_START_MS: f64 = 60.0;
-/// What was measured of a worker's slowness loses its weight over this time.
-const SLOWNESS_LIFETIME: Millis = Millis(4_000);
-/// The share of a prompt believed to be held where the shared parts always go.
-const HOME_BELIEF: f64 = 0.6;
 /// Spread of the random part of the cost, in milliseconds: nodes must not all choose alike.
 const JITTER_MS: f64 = 3.0;
 
@@ -125,8 +108,8 @@
 }
 
 #[derive(Clone, Debug)]
-struct WorkerEntry {
-    record: WorkerRecord,
+pub(super) struct WorkerEntry {
+    pub(super) record: WorkerRecord,
     presence: Presence,
     in_flight: u32,
     batch_in_flight: u32,
@@ -135,11 +118,11 @@
     others: Option<SharedLoad>,
     failures: u32,
     passed_over_until: Option<Timestamp>,
-    cache: PrefixCache,
+    pub(super) cache: PrefixCache,
     /// Smoothed time to the first event against the usual of all workers, 1.0 being as usual.
-    slowness: f64,
+    pub(super) slowness: f64,
     /// When the slowness was last measured.
-    measured_at: Timestamp,
+    pub(super) measured_at: Timestamp,
 }
 
 impl WorkerEntry {
@@ -162,7 +145,7 @@
 
     /// Requests at the worker: those of this node and, as last gathered, of all others. Where nothing
     /// was gathered of late, the worker's own report corrected by what this node sent and ended since.
-    fn estimated_load(&self, now: Timestamp) -> u32 {
+    pub(super) fn estimated_load(&self, now: Timestamp) -> u32 {
         if let Some(others) = self.others.filter(|others| now.since(others.at) < SHARED_LIFETIME) {
             return others.load + self.in_flight;
         }
@@ -508,24 +491,3 @@
         Presence::Draining => false,
     }
 }
-
-/// The estimated time to the first event, in milliseconds, with what the way there costs.
-fn estimate_cost(entry: &WorkerEntry, ask: &WorkerAsk<'_>, is_home: bool, now: Timestamp) -> f64 {
-    let slots = f64::from(entry.record.slots.max(1));
-    let load = f64::from(entry.estimated_load(now));
-    let held = f64::from(entry.cache.held_tokens(ask.prefix));
-    let shared: u32 = ask.prefix.iter().rev().skip(1).map(|link| link.tokens).sum();
-    let believed = if is_home { held.max(f64::from(shared) * HOME_BELIEF) } else { held };
-    let unread = (f64::from(ask.prompt_tokens) - believed).max(0.0);
-    let busy = load / slots * BUSY_MS;
-    let waiting = (load + 1.0 - slots).max(0.0) * WAIT_MS;
-    let away = if &*entry.record.zone == ask.zone {
-        0.0
-    } else {
-        ZONE_MS + ask.body_bytes as f64 / 1_024.0 * ZONE_MS_PER_KILOBYTE
-    };
-    let measured = now.since(entry.measured_at).0.min(SLOWNESS_LIFETIME.0) as f64;
-    let trust = 1.0 - measured / SLOWNESS_LIFETIME.0 as f64;
-    let slow = (entry.slowness - SLOW_ABOVE).max(0.0) * SLOW_MS * trust;
-    unread * READ_MS_PER_TOKEN + busy + waiting + away + slow
-}
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -264,12 +264,16 @@
 
     async fn pass_on(&mut self, answer: OpenAnswer, sender: &PieceSender) {
         let mut current = answer;
+        let mut how = "broken off";
         loop {
             let worker = current.worker.clone();
             match self.pass_on_from(current, sender).await {
                 StreamEnd::Whole => return self.log_end("whole"),
                 StreamEnd::CallerGone => return self.log_end("caller gone"),
-                StreamEnd::OutOfTime => break,
+                StreamEnd::OutOfTime => {
+                    how = "out of time";
+                    break;
+                }
                 StreamEnd::Broken(end) => {
                     let now = self.now();
                     self.client.view.workers().failed(&worker, true, now);
@@ -290,7 +294,7 @@
                 _ => break,
             }
         }
-        self.log_end("broken off");
+        self.log_end(how);
         // A caller that is gone does not need to hear of it.
         let _ = sender.send(Err(Aborted)).await;
     }
--- /dev/null
+++ b/crates/gateway/src/storage_service/requests.rs
@@ -0,0 +1,126 @@
+//! What other nodes ask of the leader.
+
+use stallmoor_core::identity::NodeId;
+use stallmoor_core::jobs::command::{JobCommand, JobKey};
+use stallmoor_core::jobs::node::{JobsEffect, NotProposed, Waiter};
+use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
+use stallmoor_core::node::GroupRefusal;
+use stallmoor_core::time::Timestamp;
+
+use super::StorageService;
+use crate::storage_server::Reply;
+
+/// Most bytes of text in one page of results.
+const PAGE_BYTES: usize = 900_000;
+
+/// A read that waits for a result.
+pub(super) struct HeldRead {
+    pub(super) job: JobKey,
+    pub(super) first: u32,
+    pub(super) deadline: Timestamp,
+    pub(super) reply: Reply,
+}
+
+impl StorageService {
+    pub(super) fn on_request(&mut self, from: NodeId, request: JobsRequest, reply: Reply) {
+        let now = self.now();
+        match request {
+            JobsRequest::Greet => {
+                self.members.heard(from, now);
+                let _ = reply.send(Ok(JobsAnswer::Accepted));
+            }
+            JobsRequest::ShareLoad(loads) if self.leads => {
+                self.load_share.tell(from, loads, now);
+                let batch = self.workers.view.workers().own_loads();
+                let totals = self.load_share.without(Some(from), &batch, now);
+                let online = self.load_share.without(None, &[], now);
+                self.workers.view.workers().set_shared_loads(&online, now);
+                let _ = reply.send(Ok(JobsAnswer::Loads(totals)));
+                self.yield_to_online(now);
+            }
+            _ if !self.node.may_answer(now) => {
+                let _ = reply.send(Err(self.refusal()));
+            }
+            JobsRequest::ShareLoad(_) => {
+                let _ = reply.send(Err(self.refusal()));
+            }
+            JobsRequest::Submit(submission) => {
+                let waiter = self.wait(reply);
+                let proposed = self.node.submit(submission, waiter, now);
+                self.on_proposed(waiter, proposed);
+            }
+            JobsRequest::End { job } => {
+                let waiter = self.wait(reply);
+                let proposed = self.node.propose(&JobCommand::End { job }, Some(waiter), now);
+                self.on_proposed(waiter, proposed);
+            }
+            JobsRequest::Read { job, first, wait } => {
+                self.reads.push(HeldRead { job, first, deadline: now + wait, reply });
+                self.answer_reads();
+            }
+            JobsRequest::Body { job, item } => {
+                let found = self.node.table().job(&job).map(|found| found.open_item_named(&item));
+                let answer = match found {
+                    None => JobsAnswer::UnknownJob,
+                    Some(None) => JobsAnswer::UnknownItem,
+                    Some(Some(item)) => JobsAnswer::Body(item.body.clone()),
+                };
+                let _ = reply.send(Ok(answer));
+            }
+        }
+    }
+
+    pub(super) fn wait(&mut self, reply: Reply) -> Waiter {
+        self.next_waiter += 1;
+        let waiter = Waiter(self.next_waiter);
+        self.replies.insert(waiter, reply);
+        waiter
+    }
+
+    pub(super) fn on_proposed(&mut self, waiter: Waiter, proposed: Result<Vec<JobsEffect>, NotProposed>) {
+        match proposed {
+            Ok(effects) => self.take(effects),
+            Err(not_proposed) => {
+                let result = match not_proposed {
+                    NotProposed::OverQuota { waiting } => Ok(JobsAnswer::OverQuota { waiting }),
+                    NotProposed::Busy => Err(GroupRefusal::Busy),
+                    NotProposed::NotLeader(_) => Err(self.refusal()),
+                };
+                if let Some(reply) = self.replies.remove(&waiter) {
+                    let _ = reply.send(result);
+                }
+            }
+        }
+    }
+
+    pub(super) fn refusal(&self) -> GroupRefusal {
+        let replica = self.node.replica();
+        if replica.is_leader() {
+            return GroupRefusal::Busy;
+        }
+        GroupRefusal::NotLeader { term: replica.term(), leader: replica.leader() }
+    }
+
+    /// Answers the reads that have something to answer, or have waited long enough.
+    pub(super) fn answer_reads(&mut self) {
+        let now = self.now();
+        let may_answer = self.node.may_answer(now);
+        let reads = std::mem::take(&mut self.reads);
+        for read in reads {
+            if !may_answer {
+                let _ = read.reply.send(Err(self.refusal()));
+                continue;
+            }
+            let Some(job) = self.node.table().job(&read.job) else {
+                let _ = read.reply.send(Ok(JobsAnswer::UnknownJob));
+                continue;
+            };
+            let has_more = job.results.len() > read.first as usize;
+            if has_more || job.is_over() || now >= read.deadline {
+                let _ = read.reply.send(Ok(JobsAnswer::Page(job.page(read.first, PAGE_BYTES))));
+            } else {
+                self.reads.push(read);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/storage_service/running.rs
@@ -0,0 +1,198 @@
+//! Running items while this node leads: where each runs, when it pauses, and how it ended.
+
+use std::sync::Arc;
+
+use stallmoor_core::gateway::configuration::Route;
+use stallmoor_core::gateway::workers::{WorkerAsk, WorkerId};
+use stallmoor_core::jobs::command::{ItemKey, JobCommand, JobItem, JobKey};
+use stallmoor_core::jobs::dispatch::{PartialOutput, RunEnd};
+use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::time::{Millis, Timestamp};
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+
+use super::StorageService;
+use crate::item_run::ItemRun;
+use crate::journal::{Field, record};
+
+/// An item is given up this long after its submitter allows it, since clocks may be off.
+const GIVE_UP_MARGIN: Millis = Millis(10_000);
+
+/// A run that ended.
+pub(super) struct RunReport {
+    pub(super) key: ItemKey,
+    pub(super) run: u64,
+    pub(super) end: RunEnd,
+    pub(super) output: PartialOutput,
+}
+
+/// A run under way.
+pub(super) struct Running {
+    pub(super) run: u64,
+    pub(super) worker: WorkerId,
+    pub(super) task: AbortHandle,
+    /// Asks the run to stop and hand back what it has.
+    pub(super) pause: Arc<Notify>,
+    pub(super) is_pausing: bool,
+}
+
+impl StorageService {
+    /// Takes batch items off workers that are full. They go on later, after their last event.
+    pub(super) fn yield_to_online(&mut self, now: Timestamp) {
+        let overfull = self.workers.view.workers().overfull(now);
+        for count in overfull {
+            let there = self.running.iter().filter(|(_, running)| running.worker == count.worker);
+            let (leaving, staying): (Vec<_>, Vec<_>) = there.partition(|(_, running)| running.is_pausing);
+            let mut staying: Vec<(u64, ItemKey)> =
+                staying.into_iter().map(|(key, running)| (running.run, key.clone())).collect();
+            // The youngest has the least to read again.
+            staying.sort_by_key(|(run, _)| std::cmp::Reverse(*run));
+            let due = (count.requests as usize).saturating_sub(leaving.len());
+            for (_, key) in staying.into_iter().take(due) {
+                if let Some(running) = self.running.get_mut(&key) {
+                    running.is_pausing = true;
+                    running.pause.notify_one();
+                }
+            }
+            let fields = [
+                Field::text("worker", &count.worker),
+                Field::number("items", count.requests),
+                Field::text("inputs", self.workers.view.workers().describe(&count.worker, now)),
+            ];
+            record(LogEvent::BatchYielded, &fields);
+        }
+    }
+
+    pub(super) fn dispatch(&mut self) {
+        let now = self.now();
+        if !self.leads || !self.dispatcher.has_ready(now) {
+            return;
+        }
+        let Some(configuration) = self.workers.view.configuration() else { return };
+        let civil = self.workers.view.clock.civil();
+        while let Some((key, output)) = self.dispatcher.take_next(now, civil) {
+            let Some(job) = self.node.table().job(&key.job) else { continue };
+            let submission = &job.submission;
+            let Some(item) = submission.items.get(key.item as usize).cloned() else { continue };
+            let Some(route) = configuration.route_for(&submission.host, &item.path).cloned() else {
+                let is_known_gone = configuration.version >= submission.configuration_version;
+                if is_known_gone {
+                    self.dispatcher.give_up(&key);
+                } else {
+                    self.dispatcher.put_back(&key, output);
+                    return;
+                }
+                continue;
+            };
+            let age = Millis(civil.0.saturating_sub(submission.received_at.0));
+            if route.give_up_after.is_some_and(|limit| age > limit + GIVE_UP_MARGIN) {
+                self.dispatcher.give_up(&key);
+                continue;
+            }
+            let host = submission.host.clone();
+            if !self.start_run(&key, item, host, &route, output, now) {
+                return;
+            }
+        }
+        self.propose_results();
+    }
+
+    /// Starts an item at the worker with the most room. Returns false if none has any.
+    pub(super) fn start_run(
+        &mut self,
+        key: &ItemKey,
+        item: JobItem,
+        host: Arc<str>,
+        route: &Route,
+        output: PartialOutput,
+        now: Timestamp,
+    ) -> bool {
+        let view = self.workers.view.clone();
+        let facts = self.workers.dialect.item_facts(&item);
+        let choice = view.draw_service(route).and_then(|service| {
+            let ask = WorkerAsk {
+                service: &service,
+                zone: &view.zone,
+                prefix: &facts.prefix,
+                prompt_tokens: facts.prompt_tokens,
+                body_bytes: item.body.len(),
+                tried: &[],
+            };
+            let mut random = view.random();
+            let choice = view.workers().choose_for_batch(&ask, now, &mut *random);
+            choice.map(|choice| (service, choice))
+        });
+        let Some((service, choice)) = choice else {
+            self.dispatcher.put_back(key, output);
+            return false;
+        };
+        self.next_run += 1;
+        let run = self.next_run;
+        let (client, reports, report_key) = (self.workers.clone(), self.reports.clone(), key.clone());
+        let worker = choice.id.clone();
+        let pause = Arc::new(Notify::new());
+        let fields = [
+            Field::text("job", &key.job),
+            Field::number("item", key.item),
+            Field::text("worker", &choice.id),
+            Field::number("after_event", output.last_event.unwrap_or(0)),
+            Field::number("load", choice.load),
+            Field::number("candidates", choice.candidates as u64),
+        ];
+        record(LogEvent::ItemRunStarted, &fields);
+        let in_flight = self.workers.place(&choice, &service, &facts.prefix, true);
+        let item_run = ItemRun { item, host, service, choice, output, pause: pause.clone() };
+        let task = tokio::spawn(async move {
+            let (end, output) = item_run.run(&client, in_flight).await;
+            // The service is gone only when the process ends.
+            let _ = reports.send(RunReport { key: report_key, run, end, output });
+        });
+        self.running.insert(key.clone(), Running { run, worker, task: task.abort_handle(), pause, is_pausing: false });
+        true
+    }
+
+    pub(super) fn on_run_ended(&mut self, report: RunReport) {
+        let is_current = self.running.get(&report.key).is_some_and(|running| running.run == report.run);
+        if !is_current {
+            return;
+        }
+        self.running.remove(&report.key);
+        let fields = [
+            Field::text("job", &report.key.job),
+            Field::number("item", report.key.item),
+            Field::text("end", format!("{:?}", report.end)),
+            Field::number("events", report.output.last_event.unwrap_or(0)),
+        ];
+        record(LogEvent::ItemRunEnded, &fields);
+        let max_attempts = self.max_attempts(&report.key.job);
+        let now = self.now();
+        if self.dispatcher.run_ended(&report.key, &report.end, report.output, max_attempts, now) {
+            self.propose_results();
+        }
+    }
+
+    pub(super) fn max_attempts(&self, job: &JobKey) -> u32 {
+        const USUAL: u32 = 3;
+        let Some(job) = self.node.table().job(job) else { return USUAL };
+        let configuration = self.workers.view.configuration();
+        let route = configuration.and_then(|known| known.route_named(&job.submission.route).cloned());
+        route.map_or(USUAL, |route| route.max_attempts.max(1))
+    }
+
+    pub(super) fn propose_results(&mut self) {
+        let now = self.now();
+        for command in self.dispatcher.unlisted() {
+            let JobCommand::Finish { key, .. } = &command else { continue };
+            if !self.proposed.insert(key.clone()) {
+                continue;
+            }
+            match self.node.propose(&command, None, now) {
+                Ok(effects) => self.take(effects),
+                Err(_) => {
+                    self.proposed.remove(key);
+                    return;
+                }
+            }
+        }
+    }
+}
