Log what running items put out, so that a new leader goes on from there

Change: about once a second the leader logs the new output of its running items; a result carries only what follows; one that does not follow is dropped and its item goes on from the log. Tests: another_leader_goes_on_from_what_the_log_has and a_result_that_does_not_follow_ on_what_the_log_has_is_dropped (neither could be written before).

--- a/crates/core/src/jobs/command.rs
+++ b/crates/core/src/jobs/command.rs
@@ -86,6 +86,48 @@
     GivenUp,
 }
 
+/// What an item has put out so far.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartialOutput {
+    /// The data of the events so far, joined by line feeds.
+    pub text: String,
+    /// The id of the last event.
+    pub last_event: Option<u64>,
+}
+
+impl PartialOutput {
+    /// Adds an event's data.
+    pub fn push(&mut self, data: &str, id: Option<u64>) {
+        if self.last_event.is_some() {
+            self.text.push('\n');
+        }
+        self.text.push_str(data);
+        self.last_event = id.or(self.last_event).or(Some(0));
+    }
+}
+
+/// How much of an item's output the log has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoggedOutput {
+    /// Bytes of its text.
+    pub bytes: usize,
+    /// The id of the last event.
+    pub last_event: Option<u64>,
+}
+
+/// More of an item's output.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemProgress {
+    /// The item.
+    pub key: ItemKey,
+    /// What the log had of it before. The rest follows on that or is dropped.
+    pub after: LoggedOutput,
+    /// The text that follows.
+    pub text: Arc<str>,
+    /// The id of the last event.
+    pub last_event: Option<u64>,
+}
+
 /// A change of the table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobCommand {
@@ -97,9 +139,13 @@
         key: ItemKey,
         /// How it ended.
         state: ItemState,
-        /// Its output.
+        /// What the log had of its output before. A completed item's text follows on that.
+        after: LoggedOutput,
+        /// The rest of its output.
         text: Arc<str>,
     },
+    /// Keep what running items have put out, so that another leader can go on from there.
+    Progress(Vec<ItemProgress>),
     /// End a job: no item of it starts any more.
     End {
         /// The job.
@@ -117,7 +163,7 @@
 pub enum JobOutcome {
     /// The job is in the table, whether by this command or an earlier one.
     Accepted,
-    /// The result is listed.
+    /// The result is listed, or the progress kept.
     Listed,
     /// The item had a result before, or its job has ended; nothing changed.
     Dropped,
--- a/crates/core/src/jobs/dispatch.rs
+++ b/crates/core/src/jobs/dispatch.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::command::{ItemKey, ItemState, JobCommand, JobKey};
+use super::command::{ItemKey, ItemProgress, ItemState, JobCommand, JobKey, LoggedOutput, PartialOutput};
 use super::table::{Job, JobTable};
 use crate::time::{Millis, Timestamp, UnixMillis};
 
@@ -12,6 +12,9 @@
 /// Longest wait between two runs of an item.
 const LONGEST_DELAY: Millis = Millis(640);
 
+/// Progress is logged once an item has put out this many events more.
+const PROGRESS_EVENTS: u64 = 24;
+
 /// How a run of an item ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RunEnd {
@@ -29,26 +32,6 @@
     NotRun,
 }
 
-/// What an item has put out so far.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct PartialOutput {
-    /// The data of the events so far, joined by line feeds.
-    pub text: String,
-    /// The id of the last event.
-    pub last_event: Option<u64>,
-}
-
-impl PartialOutput {
-    /// Adds an event's data.
-    pub fn push(&mut self, data: &str, id: Option<u64>) {
-        if self.last_event.is_some() {
-            self.text.push('\n');
-        }
-        self.text.push_str(data);
-        self.last_event = id.or(self.last_event).or(Some(0));
-    }
-}
-
 #[derive(Clone, Debug)]
 enum Phase {
     Ready,
@@ -64,6 +47,8 @@
     failures: u32,
     delays: u32,
     output: PartialOutput,
+    /// How much of the output the log has, proposals under way included.
+    logged: LoggedOutput,
     /// When the last run began, and after which event.
     started_at: Timestamp,
     started_after: u64,
@@ -145,13 +130,15 @@
                 continue;
             }
             self.ready.insert((due, key.clone()));
-            let output = PartialOutput::default();
+            let output = job.partial(item).cloned().unwrap_or_default();
+            let logged = LoggedOutput { bytes: output.text.len(), last_event: output.last_event };
             let progress = Progress {
                 phase: Phase::Ready,
                 due,
                 failures: 0,
                 delays: 0,
                 output,
+                logged,
                 started_at: Timestamp::default(),
                 started_after: 0,
             };
@@ -235,12 +222,28 @@
         let command = |key: &ItemKey| {
             let progress = self.items.get(key)?;
             let Phase::Finished { state } = progress.phase else { return None };
-            let text: Arc<str> = Arc::from(progress.output.text.as_str());
-            Some(JobCommand::Finish { key: key.clone(), state, text })
+            let text = progress.output.text.get(progress.logged.bytes..).unwrap_or_default();
+            Some(JobCommand::Finish { key: key.clone(), state, after: progress.logged, text: Arc::from(text) })
         };
         self.finished.iter().filter_map(command).collect()
     }
 
+    /// What a running item has put out beyond what the log has; `None` while that is little.
+    pub fn progress_of(&self, key: &ItemKey, output: &PartialOutput) -> Option<ItemProgress> {
+        let logged = self.items.get(key)?.logged;
+        let is_much = output.last_event.unwrap_or(0) >= logged.last_event.unwrap_or(0) + PROGRESS_EVENTS;
+        let text = output.text.get(logged.bytes..).filter(|_| is_much)?;
+        Some(ItemProgress { key: key.clone(), after: logged, text: Arc::from(text), last_event: output.last_event })
+    }
+
+    /// Progress was proposed: what follows goes on from there.
+    pub fn progress_proposed(&mut self, progress: &ItemProgress) {
+        if let Some(item) = self.items.get_mut(&progress.key) {
+            let bytes = progress.after.bytes + progress.text.len();
+            item.logged = LoggedOutput { bytes, last_event: progress.last_event };
+        }
+    }
+
     /// Items of a job that run, for a job that ended. The job is forgotten.
     pub fn remove_job(&mut self, job: &JobKey) -> Vec<ItemKey> {
         let keys: Vec<ItemKey> = self.items.keys().filter(|key| key.job == *job).cloned().collect();
--- a/crates/core/src/jobs/node.rs
+++ b/crates/core/src/jobs/node.rs
@@ -50,6 +50,9 @@
     Accepted(JobKey),
     /// An item's result is listed.
     Listed(ItemKey),
+    /// A result was proposed that does not follow on what the log has of the item: it must go on from
+    /// there.
+    NotListed(ItemKey),
     /// A job has ended.
     Ended(JobKey),
 }
@@ -262,9 +265,14 @@
             JobCommand::Accept(submission) => Some(JobsChange::Accepted(submission.key.clone())),
             JobCommand::Finish { key, .. } => Some(JobsChange::Listed(key.clone())),
             JobCommand::End { job } => Some(JobsChange::Ended(job.clone())),
-            JobCommand::Forget { .. } => None,
+            JobCommand::Progress(_) | JobCommand::Forget { .. } => None,
         };
-        let answer = match self.table.apply(command) {
+        let outcome = self.table.apply(command);
+        let key = match key {
+            Some(JobsChange::Listed(item)) if !self.is_listed(&item) => Some(JobsChange::NotListed(item)),
+            other => other,
+        };
+        let answer = match outcome {
             JobOutcome::Accepted | JobOutcome::Listed | JobOutcome::Forgotten => JobsAnswer::Accepted,
             JobOutcome::Dropped | JobOutcome::Ended => JobsAnswer::Ended,
             JobOutcome::UnknownJob => JobsAnswer::UnknownJob,
@@ -272,6 +280,11 @@
         (answer, key)
     }
 
+    /// Whether an item needs no result any more.
+    fn is_listed(&self, key: &ItemKey) -> bool {
+        self.table.job(&key.job).is_none_or(|job| job.ended || job.is_listed(key.item))
+    }
+
     fn waiting_tokens(&self, route: &str) -> u64 {
         let proposed = self.proposals.values().filter_map(|proposal| proposal.tokens.as_ref());
         let proposed: u64 = proposed.filter(|(name, _)| &**name == route).map(|(_, tokens)| tokens).sum();
--- a/crates/core/src/jobs/table.rs
+++ b/crates/core/src/jobs/table.rs
@@ -5,7 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::command::{ItemKey, ItemState, JobCommand, JobItem, JobKey, JobOutcome, Submission};
+use super::command::{
+    ItemKey, ItemProgress, ItemState, JobCommand, JobItem, JobKey, JobOutcome, LoggedOutput, PartialOutput, Submission,
+};
 use crate::time::UnixMillis;
 
 /// A result. Its position in its job never changes.
@@ -41,6 +43,8 @@
     pub results: Vec<ListedResult>,
     /// Whether each item is listed.
     listed: Vec<bool>,
+    /// What items without a result have put out so far.
+    partials: BTreeMap<u32, PartialOutput>,
     /// Whether the submitter ended the job.
     pub ended: bool,
 }
@@ -48,7 +52,7 @@
 impl Job {
     fn new(submission: Submission) -> Self {
         let listed = vec![false; submission.items.len()];
-        Self { submission, results: Vec::new(), listed, ended: false }
+        Self { submission, results: Vec::new(), listed, partials: BTreeMap::new(), ended: false }
     }
 
     /// Whether nothing of the job will run any more.
@@ -67,6 +71,20 @@
         (0..self.listed.len() as u32).filter(move |item| !ended && !self.is_listed(*item))
     }
 
+    /// What an item without a result has put out, as far as the log has it.
+    pub fn partial(&self, item: u32) -> Option<&PartialOutput> {
+        self.partials.get(&item)
+    }
+
+    /// Whether the log has just that much of an item's output.
+    fn follows_on(&self, item: u32, after: LoggedOutput) -> bool {
+        let logged = self
+            .partials
+            .get(&item)
+            .map(|partial| LoggedOutput { bytes: partial.text.len(), last_event: partial.last_event });
+        logged.unwrap_or_default() == after
+    }
+
     /// Tokens of items that have no result yet.
     pub fn open_tokens(&self) -> u64 {
         self.open_items().map(|item| self.submission.items[item as usize].token_count).sum()
@@ -121,7 +139,8 @@
     pub fn apply(&mut self, command: JobCommand) -> JobOutcome {
         match command {
             JobCommand::Accept(submission) => self.accept(submission),
-            JobCommand::Finish { key, state, text } => self.finish(&key, state, text),
+            JobCommand::Finish { key, state, after, text } => self.finish(&key, state, after, &text),
+            JobCommand::Progress(items) => self.progress(items),
             JobCommand::End { job } => self.end(&job),
             JobCommand::Forget { before } => self.forget(before),
         }
@@ -148,12 +167,36 @@
         JobOutcome::Accepted
     }
 
-    fn finish(&mut self, key: &ItemKey, state: ItemState, text: Arc<str>) -> JobOutcome {
+    fn progress(&mut self, items: Vec<ItemProgress>) -> JobOutcome {
+        for more in items {
+            let Some(job) = self.jobs.get_mut(&more.key.job) else { continue };
+            let item = more.key.item;
+            let is_open = !job.ended && job.listed.get(item as usize) == Some(&false);
+            if is_open && job.follows_on(item, more.after) {
+                let partial = job.partials.entry(item).or_default();
+                partial.text.push_str(&more.text);
+                partial.last_event = more.last_event;
+            }
+        }
+        JobOutcome::Listed
+    }
+
+    fn finish(&mut self, key: &ItemKey, state: ItemState, after: LoggedOutput, text: &str) -> JobOutcome {
         let Some(job) = self.jobs.get_mut(&key.job) else { return JobOutcome::UnknownJob };
         let place = key.item as usize;
         if job.ended || job.listed.get(place).copied().unwrap_or(true) {
             return JobOutcome::Dropped;
         }
+        let text = match state {
+            ItemState::GivenUp => Arc::from(""),
+            // A text that does not follow on what the log has would not be the whole output.
+            ItemState::Completed if !job.follows_on(key.item, after) => return JobOutcome::Dropped,
+            ItemState::Completed => {
+                let begun = job.partials.get(&key.item).map_or("", |partial| partial.text.as_str());
+                Arc::from(format!("{begun}{text}"))
+            }
+        };
+        job.partials.remove(&key.item);
         job.listed[place] = true;
         let item = &mut job.submission.items[place];
         job.results.push(ListedResult { item: key.item, id: item.id.clone(), state, text });
@@ -167,6 +210,7 @@
         let Some(job) = self.jobs.get_mut(key) else { return JobOutcome::UnknownJob };
         let (route, tokens) = (job.submission.route.clone(), job.open_tokens());
         job.ended = true;
+        job.partials.clear();
         self.release(&route, tokens);
         JobOutcome::Ended
     }
--- a/crates/core/tests/jobs_rules.rs
+++ b/crates/core/tests/jobs_rules.rs
@@ -5,8 +5,10 @@
 use proptest::prelude::*;
 use stallmoor_core::gateway::workers::{WorkerCount, WorkerId};
 use stallmoor_core::identity::NodeId;
-use stallmoor_core::jobs::command::{ItemKey, ItemState, JobCommand, JobItem, JobKey, JobOutcome, Submission};
-use stallmoor_core::jobs::dispatch::{Dispatcher, PartialOutput, RunEnd};
+use stallmoor_core::jobs::command::{
+    ItemKey, ItemProgress, ItemState, JobCommand, JobItem, JobKey, JobOutcome, LoggedOutput, PartialOutput, Submission,
+};
+use stallmoor_core::jobs::dispatch::{Dispatcher, RunEnd};
 use stallmoor_core::jobs::load_share::LoadShare;
 use stallmoor_core::jobs::pair::{PairRecord, PairState, PairView, StoredPair};
 use stallmoor_core::jobs::table::JobTable;
@@ -45,7 +47,7 @@
 
 fn finish(name: &str, item: u32, text: &str) -> JobCommand {
     let key = ItemKey { job: key(name), item };
-    JobCommand::Finish { key, state: ItemState::Completed, text: Arc::from(text) }
+    JobCommand::Finish { key, state: ItemState::Completed, after: LoggedOutput::default(), text: Arc::from(text) }
 }
 
 fn at(millis: u64) -> Timestamp {
@@ -110,6 +112,7 @@
             let command = match what {
                 0 => JobCommand::Accept(submission(&name, 4, u64::from(job), 1_000)),
                 1 => JobCommand::End { job: key(&name) },
+                2 => progress(&name, LoggedOutput::default(), "begun", 1),
                 _ => finish(&name, item, &format!("{job} {item} {what}")),
             };
             let decoded = JobCommand::decode(&command.encode());
@@ -164,7 +167,12 @@
     assert!(!dispatcher.run_ended(&item, &RunEnd::Failed, kept, 2, at(1_100)));
     let (_, kept) = dispatcher.take_next(at(3_000), UnixMillis(3_000)).expect("it is ready again");
     assert!(dispatcher.run_ended(&item, &RunEnd::Failed, kept, 2, at(3_100)), "the second failure ends it");
-    let given_up = JobCommand::Finish { key: item, state: ItemState::GivenUp, text: Arc::from("") };
+    let given_up = JobCommand::Finish {
+        key: item,
+        state: ItemState::GivenUp,
+        after: LoggedOutput::default(),
+        text: Arc::from(""),
+    };
     assert_eq!(dispatcher.unlisted(), vec![given_up]);
 }
 
@@ -263,3 +271,51 @@
     assert!(dissolved.allows_change(&membership, LogIndex(50)));
     assert_eq!(dissolved.next_write(&grows), None);
 }
+
+fn progress(name: &str, after: LoggedOutput, text: &str, last_event: u64) -> JobCommand {
+    let key = ItemKey { job: key(name), item: 0 };
+    JobCommand::Progress(vec![ItemProgress { key, after, text: Arc::from(text), last_event: Some(last_event) }])
+}
+
+#[test]
+fn another_leader_goes_on_from_what_the_log_has() {
+    let mut table = JobTable::default();
+    accept(&mut table, "j", 1, 0, 20_000);
+    let mut first = Dispatcher::default();
+    first.restart(&table);
+    let (item, mut output) = first.take_next(at(0), UnixMillis(0)).expect("it is ready");
+    for number in 1..=30 {
+        output.push(&format!("piece {number}"), Some(number));
+    }
+    let logged = first.progress_of(&item, &output).expect("that is much");
+    first.progress_proposed(&logged);
+    assert_eq!(first.progress_of(&item, &output), None, "nothing more came");
+    table.apply(JobCommand::Progress(vec![logged]));
+    let mut second = Dispatcher::default();
+    second.restart(&table);
+    let (item, mut output) = second.take_next(at(0), UnixMillis(0)).expect("it is ready");
+    assert_eq!(output.last_event, Some(30), "it goes on after the thirtieth event");
+    output.push("piece 31", Some(31));
+    assert!(second.run_ended(&item, &RunEnd::Completed, output, 3, at(100)));
+    let finished = second.unlisted().pop().expect("a result is due");
+    assert_eq!(table.apply(finished), JobOutcome::Listed);
+    let whole: Vec<String> = (1..=31).map(|number| format!("piece {number}")).collect();
+    assert_eq!(&*table.job(&key("j")).expect("it is there").results[0].text, whole.join("\n"));
+}
+
+#[test]
+fn a_result_that_does_not_follow_on_what_the_log_has_is_dropped() {
+    let mut table = JobTable::default();
+    accept(&mut table, "j", 1, 0, 20_000);
+    table.apply(progress("j", LoggedOutput::default(), "one", 1));
+    let logged = LoggedOutput { bytes: 3, last_event: Some(1) };
+    table.apply(progress("j", LoggedOutput::default(), "other", 2));
+    table.apply(progress("j", logged, "\ntwo", 2));
+    table.apply(progress("j", logged, "\ntwo", 2));
+    assert_eq!(table.apply(finish("j", 0, "all anew")), JobOutcome::Dropped);
+    let after = LoggedOutput { bytes: 7, last_event: Some(2) };
+    let item = ItemKey { job: key("j"), item: 0 };
+    let end = JobCommand::Finish { key: item, state: ItemState::Completed, after, text: Arc::from("\nthree") };
+    assert_eq!(table.apply(end), JobOutcome::Listed);
+    assert_eq!(&*table.job(&key("j")).expect("it is there").results[0].text, "one\ntwo\nthree");
+}
--- a/crates/core/tests/jobs_simulation.rs
+++ b/crates/core/tests/jobs_simulation.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use stallmoor_core::identity::NodeId;
-use stallmoor_core::jobs::command::{ItemKey, ItemState, JobCommand, JobItem, JobKey, Submission};
+use stallmoor_core::jobs::command::{ItemKey, ItemState, JobCommand, JobItem, JobKey, LoggedOutput, Submission};
 use stallmoor_core::jobs::directory::{StorageDirectory, StorageRecord};
 use stallmoor_core::jobs::members::{EmptyingState, Members, MembersAction};
 use stallmoor_core::jobs::node::{JobsChange, JobsEffect, JobsNode, Waiter};
@@ -367,7 +367,8 @@
             if !open.is_empty() {
                 let key = open[self.random.random_range(0..open.len())].clone();
                 let text = Arc::from(format!("output {number}"));
-                let command = JobCommand::Finish { key, state: ItemState::Completed, text };
+                let after = LoggedOutput::default();
+                let command = JobCommand::Finish { key, state: ItemState::Completed, after, text };
                 if let Ok(effects) = process.node.propose(&command, None, now) {
                     process.queue.extend(effects);
                 }
--- a/crates/gateway/src/item_run.rs
+++ b/crates/gateway/src/item_run.rs
@@ -1,6 +1,6 @@
 //! One run of a batch item at a worker.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use http_body_util::BodyExt;
@@ -8,8 +8,8 @@
 use stallmoor_core::gateway::attempt::AttemptEnd;
 use stallmoor_core::gateway::event_stream::EventSplitter;
 use stallmoor_core::gateway::workers::Choice;
-use stallmoor_core::jobs::command::JobItem;
-use stallmoor_core::jobs::dispatch::{PartialOutput, RunEnd};
+use stallmoor_core::jobs::command::{JobItem, PartialOutput};
+use stallmoor_core::jobs::dispatch::RunEnd;
 
 use tokio::sync::Notify;
 
@@ -31,22 +31,26 @@
     pub service: Arc<str>,
     /// The worker.
     pub choice: Choice,
-    /// What earlier runs put out.
-    pub output: PartialOutput,
+    /// What was put out so far, by earlier runs too. The service looks at it while the item runs.
+    pub output: Arc<Mutex<PartialOutput>>,
     /// Told when the run should stop for online requests.
     pub pause: Arc<Notify>,
 }
 
 impl ItemRun {
     /// Runs the item to its end. The output so far is handed back however that is.
-    pub async fn run(mut self, client: &WorkerClient, in_flight: InFlight) -> (RunEnd, PartialOutput) {
+    pub async fn run(self, client: &WorkerClient, in_flight: InFlight) -> (RunEnd, PartialOutput) {
         let end = self.try_run(client, in_flight).await;
-        (end, self.output)
+        (end, self.output().clone())
     }
 
-    async fn try_run(&mut self, client: &WorkerClient, in_flight: InFlight) -> RunEnd {
+    fn output(&self) -> MutexGuard<'_, PartialOutput> {
+        self.output.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn try_run(&self, client: &WorkerClient, in_flight: InFlight) -> RunEnd {
         let Ok(target) = self.item.path.parse::<Uri>() else { return RunEnd::Impossible };
-        let terms = AttemptTerms { worker: &self.choice.id, remaining: None, after_event: self.output.last_event };
+        let terms = AttemptTerms { worker: &self.choice.id, remaining: None, after_event: self.output().last_event };
         let attempt = Attempt {
             service: self.service.clone(),
             request_id: self.item.id.clone(),
@@ -71,7 +75,7 @@
         }
     }
 
-    async fn read(&mut self, client: &WorkerClient, mut answer: OpenAnswer) -> RunEnd {
+    async fn read(&self, client: &WorkerClient, mut answer: OpenAnswer) -> RunEnd {
         let mut splitter = EventSplitter::default();
         let pause = self.pause.clone();
         loop {
@@ -87,7 +91,7 @@
                         }
                     }
                 }
-                Ok(None) if splitter.pending().is_empty() && self.output.last_event.is_some() => {
+                Ok(None) if splitter.pending().is_empty() && self.output().last_event.is_some() => {
                     answer.release();
                     return RunEnd::Completed;
                 }
@@ -97,8 +101,9 @@
     }
 
     /// Takes an event that follows the last one. Returns whether the stream is in order.
-    fn take_event(&mut self, data: &str, id: Option<u64>) -> bool {
-        if let (Some(id), Some(last)) = (id, self.output.last_event) {
+    fn take_event(&self, data: &str, id: Option<u64>) -> bool {
+        let last = self.output().last_event;
+        if let (Some(id), Some(last)) = (id, last) {
             if id <= last {
                 return true;
             }
@@ -106,7 +111,7 @@
                 return false;
             }
         }
-        self.output.push(data, id);
+        self.output().push(data, id);
         true
     }
 
--- a/crates/gateway/src/storage_service/mod.rs
+++ b/crates/gateway/src/storage_service/mod.rs
@@ -88,6 +88,7 @@
     members: Members,
     founding: Option<GroupMembership>,
     last_greeting: Timestamp,
+    last_progress: Timestamp,
     last_forget: Timestamp,
     reports: mpsc::UnboundedSender<RunReport>,
     pair_reads: mpsc::UnboundedSender<Option<StoredPair>>,
@@ -138,6 +139,7 @@
             members: Members::new(parts.id, now),
             founding: None,
             last_greeting: now,
+            last_progress: now,
             last_forget: now,
             reports,
             pair_reads,
@@ -266,6 +268,13 @@
                     record(LogEvent::ItemListed, &fields);
                     reads_may_go_on = true;
                 }
+                JobsChange::NotListed(key) => {
+                    self.dispatcher.remove(&key);
+                    self.proposed.remove(&key);
+                    if let Some(job) = self.node.table().job(&key.job).filter(|_| self.leads) {
+                        self.dispatcher.add_job(job);
+                    }
+                }
                 JobsChange::Ended(job) => {
                     for key in self.dispatcher.remove_job(&job) {
                         if let Some(running) = self.running.remove(&key) {
@@ -297,6 +306,7 @@
         self.keep_members();
         if self.leads {
             self.propose_results();
+            self.propose_progress();
             self.forget();
         }
         self.workers.connections.close_stale();
--- a/crates/gateway/src/storage_service/running.rs
+++ b/crates/gateway/src/storage_service/running.rs
@@ -1,11 +1,11 @@
 //! Running items while this node leads: where each runs, when it pauses, and how it ended.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use stallmoor_core::gateway::configuration::Route;
 use stallmoor_core::gateway::workers::{WorkerAsk, WorkerId};
-use stallmoor_core::jobs::command::{ItemKey, JobCommand, JobItem, JobKey};
-use stallmoor_core::jobs::dispatch::{PartialOutput, RunEnd};
+use stallmoor_core::jobs::command::{ItemKey, ItemProgress, JobCommand, JobItem, JobKey, PartialOutput};
+use stallmoor_core::jobs::dispatch::RunEnd;
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::time::{Millis, Timestamp};
 use tokio::sync::Notify;
@@ -15,6 +15,8 @@
 use crate::item_run::ItemRun;
 use crate::journal::{Field, record};
 
+/// The time between two rounds of logging what running items have put out.
+const PROGRESS_INTERVAL: Millis = Millis(1_000);
 /// An item is given up this long after its submitter allows it, since clocks may be off.
 const GIVE_UP_MARGIN: Millis = Millis(10_000);
 
@@ -34,6 +36,8 @@
     /// Asks the run to stop and hand back what it has.
     pub(super) pause: Arc<Notify>,
     pub(super) is_pausing: bool,
+    /// What the item has put out so far.
+    pub(super) output: Arc<Mutex<PartialOutput>>,
 }
 
 impl StorageService {
@@ -141,13 +145,15 @@
         ];
         record(LogEvent::ItemRunStarted, &fields);
         let in_flight = self.workers.place(&choice, &service, &facts.prefix, true);
-        let item_run = ItemRun { item, host, service, choice, output, pause: pause.clone() };
+        let output = Arc::new(Mutex::new(output));
+        let item_run = ItemRun { item, host, service, choice, output: output.clone(), pause: pause.clone() };
         let task = tokio::spawn(async move {
             let (end, output) = item_run.run(&client, in_flight).await;
             // The service is gone only when the process ends.
             let _ = reports.send(RunReport { key: report_key, run, end, output });
         });
-        self.running.insert(key.clone(), Running { run, worker, task: task.abort_handle(), pause, is_pausing: false });
+        self.running
+            .insert(key.clone(), Running { run, worker, task: task.abort_handle(), pause, is_pausing: false, output });
         true
     }
 
@@ -195,4 +201,29 @@
             }
         }
     }
+
+    /// Logs what running items have put out, so that another leader can go on from there.
+    pub(super) fn propose_progress(&mut self) {
+        let now = self.now();
+        if now.since(self.last_progress) < PROGRESS_INTERVAL {
+            return;
+        }
+        self.last_progress = now;
+        let progress_of = |(key, running): (&ItemKey, &Running)| {
+            let output = running.output.lock().unwrap_or_else(PoisonError::into_inner);
+            self.dispatcher.progress_of(key, &output)
+        };
+        let progress: Vec<ItemProgress> = self.running.iter().filter_map(progress_of).collect();
+        if progress.is_empty() {
+            return;
+        }
+        let command = JobCommand::Progress(progress);
+        let Ok(effects) = self.node.propose(&command, None, now) else { return };
+        if let JobCommand::Progress(progress) = &command {
+            for item in progress {
+                self.dispatcher.progress_proposed(item);
+            }
+        }
+        self.take(effects);
+    }
 }
