--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -58,6 +58,37 @@
   return 1
 }
 
+# free_port: prints a port of the loopback device that is free now.
+free_port() {
+  python3 -c 'import socket; s = socket.socket(); s.bind(("127.0.0.1", 0)); print(s.getsockname()[1])'
+}
+
+# start_serving FOLDER ROLE NAME STORE: writes settings and starts a gateway or storing node on free
+# ports; for a gateway sets SERVING to the callers' address and SERVING_READINESS.
+start_serving() {
+  local folder=$1 role=$2 name=$3 store=$4
+  local settings="$folder/$name.toml"
+  {
+    echo "[node]"
+    echo "name = \"$name\""
+    echo "zone = \"zone-a\""
+    echo "address = \"127.0.0.1\""
+    [ "$role" = storage ] && echo "data_folder = \"$folder/$name\""
+    echo "[listen]"
+    echo "peer_port = $(free_port)"
+    if [ "$role" = gateway ]; then
+      SERVING="127.0.0.1:$(free_port)"
+      SERVING_READINESS="127.0.0.1:$(free_port)"
+      echo "callers = \"$SERVING\""
+      echo "readiness = \"$SERVING_READINESS\""
+    fi
+    echo "[metadata]"
+    echo "address = \"$store\""
+  } >"$settings"
+  "$BIN/stallmoor" "$role" --settings "$settings" >"$folder/$name.out" 2>"$folder/$name.err" &
+  STARTED+=("$!")
+}
+
 # wait_ready ADDRESS: waits until a node takes requests.
 wait_ready() {
   for _ in $(seq 1 300); do
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -1,10 +1,12 @@
 #!/usr/bin/env bash
 # Builds stallmoor, starts stand-ins and three storing nodes on loopback, applies the Tubigwatch set,
-# serves one online session and one batch job of 200 items, and stops everything. The last line is
+# serves one online session and one batch job of 200 items, and stops everything; then serves one stream
+# and one batch job through the platform's adapter, before a stand-in of that platform. The last line is
 # "quickstart: ok".
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/lib.sh
+. platform/quickstart.sh
 
 say() { printf '%s\n' "$*"; }
 began=$(date +%s%3N)
@@ -12,6 +14,7 @@
 
 say "building"
 cargo build --quiet --release -p stallmoor -p stallmoor-standins
+cargo build --quiet --release -p stallmoor-adapter --example standin
 BIN=${CARGO_TARGET_DIR:-target}/release
 built=$(since)
 
@@ -81,6 +84,17 @@
 say "stopping"
 stop_started
 stopped=$(since)
+
+say "the platform's adapter: one stream and one batch job before its stand-in"
+start_listening "$RUN/platform" "$BIN/examples/standin"
+platform=$LISTENING
+start_serving "$RUN" gateway gateway "$platform"
+gateway=$SERVING
+for number in 1 2 3; do start_serving "$RUN" storage "storage-$number" "$platform"; done
+wait_ready "$SERVING_READINESS"
+serve_through_adapter "$gateway" "$RUN"
+stop_started
+adapted=$(since)
 say "time: build $built ms, start $((started - built)) ms, online $((served - started)) ms," \
-  "batch $((batched - served)) ms, stop $((stopped - batched)) ms"
+  "batch $((batched - served)) ms, stop $((stopped - batched)) ms, adapter $((adapted - stopped)) ms"
 say "quickstart: ok"
