Serve figures of gateways and storing nodes as Prometheus text

Change: crates/gateway/src/measures.rs over the metrics library; listen.metrics_port; docs/METRICS.md is written and tested from the code. No port, no cost.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -27,6 +27,17 @@
 }
 
 impl AttemptEnd {
+    /// A short name, for figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotConnected => "not_connected",
+            Self::NotRun { .. } => "not_run",
+            Self::Failed { .. } => "failed",
+            Self::Broken => "broken",
+            Self::Silent => "silent",
+        }
+    }
+
     /// Whether the worker may have run the request.
     pub fn may_have_run(self) -> bool {
         !matches!(self, Self::NotConnected | Self::NotRun { .. })
--- a/crates/core/src/jobs/dispatch.rs
+++ b/crates/core/src/jobs/dispatch.rs
@@ -32,6 +32,20 @@
     NotRun,
 }
 
+impl RunEnd {
+    /// A short name, for figures.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Completed => "completed",
+            Self::Impossible => "impossible",
+            Self::Failed => "failed",
+            Self::BrokenOff => "broken_off",
+            Self::Paused => "paused",
+            Self::NotRun => "not_run",
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Phase {
     Ready,
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::NodeClock;
 use crate::journal::{Field, record};
+use crate::measures;
 use crate::metadata::{FleetUpdate, MetadataItem};
 
 /// The product's keys of storing nodes begin so.
@@ -113,6 +114,7 @@
             return;
         }
         record(LogEvent::ConfigurationInForce, &[Field::number("version", configuration.version)]);
+        measures::configuration_in_force(configuration.version);
         *known = Some(configuration.clone());
     }
 
--- a/crates/gateway/src/job_calls.rs
+++ b/crates/gateway/src/job_calls.rs
@@ -18,6 +18,7 @@
 use crate::fleet_view::FleetView;
 use crate::jobs_client::{JobsClient, NoLeader};
 use crate::journal::{Field, record};
+use crate::measures;
 use crate::refusal;
 
 /// How long a submission is tried where the caller gives no deadline.
@@ -106,6 +107,13 @@
             Field::number("age_ms", self.view.clock.now().since(arrived_at).0),
         ];
         record(LogEvent::JobAccepted, &fields);
+        measures::submitted(match result {
+            Ok(JobsAnswer::Accepted | JobsAnswer::Ended) => "accepted",
+            Ok(JobsAnswer::OverQuota { .. }) => "over_quota",
+            Ok(_) => "unexpected",
+            Err(NoLeader { may_have_arrived: true }) => "unknown",
+            Err(NoLeader { may_have_arrived: false }) => "no_leader",
+        });
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`registration`] | a storing node's record, and the founding of the group |
 //! | [`peer_link`], [`frames`] | messages between nodes |
 //! | [`headers`] | which headers are passed on |
+//! | [`measures`] | counters, gauges and histograms |
 //! | [`journal`], [`log_writer`] | structured log lines, and where they go |
 
 pub mod adapter;
@@ -38,6 +39,7 @@
 pub mod journal;
 pub mod load_sharing;
 pub mod log_writer;
+pub mod measures;
 pub mod metadata;
 pub mod online;
 pub mod peer_link;
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -20,6 +20,7 @@
 use crate::attempt::{Attempt, OpenAnswer, WorkerClient};
 use crate::dialect::AttemptTerms;
 use crate::journal::{Field, record};
+use crate::measures;
 use crate::refusal;
 
 /// The share of the objective for which a first attempt is waited for before another worker is tried.
@@ -398,6 +399,7 @@
             Field::number("age_ms", self.now().since(self.request.arrived_at).0),
         ];
         record(LogEvent::AttemptEnded, &fields);
+        measures::attempt_failed(end.name());
     }
 
     /// What decided the choice of the worker: its load and cache as believed here.
@@ -433,6 +435,7 @@
             Field::number("configuration", self.client.view.configuration().map_or(0, |known| known.version)),
         ];
         record(LogEvent::RequestRefused, &fields);
+        self.measure_end(refused.kind.code());
     }
 
     fn log_end(&self, how: &str) {
@@ -447,6 +450,12 @@
         fields.extend(self.first_event_after.map(|after| Field::number("first_event_ms", after.0)));
         fields.extend(self.choice_fields());
         record(LogEvent::RequestEnded, &fields);
+        self.measure_end(how);
+    }
+
+    fn measure_end(&self, how: &str) {
+        let took = self.now().since(self.request.arrived_at);
+        measures::request_ended(&self.request.route.name, how, self.first_event_after, took);
     }
 }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -28,6 +28,7 @@
 use crate::jobs_client::JobsClient;
 use crate::journal::{Field, record};
 use crate::load_sharing::share_loads;
+use crate::measures;
 use crate::metadata::FleetUpdate;
 use crate::registration;
 use crate::server::{CallerServer, StopPhase, serve_readiness};
@@ -89,6 +90,15 @@
     Common { view, workers }
 }
 
+/// Serves figures where the settings name a port for them.
+fn start_measures(settings: &ServingSettings) -> Result<(), ProcessError> {
+    if let Some(address) = settings.metrics_address() {
+        measures::start();
+        tokio::spawn(measures::serve(listen(address)?));
+    }
+    Ok(())
+}
+
 /// A number from the system's source of randomness.
 fn draw() -> u64 {
     Xoshiro256PlusPlus::from_os_rng().random()
@@ -136,6 +146,7 @@
 ) -> Result<(), ProcessError> {
     let callers = settings.listen.callers.ok_or(ProcessError::Lacking { field: "listen.callers" })?;
     let readiness = settings.listen.readiness.ok_or(ProcessError::Lacking { field: "listen.readiness" })?;
+    start_measures(settings)?;
     let common = common(settings, adapter);
     let (updates, received) = mpsc::unbounded_channel();
     adapter.watch(updates);
@@ -186,6 +197,7 @@
     adapter: &dyn PlatformAdapter,
 ) -> Result<(), ProcessError> {
     let folder = settings.node.data_folder.clone().ok_or(ProcessError::Lacking { field: "node.data_folder" })?;
+    start_measures(settings)?;
     let common = common(settings, adapter);
     let owner = FolderOwner {
         peer_address: settings.peer_address().to_string(),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -156,21 +156,32 @@
 
 /// Answers whether the node takes requests.
 pub async fn serve_readiness(listener: TcpListener, is_ready: impl Fn() -> bool + Clone + Send + 'static) {
+    serve_plain(listener, move |_request: &Request<Incoming>| {
+        let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+        *response.status_mut() = if is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        response
+    })
+    .await;
+}
+
+/// Serves answers that need no waiting, until the process ends.
+pub async fn serve_plain<A>(listener: TcpListener, answer: A)
+where
+    A: Fn(&Request<Incoming>) -> Response<AnswerBody> + Clone + Send + 'static,
+{
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_WAIT).await;
             continue;
         };
-        let is_ready = is_ready.clone();
-        let service = service_fn(move |_request: Request<Incoming>| {
-            let status = if is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            let mut response = Response::new(AnswerBody::whole(Bytes::new()));
-            *response.status_mut() = status;
+        let answer = answer.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let response = answer(&request);
             async move { Ok::<_, Infallible>(response) }
         });
         tokio::spawn(async move {
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            // A probe that breaks off is asked again.
+            // A question that breaks off is asked again.
             let _ = connection.await;
         });
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -85,6 +85,9 @@
     pub readiness: Option<SocketAddr>,
     /// For other nodes, on the node's address.
     pub peer_port: u16,
+    /// For the figures, on the node's address; without it none are gathered.
+    #[serde(default)]
+    pub metrics_port: Option<u16>,
 }
 
 /// The table `[metadata]`.
@@ -168,9 +171,17 @@
         if settings.listen.peer_port == 0 {
             return invalid("listen.peer_port", "must not be 0");
         }
+        if settings.listen.metrics_port == Some(settings.listen.peer_port) {
+            return invalid("listen.metrics_port", "must not be listen.peer_port");
+        }
         Ok(settings)
     }
 
+    /// Where the figures are served.
+    pub fn metrics_address(&self) -> Option<SocketAddr> {
+        self.listen.metrics_port.map(|port| SocketAddr::new(self.node.address, port))
+    }
+
     /// Where other nodes reach this one.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.node.address, self.listen.peer_port)
--- a/crates/gateway/src/storage_service/mod.rs
+++ b/crates/gateway/src/storage_service/mod.rs
@@ -31,6 +31,7 @@
 use crate::attempt::WorkerClient;
 use crate::disk_writer::{DiskWriter, WriteNumber, WriteResult};
 use crate::journal::{Field, record};
+use crate::measures;
 use crate::metadata::{FleetUpdate, MetadataStore};
 use crate::peer_link::PeerLinks;
 use crate::registration::PAIR_KEY;
@@ -305,6 +306,7 @@
         self.greet();
         self.keep_members();
         if self.leads {
+            measures::open_items(self.dispatcher.open_count());
             self.propose_results();
             self.propose_progress();
             self.forget();
@@ -346,6 +348,7 @@
             return;
         }
         self.leads = leads;
+        measures::leads(leads);
         let term = self.node.replica().term().0;
         if leads {
             record(LogEvent::LeaderElected, &[Field::number("term", term)]);
--- a/crates/gateway/src/storage_service/running.rs
+++ b/crates/gateway/src/storage_service/running.rs
@@ -14,6 +14,7 @@
 use super::StorageService;
 use crate::item_run::ItemRun;
 use crate::journal::{Field, record};
+use crate::measures;
 
 /// The time between two rounds of logging what running items have put out.
 const PROGRESS_INTERVAL: Millis = Millis(1_000);
@@ -170,6 +171,7 @@
             Field::number("events", report.output.last_event.unwrap_or(0)),
         ];
         record(LogEvent::ItemRunEnded, &fields);
+        measures::run_ended(report.end.name());
         let max_attempts = self.max_attempts(&report.key.job);
         let now = self.now();
         if self.dispatcher.run_ended(&report.key, &report.end, report.output, max_attempts, now) {
--- /dev/null
+++ b/crates/gateway/tests/measures.rs
@@ -0,0 +1,46 @@
+//! The figures: what is served, and that the page names each of them.
+
+use std::path::Path;
+
+use stallmoor_core::time::Millis;
+use stallmoor_gateway::measures::{self, ALL};
+
+#[test]
+fn what_happened_is_in_the_text() {
+    assert!(measures::render().is_empty(), "nothing is gathered before the start");
+    measures::start();
+    measures::request_ended("route-a", "whole", Some(Millis(150)), Millis(400));
+    measures::request_ended("route-a", "whole", None, Millis(400));
+    measures::attempt_failed("silent");
+    measures::leads(true);
+    let text = measures::render();
+    for line in [
+        "stallmoor_gateway_requests_total{route=\"route-a\",end=\"whole\"} 2",
+        "stallmoor_gateway_first_event_seconds_bucket{route=\"route-a\",le=\"0.2\"} 1",
+        "stallmoor_gateway_first_event_seconds_bucket{route=\"route-a\",le=\"0.1\"} 0",
+        "stallmoor_gateway_request_seconds_count{route=\"route-a\"} 2",
+        "stallmoor_gateway_failed_attempts_total{end=\"silent\"} 1",
+        "stallmoor_storage_leads 1",
+    ] {
+        assert!(text.contains(line), "{line} is not in\n{text}");
+    }
+}
+
+/// With `STALLMOOR_WRITE_DOCUMENTS=1` the page is written instead of compared.
+#[test]
+fn the_page_names_each_measure() {
+    let mut page = "# Metrics of gateways and storing nodes\n\nPrometheus text at `/metrics` on `node.address` and \
+         `listen.metrics_port`; without that setting none\nare gathered.\n\n| name | kind | labels | meaning |\n|---|---|---|---|\n"
+        .to_owned();
+    for measure in ALL {
+        page.push_str(&format!(
+            "| `{}` | {} | {} | {} |\n",
+            measure.name, measure.kind, measure.labels, measure.meaning
+        ));
+    }
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/METRICS.md");
+    if std::env::var_os("STALLMOOR_WRITE_DOCUMENTS").is_some() {
+        std::fs::write(&path, &page).expect("it can be written");
+    }
+    assert_eq!(std::fs::read_to_string(&path).expect("the page is there"), page);
+}
