Let a begun stream wait for room instead of cutting it

Change: a begun stream is offered again in rounds, 20 to 160 ms apart, while it may run and has time. Workers that may have run it stay out. A request without its first event is refused at once as before.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -68,8 +68,17 @@
 
     /// Whether another attempt is allowed.
     pub fn may_try_again(&self, kind: RouteKind, max_attempts: u32) -> bool {
-        let allowed_to_run = self.ran == 0 || (kind.may_run_again() && self.ran < max_attempts);
-        allowed_to_run && self.not_run < MOST_NOT_RUN
+        self.may_run(kind, max_attempts) && self.not_run < MOST_NOT_RUN
+    }
+
+    /// Whether the request may run once more, at any time.
+    pub fn may_run(&self, kind: RouteKind, max_attempts: u32) -> bool {
+        self.ran == 0 || (kind.may_run_again() && self.ran < max_attempts)
+    }
+
+    /// Forgets the attempts that did not run: the caller has waited since, so another round may begin.
+    pub fn begin_round(&mut self) {
+        self.not_run = 0;
     }
 
     /// Whether a promise that the request never runs would be true.
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -33,6 +33,11 @@
 const GAP_PATIENCE_PERCENT: u64 = 60;
 /// When a caller that found no room should come back.
 const COME_BACK: Millis = Millis(150);
+/// The wait before a begun stream is offered once more to workers that all had no room; doubles with each
+/// round.
+const FIRST_RESUME_WAIT: Millis = Millis(20);
+/// Longest wait between two such rounds.
+const LONGEST_RESUME_WAIT: Millis = Millis(160);
 /// An attempt needs at least this much time.
 const LEAST_REMAINING: Millis = Millis(20);
 
@@ -60,7 +65,12 @@
     request: OnlineRequest,
     service: Arc<str>,
     ledger: AttemptLedger,
+    /// Workers tried in this round.
     tried: Vec<WorkerId>,
+    /// Workers that may have run the request, in any round.
+    ran_on: Vec<WorkerId>,
+    /// Attempts made in all rounds.
+    attempts: u64,
     ends_at: Timestamp,
     /// The last event that was passed on, or that the caller had from before.
     last_event: Option<u64>,
@@ -87,6 +97,8 @@
         service,
         ledger,
         tried: Vec::new(),
+        ran_on: Vec::new(),
+        attempts: 0,
         ends_at,
         last_event,
         events: 0,
@@ -143,20 +155,20 @@
                 return Err(self.give_up(ErrorKind::NoEngine, ErrorKind::EngineLost, "no worker is left to try"));
             };
             let patience = self.patience();
+            let worker = choice.id.clone();
             match self.attempt(choice, patience).await {
                 Ok(answer) if self.should_try_elsewhere(&answer) => {
                     let end = AttemptEnd::Failed { status: answer.status.as_u16() };
                     self.client.view.workers().failed(&answer.worker, true, self.now());
                     self.log_attempt(&answer.worker, end);
-                    self.ledger.note(end);
+                    self.note_end(&answer.worker, end);
                     if !self.may_try_again() {
                         return Ok(answer);
                     }
                 }
                 Ok(answer) => return Ok(answer),
                 Err(end) => {
-                    self.note_move(end);
-                    self.ledger.note(end);
+                    self.note_end(&worker, end);
                     if !self.may_try_again() {
                         let detail = format!("the last attempt ended as {end:?}");
                         return Err(self.give_up(ErrorKind::Overloaded, ErrorKind::EngineLost, &detail));
@@ -166,10 +178,14 @@
         }
     }
 
-    fn note_move(&self, end: AttemptEnd) {
+    fn note_end(&mut self, worker: &WorkerId, end: AttemptEnd) {
         if end == AttemptEnd::Silent {
             self.client.view.moves().spend();
         }
+        if end.may_have_run() {
+            self.ran_on.push(worker.clone());
+        }
+        self.ledger.note(end);
     }
 
     fn may_try_again(&self) -> bool {
@@ -205,7 +221,8 @@
         let headers = self.client.dialect.attempt_headers(&self.request.headers, &terms);
         let worker = choice.id.clone();
         self.last_choice = Some(choice.clone());
-        if !self.tried.is_empty() {
+        self.attempts += 1;
+        if self.attempts > 1 {
             self.log_move();
         }
         self.tried.push(worker.clone());
@@ -279,20 +296,19 @@
                     let now = self.now();
                     self.client.view.workers().failed(&worker, true, now);
                     self.log_attempt(&worker, end);
-                    self.note_move(end);
-                    self.ledger.note(end);
+                    self.note_end(&worker, end);
                 }
             }
             if !self.may_run_again() || !self.may_try_again() {
                 break;
             }
             let resumed = tokio::select! {
-                resumed = self.open() => resumed,
+                resumed = self.resume() => resumed,
                 () = sender.closed() => return self.log_end("caller gone"),
             };
             match resumed {
-                Ok(answer) if answer.status.is_success() => current = answer,
-                _ => break,
+                Some(answer) => current = answer,
+                None => break,
             }
         }
         self.log_end(how);
@@ -300,6 +316,25 @@
         let _ = sender.send(Err(Aborted)).await;
     }
 
+    /// Offers a begun stream to workers until one goes on with it. A stream that the caller has begun to
+    /// read can't be refused any more, so workers without room are asked again while there is time.
+    async fn resume(&mut self) -> Option<OpenAnswer> {
+        let mut wait = FIRST_RESUME_WAIT;
+        loop {
+            if let Ok(answer) = self.open().await {
+                return answer.status.is_success().then_some(answer);
+            }
+            let may_run = self.ledger.may_run(self.request.route.kind, self.request.route.max_attempts);
+            if !may_run || self.remaining() < wait + LEAST_REMAINING {
+                return None;
+            }
+            tokio::time::sleep(Duration::from_millis(wait.0)).await;
+            wait = Millis((wait.0 * 2).min(LONGEST_RESUME_WAIT.0));
+            self.ledger.begin_round();
+            self.tried.clone_from(&self.ran_on);
+        }
+    }
+
     /// Passes on whole events until the stream ends, breaks, pauses for too long, or the caller leaves.
     async fn pass_on_from(&mut self, mut answer: OpenAnswer, sender: &PieceSender) -> StreamEnd {
         let mut splitter = EventSplitter::default();
@@ -417,7 +452,7 @@
         let mut fields = vec![
             Field::text("request", &self.request.facts.id),
             Field::number("after_event", self.last_event.unwrap_or(0)),
-            Field::number("attempt", self.tried.len() as u64 + 1),
+            Field::number("attempt", self.attempts),
             Field::number("age_ms", self.now().since(self.request.arrived_at).0),
         ];
         fields.extend(self.choice_fields());
@@ -444,7 +479,7 @@
             Field::text("route", &self.request.route.name),
             Field::text("end", how),
             Field::number("events", self.events),
-            Field::number("attempts", self.tried.len() as u64),
+            Field::number("attempts", self.attempts),
             Field::number("age_ms", self.now().since(self.request.arrived_at).0),
         ];
         fields.extend(self.first_event_after.map(|after| Field::number("first_event_ms", after.0)));
