Choose workers as if other nodes went on placing requests

Cause: gathered loads are 100 to 250 ms old, and every gateway chose the worker that looked least busy then; with 53 gateways up to 160 requests went to a few workers between two exchanges. Ruled out: too few connections (37 a node and worker), too little room overall (570 slots, about 300 in use). Change: a node raises the least busy workers to the level that unseen requests may have brought them to (gateway/unseen_load.rs), as many as others place in that time, drawn anew each time; a report newer than the gathered loads counts; what a worker told one node is told to all through the table's leader. Tests: nodes_with_the_same_news_spread_their_requests and three more; the line of gathered_loads_steer_away_from_what_other_nodes_use that let an older gathering go before a newer report was wrong in time (gathered at 0, reported at 10) and is replaced by both orders.

--- a/crates/core/src/gateway/cost.rs
+++ b/crates/core/src/gateway/cost.rs
@@ -1,5 +1,6 @@
 //! What it costs to send a request to a worker: the estimated time to its first event.
 
+use super::unseen_load::CostSlope;
 use super::workers::{WorkerAsk, WorkerEntry};
 use crate::time::{Millis, Timestamp};
 
@@ -24,21 +25,39 @@
 
 /// The estimated time to the first event, in milliseconds, with what the way there costs.
 pub(super) fn estimate_cost(entry: &WorkerEntry, ask: &WorkerAsk<'_>, is_home: bool, now: Timestamp) -> f64 {
-    let slots = f64::from(entry.record.slots.max(1));
-    let load = f64::from(entry.estimated_load(now));
     let held = f64::from(entry.cache.held_tokens(ask.prefix));
     let shared: u32 = ask.prefix.iter().rev().skip(1).map(|link| link.tokens).sum();
     let believed = if is_home { held.max(f64::from(shared) * HOME_BELIEF) } else { held };
     let unread = (f64::from(ask.prompt_tokens) - believed).max(0.0);
-    let busy = load / slots * BUSY_MS;
-    let waiting = (load + 1.0 - slots).max(0.0) * WAIT_MS;
     let away = if &*entry.record.zone == ask.zone {
         0.0
     } else {
         ZONE_MS + ask.body_bytes as f64 / 1_024.0 * ZONE_MS_PER_KILOBYTE
     };
+    unread * READ_MS_PER_TOKEN + away + load_cost(entry, now)
+}
+
+/// The part of the cost that is the same for every request: load and slowness, in milliseconds.
+pub(super) fn load_cost(entry: &WorkerEntry, now: Timestamp) -> f64 {
+    let slots = f64::from(entry.record.slots.max(1));
+    let load = f64::from(entry.estimated_load(now));
+    let busy = load / slots * BUSY_MS;
+    let waiting = (load + 1.0 - slots).max(0.0) * WAIT_MS;
     let measured = now.since(entry.measured_at).0.min(SLOWNESS_LIFETIME.0) as f64;
     let trust = 1.0 - measured / SLOWNESS_LIFETIME.0 as f64;
     let slow = (entry.slowness - SLOW_ABOVE).max(0.0) * SLOW_MS * trust;
-    unread * READ_MS_PER_TOKEN + busy + waiting + away + slow
+    busy + waiting + slow
+}
+
+/// How the load's cost rises with further requests.
+pub(super) fn cost_slope(entry: &WorkerEntry, now: Timestamp) -> CostSlope {
+    let slots = f64::from(entry.record.slots.max(1));
+    let load = f64::from(entry.estimated_load(now));
+    let per_slot = BUSY_MS / slots;
+    CostSlope {
+        cost: load_cost(entry, now),
+        free_slots: (slots - load).max(0.0),
+        per_slot,
+        per_wait: per_slot + WAIT_MS,
+    }
 }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! | [`request`] | what the decisions need to know of a request |
 //! | [`prefix_cache`] | which prompt parts a worker is thought to hold |
 //! | `cost` | what it costs to send a request to a worker |
+//! | [`unseen_load`] | requests that other nodes placed since loads were gathered |
 //! | [`workers`] | the workers, what is believed of each, and the choice among them |
 //! | [`attempt`] | how an attempt ended and what may be done next |
 //! | [`event_stream`] | splitting an answer into whole events |
@@ -19,4 +20,5 @@
 pub mod move_budget;
 pub mod prefix_cache;
 pub mod request;
+pub mod unseen_load;
 pub mod workers;
--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -7,9 +7,10 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use super::cost::estimate_cost;
+use super::cost::{cost_slope, estimate_cost, load_cost};
 use super::prefix_cache::PrefixCache;
 use super::request::PrefixLink;
+use super::unseen_load::level_after;
 use crate::hashing::{hash_bytes, rendezvous_weight};
 use crate::time::{Millis, Timestamp};
 
@@ -30,6 +31,10 @@
 const REPORT_LIFETIME: Millis = Millis(2_000);
 /// A gathered load is believed for this long.
 const SHARED_LIFETIME: Millis = Millis(1_200);
+/// How old gathered loads are on average when they arrive: nodes tell them a few times a second.
+const GATHERED_AGE: Millis = Millis(100);
+/// A report is told to other nodes while it is younger than this.
+const REPORT_TOLD_WITHIN: Millis = Millis(300);
 /// A worker that vanished without notice may still be used as a last resort for this long.
 const GONE_LAST_RESORT: Millis = Millis(1_000);
 /// A worker that is gone is forgotten after this long.
@@ -84,6 +89,26 @@
     pub requests: u32,
 }
 
+/// What one node tells of a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerNews {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The teller's requests there.
+    pub requests: u32,
+    /// All requests there, if the worker told that a moment ago.
+    pub told: Option<u32>,
+}
+
+/// What one node tells of its requests, or hears of those of all others.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadNews {
+    /// The workers that there is something to tell of.
+    pub workers: Vec<WorkerNews>,
+    /// Requests placed in a second.
+    pub placed_per_s: u32,
+}
+
 /// Whether a worker may be sent requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Presence {
@@ -99,6 +124,14 @@
     at: Timestamp,
 }
 
+impl LoadReport {
+    /// The load that was told, corrected by what this node sent and ended since.
+    fn corrected(&self, in_flight: u32) -> u32 {
+        let told = self.load.running + self.load.waiting;
+        (told + in_flight).saturating_sub(self.in_flight_then)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct SharedLoad {
     load: u32,
@@ -143,19 +176,16 @@
         }
     }
 
-    /// Requests at the worker: those of this node and, as last gathered, of all others. Where nothing
-    /// was gathered of late, the worker's own report corrected by what this node sent and ended since.
+    /// Requests at the worker: those of this node and, as last gathered, of all others. A report of the
+    /// worker that is newer than that counts where it tells more; it also knows of requests that their
+    /// senders have given up and that still run.
     pub(super) fn estimated_load(&self, now: Timestamp) -> u32 {
-        if let Some(others) = self.others.filter(|others| now.since(others.at) < SHARED_LIFETIME) {
-            return others.load + self.in_flight;
-        }
-        match self.report {
-            Some(report) if now.since(report.at) < REPORT_LIFETIME => {
-                let told = report.load.running + report.load.waiting;
-                (told + self.in_flight).saturating_sub(report.in_flight_then).max(self.in_flight)
-            }
-            _ => self.in_flight,
-        }
+        let gathered = self.others.filter(|others| now.since(others.at) < SHARED_LIFETIME);
+        let reported = self.report.filter(|report| now.since(report.at) < REPORT_LIFETIME);
+        let reported = reported.filter(|report| gathered.is_none_or(|others| report.at >= others.at));
+        let from_report = reported.map_or(0, |report| report.corrected(self.in_flight));
+        let from_others = gathered.map_or(0, |others| others.load) + self.in_flight;
+        from_others.max(from_report)
     }
 
     /// Requests of this node with the smoothed ones of all others, rounded up.
@@ -206,11 +236,21 @@
     workers: BTreeMap<WorkerId, WorkerEntry>,
     /// Smoothed time to the first event over all workers, in milliseconds.
     typical_first_ms: f64,
+    /// When the loads of all other nodes were gathered, and how fast those placed requests then.
+    gathered: Option<GatheredRate>,
+    /// Requests that this node has placed, batch items included.
+    placed: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct GatheredRate {
+    at: Timestamp,
+    placed_per_s: u32,
 }
 
 impl Default for WorkerTable {
     fn default() -> Self {
-        Self { workers: BTreeMap::new(), typical_first_ms: TYPICAL_AT_START_MS }
+        Self { workers: BTreeMap::new(), typical_first_ms: TYPICAL_AT_START_MS, gathered: None, placed: 0 }
     }
 }
 
@@ -300,9 +340,11 @@
             of_service().filter(untried).filter(|entry| is_last_resort(entry, now)).collect()
         };
         let home = self.home_of(ask, &candidates);
+        let level = self.unseen_level(&candidates, now, random);
         let cost = |entry: &WorkerEntry, random: &mut dyn FnMut() -> f64| {
             let is_home = home.as_ref() == Some(&entry.record.id);
-            estimate_cost(entry, ask, is_home, now) + random() * JITTER_MS
+            let unseen = level.map_or(0.0, |level| (level - load_cost(entry, now)).max(0.0));
+            estimate_cost(entry, ask, is_home, now) + unseen + random() * JITTER_MS
         };
         let mut draw = || random.random::<f64>();
         let chosen = candidates
@@ -319,6 +361,17 @@
         })
     }
 
+    /// The level to which requests that other nodes have placed meanwhile may have raised the cost of the
+    /// least busy workers. How many those are is drawn, up to twice what is to be expected.
+    fn unseen_level(&self, candidates: &[&WorkerEntry], now: Timestamp, random: &mut impl Rng) -> Option<f64> {
+        let gathered = self.gathered.filter(|gathered| now.since(gathered.at) < SHARED_LIFETIME)?;
+        let age = now.since(gathered.at) + GATHERED_AGE;
+        let expected = f64::from(gathered.placed_per_s) * age.0 as f64 / 1_000.0;
+        let unseen = expected * 2.0 * random.random::<f64>();
+        let slopes: Vec<_> = candidates.iter().map(|entry| cost_slope(entry, now)).collect();
+        level_after(&slopes, unseen)
+    }
+
     /// Where the shared parts of a prompt go from every node: workers of the zone first, so that
     /// nodes agree without asking each other.
     fn home_of(&self, ask: &WorkerAsk<'_>, candidates: &[&WorkerEntry]) -> Option<WorkerId> {
@@ -334,6 +387,7 @@
         if let Some(entry) = self.workers.get_mut(id) {
             entry.in_flight += 1;
             entry.cache.note(prefix, memory_tokens, now);
+            self.placed += 1;
         }
     }
 
@@ -403,6 +457,37 @@
         }
     }
 
+    /// How many requests this node has placed, batch items included.
+    pub fn placed(&self) -> u64 {
+        self.placed
+    }
+
+    /// What this node has to tell of each worker.
+    pub fn own_news(&self, now: Timestamp) -> Vec<WorkerNews> {
+        let news = |entry: &WorkerEntry| {
+            let report = entry.report.filter(|report| now.since(report.at) < REPORT_TOLD_WITHIN);
+            let told = report.map(|report| report.corrected(entry.in_flight));
+            let has_news = entry.in_flight > 0 || told.is_some();
+            has_news.then(|| WorkerNews { worker: entry.record.id.clone(), requests: entry.in_flight, told })
+        };
+        self.workers.values().filter_map(news).collect()
+    }
+
+    /// Takes what was gathered of all other nodes.
+    pub fn hear(&mut self, news: &LoadNews, now: Timestamp) {
+        let loads: Vec<WorkerCount> = news
+            .workers
+            .iter()
+            .map(|news| {
+                let own = self.workers.get(&news.worker).map_or(0, |entry| entry.in_flight);
+                let requests = news.requests.max(news.told.unwrap_or(0).saturating_sub(own));
+                WorkerCount { worker: news.worker.clone(), requests }
+            })
+            .collect();
+        self.set_shared_loads(&loads, now);
+        self.gathered = Some(GatheredRate { at: now, placed_per_s: news.placed_per_s });
+    }
+
     /// Requests of this node at each worker, those without any left out.
     pub fn own_loads(&self) -> Vec<WorkerCount> {
         let busy = self.workers.values().filter(|entry| entry.in_flight > 0);
--- a/crates/core/src/jobs/load_share.rs
+++ b/crates/core/src/jobs/load_share.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::gateway::workers::{WorkerCount, WorkerId};
+use crate::gateway::workers::{LoadNews, WorkerCount, WorkerId, WorkerNews};
 use crate::identity::NodeId;
 use crate::time::{Millis, Timestamp};
 
@@ -13,7 +13,7 @@
 const LIFETIME: Millis = Millis(1_000);
 
 struct Told {
-    loads: Vec<WorkerCount>,
+    news: LoadNews,
     at: Timestamp,
 }
 
@@ -23,21 +23,54 @@
     nodes: BTreeMap<NodeId, Told>,
 }
 
+/// What all tellers together say of one worker.
+#[derive(Clone, Copy, Default)]
+struct Total {
+    requests: u32,
+    told: Option<u32>,
+}
+
 impl LoadShare {
     /// A node told its requests.
-    pub fn tell(&mut self, node: NodeId, loads: Vec<WorkerCount>, now: Timestamp) {
-        self.nodes.insert(node, Told { loads, at: now });
+    pub fn tell(&mut self, node: NodeId, news: LoadNews, now: Timestamp) {
+        self.nodes.insert(node, Told { news, at: now });
         self.nodes.retain(|_, told| now.since(told.at) < LIFETIME);
     }
 
-    /// Requests at each worker, of all nodes but one, with `batch` added.
-    pub fn without(&self, node: Option<NodeId>, batch: &[WorkerCount], now: Timestamp) -> Vec<WorkerCount> {
+    /// What all nodes but one told, with the requests of `batch` added. What the workers themselves told
+    /// counts from every node.
+    pub fn without(&self, node: NodeId, batch: &[WorkerCount], now: Timestamp) -> LoadNews {
+        let mut totals: BTreeMap<&WorkerId, Total> = BTreeMap::new();
+        let mut placed_per_s = 0;
+        for (id, told) in self.nodes.iter().filter(|(_, told)| now.since(told.at) < LIFETIME) {
+            let is_asker = *id == node;
+            placed_per_s += if is_asker { 0 } else { told.news.placed_per_s };
+            for news in &told.news.workers {
+                let total = totals.entry(&news.worker).or_default();
+                total.requests += if is_asker { 0 } else { news.requests };
+                total.told = total.told.max(news.told);
+            }
+        }
+        for count in batch {
+            totals.entry(&count.worker).or_default().requests += count.requests;
+        }
+        let news = |(worker, total): (&WorkerId, Total)| WorkerNews {
+            worker: worker.clone(),
+            requests: total.requests,
+            told: total.told,
+        };
+        LoadNews { workers: totals.into_iter().map(news).collect(), placed_per_s }
+    }
+
+    /// Online requests at each worker, of all nodes.
+    pub fn online(&self, now: Timestamp) -> Vec<WorkerCount> {
         let mut totals: BTreeMap<&WorkerId, u32> = BTreeMap::new();
-        let others = self.nodes.iter().filter(|(id, told)| Some(**id) != node && now.since(told.at) < LIFETIME);
-        for count in others.flat_map(|(_, told)| &told.loads).chain(batch) {
-            *totals.entry(&count.worker).or_default() += count.requests;
+        let tellers = self.nodes.values().filter(|told| now.since(told.at) < LIFETIME);
+        for news in tellers.flat_map(|told| &told.news.workers) {
+            *totals.entry(&news.worker).or_default() += news.requests;
         }
-        totals.into_iter().map(|(worker, requests)| WorkerCount { worker: worker.clone(), requests }).collect()
+        let busy = totals.into_iter().filter(|(_, requests)| *requests > 0);
+        busy.map(|(worker, requests)| WorkerCount { worker: worker.clone(), requests }).collect()
     }
 
     /// Forgets everything: this node leads no longer.
--- a/crates/core/src/jobs/request.rs
+++ b/crates/core/src/jobs/request.rs
@@ -6,7 +6,7 @@
 
 use super::command::{JobKey, Submission};
 use super::table::ResultPage;
-use crate::gateway::workers::WorkerCount;
+use crate::gateway::workers::LoadNews;
 use crate::time::Millis;
 
 /// A request to the leader.
@@ -38,7 +38,7 @@
     /// The sender is there and could hold the table.
     Greet,
     /// The sender's online requests at each worker; those of all others are wanted.
-    ShareLoad(Vec<WorkerCount>),
+    ShareLoad(LoadNews),
 }
 
 /// The leader's answer.
@@ -62,7 +62,7 @@
     /// The job has ended.
     Ended,
     /// Requests at each worker, of all nodes but the asker, batch items among them.
-    Loads(Vec<WorkerCount>),
+    Loads(LoadNews),
     /// The command was proposed, and whether it took effect is not known.
     Unsure,
 }
--- a/crates/gateway/src/load_sharing.rs
+++ b/crates/gateway/src/load_sharing.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use stallmoor_core::gateway::workers::LoadNews;
 use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
-use stallmoor_core::time::Millis;
+use stallmoor_core::time::{Millis, Timestamp};
 
 use crate::fleet_view::FleetView;
 use crate::job_calls::JobCalls;
@@ -18,14 +19,35 @@
 
 /// Exchanges loads until the process ends.
 pub async fn share_loads(view: Arc<FleetView>, jobs: Arc<JobCalls>) {
+    let mut rate = PlacedRate { placed: 0, at: view.clock.now(), per_s: 0 };
     loop {
-        let own = view.workers().own_loads();
-        let is_idle = own.is_empty();
-        let until = view.clock.now() + PATIENCE;
-        if let Ok(JobsAnswer::Loads(loads)) = jobs.client.ask(JobsRequest::ShareLoad(own), until).await {
+        let now = view.clock.now();
+        let news = rate.news(&view, now);
+        let is_idle = news.workers.is_empty();
+        if let Ok(JobsAnswer::Loads(news)) = jobs.client.ask(JobsRequest::ShareLoad(news), now + PATIENCE).await {
             let now = view.clock.now();
-            view.workers().set_shared_loads(&loads, now);
+            view.workers().hear(&news, now);
         }
         tokio::time::sleep(if is_idle { IDLE_INTERVAL } else { INTERVAL }).await;
     }
 }
+
+/// How fast this node places requests.
+struct PlacedRate {
+    placed: u64,
+    at: Timestamp,
+    per_s: u32,
+}
+
+impl PlacedRate {
+    /// What this node has to tell, its rate since the last call smoothed with that before.
+    fn news(&mut self, view: &FleetView, now: Timestamp) -> LoadNews {
+        let workers = view.workers();
+        let span = now.since(self.at).0.max(1);
+        let per_s = (workers.placed() - self.placed) * 1_000 / span;
+        self.per_s = (self.per_s + u32::try_from(per_s).unwrap_or(u32::MAX)).div_ceil(2);
+        self.placed = workers.placed();
+        self.at = now;
+        LoadNews { workers: workers.own_news(now), placed_per_s: self.per_s }
+    }
+}
--- a/crates/gateway/src/storage_service/requests.rs
+++ b/crates/gateway/src/storage_service/requests.rs
@@ -32,8 +32,8 @@
             JobsRequest::ShareLoad(loads) if self.leads => {
                 self.load_share.tell(from, loads, now);
                 let batch = self.workers.view.workers().own_loads();
-                let totals = self.load_share.without(Some(from), &batch, now);
-                let online = self.load_share.without(None, &[], now);
+                let totals = self.load_share.without(from, &batch, now);
+                let online = self.load_share.online(now);
                 self.workers.view.workers().set_shared_loads(&online, now);
                 let _ = reply.send(Ok(JobsAnswer::Loads(totals)));
                 self.yield_to_online(now);
