--- a/crates/core/src/jobs/node.rs
+++ b/crates/core/src/jobs/node.rs
@@ -17,7 +17,7 @@
 use crate::time::{Millis, Timestamp};
 
 /// The log is replaced by a snapshot once it holds this many bytes.
-const COMPACT_BYTES: usize = 12 << 20;
+const COMPACT_BYTES: usize = 8 << 20;
 
 /// Names who waits for an answer, as the driver numbers them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/gateway/src/disk_writer.rs
+++ b/crates/gateway/src/disk_writer.rs
@@ -1,13 +1,13 @@
-//! The thread that writes to disk, so that nothing else waits for it.
+//! The thread that writes a replica to disk, so that nothing else waits for it.
 
 use std::sync::mpsc;
 
 use stallmoor_core::identity::GroupId;
 use stallmoor_core::replication::LogWrite;
-use stallmoor_storage::{StorageError, Store, StoreWrite};
+use stallmoor_storage::{ReplicaLog, StorageError};
 use tokio::sync::mpsc::UnboundedSender;
 
-/// Numbers the writes of one process, in order.
+/// Numbers the writes of one replica, in order.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WriteNumber(pub u64);
 
@@ -31,9 +31,10 @@
     /// # Errors
     ///
     /// The system gives no thread.
-    pub fn start(store: Store, results: UnboundedSender<WriteResult>) -> std::io::Result<Self> {
+    pub fn start(log: ReplicaLog, group: GroupId, results: UnboundedSender<WriteResult>) -> std::io::Result<Self> {
         let (jobs, receiver) = mpsc::channel();
-        std::thread::Builder::new().name("disk".to_owned()).spawn(move || write_all(&store, &receiver, &results))?;
+        let thread = std::thread::Builder::new().name(format!("disk-{}", group.0));
+        thread.spawn(move || write_all(log, &receiver, &results))?;
         Ok(Self { jobs, last: WriteNumber(0) })
     }
 
@@ -46,17 +47,16 @@
     }
 }
 
-/// Writes whatever waits in one transaction, so that one sync serves many writes.
-fn write_all(store: &Store, jobs: &mpsc::Receiver<Job>, results: &UnboundedSender<WriteResult>) {
+/// Writes whatever waits at once, so that one sync serves many writes.
+fn write_all(mut log: ReplicaLog, jobs: &mpsc::Receiver<Job>, results: &UnboundedSender<WriteResult>) {
     while let Ok(first) = jobs.recv() {
         let mut number = first.number;
-        let mut batch = StoreWrite::default();
-        batch.groups.push((GroupId(0), first.write));
+        let mut writes = vec![first.write];
         while let Ok(next) = jobs.try_recv() {
             number = next.number;
-            batch.groups.push((GroupId(0), next.write));
+            writes.push(next.write);
         }
-        let result = store.write(&batch).map(|()| number);
+        let result = log.write(&writes).map(|()| number);
         let failed = result.is_err();
         if results.send(result).is_err() || failed {
             return;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -7,13 +7,13 @@
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use snafu::{ResultExt, Snafu};
-use stallmoor_core::identity::NodeId;
+use stallmoor_core::identity::{GroupId, NodeId};
 use stallmoor_core::jobs::directory::StorageRecord;
 use stallmoor_core::jobs::node::JobsNode;
 use stallmoor_core::jobs::table::JobTable;
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::replication::ReplicaSettings;
-use stallmoor_storage::{FolderOwner, StorageError, Store};
+use stallmoor_storage::{FolderOwner, ReplicaFolder, StorageError};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -45,6 +45,8 @@
 const HAND_OVER: Duration = Duration::from_millis(1_500);
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
+/// The group that holds the job table.
+const JOBS_GROUP: GroupId = GroupId(0);
 /// Messages of peers that wait.
 const PEER_EVENTS: usize = 4_096;
 
@@ -205,17 +207,18 @@
         fresh_identity: fresh_identity(),
     };
     let is_readable = |state: &[u8]| JobTable::decode(state).is_some();
-    let mut opened = Store::open_checked(&folder, &owner, is_readable).context(DiskSnafu)?;
+    let mut opened = ReplicaFolder::open(&folder, &owner, is_readable).context(DiskSnafu)?;
     if opened.formatted {
         record(LogEvent::StoreFormatted, &[Field::text("node", opened.identity)]);
     }
-    let persisted = opened.persisted.groups.remove(&stallmoor_core::identity::GroupId(0)).unwrap_or_default();
+    let log = opened.take(JOBS_GROUP).context(DiskSnafu)?;
+    let persisted = log.contents().clone();
     let id = opened.identity;
     let now = common.view.clock.now();
     let node =
         JobsNode::new(id, ReplicaSettings::default(), persisted, now, draw()).ok_or(ProcessError::UnreadableTable)?;
     let (results, writes) = mpsc::unbounded_channel();
-    let disk = DiskWriter::start(opened.store, results).context(SystemSnafu { what: "the disk's thread" })?;
+    let disk = DiskWriter::start(log, JOBS_GROUP, results).context(SystemSnafu { what: "the disk's thread" })?;
     let (peer_events, peers) = mpsc::channel(PEER_EVENTS);
     tokio::spawn(accept_peers(listen(settings.peer_address())?, peer_events));
     let (updates, received) = mpsc::unbounded_channel();
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::{Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, TableDefinition};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 use stallmoor_core::configuration::bundle::PartContents;
@@ -234,6 +234,30 @@
         Ok(())
     }
 
+    /// Removes all logs and snapshots, if there are any.
+    pub(crate) fn clear_replicas(&self) -> Result<(), StorageError> {
+        self.try_clear_replicas().context(DatabaseSnafu { folder: &self.folder })
+    }
+
+    fn try_clear_replicas(&self) -> Result<(), redb::Error> {
+        let reading = self.database.begin_read()?;
+        if reading.open_table(HARD_STATES)?.is_empty()? && reading.open_table(ENTRIES)?.is_empty()? {
+            return Ok(());
+        }
+        drop(reading);
+        let transaction = self.database.begin_write()?;
+        transaction.open_table(HARD_STATES)?.retain(|_, _| false)?;
+        transaction.open_table(SNAPSHOTS)?.retain(|_, _| false)?;
+        transaction.open_table(ENTRIES)?.retain(|_, _| false)?;
+        transaction.commit()?;
+        Ok(())
+    }
+
+    /// Sets the store of a folder aside, so that the next opening formats it anew.
+    pub(crate) fn set_aside(folder: &Path) -> Result<PathBuf, StorageError> {
+        set_aside(folder)
+    }
+
     fn write_header(&self, header: &Header) -> Result<(), StorageError> {
         self.try_write_header(header).context(DatabaseSnafu { folder: &self.folder })
     }
