Keep as many replicas as the tolerated losses need

Cause: the group was founded with 5 voters where two disks may be lost at once, and the repair plan, which knew only the constant 3, took two of them out as surplus 0.1 s later. Change: the plan is told how many voters are wanted; 2 x tolerated + 1 for storing nodes. Tests: two_disks_lost_at_once_are_borne_where_two_have_to_be and two_disks_lost_while_all_others_lose_power_lose_nothing in jobs_simulation, both failed with the plan at 3.

--- a/crates/core/src/control/repair.rs
+++ b/crates/core/src/control/repair.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeSet;
 
-use super::founding::{REPLICAS_PER_GROUP, StoreCandidate, rank_candidates};
+use super::founding::{StoreCandidate, rank_candidates};
 use crate::identity::{GroupId, NodeId};
 use crate::replication::{GroupMembership, MembershipChange};
 use crate::time::Millis;
@@ -33,6 +33,8 @@
     pub leader: NodeId,
     /// Its membership.
     pub membership: &'a GroupMembership,
+    /// How many voters it should have.
+    pub wanted: usize,
     /// What is known of its members.
     pub health: &'a [ReplicaHealth],
     /// All nodes that store and are present, members included.
@@ -56,14 +58,14 @@
     let sound = input.membership.voters.iter().filter(|voter| !lost.contains(voter)).count();
     let lost_voter = input.membership.voters.iter().find(|voter| lost.contains(voter));
     if let Some(voter) = lost_voter
-        && sound >= REPLICAS_PER_GROUP
+        && sound >= input.wanted
     {
         return Some(RepairStep(MembershipChange::Remove(*voter)));
     }
-    if sound > REPLICAS_PER_GROUP {
+    if sound > input.wanted {
         return choose_surplus(input).map(|node| RepairStep(MembershipChange::Remove(node)));
     }
-    if sound < REPLICAS_PER_GROUP && input.membership.learners.is_empty() {
+    if sound < input.wanted && input.membership.learners.is_empty() {
         return choose_spare(input, &lost).map(|node| RepairStep(MembershipChange::AddLearner(node)));
     }
     None
--- a/crates/core/src/jobs/members.rs
+++ b/crates/core/src/jobs/members.rs
@@ -9,7 +9,7 @@
 use super::directory::StorageDirectory;
 use super::pair::{PairRecord, PairView, StoredPair};
 use crate::control::{RepairInput, ReplicaHealth, StoreCandidate, plan_repair};
-use crate::identity::{GroupId, NodeId};
+use crate::identity::NodeId;
 use crate::replication::{GroupMembership, MembershipChange, Replica};
 use crate::time::{Millis, Timestamp};
 
@@ -22,6 +22,12 @@
 /// A member of a pair counts as lost once it was not heard of for this long.
 const PAIR_LOST_AFTER: Millis = Millis(3_500);
 
+/// How many voters bear the loss of `tolerated` of them: what a majority holds is then still held by a
+/// majority's worth of the rest.
+pub fn voters_bearing(tolerated: usize) -> usize {
+    2 * tolerated + 1
+}
+
 /// How far the emptying of a machine is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EmptyingState {
@@ -60,6 +66,8 @@
 #[derive(Clone, Debug)]
 pub struct Members {
     own: NodeId,
+    /// How many voters the group should have.
+    wanted: usize,
     started_at: Timestamp,
     looked_at: Timestamp,
     heard: BTreeMap<NodeId, Timestamp>,
@@ -69,10 +77,11 @@
 }
 
 impl Members {
-    /// Knows nothing of the others yet.
-    pub fn new(own: NodeId, now: Timestamp) -> Self {
+    /// Knows nothing of the others yet. The group should bear the loss of `tolerated` disks at once.
+    pub fn new(own: NodeId, tolerated: usize, now: Timestamp) -> Self {
         Self {
             own,
+            wanted: voters_bearing(tolerated),
             started_at: now,
             looked_at: now,
             heard: BTreeMap::new(),
@@ -174,8 +183,14 @@
                 is_caught_up: self.is_caught_up(replica, node),
             })
             .collect();
-        let input =
-            RepairInput { group: GroupId(0), leader: self.own, membership, health: &health, candidates: &candidates };
+        let input = RepairInput {
+            group: replica.group(),
+            leader: self.own,
+            membership,
+            wanted: self.wanted,
+            health: &health,
+            candidates: &candidates,
+        };
         let step = plan_repair(&input).map(|step| step.0);
         // Where no spare takes an emptied machine's place, the others go on without it.
         let emptied_voter = || membership.voters.iter().copied().find(|voter| emptied.contains(voter));
--- a/crates/core/src/node/groups.rs
+++ b/crates/core/src/node/groups.rs
@@ -11,7 +11,9 @@
 use super::peer_message::{GroupAnswer, GroupAnswerBody, GroupRefusal, GroupRequest, GroupRequestBody, PeerMessage};
 use super::settings::NodeSettings;
 use super::status::GroupStatus;
-use crate::control::{DirectoryEntry, REPAIR_DELAY, RepairInput, ReplicaHealth, StoreCandidate, plan_repair};
+use crate::control::{
+    DirectoryEntry, REPAIR_DELAY, REPLICAS_PER_GROUP, RepairInput, ReplicaHealth, StoreCandidate, plan_repair,
+};
 use crate::identity::{GroupId, JobId, NodeId};
 use crate::log_event::LogEvent;
 use crate::partition::{Command, CommandOutcome, JobPhase, PartitionState};
@@ -383,6 +385,7 @@
             let input = RepairInput {
                 group,
                 leader: self.settings.id,
+                wanted: REPLICAS_PER_GROUP,
                 membership: &membership,
                 health: &health,
                 candidates: &candidates,
--- a/crates/core/tests/jobs_simulation.rs
+++ b/crates/core/tests/jobs_simulation.rs
@@ -60,6 +60,8 @@
 }
 
 struct World {
+    /// Disks that may be lost at once.
+    tolerated: usize,
     now: u64,
     random: Xoshiro256PlusPlus,
     machines: BTreeMap<String, Machine>,
@@ -99,7 +101,12 @@
 
 impl World {
     fn new(seed: u64, machine_count: u64) -> Self {
+        Self::tolerating(1, seed, machine_count)
+    }
+
+    fn tolerating(tolerated: usize, seed: u64, machine_count: u64) -> Self {
         let mut world = Self {
+            tolerated,
             now: 1_000_000,
             random: Xoshiro256PlusPlus::seed_from_u64(seed),
             machines: BTreeMap::new(),
@@ -115,7 +122,7 @@
         for _ in 0..machine_count {
             world.add_machine();
         }
-        let founders: Vec<NodeId> = world.machines.values().map(|machine| machine.id).take(3).collect();
+        let founders: Vec<NodeId> = world.machines.values().map(|machine| machine.id).take(2 * tolerated + 1).collect();
         let now = world.time();
         let names: Vec<String> = world.machines.keys().cloned().collect();
         for name in &names {
@@ -163,7 +170,7 @@
         let machine = self.machines.get_mut(name).expect("it exists");
         let settings = ReplicaSettings::default();
         let node = JobsNode::new(machine.id, settings, machine.disk.clone(), now, seed).expect("it can be read");
-        let members = Members::new(machine.id, now);
+        let members = Members::new(machine.id, self.tolerated, now);
         machine.process = Some(Process { node, members, queue: VecDeque::new(), syncing: None, greeted_at: 0 });
         machine.starts_at = None;
         let record = StorageRecord {
@@ -422,12 +429,15 @@
                 }
             }
             2 | 3 if self.may_lose_disk() => {
-                let name = self.random_machine();
-                self.lose_disk(&name, 1_500);
+                // Those that are struck have no process, so that none is drawn twice.
+                for _ in 0..self.random.random_range(1..=self.tolerated) {
+                    let name = self.random_machine();
+                    self.lose_disk(&name, 1_500);
+                }
                 // At times all others lose power at the same moment.
                 if self.random.random::<bool>() {
                     for other in self.machines.keys().cloned().collect::<Vec<_>>() {
-                        if other != name && self.machines[&other].process.is_some() {
+                        if self.machines[&other].process.is_some() {
                             self.lose_power(&other, 900);
                         }
                     }
@@ -535,3 +545,36 @@
         world.check();
     }
 }
+
+#[test]
+fn two_disks_lost_at_once_are_borne_where_two_have_to_be() {
+    for seed in 1..=24 {
+        let mut world = World::tolerating(2, seed, 6 + seed % 3);
+        world.run_for(3_000);
+        for _ in 0..6 {
+            world.strike();
+            let pause = world.random.random_range(200..3_000);
+            world.run_for(pause);
+        }
+        world.check();
+    }
+}
+
+#[test]
+fn two_disks_lost_while_all_others_lose_power_lose_nothing() {
+    for seed in 1..=16 {
+        let mut world = World::tolerating(2, seed, 7);
+        world.run_for(3_000);
+        for _ in 0..2 {
+            let name = world.random_machine();
+            world.lose_disk(&name, 1_000);
+        }
+        for name in world.machines.keys().cloned().collect::<Vec<_>>() {
+            if world.machines[&name].process.is_some() {
+                world.lose_power(&name, 1_000);
+            }
+        }
+        world.run_for(6_000);
+        world.check();
+    }
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -225,9 +225,8 @@
     let (further, service_updates) = mpsc::unbounded_channel();
     adapter.watch(updates);
     tokio::spawn(follow_updates(common.view.clone(), received, Some(further)));
-    let machine: Arc<str> = Arc::from(settings.node.name.as_str());
     let own = StorageRecord {
-        name: machine.clone(),
+        name: Arc::from(settings.node.name.as_str()),
         node: id,
         address: settings.peer_address(),
         zone: Arc::from(settings.node.zone.as_str()),
@@ -242,7 +241,14 @@
         founders,
     ));
     let (stop, stopping) = watch::channel(false);
-    let parts = StorageParts { node, id, machine, workers: common.workers, metadata: adapter.metadata(), disk };
+    let parts = StorageParts {
+        node,
+        id,
+        tolerated: settings.tolerance.machines,
+        workers: common.workers,
+        metadata: adapter.metadata(),
+        disk,
+    };
     let inputs = StorageInputs { peers, writes, updates: service_updates, founding, stop: stopping };
     log_start(settings, "storage");
     let service = StorageService::run(parts, inputs);
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::jobs::directory::StorageRecord;
+use stallmoor_core::jobs::members::voters_bearing;
 use stallmoor_core::replication::GroupMembership;
 use stallmoor_core::time::Millis;
 use tokio::sync::mpsc::UnboundedSender;
@@ -61,7 +62,7 @@
     founders: UnboundedSender<GroupMembership>,
 ) {
     let started = view.clock.now();
-    let wanted = 2 * tolerated + 1;
+    let wanted = voters_bearing(tolerated);
     loop {
         if let Some(item) = metadata.get(FOUNDING_KEY.to_owned()).await {
             let stored = item.value.and_then(|value| serde_json::from_slice::<FoundingRecord>(&value).ok());
--- a/crates/gateway/src/storage_service/mod.rs
+++ b/crates/gateway/src/storage_service/mod.rs
@@ -55,8 +55,8 @@
     pub node: JobsNode,
     /// The node's identity.
     pub id: NodeId,
-    /// The machine's name.
-    pub machine: Arc<str>,
+    /// Losses of disks that must be borne at once.
+    pub tolerated: usize,
     /// The way to workers, and what is known of the fleet.
     pub workers: Arc<WorkerClient>,
     /// The metadata store's writes.
@@ -137,7 +137,7 @@
             next_run: 0,
             leads: false,
             proposed: HashSet::new(),
-            members: Members::new(parts.id, now),
+            members: Members::new(parts.id, parts.tolerated, now),
             founding: None,
             last_greeting: now,
             last_progress: now,
