Refuse jobs before the disk is full; forget results after the time that they are kept

Jobs that were over stayed for 600 s whatever the platform asks; tolerated zones were not read, so that a deployment that tolerates a zone and no machine would have had one replica. Change: gateway/disk_budget.rs: a job is refused (503, when to come back) once two generations of the replica's files would take 70% of the disk; jobs.results_kept_s, jobs.disk_mb, tolerance.zones and .regions from the template.

--- a/crates/core/src/jobs/command.rs
+++ b/crates/core/src/jobs/command.rs
@@ -75,6 +75,11 @@
     pub fn token_count(&self) -> u64 {
         self.items.iter().map(|item| item.token_count).sum()
     }
+
+    /// The bytes of all bodies.
+    pub fn bytes(&self) -> u64 {
+        self.items.iter().map(|item| item.body.len() as u64).sum()
+    }
 }
 
 /// How an item ended.
--- a/crates/core/src/jobs/request.rs
+++ b/crates/core/src/jobs/request.rs
@@ -51,6 +51,8 @@
         /// Tokens that wait now.
         waiting: u64,
     },
+    /// The disks have no room for the job, and nothing of it was taken.
+    NoRoom,
     /// There is no such job.
     UnknownJob,
     /// Results.
--- a/crates/gateway/src/disk_writer.rs
+++ b/crates/gateway/src/disk_writer.rs
@@ -16,8 +16,17 @@
     write: LogWrite,
 }
 
-/// How the writes up to a number ended.
-pub type WriteResult = Result<WriteNumber, StorageError>;
+/// How far the disk is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Written {
+    /// The last write that is durable.
+    pub number: WriteNumber,
+    /// Bytes that the replica's files have.
+    pub bytes: u64,
+}
+
+/// How writes ended.
+pub type WriteResult = Result<Written, StorageError>;
 
 /// Hands writes to the thread.
 pub struct DiskWriter {
@@ -56,7 +65,7 @@
             number = next.number;
             writes.push(next.write);
         }
-        let result = log.write(&writes).map(|()| number);
+        let result = log.write(&writes).map(|()| Written { number, bytes: log.bytes() });
         let failed = result.is_err();
         if results.send(result).is_err() || failed {
             return;
--- a/crates/gateway/src/job_calls.rs
+++ b/crates/gateway/src/job_calls.rs
@@ -68,6 +68,10 @@
                 let refused = Refusal::new(ErrorKind::TenantLimit, detail).with_retry_after(OVER_QUOTA_COME_BACK.0);
                 refusal::answer(&refused)
             }
+            Ok(JobsAnswer::NoRoom) => {
+                let refused = Refusal::new(ErrorKind::StateUnavailable, "the storing nodes' disks have no room");
+                refusal::answer(&refused.with_retry_after(OVER_QUOTA_COME_BACK.0))
+            }
             Ok(_) => refusal::of_kind(ErrorKind::Internal, "an answer that does not fit a submission"),
             Err(no_leader) => refusal::answer(&refuse_without_leader(no_leader)),
         }
@@ -110,6 +114,7 @@
         measures::submitted(match result {
             Ok(JobsAnswer::Accepted | JobsAnswer::Ended) => "accepted",
             Ok(JobsAnswer::OverQuota { .. }) => "over_quota",
+            Ok(JobsAnswer::NoRoom) => "no_room",
             Ok(_) => "unexpected",
             Err(NoLeader { may_have_arrived: true }) => "unknown",
             Err(NoLeader { may_have_arrived: false }) => "no_leader",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod clock;
 pub mod connections;
 pub mod dialect;
+pub mod disk_budget;
 pub mod disk_writer;
 pub mod fleet_view;
 pub mod frames;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -22,6 +22,7 @@
 use crate::attempt::WorkerClient;
 use crate::clock::NodeClock;
 use crate::connections::ConnectionPool;
+use crate::disk_budget::DiskBudget;
 use crate::disk_writer::DiskWriter;
 use crate::fleet_view::FleetView;
 use crate::job_calls::JobCalls;
@@ -237,17 +238,19 @@
         common.view.clone(),
         adapter.metadata(),
         id,
-        settings.tolerance.machines,
+        settings.tolerance.replicas(),
         founders,
     ));
     let (stop, stopping) = watch::channel(false);
     let parts = StorageParts {
         node,
         id,
-        tolerated: settings.tolerance.machines,
+        tolerated: settings.tolerance.replicas(),
         workers: common.workers,
         metadata: adapter.metadata(),
         disk,
+        budget: DiskBudget::new(settings.jobs.disk_bytes()),
+        results_kept: settings.jobs.results_kept(),
     };
     let inputs = StorageInputs { peers, writes, updates: service_updates, founding, stop: stopping };
     log_start(settings, "storage");
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
+use stallmoor_core::time::Millis;
 
 /// Why settings can't be used.
 #[derive(Debug, Snafu)]
@@ -50,6 +51,9 @@
     /// What the system must bear.
     #[serde(default)]
     pub tolerance: ToleranceTable,
+    /// Batch jobs, at a storing node.
+    #[serde(default)]
+    pub jobs: JobsTable,
     /// The planned stop.
     #[serde(default)]
     pub stop: StopTable,
@@ -103,12 +107,61 @@
 #[serde(deny_unknown_fields)]
 pub struct ToleranceTable {
     /// How many storing machines may be lost at once.
+    #[serde(default)]
     pub machines: usize,
+    /// How many zones may be lost at once.
+    #[serde(default)]
+    pub zones: usize,
+    /// How many regions may be lost at once.
+    #[serde(default)]
+    pub regions: usize,
 }
 
 impl Default for ToleranceTable {
     fn default() -> Self {
-        Self { machines: 1 }
+        Self { machines: 1, zones: 0, regions: 0 }
+    }
+}
+
+impl ToleranceTable {
+    /// How many replicas may be lost at once. Replicas lie in as many zones as there are, so each lost
+    /// zone or region costs one of those that are needed, at the least.
+    pub fn replicas(&self) -> usize {
+        self.machines.max(self.zones).max(self.regions)
+    }
+}
+
+/// The table `[jobs]`.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobsTable {
+    /// How long a job's results are kept, from its submission on, in seconds.
+    #[serde(default = "JobsTable::usual_results_kept")]
+    pub results_kept_s: f64,
+    /// Bytes of the disk, in megabytes (1,000,000 bytes); 0 if there is no known end.
+    #[serde(default)]
+    pub disk_mb: f64,
+}
+
+impl JobsTable {
+    const fn usual_results_kept() -> f64 {
+        600.0
+    }
+
+    /// How long results are kept, from the submission on.
+    pub fn results_kept(&self) -> Millis {
+        Millis((self.results_kept_s * 1_000.0) as u64)
+    }
+
+    /// Bytes of the disk, if it has a known end.
+    pub fn disk_bytes(&self) -> Option<u64> {
+        (self.disk_mb > 0.0).then_some((self.disk_mb * 1e6) as u64)
+    }
+}
+
+impl Default for JobsTable {
+    fn default() -> Self {
+        Self { results_kept_s: Self::usual_results_kept(), disk_mb: 0.0 }
     }
 }
 
@@ -168,6 +221,12 @@
         if !(0.1..=3_600.0).contains(&settings.stop.grace_s) {
             return invalid("stop.grace_s", "must be from 0.1 to 3600");
         }
+        if !(1.0..=1e7).contains(&settings.jobs.results_kept_s) {
+            return invalid("jobs.results_kept_s", "must be from 1 to 10000000");
+        }
+        if !(0.0..=1e9).contains(&settings.jobs.disk_mb) {
+            return invalid("jobs.disk_mb", "must be from 0 to 1000000000");
+        }
         if settings.listen.peer_port == 0 {
             return invalid("listen.peer_port", "must not be 0");
         }
--- a/crates/gateway/src/storage_service/mod.rs
+++ b/crates/gateway/src/storage_service/mod.rs
@@ -29,7 +29,8 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::attempt::WorkerClient;
-use crate::disk_writer::{DiskWriter, WriteNumber, WriteResult};
+use crate::disk_budget::DiskBudget;
+use crate::disk_writer::{DiskWriter, WriteNumber, WriteResult, Written};
 use crate::journal::{Field, record};
 use crate::measures;
 use crate::metadata::{FleetUpdate, MetadataStore};
@@ -44,10 +45,10 @@
 const TICK: Duration = Duration::from_millis(40);
 /// The time between two greetings of a spare.
 const GREETING_INTERVAL: Millis = Millis(400);
-/// Jobs that are over are remembered this long after they came.
-const REMEMBERED: Millis = Millis(600_000);
+/// Jobs that are over are remembered this much longer than their results have to be kept, since clocks differ.
+const FORGET_MARGIN: Millis = Millis(60_000);
 /// The time between two rounds of forgetting.
-const FORGET_INTERVAL: Millis = Millis(60_000);
+const FORGET_INTERVAL: Millis = Millis(15_000);
 
 /// What the service is made of.
 pub struct StorageParts {
@@ -63,6 +64,10 @@
     pub metadata: Arc<dyn MetadataStore>,
     /// The disk.
     pub disk: DiskWriter,
+    /// How much of the disk may be used.
+    pub budget: DiskBudget,
+    /// How long results are kept, from the submission on.
+    pub results_kept: Millis,
 }
 
 /// A storing node at work.
@@ -72,6 +77,8 @@
     workers: Arc<WorkerClient>,
     metadata: Arc<dyn MetadataStore>,
     disk: DiskWriter,
+    budget: DiskBudget,
+    results_kept: Millis,
     links: PeerLinks,
     /// Effects that wait for the disk, in order.
     queue: VecDeque<JobsEffect>,
@@ -126,6 +133,8 @@
             workers: parts.workers,
             metadata: parts.metadata,
             disk: parts.disk,
+            budget: parts.budget,
+            results_kept: parts.results_kept,
             queue: VecDeque::new(),
             awaited_write: None,
             replies: HashMap::new(),
@@ -205,8 +214,9 @@
         }
     }
 
-    fn on_written(&mut self, number: WriteNumber) {
-        if self.awaited_write.is_some_and(|awaited| awaited <= number) {
+    fn on_written(&mut self, written: Written) {
+        self.budget.used(written.bytes);
+        if self.awaited_write.is_some_and(|awaited| awaited <= written.number) {
             self.awaited_write = None;
             self.advance();
         }
@@ -370,7 +380,8 @@
             return;
         }
         self.last_forget = now;
-        let before = UnixMillis(self.workers.view.clock.civil().0.saturating_sub(REMEMBERED.0));
+        let remembered = self.results_kept + FORGET_MARGIN;
+        let before = UnixMillis(self.workers.view.clock.civil().0.saturating_sub(remembered.0));
         if let Ok(effects) = self.node.propose(&JobCommand::Forget { before }, None, now) {
             self.take(effects);
         }
--- a/crates/gateway/src/storage_service/requests.rs
+++ b/crates/gateway/src/storage_service/requests.rs
@@ -1,7 +1,7 @@
 //! What other nodes ask of the leader.
 
 use stallmoor_core::identity::NodeId;
-use stallmoor_core::jobs::command::{JobCommand, JobKey};
+use stallmoor_core::jobs::command::{JobCommand, JobKey, Submission};
 use stallmoor_core::jobs::node::{JobsEffect, NotProposed, Waiter};
 use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
 use stallmoor_core::node::GroupRefusal;
@@ -44,6 +44,9 @@
             JobsRequest::ShareLoad(_) => {
                 let _ = reply.send(Err(self.refusal()));
             }
+            JobsRequest::Submit(submission) if self.lacks_room(&submission) => {
+                let _ = reply.send(Ok(JobsAnswer::NoRoom));
+            }
             JobsRequest::Submit(submission) => {
                 let waiter = self.wait(reply);
                 let proposed = self.node.submit(submission, waiter, now);
@@ -70,6 +73,12 @@
         }
     }
 
+    /// Whether the disk has no room for a job that is not in the table yet.
+    fn lacks_room(&self, submission: &Submission) -> bool {
+        let is_new = self.node.table().job(&submission.key).is_none();
+        is_new && !self.budget.has_room_for(submission.bytes())
+    }
+
     pub(super) fn wait(&mut self, reply: Reply) -> Waiter {
         self.next_waiter += 1;
         let waiter = Waiter(self.next_waiter);
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use stallmoor_gateway::disk_budget::DiskBudget;
 use stallmoor_gateway::settings::ServingSettings;
 
 const SOUND: &str = "\
@@ -31,6 +32,41 @@
     assert!(problem(&SOUND.replace("name = \"a\"", "name = \"\"")).contains("node.name"));
     assert!(problem(&SOUND.replace("peer_port = 7000", "peer_port = 0")).contains("listen.peer_port"));
     assert!(problem(&format!("{SOUND}[stop]\ngrace_s = 0.0\n")).contains("stop.grace_s"));
+    assert!(problem(&format!("{SOUND}[jobs]\nresults_kept_s = 0\n")).contains("jobs.results_kept_s"));
+    assert!(problem(&format!("{SOUND}[jobs]\ndisk_mb = -1\n")).contains("jobs.disk_mb"));
     assert!(problem(&format!("{SOUND}[surprise]\nx = 1\n")).contains("surprise"));
     assert!(problem(&format!("{SOUND}[log]\nlevel = \"loud\"\n")).contains("level"));
 }
+
+#[test]
+fn replicas_are_enough_for_whatever_may_be_lost_at_once() {
+    let tolerance = |text: &str| {
+        let text = format!("{SOUND}[tolerance]\n{text}\n");
+        ServingSettings::parse(&text, Path::new("node.toml")).expect("they are sound").tolerance.replicas()
+    };
+    assert_eq!(tolerance("machines = 2"), 2);
+    assert_eq!(tolerance("machines = 0\nzones = 1"), 1);
+    assert_eq!(tolerance("machines = 1\nzones = 1\nregions = 2"), 2);
+}
+
+#[test]
+fn the_disk_and_the_time_that_results_are_kept_are_read() {
+    let text = format!("{SOUND}[jobs]\nresults_kept_s = 120\ndisk_mb = 47\n");
+    let settings = ServingSettings::parse(&text, Path::new("node.toml")).expect("they are sound");
+    assert_eq!(settings.jobs.results_kept().0, 120_000);
+    assert_eq!(settings.jobs.disk_bytes(), Some(47_000_000));
+}
+
+#[test]
+fn a_job_is_taken_only_while_the_disk_has_room_for_a_second_snapshot() {
+    let mut budget = DiskBudget::new(Some(100_000_000));
+    assert!(budget.has_room_for(1_000_000));
+    budget.used(34_000_000);
+    assert!(budget.has_room_for(1_000_000));
+    assert!(!budget.has_room_for(2_000_000));
+    budget.used(36_000_000);
+    assert!(!budget.has_room_for(0));
+    let mut endless = DiskBudget::new(None);
+    endless.used(u64::MAX / 4);
+    assert!(endless.has_room_for(1 << 40));
+}
--- a/crates/storage/src/replica_log.rs
+++ b/crates/storage/src/replica_log.rs
@@ -82,6 +82,14 @@
         }
     }
 
+    fn snapshot_bytes(&self) -> io::Result<u64> {
+        match fs::metadata(&self.snapshot) {
+            Ok(found) => Ok(found.len()),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(0),
+            Err(error) => Err(error),
+        }
+    }
+
     fn remove(&self) -> io::Result<()> {
         for path in [&self.log, &self.snapshot] {
             match fs::remove_file(path) {
@@ -101,7 +109,10 @@
     file: File,
     /// What the files hold. Payloads are shared with the replica in memory.
     contents: PersistedReplica,
+    /// Bytes of the log file.
     bytes: u64,
+    /// Bytes of the snapshot's file.
+    snapshot_bytes: u64,
 }
 
 /// A replica's files as they were found.
@@ -146,7 +157,9 @@
         file.set_len(bytes)?;
         file.sync_all()?;
         sync_folder(folder)?;
-        let log = Self { folder: folder.to_owned(), group, generation: number, file, contents, bytes };
+        let snapshot_bytes = Generation::new(folder, group, number).snapshot_bytes()?;
+        let folder = folder.to_owned();
+        let log = Self { folder, group, generation: number, file, contents, bytes, snapshot_bytes };
         Ok(FoundReplica::Sound(Box::new(log)))
     }
 
@@ -157,12 +170,13 @@
     /// The file system refused something.
     pub fn create(folder: &Path, group: GroupId, contents: PersistedReplica) -> Result<Self, StorageError> {
         let make = || {
-            let (file, bytes) = write_generation(&Generation::new(folder, group, 1), &contents)?;
+            let first = Generation::new(folder, group, 1);
+            let (file, bytes) = write_generation(&first, &contents)?;
             sync_folder(folder)?;
-            Ok((file, bytes))
+            Ok((file, bytes, first.snapshot_bytes()?))
         };
-        let (file, bytes) = make().context(FolderSnafu { folder })?;
-        Ok(Self { folder: folder.to_owned(), group, generation: 1, file, contents, bytes })
+        let (file, bytes, snapshot_bytes) = make().context(FolderSnafu { folder })?;
+        Ok(Self { folder: folder.to_owned(), group, generation: 1, file, contents, bytes, snapshot_bytes })
     }
 
     /// What the files hold.
@@ -170,9 +184,9 @@
         &self.contents
     }
 
-    /// Bytes of the log file, the snapshot's left out.
+    /// Bytes of both files.
     pub fn bytes(&self) -> u64 {
-        self.bytes
+        self.bytes + self.snapshot_bytes
     }
 
     /// Carries out writes, in order and durably.
@@ -215,6 +229,7 @@
         self.file = file;
         self.bytes = bytes;
         self.generation = next.number;
+        self.snapshot_bytes = next.snapshot_bytes()?;
         former.remove()
     }
 }
