--- a/crates/core/src/jobs/node.rs
+++ b/crates/core/src/jobs/node.rs
@@ -16,8 +16,11 @@
 };
 use crate::time::{Millis, Timestamp};
 
-/// The log is replaced by a snapshot once it holds this many bytes.
+/// A snapshot is taken once the log holds this many bytes.
 const COMPACT_BYTES: usize = 8 << 20;
+/// The log up to a snapshot is dropped only once this many bytes follow it: a follower that lags by less
+/// than that needs no snapshot.
+const TAIL_BYTES: usize = 2 << 20;
 
 /// Names who waits for an answer, as the driver numbers them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -94,6 +97,8 @@
     announced: LogIndex,
     /// A snapshot was taken over by the log and not yet by the table.
     restoring: bool,
+    /// A snapshot of this replica that does not stand in for the log yet.
+    prepared: Option<Snapshot>,
     acknowledge_wait: Millis,
 }
 
@@ -111,7 +116,16 @@
         let replica = Replica::new(GroupId(0), id, settings, persisted, now, seed);
         let proposals = BTreeMap::new();
         let acknowledge_wait = settings.acknowledge_wait;
-        Some(Self { replica, table, proposals, held: Vec::new(), announced, restoring: false, acknowledge_wait })
+        Some(Self {
+            replica,
+            table,
+            proposals,
+            held: Vec::new(),
+            announced,
+            restoring: false,
+            prepared: None,
+            acknowledge_wait,
+        })
     }
 
     /// The replica.
@@ -144,12 +158,28 @@
     /// Lets time pass.
     pub fn tick(&mut self, now: Timestamp) -> Vec<JobsEffect> {
         self.replica.tick(now);
-        if self.replica.log().bytes() > COMPACT_BYTES && !self.restoring {
-            self.replica.compact(self.table.encode());
-        }
+        self.compact();
         self.gather()
     }
 
+    /// Takes a snapshot when the log has grown long, and lets it stand in for the log a while later.
+    fn compact(&mut self) {
+        if self.restoring {
+            self.prepared = None;
+            return;
+        }
+        match self.prepared.take() {
+            Some(snapshot) if self.replica.log().has_bytes_after(snapshot.index, TAIL_BYTES) => {
+                self.replica.compact_to(snapshot);
+            }
+            Some(snapshot) => self.prepared = Some(snapshot),
+            None if self.replica.log().bytes() > COMPACT_BYTES => {
+                self.prepared = self.replica.snapshot_of(self.table.encode());
+            }
+            None => {}
+        }
+    }
+
     /// Proposes to take a job.
     ///
     /// # Errors
--- a/crates/core/src/replication/leading.rs
+++ b/crates/core/src/replication/leading.rs
@@ -13,6 +13,9 @@
 const RESEND_HEARTBEATS: u64 = 3;
 /// A snapshot counts as lost after this many times as long.
 const SNAPSHOT_PATIENCE: u64 = 4;
+/// A snapshot is expected to arrive no slower than this, in bytes a millisecond; until then it is not sent
+/// again.
+const SNAPSHOT_BYTES_PER_MS: u64 = 1_000;
 /// A follower is silent after this many heartbeats without an answer.
 const SILENT_HEARTBEATS: u64 = 4;
 
@@ -76,6 +79,7 @@
     /// Entries sent a while ago and not yet answered count as lost.
     pub(super) fn resend_lost(&mut self, now: Timestamp) {
         let wait = Millis(self.settings.heartbeat_interval.0 * RESEND_HEARTBEATS);
+        let sending = Millis(self.log.snapshot().state.len() as u64 / SNAPSHOT_BYTES_PER_MS);
         if let Role::Leader(state) = &mut self.role {
             for progress in state.progress.values_mut() {
                 let idle = now.since(progress.last_sent);
@@ -84,7 +88,7 @@
                     progress.next = progress.matched.next().max(LogIndex(1));
                     progress.probing = true;
                 }
-                if idle >= Millis(wait.0 * SNAPSHOT_PATIENCE) {
+                if idle >= Millis(wait.0 * SNAPSHOT_PATIENCE) + sending {
                     progress.pending_snapshot = None;
                 }
             }
--- a/crates/core/src/replication/log.rs
+++ b/crates/core/src/replication/log.rs
@@ -155,6 +155,16 @@
         self.bytes
     }
 
+    /// Whether commands of at least that many bytes follow `index`.
+    pub fn has_bytes_after(&self, index: LogIndex, bytes: usize) -> bool {
+        let mut found = 0;
+        let after = self.entries.iter().rev().take_while(|entry| entry.index > index);
+        after.map(entry_bytes).any(|more| {
+            found += more;
+            found >= bytes
+        })
+    }
+
     /// Entries kept since the snapshot.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/gateway/src/disk_writer.rs
+++ b/crates/gateway/src/disk_writer.rs
@@ -71,4 +71,6 @@
             return;
         }
     }
+    // A planned stop: the next start has less to read. The log holds everything all the same.
+    let _ = log.settle();
 }
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -8,6 +8,7 @@
 use stallmoor_core::identity::{GroupId, NodeId};
 use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
 use stallmoor_core::node::{GroupAnswer, GroupAnswerBody, GroupRefusal, GroupRequest, GroupRequestBody, PeerMessage};
+use stallmoor_core::replication::MessageKind;
 use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
 use tokio::sync::{mpsc, oneshot};
 
@@ -18,8 +19,10 @@
 const QUEUE: usize = 1_024;
 /// How long a connection attempt may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long one write may take before the connection is given up.
+/// How long a write may take before the connection is given up.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+/// The same for a snapshot, which may be large.
+const SNAPSHOT_WRITE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Why a request brought no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +41,37 @@
     sent: Option<oneshot::Sender<()>>,
 }
 
+/// What a connection carries. A snapshot must not hold up heartbeats, so it has one of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum LinkUse {
+    Messages,
+    Snapshots,
+}
+
+impl LinkUse {
+    fn of(message: &PeerMessage) -> Self {
+        match message {
+            PeerMessage::Replication(message) if matches!(message.kind, MessageKind::InstallSnapshot(_)) => {
+                Self::Snapshots
+            }
+            _ => Self::Messages,
+        }
+    }
+
+    fn write_timeout(self) -> Duration {
+        match self {
+            Self::Messages => WRITE_TIMEOUT,
+            Self::Snapshots => SNAPSHOT_WRITE_TIMEOUT,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct LinkKey {
+    to: SocketAddr,
+    link_use: LinkUse,
+}
+
 struct Link {
     queue: mpsc::Sender<Outgoing>,
     pending: Pending,
@@ -46,7 +80,7 @@
 /// The connections of this node to other nodes.
 pub struct PeerLinks {
     id: NodeId,
-    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+    links: Mutex<HashMap<LinkKey, Arc<Link>>>,
     next: Mutex<u64>,
 }
 
@@ -60,7 +94,8 @@
     pub fn send(&self, to: SocketAddr, message: &PeerMessage) {
         let frame = stallmoor_wire::encode(message);
         // A full queue loses the message, which its sender must bear.
-        let _ = self.link(to).queue.try_send(Outgoing { frame, sent: None });
+        let key = LinkKey { to, link_use: LinkUse::of(message) };
+        let _ = self.link(key).queue.try_send(Outgoing { frame, sent: None });
     }
 
     /// Sends a request whose answer nobody waits for.
@@ -85,7 +120,7 @@
         let body = GroupRequestBody::Jobs(request);
         let message = PeerMessage::GroupRequest(GroupRequest { id, from: self.id, group: GroupId(0), body });
         let frame = stallmoor_wire::encode(&message);
-        let link = self.link(to);
+        let link = self.link(LinkKey { to, link_use: LinkUse::Messages });
         let (answer_sender, answer) = oneshot::channel();
         let (sent_sender, mut sent) = oneshot::channel();
         lock(&link.pending).insert(id, answer_sender);
@@ -111,10 +146,10 @@
         *next
     }
 
-    fn link(&self, to: SocketAddr) -> Arc<Link> {
+    fn link(&self, key: LinkKey) -> Arc<Link> {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         links.retain(|_, link| !link.queue.is_closed());
-        links.entry(to).or_insert_with(|| open_link(to)).clone()
+        links.entry(key).or_insert_with(|| open_link(key)).clone()
     }
 }
 
@@ -134,19 +169,19 @@
     pending.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn open_link(to: SocketAddr) -> Arc<Link> {
+fn open_link(key: LinkKey) -> Arc<Link> {
     let (queue, receiver) = mpsc::channel(QUEUE);
     let pending = Pending::default();
-    tokio::spawn(run_link(to, receiver, pending.clone()));
+    tokio::spawn(run_link(key, receiver, pending.clone()));
     Arc::new(Link { queue, pending })
 }
 
 /// Keeps one connection until it breaks; then the link is over, and the next message opens another.
-async fn run_link(to: SocketAddr, mut queue: mpsc::Receiver<Outgoing>, pending: Pending) {
-    if let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, connect_tuned(to)).await {
+async fn run_link(key: LinkKey, mut queue: mpsc::Receiver<Outgoing>, pending: Pending) {
+    if let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, connect_tuned(key.to)).await {
         let (reader, writer) = stream.into_split();
         let reading = read_answers(BufReader::new(reader), pending.clone());
-        let writing = write_queue(BufWriter::new(writer), &mut queue);
+        let writing = write_queue(BufWriter::new(writer), &mut queue, key.link_use.write_timeout());
         tokio::select! {
             () = reading => {}
             () = writing => {}
@@ -168,7 +203,11 @@
     }
 }
 
-async fn write_queue(mut writer: BufWriter<tokio::net::tcp::OwnedWriteHalf>, queue: &mut mpsc::Receiver<Outgoing>) {
+async fn write_queue(
+    mut writer: BufWriter<tokio::net::tcp::OwnedWriteHalf>,
+    queue: &mut mpsc::Receiver<Outgoing>,
+    write_timeout: Duration,
+) {
     while let Some(first) = queue.recv().await {
         let write = async {
             let mut next = Some(first);
@@ -182,7 +221,7 @@
             }
             writer.flush().await
         };
-        if !matches!(tokio::time::timeout(WRITE_TIMEOUT, write).await, Ok(Ok(()))) {
+        if !matches!(tokio::time::timeout(write_timeout, write).await, Ok(Ok(()))) {
             return;
         }
     }
--- a/crates/storage/src/replica_log.rs
+++ b/crates/storage/src/replica_log.rs
@@ -5,6 +5,10 @@
 //! begins generation N + 1; the files of generation N are removed once those of N + 1 are durable, names
 //! included. So the disk holds two snapshots at most, and nothing is ever written in place.
 //!
+//! A snapshot that the replica took itself is written by a thread of its own, since compressing a large
+//! state takes longer than a leader may be silent; until it is durable, the log of generation N goes on and
+//! still holds everything. A snapshot that came from a leader has to be durable before it is answered.
+//!
 //! After a loss of power the last record may be torn or missing; it was never acknowledged and is cut off.
 
 use std::ffi::OsStr;
@@ -12,6 +16,7 @@
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::thread::JoinHandle;
 
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
@@ -113,6 +118,8 @@
     bytes: u64,
     /// Bytes of the snapshot's file.
     snapshot_bytes: u64,
+    /// The next generation's snapshot, while it is being written.
+    next_snapshot: Option<JoinHandle<io::Result<()>>>,
 }
 
 /// A replica's files as they were found.
@@ -159,7 +166,8 @@
         sync_folder(folder)?;
         let snapshot_bytes = Generation::new(folder, group, number).snapshot_bytes()?;
         let folder = folder.to_owned();
-        let log = Self { folder, group, generation: number, file, contents, bytes, snapshot_bytes };
+        let log =
+            Self { folder, group, generation: number, file, contents, bytes, snapshot_bytes, next_snapshot: None };
         Ok(FoundReplica::Sound(Box::new(log)))
     }
 
@@ -176,7 +184,8 @@
             Ok((file, bytes, first.snapshot_bytes()?))
         };
         let (file, bytes, snapshot_bytes) = make().context(FolderSnafu { folder })?;
-        Ok(Self { folder: folder.to_owned(), group, generation: 1, file, contents, bytes, snapshot_bytes })
+        let folder = folder.to_owned();
+        Ok(Self { folder, group, generation: 1, file, contents, bytes, snapshot_bytes, next_snapshot: None })
     }
 
     /// What the files hold.
@@ -198,12 +207,28 @@
         self.try_write(writes).context(FolderSnafu { folder: &self.folder })
     }
 
+    /// Waits until a snapshot that is being written stands in for the log.
+    ///
+    /// # Errors
+    ///
+    /// The disk refused.
+    pub fn settle(&mut self) -> Result<(), StorageError> {
+        self.finish_generation().context(FolderSnafu { folder: &self.folder })
+    }
+
     fn try_write(&mut self, writes: &[LogWrite]) -> io::Result<()> {
         let mut records = Vec::new();
-        let mut is_new_snapshot = false;
+        let mut must_be_whole = false;
         for write in writes {
+            if write.snapshot.is_some() {
+                self.finish_generation()?;
+            }
             self.contents.write(write);
-            is_new_snapshot |= write.snapshot.is_some();
+            if write.snapshot.is_some() && is_own_snapshot(write) {
+                self.start_generation()?;
+            } else if write.snapshot.is_some() {
+                must_be_whole = true;
+            }
             let change = Change {
                 hard_state: write.hard_state,
                 truncate_from: write.truncate_from,
@@ -211,19 +236,41 @@
             };
             records.extend(record::encode(&change)?);
         }
-        if is_new_snapshot {
-            return self.begin_generation();
+        if must_be_whole {
+            self.start_generation()?;
+            return self.finish_generation();
         }
         self.file.write_all(&records)?;
         self.file.sync_data()?;
         self.bytes += records.len() as u64;
+        if self.next_snapshot.as_ref().is_some_and(JoinHandle::is_finished) {
+            self.finish_generation()?;
+        }
         Ok(())
     }
 
-    /// Writes everything to files of their own, and removes the earlier ones.
-    fn begin_generation(&mut self) -> io::Result<()> {
-        let next = Generation::new(&self.folder, self.group, self.generation + 1);
-        let (file, bytes) = write_generation(&next, &self.contents)?;
+    fn next_generation(&self) -> Generation {
+        Generation::new(&self.folder, self.group, self.generation + 1)
+    }
+
+    /// Starts to write the next generation's snapshot.
+    fn start_generation(&mut self) -> io::Result<()> {
+        if let Some(earlier) = self.next_snapshot.take() {
+            join(earlier)?;
+        }
+        let (path, state) = (self.next_generation().snapshot, self.contents.snapshot.state.clone());
+        let thread = std::thread::Builder::new().name(format!("snapshot-{}", self.group.0));
+        self.next_snapshot = Some(thread.spawn(move || write_snapshot(&path, &state))?);
+        Ok(())
+    }
+
+    /// Waits for the next generation's snapshot, if one is being written, puts its log beside it, and
+    /// removes the earlier generation.
+    fn finish_generation(&mut self) -> io::Result<()> {
+        let Some(snapshot) = self.next_snapshot.take() else { return Ok(()) };
+        join(snapshot)?;
+        let next = self.next_generation();
+        let (file, bytes) = write_log(&next, &self.contents)?;
         sync_folder(&self.folder)?;
         let former = Generation::new(&self.folder, self.group, self.generation);
         self.file = file;
@@ -234,13 +281,40 @@
     }
 }
 
+impl Drop for ReplicaLog {
+    /// No thread may write to files that another opening may use.
+    fn drop(&mut self) {
+        if let Some(snapshot) = self.next_snapshot.take() {
+            // The earlier generation holds everything, so a snapshot that failed is not missed.
+            let _ = join(snapshot);
+        }
+    }
+}
+
+/// Whether a write's snapshot was taken by the replica itself: one from a leader replaces the whole log.
+fn is_own_snapshot(write: &LogWrite) -> bool {
+    write.truncate_from.is_none()
+}
+
+fn join(thread: JoinHandle<io::Result<()>>) -> io::Result<()> {
+    thread.join().unwrap_or_else(|_| Err(io::Error::other("the thread that writes the snapshot panicked")))
+}
+
 /// Writes both files of a generation and syncs their contents.
 fn write_generation(generation: &Generation, contents: &PersistedReplica) -> io::Result<(File, u64)> {
     if contents.snapshot.index > LogIndex(0) {
-        let mut file = File::create(&generation.snapshot)?;
-        file.write_all(&record::encode(&contents.snapshot.state)?)?;
-        file.sync_all()?;
+        write_snapshot(&generation.snapshot, &contents.snapshot.state)?;
     }
+    write_log(generation, contents)
+}
+
+fn write_snapshot(path: &Path, state: &Arc<[u8]>) -> io::Result<()> {
+    let mut file = File::create(path)?;
+    file.write_all(&record::encode(state)?)?;
+    file.sync_all()
+}
+
+fn write_log(generation: &Generation, contents: &PersistedReplica) -> io::Result<(File, u64)> {
     let beginning = Beginning {
         hard_state: contents.hard_state,
         index: contents.snapshot.index,
