Empty no machine where too few copies would be left

Change: an emptied voter without a spare in its place is let go only if the rest still bear the tolerated losses; else the emptying stays in progress. Test: a_machine_is_not_emptied_where_too_few_copies_would_be_left, failed before.

--- a/crates/core/src/jobs/members.rs
+++ b/crates/core/src/jobs/members.rs
@@ -28,6 +28,13 @@
     2 * tolerated + 1
 }
 
+/// Whether a group of that many voters goes on with all that it acknowledged after the loss of `tolerated`
+/// of them. Of a pair either member may go on alone ([`super::pair`]).
+fn bears_losses(voters: usize, tolerated: usize) -> bool {
+    let is_pair = voters == 2 && tolerated == 1;
+    is_pair || voters >= voters_bearing(tolerated)
+}
+
 /// How far the emptying of a machine is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EmptyingState {
@@ -66,8 +73,8 @@
 #[derive(Clone, Debug)]
 pub struct Members {
     own: NodeId,
-    /// How many voters the group should have.
-    wanted: usize,
+    /// Losses of disks that must be borne at once.
+    tolerated: usize,
     started_at: Timestamp,
     looked_at: Timestamp,
     heard: BTreeMap<NodeId, Timestamp>,
@@ -81,7 +88,7 @@
     pub fn new(own: NodeId, tolerated: usize, now: Timestamp) -> Self {
         Self {
             own,
-            wanted: voters_bearing(tolerated),
+            tolerated,
             started_at: now,
             looked_at: now,
             heard: BTreeMap::new(),
@@ -187,13 +194,14 @@
             group: replica.group(),
             leader: self.own,
             membership,
-            wanted: self.wanted,
+            wanted: voters_bearing(self.tolerated),
             health: &health,
             candidates: &candidates,
         };
         let step = plan_repair(&input).map(|step| step.0);
-        // Where no spare takes an emptied machine's place, the others go on without it.
-        let emptied_voter = || membership.voters.iter().copied().find(|voter| emptied.contains(voter));
+        // Where no spare takes an emptied machine's place, the others go on without it if they are enough.
+        let may_shrink = bears_losses(membership.voters.len().saturating_sub(1), self.tolerated);
+        let emptied_voter = || membership.voters.iter().copied().find(|voter| may_shrink && emptied.contains(voter));
         let removal = || emptied_voter().filter(|_| membership.learners.is_empty()).map(MembershipChange::Remove);
         step.or_else(removal)
     }
--- a/crates/core/tests/jobs_simulation.rs
+++ b/crates/core/tests/jobs_simulation.rs
@@ -72,7 +72,7 @@
     store: Store,
     oracle: Oracle,
     submitted: BTreeMap<Waiter, JobKey>,
-    emptied: Option<Arc<str>>,
+    emptied: Vec<Arc<str>>,
     next: u64,
     disk_lost_at: u64,
     /// Bytes of each item's body.
@@ -121,7 +121,7 @@
             store: Store::default(),
             oracle: Oracle::default(),
             submitted: BTreeMap::new(),
-            emptied: None,
+            emptied: Vec::new(),
             next: 0,
             disk_lost_at: 0,
             body_bytes: 200,
@@ -280,7 +280,7 @@
         }
         if store_is_up && !is_cut {
             process.members.pair_told(self.store.pair.clone());
-            if let Some(emptied) = &self.emptied {
+            for emptied in &self.emptied {
                 process.members.empty(emptied.clone());
             }
         }
@@ -466,7 +466,7 @@
     fn empty_one(&mut self) {
         let name = self.random_machine();
         let machine: Arc<str> = Arc::from(name.as_str());
-        self.emptied = Some(machine.clone());
+        self.emptied.push(machine.clone());
         for _ in 0..60 {
             self.run_for(100);
             if self.store.completed.contains(&machine) {
@@ -610,3 +610,19 @@
         assert_eq!(world.snapshots_sent, 0);
     }
 }
+
+#[test]
+fn a_machine_is_not_emptied_where_too_few_copies_would_be_left() {
+    for seed in 1..=8 {
+        let mut world = World::new(seed, 3);
+        world.run_for(3_000);
+        world.empty_one();
+        assert_eq!(world.store.completed.len(), 1, "two copies bear the loss of one");
+        world.empty_one();
+        assert_eq!(world.store.completed.len(), 1, "one copy would not");
+        let name = world.random_machine();
+        world.lose_disk(&name, 2_000);
+        world.run_for(6_000);
+        world.check();
+    }
+}
