--- /dev/null
+++ b/crates/core/src/gateway/choice.rs
@@ -0,0 +1,155 @@
+//! The choice of a worker for a request or a batch item.
+
+use std::net::SocketAddr;
+
+use rand::Rng;
+
+use super::cost::{cost_slope, estimate_cost, load_cost};
+use super::request::PrefixLink;
+use super::unseen_load::level_after;
+use super::worker::{Presence, SHARED_LIFETIME, WorkerEntry, WorkerId};
+use super::workers::WorkerTable;
+use crate::hashing::{hash_bytes, rendezvous_weight};
+use crate::time::{Millis, Timestamp};
+
+/// Batch leaves one in this many slots of a worker free.
+const RESERVE_PART: u32 = 6;
+/// How old gathered loads are on average when they arrive: nodes tell them a few times a second.
+const GATHERED_AGE: Millis = Millis(100);
+/// A worker that vanished without notice may still be used as a last resort for this long.
+const GONE_LAST_RESORT: Millis = Millis(1_000);
+/// Spread of the random part of the cost, in milliseconds: nodes must not all choose alike.
+const JITTER_MS: f64 = 3.0;
+
+/// What is asked of a worker.
+#[derive(Clone, Debug)]
+pub struct WorkerAsk<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The zone that the request is in.
+    pub zone: &'a str,
+    /// The prompt.
+    pub prefix: &'a [PrefixLink],
+    /// Tokens in the prompt.
+    pub prompt_tokens: u32,
+    /// Bytes that would be sent.
+    pub body_bytes: usize,
+    /// Workers that were tried before.
+    pub tried: &'a [WorkerId],
+}
+
+/// A worker that was chosen, and why.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The worker.
+    pub id: WorkerId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Requests believed to be at it.
+    pub load: u32,
+    /// Prompt tokens believed to be cached there.
+    pub held_tokens: u32,
+    /// How many workers could be chosen from.
+    pub candidates: usize,
+}
+
+impl WorkerTable {
+    /// The worker with the least estimated time to the first event. Workers that failed of late are
+    /// passed over while there are others, and workers that vanished serve only when nobody else can.
+    pub fn choose(&self, ask: &WorkerAsk<'_>, now: Timestamp, random: &mut impl Rng) -> Option<Choice> {
+        let of_service = || self.workers.values().filter(|entry| &*entry.record.service == ask.service);
+        let untried = |entry: &&WorkerEntry| !ask.tried.contains(&entry.record.id);
+        let ready: Vec<&WorkerEntry> =
+            of_service().filter(|entry| entry.presence == Presence::Ready).filter(untried).collect();
+        let sound: Vec<&WorkerEntry> = ready.iter().copied().filter(|entry| !entry.is_passed_over(now)).collect();
+        let candidates = if !sound.is_empty() {
+            sound
+        } else if !ready.is_empty() {
+            ready
+        } else {
+            of_service().filter(untried).filter(|entry| is_last_resort(entry, now)).collect()
+        };
+        let home = self.home_of(ask, &candidates);
+        let level = self.unseen_level(&candidates, now, random);
+        let cost = |entry: &WorkerEntry, random: &mut dyn FnMut() -> f64| {
+            let is_home = home.as_ref() == Some(&entry.record.id);
+            let unseen = level.map_or(0.0, |level| (level - load_cost(entry, now)).max(0.0));
+            estimate_cost(entry, ask, is_home, now) + unseen + random() * JITTER_MS
+        };
+        let mut draw = || random.random::<f64>();
+        let chosen = candidates
+            .iter()
+            .map(|entry| (cost(entry, &mut draw), *entry))
+            .min_by(|left, right| left.0.total_cmp(&right.0))?
+            .1;
+        Some(Choice {
+            id: chosen.record.id.clone(),
+            address: chosen.record.address,
+            load: chosen.estimated_load(now),
+            held_tokens: chosen.cache.held_tokens(ask.prefix),
+            candidates: candidates.len(),
+        })
+    }
+
+    /// The level to which requests that other nodes have placed meanwhile may have raised the cost of the
+    /// least busy workers. How many those are is drawn, up to twice what is to be expected.
+    fn unseen_level(&self, candidates: &[&WorkerEntry], now: Timestamp, random: &mut impl Rng) -> Option<f64> {
+        let gathered = self.gathered.filter(|gathered| now.since(gathered.at) < SHARED_LIFETIME)?;
+        let age = now.since(gathered.at) + GATHERED_AGE;
+        let expected = f64::from(gathered.placed_per_s) * age.0 as f64 / 1_000.0;
+        let unseen = expected * 2.0 * random.random::<f64>();
+        let slopes: Vec<_> = candidates.iter().map(|entry| cost_slope(entry, now)).collect();
+        level_after(&slopes, unseen)
+    }
+
+    /// Where the shared parts of a prompt go from every node: workers of the zone first, so that
+    /// nodes agree without asking each other.
+    fn home_of(&self, ask: &WorkerAsk<'_>, candidates: &[&WorkerEntry]) -> Option<WorkerId> {
+        let shared = ask.prefix.len().checked_sub(2).map(|place| ask.prefix[place].chain)?;
+        let in_zone = candidates.iter().filter(|entry| &*entry.record.zone == ask.zone);
+        let weight = |entry: &&&WorkerEntry| rendezvous_weight(shared, hash_bytes(entry.record.id.0.as_bytes()));
+        let home = in_zone.max_by_key(weight).or_else(|| candidates.iter().max_by_key(weight));
+        home.map(|entry| entry.record.id.clone())
+    }
+
+    /// The worker for a batch item: the one with the most room beyond a reserve that stays free for
+    /// online requests.
+    pub fn choose_for_batch(&self, ask: &WorkerAsk<'_>, now: Timestamp, random: &mut impl Rng) -> Option<Choice> {
+        let has_room = |entry: &&WorkerEntry| {
+            let reserve = (entry.record.slots / RESERVE_PART).max(1);
+            let load = entry.estimated_load(now).max(entry.smoothed_load());
+            load + reserve < entry.record.slots.max(reserve + 1)
+        };
+        let candidates: Vec<&WorkerEntry> = self
+            .workers
+            .values()
+            .filter(|entry| &*entry.record.service == ask.service && entry.presence == Presence::Ready)
+            .filter(|entry| !ask.tried.contains(&entry.record.id) && !entry.is_passed_over(now))
+            .filter(has_room)
+            .collect();
+        let mut draw = || random.random::<f64>();
+        let chosen = candidates
+            .iter()
+            .map(|entry| {
+                let crowd = f64::from(entry.batch_in_flight) * 6.0;
+                (estimate_cost(entry, ask, false, now) + crowd + draw() * JITTER_MS, *entry)
+            })
+            .min_by(|left, right| left.0.total_cmp(&right.0))?
+            .1;
+        Some(Choice {
+            id: chosen.record.id.clone(),
+            address: chosen.record.address,
+            load: chosen.estimated_load(now),
+            held_tokens: chosen.cache.held_tokens(ask.prefix),
+            candidates: candidates.len(),
+        })
+    }
+}
+
+fn is_last_resort(entry: &WorkerEntry, now: Timestamp) -> bool {
+    match entry.presence {
+        Presence::Gone { since } => now.since(since) < GONE_LAST_RESORT,
+        Presence::Ready => true,
+        Presence::Draining => false,
+    }
+}
--- a/crates/core/src/gateway/cost.rs
+++ b/crates/core/src/gateway/cost.rs
@@ -1,7 +1,8 @@
 //! What it costs to send a request to a worker: the estimated time to its first event.
 
+use super::choice::WorkerAsk;
 use super::unseen_load::CostSlope;
-use super::workers::{WorkerAsk, WorkerEntry};
+use super::worker::WorkerEntry;
 use crate::time::{Millis, Timestamp};
 
 /// The estimated cost of reading one prompt token, in milliseconds.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -8,12 +8,15 @@
 //! | [`prefix_cache`] | which prompt parts a worker is thought to hold |
 //! | `cost` | what it costs to send a request to a worker |
 //! | [`unseen_load`] | requests that other nodes placed since loads were gathered |
-//! | [`workers`] | the workers, what is believed of each, and the choice among them |
+//! | [`worker`] | one worker: its record, what is believed of it, what nodes tell of it |
+//! | [`workers`] | all workers, and what this node notes of each |
+//! | [`choice`] | the choice of a worker for a request or a batch item |
 //! | [`attempt`] | how an attempt ended and what may be done next |
 //! | [`event_stream`] | splitting an answer into whole events |
 //! | [`move_budget`] | how many requests may move away from slow workers |
 
 pub mod attempt;
+pub mod choice;
 pub mod configuration;
 mod cost;
 pub mod event_stream;
@@ -21,4 +24,5 @@
 pub mod prefix_cache;
 pub mod request;
 pub mod unseen_load;
+pub mod worker;
 pub mod workers;
--- /dev/null
+++ b/crates/core/src/gateway/worker.rs
@@ -0,0 +1,168 @@
+//! One worker: its record, what is believed of it, and what nodes tell each other of it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::prefix_cache::PrefixCache;
+use crate::time::{Millis, Timestamp};
+
+/// A load report is believed for this long.
+const REPORT_LIFETIME: Millis = Millis(2_000);
+/// A gathered load is believed for this long.
+pub(super) const SHARED_LIFETIME: Millis = Millis(1_200);
+
+/// Names one start of a worker.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct WorkerId(pub Arc<str>);
+
+impl std::fmt::Display for WorkerId {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+/// What a worker says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerRecord {
+    /// Its id.
+    pub id: WorkerId,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// It takes no new requests.
+    pub draining: bool,
+}
+
+/// A worker's load as it told it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkerLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// How many requests are at a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerCount {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Requests.
+    pub requests: u32,
+}
+
+/// What one node tells of a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerNews {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The teller's requests there.
+    pub requests: u32,
+    /// All requests there, if the worker told that a moment ago.
+    pub told: Option<u32>,
+}
+
+/// What one node tells of its requests, or hears of those of all others.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadNews {
+    /// The workers that there is something to tell of.
+    pub workers: Vec<WorkerNews>,
+    /// Requests placed in a second.
+    pub placed_per_s: u32,
+}
+
+/// Whether a worker may be sent requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Presence {
+    Ready,
+    Draining,
+    Gone { since: Timestamp },
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LoadReport {
+    pub(super) load: WorkerLoad,
+    pub(super) in_flight_then: u32,
+    pub(super) at: Timestamp,
+}
+
+impl LoadReport {
+    /// The load that was told, corrected by what this node sent and ended since.
+    pub(super) fn corrected(&self, in_flight: u32) -> u32 {
+        let told = self.load.running + self.load.waiting;
+        (told + in_flight).saturating_sub(self.in_flight_then)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SharedLoad {
+    pub(super) load: u32,
+    /// The load smoothed over [`SMOOTHING`].
+    pub(super) smoothed: f64,
+    pub(super) at: Timestamp,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct WorkerEntry {
+    pub(super) record: WorkerRecord,
+    pub(super) presence: Presence,
+    pub(super) in_flight: u32,
+    pub(super) batch_in_flight: u32,
+    pub(super) report: Option<LoadReport>,
+    /// Requests of other nodes, as the table's leader gathered them.
+    pub(super) others: Option<SharedLoad>,
+    pub(super) failures: u32,
+    pub(super) passed_over_until: Option<Timestamp>,
+    pub(super) cache: PrefixCache,
+    /// Smoothed time to the first event against the usual of all workers, 1.0 being as usual.
+    pub(super) slowness: f64,
+    /// When the slowness was last measured.
+    pub(super) measured_at: Timestamp,
+}
+
+impl WorkerEntry {
+    pub(super) fn new(record: WorkerRecord) -> Self {
+        let presence = if record.draining { Presence::Draining } else { Presence::Ready };
+        Self {
+            record,
+            presence,
+            in_flight: 0,
+            batch_in_flight: 0,
+            report: None,
+            others: None,
+            failures: 0,
+            passed_over_until: None,
+            cache: PrefixCache::default(),
+            slowness: 1.0,
+            measured_at: Timestamp::default(),
+        }
+    }
+
+    /// Requests at the worker: those of this node and, as last gathered, of all others. A report of the
+    /// worker that is newer than that counts where it tells more; it also knows of requests that their
+    /// senders have given up and that still run.
+    pub(super) fn estimated_load(&self, now: Timestamp) -> u32 {
+        let gathered = self.others.filter(|others| now.since(others.at) < SHARED_LIFETIME);
+        let reported = self.report.filter(|report| now.since(report.at) < REPORT_LIFETIME);
+        let reported = reported.filter(|report| gathered.is_none_or(|others| report.at >= others.at));
+        let from_report = reported.map_or(0, |report| report.corrected(self.in_flight));
+        let from_others = gathered.map_or(0, |others| others.load) + self.in_flight;
+        from_others.max(from_report)
+    }
+
+    /// Requests of this node with the smoothed ones of all others, rounded up.
+    pub(super) fn smoothed_load(&self) -> u32 {
+        self.in_flight + self.others.map_or(0, |others| others.smoothed.ceil() as u32)
+    }
+
+    pub(super) fn is_passed_over(&self, now: Timestamp) -> bool {
+        self.passed_over_until.is_some_and(|until| now < until)
+    }
+}
