Let records that lapsed while the store was away come back

After a failed watch everything is read again, and a worker missing from that list was gone at once, with one second as a last resort: between 1 and 2 s after the return a gateway had nobody to send requests to, and before that all went to the few whose records were back first. Ruled out: waiting two seconds at every re-read. A watch that is merely cut may hide a real removal, which binds within DrainMs; so the time is given only after the store was out of reach for a second or more.

--- a/crates/core/src/gateway/choice.rs
+++ b/crates/core/src/gateway/choice.rs
@@ -60,7 +60,7 @@
         let of_service = || self.workers.values().filter(|entry| &*entry.record.service == ask.service);
         let untried = |entry: &&WorkerEntry| !ask.tried.contains(&entry.record.id);
         let ready: Vec<&WorkerEntry> =
-            of_service().filter(|entry| entry.presence == Presence::Ready).filter(untried).collect();
+            of_service().filter(|entry| entry.takes_requests(now)).filter(untried).collect();
         let sound: Vec<&WorkerEntry> = ready.iter().copied().filter(|entry| !entry.is_passed_over(now)).collect();
         let candidates = if !sound.is_empty() {
             sound
@@ -123,7 +123,7 @@
         let candidates: Vec<&WorkerEntry> = self
             .workers
             .values()
-            .filter(|entry| &*entry.record.service == ask.service && entry.presence == Presence::Ready)
+            .filter(|entry| &*entry.record.service == ask.service && entry.takes_requests(now))
             .filter(|entry| !ask.tried.contains(&entry.record.id) && !entry.is_passed_over(now))
             .filter(has_room)
             .collect();
@@ -150,6 +150,6 @@
     match entry.presence {
         Presence::Gone { since } => now.since(since) < GONE_LAST_RESORT,
         Presence::Ready => true,
-        Presence::Draining => false,
+        Presence::Missing { .. } | Presence::Draining => false,
     }
 }
--- a/crates/core/src/gateway/worker.rs
+++ b/crates/core/src/gateway/worker.rs
@@ -82,8 +82,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Presence {
     Ready,
+    /// Its record lapsed while the store was out of reach: it serves on until `until`.
+    Missing {
+        until: Timestamp,
+    },
     Draining,
-    Gone { since: Timestamp },
+    Gone {
+        since: Timestamp,
+    },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -145,6 +151,15 @@
         }
     }
 
+    /// Whether it may be sent requests.
+    pub(super) fn takes_requests(&self, now: Timestamp) -> bool {
+        match self.presence {
+            Presence::Ready => true,
+            Presence::Missing { until } => now < until,
+            Presence::Draining | Presence::Gone { .. } => false,
+        }
+    }
+
     /// Requests at the worker: those of this node and, as last gathered, of all others. A report of the
     /// worker that is newer than that counts where it tells more; it also knows of requests that their
     /// senders have given up and that still run.
--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -24,6 +24,11 @@
 const REPORT_TOLD_WITHIN: Millis = Millis(300);
 /// A worker that is gone is forgotten after this long.
 const GONE_REMEMBERED: Millis = Millis(60_000);
+/// Records lapse while the store is out of reach. Workers that live write them again within this time of its
+/// return.
+const RETURN_TIME: Millis = Millis(2_000);
+/// The store counts as having been out of reach from this long a silence on.
+const LEAST_ABSENCE: Millis = Millis(1_000);
 /// The usual time to the first event before any was measured, in milliseconds.
 const TYPICAL_AT_START_MS: f64 = 60.0;
 
@@ -61,6 +66,8 @@
     Draining(WorkerId),
     /// A worker's record was removed.
     Gone(WorkerId),
+    /// A worker's record lapsed while the store was out of reach.
+    Missing(WorkerId),
 }
 
 impl WorkerTable {
@@ -77,13 +84,13 @@
         entry.presence = match (was, record.draining) {
             (Presence::Draining, _) | (_, true) => Presence::Draining,
             // A record may vanish while the store is down and be written again by the same worker.
-            (Presence::Gone { .. } | Presence::Ready, false) => Presence::Ready,
+            (Presence::Gone { .. } | Presence::Missing { .. } | Presence::Ready, false) => Presence::Ready,
         };
         entry.record = record;
         match (was, entry.presence) {
             (Presence::Draining, _) => None,
             (_, Presence::Draining) => Some(WorkerChange::Draining(id)),
-            (Presence::Gone { .. }, _) => Some(WorkerChange::Seen(id)),
+            (Presence::Gone { .. } | Presence::Missing { .. }, _) => Some(WorkerChange::Seen(id)),
             _ => None,
         }
     }
@@ -102,23 +109,40 @@
         Some(WorkerChange::Gone(id.clone()))
     }
 
-    /// Ids of all workers whose records are believed to exist.
-    pub fn present(&self) -> Vec<WorkerId> {
-        let is_present = |entry: &&WorkerEntry| !matches!(entry.presence, Presence::Gone { .. });
-        self.workers.values().filter(is_present).map(|entry| entry.record.id.clone()).collect()
+    /// Takes the whole list of records, read after the store was out of reach for `absence`. A worker that
+    /// is not listed is gone; after an absence in which records may have lapsed it serves on until those
+    /// that live have written theirs again.
+    pub fn keep_listed(&mut self, listed: &[WorkerId], absence: Millis, now: Timestamp) -> Vec<WorkerChange> {
+        let unlisted = |entry: &&WorkerEntry| !listed.contains(&entry.record.id);
+        let unlisted: Vec<WorkerId> =
+            self.workers.values().filter(unlisted).map(|entry| entry.record.id.clone()).collect();
+        let may_return = absence >= LEAST_ABSENCE;
+        unlisted.iter().filter_map(|id| if may_return { self.miss(id, now) } else { self.remove(id, now) }).collect()
+    }
+
+    /// A worker's record is missing, and may come back.
+    fn miss(&mut self, id: &WorkerId, now: Timestamp) -> Option<WorkerChange> {
+        let entry = self.workers.get_mut(id)?;
+        if entry.presence != Presence::Ready {
+            return None;
+        }
+        entry.presence = Presence::Missing { until: now + RETURN_TIME };
+        Some(WorkerChange::Missing(id.clone()))
     }
 
     /// Forgets workers that are gone for long.
     pub fn forget_gone(&mut self, now: Timestamp) {
         self.workers.retain(|_, entry| match entry.presence {
-            Presence::Gone { since } => now.since(since) < GONE_REMEMBERED || entry.in_flight > 0,
-            _ => true,
+            Presence::Gone { since } | Presence::Missing { until: since } => {
+                now.since(since) < GONE_REMEMBERED || entry.in_flight > 0
+            }
+            Presence::Ready | Presence::Draining => true,
         });
     }
 
     /// How many workers of a service take requests.
-    pub fn ready_count(&self, service: &str) -> usize {
-        let is_ready = |entry: &&WorkerEntry| entry.presence == Presence::Ready && &*entry.record.service == service;
+    pub fn ready_count(&self, service: &str, now: Timestamp) -> usize {
+        let is_ready = |entry: &&WorkerEntry| entry.takes_requests(now) && &*entry.record.service == service;
         self.workers.values().filter(is_ready).count()
     }
 
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -9,6 +9,7 @@
 use stallmoor_core::gateway::workers::{WorkerChange, WorkerId, WorkerTable};
 use stallmoor_core::jobs::directory::{StorageDirectory, StorageRecord};
 use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::time::Millis;
 use tokio::sync::watch;
 
 use crate::clock::NodeClock;
@@ -93,12 +94,7 @@
                 log_worker(change, Some(worker.address.to_string()));
             }
             FleetUpdate::WorkerGone(id) => self.remove_worker(id),
-            FleetUpdate::WorkersListed(listed) => {
-                let known = self.workers().present();
-                for id in known.iter().filter(|id| !listed.contains(id)) {
-                    self.remove_worker(id);
-                }
-            }
+            FleetUpdate::WorkersListed { listed, absence } => self.keep_listed(listed, *absence),
             FleetUpdate::Item(item) => self.take_item(item),
             FleetUpdate::Reached => record(LogEvent::PlatformRecovered, &[]),
             FleetUpdate::Lost { detail } => record(LogEvent::PlatformUnavailable, &[Field::text("detail", detail)]),
@@ -118,6 +114,15 @@
         *known = Some(configuration.clone());
     }
 
+    fn keep_listed(&self, listed: &[WorkerId], absence: Millis) {
+        let now = self.clock.now();
+        let changes = self.workers().keep_listed(listed, absence, now);
+        for change in changes {
+            log_worker(Some(change), None);
+        }
+        self.workers().forget_gone(now);
+    }
+
     fn remove_worker(&self, id: &WorkerId) {
         let now = self.clock.now();
         let change = self.workers().remove(id, now);
@@ -167,6 +172,7 @@
         Some(WorkerChange::Seen(id)) => (LogEvent::WorkerSeen, id),
         Some(WorkerChange::Draining(id)) => (LogEvent::WorkerDraining, id),
         Some(WorkerChange::Gone(id)) => (LogEvent::WorkerGone, id),
+        Some(WorkerChange::Missing(id)) => (LogEvent::WorkerMissing, id),
     };
     record(event, &[Field::text("worker", id), Field::text("address", address.unwrap_or_default())]);
 }
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -8,6 +8,7 @@
 use stallmoor_core::gateway::configuration::GatewayConfiguration;
 use stallmoor_core::gateway::workers::{WorkerId, WorkerRecord};
 use stallmoor_core::jobs::members::EmptyingState;
+use stallmoor_core::time::Millis;
 
 /// One of the product's own keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,8 +30,13 @@
     Worker(WorkerRecord),
     /// A worker's record was removed.
     WorkerGone(WorkerId),
-    /// All workers that have a record: whichever is not among them is gone.
-    WorkersListed(Vec<WorkerId>),
+    /// All workers that have a record.
+    WorkersListed {
+        /// The workers.
+        listed: Vec<WorkerId>,
+        /// How long the store was out of reach before: records may have lapsed meanwhile.
+        absence: Millis,
+    },
     /// The operator wants a machine emptied.
     EmptyMachine {
         /// The machine's name.
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -466,7 +466,7 @@
             Field::text("kind", refused.kind.code()),
             Field::text("detail", &refused.detail),
             Field::number("age_ms", self.now().since(self.request.arrived_at).0),
-            Field::number("ready_workers", self.client.view.workers().ready_count(&self.service) as u64),
+            Field::number("ready_workers", self.client.view.workers().ready_count(&self.service, self.now()) as u64),
             Field::number("configuration", self.client.view.configuration().map_or(0, |known| known.version)),
         ];
         record(LogEvent::RequestRefused, &fields);
