Let requests wait 60 ms for a starting node's first view of the fleet

Ruled out: slow reading of the store (one call), readiness (callers' platform uses all nodes where none is ready). Change: a request waits up to 60 ms until the configuration is known and the workers were listed once. Test: a_request_that_comes_just_before_the_configuration_waits_for_it failed before (503), passes now.

--- a/crates/core/src/gateway/choice.rs
+++ b/crates/core/src/gateway/choice.rs
@@ -59,8 +59,7 @@
     pub fn choose(&self, ask: &WorkerAsk<'_>, now: Timestamp, random: &mut impl Rng) -> Option<Choice> {
         let of_service = || self.workers.values().filter(|entry| &*entry.record.service == ask.service);
         let untried = |entry: &&WorkerEntry| !ask.tried.contains(&entry.record.id);
-        let ready: Vec<&WorkerEntry> =
-            of_service().filter(|entry| entry.takes_requests(now)).filter(untried).collect();
+        let ready: Vec<&WorkerEntry> = of_service().filter(|entry| entry.takes_requests(now)).filter(untried).collect();
         let sound: Vec<&WorkerEntry> = ready.iter().copied().filter(|entry| !entry.is_passed_over(now)).collect();
         let candidates = if !sound.is_empty() {
             sound
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -1,6 +1,8 @@
 //! What this node believes of the fleet: the configuration in force, the workers, the storing nodes.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -31,6 +33,8 @@
     storage: Mutex<StorageDirectory>,
     random: Mutex<Xoshiro256PlusPlus>,
     moves: Mutex<MoveBudget>,
+    /// The workers were listed once.
+    has_workers: AtomicBool,
     changed: watch::Sender<u64>,
 }
 
@@ -45,6 +49,7 @@
             storage: Mutex::default(),
             random: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(seed)),
             moves: Mutex::default(),
+            has_workers: AtomicBool::new(false),
             changed: watch::Sender::new(0),
         }
     }
@@ -54,6 +59,16 @@
         lock(&self.configuration).clone()
     }
 
+    /// The configuration in force. A node that has just started waits up to `within` for its first view of
+    /// the fleet.
+    pub async fn known_configuration(&self, within: Duration) -> Option<Arc<GatewayConfiguration>> {
+        let mut changes = self.changes();
+        let is_known = |_: &u64| self.has_workers.load(Ordering::Relaxed) && self.configuration().is_some();
+        // Whatever is known by then has to do.
+        let _ = tokio::time::timeout(within, changes.wait_for(is_known)).await;
+        self.configuration()
+    }
+
     /// The workers.
     pub fn workers(&self) -> MutexGuard<'_, WorkerTable> {
         lock(&self.workers)
@@ -121,6 +136,7 @@
             log_worker(Some(change), None);
         }
         self.workers().forget_gone(now);
+        self.has_workers.store(true, Ordering::Relaxed);
     }
 
     fn remove_worker(&self, id: &WorkerId) {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -26,6 +26,9 @@
 
 /// The wait after a failed accept: the process is out of descriptors.
 const ACCEPT_WAIT: Duration = Duration::from_millis(20);
+/// How long a node that has just started lets a request wait for its first view of the fleet. A refusal after
+/// that comes soon enough to be tried elsewhere.
+const START_PATIENCE: Duration = Duration::from_millis(60);
 /// An idle connection is kept this much longer than callers were told.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
 /// Least size of the buffer for a head that the library takes.
@@ -112,7 +115,7 @@
 
     async fn answer(&self, request: Request<Incoming>, arrived_at: Timestamp) -> Response<AnswerBody> {
         let view = &self.workers.view;
-        let Some(configuration) = view.configuration() else {
+        let Some(configuration) = view.known_configuration(START_PATIENCE).await else {
             return refusal::of_kind(ErrorKind::NotConfigured, "no configuration is known yet");
         };
         let (parts, body) = request.into_parts();
