Pause batch items as soon as an online request waits

One request was always left waiting behind batch, since reading a prompt again was thought to cost more. Engines read a paused item's text in some ten milliseconds, an item runs for five seconds. Change: no request more than there are slots is tolerated while items run. The expectation of batch_leaves_room_and_only_the_excess_has_to_go follows the rule: 3 of 4 instead of 2 must go.

--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -15,9 +15,6 @@
 const FIRST_PASS_OVER_UNREACHED: Millis = Millis(1_200);
 /// Longest time for which a failing worker is passed over.
 const LONGEST_PASS_OVER: Millis = Millis(4_000);
-/// Batch items leave a worker once this many requests more than it has slots are there. A short wait
-/// costs less than reading a prompt again.
-const BATCH_TOLERANCE: u32 = 1;
 /// The time over which the load of other nodes is smoothed.
 const SMOOTHING: Millis = Millis(300);
 /// A report is told to other nodes while it is younger than this.
@@ -272,11 +269,11 @@
         }
     }
 
-    /// Workers that are full while batch items run there, and how many of those must go.
+    /// Workers where requests wait while batch items run there, and how many of those must go.
     pub fn overfull(&self, now: Timestamp) -> Vec<WorkerCount> {
         let excess = |entry: &WorkerEntry| {
-            let allowed = entry.record.slots + BATCH_TOLERANCE;
-            let over = entry.estimated_load(now).saturating_sub(allowed).min(entry.batch_in_flight);
+            let waiting = entry.estimated_load(now).saturating_sub(entry.record.slots);
+            let over = waiting.min(entry.batch_in_flight);
             (over > 0).then(|| WorkerCount { worker: entry.record.id.clone(), requests: over })
         };
         self.workers.values().filter_map(excess).collect()
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -363,6 +363,6 @@
     assert_eq!(started, 7, "a slot of eight stays free");
     assert!(table.overfull(at(0)).is_empty());
     table.set_shared_loads(&[WorkerCount { worker: id("one"), requests: 4 }], at(10));
-    assert_eq!(table.overfull(at(10)), vec![WorkerCount { worker: id("one"), requests: 2 }]);
+    assert_eq!(table.overfull(at(10)), vec![WorkerCount { worker: id("one"), requests: 3 }], "nobody waits for batch");
     assert!(table.choose_for_batch(&ask(&[], &[]), at(10), &mut random()).is_none());
 }
