--- a/crates/core/tests/jobs_rules.rs
+++ b/crates/core/tests/jobs_rules.rs
@@ -1,5 +1,6 @@
 //! Rules of batch jobs: the table, the order in which items run, and a group of two.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use proptest::prelude::*;
@@ -217,6 +218,49 @@
     assert_eq!(share.online(at(1_200)), vec![count("v", 1), count("w", 4)]);
 }
 
+/// What one node of the oracle told, and when.
+struct Tale {
+    news: LoadNews,
+    at: u64,
+}
+
+proptest! {
+    #![proptest_config(support::fuzz_config())]
+
+    /// The kept sums are those that would be made from all that was told within the last second, apart from
+    /// what is believed for up to a tenth of a second longer.
+    #[test]
+    fn shared_loads_are_the_sums_of_what_was_told(
+        tales in prop::collection::vec((0..6_u64, 0..400_u64, prop::collection::vec((0..5_u32, 0..9_u32), 0..5)), 1..40),
+    ) {
+        let mut share = LoadShare::default();
+        let mut oracle: BTreeMap<u64, Tale> = BTreeMap::new();
+        let mut now = 0;
+        for (node, pause, loads) in tales {
+            now += pause;
+            let loads: BTreeMap<u32, u32> = loads.into_iter().collect();
+            let named = |(worker, requests): (&u32, &u32)| WorkerNews {
+                worker: WorkerId(Arc::from(format!("w{worker}"))),
+                requests: *requests,
+                told: None,
+            };
+            let news = LoadNews { workers: loads.iter().map(named).collect(), placed_per_s: node as u32 };
+            share.tell(NodeId(node), news.clone(), at(now));
+            oracle.insert(node, Tale { news, at: now });
+            let heard = share.without(NodeId(node), &[], at(now));
+            let sum = |least_age: u64, worker: &WorkerId| -> u32 {
+                let others = oracle.iter().filter(|(other, tale)| **other != node && now - tale.at < least_age);
+                others.flat_map(|(_, tale)| &tale.news.workers).filter(|news| news.worker == *worker).map(|news| news.requests).sum()
+            };
+            for worker in 0..5 {
+                let worker = WorkerId(Arc::from(format!("w{worker}")));
+                let requests = heard.workers.iter().find(|news| news.worker == worker).map_or(0, |news| news.requests);
+                prop_assert!(sum(1_000, &worker) <= requests && requests <= sum(1_100, &worker));
+            }
+        }
+    }
+}
+
 fn pair() -> GroupMembership {
     GroupMembership::of_voters([NodeId(1), NodeId(2)])
 }
