Pace watches of the store by the bounds of the settings

Ruled out: one watcher that passes versions on (a watcher that the store turns away alone would leave others behind the bound); longer waits without a bound (a silent store must be noticed before the node counts as in touch). Change: the pause after a watch with changes is 40% of the shorter of the times for configuration and drains (800 ms where it was 500), the wait half a second more than the time of contact (3.5 s as before on small sites, 4.5 and 5.5 s else).

--- a/crates/cli/src/serving_commands.rs
+++ b/crates/cli/src/serving_commands.rs
@@ -13,14 +13,14 @@
 /// Runs a gateway until it is told to stop.
 pub async fn gateway(arguments: &ArgMatches) -> Result<(), CommandError> {
     let (path, settings) = prepare(arguments)?;
-    let platform = Platform::new(settings.metadata.address);
+    let platform = Platform::new(&settings.metadata);
     process::run_gateway(&settings, &path, &platform).await.context(ServingSnafu)
 }
 
 /// Runs a storing node until it is told to stop.
 pub async fn storage(arguments: &ArgMatches) -> Result<(), CommandError> {
     let (path, settings) = prepare(arguments)?;
-    let platform = Platform::new(settings.metadata.address);
+    let platform = Platform::new(&settings.metadata);
     process::run_storage(&settings, &path, &platform).await.context(ServingSnafu)
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -100,6 +100,40 @@
 pub struct MetadataTable {
     /// The address of the metadata store.
     pub address: SocketAddr,
+    /// A change of the configuration must be in force within this time, in milliseconds.
+    #[serde(default = "MetadataTable::usual_config_ms")]
+    pub config_ms: f64,
+    /// A worker that leaves must get no requests after this time, in milliseconds.
+    #[serde(default = "MetadataTable::usual_drain_ms")]
+    pub drain_ms: f64,
+    /// A node that had no way to the store must be up to date this long after it has one again, in
+    /// milliseconds.
+    #[serde(default = "MetadataTable::usual_contact_ms")]
+    pub contact_ms: f64,
+}
+
+impl MetadataTable {
+    fn usual_config_ms() -> f64 {
+        2_000.0
+    }
+
+    fn usual_drain_ms() -> f64 {
+        2_000.0
+    }
+
+    fn usual_contact_ms() -> f64 {
+        3_000.0
+    }
+
+    /// The time in which any change must have its effect.
+    pub fn change_bound(&self) -> Millis {
+        Millis(self.config_ms.min(self.drain_ms).max(0.0) as u64)
+    }
+
+    /// The time in which a silence of the store must be noticed.
+    pub fn contact_bound(&self) -> Millis {
+        Millis(self.contact_ms.max(0.0) as u64)
+    }
 }
 
 /// The table `[tolerance]`.
