Try no item for 15 ms after none found room

The service comes by with every message, and each time cloned the most urgent item and weighed all workers for it, also while none had room.

--- a/crates/gateway/src/storage_service/mod.rs
+++ b/crates/gateway/src/storage_service/mod.rs
@@ -92,6 +92,8 @@
     running: BTreeMap<ItemKey, Running>,
     next_run: u64,
     leads: bool,
+    /// No item is started before, since no worker had room.
+    no_room_until: Timestamp,
     proposed: HashSet<ItemKey>,
     members: Members,
     founding: Option<GroupMembership>,
@@ -145,6 +147,7 @@
             running: BTreeMap::new(),
             next_run: 0,
             leads: false,
+            no_room_until: now,
             proposed: HashSet::new(),
             members: Members::new(parts.id, parts.tolerated, now),
             founding: None,
--- a/crates/gateway/src/storage_service/running.rs
+++ b/crates/gateway/src/storage_service/running.rs
@@ -18,6 +18,9 @@
 
 /// The time between two rounds of logging what running items have put out.
 const PROGRESS_INTERVAL: Millis = Millis(1_000);
+/// After an item found no worker with room, none is tried for this long. The service comes by with every
+/// message, and each try looks at all ready items and all workers.
+const NO_ROOM_REST: Millis = Millis(15);
 /// An item is given up this long after its submitter allows it, since clocks may be off.
 const GIVE_UP_MARGIN: Millis = Millis(10_000);
 
@@ -70,7 +73,7 @@
 
     pub(super) fn dispatch(&mut self) {
         let now = self.now();
-        if !self.leads || !self.dispatcher.has_ready(now) {
+        if !self.leads || now < self.no_room_until || !self.dispatcher.has_ready(now) {
             return;
         }
         let Some(configuration) = self.workers.view.configuration() else { return };
@@ -96,7 +99,8 @@
             }
             let host = submission.host.clone();
             if !self.start_run(&key, item, host, &route, output, now) {
-                return;
+                self.no_room_until = now + NO_ROOM_REST;
+                break;
             }
         }
         self.propose_results();
