Exchange loads as often as the leader can bear

Cause: requests are placed by loads that were gathered up to 150 ms ago plus the way. Ruled out: slots (the same with a slot kept free), the patience of attempts. Change: the leader says how many nodes tell; each exchanges every 40 ms, or so that all together make 900 exchanges a second, at most every 400 ms. How old gathered loads are thought to be follows from that. Test: nodes_exchange_loads_as_often_as_the_leader_can_bear; spreading stays tested.

--- a/crates/core/src/gateway/choice.rs
+++ b/crates/core/src/gateway/choice.rs
@@ -14,8 +14,6 @@
 
 /// Batch leaves one in this many slots of a worker free.
 const RESERVE_PART: u32 = 6;
-/// How old gathered loads are on average when they arrive: nodes tell them a few times a second.
-const GATHERED_AGE: Millis = Millis(100);
 /// A worker that vanished without notice may still be used as a last resort for this long.
 const GONE_LAST_RESORT: Millis = Millis(1_000);
 /// Spread of the random part of the cost, in milliseconds: nodes must not all choose alike.
@@ -94,7 +92,7 @@
     /// least busy workers. How many those are is drawn, up to twice what is to be expected.
     fn unseen_level(&self, candidates: &[&WorkerEntry], now: Timestamp, random: &mut impl Rng) -> Option<f64> {
         let gathered = self.gathered.filter(|gathered| now.since(gathered.at) < SHARED_LIFETIME)?;
-        let age = now.since(gathered.at) + GATHERED_AGE;
+        let age = now.since(gathered.at) + gathered.told_age;
         let expected = f64::from(gathered.placed_per_s) * age.0 as f64 / 1_000.0;
         let unseen = expected * 2.0 * random.random::<f64>();
         let slopes: Vec<_> = candidates.iter().map(|entry| cost_slope(entry, now)).collect();
--- a/crates/core/src/gateway/worker.rs
+++ b/crates/core/src/gateway/worker.rs
@@ -13,6 +13,13 @@
 /// A gathered load is believed for this long.
 pub(super) const SHARED_LIFETIME: Millis = Millis(1_200);
 
+/// Exchanges of loads that the table's leader bears in a second.
+const EXCHANGES_PER_S: u64 = 900;
+/// The shortest time between two exchanges of one node.
+const LEAST_INTERVAL: Millis = Millis(40);
+/// The longest time between two exchanges of one node.
+const LONGEST_INTERVAL: Millis = Millis(400);
+
 /// Names one start of a worker.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct WorkerId(pub Arc<str>);
@@ -76,6 +83,17 @@
     pub workers: Vec<WorkerNews>,
     /// Requests placed in a second.
     pub placed_per_s: u32,
+    /// How many nodes tell, in what the leader answers.
+    pub tellers: u32,
+}
+
+impl LoadNews {
+    /// The time between two exchanges of one node, where so many tell: as short as the leader can bear, since
+    /// requests are placed by what was heard last.
+    pub fn interval(&self) -> Millis {
+        let spread = u64::from(self.tellers) * 1_000 / EXCHANGES_PER_S;
+        Millis(spread).clamp(LEAST_INTERVAL, LONGEST_INTERVAL)
+    }
 }
 
 /// Whether a worker may be sent requests.
--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -17,6 +17,8 @@
 const LONGEST_PASS_OVER: Millis = Millis(4_000);
 /// The time over which the load of other nodes is smoothed.
 const SMOOTHING: Millis = Millis(300);
+/// How long news are under way: to the leader, and from there.
+const WAY: Millis = Millis(10);
 /// A report is told to other nodes while it is younger than this.
 const REPORT_TOLD_WITHIN: Millis = Millis(300);
 /// A worker that is gone is forgotten after this long.
@@ -46,6 +48,8 @@
 pub(super) struct GatheredRate {
     pub(super) at: Timestamp,
     pub(super) placed_per_s: u32,
+    /// How old what the others told was on average.
+    pub(super) told_age: Millis,
 }
 
 impl Default for WorkerTable {
@@ -246,7 +250,8 @@
             })
             .collect();
         self.set_shared_loads(&loads, now);
-        self.gathered = Some(GatheredRate { at: now, placed_per_s: news.placed_per_s });
+        let told_age = Millis(news.interval().0 / 2) + WAY;
+        self.gathered = Some(GatheredRate { at: now, placed_per_s: news.placed_per_s, told_age });
     }
 
     /// Requests of this node at each worker, those without any left out.
--- a/crates/core/src/jobs/load_share.rs
+++ b/crates/core/src/jobs/load_share.rs
@@ -92,7 +92,8 @@
         let only_batch = batch.into_iter().map(|(worker, requests)| (worker.clone(), requests));
         workers.extend(only_batch.map(|(worker, requests)| WorkerNews { worker, requests, told: None }));
         let own_rate = own.map_or(0, |news| news.placed_per_s);
-        LoadNews { workers, placed_per_s: self.totals.placed_per_s.saturating_sub(own_rate) }
+        let tellers = u32::try_from(self.nodes.len()).unwrap_or(u32::MAX);
+        LoadNews { workers, placed_per_s: self.totals.placed_per_s.saturating_sub(own_rate), tellers }
     }
 
     /// Online requests at each worker, of all nodes.
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -294,10 +294,23 @@
     table.upsert(worker("one", "a"));
     table.upsert(worker("three", "a"));
     let told = WorkerNews { worker: id("one"), requests: 0, told: Some(12) };
-    table.hear(&LoadNews { workers: vec![told], placed_per_s: 0 }, at(0));
+    table.hear(&LoadNews { workers: vec![told], ..LoadNews::default() }, at(0));
     assert_eq!(choose(&table, 10), Some(id("three")));
 }
 
+#[test]
+fn nodes_exchange_loads_as_often_as_the_leader_can_bear() {
+    let interval = |tellers| LoadNews { tellers, ..LoadNews::default() }.interval();
+    assert_eq!(interval(0), Millis(40));
+    assert_eq!(interval(6), Millis(40));
+    assert_eq!(interval(90), Millis(100));
+    for tellers in [90, 180, 270] {
+        let per_s = u64::from(tellers) * 1_000 / interval(tellers).0;
+        assert!((800..=1_000).contains(&per_s), "{per_s} exchanges a second of {tellers}");
+    }
+    assert_eq!(interval(u32::MAX), Millis(400), "news are believed for a second");
+}
+
 /// Nodes that choose by the same gathered loads, a little old, must not all choose the same worker.
 #[test]
 fn nodes_with_the_same_news_spread_their_requests() {
@@ -312,7 +325,7 @@
             table.upsert(worker(&name, "a"));
             news.push(WorkerNews { worker: id(&name), requests: u32::from(place > 0) * 3, told: None });
         }
-        table.hear(&LoadNews { workers: news, placed_per_s: 400 }, at(0));
+        table.hear(&LoadNews { workers: news, placed_per_s: 400, tellers: NODES as u32 }, at(0));
         let mut random = Xoshiro256PlusPlus::seed_from_u64(node);
         let choice = table.choose(&ask(&[], &[]), at(50), &mut random).expect("there is one");
         *counts.entry(choice.id).or_default() += 1;
--- a/crates/core/tests/jobs_rules.rs
+++ b/crates/core/tests/jobs_rules.rs
@@ -206,14 +206,16 @@
     let count = |name: &str, requests| WorkerCount { worker: WorkerId(Arc::from(name)), requests };
     let news = |name: &str, requests, told| WorkerNews { worker: WorkerId(Arc::from(name)), requests, told };
     let mut share = LoadShare::default();
-    let first = LoadNews { workers: vec![news("w", 3, Some(9))], placed_per_s: 20 };
-    let second = LoadNews { workers: vec![news("w", 4, None), news("v", 1, Some(1))], placed_per_s: 30 };
+    let first = LoadNews { workers: vec![news("w", 3, Some(9))], placed_per_s: 20, ..LoadNews::default() };
+    let second =
+        LoadNews { workers: vec![news("w", 4, None), news("v", 1, Some(1))], placed_per_s: 30, ..LoadNews::default() };
     share.tell(NodeId(1), first, at(0));
     share.tell(NodeId(2), second, at(500));
     let batch = [count("v", 2)];
     let heard = share.without(NodeId(1), &batch, at(500));
     assert_eq!(heard.workers, vec![news("v", 3, Some(1)), news("w", 4, Some(9))]);
     assert_eq!(heard.placed_per_s, 30, "the asker knows its own");
+    assert_eq!(heard.tellers, 2);
     assert_eq!(share.online(at(500)), vec![count("v", 1), count("w", 7)]);
     assert_eq!(share.online(at(1_200)), vec![count("v", 1), count("w", 4)]);
 }
@@ -244,7 +246,7 @@
                 requests: *requests,
                 told: None,
             };
-            let news = LoadNews { workers: loads.iter().map(named).collect(), placed_per_s: node as u32 };
+            let news = LoadNews { workers: loads.iter().map(named).collect(), placed_per_s: node as u32, ..LoadNews::default() };
             share.tell(NodeId(node), news.clone(), at(now));
             oracle.insert(node, Tale { news, at: now });
             let heard = share.without(NodeId(node), &[], at(now));
--- a/crates/gateway/src/load_sharing.rs
+++ b/crates/gateway/src/load_sharing.rs
@@ -10,16 +10,15 @@
 use crate::fleet_view::FleetView;
 use crate::job_calls::JobCalls;
 
-/// The time between two exchanges.
-const INTERVAL: Duration = Duration::from_millis(150);
 /// How long the leader's answer is waited for.
 const PATIENCE: Millis = Millis(250);
 /// The time between two exchanges while this node has no requests.
-const IDLE_INTERVAL: Duration = Duration::from_millis(600);
+const IDLE_INTERVAL: Millis = Millis(600);
 
 /// Exchanges loads until the process ends.
 pub async fn share_loads(view: Arc<FleetView>, jobs: Arc<JobCalls>) {
     let mut rate = PlacedRate { placed: 0, at: view.clock.now(), per_s: 0 };
+    let mut interval = LoadNews::default().interval();
     loop {
         let now = view.clock.now();
         let news = rate.news(&view, now);
@@ -27,8 +26,10 @@
         if let Ok(JobsAnswer::Loads(news)) = jobs.client.ask(JobsRequest::ShareLoad(news), now + PATIENCE).await {
             let now = view.clock.now();
             view.workers().hear(&news, now);
+            interval = news.interval();
         }
-        tokio::time::sleep(if is_idle { IDLE_INTERVAL } else { INTERVAL }).await;
+        let rest = if is_idle { IDLE_INTERVAL } else { interval };
+        tokio::time::sleep(Duration::from_millis(rest.0)).await;
     }
 }
 
@@ -48,6 +49,6 @@
         self.per_s = (self.per_s + u32::try_from(per_s).unwrap_or(u32::MAX)).div_ceil(2);
         self.placed = workers.placed();
         self.at = now;
-        LoadNews { workers: workers.own_news(now), placed_per_s: self.per_s }
+        LoadNews { workers: workers.own_news(now), placed_per_s: self.per_s, ..LoadNews::default() }
     }
 }
