Tell other nodes which workers failed

Each of 60 gateways found each dead worker by itself, at the price of a request each, and so did the leader with items. Ruled out: sharing on one node's word (a node may be cut off itself). Change: nodes tell with their loads which workers they pass over; a worker that failed two nodes and told nobody its load since is passed over for half a second by all, and gets no items. Test: a_worker_that_failed_two_other_nodes_is_passed_over_unless_it_told_somebody_something, a_worker_is_dead_once_it_failed_two_nodes_and_told_none.

--- a/crates/core/src/gateway/worker.rs
+++ b/crates/core/src/gateway/worker.rs
@@ -20,6 +20,9 @@
 /// The longest time between two exchanges of one node.
 const LONGEST_INTERVAL: Millis = Millis(400);
 
+/// So many nodes must find a worker failing before others believe them.
+const FAILED_NODES: u32 = 2;
+
 /// Names one start of a worker.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct WorkerId(pub Arc<str>);
@@ -74,6 +77,15 @@
     pub requests: u32,
     /// All requests there, if the worker told that a moment ago.
     pub told: Option<u32>,
+    /// How many nodes pass the worker over, since it failed them of late.
+    pub failing: u32,
+}
+
+impl WorkerNews {
+    /// Whether the worker is held to be dead: it failed several nodes, and told nobody anything since.
+    pub fn says_dead(&self) -> bool {
+        self.failing >= FAILED_NODES && self.told.is_none()
+    }
 }
 
 /// What one node tells of its requests, or hears of those of all others.
@@ -144,6 +156,8 @@
     pub(super) others: Option<SharedLoad>,
     pub(super) failures: u32,
     pub(super) passed_over_until: Option<Timestamp>,
+    /// Other nodes hold it to be dead.
+    pub(super) held_dead_until: Option<Timestamp>,
     pub(super) cache: PrefixCache,
     /// Smoothed time to the first event against the usual of all workers, 1.0 being as usual.
     pub(super) slowness: f64,
@@ -163,6 +177,7 @@
             others: None,
             failures: 0,
             passed_over_until: None,
+            held_dead_until: None,
             cache: PrefixCache::default(),
             slowness: 1.0,
             measured_at: Timestamp::default(),
@@ -195,7 +210,13 @@
         self.in_flight + self.others.map_or(0, |others| others.smoothed.ceil() as u32)
     }
 
+    /// Whether it failed this node, or others, of late.
     pub(super) fn is_passed_over(&self, now: Timestamp) -> bool {
+        self.failed_here(now) || self.held_dead_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it failed this node of late.
+    pub(super) fn failed_here(&self, now: Timestamp) -> bool {
         self.passed_over_until.is_some_and(|until| now < until)
     }
 }
--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -13,6 +13,8 @@
 const FIRST_PASS_OVER: Millis = Millis(300);
 /// How long a worker that could not be reached is passed over at first.
 const FIRST_PASS_OVER_UNREACHED: Millis = Millis(1_200);
+/// How long a worker is passed over after news that it failed other nodes.
+const HELD_DEAD: Millis = Millis(500);
 /// Longest time for which a failing worker is passed over.
 const LONGEST_PASS_OVER: Millis = Millis(4_000);
 /// The time over which the load of other nodes is smoothed.
@@ -192,6 +194,7 @@
         if let Some(entry) = self.workers.get_mut(id) {
             entry.failures = 0;
             entry.passed_over_until = None;
+            entry.held_dead_until = None;
             entry.slowness = entry.slowness * 0.8 + ratio * 0.2;
             entry.measured_at = now;
         }
@@ -232,8 +235,9 @@
         let news = |entry: &WorkerEntry| {
             let report = entry.report.filter(|report| now.since(report.at) < REPORT_TOLD_WITHIN);
             let told = report.map(|report| report.corrected(entry.in_flight));
-            let has_news = entry.in_flight > 0 || told.is_some();
-            has_news.then(|| WorkerNews { worker: entry.record.id.clone(), requests: entry.in_flight, told })
+            let failing = u32::from(entry.failed_here(now));
+            let has_news = entry.in_flight > 0 || told.is_some() || failing > 0;
+            has_news.then(|| WorkerNews { worker: entry.record.id.clone(), requests: entry.in_flight, told, failing })
         };
         self.workers.values().filter_map(news).collect()
     }
@@ -250,10 +254,20 @@
             })
             .collect();
         self.set_shared_loads(&loads, now);
+        self.hold_dead(news.workers.iter().filter(|news| news.says_dead()).map(|news| &news.worker), now);
         let told_age = Millis(news.interval().0 / 2) + WAY;
         self.gathered = Some(GatheredRate { at: now, placed_per_s: news.placed_per_s, told_age });
     }
 
+    /// Passes over workers that failed other nodes, for as long as such news stay young.
+    pub fn hold_dead<'a>(&mut self, dead: impl Iterator<Item = &'a WorkerId>, now: Timestamp) {
+        for id in dead {
+            if let Some(entry) = self.workers.get_mut(id) {
+                entry.held_dead_until = Some(now + HELD_DEAD);
+            }
+        }
+    }
+
     /// Requests of this node at each worker, those without any left out.
     pub fn own_loads(&self) -> Vec<WorkerCount> {
         let busy = self.workers.values().filter(|entry| entry.in_flight > 0);
--- a/crates/core/src/jobs/load_share.rs
+++ b/crates/core/src/jobs/load_share.rs
@@ -28,6 +28,13 @@
 struct Total {
     requests: u32,
     told: Option<u32>,
+    failing: u32,
+}
+
+impl Total {
+    fn news(&self, worker: &WorkerId, requests: u32) -> WorkerNews {
+        WorkerNews { worker: worker.clone(), requests, told: self.told, failing: self.failing }
+    }
 }
 
 /// What all tellers together say.
@@ -43,6 +50,7 @@
         for worker in &news.workers {
             let total = self.workers.entry(worker.worker.clone()).or_default();
             total.requests += worker.requests;
+            total.failing += worker.failing;
             total.told = total.told.max(worker.told);
         }
     }
@@ -53,6 +61,7 @@
         for worker in &news.workers {
             if let Some(total) = self.workers.get_mut(&worker.worker) {
                 total.requests = total.requests.saturating_sub(worker.requests);
+                total.failing = total.failing.saturating_sub(worker.failing);
             }
         }
     }
@@ -87,10 +96,10 @@
         for (worker, total) in &self.totals.workers {
             let others = total.requests.saturating_sub(own_requests.get(worker).copied().unwrap_or(0));
             let requests = others + batch.remove(worker).unwrap_or(0);
-            workers.push(WorkerNews { worker: worker.clone(), requests, told: total.told });
+            workers.push(total.news(worker, requests));
         }
         let only_batch = batch.into_iter().map(|(worker, requests)| (worker.clone(), requests));
-        workers.extend(only_batch.map(|(worker, requests)| WorkerNews { worker, requests, told: None }));
+        workers.extend(only_batch.map(|(worker, requests)| Total::default().news(&worker, requests)));
         let own_rate = own.map_or(0, |news| news.placed_per_s);
         let tellers = u32::try_from(self.nodes.len()).unwrap_or(u32::MAX);
         LoadNews { workers, placed_per_s: self.totals.placed_per_s.saturating_sub(own_rate), tellers }
@@ -103,6 +112,13 @@
         busy.map(|(worker, total)| WorkerCount { worker: worker.clone(), requests: total.requests }).collect()
     }
 
+    /// Workers that are held to be dead.
+    pub fn dead(&mut self, now: Timestamp) -> Vec<WorkerId> {
+        self.refresh(now);
+        let news = self.totals.workers.iter().map(|(worker, total)| total.news(worker, total.requests));
+        news.filter(WorkerNews::says_dead).map(|news| news.worker).collect()
+    }
+
     /// Forgets everything: this node leads no longer.
     pub fn clear(&mut self) {
         *self = Self::default();
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -293,7 +293,7 @@
     let mut table = WorkerTable::default();
     table.upsert(worker("one", "a"));
     table.upsert(worker("three", "a"));
-    let told = WorkerNews { worker: id("one"), requests: 0, told: Some(12) };
+    let told = WorkerNews { worker: id("one"), requests: 0, told: Some(12), failing: 0 };
     table.hear(&LoadNews { workers: vec![told], ..LoadNews::default() }, at(0));
     assert_eq!(choose(&table, 10), Some(id("three")));
 }
@@ -311,6 +311,30 @@
     assert_eq!(interval(u32::MAX), Millis(400), "news are believed for a second");
 }
 
+#[test]
+fn a_worker_that_failed_two_other_nodes_is_passed_over_unless_it_told_somebody_something() {
+    let mut table = WorkerTable::default();
+    table.upsert(worker("one", "a"));
+    table.upsert(worker("three", "b"));
+    let hear = |table: &mut WorkerTable, failing, told, millis| {
+        let news = WorkerNews { worker: id("one"), requests: 0, told, failing };
+        table.hear(&LoadNews { workers: vec![news], ..LoadNews::default() }, at(millis));
+    };
+    hear(&mut table, 1, None, 0);
+    assert_eq!(choose(&table, 10), Some(id("one")), "one node may be cut off itself");
+    hear(&mut table, 2, Some(1), 20);
+    assert_eq!(choose(&table, 30), Some(id("one")), "it answers somebody");
+    hear(&mut table, 2, None, 40);
+    assert_eq!(choose(&table, 50), Some(id("three")));
+    assert_eq!(table.own_news(at(50)), vec![], "hearsay is not passed on");
+    assert_eq!(choose(&table, 600), Some(id("one")), "old news are forgotten");
+    hear(&mut table, 2, None, 700);
+    table.succeeded(&id("one"), Millis(50), at(710));
+    assert_eq!(choose(&table, 720), Some(id("one")), "own success counts more");
+    table.failed(&id("one"), false, at(800));
+    assert_eq!(table.own_news(at(810)).iter().map(|news| news.failing).collect::<Vec<_>>(), vec![1]);
+}
+
 /// Nodes that choose by the same gathered loads, a little old, must not all choose the same worker.
 #[test]
 fn nodes_with_the_same_news_spread_their_requests() {
@@ -323,7 +347,7 @@
         for place in 0..WORKERS {
             let name = format!("worker-{place}");
             table.upsert(worker(&name, "a"));
-            news.push(WorkerNews { worker: id(&name), requests: u32::from(place > 0) * 3, told: None });
+            news.push(WorkerNews { worker: id(&name), requests: u32::from(place > 0) * 3, told: None, failing: 0 });
         }
         table.hear(&LoadNews { workers: news, placed_per_s: 400, tellers: NODES as u32 }, at(0));
         let mut random = Xoshiro256PlusPlus::seed_from_u64(node);
--- a/crates/core/tests/jobs_rules.rs
+++ b/crates/core/tests/jobs_rules.rs
@@ -204,7 +204,8 @@
 #[test]
 fn shared_loads_leave_out_the_asker_and_old_news() {
     let count = |name: &str, requests| WorkerCount { worker: WorkerId(Arc::from(name)), requests };
-    let news = |name: &str, requests, told| WorkerNews { worker: WorkerId(Arc::from(name)), requests, told };
+    let news =
+        |name: &str, requests, told| WorkerNews { worker: WorkerId(Arc::from(name)), requests, told, failing: 0 };
     let mut share = LoadShare::default();
     let first = LoadNews { workers: vec![news("w", 3, Some(9))], placed_per_s: 20, ..LoadNews::default() };
     let second =
@@ -220,6 +221,22 @@
     assert_eq!(share.online(at(1_200)), vec![count("v", 1), count("w", 4)]);
 }
 
+#[test]
+fn a_worker_is_dead_once_it_failed_two_nodes_and_told_none() {
+    let mut share = LoadShare::default();
+    let failing = |told| {
+        let news = WorkerNews { worker: WorkerId(Arc::from("w")), requests: 1, told, failing: 1 };
+        LoadNews { workers: vec![news], ..LoadNews::default() }
+    };
+    share.tell(NodeId(1), failing(None), at(0));
+    assert_eq!(share.dead(at(0)), vec![]);
+    share.tell(NodeId(2), failing(None), at(10));
+    assert_eq!(share.dead(at(10)), vec![WorkerId(Arc::from("w"))]);
+    assert_eq!(share.without(NodeId(3), &[], at(10)).workers[0].failing, 2);
+    share.tell(NodeId(2), failing(Some(1)), at(20));
+    assert_eq!(share.dead(at(20)), vec![]);
+}
+
 /// What one node of the oracle told, and when.
 struct Tale {
     news: LoadNews,
@@ -245,6 +262,7 @@
                 worker: WorkerId(Arc::from(format!("w{worker}"))),
                 requests: *requests,
                 told: None,
+                failing: 0,
             };
             let news = LoadNews { workers: loads.iter().map(named).collect(), placed_per_s: node as u32, ..LoadNews::default() };
             share.tell(NodeId(node), news.clone(), at(now));
--- a/crates/gateway/src/storage_service/mod.rs
+++ b/crates/gateway/src/storage_service/mod.rs
@@ -320,6 +320,8 @@
         self.keep_members();
         if self.leads {
             measures::open_items(self.dispatcher.open_count());
+            let dead = self.load_share.dead(now);
+            self.workers.view.workers().hold_dead(dead.iter(), now);
             self.propose_results();
             self.propose_progress();
             self.forget();
