--- a/crates/core/src/gateway/choice.rs
+++ b/crates/core/src/gateway/choice.rs
@@ -51,6 +51,18 @@
     pub candidates: usize,
 }
 
+impl Choice {
+    fn of(entry: &WorkerEntry, ask: &WorkerAsk<'_>, candidates: usize, now: Timestamp) -> Self {
+        Self {
+            id: entry.record.id.clone(),
+            address: entry.record.address,
+            load: entry.estimated_load(now),
+            held_tokens: entry.cache.held_tokens(ask.prefix),
+            candidates,
+        }
+    }
+}
+
 impl WorkerTable {
     /// The worker with the least estimated time to the first event. Workers that failed of late are
     /// passed over while there are others, and workers that vanished serve only when nobody else can.
@@ -79,13 +91,7 @@
             .map(|entry| (cost(entry, &mut draw), *entry))
             .min_by(|left, right| left.0.total_cmp(&right.0))?
             .1;
-        Some(Choice {
-            id: chosen.record.id.clone(),
-            address: chosen.record.address,
-            load: chosen.estimated_load(now),
-            held_tokens: chosen.cache.held_tokens(ask.prefix),
-            candidates: candidates.len(),
-        })
+        Some(Choice::of(chosen, ask, candidates.len(), now))
     }
 
     /// The level to which requests that other nodes have placed meanwhile may have raised the cost of the
@@ -133,13 +139,7 @@
             })
             .min_by(|left, right| left.0.total_cmp(&right.0))?
             .1;
-        Some(Choice {
-            id: chosen.record.id.clone(),
-            address: chosen.record.address,
-            load: chosen.estimated_load(now),
-            held_tokens: chosen.cache.held_tokens(ask.prefix),
-            candidates: candidates.len(),
-        })
+        Some(Choice::of(chosen, ask, candidates.len(), now))
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/online/records.rs
@@ -0,0 +1,80 @@
+//! What a request leaves in the log and in the figures.
+
+use stallmoor_core::error::Refusal;
+use stallmoor_core::gateway::attempt::AttemptEnd;
+use stallmoor_core::gateway::workers::WorkerId;
+use stallmoor_core::log_event::LogEvent;
+
+use super::Passage;
+use crate::journal::{Field, record};
+use crate::measures;
+
+impl Passage {
+    pub(super) fn log_attempt(&self, worker: &WorkerId, end: AttemptEnd) {
+        let fields = [
+            Field::text("request", &self.request.facts.id),
+            Field::text("worker", worker),
+            Field::text("end", format!("{end:?}")),
+            Field::number("events", self.events),
+            Field::number("age_ms", self.now().since(self.request.arrived_at).0),
+        ];
+        record(LogEvent::AttemptEnded, &fields);
+        measures::attempt_failed(end.name());
+    }
+
+    /// What decided the choice of the worker: its load and cache as believed here.
+    fn choice_fields(&self) -> Vec<Field> {
+        let Some(choice) = &self.last_choice else { return Vec::new() };
+        vec![
+            Field::text("worker", &choice.id),
+            Field::number("load", choice.load),
+            Field::number("held_tokens", choice.held_tokens),
+            Field::number("candidates", choice.candidates as u64),
+        ]
+    }
+
+    pub(super) fn log_move(&self) {
+        let mut fields = vec![
+            Field::text("request", &self.request.facts.id),
+            Field::number("after_event", self.last_event.unwrap_or(0)),
+            Field::number("attempt", self.attempts),
+            Field::number("age_ms", self.now().since(self.request.arrived_at).0),
+        ];
+        fields.extend(self.choice_fields());
+        record(LogEvent::RequestMoved, &fields);
+    }
+
+    pub(super) fn log_refusal(&self, refused: &Refusal) {
+        let fields = [
+            Field::text("request", &self.request.facts.id),
+            Field::text("route", &self.request.route.name),
+            Field::text("kind", refused.kind.code()),
+            Field::text("detail", &refused.detail),
+            Field::number("age_ms", self.now().since(self.request.arrived_at).0),
+            Field::number("ready_workers", self.client.view.workers().ready_count(&self.service, self.now()) as u64),
+            Field::number("configuration", self.client.view.configuration().map_or(0, |known| known.version)),
+        ];
+        record(LogEvent::RequestRefused, &fields);
+        self.measure_end(refused.kind.code());
+    }
+
+    pub(super) fn log_end(&self, how: &str) {
+        let mut fields = vec![
+            Field::text("request", &self.request.facts.id),
+            Field::text("route", &self.request.route.name),
+            Field::text("end", how),
+            Field::number("events", self.events),
+            Field::number("attempts", self.attempts),
+            Field::number("age_ms", self.now().since(self.request.arrived_at).0),
+        ];
+        fields.extend(self.first_event_after.map(|after| Field::number("first_event_ms", after.0)));
+        fields.extend(self.choice_fields());
+        record(LogEvent::RequestEnded, &fields);
+        self.measure_end(how);
+    }
+
+    fn measure_end(&self, how: &str) {
+        let took = self.now().since(self.request.arrived_at);
+        measures::request_ended(&self.request.route.name, how, self.first_event_after, took);
+    }
+}
