Promise "not run" for a job only if no earlier try may be taken

The client of the job table tries several times. When a try got no answer, or an unsure one, and a later try was answered "over quota" or "no room", the caller got that refusal, though the first try could still be committed. And the leader counted a job whose first proposal was under way against itself, so a second try of it was over quota because of the first. Ruled out: the refusals of online requests (their ledger counts each attempt that may have run) and of reads, which change nothing. The end of a job had the same fault: 503 after a try that may have arrived. Change: such a refusal after an unsure try is told as unsure, 504 without a promise, for ends too; a job whose proposal is under way is neither over quota nor without room, and counts once.

--- a/crates/core/src/jobs/node.rs
+++ b/crates/core/src/jobs/node.rs
@@ -77,8 +77,21 @@
 struct Proposal {
     term: Term,
     waiter: Option<Waiter>,
-    /// A submission's route and tokens, which count against the limit meanwhile.
-    tokens: Option<(Arc<str>, u64)>,
+    /// The job that it would take.
+    job: Option<ProposedJob>,
+}
+
+/// A job whose proposal is under way. Its tokens count against the limit meanwhile.
+struct ProposedJob {
+    key: JobKey,
+    route: Arc<str>,
+    tokens: u64,
+}
+
+impl ProposedJob {
+    fn of(submission: &Submission) -> Self {
+        Self { key: submission.key.clone(), route: submission.route.clone(), tokens: submission.token_count() }
+    }
 }
 
 struct HeldAnswer {
@@ -192,7 +205,7 @@
         now: Timestamp,
     ) -> Result<Vec<JobsEffect>, NotProposed> {
         self.check_leading(now)?;
-        if self.table.job(&submission.key).is_none()
+        if !self.may_hold(&submission.key)
             && let Some(limit) = submission.queued_token_limit
         {
             let waiting = self.waiting_tokens(&submission.route);
@@ -200,8 +213,8 @@
                 return Err(NotProposed::OverQuota { waiting });
             }
         }
-        let tokens = Some((submission.route.clone(), submission.token_count()));
-        self.propose_with(&JobCommand::Accept(submission), Some(waiter), tokens, now)
+        let job = Some(ProposedJob::of(&submission));
+        self.propose_with(&JobCommand::Accept(submission), Some(waiter), job, now)
     }
 
     /// Proposes a command.
@@ -315,10 +328,21 @@
         self.table.job(&key.job).is_none_or(|job| job.ended || job.is_listed(key.item))
     }
 
+    /// Whether a job is in the table, or its proposal is under way. It must not be refused then: it is taken
+    /// already, or may be.
+    pub fn may_hold(&self, key: &JobKey) -> bool {
+        self.table.job(key).is_some() || self.proposed_jobs().any(|job| job.key == *key)
+    }
+
+    fn proposed_jobs(&self) -> impl Iterator<Item = &ProposedJob> {
+        self.proposals.values().filter_map(|proposal| proposal.job.as_ref())
+    }
+
     fn waiting_tokens(&self, route: &str) -> u64 {
-        let proposed = self.proposals.values().filter_map(|proposal| proposal.tokens.as_ref());
-        let proposed: u64 = proposed.filter(|(name, _)| &**name == route).map(|(_, tokens)| tokens).sum();
-        self.table.open_tokens(route) + proposed
+        // A job that was submitted again meanwhile counts once.
+        let proposed: BTreeMap<&JobKey, u64> =
+            self.proposed_jobs().filter(|job| &*job.route == route).map(|job| (&job.key, job.tokens)).collect();
+        self.table.open_tokens(route) + proposed.values().sum::<u64>()
     }
 
     fn check_leading(&self, now: Timestamp) -> Result<(), NotProposed> {
@@ -335,14 +359,14 @@
         &mut self,
         command: &JobCommand,
         waiter: Option<Waiter>,
-        tokens: Option<(Arc<str>, u64)>,
+        job: Option<ProposedJob>,
         now: Timestamp,
     ) -> Result<Vec<JobsEffect>, NotProposed> {
         let index = self.replica.propose(command.encode(), now).map_err(|error| match error {
             ProposalError::NotLeader(leader) => NotProposed::NotLeader(leader),
             ProposalError::Busy => NotProposed::Busy,
         })?;
-        self.proposals.insert(index, Proposal { term: self.replica.term(), waiter, tokens });
+        self.proposals.insert(index, Proposal { term: self.replica.term(), waiter, job });
         Ok(self.gather())
     }
 
--- a/crates/core/src/jobs/request.rs
+++ b/crates/core/src/jobs/request.rs
@@ -68,3 +68,10 @@
     /// The command was proposed, and whether it took effect is not known.
     Unsure,
 }
+
+impl JobsAnswer {
+    /// Whether it says that the request it answers took nothing, which tells nothing of an earlier try.
+    pub fn took_nothing(&self) -> bool {
+        matches!(self, Self::OverQuota { .. } | Self::NoRoom)
+    }
+}
--- a/crates/gateway/src/job_calls.rs
+++ b/crates/gateway/src/job_calls.rs
@@ -72,6 +72,7 @@
                 let refused = Refusal::new(ErrorKind::StateUnavailable, "the storing nodes' disks have no room");
                 refusal::answer(&refused.with_retry_after(OVER_QUOTA_COME_BACK.0))
             }
+            Ok(JobsAnswer::Unsure) => refusal::answer(&refuse_unsure("an earlier try may have taken the job")),
             Ok(_) => refusal::of_kind(ErrorKind::Internal, "an answer that does not fit a submission"),
             Err(no_leader) => refusal::answer(&refuse_without_leader(no_leader)),
         }
@@ -90,6 +91,8 @@
             }
             JobCall::End { job } => match self.client.ask(JobsRequest::End { job }, arrived_at + CALL_WITHIN).await {
                 Ok(JobsAnswer::Ended | JobsAnswer::Accepted) => empty(StatusCode::OK),
+                // Unlike a read, an end may have taken effect.
+                Err(no_leader) => refusal::answer(&refuse_without_leader(no_leader)),
                 other => refuse_call(other),
             },
         }
@@ -115,6 +118,7 @@
             Ok(JobsAnswer::Accepted | JobsAnswer::Ended) => "accepted",
             Ok(JobsAnswer::OverQuota { .. }) => "over_quota",
             Ok(JobsAnswer::NoRoom) => "no_room",
+            Ok(JobsAnswer::Unsure) => "unknown",
             Ok(_) => "unexpected",
             Err(NoLeader { may_have_arrived: true }) => "unknown",
             Err(NoLeader { may_have_arrived: false }) => "no_leader",
@@ -122,15 +126,20 @@
     }
 }
 
-/// A submission that may have arrived is not refused: the caller may ask again, and finds it taken.
+/// A change that may have arrived is not refused: the caller may ask again, and finds it taken.
 fn refuse_without_leader(no_leader: NoLeader) -> Refusal {
     let detail = "the job table has no leader that answers";
     if no_leader.may_have_arrived {
-        return Refusal::new(ErrorKind::DeadlineExceeded, detail).with_ran(Ran::Unknown);
+        return refuse_unsure(detail);
     }
     Refusal::new(ErrorKind::StateUnavailable, detail).with_retry_after(NO_LEADER_COME_BACK.0)
 }
 
+/// A refusal that promises nothing.
+fn refuse_unsure(detail: &str) -> Refusal {
+    Refusal::new(ErrorKind::DeadlineExceeded, detail).with_ran(Ran::Unknown)
+}
+
 fn refuse_call(result: Result<JobsAnswer, NoLeader>) -> Response<AnswerBody> {
     match result {
         Ok(JobsAnswer::UnknownJob) => refusal::of_kind(ErrorKind::UnknownJob, "there is no such job"),
--- a/crates/gateway/src/jobs_client.rs
+++ b/crates/gateway/src/jobs_client.rs
@@ -38,6 +38,9 @@
 
     /// Asks until there is an answer or the time is over.
     ///
+    /// A refusal says that nothing was taken by the try that it answers. Where an earlier try may have reached
+    /// a leader, it is answered as [`JobsAnswer::Unsure`]: that try may yet take effect.
+    ///
     /// # Errors
     ///
     /// [`NoLeader`]: nobody answered in time.
@@ -63,7 +66,8 @@
                 }
                 Ok(Ok(answer)) => {
                     self.set_leader(target.node);
-                    return Ok(answer);
+                    let is_unsure = may_have_arrived && answer.took_nothing();
+                    return Ok(if is_unsure { JobsAnswer::Unsure } else { answer });
                 }
                 Ok(Err(GroupRefusal::NotLeader { leader: Some(leader), .. })) if leader != target.node => {
                     self.set_leader(leader);
--- a/crates/gateway/src/storage_service/requests.rs
+++ b/crates/gateway/src/storage_service/requests.rs
@@ -73,10 +73,9 @@
         }
     }
 
-    /// Whether the disk has no room for a job that is not in the table yet.
+    /// Whether the disk has no room for a job that is not taken yet.
     fn lacks_room(&self, submission: &Submission) -> bool {
-        let is_new = self.node.table().job(&submission.key).is_none();
-        is_new && !self.budget.has_room_for(submission.bytes())
+        !self.node.may_hold(&submission.key) && !self.budget.has_room_for(submission.bytes())
     }
 
     pub(super) fn wait(&mut self, reply: Reply) -> Waiter {
--- /dev/null
+++ b/crates/gateway/tests/jobs_client.rs
@@ -0,0 +1,88 @@
+//! What the client of the job table tells of a submission when several tries were made.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use stallmoor_core::identity::NodeId;
+use stallmoor_core::jobs::command::{JobKey, Submission};
+use stallmoor_core::jobs::directory::StorageRecord;
+use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
+use stallmoor_core::time::{Millis, UnixMillis};
+use stallmoor_gateway::clock::NodeClock;
+use stallmoor_gateway::fleet_view::FleetView;
+use stallmoor_gateway::jobs_client::{JobsClient, NoLeader};
+use stallmoor_gateway::storage_server::{PeerEvent, Reply, accept_peers};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+/// The storing node that is asked.
+const STORAGE: NodeId = NodeId(7);
+
+/// A storing node that answers each try as the script says: `None` leaves it without an answer.
+async fn scripted_storage(script: Vec<Option<JobsAnswer>>) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (events, mut received) = mpsc::channel(16);
+    tokio::spawn(accept_peers(listener, events));
+    tokio::spawn(async move {
+        let mut script = script.into_iter();
+        let mut unanswered: Vec<Reply> = Vec::new();
+        while let Some(event) = received.recv().await {
+            let PeerEvent::Request { reply, .. } = event else { continue };
+            match script.next().flatten() {
+                Some(answer) => drop(reply.send(Ok(answer))),
+                None => unanswered.push(reply),
+            }
+        }
+    });
+    address
+}
+
+/// Submits a job to a storing node with such a script.
+async fn submit(script: Vec<Option<JobsAnswer>>) -> Result<JobsAnswer, NoLeader> {
+    let address = scripted_storage(script).await;
+    let view = Arc::new(FleetView::new(NodeClock::start(), Arc::from("zone-a"), 1));
+    let (name, zone) = (Arc::from("storage-1"), Arc::from("zone-a"));
+    view.storage().upsert(StorageRecord { name, node: STORAGE, address, zone });
+    let until = view.clock.now() + Millis(3_000);
+    JobsClient::new(view, NodeId(1)).ask(JobsRequest::Submit(job()), until).await
+}
+
+fn job() -> Submission {
+    Submission {
+        key: JobKey(Arc::from("job-1")),
+        route: Arc::from("batch"),
+        host: Arc::from("front.example"),
+        items: Vec::new(),
+        configuration_version: 1,
+        received_at: UnixMillis(0),
+        due: Millis(20_000),
+        queued_token_limit: Some(100),
+    }
+}
+
+#[tokio::test]
+async fn a_refusal_after_an_unanswered_try_promises_nothing() {
+    for refusal in [JobsAnswer::OverQuota { waiting: 100 }, JobsAnswer::NoRoom] {
+        let answer = submit(vec![None, Some(refusal)]).await;
+        assert_eq!(answer, Ok(JobsAnswer::Unsure), "the first try may yet be taken");
+    }
+}
+
+#[tokio::test]
+async fn a_refusal_after_an_unsure_try_promises_nothing() {
+    let answer = submit(vec![Some(JobsAnswer::Unsure), Some(JobsAnswer::OverQuota { waiting: 100 })]).await;
+    assert_eq!(answer, Ok(JobsAnswer::Unsure));
+}
+
+#[tokio::test]
+async fn a_refusal_of_the_first_try_is_told() {
+    let refusal = JobsAnswer::OverQuota { waiting: 100 };
+    assert_eq!(submit(vec![Some(refusal.clone())]).await, Ok(refusal));
+}
+
+#[tokio::test]
+async fn a_job_that_is_in_the_table_is_accepted_whatever_became_of_earlier_tries() {
+    let answer = submit(vec![None, Some(JobsAnswer::Accepted)]).await;
+    assert_eq!(answer, Ok(JobsAnswer::Accepted));
+}
