--- /dev/null
+++ b/crates/core/src/relay/mirror.rs
@@ -0,0 +1,139 @@
+//! The metadata store's contents as one node knows them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use super::item::{ItemState, MetadataItem, Revision};
+use super::message::ChangeSet;
+use crate::time::{Millis, Timestamp};
+
+/// The store counts as having been out of reach from this long a silence on: records may have lapsed meanwhile.
+/// Below the shortest time after which a worker's record lapses, three heartbeats of 1.2 s.
+const LEAST_ABSENCE: Millis = Millis(1_000);
+/// Most keys of which it is remembered that nothing is under them. Each costs some hundred bytes.
+const MOST_VACANT: usize = 1_024;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Held {
+    state: ItemState,
+    revision: Revision,
+}
+
+/// The store's contents as one node knows them.
+///
+/// Invariants: the revision up to which the view is complete never goes down; a key never goes back to an older
+/// revision; a removal after `removals_from` is remembered.
+#[derive(Clone, Debug, Default)]
+pub struct Mirror {
+    items: BTreeMap<Arc<str>, Held>,
+    /// The view is complete up to here; `None` before the first list.
+    at: Option<Revision>,
+    /// Which keys were removed up to here is not known.
+    removals_from: Revision,
+    /// The view is known to have been complete at this time.
+    confirmed_at: Timestamp,
+}
+
+impl Mirror {
+    /// The revision up to which the view is complete.
+    pub fn at(&self) -> Option<Revision> {
+        self.at
+    }
+
+    /// How long ago the view is known to have been complete; `None` before the first list.
+    pub fn age(&self, now: Timestamp) -> Option<Millis> {
+        self.at.map(|_| now.since(self.confirmed_at))
+    }
+
+    /// The view was complete at a time.
+    pub fn confirm(&mut self, at: Timestamp) {
+        self.confirmed_at = self.confirmed_at.max(at);
+    }
+
+    /// Takes all that the store holds, read at a revision after the store was out of reach for `absence`.
+    /// Returns what is new to this view.
+    pub fn replace(&mut self, listed: Vec<MetadataItem>, at: Revision, absence: Millis) -> Vec<MetadataItem> {
+        let keys: BTreeSet<Arc<str>> = listed.iter().map(|item| item.key.clone()).collect();
+        let state = if absence >= LEAST_ABSENCE { ItemState::Lapsed } else { ItemState::Removed };
+        // What this view learned after the list was read is not missing from it.
+        let is_missing = |key: &Arc<str>, held: &Held| {
+            matches!(held.state, ItemState::Present(_)) && held.revision <= at && !keys.contains(key)
+        };
+        let missing: Vec<MetadataItem> = self
+            .items
+            .iter()
+            .filter(|(key, held)| is_missing(key, held))
+            .map(|(key, _)| MetadataItem { key: key.clone(), state: state.clone(), revision: at })
+            .collect();
+        let mut news = self.take(listed);
+        for item in missing {
+            self.hold(&item);
+            news.push(item);
+        }
+        self.removals_from = self.removals_from.max(at);
+        self.reach(at);
+        news
+    }
+
+    /// Takes changes that follow on what this view holds. Returns what is new to it.
+    pub fn advance(&mut self, changes: Vec<MetadataItem>, at: Revision) -> Vec<MetadataItem> {
+        let news = self.take(changes);
+        self.reach(at);
+        news
+    }
+
+    /// What brings a view that is complete up to `since` up to this one; `None` before the first list.
+    pub fn changes_since(&self, since: Revision) -> Option<ChangeSet> {
+        let at = self.at?;
+        let is_whole = since < self.removals_from;
+        let is_wanted = |held: &Held| if is_whole { held.state != ItemState::Removed } else { held.revision > since };
+        let items = self
+            .items
+            .iter()
+            .filter(|(_, held)| is_wanted(held))
+            .map(|(key, held)| MetadataItem { key: key.clone(), state: held.state.clone(), revision: held.revision })
+            .collect();
+        Some(ChangeSet { base: (!is_whole).then_some(since), at, items })
+    }
+
+    /// All keys that have a value.
+    pub fn present(&self) -> impl Iterator<Item = (&Arc<str>, &[u8])> {
+        self.items.iter().filter_map(|(key, held)| match &held.state {
+            ItemState::Present(value) => Some((key, &**value)),
+            ItemState::Removed | ItemState::Lapsed => None,
+        })
+    }
+
+    /// Keeps the items that are newer than what is held, and returns those.
+    fn take(&mut self, items: Vec<MetadataItem>) -> Vec<MetadataItem> {
+        let is_new = |item: &MetadataItem| self.items.get(&item.key).is_none_or(|held| held.revision < item.revision);
+        let news: Vec<MetadataItem> = items.into_iter().filter(is_new).collect();
+        for item in &news {
+            self.hold(item);
+        }
+        news
+    }
+
+    fn hold(&mut self, item: &MetadataItem) {
+        self.items.insert(item.key.clone(), Held { state: item.state.clone(), revision: item.revision });
+    }
+
+    fn reach(&mut self, at: Revision) {
+        self.at = self.at.max(Some(at));
+        self.forget_vacant();
+    }
+
+    /// Forgets the oldest removals where there are many.
+    fn forget_vacant(&mut self) {
+        let is_vacant = |held: &Held| !matches!(held.state, ItemState::Present(_));
+        let mut vacant: Vec<Revision> =
+            self.items.values().filter(|held| is_vacant(held)).map(|held| held.revision).collect();
+        if vacant.len() <= MOST_VACANT {
+            return;
+        }
+        vacant.sort_unstable();
+        let upto = vacant[vacant.len() - MOST_VACANT - 1];
+        self.removals_from = self.removals_from.max(upto);
+        self.items.retain(|_, held| !is_vacant(held) || held.revision > upto);
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/mod.rs
@@ -0,0 +1,19 @@
+//! Passing the metadata store's changes on between nodes.
+//!
+//! Each call of the store is paid for, and a watch of the store by every node makes their number grow with
+//! nodes times changes. So most nodes ask another node, a relay, which watches the store for them.
+//!
+//! A relay is never trusted to be up to date. Each answer says how old the relay's view is, and a node whose
+//! own view grows too old, for whatever reason, asks the store itself in time.
+//!
+//! | module | owns |
+//! |---|---|
+//! | [`item`] | revisions, and items at a revision |
+//! | [`mirror`] | the store's contents as one node knows them, and what changed since a revision |
+//! | [`message`] | what a node asks a relay, and the answer |
+//! | [`policy`] | where a node takes the next changes from, and how long it waits |
+
+pub mod item;
+pub mod message;
+pub mod mirror;
+pub mod policy;
--- /dev/null
+++ b/crates/core/src/relay/policy.rs
@@ -0,0 +1,320 @@
+//! Where a node takes the store's next changes from, and how long it waits.
+
+use std::collections::BTreeMap;
+
+use super::item::Revision;
+use super::message::ChangesAnswer;
+use crate::hashing::{hash_bytes, rendezvous_weight};
+use crate::identity::NodeId;
+use crate::jobs::directory::StorageDirectory;
+use crate::time::{Millis, Timestamp};
+
+/// How many relays a node tries before it asks the store. One is enough while it lives; of three in a row that
+/// are cut off from the store, which a third of all machines may be, there is one case in 27.
+const RELAYS_TRIED: usize = 3;
+/// How long an answer of a relay may take beyond the time for which it may be held back: two ways between
+/// zones, and a busy relay.
+const RELAY_MARGIN: Millis = Millis(250);
+/// A relay that gave no answer is avoided for the contact bound, doubled up to this many times.
+const MOST_DOUBLINGS: u32 = 3;
+/// The first wait after a failed call of the store; doubles with each in a row.
+const FIRST_STORE_WAIT: Millis = Millis(50);
+/// A watch of a node that takes no changes from relays waits this much longer than the contact bound, since it
+/// may have begun before the silence.
+const ALONE_MARGIN: Millis = Millis(500);
+
+/// The times in which a node must know of changes, from its settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchBounds {
+    /// A change must have its effect within this time.
+    pub change: Millis,
+    /// A node that had no way to the store must be up to date this long after it has one again.
+    pub contact: Millis,
+}
+
+impl WatchBounds {
+    /// How long a relay's watch of the store waits: its view is confirmed as often as this.
+    fn relay_wait(self) -> Millis {
+        percent(self.change, 20)
+    }
+
+    /// The pause of a relay after a watch that brought changes, so that further ones come together.
+    fn relay_pause(self) -> Millis {
+        percent(self.change, 10)
+    }
+
+    /// How long a relay may hold an answer back.
+    fn hold(self) -> Millis {
+        percent(self.change, 15)
+    }
+
+    /// A relay whose view is older than this has lost the store: more than two of its watches and a pause.
+    pub fn relay_stale(self) -> Millis {
+        percent(self.change, 60)
+    }
+
+    /// A node whose view is older than this asks the store itself. What is left of the bound is for that call.
+    pub fn stale(self) -> Millis {
+        percent(self.change, 75)
+    }
+
+    /// How long a watch waits where there is no relay. The store may have lost its answer, which shows only after
+    /// that.
+    fn alone_wait(self) -> Millis {
+        self.contact + ALONE_MARGIN
+    }
+
+    /// The pause after a watch with changes where there is no relay.
+    fn alone_pause(self) -> Millis {
+        percent(self.change, 40)
+    }
+
+    /// A node that was asked within this time is a relay.
+    fn relay_lifetime(self) -> Millis {
+        self.contact
+    }
+
+    /// How long a relay with an old view is avoided: it may have the store again soon.
+    fn avoid_stale(self) -> Millis {
+        percent(self.change, 20)
+    }
+
+    /// The longest wait after a failed call of the store. Others depend on a relay, so it tries more often.
+    fn longest_store_wait(self, role: Role) -> Millis {
+        match role {
+            Role::Relay | Role::Alone => percent(self.contact, 15),
+            Role::Follower => percent(self.contact, 40),
+        }
+    }
+}
+
+fn percent(span: Millis, share: u64) -> Millis {
+    Millis(span.0 * share / 100)
+}
+
+/// What a node is among those that want to know of changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Others ask it, so it watches the store.
+    Relay,
+    /// It asks relays.
+    Follower,
+    /// It knows no relay, so it watches the store.
+    Alone,
+}
+
+/// The next call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Ask a relay.
+    AskRelay {
+        /// Which.
+        relay: NodeId,
+        /// How long it may hold the answer back.
+        hold: Millis,
+        /// How long its answer is waited for.
+        patience: Millis,
+    },
+    /// Read all that the store holds.
+    ListStore,
+    /// Watch the store.
+    WatchStore {
+        /// From where on.
+        since: Revision,
+        /// How long the store may hold the answer back.
+        wait: Millis,
+    },
+    /// No call for so long.
+    Rest(Millis),
+}
+
+/// What this node knows when it chooses the next call.
+#[derive(Clone, Copy, Debug)]
+pub struct ViewState {
+    /// The time.
+    pub now: Timestamp,
+    /// The view is complete up to here.
+    pub at: Option<Revision>,
+    /// How old it is.
+    pub age: Option<Millis>,
+    /// When another node last asked this one.
+    pub asked_at: Option<Timestamp>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Avoided {
+    until: Timestamp,
+    failures: u32,
+}
+
+/// Chooses where the next changes come from.
+#[derive(Clone, Debug)]
+pub struct WatchPolicy {
+    bounds: WatchBounds,
+    avoided: BTreeMap<NodeId, Avoided>,
+    /// Changes may have been missed: everything must be read again.
+    must_list: bool,
+    store_failures: u32,
+    /// No call of the store before.
+    store_rests_until: Timestamp,
+    /// Since when the store is out of reach.
+    away_since: Option<Timestamp>,
+}
+
+impl WatchPolicy {
+    /// The policy of a node that knows nothing yet.
+    pub fn new(bounds: WatchBounds) -> Self {
+        Self {
+            bounds,
+            avoided: BTreeMap::new(),
+            must_list: true,
+            store_failures: 0,
+            store_rests_until: Timestamp::default(),
+            away_since: None,
+        }
+    }
+
+    /// What the node is, where these relays could be asked.
+    pub fn role(&self, view: ViewState, relays: &[NodeId]) -> Role {
+        let lifetime = self.bounds.relay_lifetime();
+        if view.asked_at.is_some_and(|asked| view.now.since(asked) < lifetime) {
+            Role::Relay
+        } else if relays.is_empty() {
+            Role::Alone
+        } else {
+            Role::Follower
+        }
+    }
+
+    /// The next call.
+    pub fn next(&self, view: ViewState, relays: &[NodeId]) -> Step {
+        let role = self.role(view, relays);
+        let store_step = self.store_step(view, role);
+        if role != Role::Follower {
+            return store_step;
+        }
+        let Some(age) = view.age else { return store_step };
+        let relay = self.usable_relay(view.now, relays);
+        let left = Millis(self.bounds.stale().0.saturating_sub(age.0));
+        let store_rests = matches!(store_step, Step::Rest(_));
+        match relay {
+            Some(relay) if left > Millis(0) => self.ask(relay, left),
+            // The store does not answer, so there is no hurry.
+            Some(relay) if store_rests => self.ask(relay, self.bounds.stale()),
+            None if store_rests => self.rest_until_usable(view.now, relays, store_step),
+            _ => store_step,
+        }
+    }
+
+    /// A rest that is over when one of the relays may be asked again.
+    fn rest_until_usable(&self, now: Timestamp, relays: &[NodeId], step: Step) -> Step {
+        let Step::Rest(rest) = step else { return step };
+        let ends = relays.iter().take(RELAYS_TRIED).filter_map(|relay| self.avoided.get(relay));
+        let first = ends.map(|avoided| avoided.until.since(now)).min().unwrap_or(rest);
+        Step::Rest(rest.min(first.max(Millis(1))))
+    }
+
+    fn ask(&self, relay: NodeId, left: Millis) -> Step {
+        let hold = self.bounds.hold();
+        Step::AskRelay { relay, hold, patience: left.min(hold + RELAY_MARGIN) }
+    }
+
+    fn store_step(&self, view: ViewState, role: Role) -> Step {
+        let rest = self.store_rests_until.since(view.now);
+        if rest > Millis(0) {
+            return Step::Rest(rest);
+        }
+        let wait = if role == Role::Alone { self.bounds.alone_wait() } else { self.bounds.relay_wait() };
+        match view.at {
+            Some(since) if !self.must_list => Step::WatchStore { since, wait },
+            _ => Step::ListStore,
+        }
+    }
+
+    fn usable_relay(&self, now: Timestamp, relays: &[NodeId]) -> Option<NodeId> {
+        let is_avoided = |relay: &NodeId| self.avoided.get(relay).is_some_and(|avoided| now < avoided.until);
+        relays.iter().take(RELAYS_TRIED).find(|relay| !is_avoided(relay)).copied()
+    }
+
+    /// A relay answered. Returns whether its view is young enough; the answer may be used either way.
+    pub fn relay_answered(&mut self, relay: NodeId, answer: &ChangesAnswer, now: Timestamp) -> bool {
+        let is_young = answer.age < self.bounds.relay_stale();
+        if is_young {
+            self.avoided.remove(&relay);
+            self.must_list = false;
+            self.store_failures = 0;
+            self.store_rests_until = Timestamp::default();
+            self.away_since = None;
+        } else {
+            let until = now + self.bounds.avoid_stale();
+            self.avoided.insert(relay, Avoided { until, failures: 0 });
+            if answer.away > Millis(0) {
+                let since = Timestamp::from_millis(now.as_millis().saturating_sub(answer.away.0));
+                self.away_since.get_or_insert(since);
+            }
+        }
+        is_young
+    }
+
+    /// A relay gave no answer.
+    pub fn relay_failed(&mut self, relay: NodeId, now: Timestamp) {
+        let failures = self.avoided.get(&relay).map_or(0, |avoided| avoided.failures);
+        let span = self.bounds.contact.0 << failures.min(MOST_DOUBLINGS);
+        self.avoided.insert(relay, Avoided { until: now + Millis(span), failures: failures + 1 });
+    }
+
+    /// The store answered. Returns for how long it was out of reach before.
+    pub fn store_answered(&mut self, now: Timestamp) -> Millis {
+        self.must_list = false;
+        self.store_failures = 0;
+        self.store_rests_until = Timestamp::default();
+        self.away_since.take().map_or(Millis(0), |since| now.since(since))
+    }
+
+    /// The store has dropped the history that was asked for.
+    pub fn history_dropped(&mut self) {
+        self.must_list = true;
+    }
+
+    /// A call of the store failed. `silent_since` is when the silence may have begun; `spread` is a share from 0
+    /// to 1, so that nodes don't come back all at once. Returns whether it is the first failure in a row.
+    pub fn store_failed(&mut self, role: Role, silent_since: Timestamp, now: Timestamp, spread: f64) -> bool {
+        self.away_since.get_or_insert(silent_since);
+        // A watch that was cut may have missed changes that it can't hear of any more: the store may be about
+        // to drop its history. So everything is read again.
+        self.must_list = true;
+        let doubled = FIRST_STORE_WAIT.0 << self.store_failures.min(8);
+        let longest = self.bounds.longest_store_wait(role).0;
+        let wait = doubled.min(longest) as f64 * (0.5 + spread);
+        self.store_rests_until = now + Millis(wait as u64);
+        self.store_failures += 1;
+        self.store_failures == 1
+    }
+
+    /// For how long the store has been out of reach.
+    pub fn away(&self, now: Timestamp) -> Millis {
+        self.away_since.map_or(Millis(0), |since| now.since(since))
+    }
+
+    /// The pause after a watch that brought changes.
+    pub fn pause(&self, role: Role) -> Millis {
+        match role {
+            Role::Relay => self.bounds.relay_pause(),
+            Role::Alone => self.bounds.alone_pause(),
+            Role::Follower => Millis(0),
+        }
+    }
+}
+
+/// The nodes that may be relays of a zone, the best first. All nodes of the zone see the same order, so few
+/// nodes of a zone are relays; those of the zone come first, since bytes between zones are dear.
+pub fn rank_relays(storage: &StorageDirectory, zone: &str, own: NodeId) -> Vec<NodeId> {
+    let key = hash_bytes(zone.as_bytes());
+    let mut ranked: Vec<(bool, std::cmp::Reverse<u64>, NodeId)> = storage
+        .records()
+        .filter(|record| record.node != own)
+        .map(|record| (&*record.zone != zone, std::cmp::Reverse(rendezvous_weight(key, record.node.0)), record.node))
+        .collect();
+    ranked.sort_unstable();
+    ranked.into_iter().map(|(_, _, node)| node).collect()
+}
--- /dev/null
+++ b/crates/gateway/src/metadata_watch.rs
@@ -0,0 +1,225 @@
+//! Keeping this node's view of the metadata store up to date, through relays or by calls of its own.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use stallmoor_core::identity::NodeId;
+use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::relay::item::{MetadataItem, Revision};
+use stallmoor_core::relay::message::{ChangesAnswer, ChangesRequest};
+use stallmoor_core::relay::policy::{Role, Step, WatchBounds, WatchPolicy, rank_relays};
+use stallmoor_core::time::{Millis, Timestamp};
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::fleet_view::FleetView;
+use crate::journal::{Field, record};
+use crate::measures;
+use crate::metadata::{FleetUpdate, ItemsAt, MetadataStore, ReadFailure};
+use crate::metadata_view::MetadataView;
+use crate::peer_link::PeerLinks;
+
+/// Follows the store's changes.
+pub struct MetadataWatch {
+    id: NodeId,
+    store: Arc<dyn MetadataStore>,
+    fleet: Arc<FleetView>,
+    view: Arc<MetadataView>,
+    links: PeerLinks,
+    policy: WatchPolicy,
+    updates: UnboundedSender<FleetUpdate>,
+    /// The relay that the last changes came from.
+    followed: Option<NodeId>,
+    role: Role,
+    has_listed: bool,
+}
+
+impl MetadataWatch {
+    /// A watch that has told nothing yet.
+    pub fn new(
+        id: NodeId,
+        store: Arc<dyn MetadataStore>,
+        fleet: Arc<FleetView>,
+        view: Arc<MetadataView>,
+        bounds: WatchBounds,
+        updates: UnboundedSender<FleetUpdate>,
+    ) -> Self {
+        let (links, policy) = (PeerLinks::new(id), WatchPolicy::new(bounds));
+        let (followed, role, has_listed) = (None, Role::Alone, false);
+        Self { id, store, fleet, view, links, policy, updates, followed, role, has_listed }
+    }
+
+    /// Tells what the store holds and each change of it, until the receiver is gone.
+    pub async fn run(mut self) {
+        while !self.updates.is_closed() {
+            let state = self.view.state();
+            let relays = rank_relays(&self.fleet.storage(), &self.fleet.zone, self.id);
+            self.enter(self.policy.role(state, &relays));
+            measures::view_age(state.age.unwrap_or_default());
+            match self.policy.next(state, &relays) {
+                Step::AskRelay { relay, hold, patience } => self.ask_relay(relay, state.at, hold, patience).await,
+                Step::ListStore => self.list_store().await,
+                Step::WatchStore { since, wait } => self.watch_store(since, wait).await,
+                Step::Rest(span) => self.until_asked(tokio::time::sleep(as_duration(span))).await.unwrap_or(()),
+            }
+            self.view.set_away(self.policy.away(self.fleet.clock.now()));
+        }
+    }
+
+    fn enter(&mut self, role: Role) {
+        if role == Role::Relay && self.role != Role::Relay {
+            record(LogEvent::RelayServing, &[]);
+            self.followed = None;
+        }
+        self.role = role;
+    }
+
+    /// Waits for a call. A node that is not a relay yet breaks off when it is asked: its call may be answered long
+    /// after that, or say how old another relay's view is.
+    async fn until_asked<T>(&self, call: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            answer = call => Some(answer),
+            () = self.view.asked(), if self.role != Role::Relay => None,
+        }
+    }
+
+    async fn ask_relay(&mut self, relay: NodeId, since: Option<Revision>, hold: Millis, patience: Millis) {
+        let address = self.fleet.storage().of_node(relay).map(|record| record.address);
+        let (Some(address), Some(since)) = (address, since) else {
+            self.policy.relay_failed(relay, self.fleet.clock.now());
+            return;
+        };
+        let asked_at = self.fleet.clock.now();
+        let call = self.links.ask_changes(address, ChangesRequest { since, hold }, as_duration(patience));
+        let Some(answered) = self.until_asked(call).await else { return };
+        let now = self.fleet.clock.now();
+        match answered {
+            Ok(Ok(answer)) if is_sound(&answer, since) => self.take_answer(relay, answer, asked_at),
+            Ok(Ok(answer)) => {
+                let detail =
+                    format!("changes from {:?} to {}, asked from {since}", answer.changes.base, answer.changes.at);
+                record(LogEvent::MessageRefused, &[Field::text("peer", address), Field::text("detail", detail)]);
+                self.leave(relay, now, "unsound answer");
+            }
+            Ok(Err(refusal)) => self.leave(relay, now, &format!("{refusal:?}")),
+            Err(failure) => self.leave(relay, now, &format!("{failure:?}")),
+        }
+    }
+
+    fn take_answer(&mut self, relay: NodeId, answer: ChangesAnswer, asked_at: Timestamp) {
+        let is_young = self.policy.relay_answered(relay, &answer, self.fleet.clock.now());
+        // The answer was written after it was held back, and the relay's view was complete that much earlier.
+        let written_at = asked_at + answer.held;
+        let confirmed = Timestamp::from_millis(written_at.as_millis().saturating_sub(answer.age.0));
+        let ChangesAnswer { changes, age, .. } = answer;
+        let news = match changes.base {
+            Some(_) => self.view.advance(changes.items, changes.at, confirmed),
+            None => self.view.replace(changes.items, changes.at, Millis(0), confirmed),
+        };
+        self.tell(&news);
+        if is_young && self.followed != Some(relay) {
+            record(LogEvent::RelayFollowed, &[Field::text("relay", relay), Field::number("age_ms", age.0)]);
+            self.followed = Some(relay);
+        } else if !is_young && self.followed == Some(relay) {
+            self.log_left(relay, &format!("its view is {} ms old", age.0));
+        }
+    }
+
+    fn leave(&mut self, relay: NodeId, now: Timestamp, why: &str) {
+        self.policy.relay_failed(relay, now);
+        if self.followed == Some(relay) {
+            self.log_left(relay, why);
+        }
+    }
+
+    fn log_left(&mut self, relay: NodeId, why: &str) {
+        let age = self.view.state().age.unwrap_or_default();
+        let fields = [Field::text("relay", relay), Field::text("detail", why), Field::number("age_ms", age.0)];
+        record(LogEvent::RelayLeft, &fields);
+        self.followed = None;
+    }
+
+    async fn list_store(&mut self) {
+        let begun = self.fleet.clock.now();
+        measures::store_call("list");
+        match self.store.list().await {
+            Ok(ItemsAt { items, at }) => {
+                let absence = self.store_answered();
+                let news = self.view.replace(items, at, absence, begun);
+                self.tell(&news);
+                if !self.has_listed {
+                    self.has_listed = true;
+                    self.send(FleetUpdate::Listed);
+                }
+            }
+            Err(failure) => self.store_failed(failure, begun),
+        }
+    }
+
+    async fn watch_store(&mut self, since: Revision, wait: Millis) {
+        let begun = self.fleet.clock.now();
+        measures::store_call("watch");
+        let store = self.store.clone();
+        let Some(result) = self.until_asked(store.changes(since, wait)).await else { return };
+        match result {
+            Ok(ItemsAt { items, at }) => {
+                self.store_answered();
+                // Without changes the store answers only after the wait.
+                let has_waited = items.is_empty() && self.fleet.clock.now().since(begun) >= wait;
+                let confirmed = if has_waited { begun + wait } else { begun };
+                let has_changes = !items.is_empty();
+                let news = self.view.advance(items, at, confirmed);
+                self.tell(&news);
+                if has_changes {
+                    tokio::time::sleep(as_duration(self.policy.pause(self.role))).await;
+                }
+            }
+            Err(ReadFailure::HistoryGone) => self.policy.history_dropped(),
+            Err(failure) => self.store_failed(failure, begun),
+        }
+    }
+
+    fn store_answered(&mut self) -> Millis {
+        let absence = self.policy.store_answered(self.fleet.clock.now());
+        if absence > Millis(0) {
+            self.send(FleetUpdate::Reached);
+        }
+        absence
+    }
+
+    fn store_failed(&mut self, failure: ReadFailure, begun: Timestamp) {
+        let now = self.fleet.clock.now();
+        // A call that got no answer in time may have met silence from its first moment on.
+        let silent_since = if failure == ReadFailure::TimedOut { begun } else { now };
+        let spread = self.fleet.random().random::<f64>();
+        if self.policy.store_failed(self.role, silent_since, now, spread) {
+            self.send(FleetUpdate::Lost { detail: format!("{failure:?}") });
+        }
+    }
+
+    fn tell(&self, news: &[MetadataItem]) {
+        for update in news.iter().filter_map(|item| self.store.interpret(item)) {
+            self.send(update);
+        }
+    }
+
+    fn send(&self, update: FleetUpdate) {
+        // The receiver is gone only when the process ends.
+        let _ = self.updates.send(update);
+    }
+}
+
+/// Whether an answer follows on what was asked for. One that does not, or that is older than the asker's view and
+/// claims to be all that there is, is not believed.
+fn is_sound(answer: &ChangesAnswer, since: Revision) -> bool {
+    let is_keyed = answer.changes.items.iter().all(|item| !item.key.is_empty());
+    let follows = match answer.changes.base {
+        Some(base) => base == since,
+        None => answer.changes.at >= since,
+    };
+    is_keyed && follows
+}
+
+fn as_duration(span: Millis) -> Duration {
+    Duration::from_millis(span.0)
+}
