--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -28,8 +28,6 @@
 /// Records lapse while the store is out of reach. Workers that live write them again within this time of its
 /// return.
 const RETURN_TIME: Millis = Millis(2_000);
-/// The store counts as having been out of reach from this long a silence on.
-const LEAST_ABSENCE: Millis = Millis(1_000);
 /// The usual time to the first event before any was measured, in milliseconds.
 const TYPICAL_AT_START_MS: f64 = 60.0;
 
@@ -112,19 +110,9 @@
         Some(WorkerChange::Gone(id.clone()))
     }
 
-    /// Takes the whole list of records, read after the store was out of reach for `absence`. A worker that
-    /// is not listed is gone; after an absence in which records may have lapsed it serves on until those
-    /// that live have written theirs again.
-    pub fn keep_listed(&mut self, listed: &[WorkerId], absence: Millis, now: Timestamp) -> Vec<WorkerChange> {
-        let unlisted = |entry: &&WorkerEntry| !listed.contains(&entry.record.id);
-        let unlisted: Vec<WorkerId> =
-            self.workers.values().filter(unlisted).map(|entry| entry.record.id.clone()).collect();
-        let may_return = absence >= LEAST_ABSENCE;
-        unlisted.iter().filter_map(|id| if may_return { self.miss(id, now) } else { self.remove(id, now) }).collect()
-    }
-
-    /// A worker's record is missing, and may come back.
-    fn miss(&mut self, id: &WorkerId, now: Timestamp) -> Option<WorkerChange> {
+    /// A worker's record was missing when the store came back. The worker serves on until those that live have
+    /// written theirs again.
+    pub fn miss(&mut self, id: &WorkerId, now: Timestamp) -> Option<WorkerChange> {
         let entry = self.workers.get_mut(id)?;
         if entry.presence != Presence::Ready {
             return None;
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -63,12 +63,16 @@
     MembershipChanging = 306, Information, "The leader proposes a change of its group's members.";
     PairRecorded = 307, Information, "The record of a group of two is written.";
     WentOnAlone = 308, Warning, "This replica goes on as the only voter of a group of two.";
+    FoundingWritten = 309, Information, "The founding record of a replica group was proposed to the store.";
     MessageRefused = 310, Warning, "A message from a peer was refused.";
     ConfigurationInForce = 400, Information, "A configuration revision came into force on this node.";
     ConfigurationAccepted = 401, Information, "An operator's change was accepted.";
     ConfigurationRefused = 402, Warning, "An operator's change was refused.";
     PlatformUnavailable = 410, Warning, "The key-value service did not answer.";
     PlatformRecovered = 411, Information, "The key-value service answers again.";
+    RelayFollowed = 412, Information, "This node takes the store's changes from another node.";
+    RelayLeft = 413, Warning, "A node that passed the store's changes on is silent or behind; another one or the store is asked.";
+    RelayServing = 414, Information, "Other nodes take the store's changes from this one.";
     ControlTaken = 420, Information, "This node holds the control lease.";
     ControlLost = 421, Information, "This node holds the control lease no longer.";
     OrderGiven = 422, Information, "An order was given to an engine.";
--- a/crates/core/src/node/group_client.rs
+++ b/crates/core/src/node/group_client.rs
@@ -187,8 +187,8 @@
                 let reply = match body {
                     GroupAnswerBody::Outcome(outcome) => GroupReply::Outcome(outcome),
                     GroupAnswerBody::Answer(answer) => GroupReply::Answer(answer),
-                    // This node never asks for pass-through jobs, so whatever this answers is gone.
-                    GroupAnswerBody::Jobs(_) => GroupReply::TimedOut,
+                    // This node never asks for pass-through jobs or changes, so whatever this answers is gone.
+                    GroupAnswerBody::Jobs(_) | GroupAnswerBody::Changes(_) => GroupReply::TimedOut,
                 };
                 self.on_reply(pending.purpose, reply);
             }
--- a/crates/core/src/node/groups.rs
+++ b/crates/core/src/node/groups.rs
@@ -172,8 +172,8 @@
             return;
         };
         match request.body {
-            // The groups of this node hold no pass-through jobs.
-            GroupRequestBody::Jobs(_) => {
+            // The groups of this node hold no pass-through jobs, and it keeps no view of a metadata store.
+            GroupRequestBody::Jobs(_) | GroupRequestBody::Changes(_) => {
                 let result = Err(GroupRefusal::Busy);
                 self.answer_group_request(request.from, request.id, request.group, result);
             }
--- a/crates/core/src/node/peer_message.rs
+++ b/crates/core/src/node/peer_message.rs
@@ -11,6 +11,7 @@
 use crate::jobs::request::{JobsAnswer, JobsRequest};
 use crate::membership::MembershipMessage;
 use crate::partition::{Command, CommandOutcome, Query, QueryAnswer};
+use crate::relay::message::{ChangesAnswer, ChangesRequest};
 use crate::replication::{ReplicationMessage, Term};
 use crate::routing::LeavingFact;
 use crate::time::Millis;
@@ -82,6 +83,8 @@
     Query(Query),
     /// Something of the table of pass-through jobs.
     Jobs(JobsRequest),
+    /// What changed in the metadata store.
+    Changes(ChangesRequest),
 }
 
 /// The answer to a group request.
@@ -104,6 +107,8 @@
     Answer(QueryAnswer),
     /// The answer of the table of pass-through jobs.
     Jobs(JobsAnswer),
+    /// What changed in the metadata store.
+    Changes(ChangesAnswer),
 }
 
 /// Why a group request was not served. The command may have taken effect all the same if the leader
--- a/crates/core/src/relay/mirror.rs
+++ b/crates/core/src/relay/mirror.rs
@@ -51,21 +51,26 @@
     }
 
     /// Takes all that the store holds, read at a revision after the store was out of reach for `absence`.
-    /// Returns what is new to this view.
+    /// Returns what is new to this view. A list that is older than the view is not taken: what it holds may have been
+    /// removed since.
     pub fn replace(&mut self, listed: Vec<MetadataItem>, at: Revision, absence: Millis) -> Vec<MetadataItem> {
-        let keys: BTreeSet<Arc<str>> = listed.iter().map(|item| item.key.clone()).collect();
-        let state = if absence >= LEAST_ABSENCE { ItemState::Lapsed } else { ItemState::Removed };
-        // What this view learned after the list was read is not missing from it.
+        if Some(at) < self.at {
+            return Vec::new();
+        }
+        let present: BTreeSet<Arc<str>> =
+            listed.iter().filter(|item| item.value().is_some()).map(|item| item.key.clone()).collect();
+        let mut news = self.take(listed);
+        // Items may be newer than the revision up to which they are complete.
         let is_missing = |key: &Arc<str>, held: &Held| {
-            matches!(held.state, ItemState::Present(_)) && held.revision <= at && !keys.contains(key)
+            matches!(held.state, ItemState::Present(_)) && held.revision <= at && !present.contains(key)
         };
+        let state = if absence >= LEAST_ABSENCE { ItemState::Lapsed } else { ItemState::Removed };
         let missing: Vec<MetadataItem> = self
             .items
             .iter()
             .filter(|(key, held)| is_missing(key, held))
             .map(|(key, _)| MetadataItem { key: key.clone(), state: state.clone(), revision: at })
             .collect();
-        let mut news = self.take(listed);
         for item in missing {
             self.hold(&item);
             news.push(item);
--- /dev/null
+++ b/crates/core/tests/relay_simulation.rs
@@ -0,0 +1,321 @@
+//! Nodes that take the store's changes from relays, on a virtual clock, while relays freeze, links break, and the
+//! store goes away for some or for all.
+//!
+//! What must hold: a node that runs, and had a way to the store for the contact bound, knows each change within the
+//! change bound, whatever became of the relays.
+
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use stallmoor_core::identity::NodeId;
+use stallmoor_core::relay::item::Revision;
+use stallmoor_core::relay::message::{ChangeSet, ChangesAnswer};
+use stallmoor_core::relay::mirror::Mirror;
+use stallmoor_core::relay::policy::{Role, Step, ViewState, WatchBounds, WatchPolicy};
+use stallmoor_core::time::{Millis, Timestamp};
+
+const BOUNDS: WatchBounds = WatchBounds { change: Millis(2_000), contact: Millis(3_000) };
+const RELAYS: usize = 4;
+const NODES: usize = 12;
+/// A step of the clock.
+const STEP: u64 = 5;
+/// One way between two nodes, or a node and the store.
+const WAY: u64 = 5;
+/// A call of the store that gets no answer ends after this long, beyond its wait.
+const CALL_TIMEOUT: u64 = 700;
+
+#[derive(Clone, Copy, Debug)]
+enum Call {
+    List,
+    Watch { since: u64, wait: u64 },
+    Ask { relay: usize, since: u64, hold: u64, patience: u64 },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Under {
+    call: Call,
+    begun: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Faults {
+    /// The process stands still until then.
+    frozen_until: u64,
+    /// The store refuses its calls until then.
+    refused_until: u64,
+    /// The store does not answer its calls until then.
+    silent_until: u64,
+    /// No other node reaches it until then.
+    unreached_until: u64,
+}
+
+struct Node {
+    policy: WatchPolicy,
+    mirror: Mirror,
+    asked_at: Option<Timestamp>,
+    under: Option<Under>,
+    paused_until: u64,
+    faults: Faults,
+    /// It runs, and had a way to the store, since then.
+    in_touch_since: u64,
+    store_calls: u64,
+}
+
+struct World {
+    now: u64,
+    revision: u64,
+    /// When each revision was written.
+    written_at: Vec<u64>,
+    nodes: Vec<Node>,
+    random: Xoshiro256PlusPlus,
+    worst_lag: u64,
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+fn id(node: usize) -> NodeId {
+    NodeId(node as u64 + 1)
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let node = || Node {
+            policy: WatchPolicy::new(BOUNDS),
+            mirror: Mirror::default(),
+            asked_at: None,
+            under: None,
+            paused_until: 0,
+            faults: Faults::default(),
+            in_touch_since: 0,
+            store_calls: 0,
+        };
+        let random = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let nodes = (0..NODES).map(|_| node()).collect();
+        Self { now: 0, revision: 1, written_at: vec![0, 0], nodes, random, worst_lag: 0 }
+    }
+
+    fn write(&mut self) {
+        self.revision += 1;
+        self.written_at.push(self.now);
+    }
+
+    fn has_store(&self, node: usize) -> bool {
+        let faults = self.nodes[node].faults;
+        self.now >= faults.refused_until && self.now >= faults.silent_until
+    }
+
+    fn view(&self, node: usize) -> ViewState {
+        let Node { mirror, asked_at, .. } = &self.nodes[node];
+        let now = at(self.now);
+        ViewState { now, at: mirror.at(), age: mirror.age(now), asked_at: *asked_at }
+    }
+
+    fn relays_of(node: usize) -> Vec<NodeId> {
+        (0..RELAYS).filter(|relay| *relay != node).map(id).collect()
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        for node in 0..NODES {
+            if self.now < self.nodes[node].faults.frozen_until {
+                self.nodes[node].in_touch_since = self.now;
+                continue;
+            }
+            if !self.has_store(node) {
+                self.nodes[node].in_touch_since = self.now;
+            }
+            self.resolve(node);
+            if self.nodes[node].under.is_none() && self.now >= self.nodes[node].paused_until {
+                self.begin(node);
+            }
+            self.check(node);
+        }
+    }
+
+    fn begin(&mut self, node: usize) {
+        let (view, relays) = (self.view(node), Self::relays_of(node));
+        let call = match self.nodes[node].policy.next(view, &relays) {
+            Step::Rest(span) => {
+                self.nodes[node].paused_until = self.now + span.0;
+                return;
+            }
+            Step::ListStore => Call::List,
+            Step::WatchStore { since, wait } => Call::Watch { since: since.0, wait: wait.0 },
+            Step::AskRelay { relay, hold, patience } => {
+                let since = view.at.expect("only a node with a view asks").0;
+                Call::Ask { relay: relay.0 as usize - 1, since, hold: hold.0, patience: patience.0 }
+            }
+        };
+        if !matches!(call, Call::Ask { .. }) {
+            self.nodes[node].store_calls += 1;
+        }
+        self.nodes[node].under = Some(Under { call, begun: self.now });
+    }
+
+    fn resolve(&mut self, node: usize) {
+        let Some(Under { call, begun }) = self.nodes[node].under else { return };
+        let passed = self.now - begun;
+        if passed < 2 * WAY {
+            return;
+        }
+        let done = match call {
+            Call::List => self.resolve_store(node, begun, None),
+            Call::Watch { since, wait } => self.resolve_store(node, begun, Some((since, wait))),
+            Call::Ask { relay, since, hold, patience } => self.resolve_ask(node, begun, relay, since, hold, patience),
+        };
+        let may_break_off = !matches!(call, Call::List) && self.role(node) == Role::Relay;
+        let was_asked = self.nodes[node].asked_at.is_some_and(|asked| asked > at(begun));
+        // A node that becomes a relay drops a call that may be answered long after that.
+        let is_first_question = was_asked && matches!(call, Call::Ask { .. });
+        if done || (may_break_off && is_first_question) {
+            self.nodes[node].under = None;
+        }
+    }
+
+    fn role(&self, node: usize) -> Role {
+        self.nodes[node].policy.role(self.view(node), &Self::relays_of(node))
+    }
+
+    fn resolve_store(&mut self, node: usize, begun: u64, watch: Option<(u64, u64)>) -> bool {
+        let (now, revision, role) = (self.now, self.revision, self.role(node));
+        let passed = now - begun;
+        let wait = watch.map_or(0, |(_, wait)| wait);
+        let spread = self.random.random::<f64>();
+        let has_store = self.has_store(node);
+        let is_refused = now < self.nodes[node].faults.refused_until;
+        let entry = &mut self.nodes[node];
+        if !has_store {
+            if !is_refused && passed < wait + CALL_TIMEOUT {
+                return false;
+            }
+            let silent_since = if is_refused { now } else { begun };
+            entry.policy.store_failed(role, at(silent_since), at(now), spread);
+            return true;
+        }
+        let has_changes = watch.is_none_or(|(since, _)| since < revision);
+        if !has_changes && passed < wait + 2 * WAY {
+            return false;
+        }
+        let absence = entry.policy.store_answered(at(now));
+        match watch {
+            None => drop(entry.mirror.replace(Vec::new(), Revision(revision), absence)),
+            Some(_) => drop(entry.mirror.advance(Vec::new(), Revision(revision))),
+        }
+        entry.mirror.confirm(at(if has_changes { begun } else { begun + wait }));
+        if has_changes && watch.is_some() {
+            entry.paused_until = now + entry.policy.pause(role).0;
+        }
+        true
+    }
+
+    fn resolve_ask(&mut self, node: usize, begun: u64, relay: usize, since: u64, hold: u64, patience: u64) -> bool {
+        let now = self.now;
+        let passed = now - begun;
+        let faults = self.nodes[relay].faults;
+        if passed >= patience {
+            self.nodes[node].policy.relay_failed(id(relay), at(now));
+            return true;
+        }
+        if now < faults.frozen_until || now < faults.unreached_until {
+            return false;
+        }
+        if self.nodes[relay].asked_at.is_none_or(|asked| asked < at(begun)) {
+            self.nodes[relay].asked_at = Some(at(begun + WAY));
+        }
+        let Some(age) = self.nodes[relay].mirror.age(at(now)) else { return false };
+        let relay_at = self.nodes[relay].mirror.at().expect("it has an age");
+        let has_news = age < BOUNDS.relay_stale() && relay_at.0 > since;
+        if !has_news && passed < hold + 2 * WAY {
+            return false;
+        }
+        let held = Millis(passed - 2 * WAY);
+        let away = self.nodes[relay].policy.away(at(now));
+        let changes = ChangeSet { base: Some(Revision(since)), at: relay_at, items: Vec::new() };
+        let answer = ChangesAnswer { changes, age, away, held };
+        let entry = &mut self.nodes[node];
+        entry.policy.relay_answered(id(relay), &answer, at(now));
+        entry.mirror.advance(Vec::new(), relay_at);
+        let confirmed = (at(begun) + held).as_millis().saturating_sub(age.0);
+        entry.mirror.confirm(Timestamp::from_millis(confirmed));
+        true
+    }
+
+    fn check(&mut self, node: usize) {
+        let entry = &self.nodes[node];
+        let is_in_touch = self.now - entry.in_touch_since >= BOUNDS.contact.0;
+        let known = entry.mirror.at().map_or(0, |at| at.0);
+        let unknown_since = self.written_at.get(known as usize + 1).copied();
+        let lag = unknown_since.map_or(0, |written| self.now - written);
+        if is_in_touch {
+            self.worst_lag = self.worst_lag.max(lag);
+            assert!(lag <= BOUNDS.change.0, "node {node} does not know of a change {lag} ms after it, at {}", self.now);
+            // The age that a node believes must never be less than the truth.
+            let age = entry.mirror.age(at(self.now)).expect("it is in touch");
+            assert!(lag <= age.0 + STEP, "node {node} believes its view to be {age:?} old, and it lags by {lag} ms");
+        }
+    }
+
+    fn fault(&mut self) {
+        let (node, until) = (self.random.random_range(0..NODES), self.now + self.random.random_range(200..9_000));
+        let nodes = &mut self.nodes;
+        match self.random.random_range(0..6) {
+            0 => nodes[node].faults.frozen_until = until,
+            1 => nodes[node].faults.refused_until = until,
+            2 => nodes[node].faults.silent_until = until,
+            3 => nodes[node].faults.unreached_until = until,
+            // A relay is struck more often than others.
+            4 => nodes[node % RELAYS].faults.frozen_until = until,
+            _ => {
+                let share = self.random.random::<f64>();
+                for node in nodes {
+                    if self.random.random::<f64>() < share {
+                        node.faults.refused_until = until;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Plays a minute of virtual time.
+fn play(seed: u64, with_faults: bool) -> World {
+    let mut world = World::new(seed);
+    let (mut next_write, mut next_fault) = (0, 4_000);
+    while world.now < 60_000 {
+        if world.now >= next_write {
+            world.write();
+            next_write = world.now + world.random.random_range(10..3_000);
+        }
+        if with_faults && world.now >= next_fault {
+            world.fault();
+            next_fault = world.now + world.random.random_range(300..4_000);
+        }
+        world.step();
+    }
+    world
+}
+
+#[test]
+fn a_node_in_touch_knows_each_change_in_time_whatever_becomes_of_relays() {
+    for seed in 0..120 {
+        play(seed, true);
+    }
+}
+
+#[test]
+fn in_calm_times_only_relays_call_the_store() {
+    let world = play(1, false);
+    let callers = world.nodes.iter().filter(|node| node.store_calls > 3).count();
+    assert!(callers <= 2, "{callers} nodes call the store again and again");
+    assert!(world.worst_lag < BOUNDS.change.0 / 3, "the worst lag is {} ms", world.worst_lag);
+}
+
+#[test]
+fn a_node_without_relays_watches_the_store_with_long_waits() {
+    let view = ViewState { now: at(0), at: Some(Revision(3)), age: Some(Millis(0)), asked_at: None };
+    let mut policy = WatchPolicy::new(BOUNDS);
+    assert_eq!(policy.next(view, &[]), Step::ListStore, "what it holds is not known to be whole");
+    policy.store_answered(at(0));
+    assert_eq!(policy.next(view, &[]), Step::WatchStore { since: Revision(3), wait: Millis(3_500) });
+}
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -11,16 +11,18 @@
 use stallmoor_core::gateway::workers::{WorkerChange, WorkerId, WorkerTable};
 use stallmoor_core::jobs::directory::{StorageDirectory, StorageRecord};
 use stallmoor_core::log_event::LogEvent;
-use stallmoor_core::time::Millis;
+use stallmoor_core::relay::item::MetadataItem;
 use tokio::sync::watch;
 
 use crate::clock::NodeClock;
 use crate::journal::{Field, record};
 use crate::measures;
-use crate::metadata::{FleetUpdate, MetadataItem};
+use crate::metadata::FleetUpdate;
 
 /// The product's keys of storing nodes begin so.
 pub const STORAGE_KEYS: &str = "stallmoor/storage/";
+/// The key of the founding record of the job table's group. It is written once.
+pub const FOUNDING_KEY: &str = "stallmoor/jobs/founding";
 
 /// What changes with the store's news, and who wants to know.
 pub struct FleetView {
@@ -31,10 +33,11 @@
     configuration: Mutex<Option<Arc<GatewayConfiguration>>>,
     workers: Mutex<WorkerTable>,
     storage: Mutex<StorageDirectory>,
+    founding: Mutex<Option<MetadataItem>>,
     random: Mutex<Xoshiro256PlusPlus>,
     moves: Mutex<MoveBudget>,
-    /// The workers were listed once.
-    has_workers: AtomicBool,
+    /// All that the store holds was told once.
+    is_listed: AtomicBool,
     changed: watch::Sender<u64>,
 }
 
@@ -47,9 +50,10 @@
             configuration: Mutex::default(),
             workers: Mutex::default(),
             storage: Mutex::default(),
+            founding: Mutex::default(),
             random: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(seed)),
             moves: Mutex::default(),
-            has_workers: AtomicBool::new(false),
+            is_listed: AtomicBool::new(false),
             changed: watch::Sender::new(0),
         }
     }
@@ -63,7 +67,7 @@
     /// the fleet.
     pub async fn known_configuration(&self, within: Duration) -> Option<Arc<GatewayConfiguration>> {
         let mut changes = self.changes();
-        let is_known = |_: &u64| self.has_workers.load(Ordering::Relaxed) && self.configuration().is_some();
+        let is_known = |_: &u64| self.is_listed() && self.configuration().is_some();
         // Whatever is known by then has to do.
         let _ = tokio::time::timeout(within, changes.wait_for(is_known)).await;
         self.configuration()
@@ -79,6 +83,16 @@
         lock(&self.storage)
     }
 
+    /// Whether all that the store holds was told once.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed.load(Ordering::Relaxed)
+    }
+
+    /// The founding record of the job table's group, once it is known.
+    pub fn founding(&self) -> Option<MetadataItem> {
+        lock(&self.founding).clone()
+    }
+
     /// The source of all that is random in this process.
     pub fn random(&self) -> MutexGuard<'_, Xoshiro256PlusPlus> {
         lock(&self.random)
@@ -109,7 +123,8 @@
                 log_worker(change, Some(worker.address.to_string()));
             }
             FleetUpdate::WorkerGone(id) => self.remove_worker(id),
-            FleetUpdate::WorkersListed { listed, absence } => self.keep_listed(listed, *absence),
+            FleetUpdate::WorkerMissing(id) => self.miss_worker(id),
+            FleetUpdate::Listed => self.is_listed.store(true, Ordering::Relaxed),
             FleetUpdate::Item(item) => self.take_item(item),
             FleetUpdate::Reached => record(LogEvent::PlatformRecovered, &[]),
             FleetUpdate::Lost { detail } => record(LogEvent::PlatformUnavailable, &[Field::text("detail", detail)]),
@@ -129,14 +144,11 @@
         *known = Some(configuration.clone());
     }
 
-    fn keep_listed(&self, listed: &[WorkerId], absence: Millis) {
+    fn miss_worker(&self, id: &WorkerId) {
         let now = self.clock.now();
-        let changes = self.workers().keep_listed(listed, absence, now);
-        for change in changes {
-            log_worker(Some(change), None);
-        }
+        let change = self.workers().miss(id, now);
+        log_worker(change, None);
         self.workers().forget_gone(now);
-        self.has_workers.store(true, Ordering::Relaxed);
     }
 
     fn remove_worker(&self, id: &WorkerId) {
@@ -147,8 +159,11 @@
     }
 
     fn take_item(&self, item: &MetadataItem) {
+        if &*item.key == FOUNDING_KEY {
+            *lock(&self.founding) = Some(item.clone());
+        }
         let Some(name) = item.key.strip_prefix(STORAGE_KEYS) else { return };
-        let stored = item.value.as_ref().and_then(|value| serde_json::from_slice::<StorageRecord>(value).ok());
+        let stored = item.value().and_then(|value| serde_json::from_slice::<StorageRecord>(value).ok());
         match stored {
             Some(stored) => {
                 let fields = [Field::text("machine", name), Field::text("node", stored.node)];
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`process`] | a process put together, its stop and its reload |
 //! | [`settings`] | the settings file |
 //! | [`adapter`], [`dialect`], [`metadata`] | what an adapter brings |
+//! | [`metadata_view`], [`metadata_watch`] | this node's view of the metadata store, and keeping it up to date |
 //! | [`fleet_view`] | what this node believes of the fleet |
 //! | [`server`] | the listeners for callers and for readiness |
 //! | [`online`] | a request from admission to the last byte of its answer |
@@ -42,6 +43,8 @@
 pub mod log_writer;
 pub mod measures;
 pub mod metadata;
+pub mod metadata_view;
+pub mod metadata_watch;
 pub mod online;
 pub mod peer_link;
 pub mod process;
--- a/crates/gateway/src/measures.rs
+++ b/crates/gateway/src/measures.rs
@@ -47,6 +47,8 @@
     DURATION = "stallmoor_gateway_request_seconds", "histogram", "route", "Time from a request to its end.";
     ATTEMPTS = "stallmoor_gateway_failed_attempts_total", "counter", "end", "Attempts at workers that ended without a whole answer, by how.";
     SUBMISSIONS = "stallmoor_gateway_submissions_total", "counter", "result", "Batch jobs that were submitted here, by the answer.";
+    STORE_CALLS = "stallmoor_metadata_calls_total", "counter", "call", "Reads and watches of the metadata store by this node.";
+    VIEW_AGE = "stallmoor_metadata_view_age_seconds", "gauge", "", "How old this node's view of the metadata store was at its last call.";
     CONFIGURATION = "stallmoor_configuration_version", "gauge", "", "The version of the configuration in force.";
     LEADS = "stallmoor_storage_leads", "gauge", "", "1 while this node leads the job table, else 0.";
     RUNS = "stallmoor_storage_item_runs_total", "counter", "end", "Runs of batch items that ended at this node, by how.";
@@ -108,6 +110,16 @@
     counter!(SUBMISSIONS, "result" => result).increment(1);
 }
 
+/// This node calls the metadata store.
+pub fn store_call(call: &'static str) {
+    counter!(STORE_CALLS, "call" => call).increment(1);
+}
+
+/// How old this node's view of the metadata store is.
+pub fn view_age(age: Millis) {
+    gauge!(VIEW_AGE).set(seconds(age));
+}
+
 /// A configuration came into force.
 pub fn configuration_in_force(version: u64) {
     gauge!(CONFIGURATION).set(version as f64);
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -1,5 +1,4 @@
-//! What a node is told by, and asks of, the metadata store. An adapter implements [`MetadataStore`]
-//! and sends [`FleetUpdate`]s.
+//! The metadata store, as an adapter brings it, and what a node is told of its contents.
 
 use std::future::Future;
 use std::pin::Pin;
@@ -8,19 +7,9 @@
 use stallmoor_core::gateway::configuration::GatewayConfiguration;
 use stallmoor_core::gateway::workers::{WorkerId, WorkerRecord};
 use stallmoor_core::jobs::members::EmptyingState;
+use stallmoor_core::relay::item::{MetadataItem, Revision};
 use stallmoor_core::time::Millis;
 
-/// One of the product's own keys.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct MetadataItem {
-    /// The key.
-    pub key: Arc<str>,
-    /// Its value; `None` if the key was removed.
-    pub value: Option<Vec<u8>>,
-    /// The store's revision of that change.
-    pub revision: u64,
-}
-
 /// Something that the store told.
 #[derive(Clone, Debug)]
 pub enum FleetUpdate {
@@ -30,13 +19,10 @@
     Worker(WorkerRecord),
     /// A worker's record was removed.
     WorkerGone(WorkerId),
-    /// All workers that have a record.
-    WorkersListed {
-        /// The workers.
-        listed: Vec<WorkerId>,
-        /// How long the store was out of reach before: records may have lapsed meanwhile.
-        absence: Millis,
-    },
+    /// A worker's record was missing when the store came back. The worker may write it again.
+    WorkerMissing(WorkerId),
+    /// All that the store holds was told once.
+    Listed,
     /// The operator wants a machine emptied.
     EmptyMachine {
         /// The machine's name.
@@ -57,24 +43,56 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PutOutcome {
     /// It took effect, at this revision.
-    Written(u64),
+    Written(Revision),
     /// The key had another revision.
     Conflict,
     /// Not known, or nothing was done.
     Unknown,
 }
 
+/// Why a read brought nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReadFailure {
+    /// The history that was asked for is gone.
+    HistoryGone,
+    /// No answer within the time that the call may take.
+    TimedOut,
+    /// The store refused, or the connection broke.
+    Failed {
+        /// What happened.
+        detail: String,
+    },
+}
+
+/// Items that were read, and the revision up to which they are complete.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ItemsAt {
+    /// The items.
+    pub items: Vec<MetadataItem>,
+    /// The revision.
+    pub at: Revision,
+}
+
 /// A future without a name.
 pub type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
-/// The metadata store's writes.
+/// The metadata store.
 pub trait MetadataStore: Send + Sync + 'static {
     /// Writes a key if its revision is still `expected`; 0 means that it must not exist.
-    fn put(&self, key: String, value: Vec<u8>, expected: u64) -> BoxFuture<'_, PutOutcome>;
+    fn put(&self, key: String, value: Vec<u8>, expected: Revision) -> BoxFuture<'_, PutOutcome>;
 
     /// Reads a key.
     fn get(&self, key: String) -> BoxFuture<'_, Option<MetadataItem>>;
 
+    /// Reads all keys. Items may be newer than the revision that it tells.
+    fn list(&self) -> BoxFuture<'_, Result<ItemsAt, ReadFailure>>;
+
+    /// Waits for up to `wait` until something has changed since a revision.
+    fn changes(&self, since: Revision, wait: Millis) -> BoxFuture<'_, Result<ItemsAt, ReadFailure>>;
+
+    /// What an item means; `None` if it concerns nobody here.
+    fn interpret(&self, item: &MetadataItem) -> Option<FleetUpdate>;
+
     /// Tells the operator how far the emptying of a machine is. Returns whether it was written.
     fn report_emptying(&self, machine: Arc<str>, state: EmptyingState) -> BoxFuture<'_, bool>;
 }
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -8,6 +8,7 @@
 use stallmoor_core::identity::{GroupId, NodeId};
 use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
 use stallmoor_core::node::{GroupAnswer, GroupAnswerBody, GroupRefusal, GroupRequest, GroupRequestBody, PeerMessage};
+use stallmoor_core::relay::message::{ChangesAnswer, ChangesRequest};
 use stallmoor_core::replication::MessageKind;
 use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
 use tokio::sync::{mpsc, oneshot};
@@ -105,7 +106,7 @@
         self.send(to, &PeerMessage::GroupRequest(GroupRequest { id, from: self.id, group: GroupId(0), body }));
     }
 
-    /// Sends a request and waits for its answer.
+    /// Asks the table of pass-through jobs and waits for the answer.
     ///
     /// # Errors
     ///
@@ -116,8 +117,38 @@
         request: JobsRequest,
         within: Duration,
     ) -> Result<Result<JobsAnswer, GroupRefusal>, LinkFailure> {
+        match self.ask_body(to, GroupRequestBody::Jobs(request), within).await? {
+            Ok(GroupAnswerBody::Jobs(answer)) => Ok(Ok(answer)),
+            Ok(_) => Err(LinkFailure::NoAnswer),
+            Err(refusal) => Ok(Err(refusal)),
+        }
+    }
+
+    /// Asks a relay for changes of the metadata store and waits for the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkFailure`]: there is none.
+    pub async fn ask_changes(
+        &self,
+        to: SocketAddr,
+        request: ChangesRequest,
+        within: Duration,
+    ) -> Result<Result<ChangesAnswer, GroupRefusal>, LinkFailure> {
+        match self.ask_body(to, GroupRequestBody::Changes(request), within).await? {
+            Ok(GroupAnswerBody::Changes(answer)) => Ok(Ok(answer)),
+            Ok(_) => Err(LinkFailure::NoAnswer),
+            Err(refusal) => Ok(Err(refusal)),
+        }
+    }
+
+    async fn ask_body(
+        &self,
+        to: SocketAddr,
+        body: GroupRequestBody,
+        within: Duration,
+    ) -> Result<Result<GroupAnswerBody, GroupRefusal>, LinkFailure> {
         let id = self.next_id();
-        let body = GroupRequestBody::Jobs(request);
         let message = PeerMessage::GroupRequest(GroupRequest { id, from: self.id, group: GroupId(0), body });
         let frame = stallmoor_wire::encode(&message);
         let link = self.link(LinkKey { to, link_use: LinkUse::Messages });
@@ -129,8 +160,7 @@
             return Err(LinkFailure::NotSent);
         }
         match tokio::time::timeout(within, answer).await {
-            Ok(Ok(GroupAnswer { result: Ok(GroupAnswerBody::Jobs(answer)), .. })) => Ok(Ok(answer)),
-            Ok(Ok(GroupAnswer { result: Err(refusal), .. })) => Ok(Err(refusal)),
+            Ok(Ok(GroupAnswer { result, .. })) => Ok(result),
             _ => {
                 // Refuse to send it any more, unless it has gone already.
                 sent.close();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -31,6 +31,8 @@
 use crate::load_sharing::share_loads;
 use crate::measures;
 use crate::metadata::FleetUpdate;
+use crate::metadata_view::MetadataView;
+use crate::metadata_watch::MetadataWatch;
 use crate::registration;
 use crate::server::{CallerServer, StopPhase, serve_readiness};
 use crate::settings::ServingSettings;
@@ -82,15 +84,33 @@
 /// Parts that both kinds of process have.
 struct Common {
     view: Arc<FleetView>,
+    metadata: Arc<MetadataView>,
     workers: Arc<WorkerClient>,
 }
 
 fn common(settings: &ServingSettings, adapter: &dyn PlatformAdapter) -> Common {
     let seed = draw();
     let view = Arc::new(FleetView::new(NodeClock::start(), Arc::from(settings.node.zone.as_str()), seed));
+    let metadata = Arc::new(MetadataView::new(view.clock, settings.metadata.watch_bounds()));
     let connections = Arc::new(ConnectionPool::default());
     let workers = Arc::new(WorkerClient { view: view.clone(), dialect: adapter.dialect(), connections });
-    Common { view, workers }
+    Common { view, metadata, workers }
+}
+
+/// Starts to follow the metadata store, and to apply what it tells.
+fn watch_metadata(
+    id: NodeId,
+    common: &Common,
+    settings: &ServingSettings,
+    adapter: &dyn PlatformAdapter,
+    further: Option<mpsc::UnboundedSender<FleetUpdate>>,
+) {
+    let (updates, received) = mpsc::unbounded_channel();
+    let (fleet, view) = (common.view.clone(), common.metadata.clone());
+    let bounds = settings.metadata.watch_bounds();
+    let watch = MetadataWatch::new(id, adapter.metadata(), fleet, view, bounds, updates);
+    tokio::spawn(watch.run());
+    tokio::spawn(follow_updates(common.view.clone(), received, further));
 }
 
 /// Serves figures where the settings name a port for them.
@@ -151,10 +171,8 @@
     let readiness = settings.listen.readiness.ok_or(ProcessError::Lacking { field: "listen.readiness" })?;
     start_measures(settings)?;
     let common = common(settings, adapter);
-    let (updates, received) = mpsc::unbounded_channel();
-    adapter.watch(updates);
-    tokio::spawn(follow_updates(common.view.clone(), received, None));
     let id = fresh_identity();
+    watch_metadata(id, &common, settings, adapter, None);
     let jobs = JobCalls {
         view: common.view.clone(),
         dialect: adapter.dialect(),
@@ -221,11 +239,9 @@
     let (results, writes) = mpsc::unbounded_channel();
     let disk = DiskWriter::start(log, JOBS_GROUP, results).context(SystemSnafu { what: "the disk's thread" })?;
     let (peer_events, peers) = mpsc::channel(PEER_EVENTS);
-    tokio::spawn(accept_peers(listen(settings.peer_address())?, peer_events));
-    let (updates, received) = mpsc::unbounded_channel();
+    tokio::spawn(accept_peers(listen(settings.peer_address())?, peer_events, common.metadata.clone()));
     let (further, service_updates) = mpsc::unbounded_channel();
-    adapter.watch(updates);
-    tokio::spawn(follow_updates(common.view.clone(), received, Some(further)));
+    watch_metadata(id, &common, settings, adapter, Some(further));
     let own = StorageRecord {
         name: Arc::from(settings.node.name.as_str()),
         node: id,
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -8,15 +8,16 @@
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::jobs::directory::StorageRecord;
 use stallmoor_core::jobs::members::voters_bearing;
+use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::relay::item::Revision;
 use stallmoor_core::replication::GroupMembership;
 use stallmoor_core::time::Millis;
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::fleet_view::{FleetView, STORAGE_KEYS};
+use crate::fleet_view::{FOUNDING_KEY, FleetView, STORAGE_KEYS};
+use crate::journal::{Field, record};
 use crate::metadata::{MetadataStore, PutOutcome};
 
-/// The key of the group's founding record. It is written once.
-pub const FOUNDING_KEY: &str = "stallmoor/jobs/founding";
 /// The key of the record of a group of two.
 pub const PAIR_KEY: &str = "stallmoor/jobs/pair";
 /// The wait after a call that brought nothing.
@@ -36,7 +37,7 @@
 pub async fn register(metadata: Arc<dyn MetadataStore>, record: StorageRecord) {
     let key = format!("{STORAGE_KEYS}{}", record.name);
     let Ok(value) = serde_json::to_vec(&record) else { return };
-    let mut expected = 0;
+    let mut expected = Revision(0);
     loop {
         match metadata.put(key.clone(), value.clone(), expected).await {
             PutOutcome::Written(_) => return,
@@ -44,15 +45,15 @@
             PutOutcome::Conflict => {}
         }
         match metadata.get(key.clone()).await {
-            Some(item) if item.value.as_deref() == Some(&value[..]) => return,
-            Some(item) if item.value.is_some() => expected = item.revision,
-            Some(_) => expected = 0,
+            Some(item) if item.value() == Some(&value[..]) => return,
+            Some(item) if item.value().is_some() => expected = item.revision,
+            Some(_) => expected = Revision(0),
             None => tokio::time::sleep(RETRY_WAIT).await,
         }
     }
 }
 
-/// Finds the founding record, or writes it if this node is among the first. One conditional write
+/// Waits for the founding record, or writes it if this node is among the first. One conditional write
 /// decides, so that all founders begin with the same membership.
 pub async fn found(
     view: Arc<FleetView>,
@@ -64,27 +65,33 @@
     let started = view.clock.now();
     let wanted = voters_bearing(tolerated);
     loop {
-        if let Some(item) = metadata.get(FOUNDING_KEY.to_owned()).await {
-            let stored = item.value.and_then(|value| serde_json::from_slice::<FoundingRecord>(&value).ok());
-            if let Some(record) = stored {
-                let _ = founders.send(GroupMembership::of_voters(record.voters));
-                return;
-            }
+        let stored = view.founding();
+        let stored = stored.as_ref().and_then(|item| serde_json::from_slice::<FoundingRecord>(item.value()?).ok());
+        if let Some(record) = stored {
+            let _ = founders.send(GroupMembership::of_voters(record.voters));
+            return;
+        }
+        if view.is_listed() {
             let waited = view.clock.now().since(started) >= FOUNDING_PATIENCE;
             if let Some(voters) = choose_founders(&view, wanted, tolerated, waited) {
                 let place = voters.iter().position(|voter| *voter == id).unwrap_or(voters.len());
                 tokio::time::sleep(FOUNDING_STAGGER * place as u32).await;
-                if let Ok(value) = serde_json::to_vec(&FoundingRecord { voters }) {
-                    // Whoever was first, the next round reads the record.
-                    let _ = metadata.put(FOUNDING_KEY.to_owned(), value, 0).await;
+                if view.founding().is_none() {
+                    write_founding(&*metadata, voters).await;
                 }
-                continue;
             }
         }
         tokio::time::sleep(RETRY_WAIT).await;
     }
 }
 
+/// Writes the founding record unless there is one. Whoever was first, the view tells the record.
+async fn write_founding(metadata: &dyn MetadataStore, voters: BTreeSet<NodeId>) {
+    let Ok(value) = serde_json::to_vec(&FoundingRecord { voters }) else { return };
+    let outcome = metadata.put(FOUNDING_KEY.to_owned(), value, Revision(0)).await;
+    record(LogEvent::FoundingWritten, &[Field::text("outcome", format!("{outcome:?}"))]);
+}
+
 /// The nodes that found the group: from as many zones as there are.
 fn choose_founders(view: &FleetView, wanted: usize, tolerated: usize, waited: bool) -> Option<BTreeSet<NodeId>> {
     let storage = view.storage();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
+use stallmoor_core::relay::policy::WatchBounds;
 use stallmoor_core::time::Millis;
 
 /// Why settings can't be used.
@@ -125,14 +126,10 @@
         3_000.0
     }
 
-    /// The time in which any change must have its effect.
-    pub fn change_bound(&self) -> Millis {
-        Millis(self.config_ms.min(self.drain_ms).max(0.0) as u64)
-    }
-
-    /// The time in which a silence of the store must be noticed.
-    pub fn contact_bound(&self) -> Millis {
-        Millis(self.contact_ms.max(0.0) as u64)
+    /// The times in which the node must know of changes.
+    pub fn watch_bounds(&self) -> WatchBounds {
+        let millis = |value: f64| Millis(value.max(0.0) as u64);
+        WatchBounds { change: millis(self.config_ms.min(self.drain_ms)), contact: millis(self.contact_ms) }
     }
 }
 
--- a/crates/gateway/src/storage_server.rs
+++ b/crates/gateway/src/storage_server.rs
@@ -1,5 +1,6 @@
 //! The listener of a storing node for other nodes.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use stallmoor_core::identity::{GroupId, NodeId};
@@ -13,6 +14,7 @@
 
 use crate::frames::{read_message, write_frame};
 use crate::journal::{Field, record};
+use crate::metadata_view::MetadataView;
 
 /// The wait after a failed accept.
 const ACCEPT_WAIT: Duration = Duration::from_millis(20);
@@ -39,20 +41,21 @@
     },
 }
 
-/// Accepts connections of other nodes and passes on what they say.
-pub async fn accept_peers(listener: TcpListener, events: mpsc::Sender<PeerEvent>) {
+/// Accepts connections of other nodes and passes on what they say. Questions for changes of the metadata store
+/// are answered from the node's own view of it.
+pub async fn accept_peers(listener: TcpListener, events: mpsc::Sender<PeerEvent>, view: Arc<MetadataView>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                tokio::spawn(serve_peer(stream, events.clone()));
+                tokio::spawn(serve_peer(stream, events.clone(), view.clone()));
             }
             Err(_) => tokio::time::sleep(ACCEPT_WAIT).await,
         }
     }
 }
 
-async fn serve_peer(stream: TcpStream, events: mpsc::Sender<PeerEvent>) {
+async fn serve_peer(stream: TcpStream, events: mpsc::Sender<PeerEvent>, view: Arc<MetadataView>) {
     let peer = stream.peer_addr().map_or_else(|_| String::new(), |address| address.to_string());
     let (reader, writer) = stream.into_split();
     let mut reader = BufReader::new(reader);
@@ -66,7 +69,7 @@
                 }
             }
             Ok(PeerMessage::GroupRequest(request)) => {
-                if !take_request(request, &events, &answers).await {
+                if !take_request(request, &events, &answers, &view).await {
                     return;
                 }
             }
@@ -81,26 +84,46 @@
     }
 }
 
+/// Takes a request. Returns false once the process ends.
 async fn take_request(
     request: GroupRequest,
     events: &mpsc::Sender<PeerEvent>,
     answers: &mpsc::Sender<PeerMessage>,
+    view: &Arc<MetadataView>,
 ) -> bool {
-    let GroupRequestBody::Jobs(body) = request.body else { return true };
-    let (reply, answer) = oneshot::channel();
-    let event = PeerEvent::Request { from: request.from, request: body, reply };
-    if events.send(event).await.is_err() {
-        return false;
+    match request.body {
+        GroupRequestBody::Jobs(body) => {
+            let (reply, answer) = oneshot::channel();
+            let event = PeerEvent::Request { from: request.from, request: body, reply };
+            if events.send(event).await.is_err() {
+                return false;
+            }
+            let answer = async move { Some(answer.await.ok()?.map(GroupAnswerBody::Jobs)) };
+            send_answer(request.id, answers.clone(), answer);
+        }
+        GroupRequestBody::Changes(asked) => {
+            let view = view.clone();
+            let answer = async move { Some(view.answer(asked).await.map(GroupAnswerBody::Changes)) };
+            send_answer(request.id, answers.clone(), answer);
+        }
+        // Only nodes of the product's own interface hold such groups.
+        GroupRequestBody::Command(_) | GroupRequestBody::Query(_) => {}
     }
-    let (id, answers) = (request.id, answers.clone());
+    true
+}
+
+/// Sends an answer once it is there; `None` if there will be none.
+fn send_answer(
+    id: u64,
+    answers: mpsc::Sender<PeerMessage>,
+    answer: impl Future<Output = Option<Result<GroupAnswerBody, GroupRefusal>>> + Send + 'static,
+) {
     tokio::spawn(async move {
-        let Ok(result) = answer.await else { return };
-        let result = result.map(GroupAnswerBody::Jobs);
+        let Some(result) = answer.await else { return };
         let message = PeerMessage::GroupAnswer(GroupAnswer { id, group: GroupId(0), result });
         // A peer that left asks another node.
         let _ = answers.send(message).await;
     });
-    true
 }
 
 async fn write_answers(mut writer: BufWriter<tokio::net::tcp::OwnedWriteHalf>, mut queue: mpsc::Receiver<PeerMessage>) {
--- a/crates/gateway/src/storage_service/membership.rs
+++ b/crates/gateway/src/storage_service/membership.rs
@@ -6,10 +6,11 @@
 use stallmoor_core::jobs::members::{EmptyingState, MembersAction};
 use stallmoor_core::jobs::pair::{PairRecord, StoredPair};
 use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::relay::item::{MetadataItem, Revision};
 
 use super::StorageService;
 use crate::journal::{Field, record};
-use crate::metadata::{MetadataItem, PutOutcome};
+use crate::metadata::PutOutcome;
 use crate::registration::PAIR_KEY;
 
 /// The wait before an emptying is reported again.
@@ -51,8 +52,8 @@
         let (metadata, reads) = (self.metadata.clone(), self.pair_reads.clone());
         tokio::spawn(async move {
             let value = serde_json::to_vec(&pair).unwrap_or_default();
-            let read = match metadata.put(PAIR_KEY.to_owned(), value, revision).await {
-                PutOutcome::Written(revision) => Some(StoredPair { record: Some(pair), revision }),
+            let read = match metadata.put(PAIR_KEY.to_owned(), value, Revision(revision)).await {
+                PutOutcome::Written(at) => Some(StoredPair { record: Some(pair), revision: at.0 }),
                 // Whatever became of it, the store knows.
                 PutOutcome::Conflict | PutOutcome::Unknown => {
                     tokio::time::sleep(PAIR_RETRY).await;
@@ -77,6 +78,6 @@
 
 /// The pair's record as the store holds it.
 pub(super) fn read_pair(item: &MetadataItem) -> StoredPair {
-    let record = item.value.as_ref().and_then(|value| serde_json::from_slice(value).ok());
-    StoredPair { record, revision: item.revision }
+    let record = item.value().and_then(|value| serde_json::from_slice(value).ok());
+    StoredPair { record, revision: item.revision.0 }
 }
--- /dev/null
+++ b/crates/gateway/tests/metadata_relay.rs
@@ -0,0 +1,208 @@
+//! A node that takes the metadata store's changes from another one, over a real connection.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use stallmoor_core::identity::NodeId;
+use stallmoor_core::jobs::directory::StorageRecord;
+use stallmoor_core::jobs::members::EmptyingState;
+use stallmoor_core::relay::item::{ItemState, MetadataItem, Revision};
+use stallmoor_core::relay::policy::WatchBounds;
+use stallmoor_core::time::Millis;
+use stallmoor_gateway::clock::NodeClock;
+use stallmoor_gateway::fleet_view::FleetView;
+use stallmoor_gateway::metadata::{BoxFuture, FleetUpdate, ItemsAt, MetadataStore, PutOutcome, ReadFailure};
+use stallmoor_gateway::metadata_view::MetadataView;
+use stallmoor_gateway::metadata_watch::MetadataWatch;
+use stallmoor_gateway::storage_server::accept_peers;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+
+const BOUNDS: WatchBounds = WatchBounds { change: Millis(1_000), contact: Millis(1_500) };
+const RELAY: NodeId = NodeId(1);
+const FOLLOWER: NodeId = NodeId(2);
+
+/// What all stores of a test hold: one key, whose value is its revision.
+struct Contents(watch::Sender<u64>);
+
+impl Contents {
+    fn item(&self) -> MetadataItem {
+        let revision = *self.0.borrow();
+        let state = ItemState::Present(Arc::from(revision.to_le_bytes()));
+        MetadataItem { key: Arc::from("key"), state, revision: Revision(revision) }
+    }
+
+    fn write(&self) {
+        self.0.send_modify(|revision| *revision += 1);
+    }
+}
+
+/// One node's way to the store.
+struct Way {
+    contents: Arc<Contents>,
+    is_refused: AtomicBool,
+    calls: AtomicU64,
+}
+
+impl Way {
+    fn new(contents: Arc<Contents>) -> Arc<Self> {
+        Arc::new(Self { contents, is_refused: AtomicBool::new(false), calls: AtomicU64::new(0) })
+    }
+
+    fn call(&self) -> Result<(), ReadFailure> {
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        let is_refused = self.is_refused.load(Ordering::SeqCst);
+        if is_refused { Err(ReadFailure::Failed { detail: "refused".to_owned() }) } else { Ok(()) }
+    }
+
+    fn read(&self) -> ItemsAt {
+        let item = self.contents.item();
+        ItemsAt { at: item.revision, items: vec![item] }
+    }
+}
+
+impl MetadataStore for Way {
+    fn put(&self, _key: String, _value: Vec<u8>, _expected: Revision) -> BoxFuture<'_, PutOutcome> {
+        Box::pin(async { PutOutcome::Unknown })
+    }
+
+    fn get(&self, _key: String) -> BoxFuture<'_, Option<MetadataItem>> {
+        Box::pin(async { None })
+    }
+
+    fn list(&self) -> BoxFuture<'_, Result<ItemsAt, ReadFailure>> {
+        Box::pin(async { self.call().map(|()| self.read()) })
+    }
+
+    fn changes(&self, since: Revision, wait: Millis) -> BoxFuture<'_, Result<ItemsAt, ReadFailure>> {
+        Box::pin(async move {
+            self.call()?;
+            let mut changes = self.contents.0.subscribe();
+            let is_newer = |revision: &u64| *revision > since.0;
+            match tokio::time::timeout(Duration::from_millis(wait.0), changes.wait_for(is_newer)).await {
+                Ok(_) => Ok(self.read()),
+                Err(_) => Ok(ItemsAt { items: Vec::new(), at: since }),
+            }
+        })
+    }
+
+    fn interpret(&self, item: &MetadataItem) -> Option<FleetUpdate> {
+        Some(FleetUpdate::Item(item.clone()))
+    }
+
+    fn report_emptying(&self, _machine: Arc<str>, _state: EmptyingState) -> BoxFuture<'_, bool> {
+        Box::pin(async { true })
+    }
+}
+
+struct Node {
+    way: Arc<Way>,
+    fleet: Arc<FleetView>,
+    /// The newest revision that was told.
+    told: Arc<Mutex<u64>>,
+    address: SocketAddr,
+}
+
+impl Node {
+    async fn start(id: NodeId, contents: Arc<Contents>) -> Self {
+        let clock = NodeClock::start();
+        let fleet = Arc::new(FleetView::new(clock, Arc::from("zone-a"), id.0));
+        let view = Arc::new(MetadataView::new(clock, BOUNDS));
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (events, mut ignored) = mpsc::channel(16);
+        tokio::spawn(accept_peers(listener, events, view.clone()));
+        tokio::spawn(async move { while ignored.recv().await.is_some() {} });
+        let (updates, mut received) = mpsc::unbounded_channel();
+        let way = Way::new(contents);
+        tokio::spawn(MetadataWatch::new(id, way.clone(), fleet.clone(), view, BOUNDS, updates).run());
+        let told = Arc::new(Mutex::new(0));
+        let telling = told.clone();
+        tokio::spawn(async move {
+            while let Some(update) = received.recv().await {
+                if let FleetUpdate::Item(item) = update {
+                    *telling.lock().expect("not poisoned") = item.revision.0;
+                }
+            }
+        });
+        Self { way, fleet, told, address }
+    }
+
+    /// The node learns of a storing node, which may be its relay.
+    fn learn(&self, node: NodeId, address: SocketAddr) {
+        let (name, zone) = (Arc::from(format!("storage-{node}")), Arc::from("zone-a"));
+        self.fleet.storage().upsert(StorageRecord { name, node, address, zone });
+    }
+
+    fn told(&self) -> u64 {
+        *self.told.lock().expect("not poisoned")
+    }
+
+    fn calls(&self) -> u64 {
+        self.way.calls.load(Ordering::SeqCst)
+    }
+
+    async fn wait_for(&self, revision: u64, within: Duration) {
+        let known = async {
+            while self.told() < revision {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(within, known).await.expect("the change is known in time");
+    }
+}
+
+/// A relay, and a follower that takes its changes from it.
+async fn relay_and_follower(contents: &Arc<Contents>) -> (Node, Node) {
+    let relay = Node::start(RELAY, contents.clone()).await;
+    let follower = Node::start(FOLLOWER, contents.clone()).await;
+    follower.learn(RELAY, relay.address);
+    relay.wait_for(1, Duration::from_secs(5)).await;
+    follower.wait_for(1, Duration::from_secs(5)).await;
+    // Its first watch waits for the contact bound and a margin; a change ends that.
+    contents.write();
+    follower.wait_for(2, Duration::from_secs(5)).await;
+    (relay, follower)
+}
+
+#[tokio::test]
+async fn a_follower_learns_through_its_relay_while_the_store_refuses_it() {
+    let contents = Arc::new(Contents(watch::Sender::new(1)));
+    let (_relay, follower) = relay_and_follower(&contents).await;
+    follower.way.is_refused.store(true, Ordering::SeqCst);
+    for revision in 3..6 {
+        contents.write();
+        follower.wait_for(revision, Duration::from_secs(3)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_follower_asks_the_store_itself_when_its_relay_has_lost_it() {
+    let contents = Arc::new(Contents(watch::Sender::new(1)));
+    let (relay, follower) = relay_and_follower(&contents).await;
+    relay.way.is_refused.store(true, Ordering::SeqCst);
+    for revision in 3..6 {
+        contents.write();
+        follower.wait_for(revision, Duration::from_secs(3)).await;
+    }
+    assert!(relay.told() < 5, "the relay could not know of all");
+}
+
+#[tokio::test]
+async fn a_follower_makes_no_calls_while_its_relay_serves_it() {
+    let contents = Arc::new(Contents(watch::Sender::new(1)));
+    let (relay, follower) = relay_and_follower(&contents).await;
+    contents.write();
+    follower.wait_for(3, Duration::from_secs(3)).await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let (before, served) = (follower.calls(), relay.calls());
+    for revision in 4..12 {
+        contents.write();
+        follower.wait_for(revision, Duration::from_secs(3)).await;
+    }
+    assert!(relay.calls() > served, "the relay watches the store");
+    // A relay that is held up by a busy machine may be asked too late once.
+    assert!(follower.calls() <= before + 1, "the follower made {} calls", follower.calls() - before);
+}
