Gather loads in each zone first where there are many gateways

Cause: requests are placed by the loads of other nodes, and the one leader bears 900 exchanges a second, so each of 250 gateways heard them every 277 ms. Bursts last two seconds. Ruled out: workers that are full on the whole (1,040 slots, p50 of 25 ms between bursts); moves from silent workers as the cause (they follow from placements: 75 of 822 streams in the logs of eleven gateways). Change: from 100 gateways on, those of a zone exchange with the first relay of their zone, every 55 ms at 50 gateways, and it exchanges sums with the leader. A gatherer keeps what it hears of the other zones as one more teller. What is heard says how old it is on average. Below 100 gateways nothing changes: two steps at the shortest interval would be older than one at the leader's.

--- a/crates/core/src/gateway/worker.rs
+++ b/crates/core/src/gateway/worker.rs
@@ -13,7 +13,11 @@
 /// A gathered load is believed for this long.
 pub(super) const SHARED_LIFETIME: Millis = Millis(1_200);
 
-/// Exchanges of loads that the table's leader bears in a second.
+/// From this many gateways on, those of a zone exchange loads with a node of the zone, which exchanges sums with
+/// the table's leader. Two steps at the shortest interval are no older than one at the interval that the leader
+/// bears with this many: four times half of 40 ms, against 100 nodes at 900 exchanges a second.
+const CENTRAL_NODES: u32 = 100;
+/// Exchanges of loads that a node which gathers them bears in a second.
 const EXCHANGES_PER_S: u64 = 900;
 /// The shortest time between two exchanges of one node.
 const LEAST_INTERVAL: Millis = Millis(40);
@@ -95,12 +99,21 @@
     pub workers: Vec<WorkerNews>,
     /// Requests placed in a second.
     pub placed_per_s: u32,
-    /// How many nodes tell, in what the leader answers.
+    /// How many nodes tell the one that answers, in what is heard.
     pub tellers: u32,
+    /// How many gateways it is of: besides the asker in what is heard, 0 for one in what is told.
+    pub nodes: u32,
+    /// How long ago, on average over the requests placed, the gateways told it.
+    pub age: Millis,
 }
 
 impl LoadNews {
-    /// The time between two exchanges of one node, where so many tell: as short as the leader can bear, since
+    /// Whether there are so many gateways that loads are gathered in each zone first.
+    pub fn is_by_zone(&self) -> bool {
+        self.nodes >= CENTRAL_NODES
+    }
+
+    /// The time between two exchanges of one node, where so many tell: as short as the gatherer can bear, since
     /// requests are placed by what was heard last.
     pub fn interval(&self) -> Millis {
         let spread = u64::from(self.tellers) * 1_000 / EXCHANGES_PER_S;
--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -243,7 +243,7 @@
             .collect();
         self.set_shared_loads(&loads, now);
         self.hold_dead(news.workers.iter().filter(|news| news.says_dead()).map(|news| &news.worker), now);
-        let told_age = Millis(news.interval().0 / 2) + WAY;
+        let told_age = news.age.max(Millis(news.interval().0 / 2)) + WAY;
         self.gathered = Some(GatheredRate { at: now, placed_per_s: news.placed_per_s, told_age });
     }
 
--- a/crates/core/src/jobs/request.rs
+++ b/crates/core/src/jobs/request.rs
@@ -37,8 +37,10 @@
     },
     /// The sender is there and could hold the table.
     Greet,
-    /// The sender's online requests at each worker; those of all others are wanted.
+    /// The sender's online requests at each worker; those of all others are wanted, from the leader.
     ShareLoad(LoadNews),
+    /// The same, from any storing node: one that doesn't lead gathers the loads of its zone.
+    GatherLoad(LoadNews),
 }
 
 /// The leader's answer.
--- /dev/null
+++ b/crates/core/src/relay/choice.rs
@@ -0,0 +1,71 @@
+//! Which relay a node asks.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use crate::hashing::{hash_bytes, rendezvous_weight};
+use crate::identity::NodeId;
+use crate::jobs::directory::StorageDirectory;
+use crate::time::{Millis, Timestamp};
+
+/// How many relays a node tries. One is enough while it lives; of three in a row that are cut off from the store,
+/// which a third of all machines may be, there is one case in 27.
+const RELAYS_TRIED: usize = 3;
+/// The time for which a relay that gave no answer is avoided is doubled up to this many times.
+const MOST_DOUBLINGS: u32 = 3;
+
+#[derive(Clone, Copy, Debug)]
+struct Avoided {
+    until: Timestamp,
+    failures: u32,
+}
+
+/// The relays that a node avoids for a while.
+#[derive(Clone, Debug, Default)]
+pub struct RelayChoice {
+    avoided: BTreeMap<NodeId, Avoided>,
+}
+
+impl RelayChoice {
+    /// The relay to ask, of those ranked by [`rank_relays`].
+    pub fn usable(&self, now: Timestamp, relays: &[NodeId]) -> Option<NodeId> {
+        let is_avoided = |relay: &NodeId| self.avoided.get(relay).is_some_and(|avoided| now < avoided.until);
+        relays.iter().take(RELAYS_TRIED).find(|relay| !is_avoided(relay)).copied()
+    }
+
+    /// The time until one of the relays may be asked again; `None` if none is avoided.
+    pub fn until_usable(&self, now: Timestamp, relays: &[NodeId]) -> Option<Millis> {
+        let avoided = relays.iter().take(RELAYS_TRIED).filter_map(|relay| self.avoided.get(relay));
+        avoided.map(|avoided| avoided.until.since(now)).min()
+    }
+
+    /// A relay answered as it should.
+    pub fn answered(&mut self, relay: NodeId) {
+        self.avoided.remove(&relay);
+    }
+
+    /// A relay gave no answer: it is avoided for `span`, longer with each failure in a row.
+    pub fn failed(&mut self, relay: NodeId, span: Millis, now: Timestamp) {
+        let failures = self.avoided.get(&relay).map_or(0, |avoided| avoided.failures);
+        let until = now + Millis(span.0 << failures.min(MOST_DOUBLINGS));
+        self.avoided.insert(relay, Avoided { until, failures: failures + 1 });
+    }
+
+    /// A relay's answer was of no use: it is avoided for `span`.
+    pub fn avoid(&mut self, relay: NodeId, span: Millis, now: Timestamp) {
+        self.avoided.insert(relay, Avoided { until: now + span, failures: 0 });
+    }
+}
+
+/// The nodes that may be relays of a zone, the best first. All nodes of the zone see the same order, so few
+/// nodes of a zone are relays; those of the zone come first, since bytes between zones are dear.
+pub fn rank_relays(storage: &StorageDirectory, zone: &str, own: NodeId) -> Vec<NodeId> {
+    let key = hash_bytes(zone.as_bytes());
+    let mut ranked: Vec<(bool, Reverse<u64>, NodeId)> = storage
+        .records()
+        .filter(|record| record.node != own)
+        .map(|record| (&*record.zone != zone, Reverse(rendezvous_weight(key, record.node.0)), record.node))
+        .collect();
+    ranked.sort_unstable();
+    ranked.into_iter().map(|(_, _, node)| node).collect()
+}
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -11,8 +11,10 @@
 //! | [`item`] | revisions, and items at a revision |
 //! | [`mirror`] | the store's contents as one node knows them, and what changed since a revision |
 //! | [`message`] | what a node asks a relay, and the answer |
+//! | [`choice`] | which relay a node asks |
 //! | [`policy`] | where a node takes the next changes from, and how long it waits |
 
+pub mod choice;
 pub mod item;
 pub mod message;
 pub mod mirror;
--- a/crates/core/src/relay/policy.rs
+++ b/crates/core/src/relay/policy.rs
@@ -1,22 +1,14 @@
 //! Where a node takes the store's next changes from, and how long it waits.
 
-use std::collections::BTreeMap;
-
+use super::choice::RelayChoice;
 use super::item::Revision;
 use super::message::ChangesAnswer;
-use crate::hashing::{hash_bytes, rendezvous_weight};
 use crate::identity::NodeId;
-use crate::jobs::directory::StorageDirectory;
 use crate::time::{Millis, Timestamp};
 
-/// How many relays a node tries before it asks the store. One is enough while it lives; of three in a row that
-/// are cut off from the store, which a third of all machines may be, there is one case in 27.
-const RELAYS_TRIED: usize = 3;
 /// How long an answer of a relay may take beyond the time for which it may be held back: two ways between
 /// zones, and a busy relay.
 const RELAY_MARGIN: Millis = Millis(250);
-/// A relay that gave no answer is avoided for the contact bound, doubled up to this many times.
-const MOST_DOUBLINGS: u32 = 3;
 /// The first wait after a failed call of the store; doubles with each in a row.
 const FIRST_STORE_WAIT: Millis = Millis(50);
 /// A watch of a node that takes no changes from relays waits this much longer than the contact bound, since it
@@ -141,17 +133,11 @@
     pub asked_at: Option<Timestamp>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Avoided {
-    until: Timestamp,
-    failures: u32,
-}
-
 /// Chooses where the next changes come from.
 #[derive(Clone, Debug)]
 pub struct WatchPolicy {
     bounds: WatchBounds,
-    avoided: BTreeMap<NodeId, Avoided>,
+    relays: RelayChoice,
     /// Changes may have been missed: everything must be read again.
     must_list: bool,
     store_failures: u32,
@@ -166,7 +152,7 @@
     pub fn new(bounds: WatchBounds) -> Self {
         Self {
             bounds,
-            avoided: BTreeMap::new(),
+            relays: RelayChoice::default(),
             must_list: true,
             store_failures: 0,
             store_rests_until: Timestamp::default(),
@@ -194,7 +180,7 @@
             return store_step;
         }
         let Some(age) = view.age else { return store_step };
-        let relay = self.usable_relay(view.now, relays);
+        let relay = self.relays.usable(view.now, relays);
         let left = Millis(self.bounds.stale().0.saturating_sub(age.0));
         let store_rests = matches!(store_step, Step::Rest(_));
         match relay {
@@ -209,8 +195,7 @@
     /// A rest that is over when one of the relays may be asked again.
     fn rest_until_usable(&self, now: Timestamp, relays: &[NodeId], step: Step) -> Step {
         let Step::Rest(rest) = step else { return step };
-        let ends = relays.iter().take(RELAYS_TRIED).filter_map(|relay| self.avoided.get(relay));
-        let first = ends.map(|avoided| avoided.until.since(now)).min().unwrap_or(rest);
+        let first = self.relays.until_usable(now, relays).unwrap_or(rest);
         Step::Rest(rest.min(first.max(Millis(1))))
     }
 
@@ -231,23 +216,17 @@
         }
     }
 
-    fn usable_relay(&self, now: Timestamp, relays: &[NodeId]) -> Option<NodeId> {
-        let is_avoided = |relay: &NodeId| self.avoided.get(relay).is_some_and(|avoided| now < avoided.until);
-        relays.iter().take(RELAYS_TRIED).find(|relay| !is_avoided(relay)).copied()
-    }
-
     /// A relay answered. Returns whether its view is young enough; the answer may be used either way.
     pub fn relay_answered(&mut self, relay: NodeId, answer: &ChangesAnswer, now: Timestamp) -> bool {
         let is_young = answer.age < self.bounds.relay_stale();
         if is_young {
-            self.avoided.remove(&relay);
+            self.relays.answered(relay);
             self.must_list = false;
             self.store_failures = 0;
             self.store_rests_until = Timestamp::default();
             self.away_since = None;
         } else {
-            let until = now + self.bounds.avoid_stale();
-            self.avoided.insert(relay, Avoided { until, failures: 0 });
+            self.relays.avoid(relay, self.bounds.avoid_stale(), now);
             if answer.away > Millis(0) {
                 let since = Timestamp::from_millis(now.as_millis().saturating_sub(answer.away.0));
                 self.away_since.get_or_insert(since);
@@ -258,9 +237,7 @@
 
     /// A relay gave no answer.
     pub fn relay_failed(&mut self, relay: NodeId, now: Timestamp) {
-        let failures = self.avoided.get(&relay).map_or(0, |avoided| avoided.failures);
-        let span = self.bounds.contact.0 << failures.min(MOST_DOUBLINGS);
-        self.avoided.insert(relay, Avoided { until: now + Millis(span), failures: failures + 1 });
+        self.relays.failed(relay, self.bounds.contact, now);
     }
 
     /// The store answered. Returns for how long it was out of reach before.
@@ -305,16 +282,3 @@
         }
     }
 }
-
-/// The nodes that may be relays of a zone, the best first. All nodes of the zone see the same order, so few
-/// nodes of a zone are relays; those of the zone come first, since bytes between zones are dear.
-pub fn rank_relays(storage: &StorageDirectory, zone: &str, own: NodeId) -> Vec<NodeId> {
-    let key = hash_bytes(zone.as_bytes());
-    let mut ranked: Vec<(bool, std::cmp::Reverse<u64>, NodeId)> = storage
-        .records()
-        .filter(|record| record.node != own)
-        .map(|record| (&*record.zone != zone, std::cmp::Reverse(rendezvous_weight(key, record.node.0)), record.node))
-        .collect();
-    ranked.sort_unstable();
-    ranked.into_iter().map(|(_, _, node)| node).collect()
-}
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -338,7 +338,7 @@
             table.upsert(worker(&name, "a"));
             news.push(WorkerNews { worker: id(&name), requests: u32::from(place > 0) * 3, told: None, failing: 0 });
         }
-        table.hear(&LoadNews { workers: news, placed_per_s: 400, tellers: NODES as u32 }, at(0));
+        table.hear(&LoadNews { workers: news, placed_per_s: 400, tellers: NODES as u32, ..LoadNews::default() }, at(0));
         let mut random = Xoshiro256PlusPlus::seed_from_u64(node);
         let choice = table.choose(&ask(&[], &[]), at(50), &mut random).expect("there is one");
         *counts.entry(choice.id).or_default() += 1;
--- a/crates/gateway/src/load_sharing.rs
+++ b/crates/gateway/src/load_sharing.rs
@@ -1,38 +1,101 @@
-//! Telling the table's leader this node's online requests, and hearing those of all others.
+//! Telling this node's online requests, and hearing those of all others: from the table's leader, or, where there are
+//! many nodes, from a storing node of the zone.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use stallmoor_core::gateway::workers::LoadNews;
+use stallmoor_core::identity::NodeId;
 use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
+use stallmoor_core::relay::choice::{RelayChoice, rank_relays};
 use stallmoor_core::time::{Millis, Timestamp};
 
 use crate::fleet_view::FleetView;
 use crate::job_calls::JobCalls;
+use crate::peer_link::PeerLinks;
 
-/// How long the leader's answer is waited for.
+/// How long an answer is waited for.
 const PATIENCE: Millis = Millis(250);
 /// The time between two exchanges while this node has no requests.
 const IDLE_INTERVAL: Millis = Millis(600);
+/// A gatherer that gave no answer is avoided for this long at first. Loads that were gathered are believed for about
+/// as long.
+const AVOID_GATHERER: Millis = Millis(1_000);
 
 /// Exchanges loads until the process ends.
-pub async fn share_loads(view: Arc<FleetView>, jobs: Arc<JobCalls>) {
+pub async fn share_loads(view: Arc<FleetView>, jobs: Arc<JobCalls>, id: NodeId) {
     let mut rate = PlacedRate { placed: 0, at: view.clock.now(), per_s: 0 };
-    let mut interval = LoadNews::default().interval();
+    let mut exchange = LoadExchange::new(view.clone(), jobs, id);
     loop {
-        let now = view.clock.now();
-        let news = rate.news(&view, now);
+        let news = rate.news(&view, view.clock.now());
         let is_idle = news.workers.is_empty();
-        if let Ok(JobsAnswer::Loads(news)) = jobs.client.ask(JobsRequest::ShareLoad(news), now + PATIENCE).await {
-            let now = view.clock.now();
-            view.workers().hear(&news, now);
-            interval = news.interval();
+        if let Some(heard) = exchange.exchange(news).await {
+            view.workers().hear(&heard, view.clock.now());
         }
-        let rest = if is_idle { IDLE_INTERVAL } else { interval };
+        let rest = if is_idle { IDLE_INTERVAL } else { exchange.interval };
         tokio::time::sleep(Duration::from_millis(rest.0)).await;
     }
 }
 
+/// Where loads are exchanged, and how often.
+struct LoadExchange {
+    view: Arc<FleetView>,
+    jobs: Arc<JobCalls>,
+    links: PeerLinks,
+    id: NodeId,
+    gatherers: RelayChoice,
+    /// There are so many gateways that loads are gathered in each zone first.
+    is_by_zone: bool,
+    interval: Millis,
+}
+
+impl LoadExchange {
+    fn new(view: Arc<FleetView>, jobs: Arc<JobCalls>, id: NodeId) -> Self {
+        let (links, interval) = (PeerLinks::new(id), LoadNews::default().interval());
+        Self { view, jobs, links, id, gatherers: RelayChoice::default(), is_by_zone: false, interval }
+    }
+
+    /// Tells this node's requests and hears those of all others.
+    async fn exchange(&mut self, news: LoadNews) -> Option<LoadNews> {
+        let gatherer = if self.is_by_zone { self.gatherer() } else { None };
+        let heard = match gatherer {
+            Some(gatherer) => self.ask_gatherer(gatherer, news).await,
+            None => self.ask_leader(news).await,
+        }?;
+        self.is_by_zone = heard.is_by_zone();
+        self.interval = heard.interval();
+        Some(heard)
+    }
+
+    fn gatherer(&self) -> Option<NodeId> {
+        let relays = rank_relays(&self.view.storage(), &self.view.zone, self.id);
+        self.gatherers.usable(self.view.clock.now(), &relays)
+    }
+
+    async fn ask_leader(&self, news: LoadNews) -> Option<LoadNews> {
+        let until = self.view.clock.now() + PATIENCE;
+        match self.jobs.client.ask(JobsRequest::ShareLoad(news), until).await {
+            Ok(JobsAnswer::Loads(heard)) => Some(heard),
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    async fn ask_gatherer(&mut self, gatherer: NodeId, news: LoadNews) -> Option<LoadNews> {
+        let address = self.view.storage().of_node(gatherer).map(|record| record.address)?;
+        let within = Duration::from_millis(PATIENCE.0);
+        match self.links.ask(address, JobsRequest::GatherLoad(news), within).await {
+            Ok(Ok(JobsAnswer::Loads(heard))) => {
+                self.gatherers.answered(gatherer);
+                Some(heard)
+            }
+            Ok(_) | Err(_) => {
+                self.gatherers.failed(gatherer, AVOID_GATHERER, self.view.clock.now());
+                None
+            }
+        }
+    }
+}
+
 /// How fast this node places requests.
 struct PlacedRate {
     placed: u64,
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -179,7 +179,7 @@
         client: JobsClient::new(common.view.clone(), id),
     };
     let jobs = Arc::new(jobs);
-    tokio::spawn(share_loads(common.view.clone(), jobs.clone()));
+    tokio::spawn(share_loads(common.view.clone(), jobs.clone(), id));
     let (stop, stopping) = watch::channel(StopPhase::Serving);
     let (alive, mut all_closed) = mpsc::channel(1);
     let server = Arc::new(CallerServer { workers: common.workers.clone(), jobs, stop: stopping.clone(), alive });
--- a/crates/gateway/src/storage_service/mod.rs
+++ b/crates/gateway/src/storage_service/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! | module | owns |
 //! |---|---|
+//! | `gathering` | gathering the loads of a zone |
 //! | `requests` | what other nodes ask of the leader |
 //! | `running` | running items |
 //! | `membership` | carrying out what is due of the membership |
 
+mod gathering;
 mod membership;
 mod requests;
 mod running;
@@ -14,6 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use stallmoor_core::gateway::workers::LoadNews;
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::jobs::command::{ItemKey, JobCommand};
 use stallmoor_core::jobs::dispatch::Dispatcher;
@@ -31,12 +34,14 @@
 use crate::attempt::WorkerClient;
 use crate::disk_budget::DiskBudget;
 use crate::disk_writer::{DiskWriter, WriteNumber, WriteResult, Written};
+use crate::jobs_client::JobsClient;
 use crate::journal::{Field, record};
 use crate::measures;
 use crate::metadata::{FleetUpdate, MetadataStore};
 use crate::peer_link::PeerLinks;
 use crate::registration::PAIR_KEY;
 use crate::storage_server::{PeerEvent, Reply};
+use gathering::LeaderExchange;
 use membership::read_pair;
 use requests::HeldRead;
 use running::{RunReport, Running};
@@ -89,6 +94,10 @@
     reads: Vec<HeldRead>,
     dispatcher: Dispatcher,
     load_share: LoadShare,
+    /// The way to the leader, for a gatherer of a zone.
+    leader_client: Arc<JobsClient>,
+    leader_exchange: LeaderExchange,
+    leader_loads: mpsc::UnboundedSender<Option<LoadNews>>,
     running: BTreeMap<ItemKey, Running>,
     next_run: u64,
     leads: bool,
@@ -127,6 +136,8 @@
     pub async fn run(parts: StorageParts, mut inputs: StorageInputs) -> Result<(), stallmoor_storage::StorageError> {
         let (reports, mut run_reports) = mpsc::unbounded_channel();
         let (pair_reads, mut pairs) = mpsc::unbounded_channel();
+        let (leader_loads, mut heard_loads) = mpsc::unbounded_channel();
+        let leader_client = Arc::new(JobsClient::new(parts.workers.view.clone(), parts.id));
         let now = parts.workers.view.clock.now();
         let mut service = Self {
             links: PeerLinks::new(parts.id),
@@ -144,6 +155,9 @@
             reads: Vec::new(),
             dispatcher: Dispatcher::default(),
             load_share: LoadShare::default(),
+            leader_client,
+            leader_exchange: LeaderExchange::default(),
+            leader_loads,
             running: BTreeMap::new(),
             next_run: 0,
             leads: false,
@@ -169,6 +183,7 @@
                 Some(read) = pairs.recv() => {
                     service.members.pair_written(read);
                 }
+                Some(loads) = heard_loads.recv() => service.on_leader_loads(loads),
                 _ = ticks.tick() => service.tick(),
                 Ok(()) = inputs.stop.changed() => {}
             }
@@ -371,8 +386,9 @@
         } else {
             record(LogEvent::LeaderStoodDown, &[Field::number("term", term)]);
             self.dispatcher.clear();
-            self.load_share.clear();
         }
+        // What the other kind of gatherer heard must not count twice.
+        self.load_share.clear();
         self.proposed.clear();
         for (_, running) in std::mem::take(&mut self.running) {
             running.task.abort();
--- a/crates/gateway/src/storage_service/requests.rs
+++ b/crates/gateway/src/storage_service/requests.rs
@@ -29,7 +29,7 @@
                 self.members.heard(from, now);
                 let _ = reply.send(Ok(JobsAnswer::Accepted));
             }
-            JobsRequest::ShareLoad(loads) if self.leads => {
+            JobsRequest::ShareLoad(loads) | JobsRequest::GatherLoad(loads) if self.leads => {
                 self.load_share.tell(from, loads, now);
                 let batch = self.workers.view.workers().own_loads();
                 let totals = self.load_share.without(from, &batch, now);
@@ -38,6 +38,12 @@
                 let _ = reply.send(Ok(JobsAnswer::Loads(totals)));
                 self.yield_to_online(now);
             }
+            JobsRequest::GatherLoad(loads) => {
+                self.load_share.tell(from, loads, now);
+                let totals = self.load_share.without(from, &[], now);
+                let _ = reply.send(Ok(JobsAnswer::Loads(totals)));
+                self.tell_leader_loads(now);
+            }
             _ if !self.node.may_answer(now) => {
                 let _ = reply.send(Err(self.refusal()));
             }
