Let a paused item run again after 40 ms, however often it was paused

Cause: the wait before an item runs again doubles with each run that was broken off, found no room or was paused, up to 640 ms, and a pause never set it back. Ruled out: waits after a run that found no room; they still double. Change: a pause after new events sets the wait back, as a run that broke off does. Test: seen to fail before.

--- a/crates/core/src/jobs/dispatch.rs
+++ b/crates/core/src/jobs/dispatch.rs
@@ -219,7 +219,7 @@
                     return self.finish(key, ItemState::GivenUp);
                 }
             }
-            RunEnd::BrokenOff if made_progress => progress.delays = 0,
+            RunEnd::BrokenOff | RunEnd::Paused if made_progress => progress.delays = 0,
             RunEnd::BrokenOff | RunEnd::NotRun | RunEnd::Paused => {}
         }
         self.delay(key, now);
--- a/crates/core/tests/jobs_rules.rs
+++ b/crates/core/tests/jobs_rules.rs
@@ -177,6 +177,36 @@
     assert_eq!(dispatcher.unlisted(), vec![given_up]);
 }
 
+#[test]
+fn an_item_that_was_paused_often_waits_no_longer_than_one_that_was_paused_once() {
+    let mut table = JobTable::default();
+    accept(&mut table, "j", 1, 0, 60_000);
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.restart(&table);
+    let mut now = 0;
+    for pause in 1..8 {
+        let (item, kept) = dispatcher.take_next(at(now), UnixMillis(now)).expect("it is ready");
+        assert_eq!(kept.last_event.unwrap_or(0), (pause - 1) * 10);
+        now += 200;
+        assert!(!dispatcher.run_ended(&item, &RunEnd::Paused, output(pause * 10), 3, at(now)));
+        assert!(dispatcher.take_next(at(now), UnixMillis(now)).is_none(), "the room is for an online request");
+        now += 40;
+    }
+}
+
+#[test]
+fn an_item_that_finds_no_room_waits_longer_each_time() {
+    let mut table = JobTable::default();
+    accept(&mut table, "j", 1, 0, 60_000);
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.restart(&table);
+    for wait in [40, 80, 160] {
+        let (item, kept) = dispatcher.take_next(at(wait * 10), UnixMillis(0)).expect("it is ready");
+        assert!(!dispatcher.run_ended(&item, &RunEnd::NotRun, kept, 3, at(wait * 10)));
+        assert!(dispatcher.take_next(at(wait * 10 + wait - 1), UnixMillis(0)).is_none());
+    }
+}
+
 #[test]
 fn an_impossible_item_is_given_up_at_once_and_an_ended_job_is_dropped() {
     let mut table = JobTable::default();
