Pause the items with the most time to spare, not the youngest runs

Cause: where online requests wait, the youngest runs were paused. Items start in the order of their due time, so the youngest runs are the most urgent items, and one that starts again is the youngest again: the same urgent items took all pauses. Ruled out: reading the prompt again as the greater cost (some 10 ms for a prompt of 350 tokens here). Change: first those that can't be in time any more, then those with the most time to spare after what they still need.

--- a/crates/core/src/jobs/dispatch.rs
+++ b/crates/core/src/jobs/dispatch.rs
@@ -46,6 +46,17 @@
     }
 }
 
+/// An item that runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunningItem {
+    /// The item.
+    pub key: ItemKey,
+    /// Its run; a younger one has the greater number.
+    pub run: u64,
+    /// The id of the last event that it has put out, 0 for none.
+    pub events: u64,
+}
+
 #[derive(Clone, Debug)]
 enum Phase {
     Ready,
@@ -180,6 +191,17 @@
         Some((chosen.1, std::mem::take(&mut progress.output)))
     }
 
+    /// Puts running items in the order in which they should be paused: first those that can't be in time any more,
+    /// then those with the most time to spare. The ones that a pause would make late go last.
+    pub fn pause_order(&self, running: &mut [RunningItem], civil: UnixMillis) {
+        let spare = |item: &RunningItem| {
+            let due = self.items.get(&item.key).map_or(UnixMillis(0), |progress| progress.due);
+            let ends = civil.0 + self.estimate.remaining(item.events).0;
+            due.0.checked_sub(ends).map(std::cmp::Reverse)
+        };
+        running.sort_by_cached_key(|item| (spare(item), std::cmp::Reverse(item.run)));
+    }
+
     /// Whether an item may run now.
     pub fn has_ready(&mut self, now: Timestamp) -> bool {
         self.wake_delayed(now);
--- a/crates/core/tests/jobs_rules.rs
+++ b/crates/core/tests/jobs_rules.rs
@@ -9,7 +9,7 @@
 use stallmoor_core::jobs::command::{
     ItemKey, ItemProgress, ItemState, JobCommand, JobItem, JobKey, JobOutcome, LoggedOutput, PartialOutput, Submission,
 };
-use stallmoor_core::jobs::dispatch::{Dispatcher, RunEnd};
+use stallmoor_core::jobs::dispatch::{Dispatcher, RunEnd, RunningItem};
 use stallmoor_core::jobs::load_share::LoadShare;
 use stallmoor_core::jobs::pair::{PairRecord, PairState, PairView, StoredPair};
 use stallmoor_core::jobs::table::JobTable;
@@ -194,6 +194,32 @@
     }
 }
 
+#[test]
+fn items_with_time_to_spare_are_paused_before_urgent_ones_and_hopeless_ones_first() {
+    let mut table = JobTable::default();
+    accept(&mut table, "measured", 1, 0, 5_000);
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.restart(&table);
+    let (first, _) = dispatcher.take_next(at(0), UnixMillis(0)).expect("one is ready");
+    // A whole run takes 2,000 ms.
+    assert!(dispatcher.run_ended(&first, &RunEnd::Completed, output(200), 3, at(2_000)));
+    for (name, due) in [("urgent", 8_000), ("hopeless", 6_000), ("spare", 20_000), ("nearly-done", 8_000)] {
+        accept(&mut table, name, 1, 0, due);
+        dispatcher.add_job(table.job(&key(name)).expect("it was accepted"));
+    }
+    let running = |name: &str, run, events| RunningItem { key: ItemKey { job: key(name), item: 0 }, run, events };
+    // The youngest runs are the most urgent ones, as they are started first.
+    let mut items = vec![
+        running("hopeless", 1, 10),
+        running("spare", 2, 10),
+        running("nearly-done", 3, 190),
+        running("urgent", 4, 10),
+    ];
+    dispatcher.pause_order(&mut items, UnixMillis(5_000));
+    let order: Vec<JobKey> = items.into_iter().map(|item| item.key.job).collect();
+    assert_eq!(order, [key("hopeless"), key("spare"), key("nearly-done"), key("urgent")]);
+}
+
 #[test]
 fn an_item_that_finds_no_room_waits_longer_each_time() {
     let mut table = JobTable::default();
--- a/crates/gateway/src/storage_service/running.rs
+++ b/crates/gateway/src/storage_service/running.rs
@@ -5,7 +5,7 @@
 use stallmoor_core::gateway::configuration::Route;
 use stallmoor_core::gateway::workers::{WorkerAsk, WorkerId};
 use stallmoor_core::jobs::command::{ItemKey, ItemProgress, JobCommand, JobItem, JobKey, PartialOutput};
-use stallmoor_core::jobs::dispatch::RunEnd;
+use stallmoor_core::jobs::dispatch::{RunEnd, RunningItem};
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::time::{Millis, Timestamp};
 use tokio::sync::Notify;
@@ -44,24 +44,20 @@
     pub(super) output: Arc<Mutex<PartialOutput>>,
 }
 
+impl Running {
+    /// What the order of pauses depends on.
+    fn item(&self, key: &ItemKey) -> RunningItem {
+        let output = self.output.lock().unwrap_or_else(PoisonError::into_inner);
+        RunningItem { key: key.clone(), run: self.run, events: output.last_event.unwrap_or(0) }
+    }
+}
+
 impl StorageService {
     /// Takes batch items off workers that are full. They go on later, after their last event.
     pub(super) fn yield_to_online(&mut self, now: Timestamp) {
         let overfull = self.workers.view.workers().overfull(now);
         for count in overfull {
-            let there = self.running.iter().filter(|(_, running)| running.worker == count.worker);
-            let (leaving, staying): (Vec<_>, Vec<_>) = there.partition(|(_, running)| running.is_pausing);
-            let mut staying: Vec<(u64, ItemKey)> =
-                staying.into_iter().map(|(key, running)| (running.run, key.clone())).collect();
-            // The youngest has the least to read again.
-            staying.sort_by_key(|(run, _)| std::cmp::Reverse(*run));
-            let due = (count.requests as usize).saturating_sub(leaving.len());
-            for (_, key) in staying.into_iter().take(due) {
-                if let Some(running) = self.running.get_mut(&key) {
-                    running.is_pausing = true;
-                    running.pause.notify_one();
-                }
-            }
+            self.pause_items(&count.worker, count.requests as usize);
             let fields = [
                 Field::text("worker", &count.worker),
                 Field::number("items", count.requests),
@@ -71,6 +67,21 @@
         }
     }
 
+    /// Pauses items at a worker until so many are on their way out.
+    fn pause_items(&mut self, worker: &WorkerId, count: usize) {
+        let there = self.running.iter().filter(|(_, running)| running.worker == *worker);
+        let (leaving, staying): (Vec<_>, Vec<_>) = there.partition(|(_, running)| running.is_pausing);
+        let due = count.saturating_sub(leaving.len());
+        let mut staying: Vec<RunningItem> = staying.into_iter().map(|(key, running)| running.item(key)).collect();
+        self.dispatcher.pause_order(&mut staying, self.workers.view.clock.civil());
+        for item in staying.into_iter().take(due) {
+            if let Some(running) = self.running.get_mut(&item.key) {
+                running.is_pausing = true;
+                running.pause.notify_one();
+            }
+        }
+    }
+
     pub(super) fn dispatch(&mut self) {
         let now = self.now();
         if !self.leads || now < self.no_room_until || !self.dispatcher.has_ready(now) {
