Log records of the store that can't be read; name a constant plainly

A worker's record that can't be decoded was dropped without a word, and an unreadable configuration was logged as if the store did not answer. Both are logged as what they are now (E415).

--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -19,8 +19,8 @@
 const LONGEST_PASS_OVER: Millis = Millis(4_000);
 /// The time over which the load of other nodes is smoothed.
 const SMOOTHING: Millis = Millis(300);
-/// How long news are under way: to the leader, and from there.
-const WAY: Millis = Millis(10);
+/// How long news are in transit: to the node that gathers them, and from there.
+const TRANSIT: Millis = Millis(10);
 /// A report is told to other nodes while it is younger than this.
 const REPORT_TOLD_WITHIN: Millis = Millis(300);
 /// A worker that is gone is forgotten after this long.
@@ -243,7 +243,7 @@
             .collect();
         self.set_shared_loads(&loads, now);
         self.hold_dead(news.workers.iter().filter(|news| news.says_dead()).map(|news| &news.worker), now);
-        let told_age = news.age.max(Millis(news.interval().0 / 2)) + WAY;
+        let told_age = news.age.max(Millis(news.interval().0 / 2)) + TRANSIT;
         self.gathered = Some(GatheredRate { at: now, placed_per_s: news.placed_per_s, told_age });
     }
 
--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -73,6 +73,7 @@
     RelayFollowed = 412, Information, "This node takes the store's changes from another node.";
     RelayLeft = 413, Warning, "A node that passed the store's changes on is silent or behind; another one or the store is asked.";
     RelayServing = 414, Information, "Other nodes take the store's changes from this one.";
+    RecordUnreadable = 415, Warning, "A record of the store can't be read; it is passed over.";
     ControlTaken = 420, Information, "This node holds the control lease.";
     ControlLost = 421, Information, "This node holds the control lease no longer.";
     OrderGiven = 422, Information, "An order was given to an engine.";
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -126,6 +126,7 @@
             FleetUpdate::WorkerMissing(id) => self.miss_worker(id),
             FleetUpdate::Listed => self.is_listed.store(true, Ordering::Relaxed),
             FleetUpdate::Item(item) => self.take_item(item),
+            FleetUpdate::Unreadable { detail } => record(LogEvent::RecordUnreadable, &[Field::text("detail", detail)]),
             FleetUpdate::Reached => record(LogEvent::PlatformRecovered, &[]),
             FleetUpdate::Lost { detail } => record(LogEvent::PlatformUnavailable, &[Field::text("detail", detail)]),
             FleetUpdate::EmptyMachine { .. } => {}
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -30,6 +30,11 @@
     },
     /// One of the product's own keys changed.
     Item(MetadataItem),
+    /// An item that can't be read. It is passed over.
+    Unreadable {
+        /// Which, and what is wrong with it.
+        detail: String,
+    },
     /// The store answers again.
     Reached,
     /// The store does not answer.
--- a/crates/gateway/src/metadata_watch.rs
+++ b/crates/gateway/src/metadata_watch.rs
@@ -61,7 +61,10 @@
                 Step::AskRelay { relay, hold, patience } => self.ask_relay(relay, state.at, hold, patience).await,
                 Step::ListStore => self.list_store().await,
                 Step::WatchStore { since, wait } => self.watch_store(since, wait).await,
-                Step::Rest(span) => self.until_asked(tokio::time::sleep(as_duration(span))).await.unwrap_or(()),
+                Step::Rest(span) => {
+                    // A question ends the rest early.
+                    let _ = self.until_asked(tokio::time::sleep(as_duration(span))).await;
+                }
             }
             self.view.set_away(self.policy.away(self.fleet.clock.now()));
         }
