Tenants and keys of requests and batch jobs

Cause: the gateway knew no tenants.

Change: the adapter decodes keys once into a table of the configuration, whose keys are never printed. A request without a known key is answered 401 unless its route is public. Workers get the tenant that was found, and neither the key nor what the caller claims. A job belongs to its tenant: others get 404, its items run on its behalf after its key is gone, and waiting tokens count by tenant and route. Tenants that don't go together leave the last version in force.

Quotas are not built yet.

The format of the job table on disk and between nodes has changed: a fleet is to be started anew with it.

--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -79,9 +79,11 @@
     UnknownPath = "unknown_path", 404, NotRun, None, "There is nothing at this path.";
     UnknownModel = "unknown_model", 404, NotRun, None, "No service offers this model.";
     UnknownAdapter = "unknown_adapter", 404, NotRun, None, "The model has no such adapter.";
+    UnknownKey = "unknown_key", 401, NotRun, None, "The caller shows no key of a tenant.";
     UnknownTenant = "unknown_tenant", 403, NotRun, None, "The configuration names no such tenant.";
     UnknownJob = "unknown_job", 404, NotRun, None, "There is no such job.";
     UnknownExplanation = "unknown_explanation", 404, NotRun, None, "This node holds no explanation under this id.";
+    RateExceeded = "rate_exceeded", 429, NotRun, Some(1_000), "The tenant has used up its rate of requests.";
     KeyConflict = "key_conflict", 409, NotRun, None, "The idempotency key was used before with other content.";
     JobCancelled = "job_cancelled", 409, NotRun, None, "The job was cancelled.";
     TenantLimit = "tenant_limit", 429, NotRun, Some(1_000), "The tenant has reached its limit of requests in flight.";
--- a/crates/core/src/gateway/configuration.rs
+++ b/crates/core/src/gateway/configuration.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::tenant::{ApiKey, CallerIdentity, Tenant, TenantName, TenantTable, UnknownKey};
 use crate::time::Millis;
 
 /// Whether and how a request may run again.
@@ -64,8 +65,10 @@
     pub due: Millis,
     /// For batch: after which time from the submission an item may be given up.
     pub give_up_after: Option<Millis>,
-    /// For batch: most tokens that may wait; `None` for no limit.
+    /// For batch: most tokens of one tenant that may wait; `None` for no limit.
     pub queued_token_limit: Option<u64>,
+    /// Callers need no key.
+    pub is_public: bool,
 }
 
 /// One service: workers that are alike.
@@ -109,6 +112,8 @@
     routes: BTreeMap<Arc<str>, Vec<Arc<Route>>>,
     /// The services by name.
     pub services: BTreeMap<Arc<str>, Service>,
+    /// The tenants; `None` if callers need no key anywhere.
+    pub tenants: Option<TenantTable>,
     /// What callers may send.
     pub bounds: CallerBounds,
 }
@@ -124,7 +129,32 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|service| (service.name.clone(), service)).collect();
-        Self { version, routes: by_host, services, bounds }
+        Self { version, routes: by_host, services, tenants: None, bounds }
+    }
+
+    /// The same version with tenants.
+    pub fn with_tenants(mut self, tenants: TenantTable) -> Self {
+        self.tenants = Some(tenants);
+        self
+    }
+
+    /// On whose behalf a request comes that shows this key, if any.
+    ///
+    /// # Errors
+    ///
+    /// [`UnknownKey`]: it shows no key of a tenant, and the route is not public.
+    pub fn identify(&self, key: Option<&ApiKey>, is_public: bool) -> Result<CallerIdentity, UnknownKey> {
+        let Some(tenants) = &self.tenants else { return Ok(CallerIdentity::Unchecked) };
+        match key.and_then(|key| tenants.of_key(key)) {
+            Some(tenant) => Ok(CallerIdentity::Tenant(tenant.name.clone())),
+            None if is_public => Ok(CallerIdentity::Public),
+            None => Err(UnknownKey),
+        }
+    }
+
+    /// A tenant; `None` if this version has no tenant of that name.
+    pub fn tenant(&self, name: &TenantName) -> Option<&Arc<Tenant>> {
+        self.tenants.as_ref()?.named(name)
     }
 
     /// The route of a request: of its host's routes, the one with the longest prefix of the path.
@@ -137,8 +167,10 @@
         self.routes.values().flatten().find(|route| &*route.name == name)
     }
 
-    /// Whether a host has any route.
-    pub fn knows_host(&self, host: &str) -> bool {
-        self.routes.contains_key(host)
+    /// Whether calls about batch jobs need no key at a host: all its routes for batch are public.
+    pub fn has_public_jobs(&self, host: &str) -> bool {
+        let routes = self.routes.get(host).into_iter().flatten();
+        let mut batch = routes.filter(|route| route.kind == RouteKind::Batch).peekable();
+        batch.peek().is_some() && batch.all(|route| route.is_public)
     }
 }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! | module | owns |
 //! |---|---|
 //! | [`configuration`] | routes, services and limits as the operator wrote them |
+//! | [`tenant`] | tenants, their keys and limits |
 //! | [`request`] | what the decisions need to know of a request |
 //! | [`prefix_cache`] | which prompt parts a worker is thought to hold |
 //! | `cost` | what it costs to send a request to a worker |
@@ -23,6 +24,7 @@
 pub mod move_budget;
 pub mod prefix_cache;
 pub mod request;
+pub mod tenant;
 pub mod unseen_load;
 pub mod worker;
 pub mod workers;
--- a/crates/core/src/jobs/command.rs
+++ b/crates/core/src/jobs/command.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::tenant::{CallerIdentity, TenantName};
 use crate::time::{Millis, UnixMillis};
 
 /// Names a job: the id that its submitter gave.
@@ -58,6 +59,8 @@
     pub route: Arc<str>,
     /// The host that it came to.
     pub host: Arc<str>,
+    /// Whose it is; `None` if it is open to all.
+    pub tenant: Option<TenantName>,
     /// Its items.
     pub items: Vec<JobItem>,
     /// The version of the configuration that its route was read from.
@@ -66,11 +69,25 @@
     pub received_at: UnixMillis,
     /// After which time from then results are due.
     pub due: Millis,
-    /// Most tokens that may wait on its route; `None` for no limit.
+    /// Most tokens of its tenant that may wait on its route; `None` for no limit.
     pub queued_token_limit: Option<u64>,
 }
 
+/// What the limit of waiting tokens counts together: the items of one tenant on one route.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct QueueKey {
+    /// The route.
+    pub route: Arc<str>,
+    /// The tenant.
+    pub tenant: Option<TenantName>,
+}
+
 impl Submission {
+    /// Where its items count while they wait.
+    pub fn queue(&self) -> QueueKey {
+        QueueKey { route: self.route.clone(), tenant: self.tenant.clone() }
+    }
+
     /// The tokens of all items.
     pub fn token_count(&self) -> u64 {
         self.items.iter().map(|item| item.token_count).sum()
@@ -155,6 +172,8 @@
     End {
         /// The job.
         job: JobKey,
+        /// Who ends it. For others than its owner there is no such job.
+        caller: CallerIdentity,
     },
     /// Forget jobs that are over and were received before a time.
     Forget {
@@ -168,6 +187,8 @@
 pub enum JobOutcome {
     /// The job is in the table, whether by this command or an earlier one.
     Accepted,
+    /// Another tenant has a job of this id.
+    KeyTaken,
     /// The result is listed, or the progress kept.
     Listed,
     /// The item had a result before, or its job has ended; nothing changed.
--- a/crates/core/src/jobs/node.rs
+++ b/crates/core/src/jobs/node.rs
@@ -4,9 +4,8 @@
 //! any later effect is carried out; meanwhile further events may be handled, their effects queue up.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
-use super::command::{ItemKey, JobCommand, JobKey, JobOutcome, Submission};
+use super::command::{ItemKey, JobCommand, JobKey, JobOutcome, QueueKey, Submission};
 use super::request::JobsAnswer;
 use super::table::JobTable;
 use crate::identity::{GroupId, NodeId};
@@ -84,13 +83,13 @@
 /// A job whose proposal is under way. Its tokens count against the limit meanwhile.
 struct ProposedJob {
     key: JobKey,
-    route: Arc<str>,
+    queue: QueueKey,
     tokens: u64,
 }
 
 impl ProposedJob {
     fn of(submission: &Submission) -> Self {
-        Self { key: submission.key.clone(), route: submission.route.clone(), tokens: submission.token_count() }
+        Self { key: submission.key.clone(), queue: submission.queue(), tokens: submission.token_count() }
     }
 }
 
@@ -208,7 +207,7 @@
         if !self.may_hold(&submission.key)
             && let Some(limit) = submission.queued_token_limit
         {
-            let waiting = self.waiting_tokens(&submission.route);
+            let waiting = self.waiting_tokens(&submission.queue());
             if waiting + submission.token_count() > limit {
                 return Err(NotProposed::OverQuota { waiting });
             }
@@ -307,17 +306,20 @@
         let key = match &command {
             JobCommand::Accept(submission) => Some(JobsChange::Accepted(submission.key.clone())),
             JobCommand::Finish { key, .. } => Some(JobsChange::Listed(key.clone())),
-            JobCommand::End { job } => Some(JobsChange::Ended(job.clone())),
+            JobCommand::End { job, .. } => Some(JobsChange::Ended(job.clone())),
             JobCommand::Progress(_) | JobCommand::Forget { .. } => None,
         };
         let outcome = self.table.apply(command);
         let key = match key {
             Some(JobsChange::Listed(item)) if !self.is_listed(&item) => Some(JobsChange::NotListed(item)),
+            // The job is another tenant's, and goes on.
+            Some(JobsChange::Ended(_)) if outcome == JobOutcome::UnknownJob => None,
             other => other,
         };
         let answer = match outcome {
             JobOutcome::Accepted | JobOutcome::Listed | JobOutcome::Forgotten => JobsAnswer::Accepted,
             JobOutcome::Dropped | JobOutcome::Ended => JobsAnswer::Ended,
+            JobOutcome::KeyTaken => JobsAnswer::KeyTaken,
             JobOutcome::UnknownJob => JobsAnswer::UnknownJob,
         };
         (answer, key)
@@ -338,11 +340,11 @@
         self.proposals.values().filter_map(|proposal| proposal.job.as_ref())
     }
 
-    fn waiting_tokens(&self, route: &str) -> u64 {
+    fn waiting_tokens(&self, queue: &QueueKey) -> u64 {
         // A job that was submitted again meanwhile counts once.
         let proposed: BTreeMap<&JobKey, u64> =
-            self.proposed_jobs().filter(|job| &*job.route == route).map(|job| (&job.key, job.tokens)).collect();
-        self.table.open_tokens(route) + proposed.values().sum::<u64>()
+            self.proposed_jobs().filter(|job| job.queue == *queue).map(|job| (&job.key, job.tokens)).collect();
+        self.table.open_tokens(queue) + proposed.values().sum::<u64>()
     }
 
     fn check_leading(&self, now: Timestamp) -> Result<(), NotProposed> {
--- a/crates/core/src/jobs/request.rs
+++ b/crates/core/src/jobs/request.rs
@@ -6,6 +6,7 @@
 
 use super::command::{JobKey, Submission};
 use super::table::ResultPage;
+use crate::gateway::tenant::CallerIdentity;
 use crate::gateway::workers::LoadNews;
 use crate::time::Millis;
 
@@ -22,6 +23,8 @@
         first: u32,
         /// How long to wait for a result.
         wait: Millis,
+        /// Who reads.
+        caller: CallerIdentity,
     },
     /// The body of an item without a result.
     Body {
@@ -29,11 +32,15 @@
         job: JobKey,
         /// The item's id.
         item: Arc<str>,
+        /// Who reads.
+        caller: CallerIdentity,
     },
     /// End a job.
     End {
         /// The job.
         job: JobKey,
+        /// Who ends it.
+        caller: CallerIdentity,
     },
     /// The sender is there and could hold the table.
     Greet,
@@ -55,7 +62,9 @@
     },
     /// The disks have no room for the job, and nothing of it was taken.
     NoRoom,
-    /// There is no such job.
+    /// Another tenant has a job of this id, and nothing was taken.
+    KeyTaken,
+    /// There is no such job, or none that the caller may see.
     UnknownJob,
     /// Results.
     Page(ResultPage),
@@ -74,6 +83,6 @@
 impl JobsAnswer {
     /// Whether it says that the request it answers took nothing, which tells nothing of an earlier try.
     pub fn took_nothing(&self) -> bool {
-        matches!(self, Self::OverQuota { .. } | Self::NoRoom)
+        matches!(self, Self::OverQuota { .. } | Self::NoRoom | Self::KeyTaken)
     }
 }
--- a/crates/core/src/jobs/table.rs
+++ b/crates/core/src/jobs/table.rs
@@ -6,8 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::command::{
-    ItemKey, ItemProgress, ItemState, JobCommand, JobItem, JobKey, JobOutcome, LoggedOutput, PartialOutput, Submission,
+    ItemKey, ItemProgress, ItemState, JobCommand, JobItem, JobKey, JobOutcome, LoggedOutput, PartialOutput, QueueKey,
+    Submission,
 };
+use crate::gateway::tenant::CallerIdentity;
 use crate::time::UnixMillis;
 
 /// A result. Its position in its job never changes.
@@ -55,6 +57,11 @@
         Self { submission, results: Vec::new(), listed, partials: BTreeMap::new(), ended: false }
     }
 
+    /// Whether a caller may read and end the job.
+    pub fn is_seen_by(&self, caller: &CallerIdentity) -> bool {
+        caller.may_see(self.submission.tenant.as_ref())
+    }
+
     /// Whether nothing of the job will run any more.
     pub fn is_over(&self) -> bool {
         self.ended || self.results.len() == self.submission.items.len()
@@ -115,8 +122,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobTable {
     jobs: BTreeMap<JobKey, Job>,
-    /// Tokens of items without a result, by route.
-    open_tokens: BTreeMap<Arc<str>, u64>,
+    /// Tokens of items without a result.
+    open_tokens: BTreeMap<QueueKey, u64>,
 }
 
 impl JobTable {
@@ -125,14 +132,19 @@
         self.jobs.get(key)
     }
 
+    /// A job as a caller sees it: those of other tenants don't exist.
+    pub fn job_for(&self, key: &JobKey, caller: &CallerIdentity) -> Option<&Job> {
+        self.job(key).filter(|job| job.is_seen_by(caller))
+    }
+
     /// All jobs.
     pub fn jobs(&self) -> impl Iterator<Item = (&JobKey, &Job)> {
         self.jobs.iter()
     }
 
-    /// Tokens of items without a result on a route.
-    pub fn open_tokens(&self, route: &str) -> u64 {
-        self.open_tokens.get(route).copied().unwrap_or(0)
+    /// Tokens of items without a result of one tenant on a route.
+    pub fn open_tokens(&self, queue: &QueueKey) -> u64 {
+        self.open_tokens.get(queue).copied().unwrap_or(0)
     }
 
     /// Applies a command.
@@ -141,7 +153,7 @@
             JobCommand::Accept(submission) => self.accept(submission),
             JobCommand::Finish { key, state, after, text } => self.finish(&key, state, after, &text),
             JobCommand::Progress(items) => self.progress(items),
-            JobCommand::End { job } => self.end(&job),
+            JobCommand::End { job, caller } => self.end(&job, &caller),
             JobCommand::Forget { before } => self.forget(before),
         }
     }
@@ -160,10 +172,12 @@
     }
 
     fn accept(&mut self, submission: Submission) -> JobOutcome {
-        if !self.jobs.contains_key(&submission.key) {
-            *self.open_tokens.entry(submission.route.clone()).or_default() += submission.token_count();
-            self.jobs.insert(submission.key.clone(), Job::new(submission));
+        if let Some(job) = self.jobs.get(&submission.key) {
+            let is_same = job.submission.tenant == submission.tenant;
+            return if is_same { JobOutcome::Accepted } else { JobOutcome::KeyTaken };
         }
+        *self.open_tokens.entry(submission.queue()).or_default() += submission.token_count();
+        self.jobs.insert(submission.key.clone(), Job::new(submission));
         JobOutcome::Accepted
     }
 
@@ -201,17 +215,19 @@
         let item = &mut job.submission.items[place];
         job.results.push(ListedResult { item: key.item, id: item.id.clone(), state, text });
         item.body = Arc::from([]);
-        let (route, tokens) = (job.submission.route.clone(), item.token_count);
-        self.release(&route, tokens);
+        let tokens = item.token_count;
+        let queue = job.submission.queue();
+        self.release(&queue, tokens);
         JobOutcome::Listed
     }
 
-    fn end(&mut self, key: &JobKey) -> JobOutcome {
-        let Some(job) = self.jobs.get_mut(key) else { return JobOutcome::UnknownJob };
-        let (route, tokens) = (job.submission.route.clone(), job.open_tokens());
+    fn end(&mut self, key: &JobKey, caller: &CallerIdentity) -> JobOutcome {
+        let job = self.jobs.get_mut(key).filter(|job| job.is_seen_by(caller));
+        let Some(job) = job else { return JobOutcome::UnknownJob };
+        let (queue, tokens) = (job.submission.queue(), job.open_tokens());
         job.ended = true;
         job.partials.clear();
-        self.release(&route, tokens);
+        self.release(&queue, tokens);
         JobOutcome::Ended
     }
 
@@ -220,9 +236,11 @@
         JobOutcome::Forgotten
     }
 
-    fn release(&mut self, route: &Arc<str>, tokens: u64) {
-        if let Some(open) = self.open_tokens.get_mut(route) {
-            *open = open.saturating_sub(tokens);
+    fn release(&mut self, queue: &QueueKey, tokens: u64) {
+        let Some(open) = self.open_tokens.get_mut(queue) else { return };
+        *open = open.saturating_sub(tokens);
+        if *open == 0 {
+            self.open_tokens.remove(queue);
         }
     }
 }
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -71,6 +71,7 @@
         due: Millis(0),
         give_up_after: None,
         queued_token_limit: None,
+        is_public: false,
     }
 }
 
--- a/crates/core/tests/jobs_node.rs
+++ b/crates/core/tests/jobs_node.rs
@@ -67,6 +67,7 @@
         key: JobKey(Arc::from(name)),
         route: Arc::from("route"),
         host: Arc::from("host"),
+        tenant: None,
         items: vec![item],
         configuration_version: 1,
         received_at: UnixMillis(0),
--- a/crates/core/tests/jobs_rules.rs
+++ b/crates/core/tests/jobs_rules.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 
 use proptest::prelude::*;
+use stallmoor_core::gateway::tenant::{CallerIdentity, TenantName};
 use stallmoor_core::gateway::workers::{LoadNews, WorkerCount, WorkerId, WorkerNews};
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::jobs::command::{
-    ItemKey, ItemProgress, ItemState, JobCommand, JobItem, JobKey, JobOutcome, LoggedOutput, PartialOutput, Submission,
+    ItemKey, ItemProgress, ItemState, JobCommand, JobItem, JobKey, JobOutcome, LoggedOutput, PartialOutput, QueueKey,
+    Submission,
 };
 use stallmoor_core::jobs::dispatch::{Dispatcher, RunEnd, RunningItem};
 use stallmoor_core::jobs::load_share::LoadShare;
@@ -34,6 +36,7 @@
         key: key(name),
         route: Arc::from("route"),
         host: Arc::from("host"),
+        tenant: None,
         items: (0..items).map(item).collect(),
         configuration_version: 1,
         received_at: UnixMillis(received_at),
@@ -42,6 +45,10 @@
     }
 }
 
+fn queue() -> QueueKey {
+    QueueKey { route: Arc::from("route"), tenant: None }
+}
+
 fn accept(table: &mut JobTable, name: &str, items: u32, received_at: u64, due: u64) {
     assert_eq!(table.apply(JobCommand::Accept(submission(name, items, received_at, due))), JobOutcome::Accepted);
 }
@@ -70,19 +77,44 @@
     let job = table.job(&key("j")).expect("it was accepted");
     let texts: Vec<&str> = job.results.iter().map(|result| &*result.text).collect();
     assert_eq!(texts, ["first", "zero"]);
-    assert_eq!(table.open_tokens("route"), 100);
+    assert_eq!(table.open_tokens(&queue()), 100);
     assert!(job.open_item_named("j-1").is_none(), "a listed item has no body");
     assert!(job.open_item_named("j-2").is_some());
 }
 
+#[test]
+fn a_job_is_seen_and_ended_by_its_own_tenant_only() {
+    let mut table = JobTable::default();
+    let (owner, other) = (TenantName::new("owner"), TenantName::new("other"));
+    let job = Submission { tenant: Some(owner.clone()), ..submission("j", 2, 0, 1_000) };
+    assert_eq!(table.apply(JobCommand::Accept(job.clone())), JobOutcome::Accepted);
+    assert_eq!(table.apply(JobCommand::Accept(job.clone())), JobOutcome::Accepted, "a resend");
+    let stolen = Submission { tenant: Some(other.clone()), ..job };
+    assert_eq!(table.apply(JobCommand::Accept(stolen)), JobOutcome::KeyTaken);
+    let as_owner = CallerIdentity::Tenant(owner.clone());
+    let strangers = [CallerIdentity::Tenant(other.clone()), CallerIdentity::Public];
+    for stranger in &strangers {
+        assert!(table.job_for(&key("j"), stranger).is_none());
+        let end = JobCommand::End { job: key("j"), caller: stranger.clone() };
+        assert_eq!(table.apply(end), JobOutcome::UnknownJob);
+    }
+    assert!(!table.job(&key("j")).expect("it is there").ended, "no stranger ended it");
+    assert!(table.job_for(&key("j"), &as_owner).is_some());
+    let of = |tenant: TenantName| QueueKey { tenant: Some(tenant), ..queue() };
+    assert_eq!(table.open_tokens(&of(owner.clone())), 200);
+    assert_eq!(table.open_tokens(&of(other)), 0, "each tenant has a queue of its own");
+    assert_eq!(table.apply(JobCommand::End { job: key("j"), caller: as_owner }), JobOutcome::Ended);
+    assert_eq!(table.open_tokens(&of(owner)), 0);
+}
+
 #[test]
 fn an_ended_job_lists_nothing_more_and_frees_its_tokens() {
     let mut table = JobTable::default();
     accept(&mut table, "j", 3, 0, 1_000);
     table.apply(finish("j", 0, "zero"));
-    assert_eq!(table.apply(JobCommand::End { job: key("j") }), JobOutcome::Ended);
-    assert_eq!(table.apply(JobCommand::End { job: key("j") }), JobOutcome::Ended);
-    assert_eq!(table.open_tokens("route"), 0);
+    assert_eq!(table.apply(JobCommand::End { job: key("j"), caller: CallerIdentity::Unchecked }), JobOutcome::Ended);
+    assert_eq!(table.apply(JobCommand::End { job: key("j"), caller: CallerIdentity::Unchecked }), JobOutcome::Ended);
+    assert_eq!(table.open_tokens(&queue()), 0);
     assert_eq!(table.apply(finish("j", 1, "late")), JobOutcome::Dropped);
     assert_eq!(table.job(&key("j")).map(|job| job.page(0, 1_000).results.len()), Some(1));
 }
@@ -112,7 +144,7 @@
             let name = format!("job-{job}");
             let command = match what {
                 0 => JobCommand::Accept(submission(&name, 4, u64::from(job), 1_000)),
-                1 => JobCommand::End { job: key(&name) },
+                1 => JobCommand::End { job: key(&name), caller: CallerIdentity::Unchecked },
                 2 => progress(&name, LoggedOutput::default(), "begun", 1),
                 _ => finish(&name, item, &format!("{job} {item} {what}")),
             };
@@ -128,7 +160,7 @@
                 prop_assert_eq!(&now.results[..job.results.len()], &job.results[..]);
             }
             let open: u64 = table.jobs().map(|(_, job)| job.open_tokens()).sum();
-            prop_assert_eq!(table.open_tokens("route"), open);
+            prop_assert_eq!(table.open_tokens(&queue()), open);
             prop_assert_eq!(JobTable::decode(&table.encode()), Some(table.clone()));
         }
     }
--- a/crates/core/tests/jobs_simulation.rs
+++ b/crates/core/tests/jobs_simulation.rs
@@ -97,6 +97,7 @@
         key: key.clone(),
         route: Arc::from("route"),
         host: Arc::from("host"),
+        tenant: None,
         items: (0..3).map(item).collect(),
         configuration_version: 1,
         received_at: UnixMillis(at),
--- /dev/null
+++ b/crates/core/tests/tenant_rules.rs
@@ -0,0 +1,89 @@
+//! Rules of tenants: keys, names, and on whose behalf a request comes.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use stallmoor_core::gateway::configuration::{CallerBounds, GatewayConfiguration};
+use stallmoor_core::gateway::tenant::{
+    ApiKey, CallerIdentity, Tenant, TenantEntry, TenantError, TenantName, TenantTable, UnknownKey,
+};
+
+mod support;
+
+fn entry(name: &str, keys: &[&str]) -> TenantEntry {
+    let tenant = Tenant { name: TenantName::new(name), priority: None, limit: None };
+    TenantEntry { tenant, keys: keys.iter().map(|key| ApiKey::new(key)).collect() }
+}
+
+fn configuration(entries: Vec<TenantEntry>) -> GatewayConfiguration {
+    let table = TenantTable::new(entries).expect("sound tenants");
+    GatewayConfiguration::new(1, Vec::new(), Vec::new(), CallerBounds::default()).with_tenants(table)
+}
+
+#[test]
+fn a_request_comes_on_behalf_of_the_tenant_that_holds_its_key() {
+    let known = configuration(vec![entry("a", &["k1", "k2"]), entry("b", &["k3"]), entry("keyless", &[])]);
+    let caller = |key: &str| known.identify(Some(&ApiKey::new(key)), false);
+    assert_eq!(caller("k2"), Ok(CallerIdentity::Tenant(TenantName::new("a"))));
+    assert_eq!(caller("k3"), Ok(CallerIdentity::Tenant(TenantName::new("b"))));
+    assert_eq!(caller("K3"), Err(UnknownKey), "keys are told apart by case");
+    assert_eq!(known.identify(None, false), Err(UnknownKey));
+    assert_eq!(known.identify(None, true), Ok(CallerIdentity::Public));
+    assert_eq!(known.identify(Some(&ApiKey::new("x")), true), Ok(CallerIdentity::Public));
+}
+
+#[test]
+fn nobody_is_asked_for_a_key_where_no_tenants_are_configured() {
+    let open = GatewayConfiguration::new(1, Vec::new(), Vec::new(), CallerBounds::default());
+    assert_eq!(open.identify(None, false), Ok(CallerIdentity::Unchecked));
+    let closed = configuration(Vec::new());
+    assert_eq!(closed.identify(None, false), Err(UnknownKey), "a table without tenants lets nobody in");
+}
+
+#[test]
+fn tenants_that_do_not_go_together_are_refused() {
+    let shared = TenantTable::new(vec![entry("a", &["k"]), entry("b", &["k"])]);
+    let (first, second) = (TenantName::new("a"), TenantName::new("b"));
+    assert_eq!(shared, Err(TenantError::SharedKey { first: first.clone(), second }));
+    assert_eq!(TenantTable::new(vec![entry("", &["k"])]), Err(TenantError::EmptyName));
+    assert_eq!(TenantTable::new(vec![entry("a", &[""])]), Err(TenantError::EmptyKey { name: first.clone() }));
+    let twice = TenantTable::new(vec![entry("a", &["k"]), entry("a", &["l"])]);
+    assert_eq!(twice, Err(TenantError::DuplicateName { name: first }));
+    assert!(TenantTable::new(vec![entry("a", &["k", "k"])]).is_ok(), "a key that stands twice is one key");
+}
+
+#[test]
+fn a_key_is_never_printed() {
+    let known = configuration(vec![entry("a", &["very-secret"])]);
+    assert!(!format!("{known:?}").contains("very-secret"));
+}
+
+proptest! {
+    #![proptest_config(support::fuzz_config())]
+
+    /// Against a model: after any changes of the tenants' keys, exactly the keys of the newest version let in, and
+    /// each as its holder.
+    #[test]
+    fn the_newest_version_alone_says_who_holds_a_key(versions in prop::collection::vec(
+        prop::collection::btree_map(0u8..12, 0u8..4, 0..8), 1..6,
+    )) {
+        for holders in &versions {
+            let mut by_tenant: BTreeMap<u8, Vec<String>> = BTreeMap::new();
+            for (key, tenant) in holders {
+                by_tenant.entry(*tenant).or_default().push(format!("key-{key}"));
+            }
+            let entries = by_tenant.iter().map(|(tenant, keys)| {
+                let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
+                entry(&format!("tenant-{tenant}"), &keys)
+            });
+            let known = configuration(entries.collect());
+            for key in 0u8..12 {
+                let expected = holders
+                    .get(&key)
+                    .map(|tenant| CallerIdentity::Tenant(TenantName::new(&format!("tenant-{tenant}"))))
+                    .ok_or(UnknownKey);
+                prop_assert_eq!(known.identify(Some(&ApiKey::new(&format!("key-{key}"))), false), expected);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, StatusCode, Uri};
 use stallmoor_core::gateway::configuration::Route;
 use stallmoor_core::gateway::request::RequestFacts;
+use stallmoor_core::gateway::tenant::{ApiKey, CallerIdentity, TenantName};
 use stallmoor_core::gateway::workers::{WorkerId, WorkerLoad};
 use stallmoor_core::jobs::command::{JobItem, JobKey, Submission};
 use stallmoor_core::jobs::table::ResultPage;
@@ -62,6 +63,8 @@
     pub remaining: Option<Millis>,
     /// Go on after this event.
     pub after_event: Option<u64>,
+    /// On whose behalf it runs.
+    pub identity: &'a CallerIdentity,
 }
 
 /// What a worker's answer says besides its content.
@@ -90,6 +93,9 @@
     /// It is one, and can't be read.
     fn job_call(&self, method: &Method, uri: &Uri, headers: &HeaderMap) -> Result<Option<JobCall>, BadRequest>;
 
+    /// The key that a caller shows; `None` if it shows none, or one that can't be read.
+    fn api_key(&self, headers: &HeaderMap) -> Option<ApiKey>;
+
     /// Reads what a request says of itself.
     ///
     /// # Errors
@@ -106,11 +112,13 @@
         &self,
         facts: &RequestFacts,
         route: &Route,
+        tenant: Option<&TenantName>,
         body: &Bytes,
         received_at: UnixMillis,
     ) -> Result<Submission, BadRequest>;
 
-    /// The head of a request for a worker, from the caller's.
+    /// The head of a request for a worker, from the caller's. The caller's key is not in it, and its tenant only
+    /// as it was found here, unless nobody was asked for a key.
     fn attempt_headers(&self, headers: &HeaderMap, terms: &AttemptTerms<'_>) -> HeaderMap;
 
     /// What an item's request says of itself.
--- a/crates/gateway/src/item_run.rs
+++ b/crates/gateway/src/item_run.rs
@@ -7,6 +7,7 @@
 use hyper::{Method, StatusCode, Uri};
 use stallmoor_core::gateway::attempt::AttemptEnd;
 use stallmoor_core::gateway::event_stream::EventSplitter;
+use stallmoor_core::gateway::tenant::CallerIdentity;
 use stallmoor_core::gateway::workers::Choice;
 use stallmoor_core::jobs::command::{JobItem, PartialOutput};
 use stallmoor_core::jobs::dispatch::RunEnd;
@@ -27,6 +28,8 @@
     pub item: JobItem,
     /// The host that its job came to.
     pub host: Arc<str>,
+    /// On whose behalf it runs.
+    pub identity: CallerIdentity,
     /// The service of its route.
     pub service: Arc<str>,
     /// The worker.
@@ -50,7 +53,12 @@
 
     async fn try_run(&self, client: &WorkerClient, in_flight: InFlight) -> RunEnd {
         let Ok(target) = self.item.path.parse::<Uri>() else { return RunEnd::Impossible };
-        let terms = AttemptTerms { worker: &self.choice.id, remaining: None, after_event: self.output().last_event };
+        let terms = AttemptTerms {
+            worker: &self.choice.id,
+            remaining: None,
+            after_event: self.output().last_event,
+            identity: &self.identity,
+        };
         let attempt = Attempt {
             service: self.service.clone(),
             request_id: self.item.id.clone(),
--- a/crates/gateway/src/job_calls.rs
+++ b/crates/gateway/src/job_calls.rs
@@ -8,6 +8,7 @@
 use stallmoor_core::error::{ErrorKind, Ran, Refusal};
 use stallmoor_core::gateway::configuration::Route;
 use stallmoor_core::gateway::request::RequestFacts;
+use stallmoor_core::gateway::tenant::CallerIdentity;
 use stallmoor_core::jobs::command::{JobKey, Submission};
 use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
 use stallmoor_core::log_event::LogEvent;
@@ -32,6 +33,20 @@
 /// When a caller should come back while the table has no leader.
 const NO_LEADER_COME_BACK: Millis = Millis(300);
 
+/// A job as it is submitted.
+pub struct JobSubmission<'a> {
+    /// What the request says of itself.
+    pub facts: &'a RequestFacts,
+    /// Its route.
+    pub route: &'a Route,
+    /// The version of the configuration that the route is of.
+    pub version: u64,
+    /// Who submits it.
+    pub identity: &'a CallerIdentity,
+    /// Its body.
+    pub body: &'a Bytes,
+}
+
 /// Serves calls about batch jobs.
 pub struct JobCalls {
     /// What is known of the fleet.
@@ -44,15 +59,10 @@
 
 impl JobCalls {
     /// Takes a job.
-    pub async fn submit(
-        &self,
-        facts: &RequestFacts,
-        route: &Route,
-        version: u64,
-        body: &Bytes,
-        arrived_at: Timestamp,
-    ) -> Response<AnswerBody> {
-        let submission = match self.dialect.submission(facts, route, body, self.view.clock.civil()) {
+    pub async fn submit(&self, request: JobSubmission<'_>, arrived_at: Timestamp) -> Response<AnswerBody> {
+        let JobSubmission { facts, route, version, identity, body } = request;
+        let received_at = self.view.clock.civil();
+        let submission = match self.dialect.submission(facts, route, identity.tenant(), body, received_at) {
             Ok(submission) => Submission { configuration_version: version, ..submission },
             Err(bad) => return refusal::of_kind(ErrorKind::MalformedRequest, &bad.detail),
         };
@@ -68,6 +78,7 @@
                 let refused = Refusal::new(ErrorKind::TenantLimit, detail).with_retry_after(OVER_QUOTA_COME_BACK.0);
                 refusal::answer(&refused)
             }
+            Ok(JobsAnswer::KeyTaken) => refusal::of_kind(ErrorKind::KeyConflict, "another job has this id"),
             Ok(JobsAnswer::NoRoom) => {
                 let refused = Refusal::new(ErrorKind::StateUnavailable, "the storing nodes' disks have no room");
                 refusal::answer(&refused.with_retry_after(OVER_QUOTA_COME_BACK.0))
@@ -79,30 +90,32 @@
     }
 
     /// Serves a call about a job that was submitted.
-    pub async fn call(&self, call: JobCall, arrived_at: Timestamp) -> Response<AnswerBody> {
+    pub async fn call(&self, call: JobCall, caller: CallerIdentity, arrived_at: Timestamp) -> Response<AnswerBody> {
         match call {
-            JobCall::Read { job, first, wait } => self.read(job, first, wait.min(LONGEST_WAIT), arrived_at).await,
+            JobCall::Read { job, first, wait } => {
+                let wait = wait.min(LONGEST_WAIT);
+                let until = arrived_at + wait + CALL_WITHIN;
+                match self.client.ask(JobsRequest::Read { job, first, wait, caller }, until).await {
+                    Ok(JobsAnswer::Page(page)) => whole(self.dialect.result_page(first, &page), "application/json"),
+                    other => refuse_call(other),
+                }
+            }
             JobCall::Body { job, item } => {
-                let request = JobsRequest::Body { job, item };
+                let request = JobsRequest::Body { job, item, caller };
                 match self.client.ask(request, arrived_at + CALL_WITHIN).await {
                     Ok(JobsAnswer::Body(body)) => whole(Bytes::from(body.to_vec()), "application/octet-stream"),
                     other => refuse_call(other),
                 }
             }
-            JobCall::End { job } => match self.client.ask(JobsRequest::End { job }, arrived_at + CALL_WITHIN).await {
-                Ok(JobsAnswer::Ended | JobsAnswer::Accepted) => empty(StatusCode::OK),
-                // Unlike a read, an end may have taken effect.
-                Err(no_leader) => refusal::answer(&refuse_without_leader(no_leader)),
-                other => refuse_call(other),
-            },
-        }
-    }
-
-    async fn read(&self, job: JobKey, first: u32, wait: Millis, arrived_at: Timestamp) -> Response<AnswerBody> {
-        let until = arrived_at + wait + CALL_WITHIN;
-        match self.client.ask(JobsRequest::Read { job, first, wait }, until).await {
-            Ok(JobsAnswer::Page(page)) => whole(self.dialect.result_page(first, &page), "application/json"),
-            other => refuse_call(other),
+            JobCall::End { job } => {
+                let request = JobsRequest::End { job, caller };
+                match self.client.ask(request, arrived_at + CALL_WITHIN).await {
+                    Ok(JobsAnswer::Ended | JobsAnswer::Accepted) => empty(StatusCode::OK),
+                    // Unlike a read, an end may have taken effect.
+                    Err(no_leader) => refusal::answer(&refuse_without_leader(no_leader)),
+                    other => refuse_call(other),
+                }
+            }
         }
     }
 
@@ -118,6 +131,7 @@
             Ok(JobsAnswer::Accepted | JobsAnswer::Ended) => "accepted",
             Ok(JobsAnswer::OverQuota { .. }) => "over_quota",
             Ok(JobsAnswer::NoRoom) => "no_room",
+            Ok(JobsAnswer::KeyTaken) => "key_taken",
             Ok(JobsAnswer::Unsure) => "unknown",
             Ok(_) => "unexpected",
             Err(NoLeader { may_have_arrived: true }) => "unknown",
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -19,6 +19,7 @@
 use stallmoor_core::gateway::attempt::{AttemptEnd, AttemptLedger};
 use stallmoor_core::gateway::configuration::{Route, RouteKind};
 use stallmoor_core::gateway::request::RequestFacts;
+use stallmoor_core::gateway::tenant::CallerIdentity;
 use stallmoor_core::gateway::workers::{Choice, WorkerAsk, WorkerId};
 use stallmoor_core::time::{Millis, Timestamp};
 
@@ -52,6 +53,8 @@
     pub facts: RequestFacts,
     /// Its route.
     pub route: Arc<Route>,
+    /// On whose behalf it comes.
+    pub identity: CallerIdentity,
     /// When its head was read.
     pub arrived_at: Timestamp,
 }
@@ -214,7 +217,8 @@
     async fn attempt(&mut self, choice: Choice, patience: Duration) -> Result<OpenAnswer, AttemptEnd> {
         let remaining = self.request.facts.deadline.map(|wait| (self.request.arrived_at + wait).since(self.now()));
         let remaining = remaining.map(|left| left.min(self.remaining()));
-        let terms = AttemptTerms { worker: &choice.id, remaining, after_event: self.last_event };
+        let identity = &self.request.identity;
+        let terms = AttemptTerms { worker: &choice.id, remaining, after_event: self.last_event, identity };
         let headers = self.client.dialect.attempt_headers(&self.request.headers, &terms);
         let worker = choice.id.clone();
         self.last_choice = Some(choice.clone());
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -1,6 +1,6 @@
 //! Refusals of the gateway's own, by the one table of kinds.
 
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
 use stallmoor_core::error::{ErrorKind, Refusal};
 
@@ -17,6 +17,9 @@
     let mut response = Response::new(AnswerBody::whole(body.to_string()));
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if status == StatusCode::UNAUTHORIZED {
+        response.headers_mut().insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    }
     if let Some(wait) = refusal.retry_after_ms {
         let seconds = format!("{}.{:03}", wait / 1_000, wait % 1_000);
         if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -7,20 +7,25 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use stallmoor_core::error::ErrorKind;
-use stallmoor_core::gateway::configuration::{CallerBounds, RouteKind};
+use stallmoor_core::error::{ErrorKind, Refusal};
+use stallmoor_core::gateway::configuration::{CallerBounds, Route, RouteKind};
+use stallmoor_core::gateway::request::RequestFacts;
+use stallmoor_core::gateway::tenant::CallerIdentity;
+use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::time::Timestamp;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::answer_body::AnswerBody;
 use crate::attempt::WorkerClient;
-use crate::job_calls::JobCalls;
+use crate::dialect::{BadRequest, JobCall};
+use crate::job_calls::{JobCalls, JobSubmission};
+use crate::journal::{Field, record};
 use crate::online::{self, OnlineRequest};
 use crate::refusal;
 
@@ -114,35 +119,48 @@
     }
 
     async fn answer(&self, request: Request<Incoming>, arrived_at: Timestamp) -> Response<AnswerBody> {
+        match self.admit(request, arrived_at).await {
+            Ok(Admitted::Call(call, caller)) => self.jobs.call(call, caller, arrived_at).await,
+            Ok(Admitted::Job(job)) => {
+                let AdmittedJob { facts, route, version, identity, body } = &job;
+                let (version, route) = (*version, &**route);
+                self.jobs.submit(JobSubmission { facts, route, version, identity, body }, arrived_at).await
+            }
+            Ok(Admitted::Online(request)) => online::serve(self.workers.clone(), *request).await,
+            Err(refused) => {
+                self.log_turned_away(&refused, arrived_at);
+                refusal::answer(&refused)
+            }
+        }
+    }
+
+    /// Reads a request and checks whether it may be served.
+    async fn admit(&self, request: Request<Incoming>, arrived_at: Timestamp) -> Result<Admitted, Refusal> {
         let view = &self.workers.view;
         let Some(configuration) = view.known_configuration(START_PATIENCE).await else {
-            return refusal::of_kind(ErrorKind::NotConfigured, "no configuration is known yet");
+            return Err(Refusal::new(ErrorKind::NotConfigured, "no configuration is known yet"));
         };
         let (parts, body) = request.into_parts();
         let dialect = &self.workers.dialect;
-        match dialect.job_call(&parts.method, &parts.uri, &parts.headers) {
-            Ok(None) => {}
-            Ok(Some(call)) => return self.jobs.call(call, arrived_at).await,
-            Err(bad) => return refusal::of_kind(ErrorKind::MalformedRequest, &bad.detail),
+        let host = host_of(&parts.headers);
+        let key = dialect.api_key(&parts.headers);
+        let malformed = |bad: BadRequest| Refusal::new(ErrorKind::MalformedRequest, bad.detail);
+        let unknown_key = |_| Refusal::new(ErrorKind::UnknownKey, format!("no key of a tenant, for {}", parts.uri));
+        if let Some(call) = dialect.job_call(&parts.method, &parts.uri, &parts.headers).map_err(malformed)? {
+            let is_public = configuration.has_public_jobs(host);
+            let caller = configuration.identify(key.as_ref(), is_public).map_err(unknown_key)?;
+            return Ok(Admitted::Call(call, caller));
         }
-        let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-        let host = host.split(':').next().unwrap_or_default();
         let Some(route) = configuration.route_for(host, parts.uri.path()).cloned() else {
-            return refusal::of_kind(ErrorKind::UnknownPath, "no route has this host and path");
-        };
-        let facts = match dialect.request_facts(&parts.headers) {
-            Ok(facts) => facts,
-            Err(bad) => return refusal::of_kind(ErrorKind::MalformedRequest, &bad.detail),
-        };
-        let body = match Limited::new(body, configuration.bounds.body_bytes).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-                return refusal::of_kind(ErrorKind::BodyTooLarge, "the body is over the limit");
-            }
-            Err(_) => return refusal::of_kind(ErrorKind::MalformedRequest, "the body broke off"),
+            let detail = format!("no route has the host {host} and the path {}", parts.uri.path());
+            return Err(Refusal::new(ErrorKind::UnknownPath, detail));
         };
+        let identity = configuration.identify(key.as_ref(), route.is_public).map_err(unknown_key)?;
+        let facts = dialect.request_facts(&parts.headers).map_err(malformed)?;
+        let body = read_body(body, configuration.bounds.body_bytes).await?;
         if route.kind == RouteKind::Batch {
-            return self.jobs.submit(&facts, &route, configuration.version, &body, arrived_at).await;
+            let version = configuration.version;
+            return Ok(Admitted::Job(AdmittedJob { facts, route, version, identity, body }));
         }
         let request = OnlineRequest {
             method: parts.method,
@@ -151,9 +169,53 @@
             body,
             facts,
             route,
+            identity,
             arrived_at,
         };
-        online::serve(self.workers.clone(), request).await
+        Ok(Admitted::Online(Box::new(request)))
+    }
+
+    fn log_turned_away(&self, refused: &Refusal, arrived_at: Timestamp) {
+        let view = &self.workers.view;
+        let fields = [
+            Field::text("kind", refused.kind.code()),
+            Field::text("detail", &refused.detail),
+            Field::number("age_ms", view.clock.now().since(arrived_at).0),
+            Field::number("configuration", view.configuration().map_or(0, |known| known.version)),
+        ];
+        record(LogEvent::RequestRefused, &fields);
+    }
+}
+
+/// What a caller wants, once it may have it.
+enum Admitted {
+    Call(JobCall, CallerIdentity),
+    Job(AdmittedJob),
+    Online(Box<OnlineRequest>),
+}
+
+/// A batch job that was submitted.
+struct AdmittedJob {
+    facts: RequestFacts,
+    route: Arc<Route>,
+    version: u64,
+    identity: CallerIdentity,
+    body: Bytes,
+}
+
+/// The host that a request is for, without its port.
+fn host_of(headers: &HeaderMap) -> &str {
+    let host = headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    host.split(':').next().unwrap_or_default()
+}
+
+async fn read_body(body: Incoming, most_bytes: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, most_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Refusal::new(ErrorKind::BodyTooLarge, "the body is over the limit"))
+        }
+        Err(_) => Err(Refusal::new(ErrorKind::MalformedRequest, "the body broke off")),
     }
 }
 
--- a/crates/gateway/src/storage_service/requests.rs
+++ b/crates/gateway/src/storage_service/requests.rs
@@ -1,5 +1,6 @@
 //! What other nodes ask of the leader.
 
+use stallmoor_core::gateway::tenant::CallerIdentity;
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::jobs::command::{JobCommand, JobKey, Submission};
 use stallmoor_core::jobs::node::{JobsEffect, NotProposed, Waiter};
@@ -17,6 +18,7 @@
 pub(super) struct HeldRead {
     pub(super) job: JobKey,
     pub(super) first: u32,
+    pub(super) caller: CallerIdentity,
     pub(super) deadline: Timestamp,
     pub(super) reply: Reply,
 }
@@ -58,17 +60,17 @@
                 let proposed = self.node.submit(submission, waiter, now);
                 self.on_proposed(waiter, proposed);
             }
-            JobsRequest::End { job } => {
+            JobsRequest::End { job, caller } => {
                 let waiter = self.wait(reply);
-                let proposed = self.node.propose(&JobCommand::End { job }, Some(waiter), now);
+                let proposed = self.node.propose(&JobCommand::End { job, caller }, Some(waiter), now);
                 self.on_proposed(waiter, proposed);
             }
-            JobsRequest::Read { job, first, wait } => {
-                self.reads.push(HeldRead { job, first, deadline: now + wait, reply });
+            JobsRequest::Read { job, first, wait, caller } => {
+                self.reads.push(HeldRead { job, first, caller, deadline: now + wait, reply });
                 self.answer_reads();
             }
-            JobsRequest::Body { job, item } => {
-                let found = self.node.table().job(&job).map(|found| found.open_item_named(&item));
+            JobsRequest::Body { job, item, caller } => {
+                let found = self.node.table().job_for(&job, &caller).map(|found| found.open_item_named(&item));
                 let answer = match found {
                     None => JobsAnswer::UnknownJob,
                     Some(None) => JobsAnswer::UnknownItem,
@@ -125,7 +127,7 @@
                 let _ = read.reply.send(Err(self.refusal()));
                 continue;
             }
-            let Some(job) = self.node.table().job(&read.job) else {
+            let Some(job) = self.node.table().job_for(&read.job, &read.caller) else {
                 let _ = read.reply.send(Ok(JobsAnswer::UnknownJob));
                 continue;
             };
--- a/crates/gateway/src/storage_service/running.rs
+++ b/crates/gateway/src/storage_service/running.rs
@@ -2,9 +2,10 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use stallmoor_core::gateway::configuration::Route;
+use stallmoor_core::gateway::configuration::{GatewayConfiguration, Route};
+use stallmoor_core::gateway::tenant::CallerIdentity;
 use stallmoor_core::gateway::workers::{WorkerAsk, WorkerId};
-use stallmoor_core::jobs::command::{ItemKey, ItemProgress, JobCommand, JobItem, JobKey, PartialOutput};
+use stallmoor_core::jobs::command::{ItemKey, ItemProgress, JobCommand, JobItem, JobKey, PartialOutput, Submission};
 use stallmoor_core::jobs::dispatch::{RunEnd, RunningItem};
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::time::{Millis, Timestamp};
@@ -52,6 +53,25 @@
     }
 }
 
+/// An item that is to run.
+pub(super) struct ItemStart {
+    item: JobItem,
+    /// The host that its job came to.
+    host: Arc<str>,
+    identity: CallerIdentity,
+    /// What it has put out in earlier runs.
+    output: PartialOutput,
+}
+
+/// On whose behalf the items of a job run. That outlives the tenant's keys, and the tenant itself.
+fn identity_of(submission: &Submission, configuration: &GatewayConfiguration) -> CallerIdentity {
+    match &submission.tenant {
+        Some(tenant) => CallerIdentity::Tenant(tenant.clone()),
+        None if configuration.tenants.is_some() => CallerIdentity::Public,
+        None => CallerIdentity::Unchecked,
+    }
+}
+
 impl StorageService {
     /// Takes batch items off workers that are full. They go on later, after their last event.
     pub(super) fn yield_to_online(&mut self, now: Timestamp) {
@@ -108,8 +128,9 @@
                 self.dispatcher.give_up(&key);
                 continue;
             }
-            let host = submission.host.clone();
-            if !self.start_run(&key, item, host, &route, output, now) {
+            let identity = identity_of(submission, &configuration);
+            let start = ItemStart { item, host: submission.host.clone(), identity, output };
+            if !self.start_run(&key, start, &route, now) {
                 self.no_room_until = now + NO_ROOM_REST;
                 break;
             }
@@ -118,15 +139,8 @@
     }
 
     /// Starts an item at the worker with the most room. Returns false if none has any.
-    pub(super) fn start_run(
-        &mut self,
-        key: &ItemKey,
-        item: JobItem,
-        host: Arc<str>,
-        route: &Route,
-        output: PartialOutput,
-        now: Timestamp,
-    ) -> bool {
+    pub(super) fn start_run(&mut self, key: &ItemKey, start: ItemStart, route: &Route, now: Timestamp) -> bool {
+        let ItemStart { item, host, identity, output } = start;
         let view = self.workers.view.clone();
         let facts = self.workers.dialect.item_facts(&item);
         let choice = view.draw_service(route).and_then(|service| {
@@ -162,7 +176,7 @@
         record(LogEvent::ItemRunStarted, &fields);
         let in_flight = self.workers.place(&choice, &service, &facts.prefix, true);
         let output = Arc::new(Mutex::new(output));
-        let item_run = ItemRun { item, host, service, choice, output: output.clone(), pause: pause.clone() };
+        let item_run = ItemRun { item, host, identity, service, choice, output: output.clone(), pause: pause.clone() };
         let task = tokio::spawn(async move {
             let (end, output) = item_run.run(&client, in_flight).await;
             // The service is gone only when the process ends.
--- a/crates/gateway/tests/jobs_client.rs
+++ b/crates/gateway/tests/jobs_client.rs
@@ -57,6 +57,7 @@
         key: JobKey(Arc::from("job-1")),
         route: Arc::from("batch"),
         host: Arc::from("front.example"),
+        tenant: None,
         items: Vec::new(),
         configuration_version: 1,
         received_at: UnixMillis(0),
