Limits of tenants over all gateways

Change: each gateway reports to the job table's leader what it let through and how much was asked, and hears what each of its tenants has left. While half of the capacity is left all draw on it; then each takes the part that corresponds to its part of the demand. A gateway that loses the leader goes on with its part, which the leader sets aside, for 20 s. A request whose tenant the leader told nothing of lately waits for its word, 60 ms at most.

--- a/crates/core/src/jobs/request.rs
+++ b/crates/core/src/jobs/request.rs
@@ -8,6 +8,7 @@
 use super::table::ResultPage;
 use crate::gateway::tenant::CallerIdentity;
 use crate::gateway::workers::LoadNews;
+use crate::quota::message::{QuotaNews, QuotaReport};
 use crate::time::Millis;
 
 /// A request to the leader.
@@ -48,6 +49,8 @@
     ShareLoad(LoadNews),
     /// The same, from any storing node: one that doesn't lead gathers the loads of its zone.
     GatherLoad(LoadNews),
+    /// What the sender let through of each tenant; what the tenants have left is wanted.
+    ShareQuota(QuotaReport),
 }
 
 /// The leader's answer.
@@ -76,6 +79,8 @@
     Ended,
     /// Requests at each worker, of all nodes but the asker, batch items among them.
     Loads(LoadNews),
+    /// What tenants have left.
+    Quota(QuotaNews),
     /// The command was proposed, and whether it took effect is not known.
     Unsure,
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`control`] | founding and repair of replica groups |
 //! | [`gateway`] | routes, workers and attempts of requests that pass through unchanged |
 //! | [`jobs`] | batch jobs whose items pass through unchanged: their replicated table and their dispatch |
+//! | [`quota`] | limits on what a tenant may ask over all gateways |
 //! | [`relay`] | passing the metadata store's changes on between nodes |
 //! | [`node`] | the composition of all of the above into one node |
 
@@ -31,6 +32,7 @@
 pub mod node;
 pub mod online;
 pub mod partition;
+pub mod quota;
 pub mod relay;
 pub mod replication;
 pub mod routing;
--- /dev/null
+++ b/crates/core/src/quota/message.rs
@@ -0,0 +1,66 @@
+//! What gateways and the leader tell each other of tenants' limits.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::tenant::{MilliRequests, TenantName};
+use crate::time::Millis;
+
+/// Reports that the leader bears in a second.
+const REPORTS_PER_S: u64 = 300;
+/// The shortest time between two reports of a gateway.
+const LEAST_INTERVAL: Millis = Millis(100);
+/// The longest time between two reports of a gateway.
+const LONGEST_INTERVAL: Millis = Millis(1_000);
+
+/// What a gateway has let through.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaReport {
+    /// The gateway's machine. A process that was started again there takes the place of the one before.
+    pub machine: Arc<str>,
+    /// Tenants that asked something of late.
+    pub tenants: Vec<TenantUse>,
+}
+
+/// One tenant at one gateway.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TenantUse {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// Requests let through since the gateway's process started.
+    pub spent: u64,
+    /// Those of them that were let through in the last [`super::LATEST`].
+    pub latest: u64,
+    /// Requests asked for in a second, refused ones too, smoothed.
+    pub asked_per_s: MilliRequests,
+    /// The same of all gateways, as this one was told it last. A new leader sees by it whether some are out of reach.
+    pub told_per_s: MilliRequests,
+}
+
+/// What the leader answers: of each tenant in the report, what is left.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaNews {
+    /// The tenants that have a limit.
+    pub tenants: Vec<TenantLevel>,
+    /// How many gateways report.
+    pub gateways: u32,
+}
+
+impl QuotaNews {
+    /// The time between two reports of one gateway: as short as the leader can bear.
+    pub fn interval(&self) -> Millis {
+        Millis(u64::from(self.gateways) * 1_000 / REPORTS_PER_S).clamp(LEAST_INTERVAL, LONGEST_INTERVAL)
+    }
+}
+
+/// What a tenant has left over all gateways.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TenantLevel {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// Requests that may be let through at once. Negative after too many were.
+    pub level: MilliRequests,
+    /// Requests asked for in a second at all gateways.
+    pub asked_per_s: MilliRequests,
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod online;
 pub mod peer_link;
 pub mod process;
+pub mod rate_limits;
 pub mod refusal;
 pub mod registration;
 pub mod server;
--- a/crates/gateway/src/measures.rs
+++ b/crates/gateway/src/measures.rs
@@ -46,6 +46,7 @@
     FIRST_EVENT = "stallmoor_gateway_first_event_seconds", "histogram", "route", "Time from a request to its first event.";
     DURATION = "stallmoor_gateway_request_seconds", "histogram", "route", "Time from a request to its end.";
     ATTEMPTS = "stallmoor_gateway_failed_attempts_total", "counter", "end", "Attempts at workers that ended without a whole answer, by how.";
+    RATE_REFUSALS = "stallmoor_gateway_rate_refusals_total", "counter", "", "Requests that were refused since their tenant had used up its limit.";
     SUBMISSIONS = "stallmoor_gateway_submissions_total", "counter", "result", "Batch jobs that were submitted here, by the answer.";
     STORE_CALLS = "stallmoor_metadata_calls_total", "counter", "call", "Reads and watches of the metadata store by this node.";
     VIEW_AGE = "stallmoor_metadata_view_age_seconds", "gauge", "", "How old this node's view of the metadata store was at its last call.";
@@ -53,6 +54,7 @@
     LEADS = "stallmoor_storage_leads", "gauge", "", "1 while this node leads the job table, else 0.";
     RUNS = "stallmoor_storage_item_runs_total", "counter", "end", "Runs of batch items that ended at this node, by how.";
     OPEN_ITEMS = "stallmoor_storage_open_items", "gauge", "", "Items without a result, at the leader.";
+    EXHAUSTED_TENANTS = "stallmoor_storage_exhausted_tenants", "gauge", "", "Tenants that have no request left under their limit, at the leader.";
 }
 
 static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
@@ -105,6 +107,11 @@
     counter!(ATTEMPTS, "end" => end).increment(1);
 }
 
+/// A request was refused since its tenant had used up its limit.
+pub fn rate_refused() {
+    counter!(RATE_REFUSALS).increment(1);
+}
+
 /// A batch job was submitted.
 pub fn submitted(result: &'static str) {
     counter!(SUBMISSIONS, "result" => result).increment(1);
@@ -140,6 +147,11 @@
     gauge!(OPEN_ITEMS).set(count as f64);
 }
 
+/// How many tenants have no request left under their limit.
+pub fn exhausted_tenants(count: usize) {
+    gauge!(EXHAUSTED_TENANTS).set(count as f64);
+}
+
 fn seconds(span: Millis) -> f64 {
     span.0 as f64 / 1_000.0
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -33,6 +33,7 @@
 use crate::metadata::FleetUpdate;
 use crate::metadata_view::MetadataView;
 use crate::metadata_watch::MetadataWatch;
+use crate::rate_limits::{RateLimits, share_limits};
 use crate::registration;
 use crate::server::{CallerServer, StopPhase, serve_readiness};
 use crate::settings::ServingSettings;
@@ -180,9 +181,12 @@
     };
     let jobs = Arc::new(jobs);
     tokio::spawn(share_loads(common.view.clone(), jobs.clone(), id));
+    let limits = Arc::new(RateLimits::new(common.view.clone(), &settings.node.name));
+    tokio::spawn(share_limits(limits.clone(), jobs.clone()));
     let (stop, stopping) = watch::channel(StopPhase::Serving);
     let (alive, mut all_closed) = mpsc::channel(1);
-    let server = Arc::new(CallerServer { workers: common.workers.clone(), jobs, stop: stopping.clone(), alive });
+    let server =
+        Arc::new(CallerServer { workers: common.workers.clone(), jobs, limits, stop: stopping.clone(), alive });
     let caller_listener = listen(callers)?;
     let readiness_listener = listen(readiness)?;
     let accepting = tokio::spawn(server.run(caller_listener));
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,6 +27,7 @@
 use crate::job_calls::{JobCalls, JobSubmission};
 use crate::journal::{Field, record};
 use crate::online::{self, OnlineRequest};
+use crate::rate_limits::RateLimits;
 use crate::refusal;
 
 /// The wait after a failed accept: the process is out of descriptors.
@@ -56,6 +57,8 @@
     pub workers: Arc<WorkerClient>,
     /// Calls about batch jobs.
     pub jobs: Arc<JobCalls>,
+    /// Tenants' limits.
+    pub limits: Arc<RateLimits>,
     /// How far a planned stop is.
     pub stop: watch::Receiver<StopPhase>,
     /// Lives as long as any connection does.
@@ -126,11 +129,11 @@
                 let (version, route) = (*version, &**route);
                 self.jobs.submit(JobSubmission { facts, route, version, identity, body }, arrived_at).await
             }
-            Ok(Admitted::Online(request)) => online::serve(self.workers.clone(), *request).await,
-            Err(refused) => {
-                self.log_turned_away(&refused, arrived_at);
-                refusal::answer(&refused)
-            }
+            Ok(Admitted::Online(request)) => match self.limits.admit(&request.identity).await {
+                Ok(()) => online::serve(self.workers.clone(), *request).await,
+                Err(refused) => self.turn_away(&refused, arrived_at),
+            },
+            Err(refused) => self.turn_away(&refused, arrived_at),
         }
     }
 
@@ -175,7 +178,8 @@
         Ok(Admitted::Online(Box::new(request)))
     }
 
-    fn log_turned_away(&self, refused: &Refusal, arrived_at: Timestamp) {
+    /// Refuses a request for which nothing was done yet.
+    fn turn_away(&self, refused: &Refusal, arrived_at: Timestamp) -> Response<AnswerBody> {
         let view = &self.workers.view;
         let fields = [
             Field::text("kind", refused.kind.code()),
@@ -184,6 +188,7 @@
             Field::number("configuration", view.configuration().map_or(0, |known| known.version)),
         ];
         record(LogEvent::RequestRefused, &fields);
+        refusal::answer(refused)
     }
 }
 
--- a/crates/gateway/src/storage_service/mod.rs
+++ b/crates/gateway/src/storage_service/mod.rs
@@ -27,6 +27,7 @@
 use stallmoor_core::jobs::request::JobsRequest;
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::node::PeerMessage;
+use stallmoor_core::quota::coordinator::RateCoordinator;
 use stallmoor_core::replication::GroupMembership;
 use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 use tokio::sync::{mpsc, watch};
@@ -94,6 +95,8 @@
     reads: Vec<HeldRead>,
     dispatcher: Dispatcher,
     load_share: LoadShare,
+    /// What tenants have left, while this node leads.
+    quotas: RateCoordinator,
     /// The way to the leader, for a gatherer of a zone.
     leader_client: Arc<JobsClient>,
     leader_exchange: LeaderExchange,
@@ -155,6 +158,7 @@
             reads: Vec::new(),
             dispatcher: Dispatcher::default(),
             load_share: LoadShare::default(),
+            quotas: RateCoordinator::default(),
             leader_client,
             leader_exchange: LeaderExchange::default(),
             leader_loads,
@@ -335,6 +339,7 @@
         self.keep_members();
         if self.leads {
             measures::open_items(self.dispatcher.open_count());
+            measures::exhausted_tenants(self.quotas.exhausted());
             let dead = self.load_share.dead(now);
             self.workers.view.workers().hold_dead(dead.iter(), now);
             self.propose_results();
@@ -389,6 +394,7 @@
         }
         // What the other kind of gatherer heard must not count twice.
         self.load_share.clear();
+        self.quotas.open(now);
         self.proposed.clear();
         for (_, running) in std::mem::take(&mut self.running) {
             running.task.abort();
--- a/crates/gateway/src/storage_service/requests.rs
+++ b/crates/gateway/src/storage_service/requests.rs
@@ -1,11 +1,12 @@
 //! What other nodes ask of the leader.
 
-use stallmoor_core::gateway::tenant::CallerIdentity;
+use stallmoor_core::gateway::tenant::{CallerIdentity, TenantName};
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::jobs::command::{JobCommand, JobKey, Submission};
 use stallmoor_core::jobs::node::{JobsEffect, NotProposed, Waiter};
 use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
 use stallmoor_core::node::GroupRefusal;
+use stallmoor_core::quota::message::{QuotaNews, QuotaReport};
 use stallmoor_core::time::Timestamp;
 
 use super::StorageService;
@@ -46,10 +47,14 @@
                 let _ = reply.send(Ok(JobsAnswer::Loads(totals)));
                 self.tell_leader_loads(now);
             }
+            JobsRequest::ShareQuota(report) if self.leads => {
+                let news = self.take_quota_report(from, &report, now);
+                let _ = reply.send(Ok(JobsAnswer::Quota(news)));
+            }
             _ if !self.node.may_answer(now) => {
                 let _ = reply.send(Err(self.refusal()));
             }
-            JobsRequest::ShareLoad(_) => {
+            JobsRequest::ShareLoad(_) | JobsRequest::ShareQuota(_) => {
                 let _ = reply.send(Err(self.refusal()));
             }
             JobsRequest::Submit(submission) if self.lacks_room(&submission) => {
@@ -81,6 +86,13 @@
         }
     }
 
+    /// A gateway tells what it let through of each tenant, and hears what they have left.
+    fn take_quota_report(&mut self, from: NodeId, report: &QuotaReport, now: Timestamp) -> QuotaNews {
+        let configuration = self.workers.view.configuration();
+        let limit_of = |tenant: &TenantName| configuration.as_ref()?.tenant(tenant)?.limit;
+        self.quotas.report(from, report, limit_of, now)
+    }
+
     /// Whether the disk has no room for a job that is not taken yet.
     fn lacks_room(&self, submission: &Submission) -> bool {
         !self.node.may_hold(&submission.key) && !self.budget.has_room_for(submission.bytes())
