Leave slots free by the rate of online requests, not a part of each worker

Cause: batch left a sixth of each worker's slots free, 72 of 432 on the shifted work, while some 90 online requests ran between two bursts; between bursts 240 items ran and a quarter of the slots stood idle.

Ruled out: that items wait for other reasons there: each try found no worker with room.

Change: of a service's slots so many stay free as online requests arrive in 150 ms, the time until a pause of items takes effect. A worker may be filled.

--- a/crates/core/src/gateway/choice.rs
+++ b/crates/core/src/gateway/choice.rs
@@ -12,8 +12,9 @@
 use crate::hashing::{hash_bytes, rendezvous_weight};
 use crate::time::{Millis, Timestamp};
 
-/// Batch leaves one in this many slots of a worker free.
-const RESERVE_PART: u32 = 6;
+/// Batch leaves so many slots of a service free as online requests are placed in this time: they come before a pause of
+/// items takes effect, which needs an exchange of loads and a way to the worker.
+const PAUSE_TAKES: Millis = Millis(150);
 /// A worker that vanished without notice may still be used as a last resort for this long.
 const GONE_LAST_RESORT: Millis = Millis(1_000);
 /// Spread of the random part of the cost, in milliseconds: nodes must not all choose alike.
@@ -115,21 +116,32 @@
         home.map(|entry| entry.record.id.clone())
     }
 
-    /// The worker for a batch item: the one with the most room beyond a reserve that stays free for
-    /// online requests.
-    pub fn choose_for_batch(&self, ask: &WorkerAsk<'_>, now: Timestamp, random: &mut impl Rng) -> Option<Choice> {
-        let has_room = |entry: &&WorkerEntry| {
-            let reserve = (entry.record.slots / RESERVE_PART).max(1);
+    /// The worker for a batch item: the one with the most room. Of all the service's slots so many stay free as
+    /// `online_per_s` online requests in a second need until items make room for them.
+    pub fn choose_for_batch(
+        &self,
+        ask: &WorkerAsk<'_>,
+        online_per_s: u32,
+        now: Timestamp,
+        random: &mut impl Rng,
+    ) -> Option<Choice> {
+        let free_slots = |entry: &WorkerEntry| {
             let load = entry.estimated_load(now).max(entry.smoothed_load());
-            load + reserve < entry.record.slots.max(reserve + 1)
+            u64::from(entry.record.slots.saturating_sub(load))
         };
-        let candidates: Vec<&WorkerEntry> = self
+        let sound = self
             .workers
             .values()
             .filter(|entry| &*entry.record.service == ask.service && entry.takes_requests(now))
-            .filter(|entry| !ask.tried.contains(&entry.record.id) && !entry.is_passed_over(now))
-            .filter(has_room)
-            .collect();
+            .filter(|entry| !entry.is_passed_over(now));
+        let with_room: Vec<(u64, &WorkerEntry)> =
+            sound.map(|entry| (free_slots(entry), entry)).filter(|(free, _)| *free > 0).collect();
+        let reserve = (u64::from(online_per_s) * PAUSE_TAKES.0).div_ceil(1_000).max(1);
+        if with_room.iter().map(|(free, _)| free).sum::<u64>() <= reserve {
+            return None;
+        }
+        let untried = with_room.into_iter().filter(|(_, entry)| !ask.tried.contains(&entry.record.id));
+        let candidates: Vec<&WorkerEntry> = untried.map(|(_, entry)| entry).collect();
         let mut draw = || random.random::<f64>();
         let chosen = candidates
             .iter()
--- a/crates/core/src/jobs/load_share.rs
+++ b/crates/core/src/jobs/load_share.rs
@@ -167,6 +167,12 @@
         busy.map(|(worker, total)| WorkerCount { worker: worker.clone(), requests: total.requests }).collect()
     }
 
+    /// Online requests that all nodes place in a second.
+    pub fn placed_per_s(&mut self, now: Timestamp) -> u32 {
+        self.refresh(now);
+        self.totals.placed_per_s
+    }
+
     /// Workers that are held to be dead.
     pub fn dead(&mut self, now: Timestamp) -> Vec<WorkerId> {
         self.refresh(now);
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -376,12 +376,31 @@
     }
 }
 
+#[test]
+fn batch_leaves_as_many_slots_as_online_requests_need_until_items_make_room() {
+    let started = |online_per_s: u32| {
+        let mut table = WorkerTable::default();
+        table.upsert(worker("one", "a"));
+        table.upsert(worker("other", "a"));
+        let mut started = 0;
+        while let Some(choice) = table.choose_for_batch(&ask(&[], &[]), online_per_s, at(0), &mut random()) {
+            table.started(&choice.id, &[], 0, at(0));
+            started += 1;
+            assert!(started <= 16);
+        }
+        started
+    };
+    assert_eq!(started(0), 15, "one slot of sixteen stays free in any case");
+    assert_eq!(started(20), 13, "three requests come in 150 ms");
+    assert_eq!(started(1_000), 0);
+}
+
 #[test]
 fn batch_leaves_room_and_only_the_excess_has_to_go() {
     let mut table = WorkerTable::default();
     table.upsert(worker("one", "a"));
     let mut started = 0;
-    while let Some(choice) = table.choose_for_batch(&ask(&[], &[]), at(0), &mut random()) {
+    while let Some(choice) = table.choose_for_batch(&ask(&[], &[]), 0, at(0), &mut random()) {
         table.started(&choice.id, &[], 0, at(0));
         table.batch_started(&choice.id);
         started += 1;
@@ -391,5 +410,5 @@
     assert!(table.overfull(at(0)).is_empty());
     table.set_shared_loads(&[WorkerCount { worker: id("one"), requests: 4 }], at(10));
     assert_eq!(table.overfull(at(10)), vec![WorkerCount { worker: id("one"), requests: 3 }], "nobody waits for batch");
-    assert!(table.choose_for_batch(&ask(&[], &[]), at(10), &mut random()).is_none());
+    assert!(table.choose_for_batch(&ask(&[], &[]), 0, at(10), &mut random()).is_none());
 }
--- a/crates/gateway/src/storage_service/running.rs
+++ b/crates/gateway/src/storage_service/running.rs
@@ -143,6 +143,7 @@
         let ItemStart { item, host, identity, output } = start;
         let view = self.workers.view.clone();
         let facts = self.workers.dialect.item_facts(&item);
+        let online_per_s = self.load_share.placed_per_s(now);
         let choice = view.draw_service(route).and_then(|service| {
             let ask = WorkerAsk {
                 service: &service,
@@ -153,7 +154,7 @@
                 tried: &[],
             };
             let mut random = view.random();
-            let choice = view.workers().choose_for_batch(&ask, now, &mut *random);
+            let choice = view.workers().choose_for_batch(&ask, online_per_s, now, &mut *random);
             choice.map(|choice| (service, choice))
         });
         let Some((service, choice)) = choice else {
