Start items by the loads gathered last, not by smoothed ones

Change: items go by the loads gathered last. The smoothing is removed.

The test fails with the smoothing in.

--- a/crates/core/src/gateway/choice.rs
+++ b/crates/core/src/gateway/choice.rs
@@ -125,10 +125,7 @@
         now: Timestamp,
         random: &mut impl Rng,
     ) -> Option<Choice> {
-        let free_slots = |entry: &WorkerEntry| {
-            let load = entry.estimated_load(now).max(entry.smoothed_load());
-            u64::from(entry.record.slots.saturating_sub(load))
-        };
+        let free_slots = |entry: &WorkerEntry| u64::from(entry.record.slots.saturating_sub(entry.estimated_load(now)));
         let sound = self
             .workers
             .values()
--- a/crates/core/src/gateway/worker.rs
+++ b/crates/core/src/gateway/worker.rs
@@ -153,8 +153,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SharedLoad {
     pub(super) load: u32,
-    /// The load smoothed over [`SMOOTHING`].
-    pub(super) smoothed: f64,
     pub(super) at: Timestamp,
 }
 
@@ -218,11 +216,6 @@
         from_others.max(from_report)
     }
 
-    /// Requests of this node with the smoothed ones of all others, rounded up.
-    pub(super) fn smoothed_load(&self) -> u32 {
-        self.in_flight + self.others.map_or(0, |others| others.smoothed.ceil() as u32)
-    }
-
     /// Whether it failed this node, or others, of late.
     pub(super) fn is_passed_over(&self, now: Timestamp) -> bool {
         self.failed_here(now) || self.held_dead_until.is_some_and(|until| now < until)
--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -17,8 +17,6 @@
 const HELD_DEAD: Millis = Millis(500);
 /// Longest time for which a failing worker is passed over.
 const LONGEST_PASS_OVER: Millis = Millis(4_000);
-/// The time over which the load of other nodes is smoothed.
-const SMOOTHING: Millis = Millis(300);
 /// How long news are in transit: to the node that gathers them, and from there.
 const TRANSIT: Millis = Millis(10);
 /// A report is told to other nodes while it is younger than this.
@@ -267,12 +265,7 @@
         let by_worker: BTreeMap<&WorkerId, u32> = loads.iter().map(|count| (&count.worker, count.requests)).collect();
         for (id, entry) in &mut self.workers {
             let load = by_worker.get(id).copied().unwrap_or(0);
-            let smoothed = entry.others.map_or(f64::from(load), |earlier| {
-                let passed = now.since(earlier.at).0 as f64;
-                let weight = 1.0 - (-passed / SMOOTHING.0 as f64).exp();
-                earlier.smoothed + (f64::from(load) - earlier.smoothed) * weight
-            });
-            entry.others = Some(SharedLoad { load, smoothed, at: now });
+            entry.others = Some(SharedLoad { load, at: now });
         }
     }
 
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -395,6 +395,18 @@
     assert_eq!(started(1_000), 0);
 }
 
+#[test]
+fn batch_takes_up_slots_as_soon_as_online_requests_have_left_them() {
+    let mut table = WorkerTable::default();
+    table.upsert(worker("one", "a"));
+    let mut may_start = |online: u32, millis: u64| {
+        table.set_shared_loads(&[WorkerCount { worker: id("one"), requests: online }], at(millis));
+        table.choose_for_batch(&ask(&[], &[]), 0, at(millis), &mut random()).is_some()
+    };
+    assert!(!may_start(8, 0));
+    assert!(may_start(2, 60), "the next loads that are gathered count alone");
+}
+
 #[test]
 fn batch_leaves_room_and_only_the_excess_has_to_go() {
     let mut table = WorkerTable::default();
