Turn streams back at once that would be late

Ruled out: batch items in the way: next to none run then.

Change: gateways learn how long a service's streams hold a slot and how soon the first event comes where a slot is free. A new stream whose first event is to be expected after its objective is refused at once as not run, with a time to come back near a third of what its caller has left, spread by 15%: when the burst is over. Loads tell batch items apart, since these make room. One way less: a request on its second worker, or one that goes on, is never turned back.

--- a/crates/core/src/gateway/choice.rs
+++ b/crates/core/src/gateway/choice.rs
@@ -46,6 +46,10 @@
     pub address: SocketAddr,
     /// Requests believed to be at it.
     pub load: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// The request's place in the queue for one of its slots, 0 if one is free or a batch item makes room.
+    pub place_in_queue: u32,
     /// Prompt tokens believed to be cached there.
     pub held_tokens: u32,
     /// How many workers could be chosen from.
@@ -58,6 +62,8 @@
             id: entry.record.id.clone(),
             address: entry.record.address,
             load: entry.estimated_load(now),
+            slots: entry.record.slots,
+            place_in_queue: entry.place_in_queue(now),
             held_tokens: entry.cache.held_tokens(ask.prefix),
             candidates,
         }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! | [`request`] | what the decisions need to know of a request |
 //! | [`prefix_cache`] | which prompt parts a worker is thought to hold |
 //! | `cost` | what it costs to send a request to a worker |
+//! | [`service_times`] | how long the workers of a service take |
 //! | [`unseen_load`] | requests that other nodes placed since loads were gathered |
 //! | [`worker`] | one worker: its record, what is believed of it, what nodes tell of it |
 //! | [`workers`] | all workers, and what this node notes of each |
@@ -24,6 +25,7 @@
 pub mod move_budget;
 pub mod prefix_cache;
 pub mod request;
+pub mod service_times;
 pub mod tenant;
 pub mod unseen_load;
 pub mod worker;
--- a/crates/core/src/gateway/worker.rs
+++ b/crates/core/src/gateway/worker.rs
@@ -83,6 +83,8 @@
     pub told: Option<u32>,
     /// How many nodes pass the worker over, since it failed them of late.
     pub failing: u32,
+    /// Batch items among the requests, which make room for online requests.
+    pub batch: u32,
 }
 
 impl WorkerNews {
@@ -153,6 +155,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SharedLoad {
     pub(super) load: u32,
+    /// Batch items among them.
+    pub(super) batch: u32,
     pub(super) at: Timestamp,
 }
 
@@ -216,6 +220,14 @@
         from_others.max(from_report)
     }
 
+    /// Of a request more, the place in the queue for a slot, 0 if one is free. Batch items make room.
+    pub(super) fn place_in_queue(&self, now: Timestamp) -> u32 {
+        let batch =
+            self.others.filter(|others| now.since(others.at) < SHARED_LIFETIME).map_or(0, |others| others.batch);
+        let online = self.estimated_load(now).saturating_sub(batch);
+        (online + 1).saturating_sub(self.record.slots)
+    }
+
     /// Whether it failed this node, or others, of late.
     pub(super) fn is_passed_over(&self, now: Timestamp) -> bool {
         self.failed_here(now) || self.held_dead_until.is_some_and(|until| now < until)
--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -1,8 +1,10 @@
 //! The workers, and what this node notes of each.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use super::request::PrefixLink;
+use super::service_times::ServiceTimes;
 use super::worker::{LoadReport, Presence, SharedLoad, WorkerEntry};
 use crate::time::{Millis, Timestamp};
 
@@ -39,6 +41,8 @@
     pub(super) gathered: Option<GatheredRate>,
     /// Requests that this node has placed, batch items included.
     placed: u64,
+    /// By service.
+    times: BTreeMap<Arc<str>, ServiceTimes>,
 }
 
 /// How fast all other nodes placed requests, and when that was gathered.
@@ -52,7 +56,13 @@
 
 impl Default for WorkerTable {
     fn default() -> Self {
-        Self { workers: BTreeMap::new(), typical_first_ms: TYPICAL_AT_START_MS, gathered: None, placed: 0 }
+        Self {
+            workers: BTreeMap::new(),
+            typical_first_ms: TYPICAL_AT_START_MS,
+            gathered: None,
+            placed: 0,
+            times: BTreeMap::new(),
+        }
     }
 }
 
@@ -211,6 +221,17 @@
         }
     }
 
+    /// How long the workers of a service take.
+    pub fn service_times(&mut self, service: &str) -> &mut ServiceTimes {
+        self.times.entry(Arc::from(service)).or_default()
+    }
+
+    /// How long the first event should take of a request that goes to the worker that was chosen for it. `None` while
+    /// too little is known.
+    pub fn expected_first(&self, service: &str, choice: &Choice) -> Option<Millis> {
+        self.times.get(service)?.expected_first(choice.place_in_queue, choice.slots)
+    }
+
     /// How many requests this node has placed, batch items included.
     pub fn placed(&self) -> u64 {
         self.placed
@@ -223,7 +244,8 @@
             let told = report.map(|report| report.corrected(entry.in_flight));
             let failing = u32::from(entry.failed_here(now));
             let has_news = entry.in_flight > 0 || told.is_some() || failing > 0;
-            has_news.then(|| WorkerNews { worker: entry.record.id.clone(), requests: entry.in_flight, told, failing })
+            let (worker, requests, batch) = (entry.record.id.clone(), entry.in_flight, 0);
+            has_news.then_some(WorkerNews { worker, requests, told, failing, batch })
         };
         self.workers.values().filter_map(news).collect()
     }
@@ -240,6 +262,12 @@
             })
             .collect();
         self.set_shared_loads(&loads, now);
+        for news in &news.workers {
+            let shared = self.workers.get_mut(&news.worker).and_then(|entry| entry.others.as_mut());
+            if let Some(shared) = shared {
+                shared.batch = news.batch;
+            }
+        }
         self.hold_dead(news.workers.iter().filter(|news| news.says_dead()).map(|news| &news.worker), now);
         let told_age = news.age.max(Millis(news.interval().0 / 2)) + TRANSIT;
         self.gathered = Some(GatheredRate { at: now, placed_per_s: news.placed_per_s, told_age });
@@ -265,7 +293,7 @@
         let by_worker: BTreeMap<&WorkerId, u32> = loads.iter().map(|count| (&count.worker, count.requests)).collect();
         for (id, entry) in &mut self.workers {
             let load = by_worker.get(id).copied().unwrap_or(0);
-            entry.others = Some(SharedLoad { load, at: now });
+            entry.others = Some(SharedLoad { load, batch: 0, at: now });
         }
     }
 
--- a/crates/core/src/jobs/load_share.rs
+++ b/crates/core/src/jobs/load_share.rs
@@ -48,11 +48,13 @@
     requests: u32,
     told: Option<u32>,
     failing: u32,
+    batch: u32,
 }
 
 impl Total {
     fn news(&self, worker: &WorkerId, requests: u32) -> WorkerNews {
-        WorkerNews { worker: worker.clone(), requests, told: self.told, failing: self.failing }
+        let Self { told, failing, batch, .. } = *self;
+        WorkerNews { worker: worker.clone(), requests, told, failing, batch }
     }
 }
 
@@ -75,6 +77,7 @@
             let total = self.workers.entry(worker.worker.clone()).or_default();
             total.requests += worker.requests;
             total.failing += worker.failing;
+            total.batch += worker.batch;
             total.told = total.told.max(worker.told);
         }
     }
@@ -96,6 +99,7 @@
             if let Some(total) = self.workers.get_mut(&worker.worker) {
                 total.requests = total.requests.saturating_sub(worker.requests);
                 total.failing = total.failing.saturating_sub(worker.failing);
+                total.batch = total.batch.saturating_sub(worker.batch);
             }
         }
     }
@@ -147,11 +151,13 @@
         let mut workers: Vec<WorkerNews> = Vec::with_capacity(self.totals.workers.len());
         for (worker, total) in &self.totals.workers {
             let others = total.requests.saturating_sub(own_requests.get(worker).copied().unwrap_or(0));
-            let requests = others + batch.remove(worker).unwrap_or(0);
-            workers.push(total.news(worker, requests));
+            let items = batch.remove(worker).unwrap_or(0);
+            let total = Total { batch: total.batch + items, ..*total };
+            workers.push(total.news(worker, others + items));
         }
         let only_batch = batch.into_iter().map(|(worker, requests)| (worker.clone(), requests));
-        workers.extend(only_batch.map(|(worker, requests)| Total::default().news(&worker, requests)));
+        let items = |batch: u32| Total { batch, ..Total::default() };
+        workers.extend(only_batch.map(|(worker, requests)| items(requests).news(&worker, requests)));
         let mut rest = Totals { workers: BTreeMap::new(), ..self.totals };
         if let Some(own) = self.nodes.get(&node) {
             rest.subtract(own);
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -14,6 +14,7 @@
 use stallmoor_core::gateway::event_stream::{EventSplitter, WholeEvent};
 use stallmoor_core::gateway::move_budget::MoveBudget;
 use stallmoor_core::gateway::request::{PrefixLink, PromptPart, chain_prefix};
+use stallmoor_core::gateway::service_times::ServiceTimes;
 use stallmoor_core::gateway::unseen_load::{CostSlope, level_after};
 use stallmoor_core::gateway::workers::{
     LoadNews, WorkerAsk, WorkerChange, WorkerCount, WorkerId, WorkerLoad, WorkerNews, WorkerRecord, WorkerTable,
@@ -283,7 +284,7 @@
     let mut table = WorkerTable::default();
     table.upsert(worker("one", "a"));
     table.upsert(worker("three", "a"));
-    let told = WorkerNews { worker: id("one"), requests: 0, told: Some(12), failing: 0 };
+    let told = WorkerNews { worker: id("one"), requests: 0, told: Some(12), failing: 0, batch: 0 };
     table.hear(&LoadNews { workers: vec![told], ..LoadNews::default() }, at(0));
     assert_eq!(choose(&table, 10), Some(id("three")));
 }
@@ -307,7 +308,7 @@
     table.upsert(worker("one", "a"));
     table.upsert(worker("three", "b"));
     let hear = |table: &mut WorkerTable, failing, told, millis| {
-        let news = WorkerNews { worker: id("one"), requests: 0, told, failing };
+        let news = WorkerNews { worker: id("one"), requests: 0, told, failing, batch: 0 };
         table.hear(&LoadNews { workers: vec![news], ..LoadNews::default() }, at(millis));
     };
     hear(&mut table, 1, None, 0);
@@ -337,7 +338,13 @@
         for place in 0..WORKERS {
             let name = format!("worker-{place}");
             table.upsert(worker(&name, "a"));
-            news.push(WorkerNews { worker: id(&name), requests: u32::from(place > 0) * 3, told: None, failing: 0 });
+            news.push(WorkerNews {
+                worker: id(&name),
+                requests: u32::from(place > 0) * 3,
+                told: None,
+                failing: 0,
+                batch: 0,
+            });
         }
         table.hear(&LoadNews { workers: news, placed_per_s: 400, tellers: NODES as u32, ..LoadNews::default() }, at(0));
         let mut random = Xoshiro256PlusPlus::seed_from_u64(node);
@@ -376,6 +383,40 @@
     }
 }
 
+#[test]
+fn the_first_event_is_expected_later_with_each_request_that_waits() {
+    let mut times = ServiceTimes::default();
+    assert_eq!(times.expected_first(0, 6), None, "nothing is known yet");
+    times.note_first(Millis(20));
+    assert_eq!(times.expected_first(3, 6), None);
+    times.note_hold(Millis(600));
+    assert_eq!(times.expected_first(0, 6), Some(Millis(20)));
+    assert_eq!(times.expected_first(3, 6), Some(Millis(320)), "a slot of six is free every 100 ms");
+    for _ in 0..30 {
+        times.note_hold(Millis(600));
+    }
+    times.note_hold(Millis(u64::MAX));
+    let later = times.expected_first(1, 6).expect("it is known");
+    assert!(later < Millis(700), "one absurd value moves the mean a little: {later:?}");
+}
+
+#[test]
+fn batch_items_at_a_worker_make_room_and_do_not_count_in_its_queue() {
+    let mut table = WorkerTable::default();
+    table.upsert(worker("one", "a"));
+    table.service_times(SERVICE).note_first(Millis(20));
+    table.service_times(SERVICE).note_hold(Millis(800));
+    let mut expected = |requests: u32, batch: u32| {
+        let told = WorkerNews { worker: id("one"), requests, told: None, failing: 0, batch };
+        table.hear(&LoadNews { workers: vec![told], ..LoadNews::default() }, at(0));
+        let choice = table.choose(&ask(&[], &[]), at(0), &mut random()).expect("there is one");
+        table.expected_first(SERVICE, &choice)
+    };
+    assert_eq!(expected(7, 0), Some(Millis(20)), "a slot of eight is free");
+    assert_eq!(expected(10, 0), Some(Millis(320)), "the third to wait");
+    assert_eq!(expected(10, 3), Some(Millis(20)), "three items make room");
+}
+
 #[test]
 fn batch_leaves_as_many_slots_as_online_requests_need_until_items_make_room() {
     let started = |online_per_s: u32| {
--- a/crates/core/tests/jobs_rules.rs
+++ b/crates/core/tests/jobs_rules.rs
@@ -292,8 +292,13 @@
 #[test]
 fn shared_loads_leave_out_the_asker_and_old_news() {
     let count = |name: &str, requests| WorkerCount { worker: WorkerId(Arc::from(name)), requests };
-    let news =
-        |name: &str, requests, told| WorkerNews { worker: WorkerId(Arc::from(name)), requests, told, failing: 0 };
+    let news = |name: &str, requests, told| WorkerNews {
+        worker: WorkerId(Arc::from(name)),
+        requests,
+        told,
+        failing: 0,
+        batch: 0,
+    };
     let mut share = LoadShare::default();
     let first = LoadNews { workers: vec![news("w", 3, Some(9))], placed_per_s: 20, ..LoadNews::default() };
     let second =
@@ -302,7 +307,8 @@
     share.tell(NodeId(2), second, at(500));
     let batch = [count("v", 2)];
     let heard = share.without(NodeId(1), &batch, at(500));
-    assert_eq!(heard.workers, vec![news("v", 3, Some(1)), news("w", 4, Some(9))]);
+    let with_items = WorkerNews { batch: 2, ..news("v", 3, Some(1)) };
+    assert_eq!(heard.workers, vec![with_items, news("w", 4, Some(9))]);
     assert_eq!(heard.placed_per_s, 30, "the asker knows its own");
     assert_eq!(heard.tellers, 2);
     assert_eq!(share.online(at(500)), vec![count("v", 1), count("w", 7)]);
@@ -313,7 +319,7 @@
 fn a_worker_is_dead_once_it_failed_two_nodes_and_told_none() {
     let mut share = LoadShare::default();
     let failing = |told| {
-        let news = WorkerNews { worker: WorkerId(Arc::from("w")), requests: 1, told, failing: 1 };
+        let news = WorkerNews { worker: WorkerId(Arc::from("w")), requests: 1, told, failing: 1, batch: 0 };
         LoadNews { workers: vec![news], ..LoadNews::default() }
     };
     share.tell(NodeId(1), failing(None), at(0));
@@ -351,6 +357,7 @@
                 requests: *requests,
                 told: None,
                 failing: 0,
+                batch: 0,
             };
             let news = LoadNews { workers: loads.iter().map(named).collect(), placed_per_s: node as u32, ..LoadNews::default() };
             share.tell(NodeId(node), news.clone(), at(now));
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -15,6 +15,7 @@
 use http_body_util::BodyExt;
 use hyper::header::HeaderMap;
 use hyper::{Method, Response, Uri};
+use rand::Rng;
 use stallmoor_core::error::{ErrorKind, Ran, Refusal};
 use stallmoor_core::gateway::attempt::{AttemptEnd, AttemptLedger};
 use stallmoor_core::gateway::configuration::{Route, RouteKind};
@@ -36,6 +37,11 @@
 const LEAST_PATIENCE: Millis = Millis(60);
 /// When a caller that found no room should come back.
 const COME_BACK: Millis = Millis(150);
+/// When a caller should come back that the fleet has no room for, as a share of the time for which it waits. A burst
+/// lasts for seconds: one that came back sooner would be refused again, and one that came later had no time left.
+const COME_BACK_SHARE: f64 = 0.33;
+/// The part of that time over which such callers are spread, lest they come back as a burst of their own.
+const COME_BACK_SPREAD: f64 = 0.15;
 /// An attempt needs at least this much time.
 const LEAST_REMAINING: Millis = Millis(20);
 
@@ -154,6 +160,9 @@
             let Some(choice) = self.choose() else {
                 return Err(self.give_up(ErrorKind::NoEngine, ErrorKind::EngineLost, "no worker is left to try"));
             };
+            if self.would_be_late(&choice) {
+                return Err(self.turn_back(&choice));
+            }
             let patience = self.patience();
             let worker = choice.id.clone();
             match self.attempt(choice, patience).await {
@@ -178,6 +187,28 @@
         }
     }
 
+    /// Whether the first event of a stream is to be expected after its objective. Then the fleet has no room: a slot
+    /// spent on it is missing for a request that could be in time. Only one that nothing was done for is turned back.
+    fn would_be_late(&self, choice: &Choice) -> bool {
+        let is_new = self.attempts == 0 && self.last_event.is_none();
+        let is_stream = matches!(self.request.route.kind, RouteKind::Stream { .. });
+        if !is_new || !is_stream || choice.place_in_queue == 0 {
+            return false;
+        }
+        let expected = self.client.view.workers().expected_first(&self.service, choice);
+        let waited = self.now().since(self.request.arrived_at);
+        expected.is_some_and(|expected| waited + expected > self.request.route.objective)
+    }
+
+    /// The refusal for a request that the fleet has no room for.
+    fn turn_back(&self, choice: &Choice) -> Refusal {
+        let detail = format!("it would be number {} to wait for {} slots", choice.place_in_queue, choice.slots);
+        let drawn: f64 = self.client.view.random().random();
+        let share = COME_BACK_SHARE * (1.0 - COME_BACK_SPREAD * drawn);
+        let wait = (self.remaining().0 as f64 * share) as u64;
+        Refusal::new(ErrorKind::Overloaded, detail).with_ran(Ran::NotRun).with_retry_after(wait)
+    }
+
     fn note_end(&mut self, worker: &WorkerId, end: AttemptEnd) {
         if end == AttemptEnd::Silent {
             self.client.view.moves().spend();
--- a/crates/gateway/src/online/stream.rs
+++ b/crates/gateway/src/online/stream.rs
@@ -101,6 +101,7 @@
     async fn pass_on_from(&mut self, mut answer: OpenAnswer, sender: &PieceSender) -> StreamEnd {
         let mut splitter = EventSplitter::default();
         let mut first = true;
+        let mut began = None;
         loop {
             let patience = self.event_patience(first, answer.sent_at);
             let frame = tokio::select! {
@@ -112,7 +113,10 @@
                 Err(_) => return StreamEnd::Broken(AttemptEnd::Silent),
                 Ok(Some(Err(_))) => return StreamEnd::Broken(AttemptEnd::Broken),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(None) => return finish_stream(answer, &splitter),
+                Ok(None) => {
+                    self.note_hold(began);
+                    return finish_stream(answer, &splitter);
+                }
             };
             let events = splitter.push(&data);
             if events.is_empty() {
@@ -120,6 +124,7 @@
             }
             if first {
                 first = false;
+                began.get_or_insert(self.now());
                 self.first_event_after.get_or_insert(self.now().since(self.request.arrived_at));
                 self.note_first_event(&answer);
             }
@@ -158,7 +163,22 @@
 
     fn note_first_event(&self, answer: &OpenAnswer) {
         let now = self.now();
-        self.client.view.workers().succeeded(&answer.worker, now.since(answer.sent_at), now);
+        let took = now.since(answer.sent_at);
+        let found_slot = self.last_choice.as_ref().is_some_and(|choice| choice.load < choice.slots);
+        let mut workers = self.client.view.workers();
+        workers.succeeded(&answer.worker, took, now);
+        if found_slot {
+            workers.service_times(&self.service).note_first(took);
+        }
+    }
+
+    /// A stream that was read from its first event on held its slot since then.
+    fn note_hold(&self, began: Option<Timestamp>) {
+        let is_whole = self.attempts == 1 && self.request.facts.last_event.is_none();
+        if let Some(began) = began.filter(|_| is_whole) {
+            let took = self.now().since(began);
+            self.client.view.workers().service_times(&self.service).note_hold(took);
+        }
     }
 
     /// How long the next event is waited for.
