--- a/crates/core/tests/load_gathering.rs
+++ b/crates/core/tests/load_gathering.rs
@@ -64,7 +64,7 @@
                 let requests = self.loads[node].get(&number).copied().unwrap_or(0);
                 let told = told_by(number);
                 let has_news = requests > 0 || told.is_some();
-                has_news.then(|| WorkerNews { worker: worker(number), requests, told, failing: 0 })
+                has_news.then(|| WorkerNews { worker: worker(number), requests, told, failing: 0, batch: 0 })
             })
             .collect();
         LoadNews { workers, placed_per_s: 10, ..LoadNews::default() }
@@ -95,7 +95,7 @@
     }
 
     fn heard_at(&self, node: usize, number: u32) -> WorkerNews {
-        let none = WorkerNews { worker: worker(number), requests: 0, told: None, failing: 0 };
+        let none = WorkerNews { worker: worker(number), requests: 0, told: None, failing: 0, batch: 0 };
         let mut workers = self.heard[node].workers.iter();
         workers.find(|news| news.worker == none.worker).cloned().unwrap_or(none)
     }
