--- a/crates/core/src/gateway/tenant.rs
+++ b/crates/core/src/gateway/tenant.rs
@@ -51,13 +51,20 @@
 pub struct MilliRequests(pub i64);
 
 impl MilliRequests {
-    /// One request.
-    pub const ONE: Self = Self(1_000);
+    /// So many requests, rounded to thousandths.
+    pub fn of(requests: f64) -> Self {
+        Self((requests * 1_000.0).round() as i64)
+    }
+
+    /// The number of requests.
+    pub fn requests(self) -> f64 {
+        self.0 as f64 / 1_000.0
+    }
 }
 
 impl fmt::Display for MilliRequests {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:.3}", self.0 as f64 / 1_000.0)
+        write!(formatter, "{:.3}", self.requests())
     }
 }
 
--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -252,21 +252,14 @@
 
     /// Takes what was gathered of all other nodes.
     pub fn hear(&mut self, news: &LoadNews, now: Timestamp) {
-        let loads: Vec<WorkerCount> = news
-            .workers
-            .iter()
-            .map(|news| {
-                let own = self.workers.get(&news.worker).map_or(0, |entry| entry.in_flight);
-                let requests = news.requests.max(news.told.unwrap_or(0).saturating_sub(own));
-                WorkerCount { worker: news.worker.clone(), requests }
-            })
-            .collect();
-        self.set_shared_loads(&loads, now);
-        for news in &news.workers {
-            let shared = self.workers.get_mut(&news.worker).and_then(|entry| entry.others.as_mut());
-            if let Some(shared) = shared {
-                shared.batch = news.batch;
-            }
+        let by_worker: BTreeMap<&WorkerId, &WorkerNews> =
+            news.workers.iter().map(|news| (&news.worker, news)).collect();
+        for (id, entry) in &mut self.workers {
+            let (load, batch) = by_worker.get(id).map_or((0, 0), |news| {
+                let told = news.told.unwrap_or(0).saturating_sub(entry.in_flight);
+                (news.requests.max(told), news.batch)
+            });
+            entry.others = Some(SharedLoad { load, batch, at: now });
         }
         self.hold_dead(news.workers.iter().filter(|news| news.says_dead()).map(|news| &news.worker), now);
         let told_age = news.age.max(Millis(news.interval().0 / 2)) + TRANSIT;
@@ -288,7 +281,7 @@
         busy.map(|entry| WorkerCount { worker: entry.record.id.clone(), requests: entry.in_flight }).collect()
     }
 
-    /// Takes the loads of all other nodes. A worker that is not listed has none.
+    /// Takes the loads of all other nodes, where none of them is of batch. A worker that is not listed has none.
     pub fn set_shared_loads(&mut self, loads: &[WorkerCount], now: Timestamp) {
         let by_worker: BTreeMap<&WorkerId, u32> = loads.iter().map(|count| (&count.worker, count.requests)).collect();
         for (id, entry) in &mut self.workers {
--- a/crates/core/src/quota/bucket.rs
+++ b/crates/core/src/quota/bucket.rs
@@ -1,6 +1,6 @@
 //! A token bucket: it fills at a rate up to a capacity, and each request takes one token.
 
-use crate::gateway::tenant::{MilliRequests, RateLimit};
+use crate::gateway::tenant::RateLimit;
 use crate::time::{Millis, Timestamp};
 
 /// A limit, or a gateway's part of one, as numbers to reckon with.
@@ -15,7 +15,7 @@
 impl BucketLimit {
     /// Of a tenant's limit. One request always fits.
     pub fn of(limit: RateLimit) -> Self {
-        Self { per_s: requests(limit.per_s), capacity: requests(limit.burst).max(1.0) }
+        Self { per_s: limit.per_s.requests(), capacity: limit.burst.requests().max(1.0) }
     }
 
     /// A part of it. One request always fits.
@@ -37,16 +37,6 @@
     }
 }
 
-/// A number of requests to reckon with.
-pub fn requests(count: MilliRequests) -> f64 {
-    count.0 as f64 / 1_000.0
-}
-
-/// The same as it is told to others.
-pub fn told(requests: f64) -> MilliRequests {
-    MilliRequests((requests * 1_000.0).round() as i64)
-}
-
 /// A bucket of tokens.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TokenBucket {
--- a/crates/core/src/quota/coordinator.rs
+++ b/crates/core/src/quota/coordinator.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::bucket::{BucketLimit, TokenBucket, requests, told};
+use super::bucket::{BucketLimit, TokenBucket};
 use super::message::{QuotaNews, QuotaReport, TenantLevel, TenantUse};
 use super::{LATEST, LEASE};
-use crate::gateway::tenant::{RateLimit, TenantName};
+use crate::gateway::tenant::{MilliRequests, RateLimit, TenantName};
 use crate::identity::NodeId;
 use crate::time::{Millis, Timestamp};
 
@@ -89,7 +89,7 @@
         for used in &report.tenants {
             let Some(limit) = limit_of(&used.tenant) else { continue };
             let known = earlier.as_mut().and_then(|gateway| gateway.tenants.remove(&used.tenant));
-            let account = self.account(&used.tenant, BucketLimit::of(limit), requests(used.told_per_s), now);
+            let account = self.account(&used.tenant, BucketLimit::of(limit), used.told_per_s.requests(), now);
             uses.insert(used.tenant.clone(), take_use(account, used, known, is_same_process));
         }
         // What is left over of the earlier report was not asked for any more.
@@ -111,10 +111,10 @@
         let is_opening = self.is_opening(now);
         let level = |name: &TenantName| {
             let account = self.accounts.get(name)?;
-            let level = told(account.bucket.level());
+            let level = MilliRequests::of(account.bucket.level());
             // Until all gateways have reported, what is known of them would make the parts of the first too large.
             let asked = if is_opening { account.asked.max(account.asked_before) } else { account.asked };
-            Some(TenantLevel { tenant: name.clone(), level, asked_per_s: told(asked) })
+            Some(TenantLevel { tenant: name.clone(), level, asked_per_s: MilliRequests::of(asked) })
         };
         QuotaNews { tenants: gateway.tenants.keys().filter_map(level).collect(), ..QuotaNews::default() }
     }
@@ -196,7 +196,7 @@
 
 /// Books what a gateway let through since its last report.
 fn take_use(account: &mut Account, used: &TenantUse, known: Option<Use>, is_same_process: bool) -> Use {
-    let asked = requests(used.asked_per_s);
+    let asked = used.asked_per_s.requests();
     account.asked = (account.asked - known.map_or(0.0, |known| known.asked) + asked).max(0.0);
     let earlier = known.filter(|known| is_same_process && known.spent <= used.spent);
     match earlier {
--- a/crates/core/src/quota/limiter.rs
+++ b/crates/core/src/quota/limiter.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use super::bucket::{BucketLimit, TokenBucket, requests, told};
+use super::bucket::{BucketLimit, TokenBucket};
 use super::message::{QuotaNews, QuotaReport, TenantUse};
 use super::{LATEST, LEASE};
-use crate::gateway::tenant::{RateLimit, TenantName};
+use crate::gateway::tenant::{MilliRequests, RateLimit, TenantName};
 use crate::time::{Millis, Timestamp};
 
 /// What the leader told is gone by for this many intervals between reports, and for [`LEAST_FRESH`] at the least.
@@ -171,7 +171,7 @@
             self.own = None;
             return told.left(limit, self.spent, now);
         }
-        let leased = self.told.filter(|told| now.since(told.at) < LEASE);
+        let leased = self.leased(now);
         let share = leased.map_or(UNTOLD_SHARE, |told| told.share() * LOST_SHARE);
         let part = limit.part(share);
         let spent = self.spent;
@@ -181,6 +181,11 @@
         own.level()
     }
 
+    /// What the leader told, while this gateway may go on with its part of the limit.
+    fn leased(&self, now: Timestamp) -> Option<Told> {
+        self.told.filter(|told| now.since(told.at) < LEASE)
+    }
+
     /// What must be left for a request to be let through.
     fn threshold(&mut self, drawn: f64) -> f64 {
         match &mut self.told {
@@ -267,10 +272,8 @@
             tenant: name.clone(),
             spent: state.spent,
             latest: state.latest.total(now),
-            asked_per_s: told(state.demand.at_time(now)),
-            told_per_s: told(
-                state.told.filter(|told| now.since(told.at) < LEASE).map_or(0.0, |told| told.asked_by_all),
-            ),
+            asked_per_s: MilliRequests::of(state.demand.at_time(now)),
+            told_per_s: MilliRequests::of(state.leased(now).map_or(0.0, |told| told.asked_by_all)),
         });
         QuotaReport { machine: self.machine.clone(), tenants: tenants.collect() }
     }
@@ -283,9 +286,9 @@
             let used = report.tenants.iter().find(|used| used.tenant == heard.tenant);
             let (Some(used), Some(state)) = (used, self.tenants.get_mut(&heard.tenant)) else { continue };
             state.told = Some(Told {
-                level: requests(heard.level),
-                asked_by_all: requests(heard.asked_per_s),
-                asked_here: requests(used.asked_per_s),
+                level: heard.level.requests(),
+                asked_by_all: heard.asked_per_s.requests(),
+                asked_here: used.asked_per_s.requests(),
                 spent_here: used.spent,
                 at: asked_at,
                 threshold: None,
