--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -93,6 +93,9 @@
     /// It is one, and can't be read.
     fn job_call(&self, method: &Method, uri: &Uri, headers: &HeaderMap) -> Result<Option<JobCall>, BadRequest>;
 
+    /// The id that a caller gave its request; `None` if it gave none that can be read.
+    fn request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+
     /// The key that a caller shows; `None` if it shows none, or one that can't be read.
     fn api_key(&self, headers: &HeaderMap) -> Option<ApiKey>;
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -122,6 +122,7 @@
     }
 
     async fn answer(&self, request: Request<Incoming>, arrived_at: Timestamp) -> Response<AnswerBody> {
+        let id: Arc<str> = Arc::from(self.workers.dialect.request_id(request.headers()).unwrap_or_default());
         match self.admit(request, arrived_at).await {
             Ok(Admitted::Call(call, caller)) => self.jobs.call(call, caller, arrived_at).await,
             Ok(Admitted::Job(job)) => {
@@ -131,9 +132,9 @@
             }
             Ok(Admitted::Online(request)) => match self.limits.admit(&request.identity).await {
                 Ok(()) => online::serve(self.workers.clone(), *request).await,
-                Err(refused) => self.turn_away(&refused, arrived_at),
+                Err(refused) => self.turn_away(&id, &refused, arrived_at),
             },
-            Err(refused) => self.turn_away(&refused, arrived_at),
+            Err(refused) => self.turn_away(&id, &refused, arrived_at),
         }
     }
 
@@ -179,9 +180,10 @@
     }
 
     /// Refuses a request for which nothing was done yet.
-    fn turn_away(&self, refused: &Refusal, arrived_at: Timestamp) -> Response<AnswerBody> {
+    fn turn_away(&self, id: &str, refused: &Refusal, arrived_at: Timestamp) -> Response<AnswerBody> {
         let view = &self.workers.view;
         let fields = [
+            Field::text("request", id),
             Field::text("kind", refused.kind.code()),
             Field::text("detail", &refused.detail),
             Field::number("age_ms", view.clock.now().since(arrived_at).0),
