Forget tenants that ask nothing more; count those out of requests as they are now

Cause, found by reading the diff: accounts of tenants were never dropped at the leader, and the figure of exhausted tenants went by buckets that nobody filled after a tenant's last request, so it stayed up for ever. Keys lay in an unordered map, against our rule for decision code. A refusal for lack of room did not say what was expected.

Change: once a second all buckets are filled; a full one of a tenant without demand is dropped, as a new one begins alike. Keys lie in an ordered map. The refusal names the expected time and the objective.

Decisions on requests are unchanged.

--- a/crates/core/src/gateway/tenant.rs
+++ b/crates/core/src/gateway/tenant.rs
@@ -1,6 +1,6 @@
 //! Tenants: who they are, by which keys they call, and how much they may ask.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
 
@@ -30,7 +30,7 @@
 }
 
 /// A secret by which a caller shows which tenant it belongs to. Its text is never printed.
-#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ApiKey(Arc<str>);
 
 impl ApiKey {
@@ -128,7 +128,7 @@
 /// All tenants of one version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TenantTable {
-    by_key: HashMap<ApiKey, Arc<Tenant>>,
+    by_key: BTreeMap<ApiKey, Arc<Tenant>>,
     by_name: BTreeMap<TenantName, Arc<Tenant>>,
 }
 
--- a/crates/core/src/quota/coordinator.rs
+++ b/crates/core/src/quota/coordinator.rs
@@ -21,6 +21,10 @@
 const SAME_DEMAND: f64 = 0.9;
 /// A tenant that asked for less than this share of its rate before this node led had a full bucket; another one none.
 const MODEST: f64 = 0.9;
+/// The time between two looks over all accounts.
+const REVIEW_INTERVAL: Millis = Millis(1_000);
+/// Demand below this, in requests a second, is what is left of sums that should be zero.
+const NO_DEMAND: f64 = 1e-6;
 
 /// What a tenant has left.
 #[derive(Clone, Debug)]
@@ -66,6 +70,8 @@
     accounts: BTreeMap<TenantName, Account>,
     gateways: BTreeMap<Arc<str>, Gateway>,
     looked_at: Timestamp,
+    reviewed_at: Timestamp,
+    exhausted: usize,
 }
 
 impl RateCoordinator {
@@ -102,9 +108,31 @@
         QuotaNews { gateways: u32::try_from(self.gateways.len()).unwrap_or(u32::MAX), ..news }
     }
 
-    /// How many tenants are out of requests.
+    /// How many tenants were out of requests at the last review.
     pub fn exhausted(&self) -> usize {
-        self.accounts.values().filter(|account| account.bucket.level() < 1.0).count()
+        self.exhausted
+    }
+
+    /// How many tenants are kept account of.
+    pub fn tenants(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Lets time pass: counts who is out of requests, and forgets tenants whose buckets are full again and who ask
+    /// for nothing. A new account would begin alike.
+    pub fn tick(&mut self, now: Timestamp) {
+        if now.since(self.reviewed_at) < REVIEW_INTERVAL {
+            return;
+        }
+        self.reviewed_at = now;
+        self.set_aside(now);
+        let is_opening = self.is_opening(now);
+        self.accounts.retain(|_, account| {
+            account.bucket.refill(account.limit, now);
+            let is_unused = account.asked < NO_DEMAND && account.bucket.level() >= account.limit.capacity;
+            is_opening || !is_unused
+        });
+        self.exhausted = self.accounts.values().filter(|account| account.bucket.level() < 1.0).count();
     }
 
     fn news_for(&self, gateway: &Gateway, now: Timestamp) -> QuotaNews {
--- a/crates/core/tests/quota_simulation.rs
+++ b/crates/core/tests/quota_simulation.rs
@@ -144,6 +144,7 @@
                 ids[number].0 += 1_000;
             }
         }
+        leader.tick(at(now));
         while mail.front().is_some_and(|(due, _)| *due <= now) {
             match mail.pop_front().expect("there is one").1 {
                 Mail::Report { gateway, report, sent_at } if !is_cut(gateway) => {
@@ -259,6 +260,34 @@
     assert!(outcome.through * 100 >= outcome.ideal * 90, "{outcome:?}");
 }
 
+#[test]
+fn the_leader_forgets_tenants_that_ask_nothing_more_and_counts_those_out_of_requests() {
+    let name = TenantName::new("tenant");
+    let (mut limiter, mut leader) = (RateLimiter::new(Arc::from("gateway")), RateCoordinator::default());
+    leader.open(at(0));
+    let limit = limit(1.0, 4.0);
+    let exchange = |limiter: &mut RateLimiter, leader: &mut RateCoordinator, now: u64| {
+        let report = limiter.report(at(now));
+        let news = leader.report(NodeId(1), &report, |_| Some(limit), at(now));
+        limiter.hear(&report, &news, at(now));
+        leader.tick(at(now));
+    };
+    for now in (2_000..3_000).step_by(50) {
+        let ask = TenantAsk { tenant: &name, limit, has_waited: false };
+        if limiter.admit(&ask, 0.5, at(now)) == Admission::Untold {
+            exchange(&mut limiter, &mut leader, now);
+            limiter.admit(&TenantAsk { has_waited: true, ..ask }, 0.5, at(now));
+        }
+        exchange(&mut limiter, &mut leader, now);
+    }
+    exchange(&mut limiter, &mut leader, 3_001);
+    assert_eq!((leader.tenants(), leader.exhausted()), (1, 1), "twenty were asked for and five allowed");
+    exchange(&mut limiter, &mut leader, 9_000);
+    assert_eq!((leader.tenants(), leader.exhausted()), (1, 0), "its bucket is full again");
+    exchange(&mut limiter, &mut leader, 14_000);
+    assert_eq!((leader.tenants(), leader.exhausted()), (0, 0), "it is idle and not reported any more");
+}
+
 fn days() -> impl Strategy<Value = Day> {
     let tenants = (2usize..60, 0.05f64..1.0, 2.0f64..120.0, 0.2f64..1.5, 0.2f64..5.0);
     let faults = (0usize..20, 2_000u64..6_000, 1_000u64..9_000, prop::option::of(2_000u64..14_000), any::<u64>());
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -160,8 +160,8 @@
             let Some(choice) = self.choose() else {
                 return Err(self.give_up(ErrorKind::NoEngine, ErrorKind::EngineLost, "no worker is left to try"));
             };
-            if self.would_be_late(&choice) {
-                return Err(self.turn_back(&choice));
+            if let Some(expected) = self.late_first_event(&choice) {
+                return Err(self.turn_back(&choice, expected));
             }
             let patience = self.patience();
             let worker = choice.id.clone();
@@ -187,22 +187,27 @@
         }
     }
 
-    /// Whether the first event of a stream is to be expected after its objective. Then the fleet has no room: a slot
-    /// spent on it is missing for a request that could be in time. Only one that nothing was done for is turned back.
-    fn would_be_late(&self, choice: &Choice) -> bool {
+    /// When the first event of a stream is to be expected, counted from the request's arrival, if that is after its
+    /// objective. Then the fleet has no room: a slot spent on it is missing for a request that could be in time. Only
+    /// one that nothing was done for is turned back.
+    fn late_first_event(&self, choice: &Choice) -> Option<Millis> {
         let is_new = self.attempts == 0 && self.last_event.is_none();
         let is_stream = matches!(self.request.route.kind, RouteKind::Stream { .. });
         if !is_new || !is_stream || choice.place_in_queue == 0 {
-            return false;
+            return None;
         }
-        let expected = self.client.view.workers().expected_first(&self.service, choice);
-        let waited = self.now().since(self.request.arrived_at);
-        expected.is_some_and(|expected| waited + expected > self.request.route.objective)
+        let from_now = self.client.view.workers().expected_first(&self.service, choice)?;
+        let expected = self.now().since(self.request.arrived_at) + from_now;
+        (expected > self.request.route.objective).then_some(expected)
     }
 
     /// The refusal for a request that the fleet has no room for.
-    fn turn_back(&self, choice: &Choice) -> Refusal {
-        let detail = format!("it would be number {} to wait for {} slots", choice.place_in_queue, choice.slots);
+    fn turn_back(&self, choice: &Choice, expected: Millis) -> Refusal {
+        let (place, slots, objective) = (choice.place_in_queue, choice.slots, self.request.route.objective.0);
+        let detail = format!(
+            "number {place} to wait for {slots} slots, its first event expected after {} ms of {objective}",
+            expected.0
+        );
         let drawn: f64 = self.client.view.random().random();
         let share = COME_BACK_SHARE * (1.0 - COME_BACK_SPREAD * drawn);
         let wait = (self.remaining().0 as f64 * share) as u64;
--- a/crates/gateway/src/storage_service/mod.rs
+++ b/crates/gateway/src/storage_service/mod.rs
@@ -339,6 +339,7 @@
         self.keep_members();
         if self.leads {
             measures::open_items(self.dispatcher.open_count());
+            self.quotas.tick(now);
             measures::exhausted_tenants(self.quotas.exhausted());
             let dead = self.load_share.dead(now);
             self.workers.view.workers().hold_dead(dead.iter(), now);
