--- a/crates/bench/src/simulation/mod.rs
+++ b/crates/bench/src/simulation/mod.rs
@@ -15,12 +15,14 @@
 //! | `operators` | operators who apply files, at times at the same moment |
 //! | `faults` | what breaks, when, and for how long |
 //! | `oracle` | the invariants and their tallies |
+//! | `liveness` | what must have come about after the failures |
 //! | `report` | what a run came to |
 
 mod callers;
 mod engines;
 mod faults;
 mod jobs;
+mod liveness;
 mod network;
 mod operators;
 mod oracle;
