Sight: log on what ground a worker is chosen and how long the store was missed

Cause: the incident's logs could not tell an old view from the grace for lapsed records: E521 names the worker, not why it was believed to take requests, and E411 does not say how long the store was out of reach.

No decision is changed.

--- a/crates/core/src/gateway/choice.rs
+++ b/crates/core/src/gateway/choice.rs
@@ -7,7 +7,7 @@
 use super::cost::{cost_slope, estimate_cost, load_cost};
 use super::request::PrefixLink;
 use super::unseen_load::level_after;
-use super::worker::{Presence, SHARED_LIFETIME, WorkerEntry, WorkerId};
+use super::worker::{Presence, SHARED_LIFETIME, Standing, WorkerEntry, WorkerId};
 use super::workers::WorkerTable;
 use crate::hashing::{hash_bytes, rendezvous_weight};
 use crate::time::{Millis, Timestamp};
@@ -54,6 +54,8 @@
     pub held_tokens: u32,
     /// How many workers could be chosen from.
     pub candidates: usize,
+    /// On what ground it is sent the request.
+    pub standing: Standing,
 }
 
 impl Choice {
@@ -66,6 +68,7 @@
             place_in_queue: entry.place_in_queue(now),
             held_tokens: entry.cache.held_tokens(ask.prefix),
             candidates,
+            standing: entry.standing(),
         }
     }
 }
--- a/crates/core/src/gateway/worker.rs
+++ b/crates/core/src/gateway/worker.rs
@@ -123,6 +123,28 @@
     }
 }
 
+/// On what ground a worker is sent a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Its record says that it takes requests.
+    Ready,
+    /// Its record is missing and may be written again.
+    Missing,
+    /// Its record was removed a moment ago, and there is nobody else.
+    LastResort,
+}
+
+impl Standing {
+    /// Its name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Missing => "missing",
+            Self::LastResort => "last_resort",
+        }
+    }
+}
+
 /// Whether a worker may be sent requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Presence {
@@ -208,6 +230,15 @@
         }
     }
 
+    /// On what ground it would be sent a request.
+    pub(super) fn standing(&self) -> Standing {
+        match self.presence {
+            Presence::Ready => Standing::Ready,
+            Presence::Missing { .. } => Standing::Missing,
+            Presence::Draining | Presence::Gone { .. } => Standing::LastResort,
+        }
+    }
+
     /// Requests at the worker: those of this node and, as last gathered, of all others. A report of the
     /// worker that is newer than that counts where it tells more; it also knows of requests that their
     /// senders have given up and that still run.
--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -9,7 +9,7 @@
 use crate::time::{Millis, Timestamp};
 
 pub use super::choice::{Choice, WorkerAsk};
-pub use super::worker::{LoadNews, WorkerCount, WorkerId, WorkerLoad, WorkerNews, WorkerRecord};
+pub use super::worker::{LoadNews, Standing, WorkerCount, WorkerId, WorkerLoad, WorkerNews, WorkerRecord};
 
 /// How long a worker that failed once is passed over; doubles with each failure in a row.
 const FIRST_PASS_OVER: Millis = Millis(300);
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -17,7 +17,8 @@
 use stallmoor_core::gateway::service_times::ServiceTimes;
 use stallmoor_core::gateway::unseen_load::{CostSlope, level_after};
 use stallmoor_core::gateway::workers::{
-    LoadNews, WorkerAsk, WorkerChange, WorkerCount, WorkerId, WorkerLoad, WorkerNews, WorkerRecord, WorkerTable,
+    LoadNews, Standing, WorkerAsk, WorkerChange, WorkerCount, WorkerId, WorkerLoad, WorkerNews, WorkerRecord,
+    WorkerTable,
 };
 use stallmoor_core::time::{Millis, Timestamp};
 
@@ -194,6 +195,18 @@
     assert_eq!(choose(&table, 1_300), None);
 }
 
+#[test]
+fn a_choice_says_on_what_ground_the_worker_is_sent_the_request() {
+    let mut table = WorkerTable::default();
+    let standing = |table: &WorkerTable, now| table.choose(&ask(&[], &[]), at(now), &mut random()).map(|c| c.standing);
+    table.upsert(worker("one", "a"));
+    assert_eq!(standing(&table, 0), Some(Standing::Ready));
+    table.miss(&id("one"), at(0));
+    assert_eq!(standing(&table, 1), Some(Standing::Missing));
+    table.remove(&id("one"), at(2));
+    assert_eq!(standing(&table, 3), Some(Standing::LastResort));
+}
+
 #[test]
 fn records_that_lapsed_while_the_store_was_away_may_come_back_for_two_seconds() {
     let mut table = WorkerTable::default();
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,8 +1,9 @@
 //! The node's clocks, in the units of the decision code.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use stallmoor_core::time::{Timestamp, UnixMillis};
+use tokio::time::Instant;
 
 /// Steady time since the start of the process, and the time of day.
 #[derive(Clone, Copy, Debug)]
@@ -19,7 +20,7 @@
         Self { origin: Instant::now() }
     }
 
-    /// Steady time.
+    /// Steady time: the runtime's, which tests pause.
     pub fn now(&self) -> Timestamp {
         Timestamp::from_millis(ORIGIN_MILLIS + self.origin.elapsed().as_millis() as u64)
     }
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -127,7 +127,9 @@
             FleetUpdate::Listed => self.is_listed.store(true, Ordering::Relaxed),
             FleetUpdate::Item(item) => self.take_item(item),
             FleetUpdate::Unreadable { detail } => record(LogEvent::RecordUnreadable, &[Field::text("detail", detail)]),
-            FleetUpdate::Reached => record(LogEvent::PlatformRecovered, &[]),
+            FleetUpdate::Reached { absence } => {
+                record(LogEvent::PlatformRecovered, &[Field::number("absence_ms", absence.0)]);
+            }
             FleetUpdate::Lost { detail } => record(LogEvent::PlatformUnavailable, &[Field::text("detail", detail)]),
             FleetUpdate::EmptyMachine { .. } => {}
         }
--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -36,7 +36,10 @@
         detail: String,
     },
     /// The store answers again.
-    Reached,
+    Reached {
+        /// For how long it did not.
+        absence: Millis,
+    },
     /// The store does not answer.
     Lost {
         /// What happened.
--- a/crates/gateway/src/metadata_watch.rs
+++ b/crates/gateway/src/metadata_watch.rs
@@ -115,7 +115,7 @@
         // The answer was written after it was held back, and the relay's view was complete that much earlier.
         let written_at = asked_at + answer.held;
         let confirmed = Timestamp::from_millis(written_at.as_millis().saturating_sub(answer.age.0));
-        let ChangesAnswer { changes, age, .. } = answer;
+        let ChangesAnswer { changes, age, away, .. } = answer;
         let news = match changes.base {
             Some(_) => self.view.advance(changes.items, changes.at, confirmed),
             None => self.view.replace(changes.items, changes.at, Millis(0), confirmed),
@@ -125,7 +125,10 @@
             record(LogEvent::RelayFollowed, &[Field::text("relay", relay), Field::number("age_ms", age.0)]);
             self.followed = Some(relay);
         } else if !is_young && self.followed == Some(relay) {
-            self.log_left(relay, &format!("its view is {} ms old", age.0));
+            self.log_left(
+                relay,
+                &format!("its view is {} ms old, the store out of its reach for {} ms", age.0, away.0),
+            );
         }
     }
 
@@ -186,7 +189,7 @@
     fn store_answered(&mut self) -> Millis {
         let absence = self.policy.store_answered(self.fleet.clock.now());
         if absence > Millis(0) {
-            self.send(FleetUpdate::Reached);
+            self.send(FleetUpdate::Reached { absence });
         }
         absence
     }
--- a/crates/gateway/src/storage_service/running.rs
+++ b/crates/gateway/src/storage_service/running.rs
@@ -173,6 +173,7 @@
             Field::number("after_event", output.last_event.unwrap_or(0)),
             Field::number("load", choice.load),
             Field::number("candidates", choice.candidates as u64),
+            Field::text("standing", choice.standing.name()),
         ];
         record(LogEvent::ItemRunStarted, &fields);
         let in_flight = self.workers.place(&choice, &service, &facts.prefix, true);
