Failing tests: workers that left during a cut are used after it

The simulation's list of the store now times out after 1,000 ms, as the client's does, and its items are real.

--- a/crates/core/tests/relay_simulation.rs
+++ b/crates/core/tests/relay_simulation.rs
@@ -2,13 +2,18 @@
 //! store goes away for some or for all.
 //!
 //! What must hold: a node that runs, and had a way to the store for the contact bound, knows each change within the
-//! change bound, whatever became of the relays.
+//! change bound, whatever became of the relays; and it sends nothing to a worker whose record was removed before that.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
+use stallmoor_core::gateway::workers::{WorkerAsk, WorkerId, WorkerRecord, WorkerTable};
 use stallmoor_core::identity::NodeId;
-use stallmoor_core::relay::item::Revision;
-use stallmoor_core::relay::message::{ChangeSet, ChangesAnswer};
+use stallmoor_core::relay::item::{ItemState, MetadataItem, Revision};
+use stallmoor_core::relay::message::ChangesAnswer;
 use stallmoor_core::relay::mirror::Mirror;
 use stallmoor_core::relay::policy::{Role, Step, ViewState, WatchBounds, WatchPolicy};
 use stallmoor_core::time::{Millis, Timestamp};
@@ -20,8 +25,14 @@
 const STEP: u64 = 5;
 /// One way between two nodes, or a node and the store.
 const WAY: u64 = 5;
-/// A call of the store that gets no answer ends after this long, beyond its wait.
-const CALL_TIMEOUT: u64 = 700;
+/// A list that gets no answer ends after this long.
+const CALL_TIMEOUT: u64 = 1_000;
+/// A watch that gets no answer ends this long after its wait.
+const WATCH_MARGIN: u64 = 700;
+/// The time between two looks at the workers that a node uses.
+const LOOK_INTERVAL: u64 = 50;
+/// Workers that left are looked for this long.
+const LOOKED_FOR: u64 = 15_000;
 
 #[derive(Clone, Copy, Debug)]
 enum Call {
@@ -51,6 +62,8 @@
 struct Node {
     policy: WatchPolicy,
     mirror: Mirror,
+    /// Each worker is of a service of its own, so that it must serve wherever it may.
+    workers: WorkerTable,
     asked_at: Option<Timestamp>,
     under: Option<Under>,
     paused_until: u64,
@@ -65,9 +78,16 @@
     revision: u64,
     /// When each revision was written.
     written_at: Vec<u64>,
+    /// The revision of each worker's record that stands.
+    records: BTreeMap<Arc<str>, u64>,
+    history: Vec<MetadataItem>,
+    /// Workers that left, and when.
+    left: Vec<(Arc<str>, u64)>,
     nodes: Vec<Node>,
     random: Xoshiro256PlusPlus,
     worst_lag: u64,
+    /// Whether nodes are held to the workers that they may use.
+    looks_at_workers: bool,
 }
 
 fn at(millis: u64) -> Timestamp {
@@ -83,6 +103,7 @@
         let node = || Node {
             policy: WatchPolicy::new(BOUNDS),
             mirror: Mirror::default(),
+            workers: WorkerTable::default(),
             asked_at: None,
             under: None,
             paused_until: 0,
@@ -92,12 +113,50 @@
         };
         let random = Xoshiro256PlusPlus::seed_from_u64(seed);
         let nodes = (0..NODES).map(|_| node()).collect();
-        Self { now: 0, revision: 1, written_at: vec![0, 0], nodes, random, worst_lag: 0 }
+        Self {
+            now: 0,
+            revision: 1,
+            written_at: vec![0, 0],
+            records: BTreeMap::new(),
+            history: Vec::new(),
+            left: Vec::new(),
+            nodes,
+            random,
+            worst_lag: 0,
+            looks_at_workers: false,
+        }
     }
 
+    /// A worker comes, or the one that was there longest leaves.
     fn write(&mut self) {
         self.revision += 1;
         self.written_at.push(self.now);
+        let leaving = self.records.iter().min_by_key(|(_, revision)| **revision).map(|(key, _)| key.clone());
+        let leaving = leaving.filter(|_| self.records.len() > 3 && self.random.random::<f64>() < 0.6);
+        let (key, state) = match leaving {
+            Some(key) => (key, ItemState::Removed),
+            None => (Arc::from(format!("worker-{}", self.revision)), ItemState::Present(Arc::from([]))),
+        };
+        if state == ItemState::Removed {
+            self.records.remove(&key);
+            self.left.push((key.clone(), self.now));
+        } else {
+            self.records.insert(key.clone(), self.revision);
+        }
+        self.history.push(MetadataItem { key, state, revision: Revision(self.revision) });
+    }
+
+    fn listed(&self) -> Vec<MetadataItem> {
+        let present = |(key, revision): (&Arc<str>, &u64)| MetadataItem {
+            key: key.clone(),
+            state: ItemState::Present(Arc::from([])),
+            revision: Revision(*revision),
+        };
+        self.records.iter().map(present).collect()
+    }
+
+    fn changes_after(&self, since: u64) -> Vec<MetadataItem> {
+        self.history.iter().filter(|item| item.revision.0 > since).cloned().collect()
     }
 
     fn has_store(&self, node: usize) -> bool {
@@ -180,13 +239,15 @@
     fn resolve_store(&mut self, node: usize, begun: u64, watch: Option<(u64, u64)>) -> bool {
         let (now, revision, role) = (self.now, self.revision, self.role(node));
         let passed = now - begun;
+        let patience = watch.map_or(CALL_TIMEOUT, |(_, wait)| wait + WATCH_MARGIN);
         let wait = watch.map_or(0, |(_, wait)| wait);
+        let (listed, changes) = (self.listed(), self.changes_after(watch.map_or(u64::MAX, |(since, _)| since)));
         let spread = self.random.random::<f64>();
         let has_store = self.has_store(node);
         let is_refused = now < self.nodes[node].faults.refused_until;
         let entry = &mut self.nodes[node];
         if !has_store {
-            if !is_refused && passed < wait + CALL_TIMEOUT {
+            if !is_refused && passed < patience {
                 return false;
             }
             let silent_since = if is_refused { now } else { begun };
@@ -198,10 +259,11 @@
             return false;
         }
         let absence = entry.policy.store_answered(at(now));
-        match watch {
-            None => drop(entry.mirror.replace(Vec::new(), Revision(revision), absence)),
-            Some(_) => drop(entry.mirror.advance(Vec::new(), Revision(revision))),
-        }
+        let news = match watch {
+            None => entry.mirror.replace(listed, Revision(revision), absence),
+            Some(_) => entry.mirror.advance(changes, Revision(revision)),
+        };
+        entry.tell(&news, at(now));
         entry.mirror.confirm(at(if has_changes { begun } else { begun + wait }));
         if has_changes && watch.is_some() {
             entry.paused_until = now + entry.policy.pause(role).0;
@@ -231,11 +293,16 @@
         }
         let held = Millis(passed - 2 * WAY);
         let away = self.nodes[relay].policy.away(at(now));
-        let changes = ChangeSet { base: Some(Revision(since)), at: relay_at, items: Vec::new() };
+        let Some(changes) = self.nodes[relay].mirror.changes_since(Revision(since)) else { return false };
         let answer = ChangesAnswer { changes, age, away, held };
         let entry = &mut self.nodes[node];
         entry.policy.relay_answered(id(relay), &answer, at(now));
-        entry.mirror.advance(Vec::new(), relay_at);
+        let ChangesAnswer { changes, .. } = answer;
+        let news = match changes.base {
+            Some(_) => entry.mirror.advance(changes.items, changes.at),
+            None => entry.mirror.replace(changes.items, changes.at, Millis(0)),
+        };
+        entry.tell(&news, at(now));
         let confirmed = (at(begun) + held).as_millis().saturating_sub(age.0);
         entry.mirror.confirm(Timestamp::from_millis(confirmed));
         true
@@ -253,6 +320,22 @@
             // The age that a node believes must never be less than the truth.
             let age = entry.mirror.age(at(self.now)).expect("it is in touch");
             assert!(lag <= age.0 + STEP, "node {node} believes its view to be {age:?} old, and it lags by {lag} ms");
+            if self.looks_at_workers && self.now.is_multiple_of(LOOK_INTERVAL) {
+                self.check_workers(node);
+            }
+        }
+    }
+
+    /// A node in touch sends nothing to workers that left longer ago than the change bound.
+    fn check_workers(&mut self, node: usize) {
+        let now = self.now;
+        let (workers, random) = (&self.nodes[node].workers, &mut self.random);
+        let is_looked_for = |left: u64| (BOUNDS.change.0 + 1..LOOKED_FOR).contains(&(now - left));
+        for (worker, left) in self.left.iter().filter(|(_, left)| is_looked_for(*left)) {
+            let ask =
+                WorkerAsk { service: worker, zone: "zone", prefix: &[], prompt_tokens: 0, body_bytes: 0, tried: &[] };
+            let chosen = workers.choose(&ask, at(now), random).map(|choice| choice.standing);
+            assert_eq!(chosen, None, "node {node} sends requests to {worker}, which left {} ms ago", now - left);
         }
     }
 
@@ -278,9 +361,37 @@
     }
 }
 
+impl Node {
+    /// Applies news as a gateway does.
+    fn tell(&mut self, news: &[MetadataItem], now: Timestamp) {
+        for item in news {
+            let id = WorkerId(item.key.clone());
+            match item.state {
+                ItemState::Present(_) => drop(self.workers.upsert(record(&item.key))),
+                ItemState::Removed => drop(self.workers.remove(&id, now)),
+                ItemState::Lapsed => drop(self.workers.miss(&id, now)),
+            }
+        }
+    }
+}
+
+fn record(key: &Arc<str>) -> WorkerRecord {
+    WorkerRecord {
+        id: WorkerId(key.clone()),
+        service: key.clone(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: Arc::from("zone"),
+        slots: 8,
+        draining: false,
+    }
+}
+
 /// Plays a minute of virtual time.
 fn play(seed: u64, with_faults: bool) -> World {
-    let mut world = World::new(seed);
+    play_world(World::new(seed), with_faults)
+}
+
+fn play_world(mut world: World, with_faults: bool) -> World {
     let (mut next_write, mut next_fault) = (0, 4_000);
     while world.now < 60_000 {
         if world.now >= next_write {
@@ -303,6 +414,13 @@
     }
 }
 
+#[test]
+fn a_node_in_touch_sends_nothing_to_workers_that_left_whatever_becomes_of_relays() {
+    for seed in 0..120 {
+        play_world(World { looks_at_workers: true, ..World::new(seed) }, true);
+    }
+}
+
 #[test]
 fn in_calm_times_only_relays_call_the_store() {
     let world = play(1, false);
--- /dev/null
+++ b/crates/gateway/tests/missing_records.rs
@@ -0,0 +1,247 @@
+//! A node that finds workers' records missing when it reaches the metadata store again, on a paused clock: which of those
+//! workers may it still send requests?
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use stallmoor_core::gateway::workers::{WorkerId, WorkerRecord};
+use stallmoor_core::identity::NodeId;
+use stallmoor_core::jobs::members::EmptyingState;
+use stallmoor_core::relay::item::{ItemState, MetadataItem, Revision};
+use stallmoor_core::relay::policy::WatchBounds;
+use stallmoor_core::time::Millis;
+use stallmoor_gateway::clock::NodeClock;
+use stallmoor_gateway::fleet_view::FleetView;
+use stallmoor_gateway::metadata::{BoxFuture, FleetUpdate, ItemsAt, MetadataStore, PutOutcome, ReadFailure};
+use stallmoor_gateway::metadata_view::MetadataView;
+use stallmoor_gateway::metadata_watch::MetadataWatch;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+const BOUNDS: WatchBounds = WatchBounds { change: Millis(2_000), contact: Millis(3_000) };
+/// How long a call may take beyond its wait.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+const SERVICE: &str = "service";
+const STAYS: &str = "stays";
+const LEAVES: &str = "leaves";
+/// Plays of each test, with other pauses between the node's calls.
+const PLAYS: u64 = 40;
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+#[derive(Default)]
+struct Contents {
+    revision: u64,
+    /// The revision of each record that stands.
+    records: BTreeMap<&'static str, u64>,
+    /// Each change: the record, and whether it was written.
+    history: Vec<(u64, &'static str, bool)>,
+}
+
+/// The store as one node reaches it: not at all in `silent`, counted from its start.
+struct Store {
+    started: Instant,
+    silent: Range<Duration>,
+    contents: Mutex<Contents>,
+    changed: watch::Sender<u64>,
+}
+
+impl Store {
+    fn new(silent: Range<Duration>) -> Arc<Self> {
+        let (contents, changed) = (Mutex::default(), watch::Sender::new(0));
+        let store = Arc::new(Self { started: Instant::now(), silent, contents, changed });
+        store.write(STAYS);
+        store.write(LEAVES);
+        store
+    }
+
+    fn contents(&self) -> MutexGuard<'_, Contents> {
+        self.contents.lock().expect("not poisoned")
+    }
+
+    fn write(&self, worker: &'static str) {
+        self.change(worker, true);
+    }
+
+    fn remove(&self, worker: &'static str) {
+        self.change(worker, false);
+    }
+
+    fn change(&self, worker: &'static str, is_written: bool) {
+        let mut contents = self.contents();
+        contents.revision += 1;
+        let revision = contents.revision;
+        contents.history.push((revision, worker, is_written));
+        if is_written {
+            contents.records.insert(worker, revision);
+        } else {
+            contents.records.remove(worker);
+        }
+        drop(contents);
+        self.changed.send_replace(revision);
+    }
+
+    fn is_silent(&self) -> bool {
+        self.silent.contains(&self.started.elapsed())
+    }
+
+    /// Waits until the store's answer arrives, which it does not if the way is cut at either end of the call.
+    async fn call<T>(&self, within: Duration, answer: impl Future<Output = T>) -> Result<T, ReadFailure> {
+        let begun = Instant::now();
+        if !self.is_silent()
+            && let Ok(answer) = timeout(within, answer).await
+            && !self.is_silent()
+        {
+            return Ok(answer);
+        }
+        sleep_until(begun + within).await;
+        Err(ReadFailure::TimedOut)
+    }
+
+    fn list_now(&self) -> ItemsAt {
+        let contents = self.contents();
+        let items = contents.records.iter().map(|(worker, revision)| item(worker, true, *revision)).collect();
+        ItemsAt { items, at: Revision(contents.revision) }
+    }
+
+    fn changes_after(&self, since: Revision) -> ItemsAt {
+        let contents = self.contents();
+        let later = contents.history.iter().filter(|(revision, ..)| *revision > since.0);
+        let items = later.map(|(revision, worker, is_written)| item(worker, *is_written, *revision)).collect();
+        ItemsAt { items, at: Revision(contents.revision) }
+    }
+
+    async fn wait_for_changes(&self, since: Revision, wait: Duration) -> ItemsAt {
+        let mut changes = self.changed.subscribe();
+        // Without changes the answer holds none.
+        let _ = timeout(wait, changes.wait_for(|revision| *revision > since.0)).await;
+        self.changes_after(since)
+    }
+}
+
+fn item(worker: &str, is_written: bool, revision: u64) -> MetadataItem {
+    let state = if is_written { ItemState::Present(Arc::from([])) } else { ItemState::Removed };
+    MetadataItem { key: Arc::from(worker), state, revision: Revision(revision) }
+}
+
+fn record(worker: &str) -> WorkerRecord {
+    WorkerRecord {
+        id: WorkerId(Arc::from(worker)),
+        service: Arc::from(SERVICE),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: Arc::from("zone-a"),
+        slots: 8,
+        draining: false,
+    }
+}
+
+impl MetadataStore for Store {
+    fn put(&self, _key: String, _value: Vec<u8>, _expected: Revision) -> BoxFuture<'_, PutOutcome> {
+        Box::pin(async { PutOutcome::Unknown })
+    }
+
+    fn get(&self, _key: String) -> BoxFuture<'_, Option<MetadataItem>> {
+        Box::pin(async { None })
+    }
+
+    fn list(&self) -> BoxFuture<'_, Result<ItemsAt, ReadFailure>> {
+        Box::pin(self.call(CALL_TIMEOUT, async { self.list_now() }))
+    }
+
+    fn changes(&self, since: Revision, wait: Millis) -> BoxFuture<'_, Result<ItemsAt, ReadFailure>> {
+        let wait = Duration::from_millis(wait.0);
+        Box::pin(self.call(wait + CALL_TIMEOUT, self.wait_for_changes(since, wait)))
+    }
+
+    fn interpret(&self, item: &MetadataItem) -> Option<FleetUpdate> {
+        let worker = WorkerId(item.key.clone());
+        Some(match &item.state {
+            ItemState::Present(_) => FleetUpdate::Worker(record(&worker.0)),
+            ItemState::Removed => FleetUpdate::WorkerGone(worker),
+            ItemState::Lapsed => FleetUpdate::WorkerMissing(worker),
+        })
+    }
+
+    fn report_emptying(&self, _machine: Arc<str>, _state: EmptyingState) -> BoxFuture<'_, bool> {
+        Box::pin(async { true })
+    }
+}
+
+/// A node that follows the store. `seed` draws the pauses between its calls.
+fn start_node(store: &Arc<Store>, seed: u64) -> Arc<FleetView> {
+    let clock = NodeClock::start();
+    let fleet = Arc::new(FleetView::new(clock, Arc::from("zone-a"), seed));
+    let view = Arc::new(MetadataView::new(clock, BOUNDS));
+    let (updates, mut received) = mpsc::unbounded_channel();
+    tokio::spawn(MetadataWatch::new(NodeId(1), store.clone(), fleet.clone(), view, BOUNDS, updates).run());
+    let applied = fleet.clone();
+    tokio::spawn(async move {
+        while let Some(update) = received.recv().await {
+            applied.apply(&update);
+        }
+    });
+    fleet
+}
+
+fn ready_count(fleet: &FleetView) -> usize {
+    fleet.workers().ready_count(SERVICE, fleet.clock.now())
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_worker_that_left_during_a_cut_gets_nothing_once_the_contact_bound_has_passed() {
+    for seed in 0..PLAYS {
+        let healed = seconds(14.0 + 0.037 * seed as f64);
+        let store = Store::new(seconds(5.0)..healed);
+        let fleet = start_node(&store, seed);
+        sleep_until(store.started + seconds(4.0)).await;
+        assert_eq!(ready_count(&fleet), 2, "both serve before the cut (seed {seed})");
+        sleep_until(store.started + seconds(7.0)).await;
+        store.remove(LEAVES);
+        sleep_until(store.started + healed + Duration::from_millis(BOUNDS.contact.0)).await;
+        let held_from = Instant::now();
+        while held_from.elapsed() < seconds(4.0) {
+            let after = held_from.elapsed();
+            assert_eq!(ready_count(&fleet), 1, "{after:?} after the contact bound it still serves (seed {seed})");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn workers_whose_records_lapsed_with_the_store_serve_on_while_they_may_come_back() {
+    for seed in 0..PLAYS {
+        let returned = seconds(9.5 + 0.037 * seed as f64);
+        let store = Store::new(seconds(5.0)..returned);
+        let fleet = start_node(&store, seed);
+        sleep_until(store.started + seconds(8.6)).await;
+        store.remove(STAYS);
+        store.remove(LEAVES);
+        sleep_until(store.started + returned).await;
+        while store.started.elapsed() < returned + seconds(1.0) {
+            let after = store.started.elapsed() - returned;
+            assert_eq!(ready_count(&fleet), 2, "{after:?} after the store's return (seed {seed})");
+            sleep(Duration::from_millis(20)).await;
+        }
+        store.write(STAYS);
+        sleep_until(store.started + returned + seconds(6.0)).await;
+        assert_eq!(ready_count(&fleet), 1, "only the one whose record is back serves on (seed {seed})");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_record_that_does_not_come_back_with_the_store_is_gone_when_the_contact_bound_has_passed() {
+    for seed in 0..PLAYS {
+        let returned = seconds(9.5 + 0.037 * seed as f64);
+        let store = Store::new(seconds(5.0)..returned);
+        let fleet = start_node(&store, seed);
+        sleep_until(store.started + seconds(8.6)).await;
+        store.remove(LEAVES);
+        sleep_until(store.started + returned + Duration::from_millis(BOUNDS.contact.0)).await;
+        assert_eq!(ready_count(&fleet), 1, "it still serves (seed {seed})");
+    }
+}
