Forget workers that had said they leave, once their records are gone

A worker that drained stayed in the table for good: its removal was ignored so that it would not become a last resort, and forget_gone kept every draining entry.

Change: a draining worker whose record is gone has left; it is forgotten after the same minute as others, and a record of it that is written again within that time does not bring it back.

Test: workers_that_left_are_forgotten_however_they_left fails with the mechanism off.

--- a/crates/core/src/gateway/choice.rs
+++ b/crates/core/src/gateway/choice.rs
@@ -163,6 +163,6 @@
     match entry.presence {
         Presence::Gone { usable_until, .. } => now < usable_until,
         Presence::Ready => true,
-        Presence::Missing { .. } | Presence::Draining => false,
+        Presence::Missing { .. } | Presence::Draining | Presence::Left { .. } => false,
     }
 }
--- a/crates/core/src/gateway/worker.rs
+++ b/crates/core/src/gateway/worker.rs
@@ -154,6 +154,10 @@
         until: Timestamp,
     },
     Draining,
+    /// It was draining, and its record is gone.
+    Left {
+        since: Timestamp,
+    },
     /// Its record was removed. It is a last resort until `usable_until`.
     Gone {
         since: Timestamp,
@@ -228,7 +232,7 @@
         match self.presence {
             Presence::Ready => true,
             Presence::Missing { until } => now < until,
-            Presence::Draining | Presence::Gone { .. } => false,
+            Presence::Draining | Presence::Left { .. } | Presence::Gone { .. } => false,
         }
     }
 
@@ -237,7 +241,7 @@
         match self.presence {
             Presence::Ready => Standing::Ready,
             Presence::Missing { .. } => Standing::Missing,
-            Presence::Draining | Presence::Gone { .. } => Standing::LastResort,
+            Presence::Draining | Presence::Left { .. } | Presence::Gone { .. } => Standing::LastResort,
         }
     }
 
--- a/crates/core/src/gateway/workers.rs
+++ b/crates/core/src/gateway/workers.rs
@@ -72,12 +72,12 @@
     Draining(WorkerId),
     /// A worker's record was removed.
     Gone(WorkerId),
-    /// A worker's record lapsed while the store was out of reach.
+    /// A worker's record may have lapsed while the store was out of reach.
     Missing(WorkerId),
 }
 
 impl WorkerTable {
-    /// Takes a worker's record. A worker that drains or is gone never takes requests again.
+    /// Takes a worker's record. A worker that drains never takes requests again.
     pub fn upsert(&mut self, record: WorkerRecord) -> Option<WorkerChange> {
         let id = record.id.clone();
         let Some(entry) = self.workers.get_mut(&id) else {
@@ -88,13 +88,13 @@
         };
         let was = entry.presence;
         entry.presence = match (was, record.draining) {
-            (Presence::Draining, _) | (_, true) => Presence::Draining,
+            (Presence::Draining | Presence::Left { .. }, _) | (_, true) => Presence::Draining,
             // A record may vanish while the store is down and be written again by the same worker.
             (Presence::Gone { .. } | Presence::Missing { .. } | Presence::Ready, false) => Presence::Ready,
         };
         entry.record = record;
         match (was, entry.presence) {
-            (Presence::Draining, _) => None,
+            (Presence::Draining | Presence::Left { .. }, _) => None,
             (_, Presence::Draining) => Some(WorkerChange::Draining(id)),
             (Presence::Gone { .. } | Presence::Missing { .. }, _) => Some(WorkerChange::Seen(id)),
             _ => None,
@@ -104,15 +104,16 @@
     /// A worker's record is gone. Where nobody else serves, it is used until `usable_until`.
     pub fn remove(&mut self, id: &WorkerId, usable_until: Timestamp, now: Timestamp) -> Option<WorkerChange> {
         let entry = self.workers.get_mut(id)?;
-        if matches!(entry.presence, Presence::Gone { .. }) {
-            return None;
-        }
         let usable_until = match entry.presence {
-            // One that was draining must not become a last resort.
-            Presence::Draining => return None,
-            // Nor one that has had its time to come back.
+            Presence::Ready => usable_until,
+            // One that has had its time to come back is no last resort.
             Presence::Missing { .. } => now,
-            Presence::Ready | Presence::Gone { .. } => usable_until,
+            // Nor is one that was draining.
+            Presence::Draining => {
+                entry.presence = Presence::Left { since: now };
+                return None;
+            }
+            Presence::Left { .. } | Presence::Gone { .. } => return None,
         };
         entry.presence = Presence::Gone { since: now, usable_until };
         Some(WorkerChange::Gone(id.clone()))
@@ -120,19 +121,25 @@
 
     /// A worker's record was missing when the store was reached again. The worker serves on until `until`, by when those
     /// that live have written theirs again.
-    pub fn miss(&mut self, id: &WorkerId, until: Timestamp) -> Option<WorkerChange> {
+    pub fn miss(&mut self, id: &WorkerId, until: Timestamp, now: Timestamp) -> Option<WorkerChange> {
         let entry = self.workers.get_mut(id)?;
-        if entry.presence != Presence::Ready {
-            return None;
+        match entry.presence {
+            Presence::Ready => {
+                entry.presence = Presence::Missing { until };
+                Some(WorkerChange::Missing(id.clone()))
+            }
+            Presence::Draining => {
+                entry.presence = Presence::Left { since: now };
+                None
+            }
+            Presence::Missing { .. } | Presence::Left { .. } | Presence::Gone { .. } => None,
         }
-        entry.presence = Presence::Missing { until };
-        Some(WorkerChange::Missing(id.clone()))
     }
 
     /// Forgets workers that are gone for long.
     pub fn forget_gone(&mut self, now: Timestamp) {
         self.workers.retain(|_, entry| match entry.presence {
-            Presence::Gone { since, .. } | Presence::Missing { until: since } => {
+            Presence::Left { since } | Presence::Gone { since, .. } | Presence::Missing { until: since } => {
                 now.since(since) < GONE_REMEMBERED || entry.in_flight > 0
             }
             Presence::Ready | Presence::Draining => true,
--- a/crates/core/tests/gateway_rules.rs
+++ b/crates/core/tests/gateway_rules.rs
@@ -201,7 +201,7 @@
     let standing = |table: &WorkerTable, now| table.choose(&ask(&[], &[]), at(now), &mut random()).map(|c| c.standing);
     table.upsert(worker("one", "a"));
     assert_eq!(standing(&table, 0), Some(Standing::Ready));
-    table.miss(&id("one"), at(2_000));
+    table.miss(&id("one"), at(2_000), at(0));
     assert_eq!(standing(&table, 1), Some(Standing::Missing));
     table.remove(&id("one"), at(1_000), at(2));
     assert_eq!(standing(&table, 3), None, "a record that was missing and is found removed leaves no last resort");
@@ -215,12 +215,12 @@
     let mut table = WorkerTable::default();
     table.upsert(worker("one", "a"));
     table.upsert(worker("three", "a"));
-    assert_eq!(table.miss(&id("one"), at(2_000)), Some(WorkerChange::Missing(id("one"))));
-    assert_eq!(table.miss(&id("three"), at(2_000)), Some(WorkerChange::Missing(id("three"))));
+    assert_eq!(table.miss(&id("one"), at(2_000), at(0)), Some(WorkerChange::Missing(id("one"))));
+    assert_eq!(table.miss(&id("three"), at(2_000), at(0)), Some(WorkerChange::Missing(id("three"))));
     assert_eq!(table.ready_count(SERVICE, at(1_999)), 2);
     assert!(choose(&table, 1_999).is_some());
     assert_eq!(table.upsert(worker("one", "a")), Some(WorkerChange::Seen(id("one"))));
-    assert_eq!(table.miss(&id("three"), at(3_000)), None, "a second list does not prolong the time");
+    assert_eq!(table.miss(&id("three"), at(3_000), at(1_000)), None, "a second list does not prolong the time");
     assert_eq!(table.ready_count(SERVICE, at(2_000)), 1);
     for _ in 0..20 {
         assert_eq!(choose(&table, 2_000), Some(id("one")));
@@ -233,10 +233,31 @@
 fn a_worker_that_leaves_does_not_come_back_with_the_store() {
     let mut table = WorkerTable::default();
     table.upsert(WorkerRecord { draining: true, ..worker("one", "a") });
-    assert_eq!(table.miss(&id("one"), at(2_000)), None);
+    assert_eq!(table.miss(&id("one"), at(2_000), at(0)), None);
     assert_eq!(choose(&table, 1), None);
 }
 
+#[test]
+fn workers_that_left_are_forgotten_however_they_left() {
+    let mut table = WorkerTable::default();
+    let leaving = |name| WorkerRecord { draining: true, ..worker(name, "a") };
+    table.upsert(leaving("removed"));
+    table.upsert(leaving("lapsed"));
+    table.upsert(worker("vanished", "a"));
+    table.upsert(leaving("stays"));
+    table.remove(&id("removed"), at(1_000), at(0));
+    table.miss(&id("lapsed"), at(2_000), at(0));
+    table.remove(&id("vanished"), at(1_000), at(0));
+    table.upsert(worker("removed", "a"));
+    assert_eq!(choose(&table, 10), Some(id("vanished")), "one that was draining does not come back");
+    table.remove(&id("removed"), at(1_000), at(0));
+    table.forget_gone(at(59_999));
+    assert!(["removed", "lapsed", "vanished", "stays"].iter().all(|name| table.record(&id(name)).is_some()));
+    table.forget_gone(at(60_000));
+    assert!(["removed", "lapsed", "vanished"].iter().all(|name| table.record(&id(name)).is_none()));
+    assert!(table.record(&id("stays")).is_some(), "its record still stands");
+}
+
 #[test]
 fn a_failing_worker_is_passed_over_and_returns() {
     let mut table = WorkerTable::default();
--- a/crates/core/tests/relay_simulation.rs
+++ b/crates/core/tests/relay_simulation.rs
@@ -371,7 +371,7 @@
             let id = WorkerId(item.key.clone());
             match (&item.state, grace.lapsed_until) {
                 (ItemState::Present(_), _) => drop(self.workers.upsert(record(&item.key))),
-                (ItemState::Lapsed, Some(until)) => drop(self.workers.miss(&id, until)),
+                (ItemState::Lapsed, Some(until)) => drop(self.workers.miss(&id, until, now)),
                 _ => drop(self.workers.remove(&id, grace.removed_until, now)),
             }
         }
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -150,7 +150,7 @@
 
     fn miss_worker(&self, id: &WorkerId, until: Timestamp) {
         let now = self.clock.now();
-        let change = self.workers().miss(id, until);
+        let change = self.workers().miss(id, until, now);
         log_worker(change, Some(Field::number("serves_ms", until.since(now).0)));
         self.workers().forget_gone(now);
     }
