Install signal handlers before anything else at the start of a process

SIGHUP says that the settings changed and may come at any moment; its handler was installed only after the disk was read and the tasks were started, and without a handler it ends the process.

Change: gateways and storing nodes install their handlers first; what arrives during the start is kept and handled after it.

--- a/crates/cli/src/serving_commands.rs
+++ b/crates/cli/src/serving_commands.rs
@@ -6,22 +6,29 @@
 use snafu::ResultExt;
 use stallmoor_adapter::Platform;
 use stallmoor_gateway::settings::ServingSettings;
+use stallmoor_gateway::signals::ProcessSignals;
 use stallmoor_gateway::{log_writer, process};
 
 use crate::outcome::{CommandError, FileSnafu, ServingSnafu, SettingsSnafu};
 
 /// Runs a gateway until it is told to stop.
 pub async fn gateway(arguments: &ArgMatches) -> Result<(), CommandError> {
+    let signals = install_signals()?;
     let (path, settings) = prepare(arguments)?;
     let platform = Platform::new(&settings.metadata);
-    process::run_gateway(&settings, &path, &platform).await.context(ServingSnafu)
+    process::run_gateway(&settings, &path, &platform, signals).await.context(ServingSnafu)
 }
 
 /// Runs a storing node until it is told to stop.
 pub async fn storage(arguments: &ArgMatches) -> Result<(), CommandError> {
+    let signals = install_signals()?;
     let (path, settings) = prepare(arguments)?;
     let platform = Platform::new(&settings.metadata);
-    process::run_storage(&settings, &path, &platform).await.context(ServingSnafu)
+    process::run_storage(&settings, &path, &platform, signals).await.context(ServingSnafu)
+}
+
+fn install_signals() -> Result<ProcessSignals, CommandError> {
+    ProcessSignals::install().context(FileSnafu { path: PathBuf::new() })
 }
 
 /// Reads the settings and sets up the log.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! |---|---|
 //! | [`process`] | a process put together, its stop and its reload |
 //! | [`settings`] | the settings file |
+//! | [`signals`] | the signals that a process gets |
 //! | [`adapter`], [`dialect`], [`metadata`] | what an adapter brings |
 //! | [`metadata_view`], [`metadata_watch`] | this node's view of the metadata store, and keeping it up to date |
 //! | [`fleet_view`] | what this node believes of the fleet |
@@ -53,5 +54,6 @@
 pub mod registration;
 pub mod server;
 pub mod settings;
+pub mod signals;
 pub mod storage_server;
 pub mod storage_service;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -15,7 +15,6 @@
 use stallmoor_core::replication::ReplicaSettings;
 use stallmoor_storage::{FolderOwner, ReplicaFolder, StorageError};
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
 use crate::adapter::PlatformAdapter;
@@ -37,6 +36,7 @@
 use crate::registration;
 use crate::server::{CallerServer, StopPhase, serve_readiness};
 use crate::settings::ServingSettings;
+use crate::signals::{ProcessSignals, SignalRequest};
 use crate::storage_server::accept_peers;
 use crate::storage_service::{StorageInputs, StorageParts, StorageService};
 
@@ -167,6 +167,7 @@
     settings: &ServingSettings,
     settings_path: &Path,
     adapter: &dyn PlatformAdapter,
+    signals: ProcessSignals,
 ) -> Result<(), ProcessError> {
     let callers = settings.listen.callers.ok_or(ProcessError::Lacking { field: "listen.callers" })?;
     let readiness = settings.listen.readiness.ok_or(ProcessError::Lacking { field: "listen.readiness" })?;
@@ -195,7 +196,7 @@
     tokio::spawn(serve_readiness(readiness_listener, is_ready));
     tokio::spawn(close_stale(common.workers.clone()));
     log_start(settings, "gateway");
-    wait_for_stop(settings_path).await?;
+    wait_for_stop(signals, settings_path).await;
     record(LogEvent::NodeStopping, &[]);
     // Callers hear first that the node leaves; connections that come meanwhile are served.
     let grace = Duration::from_secs_f64(settings.stop.grace_s).saturating_sub(GRACE_MARGIN);
@@ -220,6 +221,7 @@
     settings: &ServingSettings,
     settings_path: &Path,
     adapter: &dyn PlatformAdapter,
+    signals: ProcessSignals,
 ) -> Result<(), ProcessError> {
     let folder = settings.node.data_folder.clone().ok_or(ProcessError::Lacking { field: "node.data_folder" })?;
     start_measures(settings)?;
@@ -278,7 +280,7 @@
     tokio::pin!(service);
     tokio::select! {
         ended = service.as_mut() => return ended.context(DiskSnafu),
-        stopped = wait_for_stop(settings_path) => stopped?,
+        () = wait_for_stop(signals, settings_path) => {}
     }
     record(LogEvent::NodeStopping, &[]);
     let _ = stop.send(true);
@@ -308,17 +310,9 @@
 }
 
 /// Waits for the signal to stop, and reads the settings again at each signal to reload.
-async fn wait_for_stop(settings_path: &Path) -> Result<(), ProcessError> {
-    let handler = |kind| signal(kind).context(SystemSnafu { what: "a signal handler" });
-    let mut terminate = handler(SignalKind::terminate())?;
-    let mut interrupt = handler(SignalKind::interrupt())?;
-    let mut reload = handler(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = reload.recv() => reload_settings(settings_path),
-        }
+async fn wait_for_stop(mut signals: ProcessSignals, settings_path: &Path) {
+    while signals.next().await == SignalRequest::Reload {
+        reload_settings(settings_path);
     }
 }
 
