--- a/crates/gateway/src/metadata.rs
+++ b/crates/gateway/src/metadata.rs
@@ -8,7 +8,7 @@
 use stallmoor_core::gateway::workers::{WorkerId, WorkerRecord};
 use stallmoor_core::jobs::members::EmptyingState;
 use stallmoor_core::relay::item::{ItemState, MetadataItem, Revision};
-use stallmoor_core::relay::policy::RecordGrace;
+use stallmoor_core::relay::outage::RecordGrace;
 use stallmoor_core::time::{Millis, Timestamp};
 
 /// Something that the store told.
--- a/crates/gateway/src/metadata_watch.rs
+++ b/crates/gateway/src/metadata_watch.rs
@@ -6,11 +6,13 @@
 use rand::Rng;
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::relay::bounds::WatchBounds;
 use stallmoor_core::relay::choice::rank_relays;
 use stallmoor_core::relay::item::{MetadataItem, Revision};
 use stallmoor_core::relay::message::{ChangesAnswer, ChangesRequest};
 use stallmoor_core::relay::mirror::MissingKeys;
-use stallmoor_core::relay::policy::{FailedCall, RecordGrace, Role, Step, WatchBounds, WatchPolicy};
+use stallmoor_core::relay::outage::{FailedCall, RecordGrace};
+use stallmoor_core::relay::policy::{Role, Step, WatchPolicy};
 use stallmoor_core::time::{Millis, Timestamp};
 use tokio::sync::mpsc::UnboundedSender;
 
--- a/crates/gateway/tests/jobs_client.rs
+++ b/crates/gateway/tests/jobs_client.rs
@@ -7,7 +7,7 @@
 use stallmoor_core::jobs::command::{JobKey, Submission};
 use stallmoor_core::jobs::directory::StorageRecord;
 use stallmoor_core::jobs::request::{JobsAnswer, JobsRequest};
-use stallmoor_core::relay::policy::WatchBounds;
+use stallmoor_core::relay::bounds::WatchBounds;
 use stallmoor_core::time::{Millis, UnixMillis};
 use stallmoor_gateway::clock::NodeClock;
 use stallmoor_gateway::fleet_view::FleetView;
