Log which request a worker died under, by what the request is

Cause: the log named requests by ids that change with each try, and did not tell a worker that died from a connection that broke. So nobody could see that three workers, and then hundreds, died of one request. Change: after an attempt or a run that broke off, the worker is looked at once with a new connection, which is kept for the next request. Nothing is decided by it yet.

--- /dev/null
+++ b/crates/core/src/serving/crashes/mod.rs
@@ -0,0 +1,13 @@
+//! Requests under which workers died.
+//!
+//! A request that crashes whichever worker runs it would be sent from worker to worker by retries, and by callers that send
+//! it again. Each worker that dies takes its other requests with it, so what is known of such a request must outlast the
+//! one try, the gateway and the leader that met it.
+//!
+//! | module | owns |
+//! |---|---|
+//! | [`digest`] | [`RequestDigest`]: which requests are the same request, sent again |
+
+pub mod digest;
+
+pub use digest::{RequestContent, RequestDigest};
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -6,6 +6,7 @@
 //! | [`request`] | what the decisions need to know of a request |
 //! | [`workers`] | the workers: their load, which of them serves a request or an item, which are ejected |
 //! | [`online`] | the attempts of an online request, and the events of its answer |
+//! | [`crashes`] | requests under which workers died |
 //! | [`jobs`] | batch jobs: their replicated table, the dispatch of items, who holds the table |
 //! | [`leader`] | a gateway's dealings with the job table's leader: who is asked, how often loads are exchanged |
 //! | [`quota`] | tenants' limits over all gateways |
@@ -13,6 +14,7 @@
 //! | [`stopping`] | the times of a planned stop |
 
 pub mod configuration;
+pub mod crashes;
 pub mod jobs;
 pub mod leader;
 pub mod online;
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -21,6 +21,7 @@
 use stallmoor_core::error::{ErrorKind, Refusal};
 use stallmoor_core::serving::configuration::Route;
 use stallmoor_core::serving::configuration::tenant::CallerIdentity;
+use stallmoor_core::serving::crashes::{RequestContent, RequestDigest};
 use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::serving::online::request_state::{GiveUp, RequestState};
 use stallmoor_core::serving::request::RequestFacts;
@@ -31,6 +32,7 @@
 use crate::http::answer_body::{Aborted, AnswerBody};
 use crate::http::refusal;
 use crate::workers::attempt::{Attempt, OpenAnswer, WorkerClient};
+use crate::workers::crash_check::BrokenRun;
 
 /// A request as it was read.
 pub struct OnlineRequest {
@@ -149,6 +151,7 @@
         if let Err(end) = &result {
             self.log_attempt(&worker, *end);
             self.state.attempt_ended(&worker, *end, &mut self.client.view.retry_budget());
+            self.check_crash(*end);
         }
         result
     }
@@ -180,6 +183,30 @@
         self.client.view.workers().attempt_ended(worker, end, self.now());
         self.log_attempt(worker, end);
         self.state.attempt_ended(worker, end, &mut self.client.view.retry_budget());
+        self.check_crash(end);
+    }
+
+    /// Looks whether the worker of an attempt that broke off died under it.
+    fn check_crash(&self, end: AttemptEnd) {
+        let Some(choice) = self.last_choice.clone().filter(|_| end == AttemptEnd::Broken) else { return };
+        let run = BrokenRun {
+            choice,
+            service: self.service.clone(),
+            request_id: self.request.facts.id.clone(),
+            digest: self.digest(),
+        };
+        let client = self.client.clone();
+        tokio::spawn(async move { client.check_crash(run).await });
+    }
+
+    fn digest(&self) -> RequestDigest {
+        RequestDigest::of(&RequestContent {
+            identity: &self.request.identity,
+            method: self.request.method.as_str(),
+            target: self.request.target.path_and_query().map_or("", |target| target.as_str()),
+            prefix: &self.request.facts.prefix,
+            body: &self.request.body,
+        })
     }
 
     fn head_timeout(&self) -> Duration {
@@ -194,6 +221,7 @@
         let OpenAnswerParts { answer, body } = match read_whole(answer, self.state.remaining(self.now())).await {
             Ok(parts) => parts,
             Err(Aborted) => {
+                self.check_crash(AttemptEnd::Broken);
                 self.log_end("broken off");
                 return refusal::of_kind(ErrorKind::AnswerIncomplete, "the worker broke off its answer");
             }
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::{Method, Uri};
 use stallmoor_core::serving::configuration::tenant::CallerIdentity;
+use stallmoor_core::serving::crashes::{RequestContent, RequestDigest};
 use stallmoor_core::serving::jobs::command::{JobItem, PartialOutput};
 use stallmoor_core::serving::jobs::dispatch::{EVENT_TIMEOUT, FIRST_EVENT_TIMEOUT, RunEnd};
 use stallmoor_core::serving::online::event_stream::EventSplitter;
@@ -17,8 +18,9 @@
 
 use tokio::sync::Notify;
 
-use crate::adapter::dialect::AttemptTerms;
+use crate::adapter::dialect::{AttemptTerms, Dialect};
 use crate::workers::attempt::{Attempt, InFlight, OpenAnswer, WorkerClient};
+use crate::workers::crash_check::BrokenRun;
 
 /// An item and where it runs.
 pub struct ItemRun {
@@ -40,11 +42,26 @@
 
 impl ItemRun {
     /// Runs the item to its end. The output so far is handed back however that is.
-    pub async fn run(self, client: &WorkerClient, in_flight: InFlight) -> (RunEnd, PartialOutput) {
+    pub async fn run(self, client: &Arc<WorkerClient>, in_flight: InFlight) -> (RunEnd, PartialOutput) {
         let end = self.try_run(client, in_flight).await;
+        if end == RunEnd::BrokenOff {
+            self.check_crash(client);
+        }
         (end, self.output().clone())
     }
 
+    /// Looks whether the worker died under the item. The run's report doesn't wait for that.
+    fn check_crash(&self, client: &Arc<WorkerClient>) {
+        let run = BrokenRun {
+            choice: self.choice.clone(),
+            service: self.service.clone(),
+            request_id: self.item.id.clone(),
+            digest: item_digest(&self.item, &self.identity, &*client.dialect),
+        };
+        let client = client.clone();
+        tokio::spawn(async move { client.check_crash(run).await });
+    }
+
     fn output(&self) -> MutexGuard<'_, PartialOutput> {
         self.output.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -111,3 +128,14 @@
         RunEnd::BrokenOff
     }
 }
+
+/// What an item is, under whichever id it was submitted.
+pub fn item_digest(item: &JobItem, identity: &CallerIdentity, dialect: &dyn Dialect) -> RequestDigest {
+    RequestDigest::of(&RequestContent {
+        identity,
+        method: Method::POST.as_str(),
+        target: &item.path,
+        prefix: &dialect.item_facts(item).prefix,
+        body: &item.body,
+    })
+}
--- a/crates/gateway/src/workers/attempt.rs
+++ b/crates/gateway/src/workers/attempt.rs
@@ -172,10 +172,15 @@
         })
     }
 
-    async fn connect(&self, attempt: &Attempt) -> Result<WorkerConnection, AttemptEnd> {
+    /// How many connections this node may have to a worker of a service.
+    pub(super) fn most_connections(&self, service: &str) -> usize {
         let configuration = self.view.configuration();
-        let service = configuration.as_ref().and_then(|known| known.services.get(&attempt.service));
-        let most = connection_limit(service.map(|found| found.max_connections));
+        let service = configuration.as_ref().and_then(|known| known.services.get(service));
+        connection_limit(service.map(|found| found.max_connections))
+    }
+
+    async fn connect(&self, attempt: &Attempt) -> Result<WorkerConnection, AttemptEnd> {
+        let most = self.most_connections(&attempt.service);
         self.connections.take(attempt.choice.address, most).await.map_err(|error| match error {
             NoConnection::AllInUse => AttemptEnd::NotRun { other_instance: false },
             NoConnection::Unreachable => AttemptEnd::NotConnected,
--- a/crates/gateway/src/workers/connections.rs
+++ b/crates/gateway/src/workers/connections.rs
@@ -54,6 +54,15 @@
     open: usize,
 }
 
+impl AddressConnections {
+    /// Counts a connection that is about to be opened, if there may be one more.
+    fn reserve(&mut self, most: usize) -> bool {
+        let has_room = self.open < most;
+        self.open += usize::from(has_room);
+        has_room
+    }
+}
+
 struct NewConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
@@ -84,6 +93,21 @@
         if let Some(IdleConnection { sender, task, .. }) = self.reuse_or_reserve(address, most)? {
             return Ok(WorkerConnection { sender: Some(sender), address, task, pool: self.clone(), keep: None });
         }
+        self.open(address).await
+    }
+
+    /// Whether a worker takes a new connection, which is kept for the next request. `None` if the worker's share of
+    /// connections is in use, so that nothing was tried.
+    pub async fn reaches(self: &Arc<Self>, address: SocketAddr, most: usize) -> Option<bool> {
+        if !self.lock().entry(address).or_default().reserve(most) {
+            return None;
+        }
+        let opened = self.open(address).await;
+        Some(opened.map(|mut connection| connection.keep(None)).is_ok())
+    }
+
+    /// Opens a connection that was counted before.
+    async fn open(self: &Arc<Self>, address: SocketAddr) -> Result<WorkerConnection, NoConnection> {
         let slot = OpenSlot { pool: self.clone(), address, kept: false };
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await;
         let Ok(Ok(NewConnection { sender, task })) = connected else { return Err(NoConnection::Unreachable) };
@@ -102,11 +126,7 @@
             idle.task.abort();
             connections.open = connections.open.saturating_sub(1);
         }
-        if connections.open >= most {
-            return Err(NoConnection::AllInUse);
-        }
-        connections.open += 1;
-        Ok(None)
+        if connections.reserve(most) { Ok(None) } else { Err(NoConnection::AllInUse) }
     }
 
     /// Closes idle connections that are over their time.
--- /dev/null
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -0,0 +1,49 @@
+//! Whether a worker died under a request that broke off there.
+//!
+//! A connection breaks for many reasons. Only a worker that can't be reached right after counts as dead: the difference
+//! between a request that crashes its workers and one whose connection was reset.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::serving::crashes::RequestDigest;
+use stallmoor_core::serving::workers::Choice;
+
+use crate::observe::journal::{Field, record};
+use crate::workers::attempt::WorkerClient;
+
+/// The wait between a broken connection and the look at its worker, in milliseconds: a process that ends closes its
+/// connections and its listener one after the other. Not measured: ample for that, and short against the start of a
+/// worker, which would pass for one that never died.
+const CHECK_DELAY: Duration = Duration::from_millis(20);
+
+/// A run of a request that broke off.
+pub struct BrokenRun {
+    /// Where it ran.
+    pub choice: Choice,
+    /// The worker's service.
+    pub service: Arc<str>,
+    /// The request's id.
+    pub request_id: Arc<str>,
+    /// What the request is.
+    pub digest: RequestDigest,
+}
+
+impl WorkerClient {
+    /// Looks at the worker of a run that broke off, and notes it if the worker died.
+    pub async fn check_crash(&self, run: BrokenRun) {
+        tokio::time::sleep(CHECK_DELAY).await;
+        let most = self.most_connections(&run.service);
+        // Where this node may open no further connection, nothing is known, and nothing is held against the request.
+        if self.connections.reaches(run.choice.address, most).await != Some(false) {
+            return;
+        }
+        let fields = [
+            Field::text("worker", &run.choice.id),
+            Field::text("request", &run.request_id),
+            Field::text("digest", run.digest),
+        ];
+        record(LogEvent::WorkerCrashed, &fields);
+    }
+}
--- a/crates/gateway/src/workers/mod.rs
+++ b/crates/gateway/src/workers/mod.rs
@@ -3,7 +3,9 @@
 //! | module | owns |
 //! |---|---|
 //! | [`attempt`] | one attempt at one worker: from a connection to the head of the answer |
+//! | [`crash_check`] | whether a worker died under a request that broke off |
 //! | [`connections`] | kept connections, and how many a worker may have from this node |
 
 pub mod attempt;
 pub mod connections;
+pub mod crash_check;
