Keep a request of which three workers died from all others, at every node

Cause: what was known of a request ended with each try. Callers send the same request again under another id and to another gateway, and a batch item's broken runs counted as nothing, so a request that crashes its workers went on from one to the next, and each worker took the other requests in its slots with it. Class: a verdict that lives shorter than what it is about. Change: core/serving/crashes names a request by what a worker makes of it (tenant, method, path, prompt or body) and counts the workers that died of it since it last ran to its end, worker for worker and crash for crash. From the third on it is quarantined for five minutes, doubled with each further one up to an hour: refused at once, with the time that is left, or as one that may have run; a batch item waits until its time is over. A run to the end anywhere clears a request, so what merely was there when workers died goes on.

--- /dev/null
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -0,0 +1,225 @@
+//! Which requests are quarantined, since workers died while they ran them.
+//!
+//! Owns what is known of each such request: the workers that died under it and when it last ran to its end. The facts are
+//! a set that only grows and a time that only rises, so that nodes which tell each other theirs, in any order and as often
+//! as they like, come to the same verdict.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::digest::RequestDigest;
+use super::report::{Completion, Crash, CrashReport};
+use crate::backoff::Backoff;
+use crate::serving::workers::WorkerId;
+use crate::time::{Millis, UnixMillis};
+
+/// So many workers may die under one request, one after the other, without a run to its end between, before it is kept from
+/// all others. One or two may die of something else at the same time; a worker that is lost takes up to all of its slots of
+/// other requests with it. The users' bound.
+pub const MOST_CRASHES: usize = 3;
+/// How long a request is quarantined after the third worker died, in milliseconds; doubles with each worker that dies of
+/// it later, up to the longest. Not measured: longer than callers try again, and than a worker takes to load its weights,
+/// so that at most one worker in this time is spent on finding out whether the request runs by now.
+const QUARANTINE: Backoff = Backoff::new(Millis(300_000), LONGEST_QUARANTINE);
+/// See [`QUARANTINE`]. Not measured: workers are seldom mended sooner than within the hour.
+const LONGEST_QUARANTINE: Millis = Millis(3_600_000);
+/// What is known of a request is forgotten this long after the last worker died of it, in milliseconds. Bounds memory. Not
+/// measured: twice the longest quarantine, so that a second one follows on the first.
+const REMEMBERED_FOR: Millis = Millis(2 * LONGEST_QUARANTINE.0);
+/// Most requests that are remembered; those whose last crash is longest ago go first. Bounds memory to some 300 KB. Not
+/// measured: a fleet of 710 workers with 8 slots that loses 18 workers a day comes to some 150.
+const MOST_REQUESTS: usize = 1_024;
+
+/// Most crashes that are remembered of one request; the oldest go first. Bounds memory. Not measured: far more than make up
+/// the longest quarantine.
+const MOST_SIGHTINGS: usize = 32;
+/// Two nodes that see one worker die of a request within this time saw the same crash, in milliseconds. A worker that
+/// starts again under its id and dies again later counts anew. Not measured: longer than two nodes take to notice, and
+/// shorter than a worker takes to start.
+const SAME_CRASH: Millis = Millis(1_000);
+
+/// Who learned of a fact, which decides whether this node reports it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    Here,
+    Elsewhere,
+}
+
+/// A crash that was seen. Two sightings at one worker within [`SAME_CRASH`] are of one crash.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Sighting {
+    worker: WorkerId,
+    at: UnixMillis,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LastCompletion {
+    at: UnixMillis,
+    source: Source,
+}
+
+/// What is known of one request.
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    sightings: BTreeMap<Sighting, Source>,
+    completed: Option<LastCompletion>,
+}
+
+impl Suspect {
+    /// The crashes that were seen since the request last ran to its end.
+    fn open_sightings(&self) -> impl Iterator<Item = (&Sighting, Source)> {
+        let completed_at = self.completed.map_or(UnixMillis(0), |completed| completed.at);
+        let sightings = self.sightings.iter().map(|(sighting, source)| (sighting, *source));
+        sightings.filter(move |(sighting, _)| sighting.at > completed_at)
+    }
+
+    /// How often workers died of the request since it last ran to its end.
+    fn crashes(&self) -> usize {
+        let mut count = 0;
+        let mut last: Option<&Sighting> = None;
+        for (sighting, _) in self.open_sightings() {
+            let is_same =
+                last.is_some_and(|last| last.worker == sighting.worker && sighting.at.0 - last.at.0 < SAME_CRASH.0);
+            if !is_same {
+                count += 1;
+                last = Some(sighting);
+            }
+        }
+        count
+    }
+
+    fn last_crash(&self) -> UnixMillis {
+        self.sightings.keys().map(|sighting| sighting.at).max().unwrap_or_default()
+    }
+
+    /// Until when the request is quarantined; `None` if too few workers died of it.
+    fn quarantined_until(&self) -> Option<UnixMillis> {
+        let beyond = u32::try_from(self.crashes().checked_sub(MOST_CRASHES)?).unwrap_or(u32::MAX);
+        Some(UnixMillis(self.last_crash().0.saturating_add(QUARANTINE.wait(beyond).0)))
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self.sightings.keys().min_by_key(|sighting| sighting.at).cloned();
+        if let Some(oldest) = oldest {
+            self.sightings.remove(&oldest);
+        }
+    }
+
+    /// Whether a run to the end is worth telling others: with one crash alone it changes nothing, and other requests of a
+    /// worker that died are most of what is known here.
+    fn is_completion_reported(&self) -> bool {
+        self.sightings.len() + 1 >= MOST_CRASHES
+    }
+}
+
+/// A request that is quarantined from now on, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quarantine {
+    /// The request.
+    pub digest: RequestDigest,
+    /// Workers that died of it.
+    pub crashes: usize,
+    /// Until when.
+    pub until: UnixMillis,
+}
+
+/// The requests under which workers died. Times are of day, since nodes share them and keep them beyond their own start:
+/// clocks that differ by seconds are borne, as a quarantine takes minutes.
+#[derive(Clone, Debug, Default)]
+pub struct CrashLedger {
+    suspects: BTreeMap<RequestDigest, Suspect>,
+}
+
+impl CrashLedger {
+    /// Whether nothing is known of any request, so that none needs a digest.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// A worker died while it ran a request of this node. Returns the quarantine that follows.
+    pub fn crashed(&mut self, digest: RequestDigest, worker: WorkerId, now: UnixMillis) -> Option<Quarantine> {
+        self.forget_old(now);
+        self.note_crash(Crash { digest, worker, at: now }, Source::Here)
+    }
+
+    /// A request of this node ran to its end. It is no longer suspected for what was before.
+    pub fn completed(&mut self, digest: RequestDigest, now: UnixMillis) {
+        self.note_completion(Completion { digest, at: now }, Source::Here);
+    }
+
+    /// For how long a request is to be kept from all workers, in milliseconds; `None` if it may run.
+    pub fn quarantined_for(&self, digest: RequestDigest, now: UnixMillis) -> Option<Millis> {
+        let until = self.suspects.get(&digest)?.quarantined_until()?;
+        let left = until.0.saturating_sub(now.0);
+        (left > 0).then_some(Millis(left))
+    }
+
+    /// Whether one crash more would quarantine a request, so that the next attempt has to wait for what is known of the
+    /// last one.
+    pub fn is_near_quarantine(&self, digest: RequestDigest) -> bool {
+        self.suspects.get(&digest).is_some_and(|suspect| suspect.crashes() + 1 >= MOST_CRASHES)
+    }
+
+    /// Takes what another node reports, or this one did before its start (`is_own`). Returns the quarantines that follow.
+    pub fn merge(&mut self, report: &CrashReport, is_own: bool, now: UnixMillis) -> Vec<Quarantine> {
+        let source = if is_own { Source::Here } else { Source::Elsewhere };
+        let mut quarantines = Vec::new();
+        for crash in &report.crashes {
+            quarantines.extend(self.note_crash(crash.clone(), source));
+        }
+        for completion in &report.completions {
+            self.note_completion(completion.clone(), source);
+        }
+        self.forget_old(now);
+        quarantines.retain(|quarantine| self.quarantined_for(quarantine.digest, now).is_some());
+        quarantines
+    }
+
+    /// What this node tells the others.
+    pub fn report(&self) -> CrashReport {
+        let mut report = CrashReport::default();
+        for (digest, suspect) in &self.suspects {
+            let own = suspect.open_sightings().filter(|(_, source)| *source == Source::Here);
+            let crash_of =
+                |sighting: &Sighting| Crash { digest: *digest, worker: sighting.worker.clone(), at: sighting.at };
+            report.crashes.extend(own.map(|(sighting, _)| crash_of(sighting)));
+            let completed = suspect.completed.filter(|completed| completed.source == Source::Here);
+            if let Some(completed) = completed.filter(|_| suspect.is_completion_reported()) {
+                report.completions.push(Completion { digest: *digest, at: completed.at });
+            }
+        }
+        report
+    }
+
+    fn note_crash(&mut self, crash: Crash, source: Source) -> Option<Quarantine> {
+        let suspect = self.suspects.entry(crash.digest).or_default();
+        let before = suspect.crashes();
+        suspect.sightings.entry(Sighting { worker: crash.worker, at: crash.at }).or_insert(source);
+        if suspect.sightings.len() > MOST_SIGHTINGS {
+            suspect.drop_oldest();
+        }
+        let crashes = suspect.crashes();
+        let until = suspect.quarantined_until().filter(|_| crashes > before)?;
+        Some(Quarantine { digest: crash.digest, crashes, until })
+    }
+
+    fn note_completion(&mut self, completion: Completion, source: Source) {
+        // A request of which no crash is known has nothing to be cleared of.
+        let Some(suspect) = self.suspects.get_mut(&completion.digest) else { return };
+        if suspect.completed.is_none_or(|known| known.at < completion.at) {
+            suspect.completed = Some(LastCompletion { at: completion.at, source });
+        }
+    }
+
+    fn forget_old(&mut self, now: UnixMillis) {
+        let is_young = |suspect: &Suspect| now.0.saturating_sub(suspect.last_crash().0) < REMEMBERED_FOR.0;
+        self.suspects.retain(|_, suspect| is_young(suspect));
+        let surplus = self.suspects.len().saturating_sub(MOST_REQUESTS);
+        if surplus == 0 {
+            return;
+        }
+        let by_age: BTreeSet<_> = self.suspects.iter().map(|(digest, known)| (known.last_crash(), *digest)).collect();
+        for (_, digest) in by_age.into_iter().take(surplus) {
+            self.suspects.remove(&digest);
+        }
+    }
+}
--- a/crates/core/src/serving/crashes/mod.rs
+++ b/crates/core/src/serving/crashes/mod.rs
@@ -7,7 +7,13 @@
 //! | module | owns |
 //! |---|---|
 //! | [`digest`] | [`RequestDigest`]: which requests are the same request, sent again |
+//! | [`ledger`] | [`CrashLedger`]: which requests are quarantined, and for how long |
+//! | [`report`] | what nodes tell each other |
 
 pub mod digest;
+pub mod ledger;
+pub mod report;
 
 pub use digest::{RequestContent, RequestDigest};
+pub use ledger::{CrashLedger, Quarantine};
+pub use report::CrashReport;
--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -39,6 +39,10 @@
 /// the log at all: herd-killed 0.65 -> 0.72 / 0.47 -> 0.59; the number not measured.
 const PROGRESS_EVENTS: u64 = 24;
 
+/// The time between two looks at an item that is quarantined, in milliseconds: how late the end of its quarantine, or of
+/// its time, is noticed. Not measured: small against the minutes of a quarantine.
+const QUARANTINE_CHECK_INTERVAL: Millis = Millis(1_000);
+
 /// An item that runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunningItem {
@@ -181,6 +185,14 @@
         }
     }
 
+    /// Gives back an item that was taken and is quarantined. It is looked at again in a while.
+    pub fn hold(&mut self, key: &ItemKey, output: PartialOutput, now: Timestamp) {
+        if let Some(progress) = self.items.get_mut(key) {
+            progress.output = output;
+        }
+        self.delay_until(key, now + QUARANTINE_CHECK_INTERVAL);
+    }
+
     /// A run ended. Returns whether a result is to be committed ([`Dispatcher::uncommitted_results`]).
     pub fn run_ended(
         &mut self,
@@ -291,9 +303,14 @@
     }
 
     fn delay(&mut self, key: &ItemKey, now: Timestamp) {
+        let Some(progress) = self.items.get_mut(key) else { return };
+        let until = now + RUN_BACKOFF.wait(progress.delays);
+        progress.delays += 1;
+        self.delay_until(key, until);
+    }
+
+    fn delay_until(&mut self, key: &ItemKey, until: Timestamp) {
         if let Some(progress) = self.items.get_mut(key) {
-            let until = now + RUN_BACKOFF.wait(progress.delays);
-            progress.delays += 1;
             progress.phase = Phase::Delayed { until };
             self.delayed.insert((until, key.clone()));
         }
--- a/crates/core/src/serving/online/request_state.rs
+++ b/crates/core/src/serving/online/request_state.rs
@@ -41,6 +41,8 @@
     NoWorker,
     /// No further attempt is allowed after one that ended so.
     LastAttempt(AttemptEnd),
+    /// The request is kept from all workers for that long, since workers died of it.
+    Quarantined(Millis),
 }
 
 /// The workers that a request was sent to.
@@ -77,6 +79,7 @@
     ledger: AttemptLedger,
     tried: TriedWorkers,
     attempts: u64,
+    is_quarantined: bool,
     /// How far the stream is.
     pub progress: StreamProgress,
 }
@@ -93,6 +96,7 @@
             ledger: AttemptLedger::default(),
             tried: TriedWorkers::default(),
             attempts: 0,
+            is_quarantined: false,
             progress: StreamProgress::after(facts.last_event),
         }
     }
@@ -141,6 +145,17 @@
         if self.remaining(now) < LEAST_REMAINING { Err(self.refusal(GiveUp::NoTime)) } else { Ok(()) }
     }
 
+    /// Gives the request up while it is quarantined; `left` is for how long, if it is.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, at once: no wait within the request's time would help.
+    pub fn check_quarantine(&mut self, left: Option<Millis>) -> Result<(), Refusal> {
+        let Some(left) = left else { return Ok(()) };
+        self.is_quarantined = true;
+        Err(self.refusal(GiveUp::Quarantined(left)))
+    }
+
     /// Whether the request may be shed at the worker that was chosen for it: a new stream that would wait there. One
     /// that something was done for is never shed.
     pub fn may_be_shed(&self, choice: &Choice) -> bool {
@@ -196,7 +211,7 @@
     pub fn next_round(&mut self, rounds: &mut ResumeRounds, now: Timestamp) -> Option<Millis> {
         let wait = Backoff::new(FIRST_RESUME_WAIT, LONGEST_RESUME_WAIT).wait(rounds.failed);
         let may_run = self.ledger.may_run(self.route.kind, self.route.max_attempts);
-        if !may_run || self.remaining(now) < wait + LEAST_REMAINING {
+        if !may_run || self.is_quarantined || self.remaining(now) < wait + LEAST_REMAINING {
             return None;
         }
         rounds.failed += 1;
@@ -231,15 +246,21 @@
 
     /// The refusal for a request that is given up. Only one that certainly did not run is said not to have run.
     pub fn refusal(&self, why: GiveUp) -> Refusal {
+        let mut retry_after = RETRY_AFTER;
         let (not_run, may_have_run, detail) = match why {
             GiveUp::NoTime => (ErrorKind::DeadlineUnmet, ErrorKind::DeadlineExceeded, "no time is left".to_owned()),
             GiveUp::NoWorker => (ErrorKind::NoEngine, ErrorKind::EngineLost, "no worker is left to try".to_owned()),
             GiveUp::LastAttempt(end) => {
                 (ErrorKind::Overloaded, ErrorKind::EngineLost, format!("the last attempt ended as {end:?}"))
             }
+            GiveUp::Quarantined(left) => {
+                retry_after = left;
+                let detail = format!("workers died of this request; it is kept from others for {} ms", left.0);
+                (ErrorKind::RequestQuarantined, ErrorKind::EngineLost, detail)
+            }
         };
         if self.ledger.certainly_not_run() {
-            Refusal::new(not_run, detail).with_ran(Ran::NotRun).with_retry_after(RETRY_AFTER.0)
+            Refusal::new(not_run, detail).with_ran(Ran::NotRun).with_retry_after(retry_after.0)
         } else {
             Refusal::new(may_have_run, detail).with_ran(Ran::Unknown)
         }
--- /dev/null
+++ b/crates/core/tests/crash_ledger.rs
@@ -0,0 +1,238 @@
+//! Which requests are quarantined, since workers died while they ran them.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use stallmoor_core::serving::configuration::tenant::{CallerIdentity, TenantName};
+use stallmoor_core::serving::crashes::ledger::MOST_CRASHES;
+use stallmoor_core::serving::crashes::{CrashLedger, CrashReport, RequestContent, RequestDigest};
+use stallmoor_core::serving::request::{PromptPart, RequestFacts, chain_prefix};
+use stallmoor_core::serving::workers::WorkerId;
+use stallmoor_core::time::{Millis, UnixMillis};
+
+const MINUTE: u64 = 60_000;
+const HOUR: u64 = 60 * MINUTE;
+
+fn digest(body: &str) -> RequestDigest {
+    RequestDigest::of(&RequestContent {
+        identity: &CallerIdentity::Unchecked,
+        method: "POST",
+        target: "/a",
+        facts: &RequestFacts::default(),
+        body: body.as_bytes(),
+    })
+}
+
+fn worker(number: u64) -> WorkerId {
+    WorkerId(Arc::from(format!("w-{number}")))
+}
+
+fn at(millis: u64) -> UnixMillis {
+    UnixMillis(1_700_000_000_000 + millis)
+}
+
+#[test]
+fn a_request_is_quarantined_with_the_third_worker_that_dies_of_it() {
+    let mut ledger = CrashLedger::default();
+    let fatal = digest("fatal");
+    assert_eq!(ledger.crashed(fatal, worker(1), at(0)), None);
+    assert!(!ledger.is_near_quarantine(fatal));
+    assert_eq!(ledger.crashed(fatal, worker(2), at(10)), None);
+    assert!(ledger.is_near_quarantine(fatal));
+    assert_eq!(ledger.quarantined_for(fatal, at(10)), None);
+    let quarantine = ledger.crashed(fatal, worker(3), at(20)).expect("the third");
+    assert_eq!((quarantine.crashes, quarantine.until), (3, at(20 + 5 * MINUTE)));
+    assert_eq!(ledger.quarantined_for(fatal, at(20)), Some(Millis(5 * MINUTE)));
+    assert_eq!(ledger.quarantined_for(fatal, at(20 + 5 * MINUTE)), None, "it may be tried again");
+    assert_eq!(ledger.quarantined_for(digest("other"), at(20)), None);
+}
+
+#[test]
+fn each_worker_that_dies_later_doubles_the_quarantine_up_to_an_hour() {
+    let mut ledger = CrashLedger::default();
+    let fatal = digest("fatal");
+    let mut now = 0;
+    for (crash, span) in [0, 0, 5, 10, 20, 40, 60, 60].into_iter().enumerate() {
+        ledger.crashed(fatal, worker(crash as u64), at(now));
+        assert_eq!(ledger.quarantined_for(fatal, at(now)).unwrap_or_default(), Millis(span * MINUTE));
+        now += span * MINUTE + 1;
+    }
+    assert_eq!(ledger.quarantined_for(fatal, at(now)), None);
+    ledger.crashed(digest("other"), worker(0), at(now + 2 * HOUR));
+    assert!(!ledger.is_near_quarantine(fatal), "it is forgotten in the end");
+}
+
+#[test]
+fn one_crash_seen_by_two_nodes_counts_once_and_a_worker_that_came_back_counts_again() {
+    let mut ledger = CrashLedger::default();
+    let fatal = digest("fatal");
+    for millis in [0, 250, 999, 3_000, 3_100] {
+        ledger.crashed(fatal, worker(1), at(millis));
+    }
+    assert!(ledger.is_near_quarantine(fatal), "two crashes of one worker");
+    assert_eq!(ledger.quarantined_for(fatal, at(3_100)), None);
+    ledger.crashed(fatal, worker(1), at(6_000));
+    assert!(
+        ledger.quarantined_for(fatal, at(6_000)).is_some(),
+        "the only worker of a fleet dies of it again and again"
+    );
+}
+
+#[test]
+fn a_run_to_the_end_clears_a_request_at_every_node() {
+    let (mut here, mut there) = (CrashLedger::default(), CrashLedger::default());
+    let popular = digest("popular");
+    for crash in 0..3 {
+        here.crashed(popular, worker(crash), at(crash));
+    }
+    let quarantines = there.merge(&here.report(), false, at(10));
+    assert_eq!(quarantines.len(), 1, "it is told once");
+    assert!(there.merge(&here.report(), false, at(11)).is_empty());
+    // One was under way at a worker that lived.
+    there.completed(popular, at(500));
+    assert_eq!(there.quarantined_for(popular, at(500)), None);
+    here.merge(&there.report(), false, at(600));
+    assert_eq!(here.quarantined_for(popular, at(600)), None);
+    assert!(here.report().crashes.is_empty(), "what was cleared is told no more");
+}
+
+#[test]
+fn a_completion_of_a_request_without_crashes_is_not_kept() {
+    let mut ledger = CrashLedger::default();
+    ledger.completed(digest("sound"), at(0));
+    assert!(ledger.is_empty());
+    ledger.crashed(digest("victim"), worker(1), at(0));
+    ledger.completed(digest("victim"), at(5));
+    assert_eq!(ledger.report(), CrashReport::default(), "one crash that was cleared changes nothing elsewhere");
+}
+
+#[test]
+fn a_machine_that_starts_again_goes_on_telling_what_it_told_before() {
+    let mut before = CrashLedger::default();
+    before.crashed(digest("fatal"), worker(1), at(0));
+    let mut after = CrashLedger::default();
+    after.crashed(digest("fatal"), worker(2), at(5_000));
+    after.merge(&before.report(), true, at(5_001));
+    assert_eq!(after.report().crashes.len(), 2);
+}
+
+#[test]
+fn what_is_remembered_is_bounded() {
+    let mut ledger = CrashLedger::default();
+    for number in 0..3_000_u64 {
+        ledger.crashed(digest(&number.to_string()), worker(number), at(number));
+        ledger.crashed(digest("one"), worker(number), at(number * 2_000));
+    }
+    let report = ledger.report();
+    assert!(report.crashes.len() <= 1_024 + 32, "{}", report.crashes.len());
+}
+
+#[test]
+fn a_digest_names_the_prompt_or_else_the_body() {
+    let facts = |model: &str, prompt_tokens| {
+        let parts = [PromptPart { id: Arc::from("aa"), tokens: 60 }];
+        RequestFacts { prefix: chain_prefix(model, &parts), prompt_tokens, ..RequestFacts::default() }
+    };
+    let (prompt, other_model, longer) = (facts("m", 60), facts("n", 60), facts("m", 70));
+    let unnamed = RequestFacts::default();
+    let [a, b] = ["a", "b"].map(|name| CallerIdentity::Tenant(TenantName::new(name)));
+    let base = RequestContent { identity: &a, method: "POST", target: "/x", facts: &prompt, body: b"body" };
+    let others = [
+        RequestContent { identity: &b, ..base },
+        RequestContent { method: "PUT", ..base },
+        RequestContent { target: "/y", ..base },
+        RequestContent { facts: &other_model, ..base },
+        RequestContent { facts: &longer, ..base },
+        RequestContent { facts: &unnamed, ..base },
+    ];
+    let own = RequestDigest::of(&base);
+    assert!(others.iter().all(|other| RequestDigest::of(other) != own));
+    assert_eq!(RequestDigest::of(&RequestContent { body: b"with another id in it", ..base }), own);
+    let of_body = |body| RequestDigest::of(&RequestContent { facts: &unnamed, body, ..base });
+    assert_ne!(of_body(b"one"), of_body(b"two"));
+    assert_eq!(own.to_string().parse(), Ok(own));
+    assert_eq!(own.to_string().len(), 16);
+}
+
+#[test]
+fn a_report_is_stored_as_ever() {
+    let mut ledger = CrashLedger::default();
+    ledger.crashed(digest("fatal"), worker(1), at(0));
+    let stored = serde_json::to_string(&ledger.report()).expect("it can be written");
+    let text = format!(
+        r#"{{"crashes":[{{"digest":"{}","worker":"w-1","at":1700000000000}}],"completions":[]}}"#,
+        digest("fatal")
+    );
+    assert_eq!(stored, text);
+    assert_eq!(serde_json::from_str::<CrashReport>("{}").ok(), Some(CrashReport::default()));
+    for broken in [r#"{"crashes":3}"#, r#"{"crashes":[{"digest":"zz","worker":"w","at":0}]}"#, ""] {
+        assert!(serde_json::from_str::<CrashReport>(broken).is_err(), "{broken}");
+    }
+}
+
+/// What happens at one of three nodes.
+#[derive(Clone, Debug)]
+enum Step {
+    Crash { node: usize, request: u8, worker: u64 },
+    Completion { node: usize, request: u8 },
+    Exchange { from: usize, to: usize },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => (0..3_usize, 0..2_u8, 0..6_u64).prop_map(|(node, request, worker)| Step::Crash { node, request, worker }),
+        1 => (0..3_usize, 0..2_u8).prop_map(|(node, request)| Step::Completion { node, request }),
+        3 => (0..3_usize, 0..3_usize).prop_map(|(from, to)| Step::Exchange { from, to }),
+    ];
+    prop::collection::vec(step, 1..60)
+}
+
+proptest! {
+    /// Whatever the order of reports, once all have told each other all, all give the same verdict, and a request of
+    /// which three workers died since it last ran to its end is quarantined everywhere.
+    #[test]
+    fn nodes_that_told_each_other_all_agree(steps in steps()) {
+        let mut nodes = [CrashLedger::default(), CrashLedger::default(), CrashLedger::default()];
+        let requests = [digest("a"), digest("b")];
+        // All that happened, as one who sees all would count it.
+        let mut since = [Vec::new(), Vec::new()];
+        let mut now = 0;
+        for step in steps {
+            now += 2_000;
+            match step {
+                Step::Crash { node, request, worker: number } => {
+                    nodes[node].crashed(requests[usize::from(request)], worker(number), at(now));
+                    since[usize::from(request)].push(number);
+                }
+                Step::Completion { node, request } => {
+                    // A node that knows of no crash of the request has nothing to clear.
+                    let report = nodes[node].report();
+                    if report.crashes.iter().any(|crash| crash.digest == requests[usize::from(request)]) {
+                        nodes[node].completed(requests[usize::from(request)], at(now));
+                        since[usize::from(request)].clear();
+                    }
+                }
+                Step::Exchange { from, to } => {
+                    let report = nodes[from].report();
+                    nodes[to].merge(&report, false, at(now));
+                }
+            }
+        }
+        for _ in 0..2 {
+            for from in 0..3 {
+                for to in 0..3 {
+                    let report = nodes[from].report();
+                    nodes[to].merge(&report, false, at(now));
+                }
+            }
+        }
+        for (request, digest) in requests.into_iter().enumerate() {
+            let verdicts: Vec<bool> =
+                nodes.iter().map(|node| node.quarantined_for(digest, at(now)).is_some()).collect();
+            prop_assert!(verdicts.iter().all(|verdict| *verdict == verdicts[0]), "{:?}", verdicts);
+            if since[request].len() >= MOST_CRASHES {
+                prop_assert!(verdicts[0], "{:?}", since[request]);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -12,15 +12,17 @@
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::retry_budget::RetryBudget;
 use stallmoor_core::serving::configuration::GatewayConfiguration;
+use stallmoor_core::serving::crashes::{CrashLedger, CrashReport, Quarantine, RequestDigest};
 use stallmoor_core::serving::jobs::directory::{StorageDirectory, StorageRecord};
 use stallmoor_core::serving::online::RETRY_LIMITS;
 use stallmoor_core::serving::relay::item::MetadataItem;
 use stallmoor_core::serving::workers::{WorkerChange, WorkerId, WorkerTable};
 use stallmoor_core::time::Timestamp;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::adapter::metadata::FleetUpdate;
 use crate::clock::NodeClock;
+use crate::fleet::crash_reports::{CRASH_KEYS, read_report};
 use crate::observe::journal::{Field, record};
 use crate::observe::measures;
 
@@ -39,6 +41,9 @@
     workers: Mutex<WorkerTable>,
     storage: Mutex<StorageDirectory>,
     founding: Mutex<Option<MetadataItem>>,
+    crashes: Mutex<CrashLedger>,
+    /// Notified when this node learned of a crash, or of a request's run to its end that others may need to know.
+    crash_facts: Notify,
     random: Mutex<Xoshiro256PlusPlus>,
     retry_budget: Mutex<RetryBudget>,
     /// The store's contents were read once.
@@ -56,6 +61,8 @@
             workers: Mutex::default(),
             storage: Mutex::default(),
             founding: Mutex::default(),
+            crashes: Mutex::default(),
+            crash_facts: Notify::new(),
             random: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(seed)),
             retry_budget: Mutex::new(RetryBudget::new(RETRY_LIMITS)),
             is_synced: AtomicBool::new(false),
@@ -98,6 +105,50 @@
         lock(&self.founding).clone()
     }
 
+    /// The requests under which workers died.
+    pub fn crashes(&self) -> MutexGuard<'_, CrashLedger> {
+        lock(&self.crashes)
+    }
+
+    /// A worker died while it ran a request.
+    pub fn note_crash(&self, digest: RequestDigest, worker: &WorkerId) {
+        let quarantine = self.crashes().crashed(digest, worker.clone(), self.clock.civil());
+        self.log_quarantine(quarantine);
+        self.crash_facts.notify_one();
+    }
+
+    /// A request ran to its end. Its digest is made only where crashes are known at all.
+    pub fn note_completion(&self, digest: impl FnOnce() -> RequestDigest) {
+        if self.crashes().is_empty() {
+            return;
+        }
+        self.crashes().completed(digest(), self.clock.civil());
+        self.crash_facts.notify_one();
+    }
+
+    /// Takes a machine's report of crashes.
+    pub fn merge_crashes(&self, report: &CrashReport, is_own: bool) {
+        let quarantines = self.crashes().merge(report, is_own, self.clock.civil());
+        for quarantine in quarantines {
+            self.log_quarantine(Some(quarantine));
+        }
+    }
+
+    /// Waits until this node has something new to report of crashes.
+    pub async fn crash_facts_changed(&self) {
+        self.crash_facts.notified().await;
+    }
+
+    fn log_quarantine(&self, quarantine: Option<Quarantine>) {
+        let Some(Quarantine { digest, crashes, until }) = quarantine else { return };
+        let fields = [
+            Field::text("digest", digest),
+            Field::number("crashes", crashes as u64),
+            Field::number("for_ms", until.0.saturating_sub(self.clock.civil().0)),
+        ];
+        record(LogEvent::RequestQuarantined, &fields);
+    }
+
     /// The source of all that is random in this process.
     pub fn random(&self) -> MutexGuard<'_, Xoshiro256PlusPlus> {
         lock(&self.random)
@@ -172,6 +223,12 @@
         if &*item.key == FOUNDING_KEY {
             *lock(&self.founding) = Some(item.clone());
         }
+        if item.key.starts_with(CRASH_KEYS) {
+            if let Some(report) = read_report(item) {
+                self.merge_crashes(&report, false);
+            }
+            return;
+        }
         let Some(name) = item.key.strip_prefix(STORAGE_KEYS) else { return };
         let stored = item.value().and_then(|value| serde_json::from_slice::<StorageRecord>(value).ok());
         match stored {
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -27,6 +27,7 @@
 use stallmoor_core::serving::request::RequestFacts;
 use stallmoor_core::serving::workers::{Choice, WorkerAsk, WorkerId};
 use stallmoor_core::time::{Millis, Timestamp};
+use tokio::task::JoinHandle;
 
 use crate::adapter::dialect::AttemptTerms;
 use crate::http::answer_body::{Aborted, AnswerBody};
@@ -64,6 +65,8 @@
     last_choice: Option<Choice>,
     /// The time from the request's arrival to its first event.
     first_event_after: Option<Millis>,
+    /// The look at the worker of an attempt that broke off, while it lasts.
+    crash_check: Option<JoinHandle<()>>,
 }
 
 /// Serves a request.
@@ -74,7 +77,8 @@
     };
     client.view.retry_budget().deposit();
     let state = RequestState::new(request.route.clone(), &request.facts, request.arrived_at);
-    let mut passage = Passage { client, request, service, state, last_choice: None, first_event_after: None };
+    let mut passage =
+        Passage { client, request, service, state, last_choice: None, first_event_after: None, crash_check: None };
     let answer = match passage.open().await {
         Ok(answer) => answer,
         Err(refused) => {
@@ -94,6 +98,7 @@
     /// Tries workers until one begins to answer.
     async fn open(&mut self) -> Result<OpenAnswer, Refusal> {
         loop {
+            self.check_quarantine().await?;
             self.state.check_time(self.now())?;
             let choice = self.choose().ok_or_else(|| self.state.refusal(GiveUp::NoWorker))?;
             if let Some(refused) = self.shed(&choice) {
@@ -113,6 +118,22 @@
         }
     }
 
+    /// Refuses a request of which workers died. Where one more of them would be enough, what became of the last attempt's
+    /// worker is awaited first.
+    async fn check_quarantine(&mut self) -> Result<(), Refusal> {
+        let view = self.client.view.clone();
+        if self.crash_check.is_none() && view.crashes().is_empty() {
+            return Ok(());
+        }
+        let digest = self.digest();
+        if let Some(check) = self.crash_check.take().filter(|_| view.crashes().is_near_quarantine(digest)) {
+            // A check that panicked found nothing.
+            let _ = check.await;
+        }
+        let left = view.crashes().quarantined_for(digest, view.clock.civil());
+        self.state.check_quarantine(left)
+    }
+
     fn choose(&self) -> Option<Choice> {
         let view = &self.client.view;
         let ask = WorkerAsk {
@@ -187,7 +208,7 @@
     }
 
     /// Looks whether the worker of an attempt that broke off died under it.
-    fn check_crash(&self, end: AttemptEnd) {
+    fn check_crash(&mut self, end: AttemptEnd) {
         let Some(choice) = self.last_choice.clone().filter(|_| end == AttemptEnd::Broken) else { return };
         let run = BrokenRun {
             choice,
@@ -196,7 +217,12 @@
             digest: self.digest(),
         };
         let client = self.client.clone();
-        tokio::spawn(async move { client.check_crash(run).await });
+        self.crash_check = Some(tokio::spawn(async move { client.check_crash(run).await }));
+    }
+
+    /// The whole answer was passed on: whatever workers died of before, it was not this request.
+    fn note_completion(&self) {
+        self.client.view.note_completion(|| self.digest());
     }
 
     fn digest(&self) -> RequestDigest {
@@ -204,7 +230,7 @@
             identity: &self.request.identity,
             method: self.request.method.as_str(),
             target: self.request.target.path_and_query().map_or("", |target| target.as_str()),
-            prefix: &self.request.facts.prefix,
+            facts: &self.request.facts,
             body: &self.request.body,
         })
     }
@@ -217,7 +243,7 @@
     }
 
     /// Answers with a body that was read whole first.
-    async fn whole(self, answer: OpenAnswer) -> Response<AnswerBody> {
+    async fn whole(mut self, answer: OpenAnswer) -> Response<AnswerBody> {
         let OpenAnswerParts { answer, body } = match read_whole(answer, self.state.remaining(self.now())).await {
             Ok(parts) => parts,
             Err(Aborted) => {
@@ -227,6 +253,9 @@
             }
         };
         self.log_end(answer.status.as_str());
+        if answer.status.is_success() {
+            self.note_completion();
+        }
         let mut response = Response::new(AnswerBody::whole(body));
         *response.status_mut() = answer.status;
         *response.headers_mut() = self.client.dialect.answer_headers(&answer.headers);
--- a/crates/gateway/src/online/stream.rs
+++ b/crates/gateway/src/online/stream.rs
@@ -45,7 +45,10 @@
         loop {
             let worker = current.worker.clone();
             match self.pass_on_from(current, sender).await {
-                StreamEnd::Whole => return self.log_end("whole"),
+                StreamEnd::Whole => {
+                    self.note_completion();
+                    return self.log_end("whole");
+                }
                 StreamEnd::CallerGone => return self.log_end("caller gone"),
                 StreamEnd::OutOfTime => {
                     how = "out of time";
--- a/crates/gateway/src/process/parts.rs
+++ b/crates/gateway/src/process/parts.rs
@@ -16,6 +16,7 @@
 use crate::adapter::PlatformAdapter;
 use crate::adapter::metadata::FleetUpdate;
 use crate::clock::NodeClock;
+use crate::fleet::crash_reports::report_crashes;
 use crate::fleet::fleet_view::FleetView;
 use crate::fleet::metadata_view::MetadataView;
 use crate::fleet::metadata_watch::MetadataWatch;
@@ -60,6 +61,7 @@
         let bounds = settings.metadata.watch_bounds();
         let watch = MetadataWatch::new(id, adapter.metadata(), fleet, view, bounds, updates);
         tokio::spawn(watch.run());
+        tokio::spawn(report_crashes(self.view.clone(), adapter.metadata(), settings.node.name.clone()));
         tokio::spawn(apply_updates(self.view.clone(), received, further));
     }
 }
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -44,8 +44,10 @@
     /// Runs the item to its end. The output so far is handed back however that is.
     pub async fn run(self, client: &Arc<WorkerClient>, in_flight: InFlight) -> (RunEnd, PartialOutput) {
         let end = self.try_run(client, in_flight).await;
-        if end == RunEnd::BrokenOff {
-            self.check_crash(client);
+        match end {
+            RunEnd::BrokenOff => self.check_crash(client),
+            RunEnd::Completed => client.view.note_completion(|| self.digest(client)),
+            _ => {}
         }
         (end, self.output().clone())
     }
@@ -56,12 +58,16 @@
             choice: self.choice.clone(),
             service: self.service.clone(),
             request_id: self.item.id.clone(),
-            digest: item_digest(&self.item, &self.identity, &*client.dialect),
+            digest: self.digest(client),
         };
         let client = client.clone();
         tokio::spawn(async move { client.check_crash(run).await });
     }
 
+    fn digest(&self, client: &WorkerClient) -> RequestDigest {
+        item_digest(&self.item, &self.identity, &*client.dialect)
+    }
+
     fn output(&self) -> MutexGuard<'_, PartialOutput> {
         self.output.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -135,7 +141,7 @@
         identity,
         method: Method::POST.as_str(),
         target: &item.path,
-        prefix: &dialect.item_facts(item).prefix,
+        facts: &dialect.item_facts(item),
         body: &item.body,
     })
 }
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -22,7 +22,7 @@
 use super::load_exchange::LoadExchange;
 use crate::observe::journal::{Field, record};
 use crate::observe::measures;
-use crate::storage::item_run::ItemRun;
+use crate::storage::item_run::{ItemRun, item_digest};
 use crate::workers::attempt::WorkerClient;
 
 /// A run that ended.
@@ -187,6 +187,7 @@
                     self.dispatcher.put_back(&key, output);
                     return false;
                 }
+                StartDecision::Start(start) if self.is_quarantined(&start) => self.dispatcher.hold(&key, output, now),
                 StartDecision::Start(start) => {
                     if !self.start_run(&key, start, output, loads, now) {
                         self.pacing.found_no_room(now);
@@ -198,6 +199,16 @@
         true
     }
 
+    /// Whether an item is kept from all workers, since workers died of it.
+    fn is_quarantined(&self, start: &ItemStart) -> bool {
+        let view = &self.workers.view;
+        if view.crashes().is_empty() {
+            return false;
+        }
+        let digest = item_digest(&start.item, &start.identity, &*self.workers.dialect);
+        view.crashes().quarantined_for(digest, view.clock.civil()).is_some()
+    }
+
     /// Starts an item at the worker with the most room. Returns false if none has any.
     fn start_run(
         &mut self,
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -45,5 +45,6 @@
             Field::text("digest", run.digest),
         ];
         record(LogEvent::WorkerCrashed, &fields);
+        self.view.note_crash(run.digest, &run.choice.id);
     }
 }
