A crash counts against the request that got no further, and of which more workers died

Change: a run that got past the point at which an earlier one's worker died clears the request of that crash, and a crash that is explained by a quarantined request with more crashes counts for that one alone. The golden test of deploy files passes over folders; the files are compared as before. New tests of the ledger for both rules; properties hold.

--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -4,6 +4,7 @@
 //! a set that only grows and a time that only rises, so that nodes which tell each other theirs, in any order and as often
 //! as they like, come to the same verdict.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::digest::RequestDigest;
@@ -37,6 +38,11 @@
 /// shorter than a worker takes to start.
 const SAME_CRASH: Millis = Millis(1_000);
 
+/// A run that got further than this beyond an earlier one got past the point at which that one's worker died, in events.
+/// Clears long answers that were only there when several workers died one after the other. Not measured: the last events
+/// before a crash may be lost with the connection.
+const PROGRESS_MARGIN: u64 = 2;
+
 /// Who learned of a fact, which decides whether this node reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
@@ -51,6 +57,20 @@
     at: UnixMillis,
 }
 
+impl Sighting {
+    fn is_same_crash(&self, other: &Self) -> bool {
+        self.worker == other.worker && self.at.0.abs_diff(other.at.0) < SAME_CRASH.0
+    }
+}
+
+/// What is known of a sighting.
+#[derive(Clone, Copy, Debug)]
+struct SightingFacts {
+    /// How far the request's answer was, in events.
+    progress: u64,
+    source: Source,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct LastCompletion {
     at: UnixMillis,
@@ -60,43 +80,35 @@
 /// What is known of one request.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-    sightings: BTreeMap<Sighting, Source>,
+    sightings: BTreeMap<Sighting, SightingFacts>,
     completed: Option<LastCompletion>,
 }
 
 impl Suspect {
     /// The crashes that were seen since the request last ran to its end.
-    fn open_sightings(&self) -> impl Iterator<Item = (&Sighting, Source)> {
+    fn open_sightings(&self) -> impl Iterator<Item = (&Sighting, &SightingFacts)> {
         let completed_at = self.completed.map_or(UnixMillis(0), |completed| completed.at);
-        let sightings = self.sightings.iter().map(|(sighting, source)| (sighting, *source));
-        sightings.filter(move |(sighting, _)| sighting.at > completed_at)
-    }
-
-    /// How often workers died of the request since it last ran to its end.
-    fn crashes(&self) -> usize {
-        let mut count = 0;
-        let mut last: Option<&Sighting> = None;
-        for (sighting, _) in self.open_sightings() {
-            let is_same =
-                last.is_some_and(|last| last.worker == sighting.worker && sighting.at.0 - last.at.0 < SAME_CRASH.0);
-            if !is_same {
-                count += 1;
-                last = Some(sighting);
+        self.sightings.iter().filter(move |(sighting, _)| sighting.at > completed_at)
+    }
+
+    /// The sightings that speak against the request, one for each crash. A run that got past the point at which a worker
+    /// died shows that the worker did not die of what comes at that point.
+    fn crashes(&self) -> Vec<&Sighting> {
+        let furthest = self.open_sightings().map(|(_, facts)| facts.progress).max().unwrap_or(0);
+        let speaks_against = |facts: &SightingFacts| facts.progress + PROGRESS_MARGIN >= furthest;
+        let mut crashes: Vec<&Sighting> = Vec::new();
+        for (sighting, _) in self.open_sightings().filter(|(_, facts)| speaks_against(facts)) {
+            if crashes.last().is_none_or(|last| !last.is_same_crash(sighting)) {
+                crashes.push(sighting);
             }
         }
-        count
+        crashes
     }
 
     fn last_crash(&self) -> UnixMillis {
         self.sightings.keys().map(|sighting| sighting.at).max().unwrap_or_default()
     }
 
-    /// Until when the request is quarantined; `None` if too few workers died of it.
-    fn quarantined_until(&self) -> Option<UnixMillis> {
-        let beyond = u32::try_from(self.crashes().checked_sub(MOST_CRASHES)?).unwrap_or(u32::MAX);
-        Some(UnixMillis(self.last_crash().0.saturating_add(QUARANTINE.wait(beyond).0)))
-    }
-
     fn drop_oldest(&mut self) {
         let oldest = self.sightings.keys().min_by_key(|sighting| sighting.at).cloned();
         if let Some(oldest) = oldest {
@@ -135,10 +147,18 @@
         self.suspects.is_empty()
     }
 
-    /// A worker died while it ran a request of this node. Returns the quarantine that follows.
-    pub fn crashed(&mut self, digest: RequestDigest, worker: WorkerId, now: UnixMillis) -> Option<Quarantine> {
+    /// A worker died while it ran a request of this node, `progress` being the last event of its answer, 0 for none.
+    /// Returns the quarantine that follows.
+    pub fn crashed(
+        &mut self,
+        digest: RequestDigest,
+        worker: WorkerId,
+        progress: u64,
+        now: UnixMillis,
+    ) -> Option<Quarantine> {
         self.forget_old(now);
-        self.note_crash(Crash { digest, worker, at: now }, Source::Here)
+        self.note_crash(Crash { digest, worker, at: now, progress }, Source::Here);
+        self.quarantine(digest)
     }
 
     /// A request of this node ran to its end. It is no longer suspected for what was before.
@@ -148,7 +168,7 @@
 
     /// For how long a request is to be kept from all workers, in milliseconds; `None` if it may run.
     pub fn quarantined_for(&self, digest: RequestDigest, now: UnixMillis) -> Option<Millis> {
-        let until = self.suspects.get(&digest)?.quarantined_until()?;
+        let until = self.quarantined_until(digest)?;
         let left = until.0.saturating_sub(now.0);
         (left > 0).then_some(Millis(left))
     }
@@ -156,32 +176,36 @@
     /// Whether one crash more would quarantine a request, so that the next attempt has to wait for what is known of the
     /// last one.
     pub fn is_near_quarantine(&self, digest: RequestDigest) -> bool {
-        self.suspects.get(&digest).is_some_and(|suspect| suspect.crashes() + 1 >= MOST_CRASHES)
+        self.crashes(digest) + 1 >= MOST_CRASHES
     }
 
     /// Takes what another node reports, or this one did before its start (`is_own`). Returns the quarantines that follow.
     pub fn merge(&mut self, report: &CrashReport, is_own: bool, now: UnixMillis) -> Vec<Quarantine> {
         let source = if is_own { Source::Here } else { Source::Elsewhere };
-        let mut quarantines = Vec::new();
+        let mut touched = BTreeSet::new();
         for crash in &report.crashes {
-            quarantines.extend(self.note_crash(crash.clone(), source));
+            if self.note_crash(crash.clone(), source) {
+                touched.insert(crash.digest);
+            }
         }
         for completion in &report.completions {
             self.note_completion(completion.clone(), source);
         }
         self.forget_old(now);
-        quarantines.retain(|quarantine| self.quarantined_for(quarantine.digest, now).is_some());
-        quarantines
+        touched.into_iter().filter_map(|digest| self.quarantine(digest)).collect()
     }
 
     /// What this node tells the others.
     pub fn report(&self) -> CrashReport {
         let mut report = CrashReport::default();
         for (digest, suspect) in &self.suspects {
-            let own = suspect.open_sightings().filter(|(_, source)| *source == Source::Here);
-            let crash_of =
-                |sighting: &Sighting| Crash { digest: *digest, worker: sighting.worker.clone(), at: sighting.at };
-            report.crashes.extend(own.map(|(sighting, _)| crash_of(sighting)));
+            let own = suspect.open_sightings().filter(|(_, facts)| facts.source == Source::Here);
+            report.crashes.extend(own.map(|(sighting, facts)| Crash {
+                digest: *digest,
+                worker: sighting.worker.clone(),
+                at: sighting.at,
+                progress: facts.progress,
+            }));
             let completed = suspect.completed.filter(|completed| completed.source == Source::Here);
             if let Some(completed) = completed.filter(|_| suspect.is_completion_reported()) {
                 report.completions.push(Completion { digest: *digest, at: completed.at });
@@ -190,16 +214,50 @@
         report
     }
 
-    fn note_crash(&mut self, crash: Crash, source: Source) -> Option<Quarantine> {
+    /// Notes a crash. Returns whether it was not known.
+    fn note_crash(&mut self, crash: Crash, source: Source) -> bool {
         let suspect = self.suspects.entry(crash.digest).or_default();
-        let before = suspect.crashes();
-        suspect.sightings.entry(Sighting { worker: crash.worker, at: crash.at }).or_insert(source);
+        let facts = SightingFacts { progress: crash.progress, source };
+        let is_new = match suspect.sightings.entry(Sighting { worker: crash.worker, at: crash.at }) {
+            Entry::Occupied(_) => false,
+            Entry::Vacant(entry) => {
+                entry.insert(facts);
+                true
+            }
+        };
         if suspect.sightings.len() > MOST_SIGHTINGS {
             suspect.drop_oldest();
         }
+        is_new
+    }
+
+    /// How often workers died of a request, since it last ran to its end.
+    ///
+    /// All requests in a worker's slots are there when it dies. A crash that another one explains, of which more workers
+    /// died and enough to be quarantined, counts for that one alone.
+    fn crashes(&self, digest: RequestDigest) -> usize {
+        let Some(suspect) = self.suspects.get(&digest) else { return 0 };
         let crashes = suspect.crashes();
-        let until = suspect.quarantined_until().filter(|_| crashes > before)?;
-        Some(Quarantine { digest: crash.digest, crashes, until })
+        let least = MOST_CRASHES.max(crashes.len() + 1);
+        if self.suspects.len() == 1 || crashes.is_empty() {
+            return crashes.len();
+        }
+        let culprits = self.suspects.values().map(Suspect::crashes).filter(|others| others.len() >= least);
+        let explained: Vec<&Sighting> = culprits.flatten().collect();
+        let is_open = |crash: &&&Sighting| !explained.iter().any(|other| other.is_same_crash(crash));
+        crashes.iter().filter(is_open).count()
+    }
+
+    /// Until when a request is quarantined; `None` if too few workers died of it.
+    fn quarantined_until(&self, digest: RequestDigest) -> Option<UnixMillis> {
+        let suspect = self.suspects.get(&digest)?;
+        let beyond = u32::try_from(self.crashes(digest).checked_sub(MOST_CRASHES)?).unwrap_or(u32::MAX);
+        Some(UnixMillis(suspect.last_crash().0.saturating_add(QUARANTINE.wait(beyond).0)))
+    }
+
+    fn quarantine(&self, digest: RequestDigest) -> Option<Quarantine> {
+        let until = self.quarantined_until(digest)?;
+        Some(Quarantine { digest, crashes: self.crashes(digest), until })
     }
 
     fn note_completion(&mut self, completion: Completion, source: Source) {
--- a/crates/core/src/serving/crashes/report.rs
+++ b/crates/core/src/serving/crashes/report.rs
@@ -18,6 +18,9 @@
     pub worker: WorkerId,
     /// When, by the clock of the node that saw it.
     pub at: UnixMillis,
+    /// The last event of the request's answer before, 0 for none.
+    #[serde(default)]
+    pub progress: u64,
 }
 
 /// A request ran to its end.
--- a/crates/core/tests/crash_ledger.rs
+++ b/crates/core/tests/crash_ledger.rs
@@ -35,12 +35,12 @@
 fn a_request_is_quarantined_with_the_third_worker_that_dies_of_it() {
     let mut ledger = CrashLedger::default();
     let fatal = digest("fatal");
-    assert_eq!(ledger.crashed(fatal, worker(1), at(0)), None);
+    assert_eq!(ledger.crashed(fatal, worker(1), 0, at(0)), None);
     assert!(!ledger.is_near_quarantine(fatal));
-    assert_eq!(ledger.crashed(fatal, worker(2), at(10)), None);
+    assert_eq!(ledger.crashed(fatal, worker(2), 0, at(10)), None);
     assert!(ledger.is_near_quarantine(fatal));
     assert_eq!(ledger.quarantined_for(fatal, at(10)), None);
-    let quarantine = ledger.crashed(fatal, worker(3), at(20)).expect("the third");
+    let quarantine = ledger.crashed(fatal, worker(3), 0, at(20)).expect("the third");
     assert_eq!((quarantine.crashes, quarantine.until), (3, at(20 + 5 * MINUTE)));
     assert_eq!(ledger.quarantined_for(fatal, at(20)), Some(Millis(5 * MINUTE)));
     assert_eq!(ledger.quarantined_for(fatal, at(20 + 5 * MINUTE)), None, "it may be tried again");
@@ -53,12 +53,12 @@
     let fatal = digest("fatal");
     let mut now = 0;
     for (crash, span) in [0, 0, 5, 10, 20, 40, 60, 60].into_iter().enumerate() {
-        ledger.crashed(fatal, worker(crash as u64), at(now));
+        ledger.crashed(fatal, worker(crash as u64), 0, at(now));
         assert_eq!(ledger.quarantined_for(fatal, at(now)).unwrap_or_default(), Millis(span * MINUTE));
         now += span * MINUTE + 1;
     }
     assert_eq!(ledger.quarantined_for(fatal, at(now)), None);
-    ledger.crashed(digest("other"), worker(0), at(now + 2 * HOUR));
+    ledger.crashed(digest("other"), worker(0), 0, at(now + 2 * HOUR));
     assert!(!ledger.is_near_quarantine(fatal), "it is forgotten in the end");
 }
 
@@ -67,11 +67,11 @@
     let mut ledger = CrashLedger::default();
     let fatal = digest("fatal");
     for millis in [0, 250, 999, 3_000, 3_100] {
-        ledger.crashed(fatal, worker(1), at(millis));
+        ledger.crashed(fatal, worker(1), 0, at(millis));
     }
     assert!(ledger.is_near_quarantine(fatal), "two crashes of one worker");
     assert_eq!(ledger.quarantined_for(fatal, at(3_100)), None);
-    ledger.crashed(fatal, worker(1), at(6_000));
+    ledger.crashed(fatal, worker(1), 0, at(6_000));
     assert!(
         ledger.quarantined_for(fatal, at(6_000)).is_some(),
         "the only worker of a fleet dies of it again and again"
@@ -83,7 +83,7 @@
     let (mut here, mut there) = (CrashLedger::default(), CrashLedger::default());
     let popular = digest("popular");
     for crash in 0..3 {
-        here.crashed(popular, worker(crash), at(crash));
+        here.crashed(popular, worker(crash), 0, at(crash));
     }
     let quarantines = there.merge(&here.report(), false, at(10));
     assert_eq!(quarantines.len(), 1, "it is told once");
@@ -101,17 +101,53 @@
     let mut ledger = CrashLedger::default();
     ledger.completed(digest("sound"), at(0));
     assert!(ledger.is_empty());
-    ledger.crashed(digest("victim"), worker(1), at(0));
+    ledger.crashed(digest("victim"), worker(1), 0, at(0));
     ledger.completed(digest("victim"), at(5));
     assert_eq!(ledger.report(), CrashReport::default(), "one crash that was cleared changes nothing elsewhere");
 }
 
+#[test]
+fn a_request_that_got_past_the_point_at_which_workers_died_did_not_kill_them() {
+    let mut ledger = CrashLedger::default();
+    let (long, fatal) = (digest("long"), digest("fatal at its fortieth event"));
+    for crash in 0..9 {
+        ledger.crashed(long, worker(crash), 20 * crash, at(crash * 2_000));
+        assert_eq!(ledger.quarantined_for(long, at(crash * 2_000)), None, "each run went on after the last");
+    }
+    for (crash, progress) in [40, 39, 41].into_iter().enumerate() {
+        ledger.crashed(fatal, worker(100 + crash as u64), progress, at(20_000));
+    }
+    assert!(ledger.quarantined_for(fatal, at(20_000)).is_some());
+}
+
+#[test]
+fn a_crash_counts_for_the_request_of_which_more_workers_died() {
+    let mut ledger = CrashLedger::default();
+    let (fatal, victim) = (digest("fatal"), digest("victim"));
+    for crash in 0..3 {
+        ledger.crashed(victim, worker(crash), 0, at(crash * 3_000));
+    }
+    assert!(ledger.quarantined_for(victim, at(6_000)).is_some(), "nothing else is known");
+    for crash in 0..3 {
+        ledger.crashed(fatal, worker(crash), 0, at(crash * 3_000 + 100));
+    }
+    assert!(ledger.quarantined_for(victim, at(6_100)).is_some(), "either of them");
+    // Another worker died of the one, without the other.
+    ledger.crashed(fatal, worker(3), 0, at(9_000));
+    assert_eq!(ledger.quarantined_for(victim, at(9_000)), None);
+    assert!(ledger.quarantined_for(fatal, at(9_000)).is_some());
+    for crash in 4..7 {
+        ledger.crashed(victim, worker(crash), 0, at(10_000));
+    }
+    assert!(ledger.quarantined_for(victim, at(10_000)).is_some(), "of these nothing else died");
+}
+
 #[test]
 fn a_machine_that_starts_again_goes_on_telling_what_it_told_before() {
     let mut before = CrashLedger::default();
-    before.crashed(digest("fatal"), worker(1), at(0));
+    before.crashed(digest("fatal"), worker(1), 0, at(0));
     let mut after = CrashLedger::default();
-    after.crashed(digest("fatal"), worker(2), at(5_000));
+    after.crashed(digest("fatal"), worker(2), 0, at(5_000));
     after.merge(&before.report(), true, at(5_001));
     assert_eq!(after.report().crashes.len(), 2);
 }
@@ -120,8 +156,8 @@
 fn what_is_remembered_is_bounded() {
     let mut ledger = CrashLedger::default();
     for number in 0..3_000_u64 {
-        ledger.crashed(digest(&number.to_string()), worker(number), at(number));
-        ledger.crashed(digest("one"), worker(number), at(number * 2_000));
+        ledger.crashed(digest(&number.to_string()), worker(number), 0, at(number));
+        ledger.crashed(digest("one"), worker(number), 0, at(number * 2_000));
     }
     let report = ledger.report();
     assert!(report.crashes.len() <= 1_024 + 32, "{}", report.crashes.len());
@@ -157,10 +193,10 @@
 #[test]
 fn a_report_is_stored_as_ever() {
     let mut ledger = CrashLedger::default();
-    ledger.crashed(digest("fatal"), worker(1), at(0));
+    ledger.crashed(digest("fatal"), worker(1), 0, at(0));
     let stored = serde_json::to_string(&ledger.report()).expect("it can be written");
     let text = format!(
-        r#"{{"crashes":[{{"digest":"{}","worker":"w-1","at":1700000000000}}],"completions":[]}}"#,
+        r#"{{"crashes":[{{"digest":"{}","worker":"w-1","at":1700000000000,"progress":0}}],"completions":[]}}"#,
         digest("fatal")
     );
     assert_eq!(stored, text);
@@ -201,7 +237,7 @@
             now += 2_000;
             match step {
                 Step::Crash { node, request, worker: number } => {
-                    nodes[node].crashed(requests[usize::from(request)], worker(number), at(now));
+                    nodes[node].crashed(requests[usize::from(request)], worker(number), 0, at(now));
                     since[usize::from(request)].push(number);
                 }
                 Step::Completion { node, request } => {
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -110,9 +110,9 @@
         lock(&self.crashes)
     }
 
-    /// A worker died while it ran a request.
-    pub fn note_crash(&self, digest: RequestDigest, worker: &WorkerId) {
-        let quarantine = self.crashes().crashed(digest, worker.clone(), self.clock.civil());
+    /// A worker died while it ran a request, after the event `progress` of its answer.
+    pub fn note_crash(&self, digest: RequestDigest, worker: &WorkerId, progress: u64) {
+        let quarantine = self.crashes().crashed(digest, worker.clone(), progress, self.clock.civil());
         self.log_quarantine(quarantine);
         self.crash_facts.notify_one();
     }
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -215,6 +215,7 @@
             service: self.service.clone(),
             request_id: self.request.facts.id.clone(),
             digest: self.digest(),
+            progress: self.state.progress.last_event.unwrap_or(0),
         };
         let client = self.client.clone();
         self.crash_check = Some(tokio::spawn(async move { client.check_crash(run).await }));
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -59,6 +59,7 @@
             service: self.service.clone(),
             request_id: self.item.id.clone(),
             digest: self.digest(client),
+            progress: self.output().last_event.unwrap_or(0),
         };
         let client = client.clone();
         tokio::spawn(async move { client.check_crash(run).await });
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -28,6 +28,8 @@
     pub request_id: Arc<str>,
     /// What the request is.
     pub digest: RequestDigest,
+    /// The last event of its answer, 0 for none.
+    pub progress: u64,
 }
 
 impl WorkerClient {
@@ -43,8 +45,9 @@
             Field::text("worker", &run.choice.id),
             Field::text("request", &run.request_id),
             Field::text("digest", run.digest),
+            Field::number("events", run.progress),
         ];
         record(LogEvent::WorkerCrashed, &fields);
-        self.view.note_crash(run.digest, &run.choice.id);
+        self.view.note_crash(run.digest, &run.choice.id, run.progress);
     }
 }
--- a/crates/gateway/tests/golden_settings.rs
+++ b/crates/gateway/tests/golden_settings.rs
@@ -160,7 +160,10 @@
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
     let mut names: Vec<String> = std::fs::read_dir(&folder)
         .expect("the folder")
-        .map(|entry| entry.expect("an entry").file_name().to_string_lossy().into_owned())
+        .map(|entry| entry.expect("an entry").path())
+        // What lies in folders of its own is no part of a deployment.
+        .filter(|path| path.is_file())
+        .map(|path| path.file_name().expect("a name").to_string_lossy().into_owned())
         .collect();
     names.sort();
     let mut all = String::new();
