A request leaves a slow worker only where another one could take it

Change: the time-outs for heads and events that move a request apply only if the choice had another worker to choose from.

--- a/crates/core/src/serving/online/request_state.rs
+++ b/crates/core/src/serving/online/request_state.rs
@@ -80,6 +80,8 @@
     tried: TriedWorkers,
     attempts: u64,
     is_quarantined: bool,
+    /// Another worker could take the request from the one that has it.
+    has_alternative: bool,
     /// How far the stream is.
     pub progress: StreamProgress,
 }
@@ -97,6 +99,7 @@
             tried: TriedWorkers::default(),
             attempts: 0,
             is_quarantined: false,
+            has_alternative: true,
             progress: StreamProgress::after(facts.last_event),
         }
     }
@@ -172,6 +175,11 @@
         shed(choice, times, random)
     }
 
+    /// A worker was chosen for the next attempt, out of so many.
+    pub fn chosen_among(&mut self, candidates: usize) {
+        self.has_alternative = candidates > 1;
+    }
+
     /// The request is sent to a worker.
     pub fn attempt_started(&mut self, worker: &WorkerId) {
         self.attempts += 1;
@@ -233,9 +241,12 @@
         limit.map_or(remaining, |limit| limit.min(remaining))
     }
 
-    /// Whether the request may leave a worker that is merely slow.
+    /// Whether the request may leave a worker that is merely slow. Without another one it would only lose what it has.
     fn may_move(&self, budget: &RetryBudget) -> bool {
-        self.may_run_again() && self.ledger.ran + 1 < self.route.max_attempts && budget.has_token()
+        self.has_alternative
+            && self.may_run_again()
+            && self.ledger.ran + 1 < self.route.max_attempts
+            && budget.has_token()
     }
 
     /// Whether one worker answered the request from its first event on, so that the time of its answer is the time for
--- a/crates/core/tests/online_request.rs
+++ b/crates/core/tests/online_request.rs
@@ -140,6 +140,17 @@
     assert_eq!(timeout(40_000, 10), Millis(5_000), "never longer than the request lasts");
 }
 
+#[test]
+fn the_only_worker_gets_all_the_time_there_is() {
+    let (budget, now) = (full_budget(), at(1_000));
+    let mut state = state(RESUMABLE);
+    state.chosen_among(2);
+    assert_eq!(state.event_timeout(&budget, AwaitedEvent::Further, now), Millis(150));
+    state.chosen_among(1);
+    assert_eq!(state.event_timeout(&budget, AwaitedEvent::Further, now), Millis(4_000));
+    assert_eq!(state.head_timeout(&budget, Millis(10), now), Millis(4_000));
+}
+
 #[test]
 fn a_request_that_may_not_move_gets_all_the_time_there_is() {
     let (budget, now) = (full_budget(), at(1_000));
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -162,6 +162,7 @@
     /// Sends the request to a worker and waits for the head of its answer.
     async fn attempt(&mut self, choice: Choice) -> Result<OpenAnswer, AttemptEnd> {
         let worker = choice.id.clone();
+        self.state.chosen_among(choice.candidates);
         let timeout = self.head_timeout();
         self.last_choice = Some(choice.clone());
         self.state.attempt_started(&worker);
