A worker that starts again under its id is another life, and a spoiled record names no worker

Change: WorkerLife (id and start) names one life. Loads, ejection, slowness, cached prompts, requests in flight and kept connections belong to a life: a later one drops what was believed of the one before, ends of requests at a former life touch nothing, an earlier record is stale, and a worker that drained in a former life takes requests again in the next. A record without born keeps today's meaning. A worker's record that lacks a field, has one of another type, or names another state is logged (E415) and names no worker, also if a good one stood there before; a storing node's record that can't be read is logged too. No stored form of ours changes.

--- a/crates/core/src/serving/workers/choice.rs
+++ b/crates/core/src/serving/workers/choice.rs
@@ -10,10 +10,10 @@
 use super::cost::{cost_slope, estimate_cost, load_cost};
 use super::load_in_transit::level_after;
 use super::table::WorkerTable;
-use super::worker::{Presence, SHARED_LIFETIME, Standing, WorkerEntry, WorkerId};
+use super::worker::{Presence, SHARED_LIFETIME, Standing, WorkerEntry, WorkerId, WorkerLife};
 use crate::hashing::{hash_bytes, rendezvous_weight};
 use crate::serving::request::PrefixLink;
-use crate::time::{Millis, Timestamp};
+use crate::time::{Millis, Timestamp, UnixMillis};
 
 /// Batch leaves as many slots of a service free as online requests are placed in this time, in milliseconds: they come
 /// before a pause of items takes effect, which needs an exchange of load reports and a way to the worker. Against a sixth
@@ -53,6 +53,8 @@
 pub struct Choice {
     /// The worker.
     pub id: WorkerId,
+    /// When this life of it began, if it says so.
+    pub born: Option<UnixMillis>,
     /// Its address.
     pub address: SocketAddr,
     /// Requests believed to be at it.
@@ -70,9 +72,15 @@
 }
 
 impl Choice {
+    /// The life of the worker that was chosen.
+    pub fn life(&self) -> WorkerLife {
+        WorkerLife { id: self.id.clone(), born: self.born }
+    }
+
     fn of(entry: &WorkerEntry, ask: &WorkerAsk<'_>, candidates: usize, now: Timestamp) -> Self {
         Self {
             id: entry.record.id.clone(),
+            born: entry.record.born,
             address: entry.record.address,
             load: entry.estimated_load(now),
             slots: entry.record.slots,
--- a/crates/core/src/serving/workers/health.rs
+++ b/crates/core/src/serving/workers/health.rs
@@ -6,7 +6,7 @@
 use super::choice::Choice;
 use super::service_times::ServiceTimes;
 use super::table::WorkerTable;
-use super::worker::WorkerId;
+use super::worker::{WorkerId, WorkerLife};
 use crate::backoff::Backoff;
 use crate::moving_mean::MovingMean;
 use crate::serving::online::attempt::AttemptEnd;
@@ -55,12 +55,12 @@
 
 impl WorkerTable {
     /// A worker answered as it should. `took` is the time to its first event.
-    pub fn succeeded(&mut self, id: &WorkerId, took: Millis, now: Timestamp) {
+    pub fn succeeded(&mut self, life: &WorkerLife, took: Millis, now: Timestamp) {
         let took = took.0 as f64;
         let ratio = took / self.mean_first.value().max(LEAST_MEAN_FIRST_MS);
         let slowness = ratio.clamp(LEAST_SLOWNESS, GREATEST_SLOWNESS);
         self.mean_first.note(took);
-        if let Some(entry) = self.workers.get_mut(id) {
+        if let Some(entry) = self.entry_of(life) {
             entry.failures = 0;
             entry.ejected_until = None;
             entry.peer_ejection = None;
@@ -72,7 +72,7 @@
     /// The first event of a stream came after `took` from the worker that was chosen for it. It counts in the service's
     /// times only if the worker had a free slot, or it would include the time in the queue.
     pub fn first_event(&mut self, service: &str, choice: &Choice, took: Millis, now: Timestamp) {
-        self.succeeded(&choice.id, took, now);
+        self.succeeded(&choice.life(), took, now);
         if choice.load < choice.slots {
             self.service_times(service).note_first(took);
         }
@@ -84,26 +84,28 @@
     }
 
     /// An attempt at a worker ended without a whole answer: what that says of the worker is noted.
-    pub fn attempt_ended(&mut self, id: &WorkerId, end: AttemptEnd, now: Timestamp) {
+    pub fn attempt_ended(&mut self, life: &WorkerLife, end: AttemptEnd, now: Timestamp) {
         match end {
-            AttemptEnd::NotRun { other_instance: false } => self.mark_full(id, now),
+            AttemptEnd::NotRun { other_instance: false } => self.mark_full(life, now),
             AttemptEnd::NotRun { other_instance: true } => {
                 // Another worker has the address: this one is gone, whatever its record says, and no last resort.
-                self.remove(id, now, now);
+                if self.entry_of(life).is_some() {
+                    self.remove(&life.id, now, now);
+                }
             }
             AttemptEnd::NotConnected => {
-                self.failed(id, false, now);
+                self.failed(life, false, now);
             }
             AttemptEnd::Failed { .. } | AttemptEnd::Broken | AttemptEnd::Silent => {
-                self.failed(id, true, now);
+                self.failed(life, true, now);
             }
         }
     }
 
     /// A worker failed this node. Returns for how long it is ejected, in milliseconds: longer if it could not even be
     /// reached, since each try costs a request the whole time to connect. `None` if it is not known.
-    pub fn failed(&mut self, id: &WorkerId, was_reached: bool, now: Timestamp) -> Option<Millis> {
-        let entry = self.workers.get_mut(id)?;
+    pub fn failed(&mut self, life: &WorkerLife, was_reached: bool, now: Timestamp) -> Option<Millis> {
+        let entry = self.entry_of(life)?;
         entry.failures += 1;
         let first = if was_reached { BASE_EJECTION } else { BASE_EJECTION_UNREACHABLE };
         let span = Backoff::new(first, MAX_EJECTION).wait(entry.failures - 1);
--- a/crates/core/src/serving/workers/loads.rs
+++ b/crates/core/src/serving/workers/loads.rs
@@ -6,7 +6,7 @@
 
 use super::load_report::{LoadReport, WorkerCount, WorkerReport};
 use super::table::WorkerTable;
-use super::worker::{ReportedLoad, SharedLoad, WorkerEntry, WorkerId, WorkerLoad};
+use super::worker::{ReportedLoad, SharedLoad, WorkerEntry, WorkerId, WorkerLife, WorkerLoad};
 use crate::serving::request::PrefixLink;
 use crate::time::{Millis, Timestamp};
 
@@ -32,8 +32,8 @@
 
 impl WorkerTable {
     /// A request leaves for a worker.
-    pub fn started(&mut self, id: &WorkerId, prefix: &[PrefixLink], memory_tokens: u64, now: Timestamp) {
-        if let Some(entry) = self.workers.get_mut(id) {
+    pub fn started(&mut self, life: &WorkerLife, prefix: &[PrefixLink], memory_tokens: u64, now: Timestamp) {
+        if let Some(entry) = self.entry_of(life) {
             entry.in_flight += 1;
             entry.cache.note(prefix, memory_tokens, now);
             self.placed += 1;
@@ -41,22 +41,22 @@
     }
 
     /// A request at a worker ended, however it did.
-    pub fn ended(&mut self, id: &WorkerId) {
-        if let Some(entry) = self.workers.get_mut(id) {
+    pub fn ended(&mut self, life: &WorkerLife) {
+        if let Some(entry) = self.entry_of(life) {
             entry.in_flight = entry.in_flight.saturating_sub(1);
         }
     }
 
     /// A batch item leaves for a worker.
-    pub fn batch_started(&mut self, id: &WorkerId) {
-        if let Some(entry) = self.workers.get_mut(id) {
+    pub fn batch_started(&mut self, life: &WorkerLife) {
+        if let Some(entry) = self.entry_of(life) {
             entry.batch_in_flight += 1;
         }
     }
 
     /// A batch item at a worker ended.
-    pub fn batch_ended(&mut self, id: &WorkerId) {
-        if let Some(entry) = self.workers.get_mut(id) {
+    pub fn batch_ended(&mut self, life: &WorkerLife) {
+        if let Some(entry) = self.entry_of(life) {
             entry.batch_in_flight = entry.batch_in_flight.saturating_sub(1);
         }
     }
@@ -67,15 +67,15 @@
     }
 
     /// A worker reported its load.
-    pub fn reported(&mut self, id: &WorkerId, load: WorkerLoad, now: Timestamp) {
-        if let Some(entry) = self.workers.get_mut(id) {
+    pub fn reported(&mut self, life: &WorkerLife, load: WorkerLoad, now: Timestamp) {
+        if let Some(entry) = self.entry_of(life) {
             entry.report = Some(ReportedLoad { load, in_flight_then: entry.in_flight, at: now });
         }
     }
 
     /// A worker had no room: it is believed to be full until it reports again.
-    pub fn mark_full(&mut self, id: &WorkerId, now: Timestamp) {
-        if let Some(entry) = self.workers.get_mut(id) {
+    pub fn mark_full(&mut self, life: &WorkerLife, now: Timestamp) {
+        if let Some(entry) = self.entry_of(life) {
             let slots = entry.record.slots;
             let load = WorkerLoad { running: slots, waiting: slots / SLOTS_PER_WAITING };
             entry.report = Some(ReportedLoad { load, in_flight_then: entry.in_flight, at: now });
--- a/crates/core/src/serving/workers/mod.rs
+++ b/crates/core/src/serving/workers/mod.rs
@@ -32,4 +32,4 @@
 pub use choice::{Choice, WorkerAsk};
 pub use load_report::{LoadReport, WorkerCount, WorkerReport};
 pub use table::{WorkerChange, WorkerTable};
-pub use worker::{Standing, WorkerId, WorkerLoad, WorkerRecord};
+pub use worker::{Standing, WorkerId, WorkerLife, WorkerLoad, WorkerRecord};
--- a/crates/core/src/serving/workers/table.rs
+++ b/crates/core/src/serving/workers/table.rs
@@ -9,7 +9,7 @@
 use super::health::initial_mean_first;
 use super::loads::PeerRate;
 use super::service_times::ServiceTimes;
-use super::worker::{Presence, WorkerEntry, WorkerId, WorkerRecord};
+use super::worker::{Presence, WorkerEntry, WorkerId, WorkerLife, WorkerRecord};
 use crate::moving_mean::MovingMean;
 use crate::time::{Millis, Timestamp};
 
@@ -57,9 +57,18 @@
 }
 
 impl WorkerTable {
-    /// Takes a worker's record. A worker that drains never takes requests again.
+    /// Takes a worker's record. A worker that drains never takes requests again in this life. A record of a later life
+    /// drops all that was believed of the one before; one of an earlier life is stale.
     pub fn upsert(&mut self, record: WorkerRecord) -> Option<WorkerChange> {
         let id = record.id.clone();
+        let known = self.workers.get(&id).and_then(|entry| entry.record.born);
+        match known.zip(record.born) {
+            Some((known, born)) if born < known => return None,
+            Some((known, born)) if born > known => {
+                self.workers.remove(&id);
+            }
+            _ => {}
+        }
         let Some(entry) = self.workers.get_mut(&id) else {
             let change =
                 if record.draining { WorkerChange::Draining(id.clone()) } else { WorkerChange::Seen(id.clone()) };
@@ -72,7 +81,8 @@
             // A record may vanish while the store is down and be written again by the same worker.
             (Presence::Gone { .. } | Presence::Missing { .. } | Presence::Ready, false) => Presence::Ready,
         };
-        entry.record = record;
+        let born = record.born.or(entry.record.born);
+        entry.record = WorkerRecord { born, ..record };
         match (was, entry.presence) {
             (Presence::Draining | Presence::Left { .. }, _) => None,
             (_, Presence::Draining) => Some(WorkerChange::Draining(id)),
@@ -132,6 +142,11 @@
         self.workers.values().filter(is_ready).count()
     }
 
+    /// What is believed of a worker, if this life of it is the one that is known.
+    pub(super) fn entry_of(&mut self, life: &WorkerLife) -> Option<&mut WorkerEntry> {
+        self.workers.get_mut(&life.id).filter(|entry| entry.record.life().may_be(life))
+    }
+
     /// A worker's record; `None` if it is not known.
     pub fn record(&self, id: &WorkerId) -> Option<&WorkerRecord> {
         self.workers.get(id).map(|entry| &entry.record)
--- a/crates/core/src/serving/workers/worker.rs
+++ b/crates/core/src/serving/workers/worker.rs
@@ -10,7 +10,7 @@
 use super::health::new_slowness;
 use super::prefix_cache::PrefixCache;
 use crate::moving_mean::MovingMean;
-use crate::time::{Millis, Timestamp};
+use crate::time::{Millis, Timestamp, UnixMillis};
 
 /// What a worker itself reported of its load is believed for this long, in milliseconds. Not measured: long enough for a
 /// node without load reports from its peers, short against the length of a burst.
@@ -19,7 +19,7 @@
 /// leader is lost.
 pub(super) const SHARED_LIFETIME: Millis = Millis(1_200);
 
-/// Names one start of a worker.
+/// Names a worker. It may start again under the same id; see [`WorkerLife`].
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct WorkerId(pub Arc<str>);
 
@@ -29,6 +29,24 @@
     }
 }
 
+/// One life of a worker, from its start to its end. After another start under the same id it holds nothing of before, so
+/// what is learned of one life says nothing of the next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerLife {
+    /// The worker.
+    pub id: WorkerId,
+    /// When this life began; `None` if the worker does not say, as where it never starts again under its id.
+    pub born: Option<UnixMillis>,
+}
+
+impl WorkerLife {
+    /// Whether two lives can be the same. One that is not dated may be any of its worker's.
+    pub fn may_be(&self, other: &Self) -> bool {
+        let is_same_start = self.born.zip(other.born).is_none_or(|(own, other)| own == other);
+        self.id == other.id && is_same_start
+    }
+}
+
 /// What a worker says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerRecord {
@@ -44,6 +62,15 @@
     pub slots: u32,
     /// It takes no new requests.
     pub draining: bool,
+    /// When this life of the worker began, if it says so.
+    pub born: Option<UnixMillis>,
+}
+
+impl WorkerRecord {
+    /// The life that the record is of.
+    pub fn life(&self) -> WorkerLife {
+        WorkerLife { id: self.id.clone(), born: self.born }
+    }
 }
 
 /// A worker's load as the worker itself reported it.
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -12,8 +12,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Millis(pub u64);
 
-/// A point in civil time, in milliseconds since the Unix epoch. Only deadlines given by callers use it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+/// A point in civil time, in milliseconds since the Unix epoch. Deadlines given by callers use it, starts of workers, and what
+/// nodes share and keep beyond their own start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct UnixMillis(pub u64);
 
 impl Timestamp {
--- a/crates/core/tests/online_request.rs
+++ b/crates/core/tests/online_request.rs
@@ -69,6 +69,7 @@
 fn choice(place_in_queue: u32) -> Choice {
     Choice {
         id: id("one"),
+        born: None,
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         load: 8 + place_in_queue,
         slots: 8,
--- a/crates/core/tests/relay_simulation.rs
+++ b/crates/core/tests/relay_simulation.rs
@@ -388,6 +388,7 @@
         zone: Arc::from("zone"),
         slots: 8,
         draining: false,
+        born: None,
     }
 }
 
--- a/crates/core/tests/worker_choice.rs
+++ b/crates/core/tests/worker_choice.rs
@@ -12,10 +12,10 @@
 use stallmoor_core::serving::workers::load_in_transit::{CostSlope, level_after};
 use stallmoor_core::serving::workers::service_times::ServiceTimes;
 use stallmoor_core::serving::workers::{
-    LoadReport, Standing, WorkerAsk, WorkerChange, WorkerCount, WorkerId, WorkerLoad, WorkerRecord, WorkerReport,
-    WorkerTable,
+    LoadReport, Standing, WorkerAsk, WorkerChange, WorkerCount, WorkerId, WorkerLife, WorkerLoad, WorkerRecord,
+    WorkerReport, WorkerTable,
 };
-use stallmoor_core::time::{Millis, Timestamp};
+use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 
 const SERVICE: &str = "service";
 
@@ -35,6 +35,7 @@
         zone: Arc::from(zone),
         slots: 8,
         draining: false,
+        born: None,
     }
 }
 
@@ -42,6 +43,10 @@
     WorkerId(Arc::from(name))
 }
 
+fn life(name: &str) -> WorkerLife {
+    worker(name, "a").life()
+}
+
 fn ask<'a>(prefix: &'a [PrefixLink], tried: &'a [WorkerId]) -> WorkerAsk<'a> {
     let prompt_tokens = prefix.iter().map(|link| link.tokens).sum();
     WorkerAsk { service: SERVICE, zone: "a", prefix, prompt_tokens, body_bytes: 1_000, tried }
@@ -146,13 +151,13 @@
     let mut table = WorkerTable::default();
     table.upsert(worker("one", "a"));
     table.upsert(worker("three", "b"));
-    table.failed(&id("one"), true, at(0));
+    table.failed(&life("one"), true, at(0));
     assert_eq!(choose(&table, 100), Some(id("three")));
     assert_eq!(choose(&table, 400), Some(id("one")), "its zone is nearer");
-    let first = table.failed(&id("one"), true, at(400)).expect("it is known");
-    let second = table.failed(&id("one"), true, at(400)).expect("it is known");
+    let first = table.failed(&life("one"), true, at(400)).expect("it is known");
+    let second = table.failed(&life("one"), true, at(400)).expect("it is known");
     assert!(second > first);
-    table.succeeded(&id("one"), Millis(30), at(500));
+    table.succeeded(&life("one"), Millis(30), at(500));
     assert_eq!(choose(&table, 501), Some(id("one")));
 }
 
@@ -164,13 +169,13 @@
     for name in ["one", "three", "seven77"] {
         table.upsert(worker(name, "a"));
     }
-    table.started(&id("three"), &prefix, 100_000, at(0));
-    table.ended(&id("three"));
+    table.started(&life("three"), &prefix, 100_000, at(0));
+    table.ended(&life("three"));
     let chosen = |table: &WorkerTable| table.choose(&ask(&prefix, &[]), at(10), &mut random()).expect("there is one");
     assert_eq!(chosen(&table).id, id("three"));
     assert_eq!(chosen(&table).cached_tokens, 6_100);
     for _ in 0..10 {
-        table.started(&id("three"), &[], 100_000, at(10));
+        table.started(&life("three"), &[], 100_000, at(10));
     }
     assert_ne!(chosen(&table).id, id("three"));
 }
@@ -182,7 +187,7 @@
     table.upsert(worker("three", "a"));
     table.set_shared_loads(&[WorkerCount { worker: id("one"), requests: 6 }], at(0));
     assert_eq!(choose(&table, 10), Some(id("three")));
-    table.reported(&id("three"), WorkerLoad { running: 8, waiting: 4 }, at(10));
+    table.reported(&life("three"), WorkerLoad { running: 8, waiting: 4 }, at(10));
     assert_eq!(choose(&table, 15), Some(id("one")), "the worker's own word is newer than the shared loads");
     table.set_shared_loads(&[WorkerCount { worker: id("one"), requests: 6 }], at(20));
     assert_eq!(choose(&table, 25), Some(id("three")), "the shared loads are newer than the worker's own word");
@@ -195,7 +200,7 @@
     table.upsert(worker("three", "a"));
     table.set_shared_loads(&[WorkerCount { worker: id("three"), requests: 6 }], at(0));
     assert_eq!(choose(&table, 10), Some(id("one")));
-    table.mark_full(&id("one"), at(10));
+    table.mark_full(&life("one"), at(10));
     assert_eq!(choose(&table, 20), Some(id("three")));
 }
 
@@ -240,9 +245,9 @@
     assert_eq!(table.own_report(at(50)), vec![], "what others reported is not reported again");
     assert_eq!(choose(&table, 600), Some(id("one")), "old reports are forgotten");
     apply(&mut table, 2, None, 700);
-    table.succeeded(&id("one"), Millis(50), at(710));
+    table.succeeded(&life("one"), Millis(50), at(710));
     assert_eq!(choose(&table, 720), Some(id("one")), "own success counts more");
-    table.failed(&id("one"), false, at(800));
+    table.failed(&life("one"), false, at(800));
     assert_eq!(table.own_report(at(810)).iter().map(|report| report.ejected_by).collect::<Vec<_>>(), vec![1]);
 }
 
@@ -348,7 +353,7 @@
         table.upsert(worker("other", "a"));
         let mut started = 0;
         while let Some(choice) = table.choose_for_batch(&ask(&[], &[]), online_per_s, at(0), &mut random()) {
-            table.started(&choice.id, &[], 0, at(0));
+            table.started(&choice.life(), &[], 0, at(0));
             started += 1;
             assert!(started <= 16);
         }
@@ -377,8 +382,8 @@
     table.upsert(worker("one", "a"));
     let mut started = 0;
     while let Some(choice) = table.choose_for_batch(&ask(&[], &[]), 0, at(0), &mut random()) {
-        table.started(&choice.id, &[], 0, at(0));
-        table.batch_started(&choice.id);
+        table.started(&choice.life(), &[], 0, at(0));
+        table.batch_started(&choice.life());
         started += 1;
         assert!(started <= 8);
     }
@@ -412,7 +417,7 @@
         let mut table = WorkerTable::default();
         table.upsert(worker("one", "a"));
         table.upsert(worker("three", "b"));
-        table.attempt_ended(&id("one"), end, at(0));
+        table.attempt_ended(&life("one"), end, at(0));
         choose(&table, millis)
     };
     for end in [AttemptEnd::Broken, AttemptEnd::Silent, AttemptEnd::Failed { status: 500 }] {
@@ -425,3 +430,64 @@
     assert_eq!(chosen_after(AttemptEnd::NotRun { other_instance: false }, 2_000), Some(id("one")));
     assert_eq!(chosen_after(AttemptEnd::NotRun { other_instance: true }, 2_000), Some(id("three")), "gone for good");
 }
+
+fn born(name: &str, born: u64) -> WorkerRecord {
+    WorkerRecord { born: Some(UnixMillis(born)), ..worker(name, "a") }
+}
+
+#[test]
+fn a_later_life_of_a_worker_drops_what_was_believed_of_the_one_before() {
+    let mut table = WorkerTable::default();
+    let (before, after) = (born("one", 5_000), born("one", 9_000));
+    table.upsert(before.clone());
+    table.started(&before.life(), &[], 0, at(0));
+    table.reported(&before.life(), WorkerLoad { running: 8, waiting: 8 }, at(0));
+    for _ in 0..4 {
+        table.failed(&before.life(), true, at(0));
+    }
+    table.upsert(WorkerRecord { draining: true, ..before.clone() });
+    assert_eq!(choose(&table, 1), None);
+    assert_eq!(table.upsert(after.clone()), Some(WorkerChange::Seen(id("one"))), "it starts again under its id");
+    let choice = table.choose(&ask(&[], &[]), at(1), &mut random()).expect("it takes requests");
+    assert_eq!((choice.load, choice.born), (0, after.born), "nothing runs there, and it is not ejected");
+    // Ends of requests at the former life, and its record, say nothing of this one.
+    table.started(&after.life(), &[], 0, at(2));
+    table.ended(&before.life());
+    table.failed(&before.life(), true, at(2));
+    table.attempt_ended(&before.life(), AttemptEnd::NotRun { other_instance: true }, at(2));
+    assert_eq!(table.upsert(before), None);
+    let choice = table.choose(&ask(&[], &[]), at(3), &mut random()).expect("it takes requests");
+    assert_eq!((choice.load, choice.born), (1, after.born));
+    table.failed(&after.life(), true, at(3));
+    assert_eq!(table.failed(&after.life(), true, at(3)), Some(Millis(600)), "its own failures begin anew");
+}
+
+#[test]
+fn a_worker_that_does_not_date_its_start_keeps_one_life() {
+    let mut table = WorkerTable::default();
+    table.upsert(worker("one", "a"));
+    table.started(&life("one"), &[], 0, at(0));
+    // A writer of records that begins to date them speaks of the same worker.
+    table.upsert(born("one", 5_000));
+    table.ended(&life("one"));
+    let choice = table.choose(&ask(&[], &[]), at(1), &mut random()).expect("it takes requests");
+    assert_eq!((choice.load, choice.born), (0, Some(UnixMillis(5_000))));
+    table.upsert(worker("one", "a"));
+    assert_eq!(table.record(&id("one")).and_then(|record| record.born), Some(UnixMillis(5_000)));
+    assert_eq!(table.upsert(born("one", 4_999)), None, "it is known to be later");
+}
+
+#[test]
+fn two_starts_in_quick_succession_come_to_the_last_in_any_order() {
+    let lives = [born("one", 1_000), born("one", 1_200), born("one", 1_300)];
+    for order in [[0, 1, 2], [0, 2, 1], [2, 1, 0], [1, 0, 2], [1, 2, 0], [2, 0, 1]] {
+        let mut table = WorkerTable::default();
+        for place in order {
+            table.upsert(lives[place].clone());
+        }
+        assert_eq!(table.record(&id("one")), Some(&lives[2]), "{order:?}");
+        table.remove(&id("one"), at(0), at(0));
+        assert_eq!(table.upsert(lives[1].clone()), None, "{order:?}");
+        assert_eq!(choose(&table, 10), None, "an earlier life does not bring back a later one that is gone");
+    }
+}
--- a/crates/gateway/src/adapter/metadata.rs
+++ b/crates/gateway/src/adapter/metadata.rs
@@ -41,10 +41,13 @@
     },
     /// One of the product's own keys changed.
     OwnItem(MetadataItem),
-    /// An item that can't be read. It is skipped; the last version of it stays.
+    /// An item that can't be read. It is skipped; the last version of it stays, but for a worker's record, which then names
+    /// no worker.
     Unreadable {
         /// Which, and what is wrong with it.
         detail: String,
+        /// The worker whose record it would be.
+        worker: Option<WorkerId>,
     },
     /// The store answers again.
     StoreRecovered {
--- a/crates/gateway/src/fleet/crash_reports.rs
+++ b/crates/gateway/src/fleet/crash_reports.rs
@@ -6,13 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::serving::crashes::CrashReport;
-use stallmoor_core::serving::relay::item::{MetadataItem, Revision};
+use stallmoor_core::serving::relay::item::Revision;
 
 use crate::adapter::metadata::{MetadataStore, PutOutcome};
-use crate::fleet::fleet_view::FleetView;
-use crate::observe::journal::{Field, record};
+use crate::fleet::fleet_view::{FleetView, read_record};
 
 /// The keys of machines' crash reports begin so.
 pub const CRASH_KEYS: &str = "stallmoor/crashes/";
@@ -68,18 +66,8 @@
             return tokio::time::sleep(RETRY_WAIT).await;
         };
         self.revision = if item.value().is_some() { item.revision } else { Revision(0) };
-        if let Some(report) = read_report(&item) {
+        if let Some(report) = read_record(&item) {
             view.merge_crashes(&report, true);
         }
     }
 }
-
-/// The report in a record; `None` if the record is gone or can't be read.
-pub fn read_report(item: &MetadataItem) -> Option<CrashReport> {
-    let read = serde_json::from_slice(item.value()?);
-    if let Err(error) = &read {
-        let detail = format!("{} at {}: {error}", item.key, item.revision);
-        record(LogEvent::RecordUnreadable, &[Field::text("detail", detail)]);
-    }
-    read.ok()
-}
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -9,6 +9,7 @@
 
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
+use serde::de::DeserializeOwned;
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::retry_budget::RetryBudget;
 use stallmoor_core::serving::configuration::GatewayConfiguration;
@@ -22,7 +23,7 @@
 
 use crate::adapter::metadata::FleetUpdate;
 use crate::clock::NodeClock;
-use crate::fleet::crash_reports::{CRASH_KEYS, read_report};
+use crate::fleet::crash_reports::CRASH_KEYS;
 use crate::observe::journal::{Field, record};
 use crate::observe::measures;
 
@@ -182,7 +183,13 @@
             FleetUpdate::WorkerMissing { worker, until } => self.miss_worker(worker, *until),
             FleetUpdate::Synced => self.is_synced.store(true, Ordering::Relaxed),
             FleetUpdate::OwnItem(item) => self.take_item(item),
-            FleetUpdate::Unreadable { detail } => record(LogEvent::RecordUnreadable, &[Field::text("detail", detail)]),
+            FleetUpdate::Unreadable { detail, worker } => {
+                record(LogEvent::RecordUnreadable, &[Field::text("detail", detail)]);
+                if let Some(worker) = worker {
+                    // Not even as a last resort: what stands there is not its word.
+                    self.remove_worker(worker, self.clock.now());
+                }
+            }
             FleetUpdate::StoreRecovered { absence } => {
                 record(LogEvent::PlatformRecovered, &[Field::number("absence_ms", absence.0)]);
             }
@@ -224,14 +231,13 @@
             *lock(&self.founding) = Some(item.clone());
         }
         if item.key.starts_with(CRASH_KEYS) {
-            if let Some(report) = read_report(item) {
+            if let Some(report) = read_record(item) {
                 self.merge_crashes(&report, false);
             }
             return;
         }
         let Some(name) = item.key.strip_prefix(STORAGE_KEYS) else { return };
-        let stored = item.value().and_then(|value| serde_json::from_slice::<StorageRecord>(value).ok());
-        match stored {
+        match read_record::<StorageRecord>(item) {
             Some(stored) => {
                 let fields = [Field::text("machine", name), Field::text("node", stored.node)];
                 record(LogEvent::StorageNodeSeen, &fields);
@@ -242,6 +248,16 @@
     }
 }
 
+/// What one of the product's own records holds; `None` if it is gone or can't be read, which is logged.
+pub(super) fn read_record<T: DeserializeOwned>(item: &MetadataItem) -> Option<T> {
+    let read = serde_json::from_slice::<T>(item.value()?);
+    if let Err(error) = &read {
+        let detail = format!("{} at {}: {error}", item.key, item.revision);
+        record(LogEvent::RecordUnreadable, &[Field::text("detail", detail)]);
+    }
+    read.ok()
+}
+
 /// Locks; a panic elsewhere leaves values that are still whole.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -25,7 +25,7 @@
 use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::serving::online::request_state::{GiveUp, RequestState};
 use stallmoor_core::serving::request::RequestFacts;
-use stallmoor_core::serving::workers::{Choice, WorkerAsk, WorkerId};
+use stallmoor_core::serving::workers::{Choice, WorkerAsk, WorkerLife};
 use stallmoor_core::time::{Millis, Timestamp};
 use tokio::task::JoinHandle;
 
@@ -201,10 +201,10 @@
     }
 
     /// An attempt ended whose worker had begun to answer.
-    fn end_attempt(&mut self, worker: &WorkerId, end: AttemptEnd) {
+    fn end_attempt(&mut self, worker: &WorkerLife, end: AttemptEnd) {
         self.client.view.workers().attempt_ended(worker, end, self.now());
-        self.log_attempt(worker, end);
-        self.state.attempt_ended(worker, end, &mut self.client.view.retry_budget());
+        self.log_attempt(&worker.id, end);
+        self.state.attempt_ended(&worker.id, end, &mut self.client.view.retry_budget());
         self.check_crash(end);
     }
 
--- a/crates/gateway/src/workers/attempt.rs
+++ b/crates/gateway/src/workers/attempt.rs
@@ -14,12 +14,12 @@
 use stallmoor_core::serving::online::attempt::{AnswerMarks, AttemptEnd};
 use stallmoor_core::serving::request::PrefixLink;
 use stallmoor_core::serving::workers::connection_limit::connection_limit;
-use stallmoor_core::serving::workers::{Choice, WorkerId};
+use stallmoor_core::serving::workers::{Choice, WorkerLife};
 use stallmoor_core::time::Timestamp;
 
 use crate::adapter::dialect::{AnswerFacts, Dialect};
 use crate::fleet::fleet_view::FleetView;
-use crate::workers::connections::{ConnectionPool, NoConnection, SendFailure, WorkerConnection};
+use crate::workers::connections::{ConnectionPool, NoConnection, SendFailure, WorkerConnection, WorkerEndpoint};
 
 /// How long the rest of a refusal may take before its connection is closed instead of kept. Not measured: a refusal's body
 /// comes with its head.
@@ -57,7 +57,7 @@
 /// Counts a request as being at a worker for as long as it lives.
 pub struct InFlight {
     view: Arc<FleetView>,
-    worker: WorkerId,
+    worker: WorkerLife,
     is_batch: bool,
 }
 
@@ -82,7 +82,7 @@
     /// The body.
     pub body: Incoming,
     /// The worker.
-    pub worker: WorkerId,
+    pub worker: WorkerLife,
     /// When the request left.
     pub sent_at: Timestamp,
     connection: WorkerConnection,
@@ -111,12 +111,13 @@
         let memory = self.view.worker_memory(service);
         let now = self.view.clock.now();
         let mut workers = self.view.workers();
-        workers.started(&choice.id, prefix, memory, now);
+        let life = choice.life();
+        workers.started(&life, prefix, memory, now);
         if is_batch {
-            workers.batch_started(&choice.id);
+            workers.batch_started(&life);
         }
         drop(workers);
-        InFlight { view: self.view.clone(), worker: choice.id.clone(), is_batch }
+        InFlight { view: self.view.clone(), worker: life, is_batch }
     }
 
     /// Sends a request and waits up to `timeout` for the head of its answer. What was learned of the
@@ -126,7 +127,7 @@
     ///
     /// [`AttemptEnd`]: how the attempt ended. Nothing of it may be passed on.
     pub async fn open(&self, attempt: Attempt, timeout: Duration) -> Result<OpenAnswer, AttemptEnd> {
-        let worker = attempt.choice.id.clone();
+        let worker = attempt.choice.life();
         let result = self.try_open(attempt, timeout).await;
         let now = self.view.clock.now();
         match &result {
@@ -165,7 +166,7 @@
             headers: parts.headers,
             facts,
             body,
-            worker: choice.id,
+            worker: choice.life(),
             sent_at,
             connection,
             _in_flight: in_flight,
@@ -181,7 +182,7 @@
 
     async fn connect(&self, attempt: &Attempt) -> Result<WorkerConnection, AttemptEnd> {
         let most = self.most_connections(&attempt.service);
-        self.connections.take(attempt.choice.address, most).await.map_err(|error| match error {
+        self.connections.take(WorkerEndpoint::of(&attempt.choice), most).await.map_err(|error| match error {
             NoConnection::AllInUse => AttemptEnd::NotRun { other_instance: false },
             NoConnection::Unreachable => AttemptEnd::NotConnected,
         })
--- a/crates/gateway/src/workers/connections.rs
+++ b/crates/gateway/src/workers/connections.rs
@@ -15,6 +15,8 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use stallmoor_core::serving::workers::Choice;
+use stallmoor_core::time::UnixMillis;
 use tokio::task::AbortHandle;
 
 use crate::sockets::connect_tuned;
@@ -32,11 +34,25 @@
 /// needs a moment.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Where a worker is reached in one of its lives. A connection to an earlier life is of no use to a later one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct WorkerEndpoint {
+    address: SocketAddr,
+    born: Option<UnixMillis>,
+}
+
+impl WorkerEndpoint {
+    /// Where the worker that was chosen is reached.
+    pub fn of(choice: &Choice) -> Self {
+        Self { address: choice.address, born: choice.born }
+    }
+}
+
 /// A connection that serves one request now.
 pub struct WorkerConnection {
     /// `None` only while the connection is given back.
     sender: Option<SendRequest<Full<Bytes>>>,
-    address: SocketAddr,
+    endpoint: WorkerEndpoint,
     task: AbortHandle,
     pool: Arc<ConnectionPool>,
     keep: Option<Duration>,
@@ -49,12 +65,12 @@
 }
 
 #[derive(Default)]
-struct AddressConnections {
+struct EndpointConnections {
     idle: Vec<IdleConnection>,
     open: usize,
 }
 
-impl AddressConnections {
+impl EndpointConnections {
     /// Counts a connection that is about to be opened, if there may be one more.
     fn reserve(&mut self, most: usize) -> bool {
         let has_room = self.open < most;
@@ -80,7 +96,7 @@
 /// The connections of this node to all workers.
 #[derive(Default)]
 pub struct ConnectionPool {
-    addresses: Mutex<HashMap<SocketAddr, AddressConnections>>,
+    endpoints: Mutex<HashMap<WorkerEndpoint, EndpointConnections>>,
 }
 
 impl ConnectionPool {
@@ -89,36 +105,40 @@
     /// # Errors
     ///
     /// [`NoConnection`]: nothing was sent.
-    pub async fn take(self: &Arc<Self>, address: SocketAddr, most: usize) -> Result<WorkerConnection, NoConnection> {
-        if let Some(IdleConnection { sender, task, .. }) = self.reuse_or_reserve(address, most)? {
-            return Ok(WorkerConnection { sender: Some(sender), address, task, pool: self.clone(), keep: None });
+    pub async fn take(
+        self: &Arc<Self>,
+        endpoint: WorkerEndpoint,
+        most: usize,
+    ) -> Result<WorkerConnection, NoConnection> {
+        if let Some(IdleConnection { sender, task, .. }) = self.reuse_or_reserve(endpoint, most)? {
+            return Ok(WorkerConnection { sender: Some(sender), endpoint, task, pool: self.clone(), keep: None });
         }
-        self.open(address).await
+        self.open(endpoint).await
     }
 
     /// Whether a worker takes a new connection, which is kept for the next request. `None` if the worker's share of
     /// connections is in use, so that nothing was tried.
-    pub async fn reaches(self: &Arc<Self>, address: SocketAddr, most: usize) -> Option<bool> {
-        if !self.lock().entry(address).or_default().reserve(most) {
+    pub async fn reaches(self: &Arc<Self>, endpoint: WorkerEndpoint, most: usize) -> Option<bool> {
+        if !self.lock().entry(endpoint).or_default().reserve(most) {
             return None;
         }
-        let opened = self.open(address).await;
+        let opened = self.open(endpoint).await;
         Some(opened.map(|mut connection| connection.keep(None)).is_ok())
     }
 
     /// Opens a connection that was counted before.
-    async fn open(self: &Arc<Self>, address: SocketAddr) -> Result<WorkerConnection, NoConnection> {
-        let slot = OpenSlot { pool: self.clone(), address, kept: false };
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await;
+    async fn open(self: &Arc<Self>, endpoint: WorkerEndpoint) -> Result<WorkerConnection, NoConnection> {
+        let slot = OpenSlot { pool: self.clone(), endpoint, kept: false };
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect(endpoint.address)).await;
         let Ok(Ok(NewConnection { sender, task })) = connected else { return Err(NoConnection::Unreachable) };
         slot.keep();
-        Ok(WorkerConnection { sender: Some(sender), address, task, pool: self.clone(), keep: None })
+        Ok(WorkerConnection { sender: Some(sender), endpoint, task, pool: self.clone(), keep: None })
     }
 
     /// An idle connection that can be used; `None` if a new one may be opened, which is counted from now on.
-    fn reuse_or_reserve(&self, address: SocketAddr, most: usize) -> Result<Option<IdleConnection>, NoConnection> {
-        let mut addresses = self.lock();
-        let connections = addresses.entry(address).or_default();
+    fn reuse_or_reserve(&self, endpoint: WorkerEndpoint, most: usize) -> Result<Option<IdleConnection>, NoConnection> {
+        let mut endpoints = self.lock();
+        let connections = endpoints.entry(endpoint).or_default();
         while let Some(idle) = connections.idle.pop() {
             if !idle.sender.is_closed() && idle.sender.is_ready() && Instant::now() < idle.until {
                 return Ok(Some(idle));
@@ -132,8 +152,8 @@
     /// Closes idle connections that are over their time.
     pub fn close_stale(&self) {
         let now = Instant::now();
-        let mut addresses = self.lock();
-        for connections in addresses.values_mut() {
+        let mut endpoints = self.lock();
+        for connections in endpoints.values_mut() {
             let before = connections.idle.len();
             connections.idle.retain(|idle| {
                 let is_live = now < idle.until && !idle.sender.is_closed();
@@ -144,28 +164,28 @@
             });
             connections.open = connections.open.saturating_sub(before - connections.idle.len());
         }
-        addresses.retain(|_, connections| connections.open > 0);
+        endpoints.retain(|_, connections| connections.open > 0);
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, AddressConnections>> {
-        self.addresses.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, HashMap<WorkerEndpoint, EndpointConnections>> {
+        self.endpoints.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn released(&self, address: SocketAddr) {
-        if let Some(connections) = self.lock().get_mut(&address) {
+    fn released(&self, endpoint: WorkerEndpoint) {
+        if let Some(connections) = self.lock().get_mut(&endpoint) {
             connections.open = connections.open.saturating_sub(1);
         }
     }
 
-    fn put_back(&self, address: SocketAddr, idle: IdleConnection) {
-        self.lock().entry(address).or_default().idle.push(idle);
+    fn put_back(&self, endpoint: WorkerEndpoint, idle: IdleConnection) {
+        self.lock().entry(endpoint).or_default().idle.push(idle);
     }
 }
 
 /// Counts a connection attempt until it has become a connection.
 struct OpenSlot {
     pool: Arc<ConnectionPool>,
-    address: SocketAddr,
+    endpoint: WorkerEndpoint,
     kept: bool,
 }
 
@@ -178,7 +198,7 @@
 impl Drop for OpenSlot {
     fn drop(&mut self) {
         if !self.kept {
-            self.pool.released(self.address);
+            self.pool.released(self.endpoint);
         }
     }
 }
@@ -215,34 +235,34 @@
 
 impl Drop for WorkerConnection {
     fn drop(&mut self) {
-        let (address, pool, task) = (self.address, self.pool.clone(), self.task.clone());
+        let (endpoint, pool, task) = (self.endpoint, self.pool.clone(), self.task.clone());
         let sender = self.sender.take().filter(|sender| !sender.is_closed());
         let (Some(sender), Some(idle)) = (sender, self.keep.filter(|idle| !idle.is_zero())) else {
             task.abort();
-            pool.released(address);
+            pool.released(endpoint);
             return;
         };
         if sender.is_ready() {
-            pool.put_back(address, IdleConnection { sender, task, until: Instant::now() + idle });
+            pool.put_back(endpoint, IdleConnection { sender, task, until: Instant::now() + idle });
             return;
         }
-        tokio::spawn(return_when_ready(sender, address, pool, task, idle));
+        tokio::spawn(return_when_ready(sender, endpoint, pool, task, idle));
     }
 }
 
 async fn return_when_ready(
     mut sender: SendRequest<Full<Bytes>>,
-    address: SocketAddr,
+    endpoint: WorkerEndpoint,
     pool: Arc<ConnectionPool>,
     task: AbortHandle,
     idle: Duration,
 ) {
     let ready = tokio::time::timeout(RELEASE_TIMEOUT, sender.ready()).await;
     if matches!(ready, Ok(Ok(()))) {
-        pool.put_back(address, IdleConnection { sender, task, until: Instant::now() + idle });
+        pool.put_back(endpoint, IdleConnection { sender, task, until: Instant::now() + idle });
     } else {
         task.abort();
-        pool.released(address);
+        pool.released(endpoint);
     }
 }
 
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -12,6 +12,7 @@
 
 use crate::observe::journal::{Field, record};
 use crate::workers::attempt::WorkerClient;
+use crate::workers::connections::WorkerEndpoint;
 
 /// The wait between a broken connection and the look at its worker, in milliseconds: a process that ends closes its
 /// connections and its listener one after the other. Not measured: ample for that, and short against the start of a
@@ -38,7 +39,7 @@
         tokio::time::sleep(CHECK_DELAY).await;
         let most = self.most_connections(&run.service);
         // Where this node may open no further connection, nothing is known, and nothing is held against the request.
-        if self.connections.reaches(run.choice.address, most).await != Some(false) {
+        if self.connections.reaches(WorkerEndpoint::of(&run.choice), most).await != Some(false) {
             return;
         }
         let fields = [
--- a/crates/gateway/tests/missing_records.rs
+++ b/crates/gateway/tests/missing_records.rs
@@ -138,6 +138,7 @@
         zone: Arc::from("zone-a"),
         slots: 8,
         draining: false,
+        born: None,
     }
 }
 
