Crash ledger: wake the report only for requests that are suspected, tell no quarantine that is over

Read again as a newcomer: each run to the end woke the report of crashes while any crash was remembered, and a node that starts logged quarantines of which the time was over. Both change no verdict. Measured: crash_ledger and crashing_requests pass.

--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -29,7 +29,6 @@
 /// Most requests that are remembered; those whose last crash is longest ago go first. Bounds memory to some 300 KB. Not
 /// measured: a fleet of 710 workers with 8 slots that loses 18 workers a day comes to some 150.
 const MOST_REQUESTS: usize = 1_024;
-
 /// Most crashes that are remembered of one request; the oldest go first. Bounds memory. Not measured: far more than make up
 /// the longest quarantine.
 const MOST_SIGHTINGS: usize = 32;
@@ -37,7 +36,6 @@
 /// starts again under its id and dies again later counts anew. Not measured: longer than two nodes take to notice, and
 /// shorter than a worker takes to start.
 const SAME_CRASH: Millis = Millis(1_000);
-
 /// A run that got further than this beyond an earlier one got past the point at which that one's worker died, in events.
 /// Clears long answers that were only there when several workers died one after the other. Not measured: the last events
 /// before a crash may be lost with the connection.
@@ -161,9 +159,9 @@
         self.quarantine(digest)
     }
 
-    /// A request of this node ran to its end. It is no longer suspected for what was before.
-    pub fn completed(&mut self, digest: RequestDigest, now: UnixMillis) {
-        self.note_completion(Completion { digest, at: now }, Source::Here);
+    /// A request of this node ran to its end. It is no longer suspected for what was before. Returns whether it was.
+    pub fn completed(&mut self, digest: RequestDigest, now: UnixMillis) -> bool {
+        self.note_completion(Completion { digest, at: now }, Source::Here)
     }
 
     /// For how long a request is to be kept from all workers, in milliseconds; `None` if it may run.
@@ -192,7 +190,8 @@
             self.note_completion(completion.clone(), source);
         }
         self.forget_old(now);
-        touched.into_iter().filter_map(|digest| self.quarantine(digest)).collect()
+        let quarantines = touched.into_iter().filter_map(|digest| self.quarantine(digest));
+        quarantines.filter(|quarantine| quarantine.until > now).collect()
     }
 
     /// What this node tells the others.
@@ -260,12 +259,13 @@
         Some(Quarantine { digest, crashes: self.crashes(digest), until })
     }
 
-    fn note_completion(&mut self, completion: Completion, source: Source) {
-        // A request of which no crash is known has nothing to be cleared of.
-        let Some(suspect) = self.suspects.get_mut(&completion.digest) else { return };
+    /// Notes a run to the end. Returns whether any crash of the request is known: else there is nothing to clear it of.
+    fn note_completion(&mut self, completion: Completion, source: Source) -> bool {
+        let Some(suspect) = self.suspects.get_mut(&completion.digest) else { return false };
         if suspect.completed.is_none_or(|known| known.at < completion.at) {
             suspect.completed = Some(LastCompletion { at: completion.at, source });
         }
+        true
     }
 
     fn forget_old(&mut self, now: UnixMillis) {
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -123,8 +123,9 @@
         if self.crashes().is_empty() {
             return;
         }
-        self.crashes().completed(digest(), self.clock.civil());
-        self.crash_facts.notify_one();
+        if self.crashes().completed(digest(), self.clock.civil()) {
+            self.crash_facts.notify_one();
+        }
     }
 
     /// Takes a machine's report of crashes.
