Leadership is handed over to no member that is to be drained itself

Traced by its logs: two of three machines were left, both with an order to be emptied, and each leader handed over to the other one as soon as it led: 472 terms, a new one every 60 ms. Change: the successor of a leader whose machine is to be drained must not be drained too; until there is one it leads on, and replaces the others.

--- a/crates/core/src/serving/jobs/members.rs
+++ b/crates/core/src/serving/jobs/members.rs
@@ -163,8 +163,14 @@
 
     /// A caught-up voter that could lead in this node's place.
     pub fn successor(&self, replica: &Replica) -> Option<NodeId> {
+        self.successor_but(replica, &BTreeSet::new())
+    }
+
+    /// The same, outside of `drained`.
+    fn successor_but(&self, replica: &Replica, drained: &BTreeSet<NodeId>) -> Option<NodeId> {
         let voters = replica.membership().voters.iter().copied();
-        voters.filter(|voter| *voter != self.own).find(|voter| self.is_caught_up(replica, *voter))
+        let mut others = voters.filter(|voter| *voter != self.own && !drained.contains(voter));
+        others.find(|voter| self.is_caught_up(replica, *voter))
     }
 
     fn plan_as_leader(
@@ -175,8 +181,13 @@
     ) -> Vec<MembersAction> {
         let membership = replica.membership();
         let drained = self.drained_nodes(directory);
-        if drained.contains(&self.own) && membership.voters.contains(&self.own) {
-            return self.successor(replica).map(MembersAction::HandOver).into_iter().collect();
+        // A member that is to be drained as well would hand leadership back at once, and so on. Until another one can take
+        // over, this node leads on and replaces the others.
+        if drained.contains(&self.own)
+            && membership.voters.contains(&self.own)
+            && let Some(target) = self.successor_but(replica, &drained)
+        {
+            return vec![MembersAction::HandOver(target)];
         }
         let mut actions = Vec::new();
         let step = self.next_step(replica, directory, &drained, now);
@@ -198,6 +209,8 @@
         now: Timestamp,
     ) -> Option<MembershipChange> {
         let membership = replica.membership();
+        // This node is replaced by whoever leads after it.
+        let is_drained = |node: &NodeId| *node != self.own && drained.contains(node);
         let candidates: Vec<StoreCandidate> = directory
             .records()
             .filter(|record| !drained.contains(&record.node) && self.is_there(record.node, now))
@@ -207,7 +220,7 @@
             .members()
             .map(|node| ReplicaHealth {
                 node,
-                is_lost: drained.contains(&node) || self.is_lost(replica, directory, node, now),
+                is_lost: is_drained(&node) || self.is_lost(replica, directory, node, now),
                 is_caught_up: self.is_caught_up(replica, node),
             })
             .collect();
@@ -222,7 +235,7 @@
         let step = plan_repair(&input).map(|step| step.0);
         // Where no spare takes an drained machine's place, the others go on without it if they are enough.
         let may_shrink = tolerates_losses(membership.voters.len().saturating_sub(1), self.tolerated);
-        let drained_voter = || membership.voters.iter().copied().find(|voter| may_shrink && drained.contains(voter));
+        let drained_voter = || membership.voters.iter().copied().find(|voter| may_shrink && is_drained(voter));
         let removal = || drained_voter().filter(|_| membership.learners.is_empty()).map(MembershipChange::Remove);
         step.or_else(removal)
     }
--- a/crates/core/tests/jobs_simulation.rs
+++ b/crates/core/tests/jobs_simulation.rs
@@ -631,3 +631,33 @@
         world.check();
     }
 }
+
+/// Seen: with two machines left and both to be emptied, each leader handed over to the other one at once, 470 terms in 26 s. Items
+/// began anew with each leader, which kept what had failed in its memory, and connections to workers were opened and dropped.
+#[test]
+fn leadership_stays_where_all_members_are_to_be_emptied() {
+    for seed in 1..=8 {
+        let mut world = World::new(seed, 3);
+        world.run_for(3_000);
+        let names: Vec<String> = world.machines.keys().cloned().collect();
+        world.emptied.extend(names.iter().map(|name| Arc::from(name.as_str())));
+        world.run_for(2_000);
+        let term = |world: &World| {
+            let processes = world.machines.values().filter_map(|machine| machine.process.as_ref());
+            processes.map(|process| process.node.replica().term().0).max()
+        };
+        let before = term(&world);
+        world.run_for(10_000);
+        assert_eq!(term(&world), before, "seed {seed}");
+        // Machines that are to stay take over all copies.
+        for _ in 0..3 {
+            let name = world.add_machine();
+            world.start(&name);
+        }
+        world.run_for(20_000);
+        for name in &names {
+            assert!(world.store.completed.iter().any(|machine| **machine == **name), "{name}, seed {seed}");
+        }
+        world.check();
+    }
+}
