Spares ask the leader alone to join, and few of them often

Cause: each storing node outside the membership asked all others every 400 ms: 145 x 149 x 2.5 = 54,000 messages a second in a fleet of 150 (counted from the code), most of them across zones. Change: a spare looks for the leader and asks that one; the first four of a zone's order every 400 ms, the others every 4 s. A spare that is asked who leads says what it found out. A search goes on where the one before ended, as a short one would never get beyond the first few of 150 storing nodes.

--- a/crates/core/src/serving/jobs/members.rs
+++ b/crates/core/src/serving/jobs/members.rs
@@ -8,6 +8,7 @@
 
 use super::directory::{StorageDirectory, StorageRecord};
 use super::pair::{PairRecord, PairView, StoredPair};
+use crate::hashing::{hash_bytes, rendezvous_weight};
 use crate::identity::NodeId;
 use crate::replication::{
     GroupMembership, MembershipChange, RepairInput, Replica, ReplicaHealth, StoreCandidate, plan_repair,
@@ -29,6 +30,19 @@
 /// The time between two join requests of a spare, in milliseconds. The leader learns of a spare this soon. Not
 /// measured: three of them fit into [`SPARE_CONTACT_WITHIN`].
 const JOIN_INTERVAL: Millis = Millis(400);
+/// Spares of each zone that ask at that interval.
+const READY_SPARES: usize = 4;
+/// The time between two join requests of all other spares, in milliseconds: they take the place of ready ones that are
+/// gone, and cost the leader little however many they are.
+const RESERVE_JOIN_INTERVAL: Millis = Millis(4_000);
+
+/// The place of a storing node among those of its zone, as all nodes rank them.
+pub fn spare_rank(directory: &StorageDirectory, zone: &str, own: NodeId) -> usize {
+    let key = hash_bytes(zone.as_bytes());
+    let own_weight = rendezvous_weight(key, own.0);
+    let in_zone = directory.records().filter(|record| &*record.zone == zone && record.node != own);
+    in_zone.filter(|record| rendezvous_weight(key, record.node.0) < own_weight).count()
+}
 
 /// How many voters bear the loss of `tolerated` of them: what a majority holds is then still held by a
 /// majority's worth of the rest.
@@ -133,9 +147,12 @@
 
     /// Whether a join request is due: this node is outside the membership, or knows no leader. If so, the next one is
     /// due an interval from now.
-    pub fn take_join_turn(&mut self, replica: &Replica, now: Timestamp) -> bool {
+    /// `rank` is the node's place among the storing nodes of its zone: the leader needs to know of a few spares only.
+    pub fn take_join_turn(&mut self, replica: &Replica, rank: usize, now: Timestamp) -> bool {
         let belongs = replica.membership().contains(self.own) && replica.leader().is_some();
-        let is_due = !belongs && now.since(self.last_join) >= JOIN_INTERVAL;
+        let is_ready = rank < READY_SPARES || replica.membership().contains(self.own);
+        let interval = if is_ready { JOIN_INTERVAL } else { RESERVE_JOIN_INTERVAL };
+        let is_due = !belongs && now.since(self.last_join) >= interval;
         if is_due {
             self.last_join = now;
         }
--- a/crates/core/src/serving/leader/search.rs
+++ b/crates/core/src/serving/leader/search.rs
@@ -19,6 +19,9 @@
 /// rest. Not measured: short, since the next try is at another node.
 const LINK_FAILURE_WAIT: Millis = Millis(10);
 
+/// Redirects that a search follows without a wait: nodes whose word is old could send it to each other without end.
+const REDIRECTS_AT_ONCE: u32 = 4;
+
 /// Nobody answered in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoLeader {
@@ -87,7 +90,9 @@
     until: Timestamp,
     /// What the request itself asks to wait.
     hold: Millis,
+    /// Tries so far, and those of earlier searches whose round this one goes on with.
     tries: usize,
+    redirects: u32,
     may_have_arrived: bool,
 }
 
@@ -98,7 +103,18 @@
             JobsRequest::Read { wait, .. } => *wait,
             _ => Millis(0),
         };
-        Self { until, hold, tries: 0, may_have_arrived: false }
+        Self { until, hold, tries: 0, redirects: 0, may_have_arrived: false }
+    }
+
+    /// The same search, where earlier ones made so many tries. Where there are many storing nodes, a short search would
+    /// never get beyond the first of them.
+    pub fn after_tries(self, tries: usize) -> Self {
+        Self { tries, ..self }
+    }
+
+    /// Tries so far, those of earlier searches included.
+    pub fn tries(&self) -> usize {
+        self.tries
     }
 
     /// The next step. `leader` is who led last, as far as this node knows.
@@ -145,7 +161,9 @@
                 SearchVerdict::Done(if is_unsure { JobsAnswer::Indeterminate } else { answer })
             }
             TryOutcome::Refused(GroupRefusal::NotLeader { leader: Some(leader), .. }) if leader != node => {
-                SearchVerdict::Retry { leader: Some(leader), wait: Millis(0) }
+                self.redirects += 1;
+                let wait = if self.redirects > REDIRECTS_AT_ONCE { NO_LEADER_WAIT } else { Millis(0) };
+                SearchVerdict::Retry { leader: Some(leader), wait }
             }
             TryOutcome::Refused(_) => SearchVerdict::Retry { leader: None, wait: NO_LEADER_WAIT },
             TryOutcome::NotSent => SearchVerdict::Retry { leader: None, wait: LINK_FAILURE_WAIT },
--- a/crates/core/tests/item_rules.rs
+++ b/crates/core/tests/item_rules.rs
@@ -328,6 +328,6 @@
         let group = stallmoor_core::identity::GroupId(0);
         Replica::new(group, NodeId(3), settings, PersistedReplica::default(), at(0), 7)
     };
-    let asked: Vec<u64> = (0..1_000).filter(|millis| members.take_join_turn(&outside, at(*millis))).collect();
+    let asked: Vec<u64> = (0..1_000).filter(|millis| members.take_join_turn(&outside, 0, at(*millis))).collect();
     assert_eq!(asked, [400, 800]);
 }
--- a/crates/gateway/src/leader/client.rs
+++ b/crates/gateway/src/leader/client.rs
@@ -1,6 +1,7 @@
 //! Requests to the job table's leader, wherever it is. Which node is asked, and when it is given up, is decided by
 //! [`LeaderSearch`].
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -21,12 +22,14 @@
     links: PeerLinks,
     /// Who led last. All requests share it.
     leader: Mutex<Option<NodeId>>,
+    /// Tries of all searches, so that each goes on where the one before ended.
+    tries: AtomicUsize,
 }
 
 impl LeaderClient {
     /// A client that knows no leader yet.
     pub fn new(view: Arc<FleetView>, id: NodeId) -> Self {
-        Self { view, links: PeerLinks::new(id), leader: Mutex::default() }
+        Self { view, links: PeerLinks::new(id), leader: Mutex::default(), tries: AtomicUsize::new(0) }
     }
 
     /// Asks until there is an answer or the time is over.
@@ -38,9 +41,11 @@
     ///
     /// [`NoLeader`]: nobody answered in time.
     pub async fn ask(&self, request: JobsRequest, until: Timestamp) -> Result<JobsAnswer, NoLeader> {
-        let mut search = LeaderSearch::new(&request, until);
+        let mut search = LeaderSearch::new(&request, until).after_tries(self.tries.load(Ordering::Relaxed));
         loop {
-            let (target, timeout) = match self.next_step(&mut search) {
+            let step = self.next_step(&mut search);
+            self.tries.store(search.tries(), Ordering::Relaxed);
+            let (target, timeout) = match step {
                 SearchStep::Ask { target, timeout } => (target, timeout),
                 SearchStep::Wait(span) => {
                     sleep(span).await;
@@ -66,8 +71,7 @@
     }
 
     fn next_step(&self, search: &mut LeaderSearch) -> SearchStep {
-        let leader = *self.leader.lock().unwrap_or_else(PoisonError::into_inner);
-        search.next(leader, &self.view.storage(), &self.view.zone, self.view.clock.now())
+        search.next(self.leader(), &self.view.storage(), &self.view.zone, self.view.clock.now())
     }
 
     async fn try_node(&self, target: LeaderTarget, request: JobsRequest, timeout: Millis) -> TryOutcome {
@@ -79,6 +83,20 @@
         }
     }
 
+    /// Who led last, as far as this client knows.
+    pub fn leader(&self) -> Option<NodeId> {
+        *self.leader.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends the leader a request whose answer nobody waits for.
+    pub fn notify_leader(&self, request: JobsRequest) {
+        let leader = self.leader();
+        let address = leader.and_then(|leader| self.view.storage().of_node(leader).map(|record| record.address));
+        if let Some(address) = address {
+            self.links.notify(address, request);
+        }
+    }
+
     fn set_leader(&self, leader: Option<NodeId>) {
         *self.leader.lock().unwrap_or_else(PoisonError::into_inner) = leader;
     }
--- a/crates/gateway/src/storage/service/load_exchange.rs
+++ b/crates/gateway/src/storage/service/load_exchange.rs
@@ -34,8 +34,11 @@
 }
 
 impl LoadExchange {
-    pub(super) fn new(view: Arc<FleetView>, id: NodeId, answers: mpsc::UnboundedSender<Option<LoadReport>>) -> Self {
-        let client = Arc::new(LeaderClient::new(view.clone(), id));
+    pub(super) fn new(
+        view: Arc<FleetView>,
+        client: Arc<LeaderClient>,
+        answers: mpsc::UnboundedSender<Option<LoadReport>>,
+    ) -> Self {
         Self {
             view,
             aggregator: LoadAggregator::default(),
--- a/crates/gateway/src/storage/service/membership.rs
+++ b/crates/gateway/src/storage/service/membership.rs
@@ -45,6 +45,11 @@
         Self { id, members, metadata, founding: None, pair_reads }
     }
 
+    /// This node.
+    pub(super) fn id(&self) -> NodeId {
+        self.id
+    }
+
     /// The rules of the membership.
     pub(super) fn members(&mut self) -> &mut Members {
         &mut self.members
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -7,6 +7,7 @@
 //! | `answers` | answers that other nodes wait for, reads that wait for a result |
 //! | `requests` | which part answers which request |
 //! | `item_runner` | the items that run while this node leads |
+//! | `joins` | a spare's requests to the leader |
 //! | `membership` | founding, members, the record of a group of two, reports of drained machines |
 //! | `startup` | what the service is made of, and the channels that feed it |
 //! | `load_exchange` | load reports of gateways, and the exchange with the leader |
@@ -16,6 +17,7 @@
 
 mod answers;
 mod item_runner;
+mod joins;
 mod load_exchange;
 mod membership;
 mod replica_driver;
@@ -31,7 +33,7 @@
 use stallmoor_core::serving::jobs::command::{ItemKey, JobCommand, JobKey};
 use stallmoor_core::serving::jobs::directory::StorageRecord;
 use stallmoor_core::serving::jobs::load_aggregator::GatewayCount;
-use stallmoor_core::serving::jobs::members::MembersAction;
+use stallmoor_core::serving::jobs::members::{MembersAction, spare_rank};
 use stallmoor_core::serving::jobs::node::{JobsChange, JobsEffect};
 use stallmoor_core::serving::jobs::placement::table_regions;
 use stallmoor_core::serving::jobs::retention::Retention;
@@ -47,6 +49,7 @@
 use crate::workers::attempt::WorkerClient;
 use answers::PendingAnswers;
 use item_runner::{ItemRunner, RunReport};
+use joins::JoinRequests;
 use load_exchange::LoadExchange;
 use membership::Membership;
 use replica_driver::ReplicaDriver;
@@ -64,6 +67,7 @@
     answers: PendingAnswers,
     items: ItemRunner,
     membership: Membership,
+    joins: JoinRequests,
     loads: LoadExchange,
     /// What tenants have left, while this node leads.
     quotas: RateCoordinator,
@@ -299,11 +303,15 @@
         self.take(effects);
     }
 
-    /// A node outside the membership asks all others to join, so that the leader may take it in.
+    /// A node outside the membership asks the leader to join, so that it may be taken in.
     fn join_if_due(&mut self) {
         let now = self.now();
-        if self.membership.members().take_join_turn(self.replica.node().replica(), now) {
-            self.replica.request_join();
+        let rank = {
+            let view = &self.workers.view;
+            spare_rank(&view.storage(), &view.zone, self.membership.id())
+        };
+        if self.membership.members().take_join_turn(self.replica.node().replica(), rank, now) {
+            self.joins.request(now);
         }
     }
 
--- a/crates/gateway/src/storage/service/replica_driver.rs
+++ b/crates/gateway/src/storage/service/replica_driver.rs
@@ -17,7 +17,6 @@
 use stallmoor_core::serving::jobs::command::Submission;
 use stallmoor_core::serving::jobs::disk_budget::DiskBudget;
 use stallmoor_core::serving::jobs::node::{JobsChange, JobsEffect, JobsNode};
-use stallmoor_core::serving::jobs::request::JobsRequest;
 
 use crate::fleet::fleet_view::FleetView;
 use crate::observe::journal::{Field, record};
@@ -27,7 +26,6 @@
 /// The replica, its disk and its links.
 pub(super) struct ReplicaDriver {
     node: JobsNode,
-    id: NodeId,
     disk: DiskWriter,
     budget: DiskBudget,
     links: PeerLinks,
@@ -42,7 +40,7 @@
 impl ReplicaDriver {
     pub(super) fn new(node: JobsNode, id: NodeId, disk: DiskWriter, budget: DiskBudget, view: Arc<FleetView>) -> Self {
         let links = PeerLinks::new(id);
-        Self { node, id, disk, budget, links, view, queue: VecDeque::new(), awaited_write: None }
+        Self { node, disk, budget, links, view, queue: VecDeque::new(), awaited_write: None }
     }
 
     /// The replica.
@@ -95,17 +93,6 @@
         }
     }
 
-    /// Asks all other storing nodes to let this one join.
-    pub(super) fn request_join(&self) {
-        let others: Vec<_> = {
-            let directory = self.view.storage();
-            directory.records().filter(|record| record.node != self.id).map(|record| record.address).collect()
-        };
-        for address in others {
-            self.links.notify(address, JobsRequest::Join);
-        }
-    }
-
     /// Sends to another replica. One whose address isn't known yet gets the message again by the resend of its leader.
     fn send(&self, message: ReplicationMessage) {
         let address = self.view.storage().of_node(message.to).map(|record| record.address);
--- a/crates/gateway/src/storage/service/requests.rs
+++ b/crates/gateway/src/storage/service/requests.rs
@@ -1,6 +1,7 @@
 //! What other nodes ask of the leader, and of the aggregator of a zone.
 
 use stallmoor_core::identity::NodeId;
+use stallmoor_core::peer_message::GroupRefusal;
 use stallmoor_core::serving::configuration::tenant::{CallerIdentity, TenantName};
 use stallmoor_core::serving::jobs::command::{JobCommand, JobKey, Submission};
 use stallmoor_core::serving::jobs::held_reads::HeldRead;
@@ -57,7 +58,18 @@
     }
 
     fn refuse(&self, reply: Reply) {
-        let _ = reply.send(Err(refusal_of(self.replica.node())));
+        let refusal = match refusal_of(self.replica.node()) {
+            // A spare hears of no leader, but asks it to join.
+            GroupRefusal::NotLeader { term, leader: None } if !self.is_member() => {
+                GroupRefusal::NotLeader { term, leader: self.joins.leader() }
+            }
+            refusal => refusal,
+        };
+        let _ = reply.send(Err(refusal));
+    }
+
+    fn is_member(&self) -> bool {
+        self.replica.node().replica().membership().contains(self.membership.id())
     }
 
     fn submit(&mut self, submission: Submission, reply: Reply, now: Timestamp) {
--- a/crates/gateway/src/storage/service/startup.rs
+++ b/crates/gateway/src/storage/service/startup.rs
@@ -18,10 +18,12 @@
 use super::StorageService;
 use super::answers::PendingAnswers;
 use super::item_runner::{ItemRunner, RunReport};
+use super::joins::JoinRequests;
 use super::load_exchange::LoadExchange;
 use super::membership::Membership;
 use super::replica_driver::ReplicaDriver;
 use crate::adapter::metadata::{FleetUpdate, MetadataStore};
+use crate::leader::client::LeaderClient;
 use crate::storage::disk_writer::{DiskWriter, WriteResult};
 use crate::storage::peer_listener::PeerEvent;
 use crate::workers::attempt::WorkerClient;
@@ -84,12 +86,14 @@
         let view = workers.view.clone();
         let now = view.clock.now();
         let members = Members::new(id, tolerated, now);
+        let client = Arc::new(LeaderClient::new(view.clone(), id));
         let service = StorageService {
             replica: ReplicaDriver::new(node, id, disk, budget, view.clone()),
             answers: PendingAnswers::default(),
             items: ItemRunner::new(workers.clone(), reports, now),
             membership: Membership::new(id, members, metadata, pair_reads),
-            loads: LoadExchange::new(view, id, leader_answers),
+            joins: JoinRequests::new(client.clone()),
+            loads: LoadExchange::new(view, client, leader_answers),
             quotas: RateCoordinator::default(),
             permits: PermitGrants::default(),
             retention: Retention::new(results_kept, now),
