A choice among thousands of workers looks at some that are drawn; aggregators are not the relays

Change: of more than 256 candidates 256 are drawn, most of them of the zone, with those that are believed to hold parts of the prompt. Aggregators of loads are ranked by another hash than relays, so no node has both duties.

--- a/crates/core/src/serving/leader/load_schedule.rs
+++ b/crates/core/src/serving/leader/load_schedule.rs
@@ -2,7 +2,7 @@
 
 use crate::identity::NodeId;
 use crate::serving::jobs::directory::StorageDirectory;
-use crate::serving::relay::choice::{RelayChoice, rank_relays};
+use crate::serving::relay::choice::{RelayChoice, rank_aggregators};
 use crate::serving::workers::LoadReport;
 use crate::time::{Millis, Timestamp};
 
@@ -51,7 +51,7 @@
         if !self.is_by_zone {
             return LoadPartner::Leader;
         }
-        let aggregator = self.aggregators.usable(now, &rank_relays(storage, zone, own));
+        let aggregator = self.aggregators.usable(now, &rank_aggregators(storage, zone, own));
         aggregator.map_or(LoadPartner::Leader, LoadPartner::Aggregator)
     }
 
--- a/crates/core/src/serving/workers/choice.rs
+++ b/crates/core/src/serving/workers/choice.rs
@@ -32,6 +32,12 @@
 /// +0.0284 +- 0.0160.
 const TRANSIT_SPREAD: f64 = 2.0;
 
+/// Workers among which the cheapest is sought: with more of them, the best of some that are drawn is as good, and the time
+/// for a choice does not grow with the fleet.
+const MOST_CONSIDERED: usize = 256;
+/// Of those, workers of other zones, where there are enough of both: the zone's may all be full.
+const FAR_CONSIDERED: usize = 64;
+
 /// What is asked of a worker.
 #[derive(Clone, Debug)]
 pub struct WorkerAsk<'a> {
@@ -101,13 +107,15 @@
     pub fn choose(&self, ask: &WorkerAsk<'_>, now: Timestamp, random: &mut impl Rng) -> Option<Choice> {
         let candidates = self.candidates(ask, now);
         let affinity_worker = self.affinity_worker(ask, &candidates);
-        let level = self.in_transit_level(&candidates, now, random);
+        let considered = consider(&candidates, ask, affinity_worker, random);
+        let share = considered.len() as f64 / candidates.len().max(1) as f64;
+        let level = self.in_transit_level(&considered, share, now, random);
         let cost = |entry: &WorkerEntry| {
-            let has_affinity = affinity_worker.as_ref() == Some(&entry.record.id);
+            let has_affinity = affinity_worker.is_some_and(|affine| affine.record.id == entry.record.id);
             let in_transit = level.map_or(0.0, |level| (level - load_cost(entry, now)).max(0.0));
             estimate_cost(entry, ask, has_affinity, now) + in_transit
         };
-        let chosen = cheapest(&candidates, cost, random)?;
+        let chosen = cheapest(&considered, cost, random)?;
         Some(Choice::of(chosen, ask, candidates.len(), now))
     }
 
@@ -133,24 +141,29 @@
     }
 
     /// The level to which requests that other nodes have placed since their last report may have raised the cost of the
-    /// least busy workers. How many those are is drawn.
-    fn in_transit_level(&self, candidates: &[&WorkerEntry], now: Timestamp, random: &mut impl Rng) -> Option<f64> {
+    /// least busy workers. How many those are is drawn; of them `share` are at the workers that are considered.
+    fn in_transit_level(
+        &self,
+        considered: &[&WorkerEntry],
+        share: f64,
+        now: Timestamp,
+        random: &mut impl Rng,
+    ) -> Option<f64> {
         let rate = self.peer_rate.filter(|rate| now.since(rate.at) < SHARED_LIFETIME)?;
         let age = now.since(rate.at) + rate.report_age;
-        let expected = f64::from(rate.placed_per_s) * age.0 as f64 / 1_000.0;
+        let expected = f64::from(rate.placed_per_s) * age.0 as f64 / 1_000.0 * share;
         let in_transit = expected * TRANSIT_SPREAD * random.random::<f64>();
-        let slopes: Vec<_> = candidates.iter().map(|entry| cost_slope(entry, now)).collect();
+        let slopes: Vec<_> = considered.iter().map(|entry| cost_slope(entry, now)).collect();
         level_after(&slopes, in_transit)
     }
 
     /// Where the shared parts of a prompt go from every node: workers of the zone first, so that
     /// nodes agree without asking each other.
-    fn affinity_worker(&self, ask: &WorkerAsk<'_>, candidates: &[&WorkerEntry]) -> Option<WorkerId> {
+    fn affinity_worker<'a>(&self, ask: &WorkerAsk<'_>, candidates: &[&'a WorkerEntry]) -> Option<&'a WorkerEntry> {
         let shared = ask.prefix.len().checked_sub(2).map(|place| ask.prefix[place].chain)?;
         let in_zone = candidates.iter().filter(|entry| &*entry.record.zone == ask.zone);
         let weight = |entry: &&&WorkerEntry| rendezvous_weight(shared, hash_bytes(entry.record.id.0.as_bytes()));
-        let preferred = in_zone.max_by_key(weight).or_else(|| candidates.iter().max_by_key(weight));
-        preferred.map(|entry| entry.record.id.clone())
+        in_zone.max_by_key(weight).or_else(|| candidates.iter().max_by_key(weight)).copied()
     }
 
     /// The worker for a batch item: the one with the most room. Of all the service's slots so many stay free as
@@ -179,11 +192,37 @@
             let items = f64::from(entry.batch_in_flight) * ITEM_MS;
             estimate_cost(entry, ask, false, now) + items
         };
-        let chosen = cheapest(&candidates, cost, random)?;
+        let considered = consider(&candidates, ask, None, random);
+        let chosen = cheapest(&considered, cost, random)?;
         Some(Choice::of(chosen, ask, candidates.len(), now))
     }
 }
 
+/// The workers among which the cheapest is sought: all of them, or, where there are many, some that are drawn, the zone's
+/// for the greater part, with those that are believed to have parts of the prompt.
+fn consider<'a>(
+    candidates: &[&'a WorkerEntry],
+    ask: &WorkerAsk<'_>,
+    affinity_worker: Option<&'a WorkerEntry>,
+    random: &mut impl Rng,
+) -> Vec<&'a WorkerEntry> {
+    if candidates.len() <= MOST_CONSIDERED {
+        return candidates.to_vec();
+    }
+    let (near, far): (Vec<_>, Vec<_>) = candidates.iter().copied().partition(|entry| &*entry.record.zone == ask.zone);
+    let mut considered = draw(&near, MOST_CONSIDERED - FAR_CONSIDERED, random);
+    considered.extend(draw(&far, MOST_CONSIDERED - considered.len(), random));
+    let has_parts = |entry: &&&WorkerEntry| entry.cache.cached_tokens(ask.prefix) > 0;
+    considered.extend(candidates.iter().filter(has_parts));
+    considered.extend(affinity_worker);
+    considered
+}
+
+fn draw<'a>(from: &[&'a WorkerEntry], most: usize, random: &mut impl Rng) -> Vec<&'a WorkerEntry> {
+    let places = rand::seq::index::sample(random, from.len(), most.min(from.len()));
+    places.into_iter().map(|place| from[place]).collect()
+}
+
 /// The candidate with the least cost, each with a random part of its own.
 fn cheapest<'a>(
     candidates: &[&'a WorkerEntry],
--- a/crates/core/tests/leader_rules.rs
+++ b/crates/core/tests/leader_rules.rs
@@ -15,7 +15,7 @@
     LeaderSearch, NoLeader, SearchStep, SearchVerdict, TryOutcome, is_expected,
 };
 use stallmoor_core::serving::quota::message::{QuotaLevels, QuotaReport};
-use stallmoor_core::serving::relay::choice::rank_relays;
+use stallmoor_core::serving::relay::choice::rank_aggregators;
 use stallmoor_core::serving::stopping::GatewayStop;
 use stallmoor_core::serving::workers::{LoadReport, WorkerId, WorkerReport};
 use stallmoor_core::time::{Millis, Timestamp};
@@ -156,7 +156,7 @@
 #[test]
 fn loads_go_to_the_leader_until_there_are_many_gateways_then_to_the_first_aggregator_of_the_zone() {
     let storage = storage();
-    let ranked = rank_relays(&storage, ZONE, GATEWAY);
+    let ranked = rank_aggregators(&storage, ZONE, GATEWAY);
     let mut schedule = LoadSchedule::default();
     let partner = |schedule: &LoadSchedule, now| schedule.partner(&storage, ZONE, GATEWAY, at(now));
     assert_eq!(partner(&schedule, 0), LoadPartner::Leader);
@@ -169,7 +169,7 @@
 #[test]
 fn an_aggregator_that_gives_no_answer_is_avoided_longer_each_time() {
     let storage = storage();
-    let ranked = rank_relays(&storage, ZONE, GATEWAY);
+    let ranked = rank_aggregators(&storage, ZONE, GATEWAY);
     let mut schedule = LoadSchedule::default();
     schedule.answered(LoadPartner::Leader, &gathered(100, 100));
     let partner = |schedule: &LoadSchedule, now| schedule.partner(&storage, ZONE, GATEWAY, at(now));
