Count the messages between nodes and their bytes by what they are about

Cause: at the size of the whole fleet almost all that a node costs is what it tells and hears, and no figure said which message that was.

Change: stallmoor_peer_messages_total and stallmoor_peer_bytes_total, with the message's name as their label (a closed list). Both are counted where a frame is written.

--- a/crates/core/src/peer_message.rs
+++ b/crates/core/src/peer_message.rs
@@ -62,6 +62,24 @@
     },
 }
 
+impl PeerMessage {
+    /// A short name of what it is about, for figures.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Membership(_) => "membership",
+            Self::Replication(message) => message.kind.name(),
+            Self::GroupRequest(request) => request.body.name(),
+            Self::GroupAnswer(GroupAnswer { result: Ok(body), .. }) => body.name(),
+            Self::GroupAnswer(GroupAnswer { result: Err(_), .. }) => "refusal",
+            Self::Configuration(_) => "configuration",
+            Self::Credit(_) => "credit",
+            Self::EnginesLeaving(_) => "engines_leaving",
+            Self::DirectoryRequest { .. } | Self::DirectoryAnswer { .. } => "directory",
+            Self::StatusRequest { .. } | Self::StatusAnswer { .. } => "status",
+        }
+    }
+}
+
 /// A command or query for a group's leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GroupRequest {
@@ -90,6 +108,17 @@
     Follow(ChangesRequest),
 }
 
+impl GroupRequestBody {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Command(_) => "command",
+            Self::Query(_) => "query",
+            Self::Jobs(request) => request.name(),
+            Self::Changes(_) | Self::Follow(_) => "follow",
+        }
+    }
+}
+
 /// The answer to a group request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GroupAnswer {
@@ -116,6 +145,18 @@
     Contents(ContentsAnswer),
 }
 
+impl GroupAnswerBody {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Outcome(_) => "outcome",
+            Self::Answer(_) => "answer",
+            Self::Jobs(answer) => answer.name(),
+            Self::Changes(_) => "changes",
+            Self::Contents(_) => "contents",
+        }
+    }
+}
+
 /// Why a group request was not served. The command may have taken effect all the same if the leader
 /// changed meanwhile; all commands bear repeating.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -75,3 +75,19 @@
     /// What it is for.
     pub kind: MessageKind,
 }
+
+impl MessageKind {
+    /// A short name, for figures.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::PreVote { .. } | Self::PreVoteAnswer { .. } | Self::Vote { .. } | Self::VoteAnswer { .. } => {
+                "election"
+            }
+            Self::Append { entries, .. } if entries.is_empty() => "heartbeat",
+            Self::Append { .. } => "entries",
+            Self::AppendAnswer { .. } => "append_answer",
+            Self::InstallSnapshot(_) => "snapshot",
+            Self::TimeoutNow => "hand_over",
+        }
+    }
+}
--- a/crates/core/src/serving/jobs/request.rs
+++ b/crates/core/src/serving/jobs/request.rs
@@ -55,6 +55,23 @@
     RequestPermits(Vec<WorkerId>),
 }
 
+impl JobsRequest {
+    /// A short name, for figures.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Submit(_) => "submit",
+            Self::Read { .. } => "read",
+            Self::Body { .. } => "body",
+            Self::End { .. } => "end",
+            Self::Join => "join",
+            Self::ReportLoad(_) => "report_load",
+            Self::AggregateLoad(_) => "aggregate_load",
+            Self::ReportQuota(_) => "report_quota",
+            Self::RequestPermits(_) => "request_permits",
+        }
+    }
+}
+
 /// The leader's answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobsAnswer {
@@ -90,6 +107,25 @@
 }
 
 impl JobsAnswer {
+    /// A short name, for figures.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Page(_) => "page",
+            Self::Body(_) => "item_body",
+            Self::Loads(_) => "loads",
+            Self::Quota(_) => "levels",
+            Self::Permits(_) => "permits",
+            Self::Accepted
+            | Self::OverQuota { .. }
+            | Self::NoRoom
+            | Self::KeyTaken
+            | Self::UnknownJob
+            | Self::UnknownItem
+            | Self::Ended
+            | Self::Indeterminate => "word",
+        }
+    }
+
     /// Whether it says that the request it answers took nothing, which tells nothing of an earlier try.
     pub fn took_nothing(&self) -> bool {
         matches!(self, Self::OverQuota { .. } | Self::NoRoom | Self::KeyTaken)
--- a/crates/gateway/src/observe/log_writer.rs
+++ b/crates/gateway/src/observe/log_writer.rs
@@ -10,8 +10,7 @@
 
 use crate::observe::journal::TARGET;
 
-/// Lines that may wait: bounds memory, and no request waits for the log. Further ones are dropped and counted. Not
-/// measured: some hundred bytes each, so about a megabyte.
+/// Lines that may wait: bounds memory, and no request waits for the log. Further ones are dropped and counted.
 const LINES: usize = 4_096;
 
 /// Hands lines to the thread that writes them.
--- a/crates/gateway/src/observe/measures.rs
+++ b/crates/gateway/src/observe/measures.rs
@@ -17,8 +17,7 @@
 
 /// The path that answers with the figures.
 const PATH: &str = "/metrics";
-/// The upper bounds of the histograms' buckets, in seconds. Not measured: from a cached answer to the usual time-out,
-/// about two to a doubling where objectives lie.
+/// The upper bounds of the histograms' buckets, in seconds.
 const BUCKETS: [f64; 12] = [0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
 
 /// A metric and its meaning.
@@ -52,6 +51,8 @@
     RATE_REFUSALS = "stallmoor_gateway_rate_refusals_total", "counter", "", "Requests that were refused since their tenant had used up its limit.";
     SUBMISSIONS = "stallmoor_gateway_submissions_total", "counter", "result", "Batch jobs that were submitted here, by the answer.";
     STORE_CALLS = "stallmoor_metadata_calls_total", "counter", "call", "Reads and watches of the metadata store by this node.";
+    PEER_MESSAGES = "stallmoor_peer_messages_total", "counter", "message", "Messages that this node sent to other nodes, by what they are about.";
+    PEER_BYTES = "stallmoor_peer_bytes_total", "counter", "message", "The bytes of those messages.";
     VIEW_AGE = "stallmoor_metadata_view_age_seconds", "gauge", "", "How old this node's view of the metadata store was at its last call.";
     CONFIGURATION = "stallmoor_configuration_version", "gauge", "", "The version of the configuration in force.";
     LEADS = "stallmoor_storage_leads", "gauge", "", "1 while this node leads the job table, else 0.";
@@ -125,6 +126,12 @@
     counter!(STORE_CALLS, "call" => call).increment(1);
 }
 
+/// A message was sent to another node.
+pub fn peer_sent(message: &'static str, bytes: usize) {
+    counter!(PEER_MESSAGES, "message" => message).increment(1);
+    counter!(PEER_BYTES, "message" => message).increment(bytes as u64);
+}
+
 /// How old this node's view of the metadata store is.
 pub fn view_age(age: Millis) {
     gauge!(VIEW_AGE).set(seconds(age));
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -21,21 +21,20 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::observe::journal::{Field, record};
+use crate::observe::measures;
 use crate::peers::frames::{read_message, write_frame};
 use crate::sockets::connect_tuned;
 
 /// The group that holds the job table, and to which every request between gateways and storing nodes is addressed.
 pub const JOBS_GROUP: GroupId = GroupId(0);
 /// Most messages that wait for one peer: bounds memory. What doesn't fit is dropped, and sent again by whoever needs
-/// it. Not measured: ample for a burst of entries.
+/// it.
 const QUEUE: usize = 1_024;
-/// How long a connection attempt may take, in milliseconds: messages to a machine that is gone are given up. Not
-/// measured: several round trips between zones.
+/// How long a connection attempt may take, in milliseconds: messages to a machine that is gone are given up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a write may take before the connection is given up, in seconds: messages to a machine that stands still.
-/// Not measured: over the two seconds for which bytes may stay unacknowledged.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
-/// The same for a snapshot, in seconds: a large one on a thin link. Not measured: twenty times a message's.
+/// The same for a snapshot, in seconds: a large one on a thin link.
 const SNAPSHOT_WRITE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Why a request brought no answer.
@@ -173,7 +172,7 @@
 
     /// Sends a message that may be lost.
     pub fn send(&self, to: SocketAddr, message: &PeerMessage) {
-        let frame = stallmoor_wire::encode(message);
+        let frame = encode(message);
         // A full queue loses the message, which its sender must bear.
         let key = LinkKey { to, link_use: LinkUse::of(message) };
         let _ = self.link(key).queue.try_send(Outgoing { frame, sent: None });
@@ -214,7 +213,7 @@
     ) -> Result<GroupAnswerBody, AskFailure> {
         let id = self.next_id();
         let message = PeerMessage::GroupRequest(GroupRequest { id, from: self.id, group: JOBS_GROUP, body });
-        let frame = stallmoor_wire::encode(&message);
+        let frame = encode(&message);
         let link = self.link(LinkKey { to, link_use: LinkUse::Messages });
         let (answer_sender, answer) = oneshot::channel();
         let (sent_sender, mut sent) = oneshot::channel();
@@ -247,6 +246,13 @@
     }
 }
 
+/// Encodes a message that is about to be sent, and counts it.
+pub fn encode(message: &PeerMessage) -> Vec<u8> {
+    let frame = stallmoor_wire::encode(message);
+    measures::peer_sent(message.name(), frame.len());
+    frame
+}
+
 /// Forgets a request whose asker does not wait any more.
 struct ForgetPending {
     pending: Pending,
--- a/crates/gateway/src/storage/peer_listener.rs
+++ b/crates/gateway/src/storage/peer_listener.rs
@@ -17,12 +17,13 @@
 use crate::fleet::metadata_view::MetadataView;
 use crate::observe::journal::{Field, record};
 use crate::peers::frames::{read_message, write_frame};
+use crate::peers::peer_link::encode;
 use crate::sockets::accept_next;
 
-/// Most answers that wait for one peer. Bounds memory; beyond it, answers wait in their tasks. Not measured.
+/// Most answers that wait for one peer. Bounds memory; beyond it, answers wait in their tasks.
 const ANSWERS: usize = 4_096;
-/// How long one write may take before the connection is given up, in seconds. Frees answers to a peer that stands still.
-/// Not measured.
+/// How long one write may take before the connection is given up, in seconds. Frees answers to a peer that stands
+/// still.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// The answer to a request, or why there is none.
@@ -131,7 +132,7 @@
 
 async fn write_answers(mut writer: BufWriter<tokio::net::tcp::OwnedWriteHalf>, mut queue: mpsc::Receiver<PeerMessage>) {
     while let Some(message) = queue.recv().await {
-        let frame = stallmoor_wire::encode(&message);
+        let frame = encode(&message);
         let write = async {
             write_frame(&mut writer, &frame).await?;
             writer.flush().await
--- a/crates/gateway/tests/golden_measures.rs
+++ b/crates/gateway/tests/golden_measures.rs
@@ -11,6 +11,43 @@
 /// Label values that are literals where the figure is recorded; that they are recorded is not tested here.
 const SUBMITTED: [&str; 7] = ["accepted", "over_quota", "no_room", "key_taken", "unknown", "unexpected", "no_leader"];
 const STORE_CALLS: [&str; 2] = ["list", "watch"];
+const PEER_MESSAGES: [&str; 35] = [
+    "aggregate_load",
+    "answer",
+    "append_answer",
+    "body",
+    "changes",
+    "command",
+    "configuration",
+    "contents",
+    "credit",
+    "directory",
+    "election",
+    "end",
+    "engines_leaving",
+    "entries",
+    "follow",
+    "hand_over",
+    "heartbeat",
+    "item_body",
+    "join",
+    "levels",
+    "loads",
+    "membership",
+    "outcome",
+    "page",
+    "permits",
+    "query",
+    "read",
+    "refusal",
+    "report_load",
+    "report_quota",
+    "request_permits",
+    "snapshot",
+    "status",
+    "submit",
+    "word",
+];
 const REQUEST_ENDS: [&str; 3] = ["whole", "caller gone", "broken off"];
 
 fn record_everything() {
@@ -31,6 +68,7 @@
     runs.iter().for_each(|end| measures::run_ended(end.name()));
     SUBMITTED.into_iter().for_each(measures::submitted);
     STORE_CALLS.into_iter().for_each(measures::store_call);
+    PEER_MESSAGES.into_iter().for_each(|message| measures::peer_sent(message, 64));
     measures::rate_refused();
     measures::view_age(Millis(1_500));
     measures::configuration_in_force(7);
