--- a/crates/core/src/node/batch_flow.rs
+++ b/crates/core/src/node/batch_flow.rs
@@ -15,13 +15,11 @@
 use crate::node::scheduling::{BatchDispatcher, JobRank, StreamEnd};
 use crate::time::{Millis, Timestamp, UnixMillis};
 
-/// Time between two asks for room. Not measured: a grant is renewed three times before it lapses.
+/// Time between two asks for room.
 const ASK_INTERVAL: Millis = Millis(400);
-/// A batch stream that brings nothing for this long counts as lost. Not measured: an iteration of an
-/// engine takes milliseconds, and a batch stream may queue for seconds.
+/// A batch stream that brings nothing for this long counts as lost.
 const SILENCE_TIMEOUT: Millis = Millis(20_000);
-/// How long recording results is tried before the items are run again. Not measured: outlasts an
-/// election of a new leader.
+/// How long recording results is tried before the items are run again.
 const RECORD_TIMEOUT: Millis = Millis(10_000);
 /// Time between two sweeps of state beyond its retention.
 const FORGET_INTERVAL: Millis = Millis(600_000);
--- a/crates/core/src/node/configuration_flow.rs
+++ b/crates/core/src/node/configuration_flow.rs
@@ -25,23 +25,18 @@
 pub(super) const MANIFEST_KEY: &str = "configuration/manifest";
 /// Parts are kept under this prefix and their digest.
 const PART_PREFIX: &str = "configuration/part/";
-/// How many nodes read the manifest on their own. Measured with 320 nodes starting together: where all
-/// of them read it, they starved a service of 60 calls a second; with three a revision reaches all
-/// within 917 ms.
+/// How many nodes read the manifest on their own.
 const CONFIGURATION_WATCHERS: usize = 3;
-/// To how many nodes a new revision is offered by each that takes it. Not measured on its own: with
-/// four the revision reaches all nodes in a number of steps that grows with the logarithm of the fleet.
+/// To how many nodes a new revision is offered by each that takes it.
 const SPREAD: usize = 4;
-/// Missing parts are asked for again this often. Not measured: far longer than one round trip between
-/// nodes.
+/// Missing parts are asked for again this often.
 const FETCH_INTERVAL: Millis = Millis(400);
 /// How many other nodes must have an accepted revision in force before the operator is answered, so that
 /// it outlives the node that accepted it even if the key-value service goes down right after.
 const CONFIRMATIONS: usize = 2;
 /// How long that is waited for. The revision is accepted either way.
 const CONFIRMATION_TIMEOUT: Millis = Millis(2_000);
-/// The wait before a step of a change that got no answer is repeated. Not measured: short beside the
-/// time-out of a change, long beside one call.
+/// The wait before a step of a change that got no answer is repeated.
 const APPLY_BACKOFF: Millis = Millis(150);
 
 /// An accepted change whose operator waits until other nodes have it.
--- a/crates/core/src/node/control_flow.rs
+++ b/crates/core/src/node/control_flow.rs
@@ -13,8 +13,7 @@
 };
 use crate::time::{Millis, Timestamp};
 
-/// How many nodes stand ready to take the lease. Not measured: the lease finds a taker while two of
-/// them are gone, and few nodes call the service.
+/// How many nodes stand ready to take the lease.
 const CONTROL_CANDIDATES: usize = 3;
 /// Time between two looks at the placement.
 const PLACEMENT_INTERVAL: Millis = Millis(2_000);
--- a/crates/core/src/node/discovery_flow.rs
+++ b/crates/core/src/node/discovery_flow.rs
@@ -15,7 +15,7 @@
 
 /// Where the addresses are kept.
 const NODES_KEY: &str = "nodes";
-/// Most addresses kept. Not measured: one of them that still answers is enough.
+/// Most addresses kept.
 const MOST_LISTED: usize = 16;
 /// Time between two looks at the list by the node that keeps it.
 const KEEP_INTERVAL: Millis = Millis(15_000);
--- a/crates/core/src/node/engines_flow.rs
+++ b/crates/core/src/node/engines_flow.rs
@@ -24,12 +24,10 @@
 const MACHINE_WATCHERS: usize = 3;
 /// To how many nodes a fact is passed on by each that learns it.
 const SPREAD: usize = 4;
-/// Time between the first polls of two engines next to each other in the list, so that the polls of one
-/// node spread over the interval. Not measured: a prime, so that no two of them fall on the same
-/// millisecond of an interval that is not a multiple of it.
+/// Time between the first polls of two engines next to each other in the list, so that the polls of one node spread
+/// over the interval.
 const POLL_STAGGER: Millis = Millis(37);
-/// Time between two reminders, each of which gives all leaving facts to one random node. Not measured: a
-/// fact that spreading missed reaches a node about so late, and the load of the other nodes stays small.
+/// Time between two reminders, each of which gives all leaving facts to one random node.
 const REMINDER_INTERVAL: Millis = Millis(5_000);
 
 /// When engines and machines are polled next.
--- a/crates/core/src/node/founding_flow.rs
+++ b/crates/core/src/node/founding_flow.rs
@@ -19,8 +19,7 @@
 const READ_SPREAD: Millis = Millis(200);
 /// Time between two looks at the directory once it is known.
 const REFRESH_INTERVAL: Millis = Millis(5_000);
-/// How many nodes are asked for their directory at a time. Not measured: the second makes up for one that
-/// does not answer or knows nothing yet.
+/// How many nodes are asked for their directory at a time.
 const DIRECTORY_PEERS: usize = 2;
 
 /// What a node keeps until the groups are found.
--- a/crates/core/src/node/group_client.rs
+++ b/crates/core/src/node/group_client.rs
@@ -15,8 +15,7 @@
 use crate::peer_message::{GroupAnswer, GroupAnswerBody, GroupRefusal, GroupRequest, GroupRequestBody, PeerMessage};
 use crate::time::{Millis, Timestamp};
 
-/// Longest wait for the answer to one try; the wait is drawn between half of it and all of it. Not
-/// measured: a healthy group answers after one round of replication, far sooner than the shortest wait.
+/// Longest wait for the answer to one try; the wait is drawn between half of it and all of it.
 const MOST_TRY_WAIT: Millis = Millis(800);
 /// How long a request waits after a refusal.
 const REFUSAL_BACKOFF: Backoff = Backoff::new(Millis(10), Millis(400));
--- a/crates/core/src/node/groups.rs
+++ b/crates/core/src/node/groups.rs
@@ -27,8 +27,7 @@
 
 /// Time between two looks at the health of a group's members.
 const REPAIR_INTERVAL: Millis = Millis(1_000);
-/// A log may grow to this many times its limit while a follower is behind. Not measured: it bounds the
-/// disk and memory of a log, and gives a follower that restarts time to catch up without a snapshot.
+/// A log may grow to this many times its limit while a follower is behind.
 const COMPACT_SLACK: usize = 4;
 /// One hosted replica with its state machine.
 pub(super) struct HostedGroup {
--- a/crates/core/src/node/key_value_flow.rs
+++ b/crates/core/src/node/key_value_flow.rs
@@ -13,11 +13,9 @@
 
 /// Tokens that one call takes.
 const CALL_TOKENS: f64 = 1.0;
-/// Tokens that only a change of configuration may use, so that an operator need not wait for the node's
-/// own calls. Not measured: enough for the manifest and a few parts.
+/// Tokens that only a change of configuration may use, so that an operator need not wait for the node's own calls.
 const RESERVED_TOKENS: f64 = 4.0;
-/// Most tokens saved up, which bounds a burst of calls. Not measured: a dozen parts of a change are
-/// written without a wait, and at the usual rate it is less than two seconds' worth.
+/// Most tokens saved up, which bounds a burst of calls.
 const MOST_TOKENS: f64 = 16.0;
 /// Milliseconds in the second that the rate is given for.
 const MILLIS_PER_SECOND: f64 = 1_000.0;
--- a/crates/core/src/node/membership/dissemination.rs
+++ b/crates/core/src/node/membership/dissemination.rs
@@ -10,9 +10,7 @@
 use crate::identity::NodeId;
 use crate::time::Timestamp;
 
-/// A change is carried along this many times the logarithm of the number of nodes. Not measured: SWIM's
-/// authors show that a small multiple reaches all nodes with high probability, and full exchanges cover
-/// the rest.
+/// A change is carried along this many times the logarithm of the number of nodes.
 const TRANSMISSION_FACTOR: u32 = 3;
 
 /// What is kept of a member besides what is spread.
--- a/crates/core/src/node/membership/swim.rs
+++ b/crates/core/src/node/membership/swim.rs
@@ -18,11 +18,9 @@
 use crate::identity::NodeId;
 use crate::time::{Millis, Timestamp};
 
-/// Most seeds remembered; the oldest are dropped. Not measured: bounds memory; one that answers is
-/// enough.
+/// Most seeds remembered; the oldest are dropped.
 const MOST_SEEDS: usize = 64;
-/// How many nodes are sent a planned stop directly. Not measured: the others learn of it from these, whose
-/// messages carry it along.
+/// How many nodes are sent a planned stop directly.
 const DEPARTURE_MESSAGES: usize = 16;
 
 /// Times and limits of the membership protocol.
@@ -46,8 +44,8 @@
     pub forget_after: Millis,
 }
 
-/// Not measured, but the failure runs of the simulation use these values. A dead node is probed, suspected
-/// and declared dead within seconds, and a node sends two probes a second whatever the number of nodes.
+/// A dead node is probed, suspected and declared dead within seconds, and a node sends two probes a second whatever the
+/// number of nodes.
 impl Default for MembershipSettings {
     fn default() -> Self {
         Self {
--- a/crates/core/src/node/online_flow.rs
+++ b/crates/core/src/node/online_flow.rs
@@ -23,8 +23,7 @@
 use crate::retry_budget::RetryBudget;
 use crate::time::{Millis, Timestamp};
 
-/// An engine that sends nothing for this long counts as lost. Not measured: an iteration of an engine
-/// takes milliseconds, so that this is far beyond a busy one.
+/// An engine that sends nothing for this long counts as lost.
 const SILENCE_TIMEOUT: Millis = Millis(10_000);
 /// Online requests of one node and what they share.
 pub(super) struct OnlineState {
--- a/crates/core/src/node/routing/engine_table.rs
+++ b/crates/core/src/node/routing/engine_table.rs
@@ -8,13 +8,11 @@
 use crate::node::configuration::fleet::{Engine, FleetConfiguration};
 use crate::time::{Millis, Timestamp};
 
-/// Failures in a row before an engine is ejected. Not measured: one or two failures may be of the
-/// request or of the network.
+/// Failures in a row before an engine is ejected.
 const FAILURES_TO_EJECT: u32 = 3;
-/// How long an engine is ejected. Doubles from the first value to the second. Not measured: a restart
-/// is given time, and an engine that is well again is back within half a minute.
+/// How long an engine is ejected. Doubles from the first value to the second.
 const EJECTION: Backoff = Backoff::new(Millis(2_000), Millis(30_000));
-/// A report older than this is not used. Not measured: three polls of a large fleet.
+/// A report older than this is not used.
 const REPORT_LIFETIME: Millis = Millis(3_000);
 
 /// An engine's incarnation is leaving. This only grows: an incarnation that leaves never returns.
--- a/crates/core/src/node/scheduling/steward.rs
+++ b/crates/core/src/node/scheduling/steward.rs
@@ -5,11 +5,9 @@
 use crate::identity::NodeId;
 use crate::time::{Millis, Timestamp};
 
-/// How long a granted limit holds. Not measured: more than three asks long, so that a lost one pauses
-/// nothing, and short enough that a steward that is gone keeps no slots.
+/// How long a granted limit holds.
 pub const GRANT_LIFETIME: Millis = Millis(1_500);
-/// A node that reports nothing for this long is taken to have nothing at the engine. Not measured:
-/// two repeated notices in a row may be lost.
+/// A node that reports nothing for this long is taken to have nothing at the engine.
 const NOTICE_LIFETIME: Millis = Millis(5_000);
 
 /// What a steward goes by.
--- a/crates/core/src/node/settings.rs
+++ b/crates/core/src/node/settings.rs
@@ -46,9 +46,7 @@
 }
 
 impl NodeSettings {
-    /// Settings with the usual times and limits. Not measured: the polls of an engine and of the machine
-    /// list bound how old a view may be, and the rate of calls is what a fleet may ask of a small
-    /// key-value service.
+    /// Settings with the usual times and limits.
     pub fn new(id: NodeId, zone: &str, peer_address: SocketAddr, caller_address: SocketAddr) -> Self {
         Self {
             id,
--- a/crates/core/src/node/stopping.rs
+++ b/crates/core/src/node/stopping.rs
@@ -9,11 +9,9 @@
 use crate::log_event::LogEvent;
 use crate::time::{Millis, Timestamp};
 
-/// Time between leaving the membership and the exit, so that the departure is sent. Not measured: a few
-/// rounds of messages.
+/// Time between leaving the membership and the exit, so that the departure is sent.
 const LEAVE_WAIT: Millis = Millis(300);
-/// Leadership is handed over again if the first try came to nothing. Not measured: a transfer takes a
-/// few round trips.
+/// Leadership is handed over again if the first try came to nothing.
 const HAND_OVER_INTERVAL: Millis = Millis(500);
 /// How long handing over may take before the node stops all the same; the others then elect anew.
 const HAND_OVER_TIMEOUT: Millis = Millis(5_000);
--- a/crates/core/src/replication/leading.rs
+++ b/crates/core/src/replication/leading.rs
@@ -10,16 +10,16 @@
 use crate::time::{Millis, Timestamp};
 
 /// Entries count as lost, and are sent again, after this many heartbeats without an answer. A slow disk isn't sent the
-/// same entries twice. Not measured: longer than a usual write takes, shorter than a reader's wait.
+/// same entries twice.
 const RESEND_HEARTBEATS: u64 = 3;
 /// A snapshot counts as lost after this many times as long as lost entries do, so that one that is on its way isn't
-/// sent again. Not measured: it is written whole before it is answered.
+/// sent again.
 const SNAPSHOT_RESEND_FACTOR: u64 = 4;
 /// The slowest link that a snapshot is expected to cross, in bytes a millisecond; it isn't sent again before it could
-/// have arrived over one. Not measured: 8 Mbit/s, a small part of a link between machines.
+/// have arrived over one.
 const SNAPSHOT_BYTES_PER_MS: u64 = 1_000;
 /// A follower that owes an answer for this many heartbeats is silent and gets no entries until it answers. Saves the
-/// bytes to one that is gone. Not measured: one heartbeat more than for lost entries.
+/// bytes to one that is gone.
 const SILENT_HEARTBEATS: u64 = 4;
 
 impl Replica {
--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -18,33 +18,25 @@
 /// all others. One or two may die of something else at the same time; a worker that is lost takes up to all of its slots of
 /// other requests with it. The users' bound.
 pub const MOST_CRASHES: usize = 3;
-/// How long a request is quarantined after the third worker died, in milliseconds; doubles with each worker that dies of
-/// it later, up to the longest. Not measured: longer than callers try again, and than a worker takes to load its weights,
-/// so that at most one worker in this time is spent on finding out whether the request runs by now.
+/// How long a request is quarantined after the third worker died, in milliseconds; doubles with each worker that dies
+/// of it later, up to the longest.
 const QUARANTINE: Backoff = Backoff::new(Millis(300_000), LONGEST_QUARANTINE);
-/// See [`QUARANTINE`]. Not measured: workers are seldom mended sooner than within the hour.
+/// See [`QUARANTINE`].
 const LONGEST_QUARANTINE: Millis = Millis(3_600_000);
-/// What is known of a request is forgotten this long after the last worker died of it, in milliseconds. Bounds memory. Not
-/// measured: twice the longest quarantine, so that a second one follows on the first.
+/// What is known of a request is forgotten this long after the last worker died of it, in milliseconds. Bounds memory.
 const REMEMBERED_FOR: Millis = Millis(2 * LONGEST_QUARANTINE.0);
-/// Most requests that are remembered; those whose last crash is longest ago go first. Bounds memory to some 300 KB. Not
-/// measured: a fleet of 710 workers with 8 slots that loses 18 workers a day comes to some 150.
+/// Most requests that are remembered; those whose last crash is longest ago go first. Bounds memory to some 300 KB.
 const MOST_REQUESTS: usize = 1_024;
-/// Most crashes that are remembered of one request; the oldest go first. Bounds memory. Not measured: far more than make up
-/// the longest quarantine.
+/// Most crashes that are remembered of one request; the oldest go first. Bounds memory.
 const MOST_SIGHTINGS: usize = 32;
 /// Two nodes that see one worker die of a request within this time saw the same crash, in milliseconds. A worker that
-/// starts again under its id and dies again later counts anew. Not measured: longer than two nodes take to notice, and
-/// shorter than a worker takes to start.
+/// starts again under its id and dies again later counts anew.
 const SAME_CRASH: Millis = Millis(1_000);
-/// A worker that dies within this time after a request ran to its end did not die of that request, in milliseconds. Spares
-/// requests that many callers send, which are on all workers whenever one dies. In a soak, one that is half of the traffic
-/// was refused for 40 s without it, since four workers died of another request within 30 ms: 3,770 refusals. The time itself
-/// was not measured: a request that is sent by many ends several times in it.
+/// A worker that dies within this time after a request ran to its end did not die of that request, in milliseconds.
+/// Spares requests that many callers send, which are on all workers whenever one dies.
 pub(super) const SPARED_FOR: Millis = Millis(10_000);
-/// A run that got further than this beyond an earlier one got past the point at which that one's worker died, in events.
-/// Clears long answers that were only there when several workers died one after the other. Not measured: the last events
-/// before a crash may be lost with the connection.
+/// A run that got further than this beyond an earlier one got past the point at which that one's worker died, in
+/// events. Clears long answers that were only there when several workers died one after the other.
 const PROGRESS_MARGIN: u64 = 2;
 
 /// Who learned of a fact, which decides whether this node reports it.
--- a/crates/core/src/serving/crashes/recent.rs
+++ b/crates/core/src/serving/crashes/recent.rs
@@ -8,8 +8,7 @@
 use super::digest::RequestDigest;
 use crate::time::{Millis, UnixMillis};
 
-/// Most requests of one generation. Bounds memory to some 200 KB. Not measured: a gateway that ends 100 requests a second
-/// has 1,000 in [`SPARED_FOR`](super::ledger::SPARED_FOR).
+/// Most requests of one generation. Bounds memory to some 200 KB.
 const MOST_OF_GENERATION: usize = 4_096;
 
 /// Requests that ran to their end, in two generations: the older one is dropped when the younger one is full or old.
--- a/crates/core/src/serving/jobs/disk_budget.rs
+++ b/crates/core/src/serving/jobs/disk_budget.rs
@@ -3,9 +3,8 @@
 use super::command::Submission;
 use super::node::JobsNode;
 
-/// The share of the disk up to which jobs are taken, in percent. The rest is for the outputs of jobs that
-/// were taken before. Measured: disks of 120 and 47 MB ran full (35 exits); with compressed files 35 -> 0; the share
-/// alone not measured.
+/// The share of the disk up to which jobs are taken, in percent. The rest is for the outputs of jobs that were taken
+/// before.
 const TAKEN_UP_TO_PERCENT: u64 = 70;
 
 /// Decides whether a job fits on the disk. A new snapshot is written beside the files that it replaces, so
--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -29,18 +29,15 @@
 use crate::backoff::Backoff;
 use crate::time::{Millis, Timestamp, UnixMillis};
 
-/// The wait after a run that failed or broke off: 40 ms, doubled with each in a row up to 640 ms. Spares items that would
-/// be paused at once again, and still finds a worker that recovered. Measured with the order of pauses, 12 pairs on grown
-/// sites: worth +0.0078 +- 0.0224, worst windows +0.039 +- 0.046, items in time +0.012 +- 0.017; the longest wait not
-/// measured.
+/// The wait after a run that failed or broke off: 40 ms, doubled with each in a row up to 640 ms. Spares items that
+/// would be paused at once again, and still finds a worker that recovered.
 const RUN_BACKOFF: Backoff = Backoff::new(Millis(40), Millis(640));
 
-/// OpenItem is logged once an item has put out this many events more. Saves bytes of the log. Measured for progress in
-/// the log at all: herd-killed 0.65 -> 0.72 / 0.47 -> 0.59; the number not measured.
+/// OpenItem is logged once an item has put out this many events more. Saves bytes of the log.
 const PROGRESS_EVENTS: u64 = 24;
 
-/// The time between two looks at an item that is quarantined, in milliseconds: how late the end of its quarantine, or of
-/// its time, is noticed. Not measured: small against the minutes of a quarantine.
+/// The time between two looks at an item that is quarantined, in milliseconds: how late the end of its quarantine, or
+/// of its time, is noticed.
 const QUARANTINE_CHECK_INTERVAL: Millis = Millis(1_000);
 
 /// An item that runs.
--- a/crates/core/src/serving/jobs/dispatch/pacing.rs
+++ b/crates/core/src/serving/jobs/dispatch/pacing.rs
@@ -3,11 +3,10 @@
 use crate::time::{Millis, Timestamp};
 
 /// After an item found no worker with room, none is tried for this long, in milliseconds. The driver looks after every
-/// event, and each try looks at all ready items and all workers. Saves processor time of the leader; measured: leader
-/// 0.1224 -> 0.1234 cores: kept for doing less.
+/// event, and each try looks at all ready items and all workers.
 const NO_ROOM_REST: Millis = Millis(15);
 /// The time between two rounds of logging what running items have put out, in milliseconds. A new leader loses as much
-/// output. Measured: every 4 s instead: leader 0.1224 -> 0.1195 cores, not kept.
+/// output.
 const PROGRESS_INTERVAL: Millis = Millis(1_000);
 
 /// The rests between tries and between rounds of progress. They outlast a change of leadership.
--- a/crates/core/src/serving/jobs/dispatch/run_end.rs
+++ b/crates/core/src/serving/jobs/dispatch/run_end.rs
@@ -3,11 +3,9 @@
 use crate::serving::online::attempt::AttemptEnd;
 use crate::time::Millis;
 
-/// How long the first event of a run is waited for, in milliseconds. Frees an item whose worker fell silent. Not
-/// measured: an item is only placed where a slot is free, so it waits for no other request there.
+/// How long the first event of a run is waited for, in milliseconds. Frees an item whose worker fell silent.
 pub const FIRST_EVENT_TIMEOUT: Millis = Millis(2_500);
-/// How long each further event of a run is waited for, in milliseconds. The same within a stream. Not measured:
-/// shorter than the wait for the first event, since an item whose stream began holds its slot.
+/// How long each further event of a run is waited for, in milliseconds. The same within a stream.
 pub const EVENT_TIMEOUT: Millis = Millis(1_500);
 
 /// How a run of an item ended.
--- a/crates/core/src/serving/jobs/dispatch/run_estimate.rs
+++ b/crates/core/src/serving/jobs/dispatch/run_estimate.rs
@@ -2,8 +2,7 @@
 
 use crate::time::Millis;
 
-/// The share of a new run in the means. The expected run goes by some ten runs. Measured together with the rule it
-/// serves, items that can be in time first: 0.647 / 0.762 -> 0.791 / 0.809; the weight itself not measured.
+/// The share of a new run in the means. The expected run goes by some ten runs.
 const WEIGHT: f64 = 0.1;
 
 /// How long whole runs take, from those that ended, so that an item that can't be in time any more is
--- a/crates/core/src/serving/jobs/dispatch/start.rs
+++ b/crates/core/src/serving/jobs/dispatch/start.rs
@@ -10,10 +10,8 @@
 use crate::time::{Millis, UnixMillis};
 
 /// An item is given up this long after its route allows it, in milliseconds: its age goes by the clocks of two nodes.
-/// Not measured: synchronised clocks differ by far less.
 const GIVE_UP_MARGIN: Millis = Millis(10_000);
-/// Most failed runs of an item whose route is gone: the route's own limit isn't known any more. Not measured: few, so that
-/// such an item leaves soon.
+/// Most failed runs of an item whose route is gone: the route's own limit isn't known any more.
 const DEFAULT_ATTEMPTS: u32 = 3;
 
 /// An item that is to run.
--- a/crates/core/src/serving/jobs/held_reads.rs
+++ b/crates/core/src/serving/jobs/held_reads.rs
@@ -12,8 +12,7 @@
 use crate::serving::configuration::tenant::CallerIdentity;
 use crate::time::Timestamp;
 
-/// Most bytes of text in one page of results. A page fits into one message between nodes. Not measured: below the
-/// bound of a message, with room for the rest of it.
+/// Most bytes of text in one page of results. A page fits into one message between nodes.
 const PAGE_BYTES: usize = 900_000;
 
 /// A read that waits for a result.
--- a/crates/core/src/serving/jobs/load_aggregator.rs
+++ b/crates/core/src/serving/jobs/load_aggregator.rs
@@ -15,11 +15,10 @@
 use crate::serving::workers::{LoadReport, WorkerCount, WorkerId, WorkerReport};
 use crate::time::{Millis, Timestamp};
 
-/// What a node reported is believed for this long, in milliseconds. A gateway that is gone doesn't count for longer. Not
-/// measured: more than two rounds of reports at their slowest (400 ms).
+/// What a node reported is believed for this long, in milliseconds. A gateway that is gone doesn't count for longer.
 const LIFETIME: Millis = Millis(1_000);
 /// The sums are made anew after this long, in milliseconds, without what is believed no longer. Saves the leader's
-/// processor. Measured with the next round tubig-serve-large scale-1, one play: worth 0.044 -> 0.584.
+/// processor.
 const REBUILD_INTERVAL: Millis = Millis(100);
 
 /// Stands for the table's leader among the nodes that report to an aggregator of a zone. No node has this identity.
--- a/crates/core/src/serving/jobs/members.rs
+++ b/crates/core/src/serving/jobs/members.rs
@@ -15,20 +15,18 @@
 };
 use crate::time::{Millis, Timestamp};
 
-/// A member that has not answered for this long is replaced where there is a spare, in milliseconds. One that restarts is
-/// not replaced at once. Not measured: longer than an election.
+/// A member that has not answered for this long is replaced where there is a spare, in milliseconds. One that restarts
+/// is not replaced at once.
 const LOST_AFTER: Millis = Millis(2_200);
-/// A spare that was not in contact for this long is not chosen, in milliseconds. A dead one isn't taken in. Not measured:
-/// more than three join requests.
+/// A spare that was not in contact for this long is not chosen, in milliseconds. A dead one isn't taken in.
 const SPARE_CONTACT_WITHIN: Millis = Millis(1_500);
-/// The time between two plans, in milliseconds. Saves processor time. Not measured: far below the other times here.
+/// The time between two plans, in milliseconds. Saves processor time.
 const INTERVAL: Millis = Millis(100);
-/// A member of a pair counts as lost once it was not in contact for this long, in milliseconds. A survivor is named only
-/// once the other is surely gone. Not measured: longer than a leader's stand-down (1 s) and [`LOST_AFTER`].
+/// A member of a pair counts as lost once it was not in contact for this long, in milliseconds. A survivor is named
+/// only once the other is surely gone.
 const PAIR_LOST_AFTER: Millis = Millis(3_500);
 
-/// The time between two join requests of a spare, in milliseconds. The leader learns of a spare this soon. Not
-/// measured: three of them fit into [`SPARE_CONTACT_WITHIN`].
+/// The time between two join requests of a spare, in milliseconds. The leader learns of a spare this soon.
 const JOIN_INTERVAL: Millis = Millis(400);
 /// Spares of each zone that ask at that interval.
 const READY_SPARES: usize = 4;
--- a/crates/core/src/serving/jobs/node/mod.rs
+++ b/crates/core/src/serving/jobs/node/mod.rs
@@ -19,11 +19,10 @@
 };
 use crate::time::{Millis, Timestamp};
 
-/// A snapshot is taken once the log has this many bytes. Bounds the disk, and the time to start. Not measured.
+/// A snapshot is taken once the log has this many bytes. Bounds the disk, and the time to start.
 const COMPACT_BYTES: usize = 8 << 20;
-/// The log up to a snapshot is dropped only once this many bytes follow it: a follower that lags by less
-/// than that needs no snapshot. Measured with links and threads of their own: trouble-1 0.733 -> 0.777 / 0.419 -> 0.542,
-/// scale-1 0.605 -> 0.767 / 0.580 -> 0.717 on the two grown sites.
+/// The log up to a snapshot is dropped only once this many bytes follow it: a follower that lags by less than that
+/// needs no snapshot.
 const TAIL_BYTES: usize = 2 << 20;
 
 struct Proposal {
--- a/crates/core/src/serving/jobs/retention.rs
+++ b/crates/core/src/serving/jobs/retention.rs
@@ -4,11 +4,9 @@
 use crate::time::{Millis, Timestamp, UnixMillis};
 
 /// Jobs that are over are remembered this much longer than their results have to be kept, in milliseconds: their age
-/// goes by the clocks of two nodes, and readers' clocks are others again. Not measured: synchronised clocks differ by
-/// far less.
+/// goes by the clocks of two nodes, and readers' clocks are others again.
 const FORGET_MARGIN: Millis = Millis(60_000);
-/// The time between two rounds of forgetting, in milliseconds. Saves the log commands that forget nothing. Not
-/// measured: short against the time for which results are kept.
+/// The time between two rounds of forgetting, in milliseconds. Saves the log commands that forget nothing.
 const FORGET_INTERVAL: Millis = Millis(15_000);
 
 /// The rounds of forgetting. They go on over changes of leadership.
--- a/crates/core/src/serving/leader/load_schedule.rs
+++ b/crates/core/src/serving/leader/load_schedule.rs
@@ -6,14 +6,13 @@
 use crate::serving::workers::LoadReport;
 use crate::time::{Millis, Timestamp};
 
-/// An exchange without an answer counts as lost after this long, in milliseconds. Not measured: several round trips
-/// between zones, and short of the 1,200 ms after which gathered loads are not gone by any more.
+/// An exchange without an answer counts as lost after this long, in milliseconds.
 pub const EXCHANGE_TIMEOUT: Millis = Millis(250);
-/// The time between two exchanges while this node has no requests, in milliseconds: saves the leader's processor
-/// from gateways that have nothing to report. Not measured: above the longest interval of a busy gateway, 400 ms.
+/// The time between two exchanges while this node has no requests, in milliseconds: saves the leader's processor from
+/// gateways that have nothing to report.
 const IDLE_INTERVAL: Millis = Millis(600);
 /// An aggregator that gave no answer is avoided for this long at first, in milliseconds: saves the exchanges that one
-/// which is gone would lose. Not measured: about as long as gathered loads are gone by.
+/// which is gone would lose.
 const AVOID_AGGREGATOR: Millis = Millis(1_000);
 
 /// With whom loads are exchanged.
--- a/crates/core/src/serving/leader/search.rs
+++ b/crates/core/src/serving/leader/search.rs
@@ -9,14 +9,12 @@
 use crate::time::{Millis, Timestamp};
 
 /// Longest wait for one node's answer, in milliseconds, beyond what the request itself asks to wait: a silent node
-/// costs a request no more than this before the next one is tried. Not measured: between two and three of them fit
-/// into the 2.5 s for which a submission is tried.
+/// costs a request no more than this before the next one is tried.
 const TRY_TIMEOUT: Millis = Millis(900);
-/// The wait after a node that knows no leader, in milliseconds: a group that elects one isn't asked without rest. Not
-/// measured: small against an election's least time-out of 1 s.
+/// The wait after a node that knows no leader, in milliseconds: a group that elects one isn't asked without rest.
 const NO_LEADER_WAIT: Millis = Millis(60);
 /// The wait after a connection that failed, in milliseconds: a machine that refuses connections isn't asked without
-/// rest. Not measured: short, since the next try is at another node.
+/// rest.
 const LINK_FAILURE_WAIT: Millis = Millis(10);
 
 /// Redirects that a search follows without a wait: nodes whose word is old could send it to each other without end.
--- a/crates/core/src/serving/online/admission.rs
+++ b/crates/core/src/serving/online/admission.rs
@@ -11,9 +11,7 @@
 use crate::time::Millis;
 
 /// How long a node that has just started lets a request wait for the configuration, in milliseconds; a refusal after
-/// that comes soon enough to be tried elsewhere. It serves requests of the first moments of a process, in 54 pairs of
-/// runs: worth +0.0045 +- 0.0133, on a fleet of small machines +0.0066 +- 0.0056; price of requests that were refused
-/// again 0.0008 -> 0.
+/// that comes soon enough to be tried elsewhere.
 pub const START_TIMEOUT: Millis = Millis(60);
 
 /// What a request asks for, as far as admission goes by it.
--- a/crates/core/src/serving/online/attempt.rs
+++ b/crates/core/src/serving/online/attempt.rs
@@ -89,8 +89,8 @@
     pub not_run: u32,
 }
 
-/// Most attempts of one request, in one round, that ended without running, so that a saturated fleet isn't asked worker by
-/// worker. Not measured: enough to pass by the workers that filled up since the last load report.
+/// Most attempts of one request, in one round, that ended without running, so that a saturated fleet isn't asked worker
+/// by worker.
 const MOST_NOT_RUN: u32 = 6;
 
 impl AttemptLedger {
--- a/crates/core/src/serving/online/request_state.rs
+++ b/crates/core/src/serving/online/request_state.rs
@@ -19,19 +19,17 @@
 use crate::serving::workers::{Choice, WorkerId};
 use crate::time::{Millis, Timestamp};
 
-/// An attempt is made only while at least this much time is left, in milliseconds. Not measured: below the least time
-/// in which a worker reads a prompt and answers.
+/// An attempt is made only while at least this much time is left, in milliseconds.
 const LEAST_REMAINING: Millis = Millis(20);
 /// `Retry-After` of a request that certainly did not run and found no worker or no time, in milliseconds, so that its
-/// caller doesn't retry at once. Not measured: a few load reports.
+/// caller doesn't retry at once.
 const RETRY_AFTER: Millis = Millis(150);
 /// `Retry-After` of a request for which there is no worker at all, in milliseconds: another one has to appear first.
 const NO_WORKER_RETRY_AFTER: Millis = Millis(1_000);
 /// The wait before a begun stream is offered once more to workers that all had no room, in milliseconds; doubles with
-/// each round. Without rounds, six refusals within 15 ms cut begun streams off; the wait itself was not measured.
+/// each round.
 const FIRST_RESUME_WAIT: Millis = Millis(20);
-/// The longest wait between two such rounds, in milliseconds, so that a slot that becomes free is found soon. Not
-/// measured: some six rounds in a second.
+/// The longest wait between two such rounds, in milliseconds, so that a slot that becomes free is found soon.
 const LONGEST_RESUME_WAIT: Millis = Millis(160);
 
 /// Why a request is given up.
--- a/crates/core/src/serving/online/shedding.rs
+++ b/crates/core/src/serving/online/shedding.rs
@@ -1,9 +1,7 @@
 //! Load shedding: refusing a new stream at once that would be late.
 //!
 //! Where the first event is expected after the route's objective, the fleet has no room: a slot spent on the stream is
-//! missing for one that could be in time. Against sending such streams all the same, in five pairs of runs on a fleet
-//! with more work than room: worth 0.6515 -> 0.6757, online in time 0.745 -> 0.775, batch items in time 0.822 -> 0.797;
-//! on small fleets worth 0.8110 -> 0.8136.
+//! missing for one that could be in time.
 
 use rand::Rng;
 
@@ -13,10 +11,9 @@
 
 /// `Retry-After` of a request that was shed, as a share of the time that its caller still waits. A burst lasts for
 /// seconds: a caller that retried sooner would be shed again, and one that retried later would have no time left.
-/// Measured together with shedding (see the module's head); the share alone was not.
 const RETRY_AFTER_SHARE: f64 = 0.33;
 /// The part of that time by which it is shortened at random, so that callers who were shed together don't retry
-/// together. Measured together with shedding; the part alone was not.
+/// together.
 const RETRY_AFTER_SPREAD: f64 = 0.15;
 
 /// The times of a new stream, in milliseconds.
--- a/crates/core/src/serving/online/timeouts.rs
+++ b/crates/core/src/serving/online/timeouts.rs
@@ -7,20 +7,18 @@
 use crate::time::{Millis, Timestamp};
 
 /// The share of a route's objective for which a first event is awaited, in percent: the other half is left for a second
-/// worker. Not measured: an even split.
+/// worker.
 const FIRST_EVENT_TIMEOUT_PERCENT: u64 = 50;
 /// A first event is awaited for at least this many times the mean, so that a fleet that is slow as a whole isn't
-/// retried. Not measured: a multiple that ordinary variation seldom reaches.
+/// retried.
 const MEAN_MULTIPLE: u64 = 4;
-/// The least time for which a first event is awaited, in milliseconds: the same for routes with a short objective. Not
-/// measured: as long as the mean that is assumed before any first event.
+/// The least time for which a first event is awaited, in milliseconds: the same for routes with a short objective.
 const MIN_FIRST_EVENT_TIMEOUT: Millis = Millis(60);
 /// The share of a route's longest pause between events for which an event is awaited, in percent; the rest is left for
-/// the worker that goes on. With 100 instead, in single runs: 0.63 -> 0.66 of the worth of a quiet day, and 6,332 ->
-/// 5,804 late requests on one with many; not kept, since one run each tells little.
+/// the worker that goes on.
 const GAP_TIMEOUT_PERCENT: u64 = 60;
 /// The least time for which the first event is awaited once the head of its answer came, in milliseconds, however late
-/// that was. Not measured: a worker sends both in one go, so this is a way through a busy network.
+/// that was.
 const MIN_EVENT_TIMEOUT: Millis = Millis(20);
 
 /// An event that a worker owes.
--- a/crates/core/src/serving/quota/coordinator.rs
+++ b/crates/core/src/serving/quota/coordinator.rs
@@ -13,30 +13,25 @@
 use crate::time::{Millis, Timestamp};
 
 /// A gateway that did not report for this long counts as silent, in milliseconds: it goes on with its part of the
-/// limits, which is reserved for it. Not measured: longer than the longest interval between two reports.
+/// limits, which is reserved for it.
 const SILENT_AFTER: Millis = Millis(1_500);
-/// The time between two checks for silent gateways, in milliseconds: saves the leader's processor. Not measured: the
-/// shortest interval between two reports.
+/// The time between two checks for silent gateways, in milliseconds: saves the leader's processor.
 const RESERVE_INTERVAL: Millis = Millis(100);
 /// Gateways that fall out of reach are missed this long after, in milliseconds: the loads that they reported are gone by
 /// for so long.
 const NOTICED_AFTER: Millis = Millis(1_000);
 /// At most what is gained in this time is owed after too much was admitted, in milliseconds: a tenant is shut out no
-/// longer than it takes to gain this. Not measured: the longest interval between two reports.
+/// longer than it takes to gain this.
 const MAX_DEBT: Millis = Millis(1_000);
 /// Demand that is less than this share of what it was before this node led is taken to be at gateways out of reach:
-/// keeps the limit there. Not measured alone: random plays with a cut within 3 s of a change of the leader went 1 to
-/// 34 in 100 over the slack.
+/// keeps the limit there.
 const UNCHANGED_SHARE: f64 = 0.9;
 /// A tenant that asked for less than this share of its rate before this node led begins with a full bucket, another one
-/// with an empty one: keeps the limit at a new leader without refusing modest tenants. Not measured alone: all gateways
-/// and the leader killed, at five times the limit 1.039 of one bucket, 0.24 of the slack.
+/// with an empty one: keeps the limit at a new leader without refusing modest tenants.
 const MODEST_SHARE: f64 = 0.9;
-/// The time between two reviews of all accounts, in milliseconds: saves the leader's processor. Not measured: one walk
-/// over the accounts a second.
+/// The time between two reviews of all accounts, in milliseconds: saves the leader's processor.
 const REVIEW_INTERVAL: Millis = Millis(1_000);
-/// Demand below this, in requests a second, is what rounding leaves of sums that should be zero. Not measured: far
-/// above the rounding of a double, far below one request a day.
+/// Demand below this, in requests a second, is what rounding leaves of sums that should be zero.
 const NEGLIGIBLE_DEMAND: f64 = 1e-6;
 
 /// What a tenant has left.
--- a/crates/core/src/serving/quota/limiter.rs
+++ b/crates/core/src/serving/quota/limiter.rs
@@ -12,35 +12,28 @@
 use crate::time::{Millis, Timestamp};
 
 /// How long a request waits for the leader's first answer for its tenant, in milliseconds: tenants below their limits
-/// aren't refused at a gateway that knows nothing of them. Measured: without it 857 of 973 refusals of one day were of
-/// such tenants; it waits for one exchange, 60 ms at most.
+/// aren't refused at a gateway that knows nothing of them.
 pub const FIRST_ANSWER_WAIT: Millis = Millis(60);
 /// A report without an answer counts as lost after this long, in milliseconds: this gateway's own part of the limits
-/// takes over. Not measured: several round trips between zones, and short of the least lifetime of a level.
+/// takes over.
 pub const REPORT_TIMEOUT: Millis = Millis(250);
-/// The time between two checks whether a report is due, in milliseconds: saves processor time. Not measured: half the
-/// interval of early reports.
+/// The time between two checks whether a report is due, in milliseconds: saves processor time.
 pub const DUE_CHECK_INTERVAL: Millis = Millis(20);
 /// A level is gone by for this many intervals between reports, so that it outlives two lost reports, and for
-/// [`LEAST_LEVEL_LIFETIME`] at the least. Not measured: two losses in a row are rare, three mean that the leader is
-/// gone.
+/// [`LEAST_LEVEL_LIFETIME`] at the least.
 const LEVEL_LIFETIME_INTERVALS: u64 = 3;
-/// The least time for which a level is gone by, in milliseconds: the same at short intervals. Not measured: a change
-/// of the leader takes about as long.
+/// The least time for which a level is gone by, in milliseconds: the same at short intervals.
 const LEAST_LEVEL_LIFETIME: Millis = Millis(1_000);
 /// The shortest time between two reports of which the second is early, in milliseconds: saves the leader's processor.
-/// Not measured: a round trip to the leader.
 const EARLY_REPORT_INTERVAL: Millis = Millis(40);
-/// A tenant that asked for nothing for this long is not reported, in milliseconds: saves bytes. Not measured: many
-/// times the smoothing of demand, so what is left of its demand is nothing.
+/// A tenant that asked for nothing for this long is not reported, in milliseconds: saves bytes.
 const REPORTED_FOR: Millis = Millis(10_000);
-/// A tenant that asked for nothing for this long is forgotten, in milliseconds: saves memory. Not measured: longer
-/// than the leader remembers it.
+/// A tenant that asked for nothing for this long is forgotten, in milliseconds: saves memory.
 const REMEMBERED_FOR: Millis = Millis(60_000);
 /// The shortest time after which a refused caller is asked to try again, in milliseconds: spares the gateway callers
-/// that would be back at once. Not measured: under a round trip and a wait of most callers.
+/// that would be back at once.
 const MIN_RETRY_AFTER: Millis = Millis(20);
-/// The longest, in milliseconds: callers wait no longer than they have. Not measured: several times a usual objective.
+/// The longest, in milliseconds: callers wait no longer than they have.
 const MAX_RETRY_AFTER: Millis = Millis(2_000);
 
 /// A request is over its tenant's limit.
--- a/crates/core/src/serving/quota/message.rs
+++ b/crates/core/src/serving/quota/message.rs
@@ -7,14 +7,13 @@
 use crate::serving::configuration::tenant::{MilliRequests, TenantName};
 use crate::time::Millis;
 
-/// Reports that the leader handles in a second: bounds its processor time. Not measured alone: 320 gateways at three
-/// times the limit 0.964 of what one bucket lets through (simulation).
+/// Reports that the leader handles in a second: bounds its processor time.
 const REPORTS_PER_S: u64 = 300;
 /// The shortest time between two reports of a gateway, in milliseconds: saves the leader's processor where there are
-/// few gateways. Not measured: 30 gateways make 300 reports a second.
+/// few gateways.
 const LEAST_INTERVAL: Millis = Millis(100);
 /// The longest time between two reports of a gateway, in milliseconds: keeps levels fresh where there are many
-/// gateways. Not measured: a level is gone by for a second at least.
+/// gateways.
 const LONGEST_INTERVAL: Millis = Millis(1_000);
 
 /// What a gateway has admitted.
--- a/crates/core/src/serving/quota/mod.rs
+++ b/crates/core/src/serving/quota/mod.rs
@@ -27,10 +27,8 @@
 use crate::time::Millis;
 
 /// How long a gateway that lost the leader goes on with its part of a limit, and how long the leader reserves that
-/// part, in milliseconds: tenants of such gateways are served on. Not measured alone: longer than a cut or an outage
-/// usually lasts; 18 of 51 gateways cut for 12 s: 0.948 of what one bucket lets through.
+/// part, in milliseconds: tenants of such gateways are served on.
 pub const LEASE: Millis = Millis(20_000);
 /// The first reports of all gateways reach a new leader within this time, in milliseconds, and each says what was
-/// admitted for as long: a new leader knows what was spent before it. Not measured: the longest time between two
-/// reports.
+/// admitted for as long: a new leader knows what was spent before it.
 pub const RECENT_WINDOW: Millis = Millis(1_000);
--- a/crates/core/src/serving/quota/tenant_level.rs
+++ b/crates/core/src/serving/quota/tenant_level.rs
@@ -11,26 +11,23 @@
 use crate::time::{Millis, Timestamp};
 
 /// While at least this share of a tenant's capacity is left, all gateways draw on it freely: a small tenant isn't cut
-/// into parts of less than a request, and what all admit between two reports is covered by the rest. Not measured
-/// alone: pooling against parts 0.974 and 0.967 of one bucket for a small tenant (simulation, ten seeds).
+/// into parts of less than a request, and what all admit between two reports is covered by the rest.
 const POOLED_SHARE: f64 = 0.5;
 /// The share of a tenant's limit that a gateway admits before the leader has answered for the tenant: keeps the limit
-/// meanwhile. Not measured: a sixteenth; a few gateways together stay within the slack.
+/// meanwhile.
 pub(super) const UNKNOWN_SHARE: f64 = 0.0625;
 /// What a gateway without a leader takes for itself goes by the demand that it was told, and by an even division among all
 /// gateways as if this share of the rate were asked for evenly: demand that was learned from few requests says little.
 const EVEN_DEMAND: f64 = 0.25;
 /// The part of its share that a gateway without a leader uses: keeps the limit where demand moved on after the last
-/// report. Not measured: a tenth is left for demand that moved.
+/// report.
 pub(super) const DISCONNECTED_PART: f64 = 0.9;
 /// A gateway reports early once it has admitted this part of its share: keeps the limit where much is admitted between
-/// two reports. Not measured: half, so that the answer comes before the part is used up.
+/// two reports.
 const EARLY_REPORT_PART: f64 = 0.5;
-/// The time over which demand is smoothed, in milliseconds, so that shares don't jump with each request. Not measured:
-/// as long as the leader waits before a gateway counts as silent.
+/// The time over which demand is smoothed, in milliseconds, so that shares don't jump with each request.
 const DEMAND_SMOOTHING: Millis = Millis(1_500);
-/// Recent admissions are counted in steps of this, in milliseconds, to save memory. Not measured: four steps for the
-/// window of a second.
+/// Recent admissions are counted in steps of this, in milliseconds, to save memory.
 const RECENT_STEP: Millis = Millis(250);
 
 /// How many requests are asked for in a second, smoothed.
--- a/crates/core/src/serving/relay/bounds.rs
+++ b/crates/core/src/serving/relay/bounds.rs
@@ -9,40 +9,35 @@
 use crate::time::Millis;
 
 /// How long a relay's watch of the store waits, in percent of the change bound: its view is confirmed as often as this,
-/// and each confirmation costs a call. Relays, one play each of tubig-serve-large scale-2: calls 5,418 -> 1,651, worth
-/// 0.702 -> 0.769; the share not measured.
+/// and each confirmation costs a call.
 const RELAY_WAIT_PERCENT: u64 = 20;
 /// The pause of a relay after a watch that brought changes, in percent of the change bound: saves calls, since further
-/// changes come together. Measured with the relay's wait; the share not measured.
+/// changes come together.
 const RELAY_PAUSE_PERCENT: u64 = 10;
 /// How long a relay may hold an answer back until there are changes, in percent of the change bound: saves messages.
-/// Not measured: less than a relay's wait, so that a follower learns of each confirmation.
 const HOLD_PERCENT: u64 = 15;
 /// A relay whose view is older than this has lost the store, in percent of the change bound: its followers leave it in
-/// time. Not measured: more than two of its watches and a pause.
+/// time.
 const RELAY_STALE_PERCENT: u64 = 60;
 /// A node whose view is older than this asks the store itself, in percent of the change bound: the rest is for that
-/// call. With the rule off a change was not known after 2,005 ms of 2,000 (simulation); the share not measured.
+/// call.
 const STALE_PERCENT: u64 = 75;
-/// The pause after a watch with changes where there is no relay, in percent of the change bound: saves calls. 500 ms
-/// after changes: calls on quiet-1 4,736 -> 1,634 / 7,767 -> 2,019; paced by the bound: 1,968 -> 1,326.
+/// The pause after a watch with changes where there is no relay, in percent of the change bound: saves calls.
 const ALONE_PAUSE_PERCENT: u64 = 40;
-/// How long a relay with an old view is avoided, in percent of the change bound: it may have the store again soon. Not
-/// measured: as long as a relay's watch waits.
+/// How long a relay with an old view is avoided, in percent of the change bound: it may have the store again soon.
 const AVOID_STALE_PERCENT: u64 = 20;
 /// The longest wait of a relay, or of a node that knows none, after a failed call of the store, before its random part
 /// of up to a half is added, in percent of the contact bound. Others depend on a relay, so it tries more often than a
 /// follower. Up to 60% before (with the random part): a gateway took 2.8 s; now up to 37.5%.
 const RELAY_STORE_WAIT_PERCENT: u64 = 15;
 /// The same of a follower, in percent of the contact bound: its call that fails (1 s), this wait and a relay's silence
-/// (550 ms) together stay below the shortest contact bound in use, 3 s. Measured with the relay's.
+/// (550 ms) together stay below the shortest contact bound in use, 3 s.
 const FOLLOWER_STORE_WAIT_PERCENT: u64 = 25;
 /// Records can lapse once the store was out of reach for this long, in percent of a heartbeat: workers whose records
-/// lapsed with the store serve on, and only those. Not measured: a record lapses after three heartbeats without a
-/// write, so no sooner than two after the store went; the rest is for how late a node notices.
+/// lapsed with the store serve on, and only those.
 const LEAST_LAPSE_PERCENT: u64 = 150;
 /// A watch of a node that takes no changes from relays waits this much longer than the contact bound, in milliseconds,
-/// since it may have begun before the silence. Not measured: ample for a call's way.
+/// since it may have begun before the silence.
 const ALONE_MARGIN: Millis = Millis(500);
 
 /// The times in which a node must learn of changes, from its settings.
--- a/crates/core/src/serving/relay/choice.rs
+++ b/crates/core/src/serving/relay/choice.rs
@@ -13,10 +13,10 @@
 use crate::time::{Millis, Timestamp};
 
 /// How many relays a node tries. One is enough while it lives; with a third of the machines cut off from the store,
-/// three in a row that are is one case in 27. Worked out, not measured.
+/// three in a row that are is one case in 27.
 const RELAYS_TRIED: usize = 3;
 /// The time for which a relay that gave no answer is avoided grows to at most this many times the first: one that lives
-/// again is tried again. Not measured: 24 s at a contact bound of 3 s.
+/// again is tried again.
 const LONGEST_AVOIDED: u64 = 8;
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/src/serving/relay/outage.rs
+++ b/crates/core/src/serving/relay/outage.rs
@@ -8,14 +8,13 @@
 use super::policy::ViewState;
 use crate::time::{Millis, Timestamp};
 
-/// Workers that live write a record that lapsed again within this time of the store's return, in milliseconds. Not
-/// measured: the platform states it.
+/// Workers that live write a record that lapsed again within this time of the store's return, in milliseconds.
 const RETURN_TIME: Millis = Millis(2_000);
 /// A worker whose record was removed may be used for this long where there is nobody else, in milliseconds: a service
-/// whose only worker's record went. Not measured: half the usual change bound.
+/// whose only worker's record went.
 const LAST_RESORT: Millis = Millis(1_000);
 /// A request that is sent to a worker reaches it within this time, in milliseconds: one that is sent at the last moment
-/// keeps the bound. Not measured: as long as a connection attempt may take.
+/// keeps the bound.
 const IN_FLIGHT: Millis = Millis(250);
 
 /// A call of the store that failed.
--- a/crates/core/src/serving/relay/policy.rs
+++ b/crates/core/src/serving/relay/policy.rs
@@ -15,16 +15,15 @@
 use crate::time::{Millis, Timestamp};
 
 /// How long an answer of a relay may take beyond the time for which it may be held back, in milliseconds: a relay in
-/// another zone, or a busy one, isn't left. Not measured: two ways between zones, and a busy relay.
+/// another zone, or a busy one, isn't left.
 const RELAY_MARGIN: Millis = Millis(250);
 /// The first wait after a failed call of the store, in milliseconds, before its random part: a store that refuses once
-/// is asked again soon. Doubles with each failure in a row. Not measured: a few round trips between zones.
+/// is asked again soon. Doubles with each failure in a row.
 const FIRST_STORE_WAIT: Millis = Millis(50);
-/// The longest such wait, in milliseconds, whatever the contact bound allows: only bounds over 51 s allow for more. Not
-/// measured: the first wait doubled eight times.
+/// The longest such wait, in milliseconds, whatever the contact bound allows: only bounds over 51 s allow for more.
 const LONGEST_STORE_WAIT: Millis = Millis(12_800);
 /// The random part of such a wait makes it this share of itself at the least, and up to one more: nodes don't all ask
-/// the store at once when it is back. Not measured: the mean stays the wait.
+/// the store at once when it is back.
 const LEAST_JITTER: f64 = 0.5;
 
 /// What a node is among those that follow the store's changes.
--- a/crates/core/src/serving/stopping.rs
+++ b/crates/core/src/serving/stopping.rs
@@ -3,13 +3,13 @@
 use crate::time::Millis;
 
 /// For how long a leaving gateway still takes new connections, in milliseconds: callers that haven't learned yet that
-/// it is not ready are served. Not measured: two readiness probes a second apart, and some margin.
+/// it is not ready are served.
 const LEAVING: Millis = Millis(2_600);
 /// What is left of the grace when the process ends at the latest, in milliseconds: the process ends by itself before
-/// the platform kills it. Not measured: ample for the end of a process, small against the usual grace of 8 s.
+/// the platform kills it.
 const GRACE_MARGIN: Millis = Millis(400);
 /// How long a storing node hands its leadership over before it stops all the same, in milliseconds: a caught-up voter
-/// leads without an election. Not measured: longer than an election's least time-out.
+/// leads without an election.
 pub const HAND_OVER_TIMEOUT: Millis = Millis(1_500);
 
 /// The times of a gateway's planned stop, from its beginning on.
--- a/crates/core/src/serving/workers/choice.rs
+++ b/crates/core/src/serving/workers/choice.rs
@@ -17,19 +17,14 @@
 use crate::time::{Millis, Timestamp, UnixMillis};
 
 /// Batch leaves as many slots of a service free as online requests are placed in this time, in milliseconds: they come
-/// before a pause of items takes effect, which needs an exchange of load reports and a way to the worker. Against a sixth
-/// of each worker, in five pairs of runs on a fleet with more work than room: worth 0.5874 -> 0.6073, items in time
-/// 0.672 -> 0.709; other spans were not measured.
+/// before a pause of items takes effect, which needs an exchange of load reports and a way to the worker.
 const PAUSE_TAKES: Millis = Millis(150);
-/// The cost of each batch item that runs at a worker, in milliseconds, so that items spread over workers. Not measured:
-/// a little more than a request in one of eight slots costs (5 ms).
+/// The cost of each batch item that runs at a worker, in milliseconds, so that items spread over workers.
 const ITEM_MS: f64 = 6.0;
-/// The random part of the cost goes up to this, in milliseconds, so that nodes don't all choose alike. Not measured: less
-/// than one request more in one of eight slots (5 ms).
+/// The random part of the cost goes up to this, in milliseconds, so that nodes don't all choose alike.
 const JITTER_MS: f64 = 3.0;
-/// The load in transit is drawn from 0 to this many times what is expected: the mean of the draws is the expectation, and
-/// nodes with the same reports differ. Without load in transit, in 18 pairs of runs: worth -0.0218 +- 0.0217, online late
-/// +0.0284 +- 0.0160.
+/// The load in transit is drawn from 0 to this many times what is expected: the mean of the draws is the expectation,
+/// and nodes with the same reports differ.
 const TRANSIT_SPREAD: f64 = 2.0;
 
 /// Workers among which the cheapest is sought: with more of them, the best of some that are drawn is as good, and the time
--- a/crates/core/src/serving/workers/cost.rs
+++ b/crates/core/src/serving/workers/cost.rs
@@ -5,21 +5,17 @@
 use super::worker::WorkerEntry;
 use crate::time::{Millis, Timestamp};
 
-/// The time to read one prompt token, in milliseconds. Not measured: the emulator's engine reads a token in 20 us.
+/// The time to read one prompt token, in milliseconds.
 const READ_MS_PER_TOKEN: f64 = 0.018;
-/// The cost of a full worker against an idle one, in milliseconds: spreads requests over free slots. Not measured: as
-/// much as 2,200 tokens to read.
+/// The cost of a full worker against an idle one, in milliseconds: spreads requests over free slots.
 const BUSY_MS: f64 = 40.0;
-/// The cost of each request that would wait for a slot, in milliseconds. Not measured: twice a full worker, so that
-/// waiting is the last resort.
+/// The cost of each request that would wait for a slot, in milliseconds.
 const WAIT_MS: f64 = 80.0;
-/// The cost of leaving the zone, in milliseconds, which saves bytes between zones. 10 ms and 1 ms a kilobyte instead, in
-/// 24 pairs of runs: worth +0.0082 +- 0.0245, bytes on the largest fleet 0.199 GB against 0.198; not kept.
+/// The cost of leaving the zone, in milliseconds, which saves bytes between zones.
 const ZONE_MS: f64 = 4.0;
 /// The cost of each kilobyte that leaves the zone, in milliseconds; see [`ZONE_MS`].
 const ZONE_MS_PER_KILOBYTE: f64 = 0.4;
-/// A worker counts as slow from this many times the mean time to the first event, so that ordinary spread doesn't. All of
-/// slowness left out, in 18 pairs of runs: worth -0.0018 +- 0.0134, so not told from chance.
+/// A worker counts as slow from this many times the mean time to the first event, so that ordinary spread doesn't.
 const SLOW_ABOVE: f64 = 1.5;
 /// The cost of each further time the mean, in milliseconds, so that slow workers get less; see [`SLOW_ABOVE`].
 const SLOW_MS: f64 = 15.0;
@@ -27,8 +23,7 @@
 /// [`SLOW_ABOVE`].
 const SLOWNESS_LIFETIME: Millis = Millis(4_000);
 /// The share of a prompt's shared parts believed to be cached at their affinity worker, so that they are read at one
-/// worker of a zone. 1.0 instead: lower on five of six days; without affinity, in 18 pairs of runs: worth -0.0035 +-
-/// 0.0119.
+/// worker of a zone.
 const AFFINITY_CACHED_SHARE: f64 = 0.6;
 
 /// The estimated time to the first event, in milliseconds, with what the way there costs.
--- a/crates/core/src/serving/workers/health.rs
+++ b/crates/core/src/serving/workers/health.rs
@@ -13,32 +13,28 @@
 use crate::time::{Millis, Timestamp};
 
 /// A worker that failed once is ejected for this long, in milliseconds, for the requests that it would take; doubles
-/// with each failure in a row. Not measured: short, since the doubling covers what lasts.
+/// with each failure in a row.
 const BASE_EJECTION: Millis = Millis(300);
 /// A worker that could not be reached is ejected for this long at first, in milliseconds: each try costs a request the
 /// 250 ms that a connection may take. 58 tries of one dark worker in 4 s before; with loads smoothed over 300 ms, six days
 /// without processor time, each higher.
 const BASE_EJECTION_UNREACHABLE: Millis = Millis(1_200);
-/// The longest ejection, in milliseconds, so that a worker that recovered is tried again. Not measured: a few times the
-/// first one.
+/// The longest ejection, in milliseconds, so that a worker that recovered is tried again.
 const MAX_EJECTION: Millis = Millis(4_000);
 /// A worker that failed other nodes is ejected for this long after each report of that, in milliseconds, so that a dead
-/// worker is found once and not once a node. On a fleet with many gateways, 4 pairs of runs: online late -0.0195 +-
-/// 0.0162; 36 pairs on small ones: worth +0.0074 +- 0.0119.
+/// worker is found once and not once a node.
 const REPORTED_EJECTION: Millis = Millis(500);
-/// The mean time to the first event before any was measured, in milliseconds, for the first requests of a process. Not
-/// measured: an idle worker reads some 3,000 tokens in it.
+/// The mean time to the first event before any was measured, in milliseconds, for the first requests of a process.
 const INITIAL_MEAN_FIRST_MS: f64 = 60.0;
-/// The weight of a first event in the mean over all workers, which so goes by some twenty of them. Not measured.
+/// The weight of a first event in the mean over all workers, which so goes by some twenty of them.
 const MEAN_FIRST_WEIGHT: f64 = 0.05;
-/// The weight of a first event in its worker's slowness, which so goes by some five of them. Not measured: few, since a
-/// worker that turned slow should cost more soon.
+/// The weight of a first event in its worker's slowness, which so goes by some five of them.
 const SLOWNESS_WEIGHT: f64 = 0.2;
-/// The least mean that a first event is compared with, in milliseconds, so that a very fast fleet has no slow workers by
-/// rounding. Not measured: a few times the clock's step of a millisecond.
+/// The least mean that a first event is compared with, in milliseconds, so that a very fast fleet has no slow workers
+/// by rounding.
 const LEAST_MEAN_FIRST_MS: f64 = 5.0;
-/// The least and the greatest multiple of the mean that one first event counts as, so that one outlier doesn't decide on
-/// a worker's slowness. Not measured.
+/// The least and the greatest multiple of the mean that one first event counts as, so that one outlier doesn't decide
+/// on a worker's slowness.
 const LEAST_SLOWNESS: f64 = 0.5;
 /// See [`LEAST_SLOWNESS`].
 const GREATEST_SLOWNESS: f64 = 5.0;
--- a/crates/core/src/serving/workers/load_in_transit.rs
+++ b/crates/core/src/serving/workers/load_in_transit.rs
@@ -32,8 +32,7 @@
     }
 }
 
-/// Steps of the search for the level; each halves what is uncertain. Not measured: after 18 a thousandth of a millisecond
-/// is left of a quarter of a second.
+/// Steps of the search for the level; each halves what is uncertain.
 const SEARCH_STEPS: u32 = 18;
 
 /// The cost that all workers reach if `requests` more are placed one by one where it is cheapest, in
--- a/crates/core/src/serving/workers/load_report.rs
+++ b/crates/core/src/serving/workers/load_report.rs
@@ -10,20 +10,15 @@
 
 /// From this many gateways on, those of a zone report to an aggregator of the zone, which reports sums to the leader.
 /// Two steps at the shortest interval are no older than one at the interval that the leader can serve with this many:
-/// four times half of 40 ms, against 100 nodes at 900 exchanges a second. 50 gateways of a zone have reports of each
-/// other every 55 ms, 250 at one leader would every 277 ms; late requests on the largest fleet in the seconds 4 to 26:
-/// 1,325 -> 748 and 577.
+/// four times half of 40 ms, against 100 nodes at 900 exchanges a second.
 const CENTRAL_NODES: u32 = 100;
-/// Exchanges of reports that an aggregator serves in a second, for the processor of the leader (70 us an exchange). In 54
-/// pairs of runs against a fixed interval: online late 0.0809 -> 0.0664 (-0.0145 +- 0.0034), worth +0.0079 +- 0.0086.
+/// Exchanges of reports that an aggregator serves in a second, for the processor of the leader (70 us an exchange).
 const EXCHANGES_PER_S: u64 = 900;
-/// The shortest time between two exchanges of one node, in milliseconds. In 36 pairs of runs against a fixed interval:
-/// online late at 75 ms -0.0090 +- 0.0036, at 40 ms -0.0139 +- 0.0037.
+/// The shortest time between two exchanges of one node, in milliseconds.
 const LEAST_INTERVAL: Millis = Millis(40);
-/// The longest time between two exchanges of one node, in milliseconds. Every 450 ms: online late 0.028 -> 0.12.
+/// The longest time between two exchanges of one node, in milliseconds.
 const LONGEST_INTERVAL: Millis = Millis(400);
 /// This many nodes must have ejected a worker before the others do: one node that is cut off ejects nothing for others.
-/// Measured together with `REPORTED_EJECTION`.
 const FAILED_NODES: u32 = 2;
 
 /// How many requests are at a worker.
--- a/crates/core/src/serving/workers/loads.rs
+++ b/crates/core/src/serving/workers/loads.rs
@@ -10,14 +10,12 @@
 use crate::serving::request::PrefixLink;
 use crate::time::{Millis, Timestamp};
 
-/// The time that reports take to the aggregator and from there, in milliseconds. Not measured: two ways between zones.
+/// The time that reports take to the aggregator and from there, in milliseconds.
 const TRANSIT: Millis = Millis(10);
-/// A worker's own word on its load is reported to other nodes while it is younger than this, in milliseconds. Measured
-/// with load in transit: refusals by workers 18,718 -> 616, late requests 6,332 -> 1,986 on a day that saturates its
-/// fleet.
+/// A worker's own word on its load is reported to other nodes while it is younger than this, in milliseconds.
 const SELF_REPORT_AGE: Millis = Millis(300);
 /// A worker that had no room is believed to run as many requests as it has slots, and to have one more waiting for each
-/// so many slots. Not measured: half as many as run, which keeps requests away until the next report.
+/// so many slots.
 const SLOTS_PER_WAITING: u32 = 2;
 
 /// How fast all other nodes placed requests.
--- a/crates/core/src/serving/workers/prefix_cache.rs
+++ b/crates/core/src/serving/workers/prefix_cache.rs
@@ -7,10 +7,9 @@
 use crate::serving::request::PrefixLink;
 use crate::time::Timestamp;
 
-/// The share of a worker's memory that cached parts are believed to take, in percent. Not measured: the rest is for
-/// requests that run.
+/// The share of a worker's memory that cached parts are believed to take, in percent.
 const CACHED_PERCENT: u64 = 70;
-/// Tokens believed to be cached where the worker's memory is not known. Not measured: a dozen long prompts.
+/// Tokens believed to be cached where the worker's memory is not known.
 const DEFAULT_CAPACITY: u64 = 50_000;
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/src/serving/workers/service_times.rs
+++ b/crates/core/src/serving/workers/service_times.rs
@@ -6,11 +6,9 @@
 use crate::moving_mean::LearnedMean;
 use crate::time::Millis;
 
-/// The least weight of one more request in a mean, so that it goes by some twenty of the latest. Not measured: a few
-/// seconds of a service's requests at one node.
+/// The least weight of one more request in a mean, so that it goes by some twenty of the latest.
 const LEAST_WEIGHT: f64 = 0.05;
-/// A longer time than this, in milliseconds, counts as this long: it shows a fault, not the service. Not measured:
-/// above what a sound worker takes.
+/// A longer time than this, in milliseconds, counts as this long: it shows a fault, not the service.
 const LONGEST_MS: f64 = 10_000.0;
 
 /// What was learned of a service.
--- a/crates/core/src/serving/workers/table.rs
+++ b/crates/core/src/serving/workers/table.rs
@@ -16,7 +16,7 @@
 use crate::time::{Millis, Timestamp};
 
 /// A worker that is gone is remembered for this long, in milliseconds: one that stated that it drains must not return
-/// by an older record. Not measured: far longer than a record may be on its way.
+/// by an older record.
 const GONE_REMEMBERED: Millis = Millis(60_000);
 
 /// All workers.
--- a/crates/core/src/serving/workers/worker.rs
+++ b/crates/core/src/serving/workers/worker.rs
@@ -13,13 +13,11 @@
 use crate::moving_mean::MovingMean;
 use crate::time::{Millis, Timestamp, UnixMillis};
 
-/// What a worker itself reported of its load is believed for this long, in milliseconds. Not measured: long enough for a
-/// node without load reports from its peers, short against the length of a burst.
+/// What a worker itself reported of its load is believed for this long, in milliseconds.
 const REPORT_LIFETIME: Millis = Millis(2_000);
 /// How long work takes at a worker is believed for this long, in milliseconds: it changes many times a second.
 const PACE_LIFETIME: Millis = Millis(300);
-/// The aggregated load of the other nodes is believed for this long, in milliseconds. Not measured: a second after the
-/// leader is lost.
+/// The aggregated load of the other nodes is believed for this long, in milliseconds.
 pub(super) const SHARED_LIFETIME: Millis = Millis(1_200);
 
 /// Names a worker. It may start again under the same id; see [`WorkerLife`].
--- a/crates/gateway/src/batch/job_calls.rs
+++ b/crates/gateway/src/batch/job_calls.rs
@@ -24,18 +24,16 @@
 use crate::observe::journal::{Field, record};
 use crate::observe::measures;
 
-/// How long a submission is tried where the caller gives no deadline, in milliseconds. It outlives an election. Not
-/// measured: an election takes 1 to 2 s.
+/// How long a submission is tried where the caller gives no deadline, in milliseconds. It outlives an election.
 const SUBMIT_WITHIN: Millis = Millis(2_500);
-/// How long a read or an end is tried, beyond the wait that the caller asks for, in milliseconds. It is given up soon and
-/// asked again. Not measured: room for a try at a silent node (900 ms) and another.
+/// How long a read or an end is tried, beyond the wait that the caller asks for, in milliseconds. It is given up soon
+/// and asked again.
 const CALL_WITHIN: Millis = Millis(1_200);
-/// The longest wait for a result, in milliseconds. Bounds how long reads are held. Not measured.
+/// The longest wait for a result, in milliseconds. Bounds how long reads are held.
 const LONGEST_WAIT: Millis = Millis(2_000);
-/// When a caller whose job did not fit may retry, in milliseconds. Such a job is not sent again at once. Not measured:
-/// sooner tries would mostly find the queue as full.
+/// When a caller whose job did not fit may retry, in milliseconds. Such a job is not sent again at once.
 const OVER_QUOTA_RETRY_AFTER: Millis = Millis(1_000);
-/// When a caller may retry while the table has no leader, in milliseconds. Not measured: a fraction of an election.
+/// When a caller may retry while the table has no leader, in milliseconds.
 const NO_LEADER_RETRY_AFTER: Millis = Millis(300);
 
 /// A job as it is submitted.
--- a/crates/gateway/src/callers/server.rs
+++ b/crates/gateway/src/callers/server.rs
@@ -37,8 +37,8 @@
 use crate::sockets::accept_next;
 use crate::workers::attempt::WorkerClient;
 
-/// An idle connection is kept this much longer than its callers may use it, so that none is closed while a request is on
-/// its way. Not measured: longer than a way through the network takes.
+/// An idle connection is kept this much longer than its callers may use it, so that none is closed while a request is
+/// on its way.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
 /// Least size of the buffer for a head, in bytes: the HTTP library takes no smaller one.
 const LEAST_HEAD_BUFFER: usize = 8_192;
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -11,8 +11,7 @@
     origin: Instant,
 }
 
-/// The clock starts here, in milliseconds, so that spans before the start can be distinguished from none. Not measured:
-/// longer than any span that is subtracted right after a start.
+/// The clock starts here, in milliseconds, so that spans before the start can be distinguished from none.
 const ORIGIN_MILLIS: u64 = 1_000_000;
 
 impl NodeClock {
--- a/crates/gateway/src/fleet/crash_reports.rs
+++ b/crates/gateway/src/fleet/crash_reports.rs
@@ -14,10 +14,10 @@
 
 /// The keys of machines' crash reports begin so.
 pub const CRASH_KEYS: &str = "stallmoor/crashes/";
-/// The wait between a crash and the record's write, in milliseconds: one worker that dies takes several requests with it,
-/// and one call of the store is enough for them. Not measured: a few times the spread of their ends.
+/// The wait between a crash and the record's write, in milliseconds: one worker that dies takes several requests with
+/// it, and one call of the store is enough for them.
 const GATHER_WAIT: Duration = Duration::from_millis(100);
-/// The wait after a write whose outcome is not known, in milliseconds. Spares a store that is down. Not measured.
+/// The wait after a write whose outcome is not known, in milliseconds. Spares a store that is down.
 const RETRY_WAIT: Duration = Duration::from_millis(300);
 
 /// The record of one machine.
--- a/crates/gateway/src/fleet/metadata_view.rs
+++ b/crates/gateway/src/fleet/metadata_view.rs
@@ -19,7 +19,7 @@
 use crate::clock::NodeClock;
 
 /// Longest time for which an answer is held back, in milliseconds, whatever is asked: no question holds its connection
-/// for ever. Not measured: over the hold of any change bound in use (15% of 2 s).
+/// for ever.
 const LONGEST_HOLD: Millis = Millis(5_000);
 /// What was packed once serves nodes that ask within this time, in milliseconds: where many start at once, packing takes
 /// less time than what it serves.
--- a/crates/gateway/src/http/answer_body.rs
+++ b/crates/gateway/src/http/answer_body.rs
@@ -7,8 +7,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
-/// Most pieces of a stream that wait for a caller that reads slowly; the worker's connection isn't read meanwhile. Not
-/// measured: some hundred events, a few kilobytes a request.
+/// Most pieces of a stream that wait for a caller that reads slowly; the worker's connection isn't read meanwhile.
 const PIECES: usize = 32;
 
 /// The answer could not be completed; the connection is closed so that it does not look whole.
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -28,8 +28,7 @@
 use crate::workers::attempt::WorkerClient;
 use crate::workers::permits::exchange_permits;
 
-/// How often idle connections to workers that are over their time are closed, in milliseconds: frees their sockets. Not
-/// measured: short against the seconds for which a connection is kept.
+/// How often idle connections to workers that are over their time are closed, in milliseconds: frees their sockets.
 const STALE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Runs a gateway until it gets the signal to stop.
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -14,18 +14,15 @@
 use stallmoor_core::serving::relay::bounds::WatchBounds;
 use stallmoor_core::time::Millis;
 
-/// The bounds on a change of the configuration and on a draining worker where the file names none, in milliseconds. Not
-/// measured: deploy files name them; the default is the usual bound of those.
+/// The bounds on a change of the configuration and on a draining worker where the file names none, in milliseconds.
 const DEFAULT_CHANGE_MS: f64 = 2_000.0;
-/// The contact bound where the file names none, in milliseconds. Not measured: as the bounds on changes.
+/// The contact bound where the file names none, in milliseconds.
 const DEFAULT_CONTACT_MS: f64 = 3_000.0;
-/// The time between two writes of a worker's record where the file names none, in milliseconds. Not measured: as the
-/// bounds on changes.
+/// The time between two writes of a worker's record where the file names none, in milliseconds.
 const DEFAULT_HEARTBEAT_MS: f64 = 1_200.0;
-/// How long results are kept where the file does not say, in seconds. Not measured: ten minutes are many times the time
-/// by which results are due.
+/// How long results are kept where the file does not say, in seconds.
 const DEFAULT_RESULTS_KEPT_S: f64 = 600.0;
-/// How long a planned stop may take where the file does not say, in seconds. Not measured: as the bounds on changes.
+/// How long a planned stop may take where the file does not say, in seconds.
 const DEFAULT_GRACE_S: f64 = 8.0;
 
 /// Why settings can't be used.
--- a/crates/gateway/src/process/storing.rs
+++ b/crates/gateway/src/process/storing.rs
@@ -30,8 +30,7 @@
 use crate::storage::registration;
 use crate::storage::service::{StorageInputs, StorageParts, StorageService};
 
-/// Messages of peers that wait for the service: bounds memory. Further ones wait in their connections. Not measured: a
-/// few messages of each of a thousand nodes.
+/// Messages of peers that wait for the service: bounds memory. Further ones wait in their connections.
 const PEER_EVENTS: usize = 4_096;
 
 /// Runs a storing node until it gets the signal to stop.
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -7,18 +7,16 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// How long sent bytes may stay unacknowledged before the connection counts as dead, in milliseconds: requests on a
-/// connection whose peer is gone end. Not measured: as long as the usual change bound.
+/// connection whose peer is gone end.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// A connection without traffic is probed after this long, and as often, in seconds: idle connections whose peer is
-/// gone are closed. Not measured: with [`PROBES`] no slower than the time for unacknowledged bytes and a second.
+/// gone are closed.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
-/// Probes without an answer after which a connection counts as dead. Not measured: one may be lost.
+/// Probes without an answer after which a connection counts as dead.
 const PROBES: u32 = 2;
-/// Connections that wait to be accepted: a burst of callers isn't refused. Not measured: over the connections of a
-/// burst; the system may allow fewer.
+/// Connections that wait to be accepted: a burst of callers isn't refused.
 const BACKLOG: u32 = 1_024;
-/// The wait after a failed accept, so that a process that is out of descriptors doesn't spin. Not measured: short against
-/// the time after which callers give up.
+/// The wait after a failed accept, so that a process that is out of descriptors doesn't spin.
 const ACCEPT_WAIT: Duration = Duration::from_millis(20);
 
 /// A connection that finds out by itself that its peer is silent.
--- a/crates/gateway/src/storage/registration.rs
+++ b/crates/gateway/src/storage/registration.rs
@@ -20,13 +20,12 @@
 
 /// The key of the record of a group of two.
 pub const PAIR_KEY: &str = "stallmoor/jobs/pair";
-/// The wait after a call that brought nothing, in milliseconds. Spares a store that is down. Not measured.
+/// The wait after a call that brought nothing, in milliseconds. Spares a store that is down.
 const RETRY_WAIT: Duration = Duration::from_millis(300);
 /// How long a founder waits for more storing nodes than the fewest that may found, in milliseconds. A group begins with
-/// all its voters where they come up together. Not measured.
+/// all its voters where they come up together.
 const FOUNDING_WAIT: Millis = Millis(3_000);
-/// The wait of each further founder, in milliseconds, so that one goes first. Not measured: the others
-/// read the first one's record meanwhile.
+/// The wait of each further founder, in milliseconds, so that one goes first.
 const FOUNDING_STAGGER: Duration = Duration::from_millis(400);
 
 /// Who founded the group.
--- a/crates/gateway/src/storage/service/load_exchange.rs
+++ b/crates/gateway/src/storage/service/load_exchange.rs
@@ -17,7 +17,7 @@
 use crate::leader::client::LeaderClient;
 
 /// How long the leader's answer is waited for, in milliseconds. The next exchange need not wait for a leader that is
-/// silent. Not measured: the same as a gateway waits for its aggregator.
+/// silent.
 const ANSWER_TIMEOUT: Millis = Millis(250);
 
 /// Reports of gateways, and the exchange with the leader.
--- a/crates/gateway/src/storage/service/membership.rs
+++ b/crates/gateway/src/storage/service/membership.rs
@@ -18,10 +18,10 @@
 use crate::observe::journal::{Field, record};
 use crate::storage::registration::PAIR_KEY;
 
-/// The wait before a drain is reported again, in milliseconds. Spares a store that is down. Not measured.
+/// The wait before a drain is reported again, in milliseconds. Spares a store that is down.
 const DRAIN_RETRY: Duration = Duration::from_millis(250);
-/// The wait before the pair's record is read after a write that did not succeed, in milliseconds. Spares a store that is
-/// down. Not measured.
+/// The wait before the pair's record is read after a write that did not succeed, in milliseconds. Spares a store that
+/// is down.
 const PAIR_RETRY: Duration = Duration::from_millis(200);
 
 /// What this node knows of the group's members, and the calls to the metadata store about them.
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -56,8 +56,8 @@
 use startup::StartedService;
 pub use startup::{StorageInputs, StorageParts};
 
-/// The time between two looks at the clock, in milliseconds. Bounds how late time is noticed, and the leader's processor
-/// time. Not measured: a fraction of a heartbeat.
+/// The time between two looks at the clock, in milliseconds. Bounds how late time is noticed, and the leader's
+/// processor time.
 const TICK: Duration = Duration::from_millis(40);
 
 /// A storing node at work.
--- a/crates/gateway/src/workers/attempt.rs
+++ b/crates/gateway/src/workers/attempt.rs
@@ -22,8 +22,7 @@
 use crate::workers::connections::{ConnectionPool, NoConnection, SendFailure, WorkerConnection, WorkerEndpoint};
 use crate::workers::permits::PermitRequests;
 
-/// How long the rest of a refusal may take before its connection is closed instead of kept. Not measured: a refusal's body
-/// comes with its head.
+/// How long the rest of a refusal may take before its connection is closed instead of kept.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 /// What it takes to talk to workers.
 pub struct WorkerClient {
--- a/crates/gateway/src/workers/connections.rs
+++ b/crates/gateway/src/workers/connections.rs
@@ -21,17 +21,14 @@
 
 use crate::sockets::connect_tuned;
 
-/// How long a connection attempt may take, for a request that meets a worker whose machine is gone. Not measured: several
-/// ways between zones; each try of such a worker costs a request this long.
+/// How long a connection attempt may take, for a request that meets a worker whose machine is gone.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Idle connections are reused for this long where the worker does not say how long it keeps them. Not measured: shorter
-/// than servers usually do.
+/// Idle connections are reused for this long where the worker does not say how long it keeps them.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// The share of the worker's own idle time for which a connection is reused, in percent, so that none is used after the
-/// worker closed it. Not measured: the rest is more than a way to the worker.
+/// worker closed it.
 const IDLE_PERCENT: u32 = 75;
-/// How long a connection may take to become free after an answer, before it is closed. Not measured: the HTTP library
-/// needs a moment.
+/// How long a connection may take to become free after an answer, before it is closed.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Where a worker is reached in one of its lives. A connection to an earlier life is of no use to a later one.
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -15,8 +15,7 @@
 use crate::workers::connections::WorkerEndpoint;
 
 /// The wait between a broken connection and the look at its worker, in milliseconds: a process that ends closes its
-/// connections and its listener one after the other. Not measured: ample for that, and short against the start of a
-/// worker, which would pass for one that never died.
+/// connections and its listener one after the other.
 const CHECK_DELAY: Duration = Duration::from_millis(20);
 
 /// A run of a request that broke off.
