Faults that strike many nodes at once, on the virtual clock

Cause: the simulation of relays struck one node at a time, so nothing said what a zone does whose roots and forwarders all stop, or a fleet that restarts in turn.

--- a/crates/core/tests/relay_simulation.rs
+++ b/crates/core/tests/relay_simulation/world.rs
@@ -1,8 +1,4 @@
-//! Nodes that take the store's changes from relays, on a virtual clock, while relays freeze, links break, and the
-//! store goes away for some or for all.
-//!
-//! What must hold: a node that runs, and had a way to the store for the contact bound, knows each change within the
-//! change bound, whatever became of the relays; and it sends nothing to a worker whose record was removed before that.
+//! Nodes, their relays and the store, on a virtual clock.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,11 +18,13 @@
 use stallmoor_core::serving::workers::{WorkerAsk, WorkerId, WorkerRecord, WorkerTable};
 use stallmoor_core::time::{Millis, Timestamp};
 
-const BOUNDS: WatchBounds = WatchBounds { change: Millis(2_000), contact: Millis(3_000), heartbeat: Millis(1_200) };
-const RELAYS: usize = 4;
-const NODES: usize = 12;
-/// In a fleet with two tiers, the nodes after the relays.
-const FORWARDERS: usize = 3;
+pub const BOUNDS: WatchBounds = WatchBounds { change: Millis(2_000), contact: Millis(3_000), heartbeat: Millis(1_200) };
+/// Nodes that take the store's changes from the store.
+pub const ROOTS: usize = 4;
+/// In a fleet with two tiers, the nodes after the roots.
+pub const FORWARDERS: usize = 3;
+/// All nodes, where a test asks for no other size.
+pub const NODES: usize = 12;
 /// A step of the clock.
 const STEP: u64 = 5;
 /// One way between two nodes, or a node and the store.
@@ -54,18 +52,18 @@
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-struct Faults {
+pub struct Faults {
     /// The process stands still until then.
-    frozen_until: u64,
+    pub frozen_until: u64,
     /// The store refuses its calls until then.
-    refused_until: u64,
+    pub refused_until: u64,
     /// The store does not answer its calls until then.
-    silent_until: u64,
+    pub silent_until: u64,
     /// No other node reaches it until then.
-    unreached_until: u64,
+    pub unreached_until: u64,
 }
 
-struct Node {
+pub struct Node {
     policy: WatchPolicy,
     mirror: Mirror,
     /// Each worker is of a service of its own, so that it must serve wherever it may.
@@ -73,32 +71,34 @@
     asked_at: Option<Timestamp>,
     under: Option<Under>,
     paused_until: u64,
-    faults: Faults,
+    pub faults: Faults,
     /// It runs, and had a way to the store, since then.
     in_touch_since: u64,
-    store_calls: u64,
+    pub store_calls: u64,
 }
 
-struct World {
-    now: u64,
+pub struct World {
+    pub now: u64,
     revision: u64,
     /// When each revision was written.
     written_at: Vec<u64>,
     /// The revision of each worker's record that stands.
     records: BTreeMap<Arc<str>, u64>,
     history: Vec<MetadataItem>,
+    /// The store has dropped the changes up to this revision.
+    dropped: u64,
     /// Workers that left, and when.
     left: Vec<(Arc<str>, u64)>,
-    nodes: Vec<Node>,
-    random: Xoshiro256PlusPlus,
-    worst_lag: u64,
+    pub nodes: Vec<Node>,
+    pub random: Xoshiro256PlusPlus,
+    pub worst_lag: u64,
     /// Whether there are nodes that pass on what the relays know.
     has_forwarders: bool,
     /// Whether nodes are held to the workers that they may use.
     looks_at_workers: bool,
 }
 
-fn at(millis: u64) -> Timestamp {
+pub fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(1_000_000 + millis)
 }
 
@@ -107,27 +107,21 @@
 }
 
 impl World {
-    fn new(seed: u64) -> Self {
-        let node = || Node {
-            policy: WatchPolicy::new(BOUNDS),
-            mirror: Mirror::default(),
-            workers: WorkerTable::default(),
-            asked_at: None,
-            under: None,
-            paused_until: 0,
-            faults: Faults::default(),
-            in_touch_since: 0,
-            store_calls: 0,
-        };
+    pub fn new(seed: u64) -> Self {
+        Self::with_nodes(seed, NODES)
+    }
+
+    pub fn with_nodes(seed: u64, count: usize) -> Self {
         let random = Xoshiro256PlusPlus::seed_from_u64(seed);
-        let mut nodes: Vec<Node> = (0..NODES).map(|_| node()).collect();
-        nodes[..RELAYS].iter_mut().for_each(|relay| relay.policy.set_tier(RelayTier::Root));
+        let mut nodes: Vec<Node> = (0..count).map(|_| Node::default()).collect();
+        nodes[..ROOTS].iter_mut().for_each(|relay| relay.policy.set_tier(RelayTier::Root));
         Self {
             now: 0,
             revision: 1,
             written_at: vec![0, 0],
             records: BTreeMap::new(),
             history: Vec::new(),
+            dropped: 0,
             left: Vec::new(),
             nodes,
             random,
@@ -138,7 +132,7 @@
     }
 
     /// A worker comes, or the one that was there longest leaves.
-    fn write(&mut self) {
+    pub fn write(&mut self) {
         self.revision += 1;
         self.written_at.push(self.now);
         let leaving = self.records.iter().min_by_key(|(_, revision)| **revision).map(|(key, _)| key.clone());
@@ -165,13 +159,35 @@
         self.records.iter().map(present).collect()
     }
 
-    fn with_forwarders(mut self) -> Self {
+    /// Nodes are held to the workers that they may use.
+    pub fn looking_at_workers(mut self) -> Self {
+        self.looks_at_workers = true;
+        self
+    }
+
+    pub fn with_forwarders(mut self) -> Self {
         self.has_forwarders = true;
-        let forwarders = &mut self.nodes[RELAYS..RELAYS + FORWARDERS];
+        let forwarders = &mut self.nodes[ROOTS..ROOTS + FORWARDERS];
         forwarders.iter_mut().for_each(|node| node.policy.set_tier(RelayTier::Forwarder));
         self
     }
 
+    /// The store drops its history: who asks for changes since before now must list it.
+    pub fn drop_history(&mut self) {
+        self.dropped = self.revision;
+    }
+
+    /// A process ends and is back after a while, with nothing that it knew.
+    pub fn restart(&mut self, node: usize, down: u64) {
+        self.nodes[node] = Node { in_touch_since: self.now, ..Node::default() };
+        self.nodes[node].faults.frozen_until = self.now + down;
+        if node < ROOTS {
+            self.nodes[node].policy.set_tier(RelayTier::Root);
+        } else if self.has_forwarders && node < ROOTS + FORWARDERS {
+            self.nodes[node].policy.set_tier(RelayTier::Forwarder);
+        }
+    }
+
     fn changes_after(&self, since: u64) -> Vec<MetadataItem> {
         self.history.iter().filter(|item| item.revision.0 > since).cloned().collect()
     }
@@ -190,17 +206,17 @@
     /// The relays of a node, in the order in which it asks them. Where there are forwarders, all other nodes ask those, and
     /// each of them a different one first.
     fn relays_of(&self, node: usize) -> Vec<NodeId> {
-        let roots = (0..RELAYS).filter(|relay| *relay != node);
-        if !self.has_forwarders || node < RELAYS + FORWARDERS {
+        let roots = (0..ROOTS).filter(|relay| *relay != node);
+        if !self.has_forwarders || node < ROOTS + FORWARDERS {
             return roots.map(id).collect();
         }
-        let own = (0..FORWARDERS).map(|place| RELAYS + (place + node) % FORWARDERS);
+        let own = (0..FORWARDERS).map(|place| ROOTS + (place + node) % FORWARDERS);
         own.take(2).chain(roots).map(id).collect()
     }
 
-    fn step(&mut self) {
+    pub fn step(&mut self) {
         self.now += STEP;
-        for node in 0..NODES {
+        for node in 0..self.nodes.len() {
             if self.now < self.nodes[node].faults.frozen_until {
                 self.nodes[node].in_touch_since = self.now;
                 continue;
@@ -283,6 +299,10 @@
             entry.policy.store_failed(role, view, call, spread);
             return true;
         }
+        if watch.is_some_and(|(since, _)| since < self.dropped) {
+            entry.policy.history_dropped();
+            return true;
+        }
         let has_changes = watch.is_none_or(|(since, _)| since < revision);
         if !has_changes && passed < wait + 2 * WAY {
             return false;
@@ -384,8 +404,9 @@
         }
     }
 
-    fn fault(&mut self) {
-        let (node, until) = (self.random.random_range(0..NODES), self.now + self.random.random_range(200..9_000));
+    pub fn fault(&mut self) {
+        let (node, until) =
+            (self.random.random_range(0..self.nodes.len()), self.now + self.random.random_range(200..9_000));
         let nodes = &mut self.nodes;
         match self.random.random_range(0..6) {
             0 => nodes[node].faults.frozen_until = until,
@@ -393,8 +414,8 @@
             2 => nodes[node].faults.silent_until = until,
             3 => nodes[node].faults.unreached_until = until,
             // Those who pass changes on are struck more often than others.
-            4 if self.has_forwarders => nodes[node % (RELAYS + FORWARDERS)].faults.frozen_until = until,
-            4 => nodes[node % RELAYS].faults.frozen_until = until,
+            4 if self.has_forwarders => nodes[node % (ROOTS + FORWARDERS)].faults.frozen_until = until,
+            4 => nodes[node % ROOTS].faults.frozen_until = until,
             _ => {
                 let share = self.random.random::<f64>();
                 for node in nodes {
@@ -407,6 +428,22 @@
     }
 }
 
+impl Default for Node {
+    fn default() -> Self {
+        Self {
+            policy: WatchPolicy::new(BOUNDS),
+            mirror: Mirror::default(),
+            workers: WorkerTable::default(),
+            asked_at: None,
+            under: None,
+            paused_until: 0,
+            faults: Faults::default(),
+            in_touch_since: 0,
+            store_calls: 0,
+        }
+    }
+}
+
 impl Node {
     /// Applies news as a gateway does.
     fn tell(&mut self, news: &[MetadataItem], grace: &RecordGrace, now: Timestamp) {
@@ -433,72 +470,3 @@
         cold_left: Millis(0),
     }
 }
-
-/// Plays a minute of virtual time.
-fn play(seed: u64, with_faults: bool) -> World {
-    play_world(World::new(seed), with_faults)
-}
-
-fn play_world(mut world: World, with_faults: bool) -> World {
-    let (mut next_write, mut next_fault) = (0, 4_000);
-    while world.now < 60_000 {
-        if world.now >= next_write {
-            world.write();
-            next_write = world.now + world.random.random_range(10..3_000);
-        }
-        if with_faults && world.now >= next_fault {
-            world.fault();
-            next_fault = world.now + world.random.random_range(300..4_000);
-        }
-        world.step();
-    }
-    world
-}
-
-#[test]
-fn a_node_in_touch_knows_each_change_in_time_whatever_becomes_of_relays() {
-    for seed in 0..120 {
-        play(seed, true);
-    }
-}
-
-#[test]
-fn a_node_in_touch_sends_nothing_to_workers_that_left_whatever_becomes_of_relays() {
-    for seed in 0..120 {
-        play_world(World { looks_at_workers: true, ..World::new(seed) }, true);
-    }
-}
-
-#[test]
-fn a_node_behind_two_tiers_knows_each_change_in_time_whatever_becomes_of_either() {
-    for seed in 0..200 {
-        let world = World { looks_at_workers: true, ..World::new(seed) };
-        play_world(world.with_forwarders(), true);
-    }
-}
-
-#[test]
-fn in_calm_times_forwarders_do_not_call_the_store_and_changes_come_through_both_tiers() {
-    let world = play_world(World::new(1).with_forwarders(), false);
-    let callers = world.nodes.iter().filter(|node| node.store_calls > 3).count();
-    assert!(callers <= 2, "{callers} nodes call the store again and again");
-    assert!(world.nodes[RELAYS..].iter().all(|node| node.store_calls <= 1), "only roots do");
-    assert!(world.worst_lag < BOUNDS.change.0 / 2, "the worst lag is {} ms", world.worst_lag);
-}
-
-#[test]
-fn in_calm_times_only_relays_call_the_store() {
-    let world = play(1, false);
-    let callers = world.nodes.iter().filter(|node| node.store_calls > 3).count();
-    assert!(callers <= 2, "{callers} nodes call the store again and again");
-    assert!(world.worst_lag < BOUNDS.change.0 / 3, "the worst lag is {} ms", world.worst_lag);
-}
-
-#[test]
-fn a_node_without_relays_watches_the_store_with_long_waits() {
-    let view = ViewState { now: at(0), at: Some(Revision(3)), age: Some(Millis(0)), asked_at: None };
-    let mut policy = WatchPolicy::new(BOUNDS);
-    assert_eq!(policy.next(view, &[]), WatchStep::ListStore, "what it holds is not known to be whole");
-    policy.store_answered(at(0));
-    assert_eq!(policy.next(view, &[]), WatchStep::WatchStore { since: Revision(3), wait: Millis(3_500) });
-}
