What a node reports and takes of loads goes by the workers in use

Change: a node keeps the set of workers that anything is known of beyond their records (requests, a word on their load, an ejection). Reports, sums and the search for full workers go by that set. What is believed of a worker is unchanged.

Measured: the count of workers that a report looks at is the same at 2,000 and 8,000 workers (two tests of growth).

--- a/crates/core/src/serving/relay/bounds.rs
+++ b/crates/core/src/serving/relay/bounds.rs
@@ -28,7 +28,7 @@
 const AVOID_STALE_PERCENT: u64 = 20;
 /// The longest wait of a relay, or of a node that knows none, after a failed call of the store, before its random part
 /// of up to a half is added, in percent of the contact bound. Others depend on a relay, so it tries more often than a
-/// follower. Up to 60% before (with the random part): a gateway took 2.8 s; now up to 37.5%.
+/// follower.
 const RELAY_STORE_WAIT_PERCENT: u64 = 15;
 /// The same of a follower, in percent of the contact bound: its call that fails (1 s), this wait and a relay's silence
 /// (550 ms) together stay below the shortest contact bound in use, 3 s.
--- a/crates/core/src/serving/workers/health.rs
+++ b/crates/core/src/serving/workers/health.rs
@@ -16,8 +16,7 @@
 /// with each failure in a row.
 const BASE_EJECTION: Millis = Millis(300);
 /// A worker that could not be reached is ejected for this long at first, in milliseconds: each try costs a request the
-/// 250 ms that a connection may take. 58 tries of one dark worker in 4 s before; with loads smoothed over 300 ms, six days
-/// without processor time, each higher.
+/// 250 ms that a connection may take.
 const BASE_EJECTION_UNREACHABLE: Millis = Millis(1_200);
 /// The longest ejection, in milliseconds, so that a worker that recovered is tried again.
 const MAX_EJECTION: Millis = Millis(4_000);
@@ -119,6 +118,7 @@
         for id in failed {
             if let Some(entry) = self.workers.get_mut(id) {
                 entry.peer_ejection = Some(until);
+                self.active.add(id);
                 self.chill_from(id, until);
             }
         }
--- a/crates/core/src/serving/workers/load_report.rs
+++ b/crates/core/src/serving/workers/load_report.rs
@@ -12,7 +12,7 @@
 /// Two steps at the shortest interval are no older than one at the interval that the leader can serve with this many:
 /// four times half of 40 ms, against 100 nodes at 900 exchanges a second.
 const CENTRAL_NODES: u32 = 100;
-/// Exchanges of reports that an aggregator serves in a second, for the processor of the leader (70 us an exchange).
+/// Exchanges of reports that an aggregator serves in a second: bounds the processor time of the leader.
 const EXCHANGES_PER_S: u64 = 900;
 /// The shortest time between two exchanges of one node, in milliseconds.
 const LEAST_INTERVAL: Millis = Millis(40);
--- a/crates/core/src/serving/workers/loads.rs
+++ b/crates/core/src/serving/workers/loads.rs
@@ -91,20 +91,21 @@
             let (worker, requests, batch) = (entry.record.id.clone(), entry.in_flight, 0);
             is_worth_it.then_some(WorkerReport { worker, requests, self_reported, ejected_by, batch })
         };
-        self.workers.values().filter_map(report_of).collect()
+        self.active_entries().filter_map(report_of).collect()
     }
 
     /// Takes the sums over all other nodes.
     pub fn apply_report(&mut self, report: &LoadReport, now: Timestamp) {
         let by_worker: BTreeMap<&WorkerId, &WorkerReport> =
             report.workers.iter().map(|reported| (&reported.worker, reported)).collect();
-        for (id, entry) in &mut self.workers {
-            let (load, batch) = by_worker.get(id).map_or((0, 0), |reported| {
+        by_worker.keys().for_each(|id| self.active.add(id));
+        self.change_active(now, |entry| {
+            let (load, batch) = by_worker.get(&entry.record.id).map_or((0, 0), |reported| {
                 let elsewhere = reported.self_reported.unwrap_or(0).saturating_sub(entry.in_flight);
                 (reported.requests.max(elsewhere), reported.batch)
             });
             entry.peers = Some(SharedLoad { load, batch, at: now });
-        }
+        });
         let failed = report.workers.iter().filter(|reported| reported.should_eject());
         self.eject_reported(failed.map(|reported| &reported.worker), now);
         let report_age = report.age.max(Millis(report.interval().0 / 2)) + TRANSIT;
@@ -113,17 +114,18 @@
 
     /// Requests of this node at each worker, those without any left out.
     pub fn own_loads(&self) -> Vec<WorkerCount> {
-        let busy = self.workers.values().filter(|entry| entry.in_flight > 0);
+        let busy = self.active_entries().filter(|entry| entry.in_flight > 0);
         busy.map(|entry| WorkerCount { worker: entry.record.id.clone(), requests: entry.in_flight }).collect()
     }
 
     /// Takes the loads of all other nodes, where none of them is of batch. A worker that is not listed has none.
     pub fn set_shared_loads(&mut self, loads: &[WorkerCount], now: Timestamp) {
         let by_worker: BTreeMap<&WorkerId, u32> = loads.iter().map(|count| (&count.worker, count.requests)).collect();
-        for (id, entry) in &mut self.workers {
-            let load = by_worker.get(id).copied().unwrap_or(0);
+        by_worker.keys().for_each(|id| self.active.add(id));
+        self.change_active(now, |entry| {
+            let load = by_worker.get(&entry.record.id).copied().unwrap_or(0);
             entry.peers = Some(SharedLoad { load, batch: 0, at: now });
-        }
+        });
     }
 
     /// Workers where requests wait while batch items run there, and how many of those must go.
@@ -133,7 +135,7 @@
             let over = waiting.min(entry.batch_in_flight);
             (over > 0).then(|| WorkerCount { worker: entry.record.id.clone(), requests: over })
         };
-        self.workers.values().filter_map(excess).collect()
+        self.active_entries().filter_map(excess).collect()
     }
 
     /// What is believed of a worker's load, for the log.
--- a/crates/core/src/serving/workers/mod.rs
+++ b/crates/core/src/serving/workers/mod.rs
@@ -7,6 +7,7 @@
 //! |---|---|
 //! | [`table`] | which workers there are, and which may be sent requests |
 //! | `worker` | what is believed of one worker |
+//! | `activity` | which workers anything moves at |
 //! | `loads` | how many requests are at each worker |
 //! | `health` | ejection of workers that failed, slowness, what the end of an attempt says |
 //! | [`choice`] | the choice of a worker for a request or a batch item |
@@ -20,6 +21,7 @@
 //! | [`service_times`] | how long the workers of a service take |
 //! | [`connection_limit`] | how many connections one node opens to a worker |
 
+mod activity;
 pub mod choice;
 pub mod cold_start;
 pub mod connection_limit;
--- a/crates/core/src/serving/workers/table.rs
+++ b/crates/core/src/serving/workers/table.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use super::activity::ActiveWorkers;
 use super::cold_start::ColdStart;
 use super::health::initial_mean_first;
 use super::loads::PeerRate;
@@ -23,6 +24,7 @@
 #[derive(Clone, Debug)]
 pub struct WorkerTable {
     pub(super) workers: BTreeMap<WorkerId, WorkerEntry>,
+    pub(super) active: ActiveWorkers,
     /// Time to the first event over all workers, in milliseconds.
     pub(super) mean_first: MovingMean,
     /// How fast the other nodes placed requests, by the last load report.
@@ -43,6 +45,7 @@
 impl Default for WorkerTable {
     fn default() -> Self {
         Self {
+            active: ActiveWorkers::default(),
             workers: BTreeMap::new(),
             mean_first: initial_mean_first(),
             peer_rate: None,
@@ -171,9 +174,11 @@
         self.workers.values().filter(is_ready).count()
     }
 
-    /// What is believed of a worker, if this life of it is the one that is known.
+    /// What is believed of a worker, if this life of it is the one that is known. It counts as active from then on.
     pub(super) fn entry_of(&mut self, life: &WorkerLife) -> Option<&mut WorkerEntry> {
-        self.workers.get_mut(&life.id).filter(|entry| entry.record.life().may_be(life))
+        let entry = self.workers.get_mut(&life.id).filter(|entry| entry.record.life().may_be(life))?;
+        self.active.add(&life.id);
+        Some(entry)
     }
 
     /// A worker's record; `None` if it is not known.
--- a/crates/core/src/serving/workers/worker.rs
+++ b/crates/core/src/serving/workers/worker.rs
@@ -257,6 +257,14 @@
         (online + 1).saturating_sub(self.record.slots)
     }
 
+    /// Whether nothing is at it, nobody said so a moment ago, and nobody has ejected it.
+    pub(super) fn is_idle(&self, now: Timestamp) -> bool {
+        let has_requests = self.in_flight > 0 || self.batch_in_flight > 0;
+        let has_report = self.report.is_some_and(|report| now.since(report.at) < REPORT_LIFETIME);
+        let has_shared_load = self.shared_load(now).is_some_and(|shared| shared.load > 0 || shared.batch > 0);
+        !(has_requests || has_report || has_shared_load || self.is_ejected(now))
+    }
+
     fn shared_load(&self, now: Timestamp) -> Option<SharedLoad> {
         self.peers.filter(|shared| now.since(shared.at) < SHARED_LIFETIME)
     }
--- a/crates/core/tests/fleet_growth.rs
+++ b/crates/core/tests/fleet_growth.rs
@@ -19,7 +19,9 @@
 use stallmoor_core::serving::relay::mirror::{Mirror, MissingKeys};
 use stallmoor_core::serving::relay::policy::{ViewState, WatchPolicy, WatchStep};
 use stallmoor_core::serving::relay::tiers::{RelayTier, plan_relays};
-use stallmoor_core::serving::workers::{WorkerAsk, WorkerId, WorkerRecord, WorkerTable};
+use stallmoor_core::serving::workers::{
+    WorkPace, WorkerAsk, WorkerCount, WorkerId, WorkerLoad, WorkerRecord, WorkerTable,
+};
 use stallmoor_core::time::{Millis, Timestamp};
 
 const ZONES: usize = 5;
@@ -327,6 +329,49 @@
     assert_eq!(policy.next(view(500), &[]), WatchStep::ListStore);
 }
 
+/// Takes reports for a while on a node that uses some of the workers, of which its peers use others. Returns how many
+/// workers it looked at for the last of them.
+fn looked_at_for_a_report(size: Size, in_use: usize) -> usize {
+    let mut table = WorkerTable::default();
+    for place in 0..size.workers {
+        table.upsert(worker(place));
+    }
+    for place in 0..in_use {
+        let life = worker(place).life();
+        table.started(&life, &[], 0, at(0));
+        table.reported(&life, WorkerLoad { running: 1, waiting: 0, pace: WorkPace::default() }, at(0));
+    }
+    let elsewhere = (0..in_use).map(|place| WorkerCount { worker: worker(in_use + place).id, requests: 2 });
+    let elsewhere: Vec<_> = elsewhere.collect();
+    for millis in [40, 80, 120] {
+        table.set_shared_loads(&elsewhere, at(millis));
+        assert_eq!(table.own_loads().len(), in_use);
+        assert_eq!(table.own_report(at(millis)).len(), in_use);
+    }
+    table.active_count()
+}
+
+#[test]
+fn a_report_of_loads_costs_by_the_workers_in_use_and_not_by_all() {
+    assert_eq!(looked_at_for_a_report(SMALL, 60), 120);
+    assert_eq!(looked_at_for_a_report(LARGE, 60), 120);
+}
+
+#[test]
+fn workers_without_requests_are_not_looked_at_for_long() {
+    let mut table = WorkerTable::default();
+    for place in 0..SMALL.workers {
+        table.upsert(worker(place));
+        table.started(&worker(place).life(), &[], 0, at(0));
+        table.ended(&worker(place).life());
+    }
+    table.set_shared_loads(&[WorkerCount { worker: worker(7).id, requests: 1 }], at(100));
+    assert_eq!(table.active_count(), 1);
+    table.set_shared_loads(&[], at(200));
+    assert_eq!(table.active_count(), 0);
+    assert!(table.own_report(at(300)).is_empty());
+}
+
 #[test]
 fn a_choice_draws_no_more_often_in_a_larger_fleet_and_finds_free_workers() {
     let mut draws = Vec::new();
@@ -338,7 +383,7 @@
         // Nine in ten workers of the zone are full.
         let full: Vec<_> = (0..size.workers)
             .filter(|place| place % ZONES == 0 && place % (10 * ZONES) != 0)
-            .map(|place| stallmoor_core::serving::workers::WorkerCount { worker: worker(place).id, requests: 12 })
+            .map(|place| WorkerCount { worker: worker(place).id, requests: 12 })
             .collect();
         table.set_shared_loads(&full, at(0));
         let mut random = CountedDraws { source: Xoshiro256PlusPlus::seed_from_u64(3), draws: 0 };
