Log how many crashes of a request are known and counted, and runs that clear them

The logs could not tell why a request under which workers died was not quarantined: E514 said that a crash was seen, not whether it was held against the request, and nothing said that a run to the end had cleared it.

No decision changes.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -93,6 +93,7 @@
     RequestQuarantined = 515, Warning, "Workers died one after the other while they ran a request; it is kept from all workers for a while.";
     ZoneEvacuated = 516, Information, "The operator evacuates a zone: its workers get no new requests.";
     ZoneReturned = 517, Information, "The operator took the evacuation of a zone back: its workers get requests again, at first as if they had just started.";
+    CrashesCleared = 518, Information, "A request ran to its end; the crashes of workers that were held against it before are so no longer.";
     AttemptEnded = 520, Warning, "An attempt at a worker ended without a whole answer.";
     RequestEnded = 521, Information, "A request that passes through has ended.";
     StorageNodeSeen = 530, Information, "A storing node's record was read.";
--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -130,6 +130,15 @@
     pub until: UnixMillis,
 }
 
+/// How many crashes of a request are known, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashCount {
+    /// Crashes that are remembered.
+    pub known: usize,
+    /// Those that are held against the request.
+    pub counted: usize,
+}
+
 /// The requests under which workers died. Times are of day, since nodes share them and keep them beyond their own start:
 /// clocks that differ by seconds are borne, as a quarantine takes minutes.
 #[derive(Clone, Debug)]
@@ -164,10 +173,18 @@
         self.quarantine(digest)
     }
 
-    /// A request of this node ran to its end. It is no longer suspected for what was before. Returns whether it was.
-    pub fn completed(&mut self, digest: RequestDigest, now: UnixMillis) -> bool {
+    /// A request of this node ran to its end. It is no longer suspected for what was before. Returns the crashes that
+    /// were known of it; `None` if there was none.
+    pub fn completed(&mut self, digest: RequestDigest, now: UnixMillis) -> Option<CrashCount> {
         self.recent.note(digest, now);
-        self.note_completion(Completion { digest, at: now }, Source::Here)
+        let before = self.count(digest);
+        self.note_completion(Completion { digest, at: now }, Source::Here).then_some(before)
+    }
+
+    /// How many crashes of a request are known.
+    pub fn count(&self, digest: RequestDigest) -> CrashCount {
+        let known = self.suspects.get(&digest).map_or(0, |suspect| suspect.sightings.len());
+        CrashCount { known, counted: self.crashes(digest) }
     }
 
     /// For how long a request is to be kept from all workers, in milliseconds; `None` if it may run.
--- a/crates/core/src/serving/crashes/mod.rs
+++ b/crates/core/src/serving/crashes/mod.rs
@@ -17,5 +17,5 @@
 pub mod report;
 
 pub use digest::{RequestContent, RequestDigest};
-pub use ledger::{CrashLedger, Quarantine};
+pub use ledger::{CrashCount, CrashLedger, Quarantine};
 pub use report::CrashReport;
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -13,7 +13,7 @@
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::retry_budget::RetryBudget;
 use stallmoor_core::serving::configuration::GatewayConfiguration;
-use stallmoor_core::serving::crashes::{CrashLedger, CrashReport, Quarantine, RequestDigest};
+use stallmoor_core::serving::crashes::{CrashCount, CrashLedger, CrashReport, Quarantine, RequestDigest};
 use stallmoor_core::serving::jobs::directory::{StorageDirectory, StorageRecord};
 use stallmoor_core::serving::online::RETRY_LIMITS;
 use stallmoor_core::serving::quota::fleet_size::FleetSize;
@@ -34,6 +34,19 @@
 /// The key of the founding record of the job table's group. It is written once.
 pub const FOUNDING_KEY: &str = "stallmoor/jobs/founding";
 
+/// A worker that died while it ran a request of this node.
+#[derive(Clone, Debug)]
+pub struct SeenCrash {
+    /// The request's id.
+    pub request: Arc<str>,
+    /// What the request is.
+    pub digest: RequestDigest,
+    /// The worker.
+    pub worker: WorkerId,
+    /// The last event of the request's answer, 0 for none.
+    pub progress: u64,
+}
+
 /// What this node knows of the fleet, and who waits for changes of it.
 pub struct FleetView {
     /// The node's clocks.
@@ -134,18 +147,40 @@
         lock(&self.crashes)
     }
 
-    /// A worker died while it ran a request, after the event `progress` of its answer.
-    pub fn note_crash(&self, digest: RequestDigest, worker: &WorkerId, progress: u64) {
-        let quarantine = self.crashes().crashed(digest, worker.clone(), progress, self.clock.civil());
+    /// A worker died while it ran a request.
+    pub fn note_crash(&self, crash: &SeenCrash) {
+        let SeenCrash { request, digest, worker, progress } = crash;
+        let (quarantine, count) = {
+            let mut crashes = self.crashes();
+            let quarantine = crashes.crashed(*digest, worker.clone(), *progress, self.clock.civil());
+            (quarantine, crashes.count(*digest))
+        };
+        let fields = [
+            Field::text("worker", worker),
+            Field::text("request", request),
+            Field::text("digest", digest),
+            Field::number("events", *progress),
+            Field::number("known", count.known as u64),
+            Field::number("counted", count.counted as u64),
+        ];
+        record(LogEvent::WorkerCrashed, &fields);
         self.log_quarantine(quarantine);
         self.crash_facts.notify_one();
     }
 
     /// A request ran to its end.
-    pub fn note_completion(&self, digest: RequestDigest) {
-        if self.crashes().completed(digest, self.clock.civil()) {
-            self.crash_facts.notify_one();
+    pub fn note_completion(&self, request: &str, digest: RequestDigest) {
+        let Some(CrashCount { known, counted }) = self.crashes().completed(digest, self.clock.civil()) else { return };
+        if counted > 0 {
+            let fields = [
+                Field::text("request", request),
+                Field::text("digest", digest),
+                Field::number("known", known as u64),
+                Field::number("counted", counted as u64),
+            ];
+            record(LogEvent::CrashesCleared, &fields);
         }
+        self.crash_facts.notify_one();
     }
 
     /// Takes a machine's report of crashes.
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -246,7 +246,7 @@
 
     /// The whole answer was passed on: whatever workers died of before, it was not this request.
     fn note_completion(&self) {
-        self.client.view.note_completion(self.digest());
+        self.client.view.note_completion(&self.request.facts.id, self.digest());
     }
 
     fn digest(&self) -> RequestDigest {
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -47,7 +47,9 @@
         match end {
             RunEnd::BrokenOff => self.check_crash(client),
             // Items are seldom the same one, so that ends before any crash say little, and their digests cost the leader.
-            RunEnd::Completed if !client.view.crashes().is_empty() => client.view.note_completion(self.digest(client)),
+            RunEnd::Completed if !client.view.crashes().is_empty() => {
+                client.view.note_completion(&self.item.id, self.digest(client));
+            }
             _ => {}
         }
         (end, self.output().clone())
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -6,11 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::serving::crashes::RequestDigest;
 use stallmoor_core::serving::workers::Choice;
 
-use crate::observe::journal::{Field, record};
+use crate::fleet::fleet_view::SeenCrash;
 use crate::workers::attempt::WorkerClient;
 use crate::workers::connections::WorkerEndpoint;
 
@@ -45,13 +44,11 @@
         if self.connections.reaches(WorkerEndpoint::of(&run.choice), most).await != Some(false) {
             return;
         }
-        let fields = [
-            Field::text("worker", &run.choice.id),
-            Field::text("request", &run.request_id),
-            Field::text("digest", run.digest),
-            Field::number("events", run.progress),
-        ];
-        record(LogEvent::WorkerCrashed, &fields);
-        self.view.note_crash(run.digest, &run.choice.id, run.progress);
+        self.view.note_crash(&SeenCrash {
+            request: run.request_id,
+            digest: run.digest,
+            worker: run.choice.id,
+            progress: run.progress,
+        });
     }
 }
