Count crashes of a request wherever in its answer they come

Callers saw a request that crashes its workers sent on to all of them: where each crash came at another event of the answer, only the crashes within two events of the furthest one were held against it. A stream that goes on at another worker begins after its last event, so that each crash comes further on, and none but the last counted. Cause: that a run got further was taken for a proof that the crash before was not the request's doing.

Now every crash counts. Three at the same point quarantine a request, four anywhere; a crash that another request explains, against which more speaks, counts from the sixth on, whatever explains it: that is the third and the three retries which the users allow. Long answers that are merely there keep the benefit of the doubt up to the fourth crash, or the sixth where another request explains them.

The test a_request_that_got_past_the_point_at_which_workers_died_did_not_kill_them asked for the fault: nine crashes at growing events and no quarantine. It is replaced by four tests: three crashes at different points are still not enough, four are, in any order; those that another one explains count from the sixth; a long answer does not explain what crashes at changing points.

--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -14,10 +14,14 @@
 use crate::serving::workers::WorkerId;
 use crate::time::{Millis, UnixMillis};
 
-/// So many workers may die under one request, one after the other, without a run to its end between, before it is kept from
-/// all others. One or two may die of something else at the same time; a worker that is lost takes up to all of its slots of
-/// other requests with it. The users' bound.
+/// So many workers may die under one request, at the same point of its answer and without a run to its end between, before
+/// it is kept from all others. One or two may die of something else at the same time; a worker that is lost takes up to all
+/// of its slots of other requests with it. The users' bound.
 pub const MOST_CRASHES: usize = 3;
+/// The same where they died at different points. That is how a long answer looks which was only there, too.
+const MOST_SCATTERED: usize = MOST_CRASHES + 1;
+/// The same whatever else explains the crashes: the users allow three retries beyond [`MOST_CRASHES`].
+const MOST_EXPLAINED: usize = MOST_CRASHES + 3;
 /// How long a request is quarantined after the third worker died, in milliseconds; doubles with each worker that dies
 /// of it later, up to the longest.
 const QUARANTINE: Backoff = Backoff::new(Millis(300_000), LONGEST_QUARANTINE);
@@ -35,9 +39,8 @@
 /// A worker that dies within this time after a request ran to its end did not die of that request, in milliseconds.
 /// Spares requests that many callers send, which are on all workers whenever one dies.
 pub(super) const SPARED_FOR: Millis = Millis(10_000);
-/// A run that got further than this beyond an earlier one got past the point at which that one's worker died, in
-/// events. Clears long answers that were only there when several workers died one after the other.
-const PROGRESS_MARGIN: u64 = 2;
+/// Runs whose last events are no further apart died at the same point, in events: some are on their way when a worker dies.
+const SAME_POINT: u64 = 2;
 
 /// Who learned of a fact, which decides whether this node reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,6 +76,38 @@
     source: Source,
 }
 
+/// A crash that counts unless another request explains it.
+#[derive(Clone, Copy, Debug)]
+struct OpenCrash<'a> {
+    sighting: &'a Sighting,
+    /// How far the request's answer was, in events.
+    progress: u64,
+}
+
+/// How strongly crashes speak against a request. The order decides which of two requests explains a crash of both: crashes
+/// at one point say more than crashes anywhere.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Evidence {
+    /// Most crashes at the same point of the answer.
+    alike: usize,
+    all: usize,
+}
+
+impl Evidence {
+    fn of(crashes: &[OpenCrash<'_>]) -> Self {
+        let mut points: Vec<u64> = crashes.iter().map(|crash| crash.progress).collect();
+        points.sort_unstable();
+        let from = |first: &u64| points.iter().filter(|point| (*first..=first + SAME_POINT).contains(point)).count();
+        Self { alike: points.iter().map(from).max().unwrap_or(0), all: points.len() }
+    }
+
+    /// How many crashes there are beyond the first that is enough; `None` if there are too few.
+    fn beyond(self) -> Option<usize> {
+        let alike = self.alike.checked_sub(MOST_CRASHES);
+        alike.max(self.all.checked_sub(MOST_SCATTERED))
+    }
+}
+
 /// What is known of one request.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
@@ -87,15 +122,13 @@
         self.sightings.iter().filter(move |(sighting, _)| sighting.at.0 > spared_until)
     }
 
-    /// The sightings that speak against the request, one for each crash. A run that got past the point at which a worker
-    /// died shows that the worker did not die of what comes at that point.
-    fn crashes(&self) -> Vec<&Sighting> {
-        let furthest = self.open_sightings().map(|(_, facts)| facts.progress).max().unwrap_or(0);
-        let speaks_against = |facts: &SightingFacts| facts.progress + PROGRESS_MARGIN >= furthest;
-        let mut crashes: Vec<&Sighting> = Vec::new();
-        for (sighting, _) in self.open_sightings().filter(|(_, facts)| speaks_against(facts)) {
-            if crashes.last().is_none_or(|last| !last.is_same_crash(sighting)) {
-                crashes.push(sighting);
+    /// The crashes that were seen since the request last ran to its end: one sighting of each.
+    fn crashes(&self) -> Vec<OpenCrash<'_>> {
+        let mut crashes: Vec<OpenCrash<'_>> = Vec::new();
+        for (sighting, facts) in self.open_sightings() {
+            match crashes.last_mut().filter(|last| last.sighting.is_same_crash(sighting)) {
+                Some(last) => last.progress = last.progress.max(facts.progress),
+                None => crashes.push(OpenCrash { sighting, progress: facts.progress }),
             }
         }
         crashes
@@ -119,6 +152,33 @@
     }
 }
 
+/// What speaks against a request.
+#[derive(Clone, Copy, Debug)]
+struct Verdict {
+    /// Crashes that nothing else explains.
+    open: Evidence,
+    /// All crashes.
+    all: usize,
+}
+
+impl Verdict {
+    /// How many crashes there are beyond the first that is enough; `None` if there are too few.
+    fn beyond(self) -> Option<usize> {
+        self.open.beyond().max(self.all.checked_sub(MOST_EXPLAINED))
+    }
+
+    /// The crashes that are held against the request.
+    fn counted(self) -> usize {
+        if self.all >= MOST_EXPLAINED { self.all } else { self.open.all }
+    }
+}
+
+/// Whether a request with these crashes explains those of one against which `own` speaks.
+fn explains(others: &[OpenCrash<'_>], own: Evidence) -> bool {
+    let evidence = Evidence::of(others);
+    evidence > own && evidence.beyond().is_some()
+}
+
 /// A request that is quarantined from now on, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantine {
@@ -184,7 +244,8 @@
     /// How many crashes of a request are known.
     pub fn count(&self, digest: RequestDigest) -> CrashCount {
         let known = self.suspects.get(&digest).map_or(0, |suspect| suspect.sightings.len());
-        CrashCount { known, counted: self.crashes(digest) }
+        let counted = self.verdict(digest).map_or(0, Verdict::counted);
+        CrashCount { known, counted }
     }
 
     /// For how long a request is to be kept from all workers, in milliseconds; `None` if it may run.
@@ -197,7 +258,8 @@
     /// Whether one crash more would quarantine a request, so that the next attempt has to wait for what is known of the
     /// last one.
     pub fn is_near_quarantine(&self, digest: RequestDigest) -> bool {
-        self.crashes(digest) + 1 >= MOST_CRASHES
+        let Some(Verdict { open, all }) = self.verdict(digest) else { return false };
+        open.alike + 1 >= MOST_CRASHES || open.all + 1 >= MOST_SCATTERED || all + 1 >= MOST_EXPLAINED
     }
 
     /// Takes what another node reports, or this one did before its start (`is_own`). Returns the quarantines that follow.
@@ -257,33 +319,30 @@
         is_new
     }
 
-    /// How often workers died of a request, since it last ran to its end.
+    /// What speaks against a request since it last ran to its end.
     ///
-    /// All requests in a worker's slots are there when it dies. A crash that another one explains, of which more workers
-    /// died and enough to be quarantined, counts for that one alone.
-    fn crashes(&self, digest: RequestDigest) -> usize {
-        let Some(suspect) = self.suspects.get(&digest) else { return 0 };
-        let crashes = suspect.crashes();
-        let least = MOST_CRASHES.max(crashes.len() + 1);
-        if self.suspects.len() == 1 || crashes.is_empty() {
-            return crashes.len();
+    /// All requests in a worker's slots are there when it dies. A crash that another one explains, against which more
+    /// speaks and enough to be quarantined, counts for that one alone.
+    fn verdict(&self, digest: RequestDigest) -> Option<Verdict> {
+        let crashes = self.suspects.get(&digest)?.crashes();
+        let own = Evidence::of(&crashes);
+        let mut open = crashes;
+        for crash in self.suspects.values().map(Suspect::crashes).filter(|others| explains(others, own)).flatten() {
+            open.retain(|own| !own.sighting.is_same_crash(crash.sighting));
         }
-        let culprits = self.suspects.values().map(Suspect::crashes).filter(|others| others.len() >= least);
-        let explained: Vec<&Sighting> = culprits.flatten().collect();
-        let is_open = |crash: &&&Sighting| !explained.iter().any(|other| other.is_same_crash(crash));
-        crashes.iter().filter(is_open).count()
+        Some(Verdict { open: Evidence::of(&open), all: own.all })
     }
 
     /// Until when a request is quarantined; `None` if too few workers died of it.
     fn quarantined_until(&self, digest: RequestDigest) -> Option<UnixMillis> {
         let suspect = self.suspects.get(&digest)?;
-        let beyond = u32::try_from(self.crashes(digest).checked_sub(MOST_CRASHES)?).unwrap_or(u32::MAX);
+        let beyond = u32::try_from(self.verdict(digest)?.beyond()?).unwrap_or(u32::MAX);
         Some(UnixMillis(suspect.last_crash().0.saturating_add(QUARANTINE.wait(beyond).0)))
     }
 
     fn quarantine(&self, digest: RequestDigest) -> Option<Quarantine> {
         let until = self.quarantined_until(digest)?;
-        Some(Quarantine { digest, crashes: self.crashes(digest), until })
+        Some(Quarantine { digest, crashes: self.count(digest).counted, until })
     }
 
     /// Notes a run to the end. Returns whether any crash of the request is known: else there is nothing to clear it of.
--- a/crates/core/tests/crash_ledger.rs
+++ b/crates/core/tests/crash_ledger.rs
@@ -144,10 +144,10 @@
 }
 
 #[test]
-fn a_request_that_got_past_the_point_at_which_workers_died_did_not_kill_them() {
+fn three_crashes_at_one_point_are_enough_and_three_at_different_ones_are_not() {
     let mut ledger = CrashLedger::default();
     let (long, fatal) = (digest("long"), digest("fatal at its fortieth event"));
-    for crash in 0..9 {
+    for crash in 0..3 {
         ledger.crashed(long, worker(crash), 20 * crash, at(crash * 2_000));
         assert_eq!(ledger.quarantined_for(long, at(crash * 2_000)), None, "each run went on after the last");
     }
@@ -157,6 +157,50 @@
     assert!(ledger.quarantined_for(fatal, at(20_000)).is_some());
 }
 
+/// Guards against crashes that are not counted since they come at another event of the answer each time.
+#[test]
+fn a_request_that_crashes_workers_at_changing_points_is_quarantined_with_the_fourth() {
+    let points: [[u64; 4]; 4] = [[4, 9, 13, 18], [20, 3, 14, 7], [30, 20, 10, 0], [0, 0, 40, 9]];
+    for points in points {
+        let mut ledger = CrashLedger::default();
+        let fatal = digest("fatal");
+        for (crash, point) in points.into_iter().enumerate() {
+            let now = at(crash as u64 * 300);
+            assert_eq!(ledger.quarantined_for(fatal, now), None, "{points:?}: {crash}");
+            ledger.crashed(fatal, worker(crash as u64), point, now);
+        }
+        assert!(ledger.quarantined_for(fatal, at(1_200)).is_some(), "{points:?}");
+    }
+}
+
+#[test]
+fn crashes_that_another_request_explains_count_from_the_sixth_on() {
+    let mut ledger = CrashLedger::default();
+    let (fatal, long) = (digest("fatal"), digest("long"));
+    for crash in 0..5 {
+        ledger.crashed(fatal, worker(crash), 0, at(crash * 2_000));
+        ledger.crashed(long, worker(crash), 20 * crash, at(crash * 2_000 + 30));
+        assert_eq!(ledger.quarantined_for(long, at(crash * 2_000 + 30)), None, "it was only there");
+    }
+    assert!(ledger.quarantined_for(fatal, at(8_000)).is_some());
+    ledger.crashed(fatal, worker(5), 0, at(10_000));
+    ledger.crashed(long, worker(5), 100, at(10_000));
+    assert!(ledger.quarantined_for(long, at(10_000)).is_some(), "the users allow no more");
+}
+
+#[test]
+fn what_crashes_at_changing_points_is_not_explained_by_a_long_answer_that_was_there() {
+    let mut ledger = CrashLedger::default();
+    let (fatal, long) = (digest("fatal"), digest("long"));
+    for crash in 0..4 {
+        let now = at(crash * 2_000);
+        ledger.crashed(long, worker(crash), 30 * crash, now);
+        ledger.crashed(fatal, worker(crash), [4, 9, 13, 18][crash as usize], now);
+        ledger.crashed(fatal, worker(10 + crash), 7 * crash, at(crash * 2_000 + 500));
+    }
+    assert!(ledger.quarantined_for(fatal, at(8_000)).is_some());
+}
+
 #[test]
 fn a_crash_counts_for_the_request_of_which_more_workers_died() {
     let mut ledger = CrashLedger::default();
