Name a request by its body as well as by its prompt

A request that crashes workers was cleared, and spared for ten seconds, by a sound one of the same caller with the same path, prompt parts and length but another body. Cause: where the head names the prompt, the digest left the body out. Users say what makes it the same request: path, caller and body.

A request now has two names, by its body and, where its head names that, by its prompt, which is the digest that nodes had until now and still share with the program before. Crashes and runs to the end count for each name by itself; either keeps the request from workers.

--- a/crates/core/src/serving/crashes/digest.rs
+++ b/crates/core/src/serving/crashes/digest.rs
@@ -24,30 +24,57 @@
     pub body: &'a [u8],
 }
 
-/// Names a request's content. Two requests with the same digest are the same request, sent again.
-///
-/// Where the head names the prompt, that is the content: parts with the same ids are the same text, and a body may carry
-/// what differs with each try. Else it is the body.
+/// Names a request. Two requests with the same digest are the same request, sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestDigest(u64);
 
 impl RequestDigest {
-    /// The digest of a request. Nodes of all versions agree on it.
+    /// A request by its caller, path and body. Nodes of all versions agree on it.
     pub fn of(content: &RequestContent<'_>) -> Self {
+        Self::of_part(content, hash_bytes(content.body))
+    }
+
+    /// A request by its caller, path and prompt, if its head names the prompt: parts with the same ids are the same text,
+    /// while a body may carry what differs with each try. Nodes of all versions agree on it.
+    pub fn of_prompt(content: &RequestContent<'_>) -> Option<Self> {
+        let last = content.facts.prefix.last()?;
+        let prompt = hash_parts(&[&last.chain.to_le_bytes(), &content.facts.prompt_tokens.to_le_bytes()]);
+        Some(Self::of_part(content, prompt))
+    }
+
+    fn of_part(content: &RequestContent<'_>, part: u64) -> Self {
         let tenant = content.identity.tenant().map_or("", |tenant| tenant.as_str());
-        let asked = match content.facts.prefix.last() {
-            Some(link) => hash_parts(&[&link.chain.to_le_bytes(), &content.facts.prompt_tokens.to_le_bytes()]),
-            None => hash_bytes(content.body),
-        };
         Self(hash_parts(&[
             tenant.as_bytes(),
             content.method.as_bytes(),
             content.target.as_bytes(),
-            &asked.to_le_bytes(),
+            &part.to_le_bytes(),
         ]))
     }
 }
 
+/// All names of a request. Crashes and runs to the end are held against and for each name by itself: a sound request that
+/// shares the prompt does not clear the one whose body crashes workers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestKeys {
+    /// By its body.
+    pub content: RequestDigest,
+    /// By its prompt, if its head names that.
+    pub prompt: Option<RequestDigest>,
+}
+
+impl RequestKeys {
+    /// The names of a request.
+    pub fn of(content: &RequestContent<'_>) -> Self {
+        Self { content: RequestDigest::of(content), prompt: RequestDigest::of_prompt(content) }
+    }
+
+    /// Each name.
+    pub fn digests(self) -> impl Iterator<Item = RequestDigest> {
+        std::iter::once(self.content).chain(self.prompt)
+    }
+}
+
 impl std::fmt::Display for RequestDigest {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(formatter, "{:016x}", self.0)
--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -29,8 +29,9 @@
 const LONGEST_QUARANTINE: Millis = Millis(3_600_000);
 /// What is known of a request is forgotten this long after the last worker died of it, in milliseconds. Bounds memory.
 const REMEMBERED_FOR: Millis = Millis(2 * LONGEST_QUARANTINE.0);
-/// Most requests that are remembered; those whose last crash is longest ago go first. Bounds memory to some 300 KB.
-const MOST_REQUESTS: usize = 1_024;
+/// Most names of requests that are remembered; those whose last crash is longest ago go first. Bounds memory to some
+/// 600 KB.
+const MOST_REQUESTS: usize = 2_048;
 /// Most crashes that are remembered of one request; the oldest go first. Bounds memory.
 const MOST_SIGHTINGS: usize = 32;
 /// Two nodes that see one worker die of a request within this time saw the same crash, in milliseconds. A worker that
--- a/crates/core/src/serving/crashes/mod.rs
+++ b/crates/core/src/serving/crashes/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! | module | owns |
 //! |---|---|
-//! | [`digest`] | [`RequestDigest`]: which requests are the same request, sent again |
+//! | [`digest`] | [`RequestKeys`]: which requests are the same request, sent again |
 //! | [`ledger`] | [`CrashLedger`]: which requests are quarantined, and for how long |
 //! | `recent` | which requests ran to their end a moment ago |
 //! | [`report`] | what nodes tell each other |
@@ -16,6 +16,6 @@
 mod recent;
 pub mod report;
 
-pub use digest::{RequestContent, RequestDigest};
+pub use digest::{RequestContent, RequestDigest, RequestKeys};
 pub use ledger::{CrashCount, CrashLedger, Quarantine};
 pub use report::CrashReport;
--- a/crates/core/src/serving/crashes/recent.rs
+++ b/crates/core/src/serving/crashes/recent.rs
@@ -8,8 +8,8 @@
 use super::digest::RequestDigest;
 use crate::time::{Millis, UnixMillis};
 
-/// Most requests of one generation. Bounds memory to some 200 KB.
-const MOST_OF_GENERATION: usize = 4_096;
+/// Most names of requests of one generation. Bounds memory to some 400 KB.
+const MOST_OF_GENERATION: usize = 8_192;
 
 /// Requests that ran to their end, in two generations: the older one is dropped when the younger one is full or old.
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -13,14 +13,14 @@
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::retry_budget::RetryBudget;
 use stallmoor_core::serving::configuration::GatewayConfiguration;
-use stallmoor_core::serving::crashes::{CrashCount, CrashLedger, CrashReport, Quarantine, RequestDigest};
+use stallmoor_core::serving::crashes::{CrashCount, CrashLedger, CrashReport, Quarantine, RequestDigest, RequestKeys};
 use stallmoor_core::serving::jobs::directory::{StorageDirectory, StorageRecord};
 use stallmoor_core::serving::online::RETRY_LIMITS;
 use stallmoor_core::serving::quota::fleet_size::FleetSize;
 use stallmoor_core::serving::regions::RegionMap;
 use stallmoor_core::serving::relay::item::MetadataItem;
 use stallmoor_core::serving::workers::{WorkerChange, WorkerId, WorkerTable};
-use stallmoor_core::time::Timestamp;
+use stallmoor_core::time::{Millis, Timestamp};
 use tokio::sync::{Notify, watch};
 
 use crate::adapter::metadata::FleetUpdate;
@@ -39,8 +39,8 @@
 pub struct SeenCrash {
     /// The request's id.
     pub request: Arc<str>,
-    /// What the request is.
-    pub digest: RequestDigest,
+    /// Its names.
+    pub keys: RequestKeys,
     /// The worker.
     pub worker: WorkerId,
     /// The last event of the request's answer, 0 for none.
@@ -147,42 +147,56 @@
         lock(&self.crashes)
     }
 
-    /// A worker died while it ran a request.
-    pub fn note_crash(&self, crash: &SeenCrash) {
-        let SeenCrash { request, digest, worker, progress } = crash;
-        let (quarantine, count) = {
-            let mut crashes = self.crashes();
-            let quarantine = crashes.crashed(*digest, worker.clone(), *progress, self.clock.civil());
-            (quarantine, crashes.count(*digest))
-        };
-        let fields = [
-            Field::text("worker", worker),
-            Field::text("request", request),
-            Field::text("digest", digest),
-            Field::number("events", *progress),
-            Field::number("known", count.known as u64),
-            Field::number("counted", count.counted as u64),
-        ];
-        record(LogEvent::WorkerCrashed, &fields);
-        self.log_quarantine(quarantine);
-        self.crash_facts.notify_one();
+    /// Whether no crash is known of any request.
+    pub fn knows_no_crash(&self) -> bool {
+        self.crashes().is_empty()
     }
 
-    /// A request ran to its end.
-    pub fn note_completion(&self, request: &str, digest: RequestDigest) {
-        let Some(CrashCount { known, counted }) = self.crashes().completed(digest, self.clock.civil()) else { return };
-        if counted > 0 {
+    /// For how long a request is to be kept from all workers; `None` if it may run.
+    pub fn quarantined_for(&self, keys: RequestKeys) -> Option<Millis> {
+        let now = self.clock.civil();
+        let crashes = self.crashes();
+        keys.digests().filter_map(|digest| crashes.quarantined_for(digest, now)).max()
+    }
+
+    /// Whether one crash more would quarantine a request.
+    pub fn is_near_quarantine(&self, keys: RequestKeys) -> bool {
+        let crashes = self.crashes();
+        keys.digests().any(|digest| crashes.is_near_quarantine(digest))
+    }
+
+    /// A worker died while it ran a request.
+    pub fn note_crash(&self, crash: &SeenCrash) {
+        for digest in crash.keys.digests() {
+            let (quarantine, count) = {
+                let mut crashes = self.crashes();
+                let quarantine = crashes.crashed(digest, crash.worker.clone(), crash.progress, self.clock.civil());
+                (quarantine, crashes.count(digest))
+            };
             let fields = [
-                Field::text("request", request),
+                Field::text("worker", &crash.worker),
+                Field::text("request", &crash.request),
                 Field::text("digest", digest),
-                Field::number("known", known as u64),
-                Field::number("counted", counted as u64),
+                Field::number("events", crash.progress),
+                Field::number("known", count.known as u64),
+                Field::number("counted", count.counted as u64),
             ];
-            record(LogEvent::CrashesCleared, &fields);
+            record(LogEvent::WorkerCrashed, &fields);
+            self.log_quarantine(quarantine);
         }
         self.crash_facts.notify_one();
     }
 
+    /// A request ran to its end.
+    pub fn note_completion(&self, request: &str, keys: RequestKeys) {
+        let now = self.clock.civil();
+        for digest in keys.digests() {
+            let Some(before) = self.crashes().completed(digest, now) else { continue };
+            self.crash_facts.notify_one();
+            log_cleared(request, digest, before);
+        }
+    }
+
     /// Takes a machine's report of crashes.
     pub fn merge_crashes(&self, report: &CrashReport, is_own: bool) {
         let quarantines = self.crashes().merge(report, is_own, self.clock.civil());
@@ -317,6 +331,19 @@
     }
 }
 
+fn log_cleared(request: &str, digest: RequestDigest, before: CrashCount) {
+    if before.counted == 0 {
+        return;
+    }
+    let fields = [
+        Field::text("request", request),
+        Field::text("digest", digest),
+        Field::number("known", before.known as u64),
+        Field::number("counted", before.counted as u64),
+    ];
+    record(LogEvent::CrashesCleared, &fields);
+}
+
 /// What one of the product's own records holds; `None` if it is gone or can't be read, which is logged.
 pub(super) fn read_record<T: DeserializeOwned>(item: &MetadataItem) -> Option<T> {
     let read = serde_json::from_slice::<T>(item.value()?);
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -21,7 +21,7 @@
 use stallmoor_core::error::{ErrorKind, Refusal};
 use stallmoor_core::serving::configuration::Route;
 use stallmoor_core::serving::configuration::tenant::CallerIdentity;
-use stallmoor_core::serving::crashes::{RequestContent, RequestDigest};
+use stallmoor_core::serving::crashes::{RequestContent, RequestKeys};
 use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::serving::online::request_state::{GiveUp, RequestState};
 use stallmoor_core::serving::regions::AllowedRegions;
@@ -125,15 +125,15 @@
     /// worker is awaited first.
     async fn check_quarantine(&mut self) -> Result<(), Refusal> {
         let view = self.client.view.clone();
-        if self.crash_check.is_none() && view.crashes().is_empty() {
+        if self.crash_check.is_none() && view.knows_no_crash() {
             return Ok(());
         }
-        let digest = self.digest();
-        if let Some(check) = self.crash_check.take().filter(|_| view.crashes().is_near_quarantine(digest)) {
+        let keys = self.keys();
+        if let Some(check) = self.crash_check.take().filter(|_| view.is_near_quarantine(keys)) {
             // A check that panicked found nothing.
             let _ = check.await;
         }
-        let left = view.crashes().quarantined_for(digest, view.clock.civil());
+        let left = view.quarantined_for(keys);
         self.state.check_quarantine(left)
     }
 
@@ -237,7 +237,7 @@
             choice,
             service: self.service.clone(),
             request_id: self.request.facts.id.clone(),
-            digest: self.digest(),
+            keys: self.keys(),
             progress: self.state.progress.last_event.unwrap_or(0),
         };
         let client = self.client.clone();
@@ -246,11 +246,11 @@
 
     /// The whole answer was passed on: whatever workers died of before, it was not this request.
     fn note_completion(&self) {
-        self.client.view.note_completion(&self.request.facts.id, self.digest());
+        self.client.view.note_completion(&self.request.facts.id, self.keys());
     }
 
-    fn digest(&self) -> RequestDigest {
-        RequestDigest::of(&RequestContent {
+    fn keys(&self) -> RequestKeys {
+        RequestKeys::of(&RequestContent {
             identity: &self.request.identity,
             method: self.request.method.as_str(),
             target: self.request.target.path_and_query().map_or("", |target| target.as_str()),
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::{Method, Uri};
 use stallmoor_core::serving::configuration::tenant::CallerIdentity;
-use stallmoor_core::serving::crashes::{RequestContent, RequestDigest};
+use stallmoor_core::serving::crashes::{RequestContent, RequestKeys};
 use stallmoor_core::serving::jobs::command::{JobItem, PartialOutput};
 use stallmoor_core::serving::jobs::dispatch::{EVENT_TIMEOUT, FIRST_EVENT_TIMEOUT, RunEnd};
 use stallmoor_core::serving::online::event_stream::EventSplitter;
@@ -47,8 +47,8 @@
         match end {
             RunEnd::BrokenOff => self.check_crash(client),
             // Items are seldom the same one, so that ends before any crash say little, and their digests cost the leader.
-            RunEnd::Completed if !client.view.crashes().is_empty() => {
-                client.view.note_completion(&self.item.id, self.digest(client));
+            RunEnd::Completed if !client.view.knows_no_crash() => {
+                client.view.note_completion(&self.item.id, self.keys(client));
             }
             _ => {}
         }
@@ -61,15 +61,15 @@
             choice: self.choice.clone(),
             service: self.service.clone(),
             request_id: self.item.id.clone(),
-            digest: self.digest(client),
+            keys: self.keys(client),
             progress: self.output().last_event.unwrap_or(0),
         };
         let client = client.clone();
         tokio::spawn(async move { client.check_crash(run).await });
     }
 
-    fn digest(&self, client: &WorkerClient) -> RequestDigest {
-        item_digest(&self.item, &self.identity, &*client.dialect)
+    fn keys(&self, client: &WorkerClient) -> RequestKeys {
+        item_keys(&self.item, &self.identity, &*client.dialect)
     }
 
     fn output(&self) -> MutexGuard<'_, PartialOutput> {
@@ -139,9 +139,9 @@
     }
 }
 
-/// What an item is, under whichever id it was submitted.
-pub fn item_digest(item: &JobItem, identity: &CallerIdentity, dialect: &dyn Dialect) -> RequestDigest {
-    RequestDigest::of(&RequestContent {
+/// An item's names, which don't depend on the id under which it was submitted.
+pub fn item_keys(item: &JobItem, identity: &CallerIdentity, dialect: &dyn Dialect) -> RequestKeys {
+    RequestKeys::of(&RequestContent {
         identity,
         method: Method::POST.as_str(),
         target: &item.path,
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -24,7 +24,7 @@
 use super::load_exchange::LoadExchange;
 use crate::observe::journal::{Field, record};
 use crate::observe::measures;
-use crate::storage::item_run::{ItemRun, item_digest};
+use crate::storage::item_run::{ItemRun, item_keys};
 use crate::workers::attempt::WorkerClient;
 
 /// A run that ended.
@@ -229,11 +229,11 @@
     /// Whether an item is kept from all workers, since workers died of it.
     fn is_quarantined(&self, start: &ItemStart) -> bool {
         let view = &self.workers.view;
-        if view.crashes().is_empty() {
+        if view.knows_no_crash() {
             return false;
         }
-        let digest = item_digest(&start.item, &start.identity, &*self.workers.dialect);
-        view.crashes().quarantined_for(digest, view.clock.civil()).is_some()
+        let keys = item_keys(&start.item, &start.identity, &*self.workers.dialect);
+        view.quarantined_for(keys).is_some()
     }
 
     /// Starts an item at the worker with the most room. Returns false if none has any.
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stallmoor_core::serving::crashes::RequestDigest;
+use stallmoor_core::serving::crashes::RequestKeys;
 use stallmoor_core::serving::workers::Choice;
 
 use crate::fleet::fleet_view::SeenCrash;
@@ -25,8 +25,8 @@
     pub service: Arc<str>,
     /// The request's id.
     pub request_id: Arc<str>,
-    /// What the request is.
-    pub digest: RequestDigest,
+    /// The request's names.
+    pub keys: RequestKeys,
     /// The last event of its answer, 0 for none.
     pub progress: u64,
 }
@@ -46,7 +46,7 @@
         }
         self.view.note_crash(&SeenCrash {
             request: run.request_id,
-            digest: run.digest,
+            keys: run.keys,
             worker: run.choice.id,
             progress: run.progress,
         });
