Watch a worker for half a second after a request left it

A worker that died of a request just after the gateway had left it was not counted: only a broken connection made a gateway look at the worker. Callers saw their request, left at one worker as slow, crash the next one as well.

Each run is now watched from its start. Unless the worker answered or surely did not begin, it is looked at 20, 100 and 500 ms after, also where the caller went away, a batch item was paused or its run taken back. A kept connection that is open is enough; else one new connection is opened, which stays for the next request.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -89,7 +89,7 @@
     WorkerDraining = 511, Information, "A worker states that it leaves and gets no new requests.";
     WorkerGone = 512, Information, "A worker's record was removed; it gets no new requests.";
     WorkerMissing = 513, Warning, "A worker's record may have lapsed while the store was out of reach; it serves on for a moment, in which the record may come back.";
-    WorkerCrashed = 514, Warning, "A worker could not be reached right after a request that ran there broke off: it may have died of that request.";
+    WorkerCrashed = 514, Warning, "A worker could not be reached right after a request that ran there broke off or was taken away: it may have died of that request.";
     RequestQuarantined = 515, Warning, "Workers died one after the other while they ran a request; it is kept from all workers for a while.";
     ZoneEvacuated = 516, Information, "The operator evacuates a zone: its workers get no new requests.";
     ZoneReturned = 517, Information, "The operator took the evacuation of a zone back: its workers get requests again, at first as if they had just started.";
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -34,7 +34,7 @@
 use crate::http::answer_body::{Aborted, AnswerBody};
 use crate::http::refusal;
 use crate::workers::attempt::{Attempt, OpenAnswer, WorkerClient};
-use crate::workers::crash_check::BrokenRun;
+use crate::workers::crash_check::{RunWatch, WorkerRun};
 
 /// A request as it was read.
 pub struct OnlineRequest {
@@ -62,12 +62,15 @@
 struct Passage {
     client: Arc<WorkerClient>,
     request: OnlineRequest,
+    keys: RequestKeys,
     service: Arc<str>,
     state: RequestState,
     /// The last choice of a worker, for the log.
     last_choice: Option<Choice>,
     /// The time from the request's arrival to its first event.
     first_event_after: Option<Millis>,
+    /// The run that is under way.
+    run: Option<RunWatch>,
     /// The look at the worker of an attempt that broke off, while it lasts.
     crash_check: Option<JoinHandle<()>>,
 }
@@ -80,8 +83,18 @@
     };
     client.view.retry_budget().deposit();
     let state = RequestState::new(request.route.clone(), &request.facts, request.arrived_at);
-    let mut passage =
-        Passage { client, request, service, state, last_choice: None, first_event_after: None, crash_check: None };
+    let keys = keys_of(&request);
+    let mut passage = Passage {
+        client,
+        request,
+        keys,
+        service,
+        state,
+        last_choice: None,
+        first_event_after: None,
+        run: None,
+        crash_check: None,
+    };
     let answer = match passage.open().await {
         Ok(answer) => answer,
         Err(refused) => {
@@ -128,7 +141,7 @@
         if self.crash_check.is_none() && view.knows_no_crash() {
             return Ok(());
         }
-        let keys = self.keys();
+        let keys = self.keys;
         if let Some(check) = self.crash_check.take().filter(|_| view.is_near_quarantine(keys)) {
             // A check that panicked found nothing.
             let _ = check.await;
@@ -187,6 +200,7 @@
         self.state.chosen_among(choice.candidates);
         let timeout = self.head_timeout();
         self.last_choice = Some(choice.clone());
+        self.watch_run(choice.clone());
         self.state.attempt_started(&worker);
         if self.state.attempts() > 1 {
             self.log_move();
@@ -195,7 +209,7 @@
         if let Err(end) = &result {
             self.log_attempt(&worker, *end);
             self.state.attempt_ended(&worker, *end, &mut self.client.view.retry_budget());
-            self.check_crash(*end);
+            self.run_ended(*end);
         }
         result
     }
@@ -227,36 +241,35 @@
         self.client.view.workers().attempt_ended(worker, end, self.now());
         self.log_attempt(&worker.id, end);
         self.state.attempt_ended(&worker.id, end, &mut self.client.view.retry_budget());
-        self.check_crash(end);
+        self.run_ended(end);
     }
 
-    /// Looks whether the worker of an attempt that broke off died under it.
-    fn check_crash(&mut self, end: AttemptEnd) {
-        let Some(choice) = self.last_choice.clone().filter(|_| end == AttemptEnd::Broken) else { return };
-        let run = BrokenRun {
+    fn watch_run(&mut self, choice: Choice) {
+        let run = WorkerRun {
             choice,
             service: self.service.clone(),
             request_id: self.request.facts.id.clone(),
-            keys: self.keys(),
+            keys: self.keys,
             progress: self.state.progress.last_event.unwrap_or(0),
         };
-        let client = self.client.clone();
-        self.crash_check = Some(tokio::spawn(async move { client.check_crash(run).await }));
+        self.run = Some(RunWatch::new(self.client.clone(), run));
     }
 
-    /// The whole answer was passed on: whatever workers died of before, it was not this request.
-    fn note_completion(&self) {
-        self.client.view.note_completion(&self.request.facts.id, self.keys());
+    /// The run under way ended without a whole answer.
+    fn run_ended(&mut self, end: AttemptEnd) {
+        let Some(run) = self.run.take() else { return };
+        match end {
+            AttemptEnd::Broken | AttemptEnd::Silent => self.crash_check = run.broke_off(),
+            AttemptEnd::NotConnected | AttemptEnd::NotRun { .. } | AttemptEnd::Failed { .. } => run.ended(),
+        }
     }
 
-    fn keys(&self) -> RequestKeys {
-        RequestKeys::of(&RequestContent {
-            identity: &self.request.identity,
-            method: self.request.method.as_str(),
-            target: self.request.target.path_and_query().map_or("", |target| target.as_str()),
-            facts: &self.request.facts,
-            body: &self.request.body,
-        })
+    /// The worker's whole answer was passed on: whatever workers died of before, it was not this request.
+    fn run_completed(&mut self) {
+        if let Some(run) = self.run.take() {
+            run.ended();
+        }
+        self.client.view.note_completion(&self.request.facts.id, self.keys);
     }
 
     fn head_timeout(&self) -> Duration {
@@ -271,14 +284,16 @@
         let OpenAnswerParts { answer, body } = match read_whole(answer, self.state.remaining(self.now())).await {
             Ok(parts) => parts,
             Err(Aborted) => {
-                self.check_crash(AttemptEnd::Broken);
+                self.run_ended(AttemptEnd::Broken);
                 self.log_end("broken off");
                 return refusal::of_kind(ErrorKind::AnswerIncomplete, "the worker broke off its answer");
             }
         };
         self.log_end(answer.status.as_str());
         if answer.status.is_success() {
-            self.note_completion();
+            self.run_completed();
+        } else if let Some(run) = self.run.take() {
+            run.ended();
         }
         let mut response = Response::new(AnswerBody::whole(body));
         *response.status_mut() = answer.status;
@@ -287,6 +302,16 @@
     }
 }
 
+fn keys_of(request: &OnlineRequest) -> RequestKeys {
+    RequestKeys::of(&RequestContent {
+        identity: &request.identity,
+        method: request.method.as_str(),
+        target: request.target.path_and_query().map_or("", |target| target.as_str()),
+        facts: &request.facts,
+        body: &request.body,
+    })
+}
+
 struct OpenAnswerParts {
     answer: AnswerHead,
     body: Bytes,
--- a/crates/gateway/src/online/stream.rs
+++ b/crates/gateway/src/online/stream.rs
@@ -46,7 +46,7 @@
             let worker = current.worker.clone();
             match self.pass_on_from(current, sender).await {
                 StreamEnd::Whole => {
-                    self.note_completion();
+                    self.run_completed();
                     return self.log_end("whole");
                 }
                 StreamEnd::CallerGone => return self.log_end("caller gone"),
@@ -125,6 +125,9 @@
 
     async fn pass_on_events(&mut self, events: Vec<WholeEvent>, sender: &PieceSender) -> Result<(), StreamEnd> {
         let taken = self.state.progress.take(events, self.state.may_run_again());
+        if let (Some(run), Some(event)) = (&mut self.run, self.state.progress.last_event) {
+            run.progressed(event);
+        }
         if !taken.bytes.is_empty() {
             self.send(taken.bytes, sender).await?;
         }
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -20,7 +20,7 @@
 
 use crate::adapter::dialect::{AttemptTerms, Dialect};
 use crate::workers::attempt::{Attempt, InFlight, OpenAnswer, WorkerClient};
-use crate::workers::crash_check::BrokenRun;
+use crate::workers::crash_check::{RunWatch, WorkerRun};
 
 /// An item and where it runs.
 pub struct ItemRun {
@@ -43,29 +43,37 @@
 impl ItemRun {
     /// Runs the item to its end. The output so far is handed back however that is.
     pub async fn run(self, client: &Arc<WorkerClient>, in_flight: InFlight) -> (RunEnd, PartialOutput) {
+        let mut watch = self.watch(client);
         let end = self.try_run(client, in_flight).await;
+        watch.progressed(self.output().last_event.unwrap_or(0));
         match end {
-            RunEnd::BrokenOff => self.check_crash(client),
-            // Items are seldom the same one, so that ends before any crash say little, and their digests cost the leader.
-            RunEnd::Completed if !client.view.knows_no_crash() => {
-                client.view.note_completion(&self.item.id, self.keys(client));
+            // The run's report doesn't wait for the look at the worker.
+            RunEnd::BrokenOff | RunEnd::Paused => drop(watch),
+            RunEnd::Completed => {
+                watch.ended();
+                self.note_completion(client);
             }
-            _ => {}
+            RunEnd::Impossible | RunEnd::Failed | RunEnd::NotRun => watch.ended(),
         }
         (end, self.output().clone())
     }
 
-    /// Looks whether the worker died under the item. The run's report doesn't wait for that.
-    fn check_crash(&self, client: &Arc<WorkerClient>) {
-        let run = BrokenRun {
+    fn watch(&self, client: &Arc<WorkerClient>) -> RunWatch {
+        let run = WorkerRun {
             choice: self.choice.clone(),
             service: self.service.clone(),
             request_id: self.item.id.clone(),
             keys: self.keys(client),
             progress: self.output().last_event.unwrap_or(0),
         };
-        let client = client.clone();
-        tokio::spawn(async move { client.check_crash(run).await });
+        RunWatch::new(client.clone(), run)
+    }
+
+    /// Items are seldom the same one, so ends before any crash say little.
+    fn note_completion(&self, client: &WorkerClient) {
+        if !client.view.knows_no_crash() {
+            client.view.note_completion(&self.item.id, self.keys(client));
+        }
     }
 
     fn keys(&self, client: &WorkerClient) -> RequestKeys {
--- a/crates/gateway/src/workers/connections.rs
+++ b/crates/gateway/src/workers/connections.rs
@@ -113,6 +113,13 @@
         self.open(endpoint).await
     }
 
+    /// Whether a connection to a worker is kept that the worker has not closed.
+    pub fn has_idle(&self, endpoint: WorkerEndpoint) -> bool {
+        let endpoints = self.lock();
+        let connections = endpoints.get(&endpoint);
+        connections.is_some_and(|known| known.idle.iter().any(|idle| !idle.sender.is_closed()))
+    }
+
     /// Whether a worker takes a new connection, which is kept for the next request. `None` if the worker's share of
     /// connections is in use, so that nothing was tried.
     pub async fn reaches(self: &Arc<Self>, endpoint: WorkerEndpoint, most: usize) -> Option<bool> {
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -1,25 +1,32 @@
-//! Whether a worker died under a request that broke off there.
+//! Whether a worker died under a request that ended there without a whole answer.
 //!
-//! A connection breaks for many reasons. Only a worker that can't be reached right after counts as dead: the difference
-//! between a request that crashes its workers and one whose connection was reset.
+//! A connection breaks for many reasons. Only a worker that can't be reached counts as dead: the difference between a
+//! request that crashes its workers and one whose connection was reset. A worker goes on for a moment with a request that
+//! was taken away from it, so it is looked at for as long.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use stallmoor_core::serving::crashes::RequestKeys;
 use stallmoor_core::serving::workers::Choice;
+use tokio::runtime::Handle;
+use tokio::task::JoinHandle;
 
 use crate::fleet::fleet_view::SeenCrash;
 use crate::workers::attempt::WorkerClient;
 use crate::workers::connections::WorkerEndpoint;
 
-/// The wait between a broken connection and the look at its worker, in milliseconds: a process that ends closes its
+/// The wait between the end of a run and the first look at its worker, in milliseconds: a process that ends closes its
 /// connections and its listener one after the other.
 const CHECK_DELAY: Duration = Duration::from_millis(20);
+/// The wait before the second look, in milliseconds, which finds most of the workers that die later.
+const SECOND_CHECK_DELAY: Duration = Duration::from_millis(80);
+/// The wait before the last look, in milliseconds. A worker stops a run within half a second after its connection closed.
+const LAST_CHECK_DELAY: Duration = Duration::from_millis(400);
 
-/// A run of a request that broke off.
-pub struct BrokenRun {
-    /// Where it ran.
+/// A run of a request at a worker.
+pub struct WorkerRun {
+    /// Where it runs.
     pub choice: Choice,
     /// The worker's service.
     pub service: Arc<str>,
@@ -31,24 +38,88 @@
     pub progress: u64,
 }
 
+/// Watches a run until it ends. One that is dropped was given up while the worker had it.
+pub struct RunWatch {
+    client: Arc<WorkerClient>,
+    run: Option<WorkerRun>,
+}
+
+impl RunWatch {
+    /// The request is sent to the worker.
+    pub fn new(client: Arc<WorkerClient>, run: WorkerRun) -> Self {
+        Self { client, run: Some(run) }
+    }
+
+    /// The answer came up to this event.
+    pub fn progressed(&mut self, event: u64) {
+        if let Some(run) = &mut self.run {
+            run.progress = event;
+        }
+    }
+
+    /// The worker answered, or certainly did not begin to run the request.
+    pub fn ended(mut self) {
+        self.run = None;
+    }
+
+    /// The run broke off, or the worker was left. Returns the first look at the worker, while it lasts.
+    pub fn broke_off(mut self) -> Option<JoinHandle<()>> {
+        self.check()
+    }
+
+    fn check(&mut self) -> Option<JoinHandle<()>> {
+        let run = self.run.take()?;
+        let client = self.client.clone();
+        // There is none while the process ends.
+        let runtime = Handle::try_current().ok()?;
+        Some(runtime.spawn(async move {
+            if !client.check_crash(&run, CHECK_DELAY).await {
+                tokio::spawn(async move { client.check_later(&run).await });
+            }
+        }))
+    }
+}
+
+impl Drop for RunWatch {
+    fn drop(&mut self) {
+        self.check();
+    }
+}
+
 impl WorkerClient {
-    /// Looks at the worker of a run that broke off, and notes it if the worker died.
-    pub async fn check_crash(&self, run: BrokenRun) {
-        tokio::time::sleep(CHECK_DELAY).await;
-        // Nothing goes to an evacuated zone, so nothing is known, and nothing is held against the request.
+    async fn check_later(&self, run: &WorkerRun) {
+        for delay in [SECOND_CHECK_DELAY, LAST_CHECK_DELAY] {
+            if self.check_crash(run, delay).await {
+                return;
+            }
+        }
+    }
+
+    /// Looks at the worker of a run that ended, and notes it if the worker died. Returns whether it did.
+    async fn check_crash(&self, run: &WorkerRun, delay: Duration) -> bool {
+        tokio::time::sleep(delay).await;
+        let has_died = self.has_died(run).await;
+        if has_died {
+            self.view.note_crash(&SeenCrash {
+                request: run.request_id.clone(),
+                keys: run.keys,
+                worker: run.choice.id.clone(),
+                progress: run.progress,
+            });
+        }
+        has_died
+    }
+
+    /// Whether the worker can't be reached. Nothing is known, and so nothing is held against the request, where nothing
+    /// may go to the worker's zone and where this node may open no further connection.
+    async fn has_died(&self, run: &WorkerRun) -> bool {
         if self.view.workers().is_in_evacuated_zone(&run.choice.id) {
-            return;
+            return false;
         }
-        let most = self.most_connections(&run.service);
-        // Where this node may open no further connection, nothing is known, and nothing is held against the request.
-        if self.connections.reaches(WorkerEndpoint::of(&run.choice), most).await != Some(false) {
-            return;
+        let endpoint = WorkerEndpoint::of(&run.choice);
+        if self.connections.has_idle(endpoint) {
+            return false;
         }
-        self.view.note_crash(&SeenCrash {
-            request: run.request_id,
-            keys: run.keys,
-            worker: run.choice.id,
-            progress: run.progress,
-        });
+        self.connections.reaches(endpoint, self.most_connections(&run.service)).await == Some(false)
     }
 }
