Steady time counts suspensions of the machine

Users' machines may be suspended for seconds. The runtime's clock leaves that time out, so that after it a leader's lease, a permit for a cold worker, the age of a view and a tenant's part of a limit still hold although they have run out for all others, and a connection that the worker has closed is used once more.

Kept connections go by it, too. The runtime's timers are unchanged: a wait that was under way lasts longer. suspension.rs fails with the suspended time left out (2 of 3).

--- a/crates/gateway/src/process/parts.rs
+++ b/crates/gateway/src/process/parts.rs
@@ -43,7 +43,7 @@
         let zone = Arc::from(settings.node.zone.as_str());
         let view = Arc::new(FleetView::new(NodeClock::start(), zone, draw()).in_regions(settings.regions()));
         let metadata = Arc::new(MetadataView::new(view.clock, settings.metadata.watch_bounds()));
-        let connections = Arc::new(ConnectionPool::default());
+        let connections = Arc::new(ConnectionPool::new(view.clock));
         let permits = Arc::new(PermitRequests::default());
         let workers = Arc::new(WorkerClient { view: view.clone(), dialect: adapter.dialect(), connections, permits });
         Self { view, metadata, workers }
--- a/crates/gateway/src/workers/connections.rs
+++ b/crates/gateway/src/workers/connections.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -16,9 +16,10 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use stallmoor_core::serving::workers::Choice;
-use stallmoor_core::time::UnixMillis;
+use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 use tokio::task::AbortHandle;
 
+use crate::clock::NodeClock;
 use crate::sockets::connect_tuned;
 
 /// How long a connection attempt may take, for a request that meets a worker whose machine is gone.
@@ -58,7 +59,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    until: Instant,
+    until: Timestamp,
 }
 
 #[derive(Default)]
@@ -91,12 +92,17 @@
 }
 
 /// The connections of this node to all workers.
-#[derive(Default)]
 pub struct ConnectionPool {
+    clock: NodeClock,
     endpoints: Mutex<HashMap<WorkerEndpoint, EndpointConnections>>,
 }
 
 impl ConnectionPool {
+    /// No connections yet.
+    pub fn new(clock: NodeClock) -> Self {
+        Self { clock, endpoints: Mutex::default() }
+    }
+
     /// A connection that is idle, or a new one while there are fewer than `most`.
     ///
     /// # Errors
@@ -144,7 +150,7 @@
         let mut endpoints = self.lock();
         let connections = endpoints.entry(endpoint).or_default();
         while let Some(idle) = connections.idle.pop() {
-            if !idle.sender.is_closed() && idle.sender.is_ready() && Instant::now() < idle.until {
+            if !idle.sender.is_closed() && idle.sender.is_ready() && self.clock.now() < idle.until {
                 return Ok(Some(idle));
             }
             idle.task.abort();
@@ -155,7 +161,7 @@
 
     /// Closes idle connections that are over their time.
     pub fn close_stale(&self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut endpoints = self.lock();
         for connections in endpoints.values_mut() {
             let before = connections.idle.len();
@@ -181,7 +187,10 @@
         }
     }
 
-    fn put_back(&self, endpoint: WorkerEndpoint, idle: IdleConnection) {
+    /// Keeps a connection for `idle`.
+    fn put_back(&self, endpoint: WorkerEndpoint, sender: SendRequest<Full<Bytes>>, task: AbortHandle, idle: Duration) {
+        let until = self.clock.now() + Millis(idle.as_millis() as u64);
+        let idle = IdleConnection { sender, task, until };
         self.lock().entry(endpoint).or_default().idle.push(idle);
     }
 }
@@ -247,7 +256,7 @@
             return;
         };
         if sender.is_ready() {
-            pool.put_back(endpoint, IdleConnection { sender, task, until: Instant::now() + idle });
+            pool.put_back(endpoint, sender, task, idle);
             return;
         }
         tokio::spawn(return_when_ready(sender, endpoint, pool, task, idle));
@@ -263,7 +272,7 @@
 ) {
     let ready = tokio::time::timeout(RELEASE_TIMEOUT, sender.ready()).await;
     if matches!(ready, Ok(Ok(()))) {
-        pool.put_back(endpoint, IdleConnection { sender, task, until: Instant::now() + idle });
+        pool.put_back(endpoint, sender, task, idle);
     } else {
         task.abort();
         pool.released(endpoint);
--- /dev/null
+++ b/crates/gateway/tests/suspension.rs
@@ -0,0 +1,83 @@
+//! A machine that is suspended for seconds: the runtime's clock stands still, while time passes for all others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use stallmoor_core::serving::workers::{Choice, Standing, WorkerId};
+use stallmoor_core::time::Millis;
+use stallmoor_gateway::clock::NodeClock;
+use stallmoor_gateway::workers::connections::{ConnectionPool, WorkerEndpoint};
+use tokio::net::TcpListener;
+
+const MOST_CONNECTIONS: usize = 4;
+/// A connection to a listener of this process is there long before.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longer than a connection is kept.
+const SUSPENSION: Duration = Duration::from_secs(5);
+
+fn choice(address: SocketAddr) -> Choice {
+    Choice {
+        id: WorkerId(Arc::from("i-1")),
+        born: None,
+        address,
+        load: 0,
+        slots: 8,
+        place_in_queue: 0,
+        cached_tokens: 0,
+        candidates: 1,
+        standing: Standing::Ready,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn steady_time_counts_suspensions_since_the_start() {
+    static SUSPENDED: AtomicU64 = AtomicU64::new(700);
+    let clock = NodeClock::with_suspensions(|| Duration::from_millis(SUSPENDED.load(Ordering::SeqCst)));
+    let started = clock.now();
+    tokio::time::advance(Duration::from_millis(100)).await;
+    assert_eq!(clock.now().since(started), Millis(100));
+    SUSPENDED.store(5_700, Ordering::SeqCst);
+    assert_eq!(clock.now().since(started), Millis(5_100));
+    tokio::time::advance(Duration::from_millis(50)).await;
+    assert_eq!(clock.now().since(started), Millis(5_150));
+}
+
+#[tokio::test]
+async fn the_machines_own_clock_never_goes_back() {
+    let clock = NodeClock::start();
+    let mut last = clock.now();
+    for _ in 0..20_000 {
+        let now = clock.now();
+        assert!(now >= last, "{last:?} {now:?}");
+        last = now;
+    }
+}
+
+/// Guards against a request that is sent over a connection which the worker closed while the machine was suspended.
+#[tokio::test]
+async fn a_connection_that_was_kept_before_a_suspension_is_not_used_after_it() {
+    static SUSPENDED: AtomicU64 = AtomicU64::new(0);
+    let clock = NodeClock::with_suspensions(|| Duration::from_millis(SUSPENDED.load(Ordering::SeqCst)));
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let endpoint = WorkerEndpoint::of(&choice(listener.local_addr().expect("it is bound")));
+    let pool = Arc::new(ConnectionPool::new(clock));
+    let mut accepted = Vec::new();
+    for _ in 0..2 {
+        let opened = async { tokio::join!(pool.take(endpoint, MOST_CONNECTIONS), listener.accept()) };
+        let (connection, stream) = tokio::time::timeout(OPEN_TIMEOUT, opened).await.expect("a new connection");
+        accepted.push(stream.expect("a connection"));
+        connection.expect("it is open").keep(None);
+        until_idle(&pool, endpoint).await;
+        pool.take(endpoint, MOST_CONNECTIONS).await.expect("the same one").keep(None);
+        until_idle(&pool, endpoint).await;
+        SUSPENDED.fetch_add(SUSPENSION.as_millis() as u64, Ordering::SeqCst);
+    }
+}
+
+async fn until_idle(pool: &ConnectionPool, endpoint: WorkerEndpoint) {
+    while !pool.has_idle(endpoint) {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
