--- a/crates/core/src/replication/election.rs
+++ b/crates/core/src/replication/election.rs
@@ -4,7 +4,8 @@
 
 use super::log::{EntryPayload, HardState, LogIndex, Term};
 use super::message::MessageKind;
-use super::replica::{LeaderState, Replica, Role};
+use super::replica::Replica;
+use super::role::{LeaderState, Role};
 use crate::identity::NodeId;
 use crate::time::Timestamp;
 
--- a/crates/core/src/replication/leading.rs
+++ b/crates/core/src/replication/leading.rs
@@ -5,7 +5,8 @@
 use super::log::{Entry, EntryPayload, LogIndex};
 use super::message::MessageKind;
 use super::progress::Progress;
-use super::replica::{ProposalError, Replica, Role};
+use super::replica::{ProposalError, Replica};
+use super::role::Role;
 use crate::identity::NodeId;
 use crate::time::{Millis, Timestamp};
 
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -11,6 +11,7 @@
 //! * Writes to disk are effects. A driver carries out all [`Persist`](ReplicaEffect::Persist) effects
 //!   before any later effect, so that nothing is said which the disk doesn't hold.
 
+mod compaction;
 mod election;
 mod following;
 mod leading;
@@ -20,6 +21,9 @@
 mod progress;
 mod repair;
 mod replica;
+mod role;
+mod status;
+mod step;
 
 pub use log::{Entry, EntryPayload, HardState, LogIndex, LogWrite, PersistedReplica, ReplicatedLog, Snapshot, Term};
 pub use membership::{GroupMembership, MembershipChange};
@@ -27,4 +31,5 @@
 pub use progress::Progress;
 pub(crate) use repair::rank_candidates;
 pub use repair::{REPAIR_DELAY, RepairInput, RepairStep, ReplicaHealth, StoreCandidate, plan_repair};
-pub use replica::{ProposalError, Replica, ReplicaEffect, ReplicaSettings, Role};
+pub use replica::{ProposalError, Replica, ReplicaEffect, ReplicaSettings};
+pub use role::Role;
--- /dev/null
+++ b/crates/core/src/replication/step.rs
@@ -0,0 +1,83 @@
+//! Messages of other replicas: which term they are of, and who deals with them.
+
+use super::message::{MessageKind, ReplicationMessage};
+use super::replica::Replica;
+use crate::time::Timestamp;
+
+impl Replica {
+    /// Takes a message from another replica.
+    pub fn step(&mut self, message: ReplicationMessage, now: Timestamp) {
+        if message.group != self.group || message.to != self.id {
+            return;
+        }
+        if message.term > self.hard_state.term && !self.adopt_term(&message, now) {
+            return;
+        }
+        if message.term < self.hard_state.term {
+            self.answer_stale(&message);
+        } else {
+            self.dispatch(message, now);
+        }
+        self.flush();
+    }
+
+    /// Moves to a message's higher term where the message warrants it. Returns whether to go on.
+    fn adopt_term(&mut self, message: &ReplicationMessage, now: Timestamp) -> bool {
+        match &message.kind {
+            MessageKind::PreVote { .. } => true,
+            MessageKind::PreVoteAnswer { granted: true } => true,
+            MessageKind::Vote { transfer: false, .. } if self.leader_lease_holds(now) => false,
+            MessageKind::Append { .. } | MessageKind::InstallSnapshot(_) => {
+                self.become_follower(message.term, Some(message.from), now);
+                true
+            }
+            _ => {
+                self.become_follower(message.term, None, now);
+                true
+            }
+        }
+    }
+
+    /// Answers a message of an earlier term where the sender must learn that it is behind.
+    fn answer_stale(&mut self, message: &ReplicationMessage) {
+        match message.kind {
+            MessageKind::Append { .. } | MessageKind::InstallSnapshot(_) => {
+                let index = self.log.last_index();
+                self.send(message.from, MessageKind::AppendAnswer { accepted: false, index, echo: None });
+            }
+            MessageKind::PreVote { .. } => {
+                self.send(message.from, MessageKind::PreVoteAnswer { granted: false });
+            }
+            _ => {}
+        }
+    }
+
+    fn dispatch(&mut self, message: ReplicationMessage, now: Timestamp) {
+        let from = message.from;
+        match message.kind {
+            MessageKind::PreVote { last_index, last_term } => {
+                self.on_pre_vote(from, message.term, last_index, last_term, now);
+            }
+            MessageKind::PreVoteAnswer { granted } => self.on_pre_vote_answer(from, granted, now),
+            MessageKind::Vote { last_index, last_term, .. } => self.on_vote(from, last_index, last_term, now),
+            MessageKind::VoteAnswer { granted } => self.on_vote_answer(from, granted, now),
+            MessageKind::Append { previous_index, previous_term, commit, sent_at, entries } => {
+                self.follow(from, now);
+                let (accepted, index) = self.on_append(previous_index, previous_term, commit, entries);
+                self.send(from, MessageKind::AppendAnswer { accepted, index, echo: Some(sent_at) });
+            }
+            MessageKind::AppendAnswer { accepted, index, echo } => {
+                self.on_append_answer(from, accepted, index, echo, now);
+            }
+            MessageKind::InstallSnapshot(snapshot) => {
+                self.follow(from, now);
+                self.on_snapshot(from, snapshot);
+            }
+            MessageKind::TimeoutNow => {
+                if self.log.membership().voters.contains(&self.id) {
+                    self.become_candidate(true, now);
+                }
+            }
+        }
+    }
+}
