Pin failures of items, permits and packed views as they are stored and sent

Change: rows for the command of failed runs, a table with such, requests and grants of permits, the question for all and its packed answer. Measured: golden tests of core and wire pass.

--- a/crates/core/tests/support/golden_values.rs
+++ b/crates/core/tests/support/golden_values.rs
@@ -12,7 +12,7 @@
 };
 use stallmoor_core::serving::configuration::tenant::{CallerIdentity, TenantName};
 use stallmoor_core::serving::jobs::command::{
-    ItemHeader, ItemKey, ItemProgress, ItemState, JobCommand, JobItem, JobKey, LoggedOutput, Submission,
+    ItemFailures, ItemHeader, ItemKey, ItemProgress, ItemState, JobCommand, JobItem, JobKey, LoggedOutput, Submission,
 };
 use stallmoor_core::serving::jobs::table::JobTable;
 use stallmoor_core::time::{Millis, UnixMillis};
@@ -67,6 +67,13 @@
     ItemProgress { key: item_key(job, item), after, text: Arc::from(text), last_event }
 }
 
+fn failures(job: &str) -> JobCommand {
+    JobCommand::Failures(vec![
+        ItemFailures { key: item_key(job, 0), failures: 1 },
+        ItemFailures { key: item_key(job, 1), failures: 300 },
+    ])
+}
+
 /// Every command of the job table.
 pub fn job_commands() -> Vec<(&'static str, JobCommand)> {
     let logged = LoggedOutput { bytes: 5, last_event: Some(0) };
@@ -85,10 +92,11 @@
         ("end-public", end(CallerIdentity::Public)),
         ("end-tenant", end(CallerIdentity::Tenant(tenant()))),
         ("forget", JobCommand::Forget { before: UnixMillis(1_600_000_000_000) }),
+        ("failures", failures("job-a")),
     ]
 }
 
-/// Job tables: one without jobs, and one with a job in every state.
+/// Job tables: one without jobs, one with a job in every state where items failed, and one without those.
 pub fn job_tables() -> Vec<(&'static str, JobTable)> {
     let none = LoggedOutput::default();
     let logged = LoggedOutput { bytes: 4, last_event: Some(9) };
@@ -110,7 +118,9 @@
     for command in commands {
         table.apply(command);
     }
-    vec![("empty", JobTable::default()), ("jobs", table)]
+    let mut with_failures = table.clone();
+    with_failures.apply(failures("open"));
+    vec![("empty", JobTable::default()), ("jobs-with-failures", with_failures), ("jobs", table)]
 }
 
 /// A job of the partition's state.
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -23,9 +23,10 @@
 use stallmoor_core::serving::jobs::request::{JobsAnswer, JobsRequest};
 use stallmoor_core::serving::jobs::table::{CommittedResult, ResultPage};
 use stallmoor_core::serving::quota::message::{QuotaLevels, QuotaReport, TenantLevel, TenantUsage};
+use stallmoor_core::serving::relay::contents::ContentsAnswer;
 use stallmoor_core::serving::relay::item::{KeyState, MetadataItem, Revision};
 use stallmoor_core::serving::relay::message::{ChangeSet, ChangesAnswer, ChangesRequest};
-use stallmoor_core::serving::workers::{LoadReport, WorkerId, WorkerReport};
+use stallmoor_core::serving::workers::{LoadReport, WorkerCount, WorkerId, WorkerReport};
 use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 
 use crate::golden_values::{
@@ -183,6 +184,10 @@
         ("share-load", JobsRequest::ReportLoad(loads())),
         ("gather-load", JobsRequest::AggregateLoad(loads())),
         ("share-quota", JobsRequest::ReportQuota(report)),
+        (
+            "permits",
+            JobsRequest::RequestPermits(vec![WorkerId(Arc::from("worker-a")), WorkerId(Arc::from("worker-b"))]),
+        ),
     ];
     named("jobs", values, |value| request(GroupRequestBody::Jobs(value)))
 }
@@ -254,6 +259,7 @@
         ("loads", JobsAnswer::Loads(loads())),
         ("quota", JobsAnswer::Quota(QuotaLevels { tenants: vec![level], gateways: 20 })),
         ("unsure", JobsAnswer::Indeterminate),
+        ("permits", JobsAnswer::Permits(vec![WorkerCount { worker: WorkerId(Arc::from("worker-a")), requests: 1 }])),
     ];
     named("jobs-answer", values, |value| answer(Ok(GroupAnswerBody::Jobs(value))))
 }
@@ -275,6 +281,15 @@
     let answers = vec![("since", changes(Some(Revision(299)))), ("all", changes(None))];
     let mut messages = named("changes", vec![("ask", asked)], |value| request(GroupRequestBody::Changes(value)));
     messages.extend(named("changes-answer", answers, |value| answer(Ok(GroupAnswerBody::Changes(value)))));
+    let contents = ContentsAnswer {
+        at: Revision(301),
+        age: Millis(40),
+        away: Millis(70_000),
+        held: Millis(900),
+        packed: Arc::from([3, 1, 2].as_slice()),
+    };
+    messages.push(("follow/ask".to_owned(), request(GroupRequestBody::Follow(asked))));
+    messages.push(("follow-answer/contents".to_owned(), answer(Ok(GroupAnswerBody::Contents(contents)))));
     messages
 }
 
