Weigh crashes in a module of its own; bear figures out of any range

Cause: the ledger of crashes had two jobs, what is known and how it is weighed, and the end of a range of events overflowed where a record of the store names an event near the greatest number: a panic in debug builds, a crash that counts for nothing in release builds. Nothing else is decided differently.

--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -8,20 +8,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::digest::RequestDigest;
+use super::evidence::{Evidence, MOST_CRASHES, OpenCrash, Sighting, Verdict};
 use super::recent::RecentCompletions;
 use super::report::{Completion, Crash, CrashReport};
 use crate::backoff::Backoff;
 use crate::serving::workers::WorkerId;
 use crate::time::{Millis, UnixMillis};
 
-/// So many workers may die under one request, at the same point of its answer and without a run to its end between, before
-/// it is kept from all others. One or two may die of something else at the same time; a worker that is lost takes up to all
-/// of its slots of other requests with it. The users' bound.
-pub const MOST_CRASHES: usize = 3;
-/// The same where they died at different points. That is how a long answer looks which was only there, too.
-const MOST_SCATTERED: usize = MOST_CRASHES + 1;
-/// The same whatever else explains the crashes: the users allow three retries beyond [`MOST_CRASHES`].
-const MOST_EXPLAINED: usize = MOST_CRASHES + 3;
 /// How long a request is quarantined after the third worker died, in milliseconds; doubles with each worker that dies
 /// of it later, up to the longest.
 const QUARANTINE: Backoff = Backoff::new(Millis(300_000), LONGEST_QUARANTINE);
@@ -34,15 +27,9 @@
 const MOST_REQUESTS: usize = 2_048;
 /// Most crashes that are remembered of one request; the oldest go first. Bounds memory.
 const MOST_SIGHTINGS: usize = 32;
-/// Two nodes that see one worker die of a request within this time saw the same crash, in milliseconds. A worker that
-/// starts again under its id and dies again later counts anew.
-const SAME_CRASH: Millis = Millis(1_000);
 /// A worker that dies within this time after a request ran to its end did not die of that request, in milliseconds.
 /// Spares requests that many callers send, which are on all workers whenever one dies.
 pub(super) const SPARED_FOR: Millis = Millis(10_000);
-/// Runs whose last events are no further apart died at the same point, in events: some are on their way when a worker dies.
-const SAME_POINT: u64 = 2;
-
 /// Who learned of a fact, which decides whether this node reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
@@ -50,19 +37,6 @@
     Elsewhere,
 }
 
-/// A crash that was seen. Two sightings at one worker within [`SAME_CRASH`] are of one crash.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Sighting {
-    worker: WorkerId,
-    at: UnixMillis,
-}
-
-impl Sighting {
-    fn is_same_crash(&self, other: &Self) -> bool {
-        self.worker == other.worker && self.at.0.abs_diff(other.at.0) < SAME_CRASH.0
-    }
-}
-
 /// What is known of a sighting.
 #[derive(Clone, Copy, Debug)]
 struct SightingFacts {
@@ -77,38 +51,6 @@
     source: Source,
 }
 
-/// A crash that counts unless another request explains it.
-#[derive(Clone, Copy, Debug)]
-struct OpenCrash<'a> {
-    sighting: &'a Sighting,
-    /// How far the request's answer was, in events.
-    progress: u64,
-}
-
-/// How strongly crashes speak against a request. The order decides which of two requests explains a crash of both: crashes
-/// at one point say more than crashes anywhere.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-struct Evidence {
-    /// Most crashes at the same point of the answer.
-    alike: usize,
-    all: usize,
-}
-
-impl Evidence {
-    fn of(crashes: &[OpenCrash<'_>]) -> Self {
-        let mut points: Vec<u64> = crashes.iter().map(|crash| crash.progress).collect();
-        points.sort_unstable();
-        let from = |first: &u64| points.iter().filter(|point| (*first..=first + SAME_POINT).contains(point)).count();
-        Self { alike: points.iter().map(from).max().unwrap_or(0), all: points.len() }
-    }
-
-    /// How many crashes there are beyond the first that is enough; `None` if there are too few.
-    fn beyond(self) -> Option<usize> {
-        let alike = self.alike.checked_sub(MOST_CRASHES);
-        alike.max(self.all.checked_sub(MOST_SCATTERED))
-    }
-}
-
 /// What is known of one request.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
@@ -153,33 +95,6 @@
     }
 }
 
-/// What speaks against a request.
-#[derive(Clone, Copy, Debug)]
-struct Verdict {
-    /// Crashes that nothing else explains.
-    open: Evidence,
-    /// All crashes.
-    all: usize,
-}
-
-impl Verdict {
-    /// How many crashes there are beyond the first that is enough; `None` if there are too few.
-    fn beyond(self) -> Option<usize> {
-        self.open.beyond().max(self.all.checked_sub(MOST_EXPLAINED))
-    }
-
-    /// The crashes that are held against the request.
-    fn counted(self) -> usize {
-        if self.all >= MOST_EXPLAINED { self.all } else { self.open.all }
-    }
-}
-
-/// Whether a request with these crashes explains those of one against which `own` speaks.
-fn explains(others: &[OpenCrash<'_>], own: Evidence) -> bool {
-    let evidence = Evidence::of(others);
-    evidence > own && evidence.beyond().is_some()
-}
-
 /// A request that is quarantined from now on, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantine {
@@ -259,8 +174,7 @@
     /// Whether one crash more would quarantine a request, so that the next attempt has to wait for what is known of the
     /// last one.
     pub fn is_near_quarantine(&self, digest: RequestDigest) -> bool {
-        let Some(Verdict { open, all }) = self.verdict(digest) else { return false };
-        open.alike + 1 >= MOST_CRASHES || open.all + 1 >= MOST_SCATTERED || all + 1 >= MOST_EXPLAINED
+        self.verdict(digest).is_some_and(Verdict::is_near_quarantine)
     }
 
     /// Takes what another node reports, or this one did before its start (`is_own`). Returns the quarantines that follow.
@@ -328,8 +242,11 @@
         let crashes = self.suspects.get(&digest)?.crashes();
         let own = Evidence::of(&crashes);
         let mut open = crashes;
-        for crash in self.suspects.values().map(Suspect::crashes).filter(|others| explains(others, own)).flatten() {
-            open.retain(|own| !own.sighting.is_same_crash(crash.sighting));
+        for others in self.suspects.values().map(Suspect::crashes) {
+            let evidence = Evidence::of(&others);
+            if evidence > own && evidence.is_enough() {
+                open.retain(|crash| !others.iter().any(|other| other.sighting.is_same_crash(crash.sighting)));
+            }
         }
         Some(Verdict { open: Evidence::of(&open), all: own.all })
     }
--- a/crates/core/src/serving/crashes/mod.rs
+++ b/crates/core/src/serving/crashes/mod.rs
@@ -7,15 +7,18 @@
 //! | module | owns |
 //! |---|---|
 //! | [`digest`] | [`RequestKeys`]: which requests are the same request, sent again |
+//! | `evidence` | how strongly crashes speak against a request |
 //! | [`ledger`] | [`CrashLedger`]: which requests are quarantined, and for how long |
 //! | `recent` | which requests ran to their end a moment ago |
 //! | [`report`] | what nodes tell each other |
 
 pub mod digest;
+mod evidence;
 pub mod ledger;
 mod recent;
 pub mod report;
 
 pub use digest::{RequestContent, RequestDigest, RequestKeys};
+pub use evidence::MOST_CRASHES;
 pub use ledger::{CrashCount, CrashLedger, Quarantine};
 pub use report::CrashReport;
--- a/crates/core/tests/crash_ledger.rs
+++ b/crates/core/tests/crash_ledger.rs
@@ -4,8 +4,9 @@
 
 use proptest::prelude::*;
 use stallmoor_core::serving::configuration::tenant::{CallerIdentity, TenantName};
-use stallmoor_core::serving::crashes::ledger::MOST_CRASHES;
-use stallmoor_core::serving::crashes::{CrashLedger, CrashReport, RequestContent, RequestDigest, RequestKeys};
+use stallmoor_core::serving::crashes::{
+    CrashLedger, CrashReport, MOST_CRASHES, RequestContent, RequestDigest, RequestKeys,
+};
 use stallmoor_core::serving::request::{PromptPart, RequestFacts, chain_prefix};
 use stallmoor_core::serving::workers::WorkerId;
 use stallmoor_core::time::{Millis, UnixMillis};
@@ -308,6 +309,19 @@
     assert!(!is_quarantined(sound));
 }
 
+#[test]
+fn a_report_with_figures_out_of_any_range_is_borne() {
+    let crash = |worker, at, progress| {
+        format!(r#"{{"digest":"{}","worker":"w-{worker}","at":{at},"progress":{progress}}}"#, digest("fatal"))
+    };
+    let crashes = [crash(1, 1, u64::MAX), crash(2, u64::MAX, u64::MAX - 1), crash(3, u64::MAX, 0)].join(",");
+    let report = serde_json::from_str(&format!(r#"{{"crashes":[{crashes}]}}"#)).expect("it can be read");
+    let mut ledger = CrashLedger::default();
+    ledger.merge(&report, false, at(0));
+    ledger.crashed(digest("fatal"), worker(4), 7, at(0));
+    assert!(ledger.quarantined_for(digest("fatal"), at(0)).is_some());
+}
+
 #[test]
 fn a_report_is_stored_as_ever() {
     let mut ledger = CrashLedger::default();
