--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -19,7 +19,7 @@
 /// The wait between the end of a run and the first look at its worker, in milliseconds: a process that ends closes its
 /// connections and its listener one after the other.
 const CHECK_DELAY: Duration = Duration::from_millis(20);
-/// The wait before the second look, in milliseconds, which finds most of the workers that die later.
+/// The wait before the second look, in milliseconds, so that a worker that dies a moment later is known soon.
 const SECOND_CHECK_DELAY: Duration = Duration::from_millis(80);
 /// The wait before the last look, in milliseconds. A worker stops a run within half a second after its connection closed.
 const LAST_CHECK_DELAY: Duration = Duration::from_millis(400);
