--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -115,17 +115,35 @@
     pub counted: usize,
 }
 
+/// Size of a ledger, for metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LedgerSize {
+    /// Number of request digests tracked.
+    pub tracked: usize,
+    /// Number of request digests evicted for lack of capacity since the ledger was created.
+    pub evicted: u64,
+    /// Those among them that had enough crashes for a quarantine.
+    pub evicted_above_threshold: u64,
+}
+
 /// Crash history of all requests during which workers crashed. Uses wall-clock time, because times are shared between
 /// nodes and persist across restarts; clock skew of a few seconds is tolerated, since a quarantine lasts minutes.
 #[derive(Clone, Debug)]
 pub struct CrashLedger {
     suspects: BTreeMap<RequestDigest, SuspectRequest>,
+    evicted: u64,
+    evicted_above_threshold: u64,
     recent: RecentCompletions,
 }
 
 impl Default for CrashLedger {
     fn default() -> Self {
-        Self { suspects: BTreeMap::new(), recent: RecentCompletions::new(COMPLETION_GRACE_PERIOD) }
+        Self {
+            suspects: BTreeMap::new(),
+            evicted: 0,
+            evicted_above_threshold: 0,
+            recent: RecentCompletions::new(COMPLETION_GRACE_PERIOD),
+        }
     }
 }
 
@@ -135,6 +153,15 @@
         self.suspects.is_empty()
     }
 
+    /// Returns the size of the ledger.
+    pub fn size(&self) -> LedgerSize {
+        LedgerSize {
+            tracked: self.suspects.len(),
+            evicted: self.evicted,
+            evicted_above_threshold: self.evicted_above_threshold,
+        }
+    }
+
     /// Records that a worker crashed while it ran a request of this node. `progress` is the number of the last event of
     /// the response, 0 for none. Returns the resulting quarantine, if any.
     pub fn record_local_crash(
@@ -284,7 +311,10 @@
         }
         let by_age: BTreeSet<_> = self.suspects.iter().map(|(digest, known)| (known.last_crash(), *digest)).collect();
         for (_, digest) in by_age.into_iter().take(surplus) {
-            self.suspects.remove(&digest);
+            let evicted = self.suspects.remove(&digest);
+            self.evicted += 1;
+            let evidence = evicted.map(|suspect| Evidence::of(&suspect.crashes())).unwrap_or_default();
+            self.evicted_above_threshold += u64::from(evidence.meets_threshold());
         }
     }
 }
--- a/crates/core/src/serving/crashes/mod.rs
+++ b/crates/core/src/serving/crashes/mod.rs
@@ -20,5 +20,5 @@
 
 pub use digest::{RequestContent, RequestDigest, RequestKeys};
 pub use evidence::CRASH_THRESHOLD;
-pub use ledger::{CrashCount, CrashLedger, Quarantine};
+pub use ledger::{CrashCount, CrashLedger, LedgerSize, Quarantine};
 pub use report::CrashReport;
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -183,6 +183,7 @@
             record(LogEvent::WorkerCrashed, &fields);
             self.log_quarantine(quarantine);
         }
+        measures::set_crash_ledger_size(self.crashes().size());
         self.crash_report_needed.notify_one();
     }
 
@@ -198,7 +199,12 @@
 
     /// Merges a crash report from the store. `is_local` marks the report that this machine has written.
     pub fn merge_crashes(&self, report: &CrashReport, is_local: bool) {
-        let quarantines = self.crashes().merge(report, is_local, self.clock.wall_time());
+        let (quarantines, size) = {
+            let mut crashes = self.crashes();
+            let quarantines = crashes.merge(report, is_local, self.clock.wall_time());
+            (quarantines, crashes.size())
+        };
+        measures::set_crash_ledger_size(size);
         for quarantine in quarantines {
             self.log_quarantine(Some(quarantine));
         }
--- a/crates/gateway/src/observe/measures.rs
+++ b/crates/gateway/src/observe/measures.rs
@@ -9,6 +9,7 @@
 use hyper::{Request, Response, StatusCode};
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use stallmoor_core::serving::crashes::LedgerSize;
 use stallmoor_core::time::Millis;
 use tokio::net::TcpListener;
 
@@ -53,6 +54,8 @@
     PEER_MESSAGES = "stallmoor_peer_messages_total", "counter", "message", "Messages that this node sent to other nodes, by what they are about.";
     PEER_BYTES = "stallmoor_peer_bytes_total", "counter", "message", "The bytes of those messages.";
     VIEW_AGE = "stallmoor_metadata_view_age_seconds", "gauge", "", "How old this node's view of the metadata store was at its last call.";
+    CRASH_DIGESTS = "stallmoor_crash_digests", "gauge", "", "Digests of requests during which workers crashed, as kept at this node.";
+    CRASH_EVICTIONS = "stallmoor_crash_evictions_total", "counter", "quarantine", "Such digests that were evicted for lack of room: `yes` with enough crashes for a quarantine, else `no`.";
     CONFIGURATION = "stallmoor_configuration_version", "gauge", "", "The version of the configuration in force.";
     LEADS = "stallmoor_storage_leads", "gauge", "", "1 while this node leads the job table, else 0.";
     RUNS = "stallmoor_storage_item_runs_total", "counter", "end", "Runs of batch items that ended at this node, by how.";
@@ -136,6 +139,13 @@
     gauge!(VIEW_AGE).set(seconds(age));
 }
 
+/// Sets the size of the ledger of requests during which workers crashed.
+pub fn set_crash_ledger_size(size: LedgerSize) {
+    gauge!(CRASH_DIGESTS).set(size.tracked as f64);
+    counter!(CRASH_EVICTIONS, "quarantine" => "yes").absolute(size.evicted_above_threshold);
+    counter!(CRASH_EVICTIONS, "quarantine" => "no").absolute(size.evicted - size.evicted_above_threshold);
+}
+
 /// Sets the version of the active configuration.
 pub fn set_configuration_version(version: u64) {
     gauge!(CONFIGURATION).set(version as f64);
