--- a/crates/core/tests/crash_ledger.rs
+++ b/crates/core/tests/crash_ledger.rs
@@ -1,37 +1,22 @@
 //! Tests which requests are quarantined because workers crashed while running them, and how nodes share that state.
 
+#[path = "support/crashes.rs"]
+mod crashes;
+
 use std::sync::Arc;
 
+use crashes::{at, digest, worker};
 use proptest::prelude::*;
 use stallmoor_core::serving::configuration::tenant::{CallerIdentity, TenantName};
 use stallmoor_core::serving::crashes::{
     CRASH_THRESHOLD, CrashLedger, CrashReport, RequestContent, RequestDigest, RequestKeys,
 };
 use stallmoor_core::serving::request::{PromptPart, RequestAttributes, hash_prefix};
-use stallmoor_core::serving::workers::WorkerId;
-use stallmoor_core::time::{Millis, UnixMillis};
+use stallmoor_core::time::Millis;
 
 const MINUTE: u64 = 60_000;
 const HOUR: u64 = 60 * MINUTE;
 
-fn digest(body: &str) -> RequestDigest {
-    RequestDigest::of(&RequestContent {
-        identity: &CallerIdentity::Unchecked,
-        method: "POST",
-        target: "/a",
-        attributes: &RequestAttributes::default(),
-        body: body.as_bytes(),
-    })
-}
-
-fn worker(number: u64) -> WorkerId {
-    WorkerId(Arc::from(format!("w-{number}")))
-}
-
-fn at(millis: u64) -> UnixMillis {
-    UnixMillis(1_700_000_000_000 + millis)
-}
-
 #[test]
 fn third_crash_quarantines_request() {
     let mut ledger = CrashLedger::default();
