Crash ledger: unrelated crashes no longer evict a quarantine, and cost no longer grows with the square

What callers saw: on a large fleet a request that had crashed three workers could run again long before its quarantine ended. Cause: the ledger kept 2,048 digests and evicted those whose last crash was oldest. A quarantined request does not run, so each crash of a worker with 8 occupied slots pushed it 16 places towards eviction: a bound on memory that forgets first what a promise rests on. 128 unrelated crashes were enough. Change: digests are kept in three classes by number of observed crashes, 32,768 each (a zone of 2,000 workers with 8 slots); the oldest of a class is evicted, and no class evicts another. Attribution looks only at requests that can explain a crash of the same worker, strongest first, instead of rebuilding the crashes of all. A report is bounded, strongest requests first.

--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -4,13 +4,14 @@
 //! maximum. Merging is therefore commutative and idempotent, and nodes that exchange their reports in any order reach
 //! the same decisions.
 
-use std::collections::btree_map::Entry;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use super::digest::RequestDigest;
-use super::evidence::{Attribution, CRASH_THRESHOLD, CandidateCrash, Evidence, Observation};
+use super::evidence::{Attribution, Evidence, Observation};
 use super::recent::RecentCompletions;
-use super::report::{Completion, Crash, CrashReport};
+use super::report::{Completion, Crash, CrashReport, MAX_REPORTED_CRASHES};
+use super::suspect::{LastCompletion, Source, SuspectRequest};
+use super::table::{Evicted, SuspectTable};
 use crate::backoff::Backoff;
 use crate::serving::workers::WorkerId;
 use crate::time::{Millis, UnixMillis};
@@ -18,83 +19,11 @@
 /// Duration of a quarantine; doubles with each crash beyond the threshold.
 const QUARANTINE_BACKOFF: Backoff = Backoff::new(Millis(300_000), MAX_QUARANTINE);
 /// Maximum duration of a quarantine.
-const MAX_QUARANTINE: Millis = Millis(3_600_000);
-/// Time for which a request is retained after its last crash. Bounds memory.
-const CRASH_RETENTION: Millis = Millis(2 * MAX_QUARANTINE.0);
-/// Maximum number of request digests tracked; those whose last crash is oldest are evicted first. Bounds memory.
-const MAX_REQUESTS: usize = 2_048;
-/// Maximum number of observations stored per request; the oldest are evicted first. Bounds memory.
-const MAX_OBSERVATIONS: usize = 32;
+pub(super) const MAX_QUARANTINE: Millis = Millis(3_600_000);
 /// Crashes within this time after a completion of the request are not attributed to it. Exempts requests that many
 /// callers send and that therefore run on every worker that crashes.
 pub(super) const COMPLETION_GRACE_PERIOD: Millis = Millis(10_000);
 
-/// Origin of a crash or completion. A node reports only the crashes and completions that it observed itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Source {
-    Local,
-    Peer,
-}
-
-/// Details of an observation that are not part of its identity.
-#[derive(Clone, Copy, Debug)]
-struct ObservationDetails {
-    /// Number of the last event of the response before the crash, 0 for none.
-    progress: u64,
-    source: Source,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct LastCompletion {
-    at: UnixMillis,
-    source: Source,
-}
-
-/// Crash history of one request.
-#[derive(Clone, Debug, Default)]
-struct SuspectRequest {
-    observations: BTreeMap<Observation, ObservationDetails>,
-    completed: Option<LastCompletion>,
-}
-
-impl SuspectRequest {
-    /// Returns the observations since the last completion, excluding the grace period after it.
-    fn active_observations(&self) -> impl Iterator<Item = (&Observation, &ObservationDetails)> {
-        let exempt_until =
-            self.completed.map_or(0, |completed| completed.at.0.saturating_add(COMPLETION_GRACE_PERIOD.0));
-        self.observations.iter().filter(move |(observation, _)| observation.at.0 > exempt_until)
-    }
-
-    /// Returns the crashes since the last completion, with observations of the same crash merged.
-    fn crashes(&self) -> Vec<CandidateCrash<'_>> {
-        let mut crashes: Vec<CandidateCrash<'_>> = Vec::new();
-        for (observation, details) in self.active_observations() {
-            match crashes.last_mut().filter(|last| last.observation.is_same_crash(observation)) {
-                Some(last) => last.progress = last.progress.max(details.progress),
-                None => crashes.push(CandidateCrash { observation, progress: details.progress }),
-            }
-        }
-        crashes
-    }
-
-    fn last_crash(&self) -> UnixMillis {
-        self.observations.keys().map(|observation| observation.at).max().unwrap_or_default()
-    }
-
-    fn evict_oldest(&mut self) {
-        let oldest = self.observations.keys().min_by_key(|observation| observation.at).cloned();
-        if let Some(oldest) = oldest {
-            self.observations.remove(&oldest);
-        }
-    }
-
-    /// Returns whether a completion should be reported to other nodes. With a single crash it would change no decision,
-    /// and most tracked requests have only one, since they merely shared a worker with the cause.
-    fn should_report_completion(&self) -> bool {
-        self.observations.len() + 1 >= CRASH_THRESHOLD
-    }
-}
-
 /// A new or extended quarantine of a request, for logging.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantine {
@@ -130,18 +59,16 @@
 /// nodes and persist across restarts; clock skew of a few seconds is tolerated, since a quarantine lasts minutes.
 #[derive(Clone, Debug)]
 pub struct CrashLedger {
-    suspects: BTreeMap<RequestDigest, SuspectRequest>,
-    evicted: u64,
-    evicted_above_threshold: u64,
+    suspects: SuspectTable,
+    evicted: Evicted,
     recent: RecentCompletions,
 }
 
 impl Default for CrashLedger {
     fn default() -> Self {
         Self {
-            suspects: BTreeMap::new(),
-            evicted: 0,
-            evicted_above_threshold: 0,
+            suspects: SuspectTable::default(),
+            evicted: Evicted::default(),
             recent: RecentCompletions::new(COMPLETION_GRACE_PERIOD),
         }
     }
@@ -157,8 +84,8 @@
     pub fn size(&self) -> LedgerSize {
         LedgerSize {
             tracked: self.suspects.len(),
-            evicted: self.evicted,
-            evicted_above_threshold: self.evicted_above_threshold,
+            evicted: self.evicted.requests,
+            evicted_above_threshold: self.evicted.above_threshold,
         }
     }
 
@@ -171,8 +98,8 @@
         progress: u64,
         now: UnixMillis,
     ) -> Option<Quarantine> {
-        self.evict_expired(now);
         self.record_crash(Crash { digest, worker, at: now, progress }, Source::Local);
+        self.evict(now);
         self.quarantine(digest)
     }
 
@@ -186,15 +113,14 @@
 
     /// Returns the crash counts of a request.
     pub fn count(&self, digest: RequestDigest) -> CrashCount {
-        let observed = self.suspects.get(&digest).map_or(0, |suspect| suspect.observations.len());
+        let observed = self.suspects.get(digest).map_or(0, SuspectRequest::observed);
         let counted = self.attribute(digest).map_or(0, Attribution::counted);
         CrashCount { observed, counted }
     }
 
     /// Returns the remaining quarantine of a request, or `None` if it may run.
     pub fn quarantined_for(&self, digest: RequestDigest, now: UnixMillis) -> Option<Millis> {
-        let until = self.quarantined_until(digest)?;
-        let remaining = until.0.saturating_sub(now.0);
+        let remaining = self.quarantine(digest)?.until.0.saturating_sub(now.0);
         (remaining > 0).then_some(Millis(remaining))
     }
 
@@ -217,49 +143,50 @@
         for completion in &report.completions {
             self.record_completion(completion.clone(), source);
         }
-        self.evict_expired(now);
+        self.evict(now);
         let quarantines = updated.into_iter().filter_map(|digest| self.quarantine(digest));
         quarantines.filter(|quarantine| quarantine.until > now).collect()
     }
 
-    /// Returns this node's report to the other nodes.
+    /// Returns this node's report to the other nodes, of the largest size.
     pub fn report(&self) -> CrashReport {
+        self.report_up_to(MAX_REPORTED_CRASHES)
+    }
+
+    /// Returns this node's report, of at most `max_crashes` crashes and as many completions. Requests with most crashes
+    /// take precedence, then those with the latest crash.
+    pub fn report_up_to(&self, max_crashes: usize) -> CrashReport {
         let mut report = CrashReport::default();
-        for (digest, suspect) in &self.suspects {
+        for (digest, suspect) in self.suspects.strongest_first() {
             let own = suspect.active_observations().filter(|(_, details)| details.source == Source::Local);
-            report.crashes.extend(own.map(|(observation, details)| Crash {
-                digest: *digest,
+            let crashes = own.map(|(observation, details)| Crash {
+                digest,
                 worker: observation.worker.clone(),
                 at: observation.at,
                 progress: details.progress,
-            }));
-            let completed = suspect.completed.filter(|completed| completed.source == Source::Local);
-            if let Some(completed) = completed.filter(|_| suspect.should_report_completion()) {
-                report.completions.push(Completion { digest: *digest, at: completed.at });
-            }
+            });
+            report.crashes.extend(crashes.take(max_crashes - report.crashes.len()));
+            let completed = suspect.reportable_completion();
+            let completions = completed.map(|at| Completion { digest, at }).into_iter();
+            report.completions.extend(completions.take(max_crashes - report.completions.len()));
         }
+        // Sorted, so that an unchanged report is equal to the previous one.
+        report
+            .crashes
+            .sort_by(|one, other| (one.digest, &one.worker, one.at).cmp(&(other.digest, &other.worker, other.at)));
+        report.completions.sort_by_key(|completion| completion.digest);
         report
     }
 
     /// Records a crash. Returns whether it is new.
     fn record_crash(&mut self, crash: Crash, source: Source) -> bool {
-        let suspect = self.suspects.entry(crash.digest).or_insert_with(|| {
-            let last = self.recent.last(crash.digest);
-            let completed = last.map(|at| LastCompletion { at, source: Source::Local });
-            SuspectRequest { completed, ..SuspectRequest::default() }
-        });
-        let details = ObservationDetails { progress: crash.progress, source };
-        let is_new = match suspect.observations.entry(Observation { worker: crash.worker, at: crash.at }) {
-            Entry::Occupied(_) => false,
-            Entry::Vacant(entry) => {
-                entry.insert(details);
-                true
-            }
+        let digest = crash.digest;
+        let recent = &self.recent;
+        let new = || {
+            let completed = recent.last(digest).map(|at| LastCompletion { at, source: Source::Local });
+            SuspectRequest::new(completed)
         };
-        if suspect.observations.len() > MAX_OBSERVATIONS {
-            suspect.evict_oldest();
-        }
-        is_new
+        self.suspects.update(digest, new, |suspect| suspect.record_crash(crash, source))
     }
 
     /// Counts the crashes since a request's last completion that are attributed to it.
@@ -267,54 +194,44 @@
     /// A crash affects all requests in the worker's slots. If another affected request has stronger evidence that
     /// suffices for a quarantine, the crash counts for that request only.
     fn attribute(&self, digest: RequestDigest) -> Option<Attribution> {
-        let crashes = self.suspects.get(&digest)?.crashes();
-        let own = Evidence::of(&crashes);
-        let mut unexplained = crashes;
-        for others in self.suspects.values().map(SuspectRequest::crashes) {
-            let evidence = Evidence::of(&others);
-            if evidence > own && evidence.meets_threshold() {
-                unexplained
-                    .retain(|crash| !others.iter().any(|other| other.observation.is_same_crash(crash.observation)));
-            }
-        }
+        let suspect = self.suspects.get(digest)?;
+        let own = suspect.evidence();
+        let mut unexplained = suspect.crashes();
+        unexplained.retain(|crash| !self.is_explained(crash.observation, own));
         Some(Attribution { unexplained: Evidence::of(&unexplained), total: own.total })
     }
 
-    /// Returns the end of a request's quarantine, which may be in the past, or `None` below the threshold.
-    fn quarantined_until(&self, digest: RequestDigest) -> Option<UnixMillis> {
-        let suspect = self.suspects.get(&digest)?;
-        let excess = u32::try_from(self.attribute(digest)?.excess()?).unwrap_or(u32::MAX);
-        Some(UnixMillis(suspect.last_crash().0.saturating_add(QUARANTINE_BACKOFF.wait(excess).0)))
+    /// Returns whether there is stronger evidence than `own` that another request caused a crash.
+    fn is_explained(&self, crash: &Observation, own: Evidence) -> bool {
+        let affects =
+            |other: &SuspectRequest| other.crashes().iter().any(|other| other.observation.is_same_crash(crash));
+        self.suspects.explaining(&crash.worker, own).any(affects)
     }
 
+    /// Returns a request's quarantine, which may have ended, or `None` below the threshold.
     fn quarantine(&self, digest: RequestDigest) -> Option<Quarantine> {
-        let until = self.quarantined_until(digest)?;
-        Some(Quarantine { digest, crashes: self.count(digest).counted, until })
+        let attribution = self.attribute(digest)?;
+        let excess = u32::try_from(attribution.excess()?).unwrap_or(u32::MAX);
+        let last_crash = self.suspects.get(digest)?.last_crash();
+        let until = UnixMillis(last_crash.0.saturating_add(QUARANTINE_BACKOFF.wait(excess).0));
+        Some(Quarantine { digest, crashes: attribution.counted(), until })
     }
 
     /// Records a completion. Returns whether the request has crashes; completions of requests without crashes are not
     /// stored.
     fn record_completion(&mut self, completion: Completion, source: Source) -> bool {
-        let Some(suspect) = self.suspects.get_mut(&completion.digest) else { return false };
-        if suspect.completed.is_none_or(|known| known.at < completion.at) {
-            suspect.completed = Some(LastCompletion { at: completion.at, source });
+        let Completion { digest, at } = completion;
+        let is_tracked = self.suspects.get(digest).is_some();
+        if is_tracked {
+            let change = |suspect: &mut SuspectRequest| suspect.record_completion(LastCompletion { at, source });
+            self.suspects.update(digest, SuspectRequest::default, change);
         }
-        true
+        is_tracked
     }
 
-    fn evict_expired(&mut self, now: UnixMillis) {
-        let is_retained = |suspect: &SuspectRequest| now.0.saturating_sub(suspect.last_crash().0) < CRASH_RETENTION.0;
-        self.suspects.retain(|_, suspect| is_retained(suspect));
-        let surplus = self.suspects.len().saturating_sub(MAX_REQUESTS);
-        if surplus == 0 {
-            return;
-        }
-        let by_age: BTreeSet<_> = self.suspects.iter().map(|(digest, known)| (known.last_crash(), *digest)).collect();
-        for (_, digest) in by_age.into_iter().take(surplus) {
-            let evicted = self.suspects.remove(&digest);
-            self.evicted += 1;
-            let evidence = evicted.map(|suspect| Evidence::of(&suspect.crashes())).unwrap_or_default();
-            self.evicted_above_threshold += u64::from(evidence.meets_threshold());
-        }
+    fn evict(&mut self, now: UnixMillis) {
+        let evicted = self.suspects.evict(now);
+        self.evicted.requests += evicted.requests;
+        self.evicted.above_threshold += evicted.above_threshold;
     }
 }
--- a/crates/core/src/serving/crashes/mod.rs
+++ b/crates/core/src/serving/crashes/mod.rs
@@ -11,12 +11,16 @@
 //! | [`ledger`] | [`CrashLedger`]: the crash history and quarantine of each request |
 //! | `recent` | requests that completed recently |
 //! | [`report`] | the crash reports that nodes exchange |
+//! | `suspect` | the crash history of one request |
+//! | `table` | the tracked requests, and which of them are evicted |
 
 pub mod digest;
 mod evidence;
 pub mod ledger;
 mod recent;
 pub mod report;
+mod suspect;
+mod table;
 
 pub use digest::{RequestContent, RequestDigest, RequestKeys};
 pub use evidence::CRASH_THRESHOLD;
--- a/crates/core/src/serving/crashes/report.rs
+++ b/crates/core/src/serving/crashes/report.rs
@@ -9,6 +9,19 @@
 use crate::serving::workers::WorkerId;
 use crate::time::UnixMillis;
 
+/// Maximum number of crashes in the reports of all gateways together. Each node stores all of them.
+const MAX_FLEET_CRASHES: usize = 65_536;
+/// Number of crashes that each machine may report regardless of the size of the fleet, enough for several quarantines.
+const MIN_REPORTED_CRASHES: usize = 32;
+/// Maximum number of crashes in a report.
+pub(super) const MAX_REPORTED_CRASHES: usize = 1_024;
+
+/// Returns the maximum number of crashes in the report of one machine. `gateways` is 0 if unknown.
+pub fn max_reported_crashes(gateways: u32) -> usize {
+    let share = MAX_FLEET_CRASHES.checked_div(gateways as usize).unwrap_or(MAX_REPORTED_CRASHES);
+    share.clamp(MIN_REPORTED_CRASHES, MAX_REPORTED_CRASHES)
+}
+
 /// A crash of a worker while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
