Crash records: size and rate of writes no longer grow with the number of gateways

Cause: each gateway wrote its crash record every 100 ms while workers crashed, with all crashes of two hours, and every 300 ms while the store refused it. With hundreds of gateways that is more than a metadata store accepts, so that crash reports are refused at the moment they matter; every node keeps all records in memory. Change: the interval between the records of a machine grows with the number of gateways (1,000 writes a second of all, at most a second); the first report after a quiet time still goes out after 100 ms. The records of all gateways hold 65,536 crashes.

--- a/crates/core/src/serving/crashes/report.rs
+++ b/crates/core/src/serving/crashes/report.rs
@@ -7,7 +7,7 @@
 
 use super::digest::RequestDigest;
 use crate::serving::workers::WorkerId;
-use crate::time::UnixMillis;
+use crate::time::{Millis, UnixMillis};
 
 /// Maximum number of crashes in the reports of all gateways together. Each node stores all of them.
 const MAX_FLEET_CRASHES: usize = 65_536;
@@ -16,6 +16,16 @@
 /// Maximum number of crashes in a report.
 pub(super) const MAX_REPORTED_CRASHES: usize = 1_024;
 
+/// Maximum number of reports per second that all gateways together write to the metadata store.
+const MAX_REPORTS_PER_S: u64 = 1_000;
+/// Maximum interval between the reports of one machine, so that crashes become known in time on a fleet of any size.
+const MAX_REPORT_INTERVAL: Millis = Millis(1_000);
+
+/// Returns the minimum interval between a report of one machine and its next one. `gateways` is 0 if unknown.
+pub fn min_report_interval(gateways: u32) -> Millis {
+    Millis(u64::from(gateways) * 1_000 / MAX_REPORTS_PER_S).min(MAX_REPORT_INTERVAL)
+}
+
 /// Returns the maximum number of crashes in the report of one machine. `gateways` is 0 if unknown.
 pub fn max_reported_crashes(gateways: u32) -> usize {
     let share = MAX_FLEET_CRASHES.checked_div(gateways as usize).unwrap_or(MAX_REPORTED_CRASHES);
--- a/crates/core/tests/crash_ledger_scale.rs
+++ b/crates/core/tests/crash_ledger_scale.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use crashes::{at, digest, worker};
-use stallmoor_core::serving::crashes::report::{Completion, Crash, max_reported_crashes};
+use stallmoor_core::serving::crashes::report::{Completion, Crash, max_reported_crashes, min_report_interval};
 use stallmoor_core::serving::crashes::{CrashLedger, CrashReport, RequestDigest};
+use stallmoor_core::time::Millis;
 
 /// Digests per worker slot: body and prompt.
 const DIGESTS_PER_REQUEST: u64 = 2;
@@ -150,6 +151,13 @@
     assert_eq!(max_reported_crashes(1_000_000), 32);
 }
 
+/// Guards against a zone crash after which all gateways together write more than the metadata store accepts.
+#[test]
+fn report_interval_grows_with_the_number_of_gateways() {
+    let intervals = [0, 1, 250, 835, 2_000].map(min_report_interval);
+    assert_eq!(intervals, [0, 1, 250, 835, 1_000].map(Millis));
+}
+
 /// Time per crash of merging a zone crash, and per look-up after it. The minimum of several runs excludes pauses of the
 /// process.
 fn cost_of_zone_crash(fleet: Workers) -> (Duration, Duration) {
--- a/crates/gateway/src/fleet/crash_reports.rs
+++ b/crates/gateway/src/fleet/crash_reports.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use stallmoor_core::serving::crashes::CrashReport;
+use stallmoor_core::serving::crashes::report::{max_reported_crashes, min_report_interval};
 use stallmoor_core::serving::relay::item::Revision;
 
 use crate::adapter::metadata::{MetadataStore, PutOutcome};
@@ -17,8 +18,8 @@
 /// Delay between a crash and the write of the record. A worker crash often affects several requests, which are reported
 /// by one write.
 const WRITE_DELAY: Duration = Duration::from_millis(100);
-/// Delay before retrying a failed read or a write with an unknown outcome.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Minimum delay before retrying a failed read or a write with an unknown outcome.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(300);
 
 struct MachineRecord {
     key: String,
@@ -35,14 +36,19 @@
         view.crashes_changed().await;
         tokio::time::sleep(WRITE_DELAY).await;
         record.write(&view, &*metadata).await;
+        tokio::time::sleep(min_interval(&view)).await;
     }
 }
 
+fn min_interval(view: &FleetView) -> Duration {
+    Duration::from_millis(min_report_interval(view.gateways()).0)
+}
+
 impl MachineRecord {
-    /// Retries until the store contains the current report.
+    /// Retries until the store contains a report that is current when it is written.
     async fn write(&mut self, view: &FleetView, metadata: &dyn MetadataStore) {
         loop {
-            let report = view.crashes().report();
+            let report = view.crashes().report_up_to(max_reported_crashes(view.gateways()));
             if report == self.written {
                 return;
             }
@@ -52,9 +58,10 @@
                 PutOutcome::Written(revision) => {
                     self.written = report;
                     self.revision = revision;
+                    return;
                 }
                 PutOutcome::Conflict => self.read(view, metadata).await,
-                PutOutcome::Unknown => tokio::time::sleep(RETRY_DELAY).await,
+                PutOutcome::Unknown => wait_before_retry(view).await,
             }
         }
     }
@@ -62,7 +69,7 @@
     /// Merges the stored record, which an earlier process on this machine or a call whose answer was lost has written.
     async fn read(&mut self, view: &FleetView, metadata: &dyn MetadataStore) {
         let Some(item) = metadata.get(self.key.clone()).await else {
-            return tokio::time::sleep(RETRY_DELAY).await;
+            return wait_before_retry(view).await;
         };
         self.revision = if item.value().is_some() { item.revision } else { Revision(0) };
         if let Some(report) = parse_record(&item) {
@@ -70,3 +77,7 @@
         }
     }
 }
+
+async fn wait_before_retry(view: &FleetView) {
+    tokio::time::sleep(min_interval(view).max(MIN_RETRY_DELAY)).await;
+}
