Crash ledger: keep recent completions for the grace period at 1,500 requests a second

Cause: a generation of recent completions held 8,192 digests. A node that ends more than 400 requests a second, such as the leader of the job table on the largest fleet, forgot completions before the grace period of ten seconds was over, so that a request that many callers send could be quarantined when workers crashed of another one. Evidence: recent_completions_are_retained_at_any_rate_of_one_node failed at 3,000 digests a second.

--- a/crates/core/src/serving/crashes/recent.rs
+++ b/crates/core/src/serving/crashes/recent.rs
@@ -9,7 +9,7 @@
 use crate::time::{Millis, UnixMillis};
 
 /// Maximum number of request digests in one generation. Bounds memory.
-const MAX_GENERATION_ENTRIES: usize = 8_192;
+const MAX_GENERATION_ENTRIES: usize = 32_768;
 
 /// Completion times of requests in two generations. When the current generation is full or expired, it replaces the
 /// previous one.
--- a/crates/core/tests/crash_ledger_scale.rs
+++ b/crates/core/tests/crash_ledger_scale.rs
@@ -189,3 +189,21 @@
     assert!(large_merge < 10 * small_merge, "merge: {small_merge:?}, {large_merge:?}");
     assert!(large_lookup < 10 * small_lookup, "look-up: {small_lookup:?}, {large_lookup:?}");
 }
+
+/// Guards against forgetting a recent completion under a high rate of completions, so that a request that many callers
+/// send is quarantined.
+#[test]
+fn recent_completions_are_retained_at_any_rate_of_one_node() {
+    for digests_per_s in [200, 3_000] {
+        let mut ledger = CrashLedger::default();
+        let popular = digest("popular");
+        ledger.record_local_completion(popular, at(0));
+        for other in 0..9 * digests_per_s {
+            ledger.record_local_completion(digest(&other.to_string()), at(other * 1_000 / digests_per_s));
+        }
+        for crash in 0..3 {
+            ledger.record_local_crash(popular, worker(crash), 0, at(9_500));
+        }
+        assert_eq!(ledger.quarantined_for(popular, at(9_500)), None, "{digests_per_s} digests a second");
+    }
+}
