--- a/crates/core/src/serving/crashes/digest.rs
+++ b/crates/core/src/serving/crashes/digest.rs
@@ -30,6 +30,9 @@
 pub struct RequestDigest(u64);
 
 impl RequestDigest {
+    pub(super) const MIN: Self = Self(u64::MIN);
+    pub(super) const MAX: Self = Self(u64::MAX);
+
     /// Computes the digest over caller, method, path and body. It must be the same in all versions.
     pub fn of(content: &RequestContent<'_>) -> Self {
         Self::from_part(content, hash_bytes(content.body))
--- a/crates/core/src/serving/crashes/table.rs
+++ b/crates/core/src/serving/crashes/table.rs
@@ -25,7 +25,7 @@
     /// Requests of each class by time of the last crash.
     by_recurrence: BTreeMap<Recurrence, BTreeSet<(UnixMillis, RequestDigest)>>,
     /// Requests that may explain the crashes of others, by worker and evidence.
-    explaining: BTreeMap<WorkerId, BTreeSet<(Evidence, RequestDigest)>>,
+    explaining: BTreeSet<(WorkerId, Evidence, RequestDigest)>,
 }
 
 /// Number of requests that were evicted before their retention time.
@@ -65,9 +65,11 @@
     /// Returns the requests with stronger evidence than `own` that may explain crashes of a worker, as their own crashes
     /// suffice for a quarantine.
     pub(super) fn explaining(&self, worker: &WorkerId, own: Evidence) -> impl Iterator<Item = &SuspectRequest> {
-        let strongest_first = self.explaining.get(worker).into_iter().flat_map(|requests| requests.iter().rev());
-        let stronger = strongest_first.take_while(move |(evidence, _)| *evidence > own);
-        stronger.filter_map(|(_, digest)| self.suspects.get(digest))
+        let weakest = (worker.clone(), Evidence::default(), RequestDigest::MIN);
+        let strongest = (worker.clone(), Evidence::MAX, RequestDigest::MAX);
+        let strongest_first = self.explaining.range(weakest..=strongest).rev();
+        let stronger = strongest_first.take_while(move |(_, evidence, _)| *evidence > own);
+        stronger.filter_map(|(_, _, digest)| self.suspects.get(digest))
     }
 
     /// Returns all requests, those of the highest class first, then those with the latest crash.
@@ -111,16 +113,18 @@
         let requests = self.by_recurrence.entry(suspect.recurrence()).or_default();
         requests.insert((suspect.last_crash(), digest));
         for worker in explaining_workers(&suspect) {
-            self.explaining.entry(worker.clone()).or_default().insert((suspect.evidence(), digest));
+            self.explaining.insert((worker.clone(), suspect.evidence(), digest));
         }
         self.suspects.insert(digest, suspect);
     }
 
     fn remove(&mut self, digest: RequestDigest) -> Option<SuspectRequest> {
         let suspect = self.suspects.remove(&digest)?;
-        remove_from_set(&mut self.by_recurrence, &suspect.recurrence(), &(suspect.last_crash(), digest));
+        if let Some(requests) = self.by_recurrence.get_mut(&suspect.recurrence()) {
+            requests.remove(&(suspect.last_crash(), digest));
+        }
         for worker in explaining_workers(&suspect) {
-            remove_from_set(&mut self.explaining, worker, &(suspect.evidence(), digest));
+            self.explaining.remove(&(worker.clone(), suspect.evidence(), digest));
         }
         Some(suspect)
     }
@@ -131,12 +135,3 @@
     let may_explain = suspect.evidence().meets_threshold();
     suspect.active_observations().filter(move |_| may_explain).map(|(observation, _)| &observation.worker)
 }
-
-/// Removes an element from one of several sets, and the set once it is empty.
-fn remove_from_set<K: Ord, T: Ord>(sets: &mut BTreeMap<K, BTreeSet<T>>, key: &K, element: &T) {
-    let Some(set) = sets.get_mut(key) else { return };
-    set.remove(element);
-    if set.is_empty() {
-        sets.remove(key);
-    }
-}
