--- a/crates/core/src/serving/crashes/suspect.rs
+++ b/crates/core/src/serving/crashes/suspect.rs
@@ -6,7 +6,7 @@
 use crate::time::UnixMillis;
 
 /// Maximum number of observations stored per request; the oldest are evicted first. Bounds memory.
-pub(super) const MAX_OBSERVATIONS: usize = 32;
+const MAX_OBSERVATIONS: usize = 32;
 
 /// Origin of a crash or completion. A node reports only the crashes and completions that it observed itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/tests/golden.rs
+++ b/crates/gateway/tests/golden.rs
@@ -3,27 +3,26 @@
 
 #[path = "../../core/tests/support/golden.rs"]
 mod golden;
+#[path = "support/recording_store.rs"]
+mod recording_store;
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use golden::{Row, check_rows, from_hex, to_hex};
+use recording_store::RecordingStore;
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::peer_message::PeerMessage;
 use stallmoor_core::replication::{GroupMembership, LogIndex};
 use stallmoor_core::serving::crashes::report::{Completion, Crash};
 use stallmoor_core::serving::crashes::{CrashReport, RequestDigest};
 use stallmoor_core::serving::jobs::directory::StorageRecord;
-use stallmoor_core::serving::jobs::members::DrainState;
 use stallmoor_core::serving::jobs::pair::{PairRecord, PairState};
 use stallmoor_core::serving::relay::item::{KeyState, MetadataItem, Revision};
-use stallmoor_core::serving::relay::outage::RecordGrace;
 use stallmoor_core::serving::workers::WorkerId;
-use stallmoor_core::time::{Millis, UnixMillis};
-use stallmoor_gateway::adapter::metadata::{
-    BoxFuture, FleetUpdate, ItemSnapshot, MetadataStore, PutOutcome, ReadFailure,
-};
+use stallmoor_core::time::UnixMillis;
+use stallmoor_gateway::adapter::metadata::{FleetUpdate, PutOutcome};
 use stallmoor_gateway::clock::NodeClock;
 use stallmoor_gateway::fleet::crash_reports::CRASH_KEY_PREFIX;
 use stallmoor_gateway::fleet::fleet_view::FleetView;
@@ -42,44 +41,6 @@
     }
 }
 
-/// A metadata store that records all writes and fails all reads.
-#[derive(Default)]
-struct RecordingStore(Mutex<Vec<Row>>);
-
-impl RecordingStore {
-    fn rows(&self) -> Vec<Row> {
-        self.0.lock().expect("not poisoned").clone()
-    }
-}
-
-impl MetadataStore for RecordingStore {
-    fn put(&self, key: String, value: Vec<u8>, _expected: Revision) -> BoxFuture<'_, PutOutcome> {
-        let row = Row::new(&key, &String::from_utf8(value).expect("valid UTF-8"));
-        self.0.lock().expect("not poisoned").push(row);
-        Box::pin(async { PutOutcome::Written(Revision(1)) })
-    }
-
-    fn get(&self, _key: String) -> BoxFuture<'_, Option<MetadataItem>> {
-        Box::pin(async { None })
-    }
-
-    fn list(&self) -> BoxFuture<'_, Result<ItemSnapshot, ReadFailure>> {
-        Box::pin(async { Err(ReadFailure::TimedOut) })
-    }
-
-    fn changes(&self, _since: Revision, _wait: Millis) -> BoxFuture<'_, Result<ItemSnapshot, ReadFailure>> {
-        Box::pin(async { Err(ReadFailure::TimedOut) })
-    }
-
-    fn interpret(&self, _item: &MetadataItem, _grace: &RecordGrace) -> Option<FleetUpdate> {
-        None
-    }
-
-    fn report_drain(&self, _machine: Arc<str>, _state: DrainState) -> BoxFuture<'_, bool> {
-        Box::pin(async { true })
-    }
-}
-
 fn storage_record(node: u64) -> StorageRecord {
     StorageRecord {
         name: Arc::from(format!("storage-{node}")),
@@ -91,7 +52,7 @@
 
 /// Registers three storage nodes, bootstraps the group at the first one, and returns the records written.
 async fn register_and_bootstrap() -> Vec<Row> {
-    let store = Arc::new(RecordingStore::default());
+    let store = RecordingStore::new(PutOutcome::Written(Revision(1)));
     let view = Arc::new(FleetView::new(NodeClock::start(), Arc::from("zone-1"), 1));
     for record in (1..=3).map(storage_record) {
         register(store.clone(), record.clone()).await;
@@ -102,7 +63,8 @@
     let bootstrap = bootstrap_group(view, store.clone(), NodeId(1), 1, memberships);
     // Bootstrap waits until the view contains the record just written, which never happens in this test.
     assert!(tokio::time::timeout(Duration::from_millis(100), bootstrap).await.is_err());
-    store.rows()
+    let writes = store.writes();
+    writes.iter().map(|write| Row::new(&write.key, &write.value)).collect()
 }
 
 fn pair_row() -> Row {
@@ -149,6 +111,6 @@
     assert!(view.crashes().quarantined_for(crashing_digest(), CRASHED_AT).is_some());
 
     let (memberships, mut received) = mpsc::unbounded_channel();
-    bootstrap_group(view, Arc::new(RecordingStore::default()), NodeId(1), 1, memberships).await;
+    bootstrap_group(view, RecordingStore::new(PutOutcome::Written(Revision(1))), NodeId(1), 1, memberships).await;
     assert_eq!(received.recv().await, Some(GroupMembership::of_voters((1..=3).map(NodeId))));
 }
