Job table: a node remembers its verdicts on items when their proposals are lost

Cause: the verdict on an item (it is impossible, or failed so often) lived in the dispatcher of one leadership until its proposal was committed. A leader also started runs while it could not be sure to commit their results. Change: a node retains its verdicts on items without a committed result across its leaderships and proposes them again. A leader starts no runs while its lease has lapsed or it is handing over. Evidence: a_node_remembers_verdicts_whose_proposals_were_lost failed before ('[]': no result to commit after the leadership was regained), and passes.

--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -76,6 +76,14 @@
     started_after: u64,
 }
 
+/// What the runs at this node showed about an item. Retained after a loss of leadership until the item has a committed
+/// result, since the proposal that would tell other nodes may be lost with the leadership.
+#[derive(Clone, Copy, Debug, Default)]
+struct Verdict {
+    failures: u32,
+    is_impossible: bool,
+}
+
 /// The items without a result, and their progress.
 ///
 /// Ready items run in order of their due time, but items that can no longer finish in time run after all others. Under
@@ -89,20 +97,22 @@
     finished: BTreeSet<ItemKey>,
     /// Items with failed runs that are not yet logged.
     failed: BTreeSet<ItemKey>,
+    verdicts: BTreeMap<ItemKey, Verdict>,
 }
 
 impl Dispatcher {
     /// Rebuilds the state from the table after this node became the leader.
     pub fn restart(&mut self, table: &JobTable) {
-        *self = Self::default();
+        self.clear();
+        self.verdicts.retain(|key, _| table.job(&key.job).is_some_and(|job| job.is_open(key.item)));
         for (_, job) in table.jobs() {
             self.add_job(job);
         }
     }
 
-    /// Drops all items because this node no longer leads.
+    /// Drops all items because this node no longer leads. Verdicts on items without a committed result are retained.
     pub fn clear(&mut self) {
-        *self = Self::default();
+        *self = Self { verdicts: std::mem::take(&mut self.verdicts), ..Self::default() };
     }
 
     /// Adds the items of a job that have no result.
@@ -114,20 +124,27 @@
             if self.items.contains_key(&key) {
                 continue;
             }
+            let verdict = self.verdicts.get(&key).copied().unwrap_or_default();
+            if verdict.failures > job.failures(item) {
+                self.failed.insert(key.clone());
+            }
             self.ready.insert((due, key.clone()));
             let output = job.partial(item).cloned().unwrap_or_default();
             let logged = LoggedOutput { bytes: output.text.len(), last_event: output.last_event };
             let open_item = OpenItem {
                 phase: Phase::Ready,
                 due,
-                failures: job.failures(item),
+                failures: job.failures(item).max(verdict.failures),
                 delays: 0,
                 output,
                 logged,
                 started_at: Timestamp::default(),
                 started_after: 0,
             };
-            self.items.insert(key, open_item);
+            self.items.insert(key.clone(), open_item);
+            if verdict.is_impossible {
+                self.finish(&key, ItemState::GivenUp);
+            }
         }
     }
 
@@ -215,9 +232,13 @@
         open_item.output = output;
         match end {
             RunEnd::Completed => return self.finish(key, ItemState::Completed),
-            RunEnd::Impossible => return self.finish(key, ItemState::GivenUp),
+            RunEnd::Impossible => {
+                self.verdicts.entry(key.clone()).or_default().is_impossible = true;
+                return self.finish(key, ItemState::GivenUp);
+            }
             RunEnd::Failed => {
                 open_item.failures += 1;
+                self.verdicts.entry(key.clone()).or_default().failures = open_item.failures;
                 if open_item.failures >= max_attempts {
                     return self.finish(key, ItemState::GivenUp);
                 }
@@ -293,11 +314,18 @@
             }
             self.remove(&key);
         }
+        self.verdicts.retain(|key, _| key.job != *job);
         running
     }
 
     /// Removes an item whose result is committed.
     pub fn remove(&mut self, key: &ItemKey) {
+        self.verdicts.remove(key);
+        self.withdraw(key);
+    }
+
+    /// Removes an item that still needs a result, and may be added again with its job.
+    pub fn withdraw(&mut self, key: &ItemKey) {
         if let Some(open_item) = self.items.remove(key) {
             self.ready.remove(&(open_item.due, key.clone()));
             if let Phase::Delayed { until } = open_item.phase {
--- a/crates/core/src/serving/jobs/table.rs
+++ b/crates/core/src/serving/jobs/table.rs
@@ -84,8 +84,12 @@
 
     /// Returns the indexes of the items without a result; none if the job has ended.
     pub fn open_items(&self) -> impl Iterator<Item = u32> + '_ {
-        let ended = self.ended;
-        (0..self.with_result.len() as u32).filter(move |item| !ended && !self.has_result(*item))
+        (0..self.with_result.len() as u32).filter(|item| self.is_open(*item))
+    }
+
+    /// Returns whether an item has no result and its job has not ended.
+    pub fn is_open(&self, item: u32) -> bool {
+        !self.ended && !self.has_result(item)
     }
 
     /// Returns the logged output of an item without a result.
--- a/crates/core/tests/durable_failures.rs
+++ b/crates/core/tests/durable_failures.rs
@@ -126,3 +126,50 @@
     // The index of the command kind. Versions that know only kinds 0 to 4 cannot decode it.
     assert_eq!(new[0], 5);
 }
+
+/// Guards against running an item again because the leadership was lost before the verdict on it was committed.
+#[test]
+fn a_node_remembers_verdicts_whose_proposals_were_lost() {
+    let table = table();
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.restart(&table);
+    let (impossible, output) = dispatcher.take_next(at(0), UnixMillis(2_000)).expect("an item is ready");
+    assert!(dispatcher.finish_run(&impossible, &RunEnd::Impossible, output, MAX_ATTEMPTS, at(20)));
+    let failing = fail_next(&mut dispatcher, 30);
+    // The leadership is lost and regained twice; no proposal of this node was committed.
+    for _ in 0..2 {
+        dispatcher.clear();
+        dispatcher.restart(&table);
+        let results = dispatcher.uncommitted_results();
+        assert!(
+            matches!(&results[..], [JobCommand::Finish { key, state: ItemState::GivenUp, .. }] if *key == impossible),
+            "{results:?}"
+        );
+        assert_eq!(dispatcher.failures(&failing), 1);
+        assert_eq!(dispatcher.unlogged_failures(), Some(vec![ItemFailures { key: failing.clone(), failures: 1 }]));
+        let next = dispatcher.take_next(at(100), UnixMillis(2_000)).map(|(key, _)| key);
+        assert_eq!(next, Some(failing.clone()), "only the other item may run");
+    }
+}
+
+/// Guards against verdicts on items that are no longer open taking memory.
+#[test]
+fn verdicts_end_with_the_item() {
+    let mut table = table();
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.restart(&table);
+    let failed = fail_next(&mut dispatcher, 0);
+    dispatcher.clear();
+    // Another leader commits the result while this node follows.
+    let after = LoggedOutput::default();
+    table.apply(JobCommand::Finish {
+        key: failed.clone(),
+        state: ItemState::Completed,
+        after,
+        text: Arc::from("done"),
+    });
+    dispatcher.remove(&failed);
+    dispatcher.restart(&table);
+    assert_eq!(dispatcher.failures(&failed), 0);
+    assert_eq!(dispatcher.unlogged_failures(), None);
+}
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -117,13 +117,14 @@
 
     /// Called when an item's result is committed, whichever leader proposed it.
     pub(super) fn remove_committed(&mut self, key: &ItemKey) {
-        self.remove(key);
+        self.dispatcher.remove(key);
+        self.proposed.remove(key);
         self.abort(key);
     }
 
-    /// Removes an item, which may be added again with its job.
-    pub(super) fn remove(&mut self, key: &ItemKey) {
-        self.dispatcher.remove(key);
+    /// Called when an item's result was not accepted. The item may be added again with its job.
+    pub(super) fn withdraw(&mut self, key: &ItemKey) {
+        self.dispatcher.withdraw(key);
         self.proposed.remove(key);
     }
 
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -175,7 +175,7 @@
                     self.log_result(&key);
                 }
                 JobsChange::ResultDropped(key) => {
-                    self.items.remove(&key);
+                    self.items.withdraw(&key);
                     self.add_open_items(&key.job);
                 }
                 JobsChange::Unreadable(index) => {
@@ -215,8 +215,11 @@
 
     fn dispatch(&mut self) {
         let now = self.now();
-        let table = self.replica.node().table();
-        if self.is_leader && self.items.dispatch(table, &mut self.loads, &mut self.permits, now) {
+        let node = self.replica.node();
+        // A leader that may not be able to commit results starts no runs: the next leader would repeat them.
+        let may_start = self.is_leader && node.may_answer(now);
+        let table = node.table();
+        if may_start && self.items.dispatch(table, &mut self.loads, &mut self.permits, now) {
             self.propose_results();
         }
     }
