--- a/crates/core/src/serving/crashes/digest.rs
+++ b/crates/core/src/serving/crashes/digest.rs
@@ -30,8 +30,13 @@
 pub struct RequestDigest(u64);
 
 impl RequestDigest {
-    pub(super) const MIN: Self = Self(u64::MIN);
-    pub(super) const MAX: Self = Self(u64::MAX);
+    pub(super) fn smallest() -> Self {
+        Self(u64::MIN)
+    }
+
+    pub(super) fn largest() -> Self {
+        Self(u64::MAX)
+    }
 
     /// Computes the digest over caller, method, path and body. It must be the same in all versions.
     pub fn of(content: &RequestContent<'_>) -> Self {
--- a/crates/core/src/serving/crashes/evidence.rs
+++ b/crates/core/src/serving/crashes/evidence.rs
@@ -52,7 +52,9 @@
 }
 
 impl Evidence {
-    pub(super) const MAX: Self = Self { at_same_point: usize::MAX, total: usize::MAX };
+    pub(super) fn largest() -> Self {
+        Self { at_same_point: usize::MAX, total: usize::MAX }
+    }
 
     pub(super) fn of(crashes: &[CandidateCrash<'_>]) -> Self {
         let mut points: Vec<u64> = crashes.iter().map(|crash| crash.progress).collect();
--- a/crates/core/src/serving/crashes/suspect.rs
+++ b/crates/core/src/serving/crashes/suspect.rs
@@ -33,8 +33,10 @@
 }
 
 impl Recurrence {
-    /// All classes in ascending order.
-    pub(super) const ALL: [Self; CRASH_THRESHOLD] = [Self::Once, Self::Twice, Self::Repeatedly];
+    /// Returns all classes in ascending order.
+    pub(super) fn all() -> [Self; CRASH_THRESHOLD] {
+        [Self::Once, Self::Twice, Self::Repeatedly]
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/src/serving/crashes/table.rs
+++ b/crates/core/src/serving/crashes/table.rs
@@ -65,8 +65,8 @@
     /// Returns the requests with stronger evidence than `own` that may explain crashes of a worker, as their own crashes
     /// suffice for a quarantine.
     pub(super) fn explaining(&self, worker: &WorkerId, own: Evidence) -> impl Iterator<Item = &SuspectRequest> {
-        let weakest = (worker.clone(), Evidence::default(), RequestDigest::MIN);
-        let strongest = (worker.clone(), Evidence::MAX, RequestDigest::MAX);
+        let weakest = (worker.clone(), Evidence::default(), RequestDigest::smallest());
+        let strongest = (worker.clone(), Evidence::largest(), RequestDigest::largest());
         let strongest_first = self.explaining.range(weakest..=strongest).rev();
         let stronger = strongest_first.take_while(move |(_, evidence, _)| *evidence > own);
         stronger.filter_map(|(_, _, digest)| self.suspects.get(digest))
@@ -84,7 +84,7 @@
     /// many requests that an unrelated crash affects once; these must not displace it, nor may it displace new suspects.
     pub(super) fn evict(&mut self, now: UnixMillis) -> Evicted {
         let mut evicted = Evicted::default();
-        for class in Recurrence::ALL {
+        for class in Recurrence::all() {
             while let Some((last_crash, digest)) = self.oldest(class) {
                 let is_expired = now.0.saturating_sub(last_crash.0) >= CRASH_RETENTION.0;
                 let is_surplus = self.count(class) > MAX_REQUESTS_PER_CLASS;
