Log why each worker was passed over, and the answers to permit requests

A refusal "no worker is left to try" listed only the number of ready workers, so ejections, cold starts without permits and evacuated zones could not be told apart, and no line said whether permits were requested or granted.

E505 now counts the unavailable workers by reason. E523 PermitsAnswered is written for each exchange with the leader, and stallmoor_gateway_permits_total counts its permits. New fields and series only.

--- a/crates/core/src/serving/workers/mod.rs
+++ b/crates/core/src/serving/workers/mod.rs
@@ -14,6 +14,7 @@
 //! | [`choice`] | worker selection for requests and batch items |
 //! | [`cold_start`] | workers that have just started, and this node's permits to send them requests |
 //! | [`permit_grants`] | the leader's side of cold start permits |
+//! | [`unavailable`] | counts of the workers that a request cannot be sent to, by reason |
 //! | `evidence` | decayed counts of served and failed requests |
 //! | [`suspicion`] | verdicts on workers that fail requests |
 //! | `shared_outcomes` | counts of served and failed requests of other nodes |
@@ -53,6 +54,7 @@
 pub mod suspicion;
 pub mod table;
 pub mod trials;
+pub mod unavailable;
 pub mod worker;
 
 pub use choice::{Choice, WorkerQuery};
--- a/crates/gateway/src/online/records.rs
+++ b/crates/gateway/src/online/records.rs
@@ -46,13 +46,23 @@
     }
 
     pub(super) fn log_refusal(&self, refused: &Refusal) {
+        let now = self.now();
+        let (ready, unavailable) = {
+            let workers = self.client.view.workers();
+            (workers.ready_count(&self.service, now), workers.unavailable_workers(&self.worker_query(), now))
+        };
         let fields = [
             Field::text("request", &self.request.attributes.id),
             Field::text("route", &self.request.route.name),
             Field::text("kind", refused.kind.code()),
             Field::text("detail", &refused.detail),
-            Field::number("age_ms", self.state.age(self.now()).0),
-            Field::number("ready_workers", self.client.view.workers().ready_count(&self.service, self.now()) as u64),
+            Field::number("age_ms", self.state.age(now).0),
+            Field::number("ready_workers", ready as u64),
+            Field::number("excluded_zone", unavailable.excluded_zone),
+            Field::number("tried", unavailable.tried),
+            Field::number("ejected", unavailable.ejected),
+            Field::number("peer_ejected", unavailable.peer_ejected),
+            Field::number("cold", unavailable.cold),
             Field::number("configuration", self.client.view.configuration().map_or(0, |current| current.version)),
         ];
         record(LogEvent::RequestRefused, &fields);
--- a/crates/gateway/src/workers/permits.rs
+++ b/crates/gateway/src/workers/permits.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use stallmoor_core::identity::NodeId;
+use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::serving::jobs::request::{JobsAnswer, JobsRequest};
 use stallmoor_core::serving::workers::WorkerId;
 use stallmoor_core::serving::workers::cold_start::{
@@ -19,6 +20,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::leader::client::LeaderClient;
+use crate::observe::journal::{Field, record};
+use crate::observe::measures;
 use crate::workers::attempt::WorkerClient;
 
 /// Delay after a failed request: there is no leader, or it does not support permits.
@@ -87,14 +90,31 @@
         // The lifetime starts with the request, so that a late answer doesn't prolong a permit.
         let until = requested_at + PERMIT_LIFETIME;
         let wanted = workers.permits.take_wanted();
+        let wanted_count = wanted.len();
         // Without an answer no permits are added, and cold workers are skipped.
         let answer = client.send_request(JobsRequest::RequestPermits(wanted), until).await;
         workers.permits.has_no_leader.store(answer.is_err(), Ordering::Relaxed);
         let wait = if answer.is_ok() { PERMIT_INTERVAL } else { NO_LEADER_RETRY_INTERVAL };
-        if let Ok(JobsAnswer::Permits(granted)) = answer {
-            view.workers().add_permits(&granted, until);
-        }
+        let granted = match &answer {
+            Ok(JobsAnswer::Permits(granted)) => granted.as_slice(),
+            _ => &[],
+        };
+        view.workers().add_permits(granted, until);
+        log_answer(answer.is_ok(), wanted_count, granted.len(), view.clock.now().since(requested_at));
         workers.permits.completed_requests.send_modify(|count| *count += 1);
         tokio::time::sleep(Duration::from_millis(wait.0)).await;
     }
 }
+
+fn log_answer(has_leader: bool, wanted: usize, granted: usize, elapsed: Millis) {
+    let outcome = if has_leader { "answered" } else { "no_leader" };
+    let fields = [
+        Field::text("outcome", outcome),
+        Field::number("wanted", wanted as u64),
+        Field::number("granted", granted as u64),
+        Field::number("age_ms", elapsed.0),
+    ];
+    record(LogEvent::PermitsAnswered, &fields);
+    measures::count_permits("granted", granted);
+    measures::count_permits(if has_leader { "denied" } else { "no_leader" }, wanted.saturating_sub(granted));
+}
--- a/crates/gateway/tests/golden_measures.rs
+++ b/crates/gateway/tests/golden_measures.rs
@@ -53,6 +53,7 @@
     "word",
 ];
 const RATE_REFUSAL_CAUSES: [&str; 5] = ["partitioned", "no_level", "fraction", "reserved", "stale_level"];
+const PERMIT_ENDS: [&str; 3] = ["granted", "denied", "no_leader"];
 const TRIAL_ENDS: [&str; 2] = ["served", "failed"];
 const ELECTION_REASONS: [&str; 3] = ["silence", "process_ended", "handover"];
 const REQUEST_ENDS: [&str; 3] = ["whole", "caller gone", "broken off"];
@@ -85,6 +86,7 @@
     measures::set_exhausted_tenants(2);
     RATE_REFUSAL_CAUSES.into_iter().for_each(measures::count_rate_refusal_cause);
     measures::set_suspected_workers(4);
+    PERMIT_ENDS.into_iter().for_each(|end| measures::count_permits(end, 1));
     TRIAL_ENDS.into_iter().for_each(measures::count_trial);
     ELECTION_REASONS.into_iter().for_each(measures::count_election);
 }
