Count the requests that fail with a crashed worker as one failure

Callers saw: after a crash the worker received nothing for up to 4 s although it was back after 1.2 s, and where all workers had crashed everything was refused for that time.

Cause: each failed request doubled the ejection. A worker that ran three requests when it died got a fourth failure, the refused connection, and with it the maximum ejection.

Attempts that started before the last counted failure no longer count. Only an attempt that starts after the ejection shows that the worker still fails.

worker_recovery: requests_in_flight_at_a_crash_count_as_one_failure failed before.

--- a/crates/core/src/serving/workers/health.rs
+++ b/crates/core/src/serving/workers/health.rs
@@ -75,8 +75,20 @@
         Millis(self.mean_first_event_ms.value() as u64)
     }
 
-    /// Updates the worker's state after an attempt that ended without a complete response.
+    /// Updates the worker's state after an attempt that started and ended at `now` without a complete response; see
+    /// [`WorkerTable::record_ended_attempt`].
     pub fn record_attempt_end(&mut self, incarnation: &WorkerIncarnation, end: AttemptEnd, now: Timestamp) {
+        self.record_ended_attempt(incarnation, end, now, now);
+    }
+
+    /// Updates the worker's state after an attempt that started at `started_at` and ended without a complete response.
+    pub fn record_ended_attempt(
+        &mut self,
+        incarnation: &WorkerIncarnation,
+        end: AttemptEnd,
+        started_at: Timestamp,
+        now: Timestamp,
+    ) {
         match end {
             AttemptEnd::NotRun { other_instance: false } => self.mark_full(incarnation, now),
             AttemptEnd::NotRun { other_instance: true } => {
@@ -87,27 +99,44 @@
                 }
             }
             AttemptEnd::NotConnected => {
-                self.record_failure(incarnation, false, now);
+                self.record_failed_attempt(incarnation, false, started_at, now);
             }
             AttemptEnd::Failed { .. } | AttemptEnd::Broken | AttemptEnd::Silent => {
-                self.record_failure(incarnation, true, now);
+                self.record_failed_attempt(incarnation, true, started_at, now);
             }
         }
     }
 
-    /// Records a failed attempt and ejects the worker. Returns the duration of the ejection, which is longer if the
-    /// worker could not be reached, or `None` if the worker is unknown.
+    /// Records an attempt that started and failed at `now`; see [`WorkerTable::record_failed_attempt`].
     pub fn record_failure(
         &mut self,
         incarnation: &WorkerIncarnation,
         was_reached: bool,
         now: Timestamp,
+    ) -> Option<Millis> {
+        self.record_failed_attempt(incarnation, was_reached, now, now)
+    }
+
+    /// Records a failed attempt that started at `started_at`, and ejects the worker. Returns the duration of the
+    /// ejection, which is longer if the worker could not be reached, or `None` if the worker is unknown.
+    ///
+    /// When a worker crashes, all its requests fail. Those sent before the worker was ejected count as one failure,
+    /// since only attempts after an ejection show that the worker still fails.
+    pub fn record_failed_attempt(
+        &mut self,
+        incarnation: &WorkerIncarnation,
+        was_reached: bool,
+        started_at: Timestamp,
+        now: Timestamp,
     ) -> Option<Millis> {
         let entry = self.entry_mut(incarnation)?;
-        entry.consecutive_failures += 1;
+        if entry.consecutive_failures == 0 || started_at >= entry.ejected_at {
+            entry.consecutive_failures += 1;
+            entry.ejected_at = now;
+        }
         let base = if was_reached { BASE_EJECTION } else { BASE_UNREACHABLE_EJECTION };
         let duration = Backoff::new(base, MAX_EJECTION).wait(entry.consecutive_failures - 1);
-        entry.ejected_until = Some(now + duration);
+        entry.ejected_until = entry.ejected_until.max(Some(now + duration));
         if !was_reached {
             // The worker may restart before its record shows it.
             self.mark_cold_from(&incarnation.id, now + duration);
--- a/crates/core/src/serving/workers/worker.rs
+++ b/crates/core/src/serving/workers/worker.rs
@@ -198,6 +198,8 @@
     pub(super) assumed: Option<AssumedLoad>,
     /// Number of consecutive failed attempts from this node.
     pub(super) consecutive_failures: u32,
+    /// Time of the last failure that was counted. Attempts that started before it are not counted again.
+    pub(super) ejected_at: Timestamp,
     /// End of the ejection caused by failed attempts of this node.
     pub(super) ejected_until: Option<Timestamp>,
     /// End of the ejection caused by failures that other nodes reported.
@@ -226,6 +228,7 @@
             peer_load: None,
             assumed: None,
             consecutive_failures: 0,
+            ejected_at: Timestamp::default(),
             ejected_until: None,
             peer_ejected_until: None,
             cache: PrefixCache::default(),
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -127,7 +127,7 @@
                 Ok(answer) => {
                     self.record_head(&answer);
                     let Some(end) = self.state.server_failure(answer.status.as_u16()) else { return Ok(answer) };
-                    self.end_attempt(&answer.worker, end);
+                    self.end_attempt(&answer.worker, end, answer.sent_at);
                     if !self.state.may_retry() {
                         return Ok(answer);
                     }
@@ -250,10 +250,10 @@
         }
     }
 
-    /// Records the failure of an attempt whose worker had already started to answer.
-    fn end_attempt(&mut self, worker: &WorkerIncarnation, end: AttemptEnd) {
+    /// Records the failure of an attempt, started at `sent_at`, whose worker had already started to answer.
+    fn end_attempt(&mut self, worker: &WorkerIncarnation, end: AttemptEnd, sent_at: Timestamp) {
         self.record_evidence(|attribution, _| attribution.on_end(worker, end));
-        self.client.view.workers().record_attempt_end(worker, end, self.now());
+        self.client.view.workers().record_ended_attempt(worker, end, sent_at, self.now());
         self.log_attempt(&worker.id, end);
         self.state.record_attempt_end(&worker.id, end, &mut self.client.view.retry_budget());
         self.run_ended(end);
--- a/crates/gateway/src/online/stream.rs
+++ b/crates/gateway/src/online/stream.rs
@@ -43,7 +43,7 @@
         let mut current = answer;
         let mut outcome = "broken off";
         loop {
-            let worker = current.worker.clone();
+            let (worker, sent_at) = (current.worker.clone(), current.sent_at);
             match self.forward_from(current, sender).await {
                 StreamEnd::Complete => {
                     self.run_completed();
@@ -54,7 +54,7 @@
                     outcome = "out of time";
                     break;
                 }
-                StreamEnd::AttemptFailed(end) => self.end_attempt(&worker, end),
+                StreamEnd::AttemptFailed(end) => self.end_attempt(&worker, end, sent_at),
             }
             if !self.state.may_resume() {
                 break;
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -182,7 +182,8 @@
 
     fn interrupted(&mut self, client: &WorkerClient, answer: &OpenAnswer) -> RunEnd {
         self.record_evidence(client, |attribution, worker, _| attribution.on_broken(worker));
-        client.view.workers().record_failure(&answer.worker, true, client.view.clock.now());
+        let now = client.view.clock.now();
+        client.view.workers().record_failed_attempt(&answer.worker, true, answer.sent_at, now);
         RunEnd::BrokenOff
     }
 }
--- a/crates/gateway/src/workers/attempt.rs
+++ b/crates/gateway/src/workers/attempt.rs
@@ -152,6 +152,7 @@
     /// [`FailedAttempt`]: why the attempt failed. No part of an answer may be forwarded to the caller.
     pub async fn open(&self, attempt: Attempt, timeout: Duration) -> Result<OpenAnswer, FailedAttempt> {
         let worker = attempt.choice.incarnation();
+        let started_at = self.view.clock.now();
         let result = self.try_open(attempt, timeout).await;
         let now = self.view.clock.now();
         match &result {
@@ -164,7 +165,7 @@
                     workers.mark_cold(&worker, cold_remaining, now);
                 }
             }
-            Err(failed) => self.view.workers().record_attempt_end(&worker, failed.end, now),
+            Err(failed) => self.view.workers().record_ended_attempt(&worker, failed.end, started_at, now),
         }
         result
     }
