Grant permits for cold workers to online requests before batch items

Callers saw: while all usable workers were in a cold start, online requests were refused although a leader was in place, for as long as the cold start lasted.

Cause: the leader dispatches items after each event, at least every 20 ms, and took each permit as soon as it accrued; gateways request permits every 100 ms.

Items now get only what exceeds a reserve of two accumulated permits. Where online requests ask for all permits, the level never gets there.

--- a/crates/core/src/serving/workers/permit_grants.rs
+++ b/crates/core/src/serving/workers/permit_grants.rs
@@ -20,6 +20,8 @@
 const GRANTED_FRACTION: f64 = 0.7;
 /// Maximum number of permits that accumulate for a worker while none are requested.
 const MAX_ACCUMULATED_PERMITS: f64 = 4.0;
+/// Number of accumulated permits that are not granted to batch items.
+const RESERVED_FOR_ONLINE: f64 = 2.0;
 /// Time for which a worker's bucket is retained after the last request for its permits.
 const IDLE_RETENTION: Millis = Millis(10_000);
 
@@ -42,16 +44,38 @@
         *self = Self { leader_since: now, workers: BTreeMap::new() };
     }
 
-    /// Grants at most one permit for each worker in `wanted`. `cold_start_of` returns the limits of a worker, or `None`
-    /// if the worker is unknown or has no cold start.
+    /// Grants at most one permit for each worker in `wanted` to the online requests of a node. `cold_start_of` returns
+    /// the limits of a worker, or `None` if the worker is unknown or has no cold start.
     pub fn grant(
         &mut self,
         wanted: &[WorkerId],
         cold_start_of: impl Fn(&WorkerId) -> Option<ColdStart>,
         now: Timestamp,
+    ) -> Vec<WorkerCount> {
+        self.grant_above(0.0, wanted, cold_start_of, now)
+    }
+
+    /// Like [`PermitGrants::grant`], for batch items of the leader. They get what online requests leave over, since the
+    /// leader dispatches items far more often than the nodes request permits.
+    pub fn grant_batch(
+        &mut self,
+        wanted: &[WorkerId],
+        cold_start_of: impl Fn(&WorkerId) -> Option<ColdStart>,
+        now: Timestamp,
+    ) -> Vec<WorkerCount> {
+        self.grant_above(RESERVED_FOR_ONLINE, wanted, cold_start_of, now)
+    }
+
+    /// Grants permits from buckets whose level stays at `reserved` or above.
+    fn grant_above(
+        &mut self,
+        reserved: f64,
+        wanted: &[WorkerId],
+        cold_start_of: impl Fn(&WorkerId) -> Option<ColdStart>,
+        now: Timestamp,
     ) -> Vec<WorkerCount> {
         let known = wanted.iter().filter_map(|worker| Some((worker, cold_start_of(worker)?)));
-        let granted = known.filter(|(worker, cold_start)| self.take_permit(worker, *cold_start, now));
+        let granted = known.filter(|(worker, cold_start)| self.take_permit(worker, *cold_start, reserved, now));
         granted.map(|(worker, _)| WorkerCount { worker: worker.clone(), requests: 1 }).collect()
     }
 
@@ -60,7 +84,7 @@
         self.workers.retain(|_, worker| now.since(worker.requested_at) < IDLE_RETENTION);
     }
 
-    fn take_permit(&mut self, worker: &WorkerId, cold_start: ColdStart, now: Timestamp) -> bool {
+    fn take_permit(&mut self, worker: &WorkerId, cold_start: ColdStart, reserved: f64, now: Timestamp) -> bool {
         let limit =
             BucketLimit { per_s: cold_start.per_s.requests() * GRANTED_FRACTION, capacity: MAX_ACCUMULATED_PERMITS };
         let is_established = now.since(self.leader_since) >= PERMIT_LIFETIME;
@@ -69,7 +93,7 @@
         let known = self.workers.entry(worker.clone()).or_insert_with(new);
         known.requested_at = now;
         known.bucket.refill(limit, now);
-        let is_available = known.bucket.level() >= 1.0;
+        let is_available = known.bucket.level() >= reserved + 1.0;
         if is_available {
             known.bucket.spend(1.0, 0.0);
         }
--- a/crates/core/tests/worker_recovery.rs
+++ b/crates/core/tests/worker_recovery.rs
@@ -9,7 +9,10 @@
 use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::serving::regions::AllowedRegions;
 use stallmoor_core::serving::workers::cold_start::ColdStart;
-use stallmoor_core::serving::workers::{WorkerId, WorkerIncarnation, WorkerQuery, WorkerRecord, WorkerTable};
+use stallmoor_core::serving::workers::permit_grants::PermitGrants;
+use stallmoor_core::serving::workers::{
+    WorkerId, WorkerIncarnation, WorkerQuery, WorkerRecord, WorkerTable,
+};
 use stallmoor_core::time::{Millis, Timestamp};
 
 const SERVICE: &str = "service";
@@ -100,3 +103,21 @@
         previous = ejection;
     }
 }
+
+/// Guards against batch items that use up the permits of cold workers while online requests are refused.
+#[test]
+fn batch_items_leave_the_permits_to_waiting_online_requests() {
+    let mut grants = PermitGrants::default();
+    grants.reset(at(0));
+    let wanted = [worker("cold").id];
+    let (mut online, mut batch) = (0, 0);
+    // The leader dispatches items with every tick, a gateway requests permits every 100 ms.
+    for now in (1_000..6_000).step_by(20) {
+        batch += grants.grant_batch(&wanted, |_| Some(COLD_START), at(now)).len();
+        if now % 100 == 0 {
+            online += grants.grant(&wanted, |_| Some(COLD_START), at(now)).len();
+        }
+    }
+    assert!(online >= 45, "{online} of 50 online requests got a permit, beside {batch} items");
+    assert!(batch >= 10, "{batch} items got what 10 requests per second leave of 14");
+}
