Request permits for ejected workers if no other worker is left

Callers saw: after all workers had crashed, everything was refused until the ejections ended, although the workers were back.

Cause: an ejected worker is tried if no other is left, but not one that counts as cold without a permit. A failed connection makes a worker both ejected and cold, and permits were never requested for ejected workers.

A request without any candidate now requests permits for ejected workers, too, after those that are only cold, and for up to eight instead of two, since they will be used. The leader's limit on each worker is unchanged. Batch items still wait until a worker is no longer ejected. Workers that the request tried are left out.

--- a/crates/core/src/serving/workers/choice.rs
+++ b/crates/core/src/serving/workers/choice.rs
@@ -144,6 +144,13 @@
         if healthy.is_empty() { ready } else { healthy }
     }
 
+    /// Returns whether the request can be sent to a worker that is not ejected.
+    pub(super) fn has_candidate(&self, query: &WorkerQuery<'_>, now: Timestamp) -> bool {
+        let mut usable = self.eligible(query).filter(|entry| !query.tried.contains(&entry.record.id));
+        usable
+            .any(|entry| entry.accepts_requests(now) && !entry.is_ejected(now) && self.is_warm_or_permitted(entry, now))
+    }
+
     /// Removes suspected workers: those excluded from selection, or all for a request that may run only once. Returns
     /// all workers if none would be left.
     fn without_avoided<'a>(&self, ready: Vec<&'a WorkerEntry>, query: &WorkerQuery<'_>) -> Vec<&'a WorkerEntry> {
--- a/crates/core/src/serving/workers/cold_start.rs
+++ b/crates/core/src/serving/workers/cold_start.rs
@@ -28,6 +28,9 @@
 /// Maximum number of workers in one permit request. A node that places few requests would let further permits expire
 /// unused.
 pub const MAX_WORKERS_PER_PERMIT_REQUEST: usize = 2;
+/// Maximum number of workers in a permit request while requests have no worker to go to, so that their permits are
+/// used.
+pub const MAX_WORKERS_WITHOUT_CANDIDATE: usize = 8;
 
 /// Limits on the workers of a service after their start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -114,23 +117,45 @@
 
     /// Returns whether a permit would make another worker available for the request.
     pub fn needs_permit(&self, query: &WorkerQuery<'_>, now: Timestamp) -> bool {
-        self.has_cold_workers(now) && self.unpermitted(query, now).next().is_some()
+        self.has_cold_workers(now) && self.unpermitted(query, !self.has_candidate(query, now), now).next().is_some()
     }
 
     /// Returns the workers to request permits for, preferring the local zone. They are sampled at random, so that nodes
-    /// request permits for different workers.
+    /// request permits for different workers. A request without any candidate asks for more of them, and for ejected
+    /// ones, which may have recovered.
     pub fn wanted_permits(&self, query: &WorkerQuery<'_>, now: Timestamp, random: &mut impl Rng) -> Vec<WorkerId> {
-        let in_zone = self.unpermitted(query, now).filter(|entry| &*entry.record.zone == query.zone);
-        let mut wanted = in_zone.choose_multiple(random, MAX_WORKERS_PER_PERMIT_REQUEST);
-        if wanted.is_empty() {
-            wanted = self.unpermitted(query, now).choose_multiple(random, MAX_WORKERS_PER_PERMIT_REQUEST);
-        }
+        let has_candidate = self.has_candidate(query, now);
+        let limit = if has_candidate { MAX_WORKERS_PER_PERMIT_REQUEST } else { MAX_WORKERS_WITHOUT_CANDIDATE };
+        let (ejected, others): (Vec<_>, Vec<_>) =
+            self.unpermitted(query, !has_candidate, now).partition(|entry| entry.is_ejected(now));
+        let mut wanted = sample_local_first(others, query.zone, limit, !has_candidate, random);
+        wanted.extend(ejected.into_iter().choose_multiple(random, limit - wanted.len()));
+        wanted.into_iter().map(|entry| entry.record.id.clone()).collect()
+    }
+
+    /// Returns the workers to request permits for on behalf of a batch item, which is not sent to ejected workers.
+    pub fn wanted_batch_permits(
+        &self,
+        query: &WorkerQuery<'_>,
+        now: Timestamp,
+        random: &mut impl Rng,
+    ) -> Vec<WorkerId> {
+        let cold = self.unpermitted(query, false, now).collect();
+        let wanted = sample_local_first(cold, query.zone, MAX_WORKERS_PER_PERMIT_REQUEST, false, random);
         wanted.into_iter().map(|entry| entry.record.id.clone()).collect()
     }
 
-    fn unpermitted<'a>(&'a self, query: &'a WorkerQuery<'_>, now: Timestamp) -> impl Iterator<Item = &'a WorkerEntry> {
-        let is_cold = move |entry: &&WorkerEntry| !self.is_warm_or_permitted(entry, now);
-        self.eligible(query).filter(is_cold).filter(move |entry| entry.accepts_requests(now) && !entry.is_ejected(now))
+    /// Returns the workers to which the request could be sent with a permit.
+    fn unpermitted<'a>(
+        &'a self,
+        query: &'a WorkerQuery<'_>,
+        includes_ejected: bool,
+        now: Timestamp,
+    ) -> impl Iterator<Item = &'a WorkerEntry> {
+        let untried = self.eligible(query).filter(|entry| !query.tried.contains(&entry.record.id));
+        let accepting = untried.filter(move |entry| entry.accepts_requests(now));
+        let cold = accepting.filter(move |entry| !self.is_warm_or_permitted(entry, now));
+        cold.filter(move |entry| includes_ejected || !entry.is_ejected(now))
     }
 
     /// Stores granted permits, which expire at `until`.
@@ -150,3 +175,20 @@
         }
     }
 }
+
+/// Returns up to `limit` random workers of the zone, or of other zones if the zone has none. With `fills_up`, workers of
+/// other zones make up for missing ones.
+fn sample_local_first<'a>(
+    workers: Vec<&'a WorkerEntry>,
+    zone: &str,
+    limit: usize,
+    fills_up: bool,
+    random: &mut impl Rng,
+) -> Vec<&'a WorkerEntry> {
+    let (local, remote): (Vec<_>, Vec<_>) = workers.into_iter().partition(|entry| &*entry.record.zone == zone);
+    let mut sample = local.into_iter().choose_multiple(random, limit);
+    if sample.is_empty() || fills_up {
+        sample.extend(remote.into_iter().choose_multiple(random, limit - sample.len()));
+    }
+    sample
+}
--- a/crates/core/tests/worker_recovery.rs
+++ b/crates/core/tests/worker_recovery.rs
@@ -11,7 +11,7 @@
 use stallmoor_core::serving::workers::cold_start::ColdStart;
 use stallmoor_core::serving::workers::permit_grants::PermitGrants;
 use stallmoor_core::serving::workers::{
-    WorkerId, WorkerIncarnation, WorkerQuery, WorkerRecord, WorkerTable,
+    WorkerCount, WorkerId, WorkerIncarnation, WorkerQuery, WorkerRecord, WorkerTable,
 };
 use stallmoor_core::time::{Millis, Timestamp};
 
@@ -104,6 +104,35 @@
     }
 }
 
+fn cold_table_of(names: &[&str]) -> WorkerTable {
+    let mut table = table_of(names);
+    table.set_cold_starts([(Arc::from(SERVICE), COLD_START)].into());
+    table
+}
+
+fn chosen(table: &WorkerTable, millis: u64) -> Option<WorkerId> {
+    table.choose(&query(), at(millis), &mut random()).map(|choice| choice.id)
+}
+
+fn permit(name: &str) -> WorkerCount {
+    WorkerCount { worker: worker(name).id, requests: 1 }
+}
+
+/// Guards against refusing all requests for as long as every worker is ejected, even if the workers are back.
+#[test]
+fn ejected_workers_are_tried_under_permits_if_no_other_is_left() {
+    let mut table = cold_table_of(&["crashed", "other"]);
+    table.record_failure(&incarnation("crashed"), false, at(0));
+    assert_eq!(table.wanted_permits(&query(), at(100), &mut random()), [], "the other worker is left");
+    table.record_failure(&incarnation("other"), false, at(100));
+    assert!(table.needs_permit(&query(), at(200)));
+    assert_eq!(table.wanted_permits(&query(), at(200), &mut random()).len(), 2);
+    assert_eq!(table.wanted_batch_permits(&query(), at(200), &mut random()), [], "items wait for the workers");
+    assert_eq!(chosen(&table, 200), None, "there is no permit");
+    table.add_permits(&[permit("crashed")], at(600));
+    assert_eq!(chosen(&table, 210), Some(worker("crashed").id));
+}
+
 /// Guards against batch items that use up the permits of cold workers while online requests are refused.
 #[test]
 fn batch_items_leave_the_permits_to_waiting_online_requests() {
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -344,7 +344,7 @@
         }
         if choice.is_none() && workers.needs_permit(&query, now) {
             // Cold workers are used only if no warm one has capacity.
-            let wanted = workers.wanted_permits(&query, now, &mut *random);
+            let wanted = workers.wanted_batch_permits(&query, now, &mut *random);
             let granted = permits.grant_batch(&wanted, |worker| workers.cold_start_of(worker), now);
             workers.add_permits(&granted, now + PERMIT_LIFETIME);
             choice = workers.choose_for_batch(&query, online_per_s, now, &mut *random);
--- a/crates/gateway/src/workers/permits.rs
+++ b/crates/gateway/src/workers/permits.rs
@@ -50,14 +50,16 @@
 }
 
 impl PermitRequests {
-    /// Adds workers to the next request for permits.
+    /// Adds workers to the next request for permits, which names no more workers than one of the online requests
+    /// wants, since its permits would otherwise expire unused.
     pub fn request(&self, workers: Vec<WorkerId>) {
         if workers.is_empty() {
             return;
         }
+        let limit = workers.len().max(MAX_WORKERS_PER_PERMIT_REQUEST);
         let mut wanted = self.wanted.lock().unwrap_or_else(PoisonError::into_inner);
         for worker in workers {
-            if wanted.len() < MAX_WORKERS_PER_PERMIT_REQUEST {
+            if wanted.len() < limit {
                 wanted.insert(worker);
             }
         }
