End the cold period one cold start after a worker answered

Callers saw: requests refused for lack of permits for up to 7 s after a worker was back.

Cause: a failed connection makes the worker cold for a cold start after the end of its ejection, because it may start at any time until then. That was kept when the worker answered earlier, which shows that it had started.

The first event of an answer now limits the cold period to one cold start from then on.

worker_recovery: worker_that_answers_is_warm_after_its_cold_start failed before.

--- a/crates/core/src/serving/workers/cold_start.rs
+++ b/crates/core/src/serving/workers/cold_start.rs
@@ -56,6 +56,11 @@
         self.cold_until = self.cold_until.max(until);
     }
 
+    /// Ends the cold period at `latest` at the latest.
+    fn limit_cold_period(&mut self, latest: Timestamp) {
+        self.cold_until = self.cold_until.min(latest);
+    }
+
     fn has_permit(&self, now: Timestamp) -> bool {
         self.permits > 0 && now < self.permits_until
     }
@@ -92,6 +97,15 @@
         self.cold_until = self.cold_until.max(from + cold_start.lasts);
     }
 
+    /// Ends a worker's cold period no later than one cold start after `now`, since a worker that answered at `now` had
+    /// started by then.
+    pub(super) fn limit_cold_period(&mut self, incarnation: &WorkerIncarnation, now: Timestamp) {
+        let Some(cold_start) = self.cold_start_of(&incarnation.id) else { return };
+        if let Some(entry) = self.entry_mut(incarnation) {
+            entry.cold_state.limit_cold_period(now + cold_start.lasts);
+        }
+    }
+
     /// Treats all workers of a zone as cold from `from` on.
     pub(super) fn mark_zone_cold_from(&mut self, zone: &str, from: Timestamp) {
         let in_zone = self.workers.values().filter(|entry| &*entry.record.zone == zone);
--- a/crates/core/src/serving/workers/health.rs
+++ b/crates/core/src/serving/workers/health.rs
@@ -59,6 +59,7 @@
             entry.relative_latency.record(relative_latency);
             entry.latency_measured_at = now;
         }
+        self.limit_cold_period(incarnation, now);
     }
 
     /// Records the time to the first event of a stream from the selected worker. The sample updates the service times
--- a/crates/core/tests/worker_recovery.rs
+++ b/crates/core/tests/worker_recovery.rs
@@ -133,6 +133,21 @@
     assert_eq!(chosen(&table, 210), Some(worker("crashed").id));
 }
 
+/// Guards against a cold period that lasts longer than a cold start after the worker answered again.
+#[test]
+fn worker_that_answers_is_warm_after_its_cold_start() {
+    let mut table = cold_table_of(&["crashed"]);
+    let mut now = 0;
+    for _ in 0..3 {
+        now += table.record_failure(&incarnation("crashed"), false, at(now)).expect("the worker is known").0;
+    }
+    let answered_at = now - 3_000;
+    table.add_permits(&[permit("crashed")], at(answered_at + 10));
+    table.record_success(&incarnation("crashed"), Millis(10), at(answered_at));
+    assert_eq!(chosen(&table, answered_at + 20), None, "the worker is cold");
+    assert_eq!(chosen(&table, answered_at + 3_000), Some(worker("crashed").id));
+}
+
 /// Guards against batch items that use up the permits of cold workers while online requests are refused.
 #[test]
 fn batch_items_leave_the_permits_to_waiting_online_requests() {
