Log the start of a node before its tasks start

The test first_log_lines_match_golden_file failed once beside builds: E410 of the driver's first call to the key-value service came before E100 NodeStarted. The driver's task was started before the line was written. The line is now written once the sockets are bound, before any task that logs.

--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -131,6 +131,9 @@
     let streams = actor::spawn(streams_state).await.context(SpawnSnafu)?;
     let transport_state = TransportState::new(sockets.datagrams.clone());
     let transport = actor::spawn(transport_state).await.context(SpawnSnafu)?;
+    // Logged before any task runs that may log events of its own.
+    let detail = format!("{} in zone {}: peers {peer_address}, callers {caller_address}", disk.id, settings.zone);
+    log_event(LogEvent::NodeStarted, &detail);
     let driver_state = DriverState {
         node,
         store: disk.store,
@@ -152,8 +155,6 @@
     tokio::spawn(receive_datagrams(sockets.datagrams, events.clone()));
     let service = HttpService::new(events.clone(), callers, settings.limits);
     tokio::spawn(serve(sockets.callers, service));
-    let detail = format!("{} in zone {}: peers {peer_address}, callers {caller_address}", disk.id, settings.zone);
-    log_event(LogEvent::NodeStarted, &detail);
     Ok(RunningNode { events, stopped, caller_address, peer_address })
 }
 
