Share the rate of cold workers among the gateways while there is no leader

Callers saw: while the job table had no leader, nothing was sent to cold workers, and everything was refused where all usable workers had started or crashed in the last seconds.

Cause: only the leader grants permits, and a cold worker without one is passed over.

With the permits that a leader may grant to other gateways meanwhile, the sum stays under what a cold worker tolerates.

cold_start_simulation: gateways_share_the_rate_of_cold_workers_without_a_leader fails without the shares, for 1 to 300 gateways; shares_leave_room_for_the_permits_of_other_gateways holds the limit with both. The test that asserted that cold workers receive nothing without a leader asserted the fault. Its run, in which every answer of the leader is lost, still asserts zero under the name lost_permits_are_not_replaced.

--- a/crates/core/src/serving/workers/cold_start.rs
+++ b/crates/core/src/serving/workers/cold_start.rs
@@ -2,8 +2,8 @@
 //!
 //! A cold worker tolerates a limited request rate from all nodes together. Nodes that each see an idle worker would
 //! exceed it, so sending a request to a cold worker requires a permit from the leader of the job table
-//! ([`PermitGrants`](super::permit_grants::PermitGrants)). A node without permits, for example because it cannot reach
-//! the leader, skips cold workers.
+//! ([`PermitGrants`](super::permit_grants::PermitGrants)). A gateway that reaches no leader keeps to its share of the
+//! rate instead ([`rate_share`](super::rate_share)).
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -48,6 +48,8 @@
     /// Number of requests that this node may send while the worker is cold.
     permits: u32,
     permits_until: Timestamp,
+    /// Last slot of this node's rate share that was used.
+    used_slot: Option<u64>,
 }
 
 impl ColdState {
@@ -126,7 +128,29 @@
 
     /// Returns whether the cold start of a worker allows sending it a request.
     pub(super) fn is_warm_or_permitted(&self, entry: &WorkerEntry, now: Timestamp) -> bool {
-        !self.is_cold(entry, now) || entry.cold_state.has_permit(now)
+        !self.is_cold(entry, now) || entry.cold_state.has_permit(now) || self.unused_slot(entry, now).is_some()
+    }
+
+    /// Returns the open slot of this node's rate share, unless it was used.
+    fn unused_slot(&self, entry: &WorkerEntry, now: Timestamp) -> Option<u64> {
+        let cold_start = *self.cold_starts.get(&entry.record.service)?;
+        let slot = self.rate_share.open_slot(&entry.record.id, cold_start, now)?;
+        (entry.cold_state.used_slot != Some(slot)).then_some(slot)
+    }
+
+    /// Sets whether a leader answers requests for permits. Without one, this node uses its share of the rate of cold
+    /// workers.
+    pub fn set_permit_leader(&mut self, has_leader: bool) {
+        self.rate_share.set_active(!has_leader);
+    }
+
+    /// Returns the time until this node may send the request to a cold worker, if it uses its share of their rate.
+    pub fn next_share_in(&self, query: &WorkerQuery<'_>, now: Timestamp) -> Option<Millis> {
+        let next = |entry: &WorkerEntry| {
+            let cold_start = *self.cold_starts.get(&entry.record.service)?;
+            self.rate_share.next_slot_in(&entry.record.id, cold_start, now)
+        };
+        self.unpermitted(query, true, now).filter_map(next).min()
     }
 
     /// Returns whether a permit would make another worker available for the request.
@@ -182,10 +206,14 @@
         }
     }
 
-    /// Consumes a permit for a request sent to the worker, if there is one.
-    pub(super) fn consume_permit(&mut self, incarnation: &WorkerIncarnation) {
-        if let Some(entry) = self.entry_mut(incarnation) {
-            entry.cold_state.permits = entry.cold_state.permits.saturating_sub(1);
+    /// Consumes a permit for a request sent to the worker, or else the open slot of this node's rate share.
+    pub(super) fn consume_permit(&mut self, incarnation: &WorkerIncarnation, now: Timestamp) {
+        let slot = self.workers.get(&incarnation.id).and_then(|entry| self.unused_slot(entry, now));
+        let Some(entry) = self.entry_mut(incarnation) else { return };
+        if entry.cold_state.has_permit(now) {
+            entry.cold_state.permits -= 1;
+        } else if slot.is_some() {
+            entry.cold_state.used_slot = slot;
         }
     }
 }
--- a/crates/core/src/serving/workers/loads.rs
+++ b/crates/core/src/serving/workers/loads.rs
@@ -41,7 +41,7 @@
             entry.in_flight += 1;
             entry.cache.record(prefix, memory_tokens, now);
             self.placed += 1;
-            self.consume_permit(incarnation);
+            self.consume_permit(incarnation, now);
             self.schedule_next_trial(&incarnation.id, now);
         }
         self.update_assumed_loads(now);
--- a/crates/core/src/serving/workers/mod.rs
+++ b/crates/core/src/serving/workers/mod.rs
@@ -13,6 +13,7 @@
 //! | `health` | outlier ejection, relative latency, and handling of attempt outcomes |
 //! | [`choice`] | worker selection for requests and batch items |
 //! | [`cold_start`] | workers that have just started, and this node's permits to send them requests |
+//! | `rate_share` | this node's share of the rate of cold workers while there is no leader |
 //! | [`permit_grants`] | the leader's side of cold start permits |
 //! | [`unavailable`] | counts of the workers that a request cannot be sent to, by reason |
 //! | `evidence` | decayed counts of served and failed requests |
@@ -49,6 +50,7 @@
 mod own_view;
 pub mod permit_grants;
 pub mod prefix_cache;
+mod rate_share;
 pub mod service_times;
 mod shared_outcomes;
 pub mod suspicion;
--- a/crates/core/src/serving/workers/table.rs
+++ b/crates/core/src/serving/workers/table.rs
@@ -12,6 +12,7 @@
 use super::exclusion::Capacities;
 use super::health::initial_mean_first_event;
 use super::loads::PeerRate;
+use super::rate_share::RateShare;
 use super::service_times::ServiceTimes;
 use super::trials::Trials;
 use super::worker::{Presence, WorkerEntry, WorkerId, WorkerIncarnation, WorkerRecord};
@@ -44,6 +45,7 @@
     pub(super) cold_starts: BTreeMap<Arc<str>, ColdStart>,
     /// Latest end of any worker's cold start.
     pub(super) cold_until: Timestamp,
+    pub(super) rate_share: RateShare,
     pub(super) evidence: FleetEvidence,
     pub(super) capacities: Capacities,
     pub(super) trials: Trials,
@@ -63,6 +65,7 @@
             evacuated_zones: BTreeSet::new(),
             cold_starts: BTreeMap::new(),
             cold_until: Timestamp::default(),
+            rate_share: RateShare::default(),
             evidence: FleetEvidence::default(),
             capacities: Capacities::default(),
             trials: Trials::default(),
--- a/crates/core/src/serving/workers/trials.rs
+++ b/crates/core/src/serving/workers/trials.rs
@@ -53,12 +53,13 @@
 }
 
 impl WorkerTable {
-    /// Sets the number of nodes that send requests to workers, including unreachable ones. Without a known number (0),
-    /// this node sends no trial requests.
+    /// Sets the number of nodes that send requests to workers, all gateways and the leader, including unreachable ones.
+    /// Without a known number (0), this node sends no trial requests.
     pub fn set_node_count(&mut self, nodes: u32, now: Timestamp, random: &mut impl Rng) {
         if nodes == self.trials.nodes {
             return;
         }
+        self.rate_share.set_gateways(nodes.saturating_sub(1), random.random());
         self.trials = Trials { nodes, seed: random.random(), ..self.trials };
         for id in &self.evidence.suspected {
             let first = self.trials.first(id, now);
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -29,6 +29,7 @@
 use stallmoor_core::serving::online::request_state::{RefusalReason, RequestState};
 use stallmoor_core::serving::regions::AllowedRegions;
 use stallmoor_core::serving::request::RequestAttributes;
+use stallmoor_core::serving::workers::cold_start::MAX_PERMIT_WAIT;
 use stallmoor_core::serving::workers::{Choice, WorkerIncarnation, WorkerQuery};
 use stallmoor_core::time::{Millis, Timestamp};
 use tokio::task::JoinHandle;
@@ -154,14 +155,20 @@
         self.state.check_quarantine(remaining)
     }
 
-    /// Chooses a worker. If all candidates are cold, waits briefly for permits to send requests to them.
+    /// Chooses a worker. If all candidates are cold, waits briefly until a request may be sent to one of them.
     async fn choose_or_wait(&self) -> Option<Choice> {
         let chosen = self.choose();
         let now = self.now();
         if chosen.is_some() || !self.client.view.workers().needs_permit(&self.worker_query(), now) {
             return chosen;
         }
-        self.client.permits.wait_for_answer().await;
+        if self.client.permits.has_no_leader() {
+            let next_share = self.client.view.workers().next_share_in(&self.worker_query(), now);
+            let wait = next_share.filter(|wait| *wait <= MAX_PERMIT_WAIT)?;
+            tokio::time::sleep(Duration::from_millis(wait.0)).await;
+        } else {
+            self.client.permits.wait_for_answer().await;
+        }
         self.choose()
     }
 
--- a/crates/gateway/src/workers/permits.rs
+++ b/crates/gateway/src/workers/permits.rs
@@ -68,7 +68,7 @@
 
     /// Waits up to [`MAX_PERMIT_WAIT`] for the leader's answer. Returns immediately while the leader is unreachable.
     pub async fn wait_for_answer(&self) {
-        if self.has_no_leader.load(Ordering::Relaxed) {
+        if self.has_no_leader() {
             return;
         }
         let mut answers = self.completed_requests.subscribe();
@@ -76,6 +76,11 @@
         let _ = tokio::time::timeout(Duration::from_millis(MAX_PERMIT_WAIT.0), answers.changed()).await;
     }
 
+    /// Returns whether the last request for permits reached no leader.
+    pub fn has_no_leader(&self) -> bool {
+        self.has_no_leader.load(Ordering::Relaxed)
+    }
+
     fn take_wanted(&self) -> Vec<WorkerId> {
         let mut wanted = self.wanted.lock().unwrap_or_else(PoisonError::into_inner);
         std::mem::take(&mut *wanted).into_iter().collect()
@@ -93,7 +98,7 @@
         let until = requested_at + PERMIT_LIFETIME;
         let wanted = workers.permits.take_wanted();
         let wanted_count = wanted.len();
-        // Without an answer no permits are added, and cold workers are skipped.
+        // Without an answer no permits are added, and this node uses its share of the workers' rate.
         let answer = client.send_request(JobsRequest::RequestPermits(wanted), until).await;
         workers.permits.has_no_leader.store(answer.is_err(), Ordering::Relaxed);
         let wait = if answer.is_ok() { PERMIT_INTERVAL } else { NO_LEADER_RETRY_INTERVAL };
@@ -101,7 +106,11 @@
             Ok(JobsAnswer::Permits(granted)) => granted.as_slice(),
             _ => &[],
         };
-        view.workers().add_permits(granted, until);
+        {
+            let mut table = view.workers();
+            table.set_permit_leader(answer.is_ok());
+            table.add_permits(granted, until);
+        }
         log_answer(answer.is_ok(), wanted_count, granted.len(), view.clock.now().since(requested_at));
         workers.permits.completed_requests.send_modify(|count| *count += 1);
         tokio::time::sleep(Duration::from_millis(wait.0)).await;
