Ask the known leader for permits, and ask another node if one is silent

Callers saw: requests to cold workers refused although a leader accepted jobs.

Cause: the requests for permits searched for the leader on their own, and a node that did not answer could take all of the 400 ms for which a permit lives, since a node had 900 ms. After that the gateway waited 500 ms.

The search now starts at the leader that answers the gateway's requests about jobs and loads, and a node has 150 ms to answer. A separate connection is still used, since older nodes close it on this request.

leader_rules: request_for_permits_reaches_another_node_if_one_is_silent failed before.

--- a/crates/core/src/serving/leader/search.rs
+++ b/crates/core/src/serving/leader/search.rs
@@ -14,6 +14,9 @@
 /// Timeout for the first answer to a submission. Doubles with each missing answer, up to [`ATTEMPT_TIMEOUT`]. Short,
 /// because a submission can be repeated safely and the time until the caller has its answer counts.
 const SUBMISSION_ATTEMPT_TIMEOUT: Millis = Millis(300);
+/// Timeout for one node's answer to a request for permits. Shorter than the lifetime of a permit, so that the request
+/// reaches another node if one is silent.
+const PERMIT_ATTEMPT_TIMEOUT: Millis = Millis(150);
 /// Time for which submissions are not sent to a node that left one unanswered, although other nodes may still name it as
 /// the leader. Covers the rest of an election.
 const UNRESPONSIVE_PERIOD: Millis = Millis(300);
@@ -104,8 +107,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct LeaderSearch {
     until: Timestamp,
-    /// The wait that the request itself specifies.
-    request_wait: Millis,
+    /// Timeout for one node's answer; that of submissions is computed.
+    attempt_timeout: Millis,
     is_submission: bool,
     /// The node that left the latest submission unanswered.
     unresponsive: Option<UnresponsiveNode>,
@@ -120,13 +123,14 @@
 impl LeaderSearch {
     /// Creates a search that times out at `until`.
     pub fn new(request: &JobsRequest, until: Timestamp) -> Self {
-        let request_wait = match request {
-            JobsRequest::Read { wait, .. } => *wait,
-            _ => Millis(0),
+        let attempt_timeout = match request {
+            JobsRequest::Read { wait, .. } => ATTEMPT_TIMEOUT + *wait,
+            JobsRequest::RequestPermits(_) => PERMIT_ATTEMPT_TIMEOUT,
+            _ => ATTEMPT_TIMEOUT,
         };
         Self {
             until,
-            request_wait,
+            attempt_timeout,
             is_submission: matches!(request, JobsRequest::Submit(_)),
             unresponsive: None,
             missing_answers: 0,
@@ -188,7 +192,7 @@
             let doublings = self.missing_answers.min(MAX_TIMEOUT_DOUBLINGS);
             return Millis(SUBMISSION_ATTEMPT_TIMEOUT.0 << doublings).min(ATTEMPT_TIMEOUT);
         }
-        ATTEMPT_TIMEOUT + self.request_wait
+        self.attempt_timeout
     }
 
     fn is_avoided(&self, node: NodeId, now: Timestamp) -> bool {
--- a/crates/core/tests/leader_rules.rs
+++ b/crates/core/tests/leader_rules.rs
@@ -18,6 +18,7 @@
 use stallmoor_core::serving::quota::message::{QuotaLevels, QuotaReport};
 use stallmoor_core::serving::relay::choice::rank_aggregators;
 use stallmoor_core::serving::stopping::GatewayStop;
+use stallmoor_core::serving::workers::cold_start::PERMIT_LIFETIME;
 use stallmoor_core::serving::workers::{LoadReport, WorkerId, WorkerReport};
 use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 
@@ -200,6 +201,23 @@
     assert_eq!(search.next(None, &no_nodes, ZONE, at(250)), timed_out);
 }
 
+/// Guards against a silent node that takes up the lifetime of the permits that are asked for.
+#[test]
+fn request_for_permits_reaches_another_node_if_one_is_silent() {
+    let until = at(PERMIT_LIFETIME.0);
+    let mut search = LeaderSearch::new(&JobsRequest::RequestPermits(Vec::new()), until);
+    let mut now = at(0);
+    let mut asked = Vec::new();
+    for _ in 0..2 {
+        let (node, timeout) = sent_to(search.next(None, &storage(), ZONE, now));
+        asked.push(node);
+        now = now + timeout;
+        search.record_outcome(node, TryOutcome::NoAnswer, now);
+    }
+    assert_ne!(asked[0], asked[1]);
+    assert!(now < until, "no time is left for a third node");
+}
+
 #[test]
 fn rejection_after_an_attempt_that_may_have_arrived_is_indeterminate() {
     let refusal = || TryOutcome::Answered(JobsAnswer::NoRoom);
--- a/crates/gateway/src/leader/client.rs
+++ b/crates/gateway/src/leader/client.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// Uses `leader` as the last known leader if this client knows none.
+    pub fn suggest_leader(&self, leader: Option<NodeId>) {
+        let mut known = lock(&self.leader);
+        *known = known.or(leader);
+    }
+
     fn set_leader(&self, leader: Option<NodeId>) {
         *lock(&self.leader) = leader;
     }
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -50,7 +50,7 @@
     let id = new_node_id();
     components.follow_metadata(id, settings, adapter, None);
     let calls = LeaderCalls::start(&components.view, id, settings, adapter);
-    tokio::spawn(exchange_permits(components.workers.clone(), id));
+    tokio::spawn(exchange_permits(components.workers.clone(), calls.jobs.clone(), id));
     let callers = open_listener(callers)?;
     let readiness = open_listener(readiness)?;
     let serving = ServingGateway::start(&components, calls, callers, readiness);
--- a/crates/gateway/src/workers/permits.rs
+++ b/crates/gateway/src/workers/permits.rs
@@ -19,6 +19,7 @@
 use stallmoor_core::time::Millis;
 use tokio::sync::{Notify, watch};
 
+use crate::batch::job_calls::JobCalls;
 use crate::leader::client::LeaderClient;
 use crate::observe::journal::{Field, record};
 use crate::observe::measures;
@@ -87,8 +88,9 @@
     }
 }
 
-/// Requests wanted permits from the leader until the process ends.
-pub async fn exchange_permits(workers: Arc<WorkerClient>, id: NodeId) {
+/// Requests wanted permits from the leader until the process ends. Starts the search for the leader at the one that
+/// answers requests about jobs and loads.
+pub async fn exchange_permits(workers: Arc<WorkerClient>, jobs: Arc<JobCalls>, id: NodeId) {
     let view = workers.view.clone();
     let client = LeaderClient::new(view.clone(), id);
     loop {
@@ -99,6 +101,7 @@
         let wanted = workers.permits.take_wanted();
         let wanted_count = wanted.len();
         // Without an answer no permits are added, and this node uses its share of the workers' rate.
+        client.suggest_leader(jobs.client.leader());
         let answer = client.send_request(JobsRequest::RequestPermits(wanted), until).await;
         workers.permits.has_no_leader.store(answer.is_err(), Ordering::Relaxed);
         let wait = if answer.is_ok() { PERMIT_INTERVAL } else { NO_LEADER_RETRY_INTERVAL };
