Log runs of batch items that are aborted

A run that ends because its job ended, its result was committed or this node no longer leads was stopped without a line, so the end of a run could not be compared with its arrival at the worker. E540 is now written with the end Aborted, and stallmoor_storage_item_runs_total counts aborted.

--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -143,15 +143,15 @@
 
     fn abort(&mut self, key: &ItemKey) {
         if let Some(run) = self.active.remove(key) {
-            run.task.abort();
+            abort_run(key, &run);
         }
     }
 
     fn abort_all(&mut self) {
         self.proposed.clear();
         self.attributions.clear();
-        for run in std::mem::take(&mut self.active).into_values() {
-            run.task.abort();
+        for (key, run) in std::mem::take(&mut self.active) {
+            abort_run(&key, &run);
         }
     }
 
@@ -361,13 +361,7 @@
         }
         let RunReport { key, finished: FinishedRun { end, output, worker, attribution }, .. } = report;
         self.active.remove(&key);
-        let fields = [
-            Field::text("job", &key.job),
-            Field::number("item", key.item),
-            Field::text("end", format!("{end:?}")),
-            Field::number("events", output.last_event.unwrap_or(0)),
-        ];
-        record(LogEvent::ItemRunEnded, &fields);
+        log_run_end(&key, &format!("{end:?}"), &output);
         measures::count_run(end.name());
         let configuration = self.workers.view.configuration();
         let max_attempts = max_attempts(table.job(&key.job), configuration.as_deref());
@@ -433,6 +427,23 @@
     }
 }
 
+/// Stops a run whose result is no longer needed, or that this node may not continue. Its connection is closed.
+fn abort_run(key: &ItemKey, run: &ActiveRun) {
+    run.task.abort();
+    log_run_end(key, "Aborted", &run.output.lock().unwrap_or_else(PoisonError::into_inner));
+    measures::count_run("aborted");
+}
+
+fn log_run_end(key: &ItemKey, end: &str, output: &PartialOutput) {
+    let fields = [
+        Field::text("job", &key.job),
+        Field::number("item", key.item),
+        Field::text("end", end),
+        Field::number("events", output.last_event.unwrap_or(0)),
+    ];
+    record(LogEvent::ItemRunEnded, &fields);
+}
+
 fn log_run_start(key: &ItemKey, choice: &Choice, output: &PartialOutput) {
     let fields = [
         Field::text("job", &key.job),
