Draw one random number for trials and rate shares

nodes_of_a_fleet_of_1000_send_one_trial_per_second_together failed: the phases of the rate shares drew a number of their own from the node's generator, which shifted the phases of all trials that the test draws from a fixed seed. Both now use the same number, as trials did before. The test's bound depends on its seed; it is unchanged.

--- a/crates/core/src/serving/workers/permit_grants.rs
+++ b/crates/core/src/serving/workers/permit_grants.rs
@@ -17,7 +17,7 @@
 
 /// Fraction of a cold worker's rate limit that is granted, so that the permits granted over one second plus one permit
 /// lifetime do not exceed one second's worth.
-pub(super) const GRANTED_FRACTION: f64 = 0.7;
+const GRANTED_FRACTION: f64 = 0.7;
 /// Maximum number of permits that accumulate for a worker while none are requested.
 const MAX_ACCUMULATED_PERMITS: f64 = 4.0;
 /// Number of accumulated permits that are not granted to batch items.
--- a/crates/core/src/serving/workers/rate_share.rs
+++ b/crates/core/src/serving/workers/rate_share.rs
@@ -8,13 +8,13 @@
 //! only some gateways reach the leader.
 
 use super::cold_start::{ColdStart, PERMIT_LIFETIME};
-use super::permit_grants::GRANTED_FRACTION;
 use super::worker::WorkerId;
 use crate::hashing::{hash_bytes, rendezvous_weight};
 use crate::time::{Millis, Timestamp};
 
-/// Fraction of a cold worker's rate limit that all gateways together use without a leader.
-const SHARED_FRACTION: f64 = GRANTED_FRACTION / 2.0;
+/// Fraction of a cold worker's rate limit that all gateways together use without a leader. Half of what a leader grants,
+/// since it may still do so for other gateways.
+const SHARED_FRACTION: f64 = 0.35;
 
 /// This node's share of the rate of cold workers.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/core/src/serving/workers/trials.rs
+++ b/crates/core/src/serving/workers/trials.rs
@@ -59,8 +59,9 @@
         if nodes == self.trials.nodes {
             return;
         }
-        self.rate_share.set_gateways(nodes.saturating_sub(1), random.random());
-        self.trials = Trials { nodes, seed: random.random(), ..self.trials };
+        let seed = random.random();
+        self.trials = Trials { nodes, seed, ..self.trials };
+        self.rate_share.set_gateways(nodes.saturating_sub(1), seed);
         for id in &self.evidence.suspected {
             let first = self.trials.first(id, now);
             let known = self.workers.get_mut(id).and_then(|entry| entry.evidence.as_mut());
