--- a/crates/core/src/node/groups.rs
+++ b/crates/core/src/node/groups.rs
@@ -264,8 +264,9 @@
         let limit = self.settings.compact_bytes;
         let Some(hosted) = self.groups.hosted.get_mut(&group) else { return };
         let bytes = hosted.replica.log().bytes();
-        let due = bytes > limit && hosted.replica.all_members_caught_up();
-        if due || bytes > limit * MAX_LOG_GROWTH_FACTOR {
+        let is_wanted = bytes > limit && hosted.replica.all_members_caught_up();
+        let is_overdue = bytes > limit * MAX_LOG_GROWTH_FACTOR;
+        if (is_wanted || is_overdue) && hosted.replica.has_applied_since_snapshot() {
             let state = hosted.state.encode();
             hosted.replica.compact(state);
             self.settle_group(group);
--- a/crates/core/src/replication/compaction.rs
+++ b/crates/core/src/replication/compaction.rs
@@ -13,6 +13,12 @@
         }
     }
 
+    /// Returns whether entries were applied since the latest snapshot, so that another one can be created. After a
+    /// restart that is not so until the replica learns the commit index.
+    pub fn has_applied_since_snapshot(&self) -> bool {
+        self.applied > self.log.snapshot().index
+    }
+
     /// Creates a snapshot at the applied index from the encoded state machine. Returns `None` if nothing was applied
     /// since the latest snapshot.
     pub fn snapshot_of(&self, state: Arc<[u8]>) -> Option<Snapshot> {
--- a/crates/core/src/serving/jobs/node/mod.rs
+++ b/crates/core/src/serving/jobs/node/mod.rs
@@ -161,13 +161,20 @@
                 self.replica.compact_to(snapshot);
             }
             Some(snapshot) => self.prepared_snapshot = Some(snapshot),
-            None if self.replica.log().bytes() > COMPACTION_THRESHOLD_BYTES => {
+            None if self.is_snapshot_due() => {
                 self.prepared_snapshot = self.replica.snapshot_of(self.table.encode());
             }
             None => {}
         }
     }
 
+    /// Returns whether the next tick encodes the table for a snapshot, which takes long for a large table.
+    pub fn is_snapshot_due(&self) -> bool {
+        let is_log_full = self.replica.log().bytes() > COMPACTION_THRESHOLD_BYTES;
+        let is_possible = !self.awaiting_restore && self.replica.has_applied_since_snapshot();
+        self.prepared_snapshot.is_none() && is_log_full && is_possible
+    }
+
     /// Proposes to add a job.
     ///
     /// # Errors
--- a/crates/core/tests/jobs_node.rs
+++ b/crates/core/tests/jobs_node.rs
@@ -206,3 +206,34 @@
     assert_eq!(harness.node.restore(&readable), Ok(()));
     assert_eq!(harness.node.table().jobs().count(), 0, "the empty snapshot restores an empty table");
 }
+
+/// Guards against encoding the whole table with every tick while a restarted replica does not know the commit index.
+#[test]
+fn restarted_replica_encodes_no_snapshot_before_it_applies_entries() {
+    let entry = |index| Entry {
+        term: Term(1),
+        index: LogIndex(index),
+        payload: EntryPayload::Command(Arc::from(vec![0xff; 4 << 20])),
+    };
+    let membership = GroupMembership::of_voters(BTreeSet::from([SELF]));
+    let snapshot = Snapshot { membership, ..Snapshot::default() };
+    let persisted = PersistedReplica { snapshot, entries: (1..=3).map(entry).collect(), ..PersistedReplica::default() };
+    let now = Timestamp::from_millis(100_000);
+    let node = JobsNode::new(SELF, ReplicaSettings::default(), persisted, now, 7).expect("the snapshot decodes");
+    let mut harness = Harness { node, now, effects: Vec::new() };
+    let mut is_applied = false;
+    for _ in 0..1_000 {
+        assert_eq!(harness.node.is_snapshot_due(), is_applied, "the snapshot is due once the entries are applied");
+        if is_applied {
+            break;
+        }
+        harness.now = harness.now + Millis(20);
+        let effects = harness.node.tick(harness.now);
+        harness.effects.extend(effects);
+        harness.apply_effects();
+        is_applied = harness.node.replica().applied() >= LogIndex(3);
+    }
+    assert!(is_applied, "the replica elects itself");
+    harness.node.tick(harness.now);
+    assert!(!harness.node.is_snapshot_due(), "the snapshot is prepared");
+}
