Log the software version of workers

Cause: a worker's record states the version of its software, which was read, checked and dropped. Logs could not tell whether a stream went on at another version, which the first hypothesis of the incident predicts.

Change: WorkerRecord and Choice have a SoftwareVersion; E504, E510, E511, E521 and E542 name it. Versions longer than 64 bytes are replaced by a digest. No decision depends on it yet.

--- a/crates/core/src/serving/workers/choice.rs
+++ b/crates/core/src/serving/workers/choice.rs
@@ -10,7 +10,9 @@
 use super::cost::{cost_slope, estimate_cost, load_cost};
 use super::load_in_transit::cost_level_after;
 use super::table::WorkerTable;
-use super::worker::{Availability, PEER_LOAD_LIFETIME, Presence, WorkerEntry, WorkerId, WorkerIncarnation};
+use super::worker::{
+    Availability, PEER_LOAD_LIFETIME, Presence, SoftwareVersion, WorkerEntry, WorkerId, WorkerIncarnation,
+};
 use crate::hashing::{hash_bytes, rendezvous_weight};
 use crate::serving::regions::AllowedRegions;
 use crate::serving::request::PrefixBlock;
@@ -63,6 +65,8 @@
     pub started_at: Option<UnixMillis>,
     /// Address of the worker.
     pub address: SocketAddr,
+    /// Version of the worker's software.
+    pub version: SoftwareVersion,
     /// Estimated number of requests at the worker.
     pub load: u32,
     /// Number of requests that the worker runs concurrently.
@@ -90,6 +94,7 @@
             id: entry.record.id.clone(),
             started_at: entry.record.started_at,
             address: entry.record.address,
+            version: entry.record.version.clone(),
             load: entry.estimated_load(now),
             slots: entry.record.slots,
             queue_position: entry.queue_position(now),
--- a/crates/core/src/serving/workers/mod.rs
+++ b/crates/core/src/serving/workers/mod.rs
@@ -63,4 +63,4 @@
 pub use evidence::Counts;
 pub use load_report::{LoadReport, WorkerCount, WorkerReport};
 pub use table::{WorkerChange, WorkerTable};
-pub use worker::{Availability, Slowdown, WorkerId, WorkerIncarnation, WorkerLoad, WorkerRecord};
+pub use worker::{Availability, Slowdown, SoftwareVersion, WorkerId, WorkerIncarnation, WorkerLoad, WorkerRecord};
--- a/crates/core/src/serving/workers/worker.rs
+++ b/crates/core/src/serving/workers/worker.rs
@@ -13,6 +13,7 @@
 use super::held_slots::HeldSlots;
 use super::own_view::AssumedLoad;
 use super::prefix_cache::PrefixCache;
+use crate::hashing::hash_bytes;
 use crate::moving_mean::MovingMean;
 use crate::time::{Millis, Timestamp, UnixMillis};
 
@@ -35,6 +36,29 @@
     }
 }
 
+/// Maximum length of a software version in bytes. Longer ones are replaced by a digest.
+const MAX_VERSION_BYTES: usize = 64;
+
+/// Version of a worker's software. What workers of different versions write for one stream does not fit together.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SoftwareVersion(Arc<str>);
+
+impl SoftwareVersion {
+    /// Creates a version from its name, which may be any text.
+    pub fn new(name: &str) -> Self {
+        if name.len() <= MAX_VERSION_BYTES {
+            return Self(Arc::from(name));
+        }
+        Self(Arc::from(format!("digest-{:016x}", hash_bytes(name.as_bytes()))))
+    }
+}
+
+impl std::fmt::Display for SoftwareVersion {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
 /// One incarnation of a worker, from its start to its exit. A worker that restarts under the same ID keeps no state, so
 /// load and health observed for one incarnation do not apply to the next.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -66,6 +90,8 @@
     pub address: SocketAddr,
     /// Zone in which the worker runs.
     pub zone: Arc<str>,
+    /// Version of the worker's software.
+    pub version: SoftwareVersion,
     /// Number of requests that the worker runs concurrently.
     pub slots: u32,
     /// Whether the worker is draining and accepts no new requests.
--- a/crates/core/tests/cold_start_simulation.rs
+++ b/crates/core/tests/cold_start_simulation.rs
@@ -11,7 +11,9 @@
 use stallmoor_core::serving::regions::AllowedRegions;
 use stallmoor_core::serving::workers::cold_start::{ColdStart, PERMIT_INTERVAL, PERMIT_LIFETIME};
 use stallmoor_core::serving::workers::permit_grants::PermitGrants;
-use stallmoor_core::serving::workers::{WorkerCount, WorkerId, WorkerQuery, WorkerRecord, WorkerTable};
+use stallmoor_core::serving::workers::{
+    SoftwareVersion, WorkerCount, WorkerId, WorkerQuery, WorkerRecord, WorkerTable,
+};
 use stallmoor_core::time::{Millis, Timestamp};
 
 const SERVICE: &str = "service";
@@ -34,6 +36,7 @@
         draining: false,
         started_at: None,
         cold_remaining: Millis(0),
+        version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -10,7 +10,7 @@
 use stallmoor_core::serving::regions::{AllowedRegions, RegionMap, RegionName};
 use stallmoor_core::serving::workers::cold_start::ColdStart;
 use stallmoor_core::serving::workers::{
-    Slowdown, WorkerCount, WorkerId, WorkerLoad, WorkerQuery, WorkerRecord, WorkerTable,
+    Slowdown, SoftwareVersion, WorkerCount, WorkerId, WorkerLoad, WorkerQuery, WorkerRecord, WorkerTable,
 };
 use stallmoor_core::time::{Millis, Timestamp};
 
@@ -39,6 +39,7 @@
         draining: false,
         started_at: None,
         cold_remaining: Millis(0),
+        version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/core/tests/failing_workers/fleet.rs
+++ b/crates/core/tests/failing_workers/fleet.rs
@@ -9,7 +9,9 @@
 use stallmoor_core::serving::regions::AllowedRegions;
 use stallmoor_core::serving::workers::outcome_report::{MilliCount, OutcomeReport, RouteOutcomes, WorkerOutcomes};
 use stallmoor_core::serving::workers::outcomes::{Outcome, SuspicionChange};
-use stallmoor_core::serving::workers::{WorkerId, WorkerIncarnation, WorkerQuery, WorkerRecord, WorkerTable};
+use stallmoor_core::serving::workers::{
+    SoftwareVersion, WorkerId, WorkerIncarnation, WorkerQuery, WorkerRecord, WorkerTable,
+};
 use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 
 pub const SERVICE: &str = "service";
@@ -45,6 +47,7 @@
         draining: false,
         started_at: Some(UnixMillis(1_000)),
         cold_remaining: Millis(0),
+        version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/core/tests/fleet_growth.rs
+++ b/crates/core/tests/fleet_growth.rs
@@ -20,7 +20,7 @@
 use stallmoor_core::serving::relay::policy::{ViewState, WatchPolicy, WatchStep};
 use stallmoor_core::serving::relay::tiers::{RelayTier, plan_relays};
 use stallmoor_core::serving::workers::{
-    Slowdown, WorkerCount, WorkerId, WorkerLoad, WorkerQuery, WorkerRecord, WorkerTable,
+    Slowdown, SoftwareVersion, WorkerCount, WorkerId, WorkerLoad, WorkerQuery, WorkerRecord, WorkerTable,
 };
 use stallmoor_core::time::{Millis, Timestamp};
 
@@ -175,6 +175,7 @@
         draining: false,
         started_at: None,
         cold_remaining: Millis(0),
+        version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/core/tests/online_request.rs
+++ b/crates/core/tests/online_request.rs
@@ -19,7 +19,7 @@
 use stallmoor_core::serving::regions::AllowedRegions;
 use stallmoor_core::serving::request::RequestAttributes;
 use stallmoor_core::serving::workers::connection_limit::connection_limit;
-use stallmoor_core::serving::workers::{Availability, Choice, WorkerId};
+use stallmoor_core::serving::workers::{Availability, Choice, SoftwareVersion, WorkerId};
 use stallmoor_core::time::{Millis, Timestamp};
 
 const RESUMABLE: RouteKind = RouteKind::Stream { resumable: true };
@@ -73,6 +73,7 @@
         id: id("one"),
         started_at: None,
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        version: SoftwareVersion::new("v1"),
         load: 8 + queue_position,
         slots: 8,
         queue_position,
--- a/crates/core/tests/partitioned_choice.rs
+++ b/crates/core/tests/partitioned_choice.rs
@@ -11,7 +11,8 @@
 use stallmoor_core::serving::jobs::load_aggregator::LoadAggregator;
 use stallmoor_core::serving::regions::AllowedRegions;
 use stallmoor_core::serving::workers::{
-    Choice, LoadReport, Slowdown, WorkerId, WorkerIncarnation, WorkerLoad, WorkerQuery, WorkerRecord, WorkerTable,
+    Choice, LoadReport, Slowdown, SoftwareVersion, WorkerId, WorkerIncarnation, WorkerLoad, WorkerQuery, WorkerRecord,
+    WorkerTable,
 };
 use stallmoor_core::time::{Millis, Timestamp};
 
@@ -47,6 +48,7 @@
         draining: false,
         started_at: None,
         cold_remaining: Millis(0),
+        version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/core/tests/relay_simulation/world.rs
+++ b/crates/core/tests/relay_simulation/world.rs
@@ -15,7 +15,7 @@
 use stallmoor_core::serving::relay::outage::{FailedCall, RecordGrace};
 use stallmoor_core::serving::relay::policy::{ViewState, WatchPolicy, WatchRole, WatchStep};
 use stallmoor_core::serving::relay::tiers::RelayTier;
-use stallmoor_core::serving::workers::{WorkerId, WorkerQuery, WorkerRecord, WorkerTable};
+use stallmoor_core::serving::workers::{SoftwareVersion, WorkerId, WorkerQuery, WorkerRecord, WorkerTable};
 use stallmoor_core::time::{Millis, Timestamp};
 
 pub const BOUNDS: WatchBounds = WatchBounds { change: Millis(2_000), contact: Millis(3_000), heartbeat: Millis(1_200) };
@@ -484,5 +484,6 @@
         draining: false,
         started_at: None,
         cold_remaining: Millis(0),
+        version: SoftwareVersion::new("v1"),
     }
 }
--- a/crates/core/tests/worker_choice.rs
+++ b/crates/core/tests/worker_choice.rs
@@ -13,8 +13,8 @@
 use stallmoor_core::serving::workers::load_in_transit::{CostSlope, cost_level_after};
 use stallmoor_core::serving::workers::service_times::ServiceTimes;
 use stallmoor_core::serving::workers::{
-    Availability, LoadReport, Slowdown, WorkerChange, WorkerCount, WorkerId, WorkerIncarnation, WorkerLoad,
-    WorkerQuery, WorkerRecord, WorkerReport, WorkerTable,
+    Availability, LoadReport, Slowdown, SoftwareVersion, WorkerChange, WorkerCount, WorkerId, WorkerIncarnation,
+    WorkerLoad, WorkerQuery, WorkerRecord, WorkerReport, WorkerTable,
 };
 use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 
@@ -38,6 +38,7 @@
         draining: false,
         started_at: None,
         cold_remaining: Millis(0),
+        version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/core/tests/worker_recovery.rs
+++ b/crates/core/tests/worker_recovery.rs
@@ -11,7 +11,7 @@
 use stallmoor_core::serving::workers::cold_start::ColdStart;
 use stallmoor_core::serving::workers::permit_grants::PermitGrants;
 use stallmoor_core::serving::workers::{
-    WorkerCount, WorkerId, WorkerIncarnation, WorkerQuery, WorkerRecord, WorkerTable,
+    SoftwareVersion, WorkerCount, WorkerId, WorkerIncarnation, WorkerQuery, WorkerRecord, WorkerTable,
 };
 use stallmoor_core::time::{Millis, Timestamp};
 
@@ -38,6 +38,7 @@
         draining: false,
         started_at: None,
         cold_remaining: Millis(0),
+        version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -261,7 +261,8 @@
             FleetUpdate::Configuration(configuration) => self.apply_configuration(configuration),
             FleetUpdate::Worker(worker) => {
                 let change = self.workers().apply_record(worker.clone(), self.clock.now());
-                log_worker_change(change, Some(Field::text("address", worker.address)));
+                let details = [Field::text("address", worker.address), Field::text("version", &worker.version)];
+                log_worker_change(change, details);
             }
             FleetUpdate::WorkerRemoved { worker, usable_until } => self.remove_worker(worker, *usable_until),
             FleetUpdate::WorkerMissing { worker, until } => self.mark_worker_missing(worker, *until),
@@ -312,14 +313,14 @@
     fn mark_worker_missing(&self, id: &WorkerId, until: Timestamp) {
         let now = self.clock.now();
         let change = self.workers().mark_missing(id, until, now);
-        log_worker_change(change, Some(Field::number("serves_ms", until.since(now).0)));
+        log_worker_change(change, [Field::number("serves_ms", until.since(now).0)]);
         self.workers().evict_departed(now);
     }
 
     fn remove_worker(&self, id: &WorkerId, usable_until: Timestamp) {
         let now = self.clock.now();
         let change = self.workers().remove(id, usable_until, now);
-        log_worker_change(change, None);
+        log_worker_change(change, []);
         self.workers().evict_departed(now);
     }
 
@@ -377,7 +378,7 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn log_worker_change(change: Option<WorkerChange>, detail: Option<Field>) {
+fn log_worker_change(change: Option<WorkerChange>, details: impl IntoIterator<Item = Field>) {
     let (event, id) = match change {
         None => return,
         Some(WorkerChange::Available(id)) => (LogEvent::WorkerSeen, id),
@@ -385,6 +386,6 @@
         Some(WorkerChange::Removed(id)) => (LogEvent::WorkerGone, id),
         Some(WorkerChange::Missing(id)) => (LogEvent::WorkerMissing, id),
     };
-    let fields: Vec<Field> = std::iter::once(Field::text("worker", id)).chain(detail).collect();
+    let fields: Vec<Field> = std::iter::once(Field::text("worker", id)).chain(details).collect();
     record(event, &fields);
 }
--- a/crates/gateway/src/online/records.rs
+++ b/crates/gateway/src/online/records.rs
@@ -31,6 +31,7 @@
             Field::number("held_tokens", choice.cached_tokens),
             Field::number("candidates", choice.candidates as u64),
             Field::text("standing", choice.availability.name()),
+            Field::text("version", &choice.version),
         ]
     }
 
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -453,6 +453,7 @@
         Field::number("load", choice.load),
         Field::number("candidates", choice.candidates as u64),
         Field::text("standing", choice.availability.name()),
+        Field::text("version", &choice.version),
     ];
     record(LogEvent::ItemRunStarted, &fields);
 }
--- a/crates/gateway/tests/missing_records.rs
+++ b/crates/gateway/tests/missing_records.rs
@@ -12,7 +12,7 @@
 use stallmoor_core::serving::relay::bounds::WatchBounds;
 use stallmoor_core::serving::relay::item::{KeyState, MetadataItem, Revision};
 use stallmoor_core::serving::relay::outage::RecordGrace;
-use stallmoor_core::serving::workers::{WorkerId, WorkerRecord};
+use stallmoor_core::serving::workers::{SoftwareVersion, WorkerId, WorkerRecord};
 use stallmoor_core::time::Millis;
 use stallmoor_gateway::adapter::metadata::{
     BoxFuture, FleetUpdate, ItemSnapshot, MetadataStore, PutOutcome, ReadFailure,
@@ -142,6 +142,7 @@
         draining: false,
         started_at: None,
         cold_remaining: Millis(0),
+        version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/gateway/tests/suspension.rs
+++ b/crates/gateway/tests/suspension.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use stallmoor_core::serving::workers::{Availability, Choice, WorkerId};
+use stallmoor_core::serving::workers::{Availability, Choice, SoftwareVersion, WorkerId};
 use stallmoor_core::time::Millis;
 use stallmoor_gateway::clock::NodeClock;
 use stallmoor_gateway::workers::connections::{ConnectionPool, WorkerEndpoint};
@@ -22,6 +22,7 @@
         id: WorkerId(Arc::from("i-1")),
         started_at: None,
         address,
+        version: SoftwareVersion::new("v1"),
         load: 0,
         slots: 8,
         queue_position: 0,
