--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -100,6 +100,7 @@
     RequestEnded = 521, Information, "A request that passes through has ended.";
     WorkerTrusted = 522, Information, "A worker is no longer suspected of failing requests and receives requests again.";
     PermitsAnswered = 523, Information, "A request to the job table's leader for permits to use workers in a cold start was answered, or no leader answered it in time.";
+    StreamResumed = 524, Information, "A caller resumed a stream; the request goes only to workers of the service and software version that began the stream, or is refused if they are not known.";
     StorageNodeSeen = 530, Information, "The record of a storage node was read.";
     ItemRunEnded = 540, Information, "A run of a batch item ended.";
     ItemListed = 541, Information, "The result of a batch item was committed.";
--- a/crates/core/src/node/group_client.rs
+++ b/crates/core/src/node/group_client.rs
@@ -187,9 +187,10 @@
                     GroupAnswerBody::Outcome(outcome) => GroupReply::Outcome(outcome),
                     GroupAnswerBody::Answer(answer) => GroupReply::Answer(answer),
                     // This node never requests pass-through jobs or changes, so the answer cannot be matched.
-                    GroupAnswerBody::Jobs(_) | GroupAnswerBody::Changes(_) | GroupAnswerBody::Contents(_) => {
-                        GroupReply::TimedOut
-                    }
+                    GroupAnswerBody::Jobs(_)
+                    | GroupAnswerBody::Changes(_)
+                    | GroupAnswerBody::Contents(_)
+                    | GroupAnswerBody::Origins(_) => GroupReply::TimedOut,
                 };
                 self.on_reply(pending.purpose, reply);
             }
--- a/crates/core/src/node/group_requests.rs
+++ b/crates/core/src/node/group_requests.rs
@@ -28,7 +28,10 @@
         };
         match request.body {
             // Groups of this node store no pass-through jobs, and the node maintains no metadata view.
-            GroupRequestBody::Jobs(_) | GroupRequestBody::Changes(_) | GroupRequestBody::Follow(_) => {
+            GroupRequestBody::Jobs(_)
+            | GroupRequestBody::Changes(_)
+            | GroupRequestBody::Follow(_)
+            | GroupRequestBody::Origins(_) => {
                 let result = Err(GroupRefusal::Busy);
                 self.answer_group_request(request.from, request.id, request.group, result);
             }
--- a/crates/core/src/peer_message.rs
+++ b/crates/core/src/peer_message.rs
@@ -15,6 +15,7 @@
 use crate::serving::jobs::request::{JobsAnswer, JobsRequest};
 use crate::serving::relay::contents::ContentsAnswer;
 use crate::serving::relay::message::{ChangesAnswer, ChangesRequest};
+use crate::serving::stream_origins::message::{OriginsAnswer, OriginsRequest};
 use crate::time::Millis;
 
 /// A message between nodes. Messages may be lost, duplicated or delayed.
@@ -106,6 +107,8 @@
     Changes(ChangesRequest),
     /// A request for changes of the metadata store that also accepts its entire contents, compressed, as the answer.
     Follow(ChangesRequest),
+    /// A request about the origins of streams.
+    Origins(OriginsRequest),
 }
 
 impl GroupRequestBody {
@@ -115,6 +118,7 @@
             Self::Query(_) => "query",
             Self::Jobs(request) => request.name(),
             Self::Changes(_) | Self::Follow(_) => "follow",
+            Self::Origins(_) => "origins",
         }
     }
 }
@@ -143,6 +147,8 @@
     Changes(ChangesAnswer),
     /// The entire contents of the metadata store, compressed.
     Contents(ContentsAnswer),
+    /// An answer about the origins of streams.
+    Origins(OriginsAnswer),
 }
 
 impl GroupAnswerBody {
@@ -153,6 +159,7 @@
             Self::Jobs(answer) => answer.name(),
             Self::Changes(_) => "changes",
             Self::Contents(_) => "contents",
+            Self::Origins(_) => "origins",
         }
     }
 }
--- a/crates/core/src/serving/configuration/mod.rs
+++ b/crates/core/src/serving/configuration/mod.rs
@@ -81,6 +81,11 @@
 }
 
 impl Route {
+    /// Returns whether the route has a target that is the given service.
+    pub fn leads_to(&self, service: &str) -> bool {
+        self.targets.iter().any(|target| &*target.service == service)
+    }
+
     /// Selects a service at random by the targets' weights, or the first one if all weights are zero.
     pub fn select_service(&self, random: &mut impl Rng) -> Option<&Arc<str>> {
         let first = self.targets.first().map(|target| &target.service);
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -12,6 +12,7 @@
 //! | [`quota`] | tenant limits across all gateways |
 //! | [`regions`] | the region of each zone, and where data may be stored |
 //! | [`relay`] | propagation of metadata store changes between nodes |
+//! | [`stream_origins`] | which workers may resume an interrupted stream |
 //! | [`stopping`] | the phases of a graceful shutdown |
 
 pub mod configuration;
@@ -24,4 +25,5 @@
 pub mod relay;
 pub mod request;
 pub mod stopping;
+pub mod stream_origins;
 pub mod workers;
--- a/crates/core/src/serving/online/request_state.rs
+++ b/crates/core/src/serving/online/request_state.rs
@@ -17,6 +17,7 @@
 use crate::retry_budget::RetryBudget;
 use crate::serving::configuration::{Route, RouteKind};
 use crate::serving::request::RequestAttributes;
+use crate::serving::stream_origins::{StreamOrigin, UnknownOrigin, stream_lifetime};
 use crate::serving::workers::{Choice, WorkerId};
 use crate::time::{Millis, Timestamp};
 
@@ -41,6 +42,10 @@
     NoWorker,
     /// The last allowed attempt failed with this outcome.
     LastAttempt(AttemptEnd),
+    /// There is no worker of the service and software version that began the stream.
+    OriginGone,
+    /// The caller resumes a stream whose origin is not known.
+    UnknownOrigin(UnknownOrigin),
     /// The request crashed workers and is quarantined for the given time.
     Quarantined(Millis),
 }
@@ -85,6 +90,8 @@
     pub progress: StreamProgress,
     /// What the attempts say about their workers.
     pub attribution: Attribution,
+    /// The origin of the stream of which the caller has received events; only workers of this origin may go on with it.
+    pub origin: Option<StreamOrigin>,
 }
 
 impl RequestState {
@@ -103,9 +110,20 @@
             has_alternative: true,
             progress: StreamProgress::after(attributes.last_event),
             attribution: Attribution::default(),
+            origin: None,
         }
     }
 
+    /// Returns whether the caller resumes a stream, so that the stream's origin must be known before the first attempt.
+    pub fn resumes_stream(&self) -> bool {
+        self.is_reconnect && self.is_stream()
+    }
+
+    /// Returns the time after which no attempt for the same stream is left.
+    pub fn stream_lifetime(&self) -> Millis {
+        stream_lifetime(self.route.timeout)
+    }
+
     /// Returns the time left until the request's deadline.
     pub fn remaining(&self, now: Timestamp) -> Millis {
         self.timing.ends_at.since(now)
@@ -281,6 +299,16 @@
                 }
                 (ErrorKind::NoEngine, ErrorKind::EngineLost, "no worker is left to try".to_owned())
             }
+            RefusalReason::OriginGone => {
+                retry_after = NO_WORKER_RETRY_AFTER;
+                let detail = "no worker of the software version that began the stream is left".to_owned();
+                (ErrorKind::NoEngine, ErrorKind::EngineLost, detail)
+            }
+            RefusalReason::UnknownOrigin(why) => {
+                retry_after = NO_WORKER_RETRY_AFTER;
+                let detail = format!("the software version that began the stream is not known: {}", why.name());
+                (ErrorKind::NoEngine, ErrorKind::EngineLost, detail)
+            }
             RefusalReason::LastAttempt(end) => {
                 (ErrorKind::Overloaded, ErrorKind::EngineLost, format!("the last attempt ended as {end:?}"))
             }
--- a/crates/core/src/serving/request.rs
+++ b/crates/core/src/serving/request.rs
@@ -34,6 +34,8 @@
     pub deadline: Option<Millis>,
     /// The last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// ID of the attempt that brought the stream's first event, if the caller resumes a stream and states it.
+    pub first_attempt: Option<Arc<str>>,
     /// The prompt as prefix cache entries, the shortest prefix first.
     pub prefix: Vec<PrefixBlock>,
     /// Length of the whole prompt in tokens.
--- /dev/null
+++ b/crates/core/src/serving/stream_origins/rule.rs
@@ -0,0 +1,153 @@
+//! The decision whether and where a stream is resumed that a client takes up again.
+//!
+//! A recorded origin decides. Without one, the stream can only be resumed if all workers that may have begun it have the
+//! same version: one version alone has served for longer than a stream lasts. Otherwise it is refused, since a guess
+//! could join events of two versions.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::directory::{RETENTION, RecordedOrigin};
+use super::origin::StreamOrigin;
+use crate::serving::workers::SoftwareVersion;
+use crate::serving::workers::versions::KnownVersions;
+use crate::time::Millis;
+
+/// Number of times that the route's timeout must pass until no attempt for the same stream is left: clients may try
+/// again.
+const ATTEMPTS_PER_STREAM: u64 = 2;
+/// Minimum duration after which a stream counts as ended, so that nodes whose views differ for seconds agree.
+const MIN_LIFETIME: Millis = Millis(5_000);
+/// Maximum duration of a stream; its origin is retained for longer than that.
+const MAX_LIFETIME: Millis = Millis(RETENTION.0 / 2);
+
+/// Maximum age of this node's view of the workers by which it may deduce an origin without an answer of another node.
+const MAX_VIEW_AGE: Millis = Millis(2_000);
+
+/// Returns the time after which a stream of a route with the given timeout is no longer resumed.
+pub fn stream_lifetime(route_timeout: Millis) -> Millis {
+    Millis(route_timeout.0.saturating_mul(ATTEMPTS_PER_STREAM)).clamp(MIN_LIFETIME, MAX_LIFETIME)
+}
+
+/// What one node knows about a stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeKnowledge {
+    /// The recorded origins of the stream: none, one, or several if records conflict.
+    pub origin: KnownOrigin,
+    /// The versions of the service's workers.
+    pub versions: KnownVersions,
+}
+
+/// What the node that decides knows about a stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OwnKnowledge {
+    /// What it knows like any other node.
+    pub known: NodeKnowledge,
+    /// Time since its view of the workers was last confirmed to be complete; `None` before the first complete view.
+    pub view_age: Option<Millis>,
+}
+
+/// The recorded origin of a stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KnownOrigin {
+    /// No record.
+    #[default]
+    Unknown,
+    /// All records name this origin.
+    Known(StreamOrigin),
+    /// Records name different origins.
+    Conflicting,
+}
+
+impl KnownOrigin {
+    /// Returns whether there is no record.
+    pub fn is_unknown(&self) -> bool {
+        *self == Self::Unknown
+    }
+}
+
+impl From<Option<RecordedOrigin>> for KnownOrigin {
+    fn from(recorded: Option<RecordedOrigin>) -> Self {
+        match recorded {
+            None => Self::Unknown,
+            Some(RecordedOrigin::Known(origin)) => Self::Known(StreamOrigin::clone(&origin)),
+            Some(RecordedOrigin::Conflicting) => Self::Conflicting,
+        }
+    }
+}
+
+/// Why the origin of a stream is unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnknownOrigin {
+    /// Records of the stream name different origins.
+    Conflicting,
+    /// There is no record, and workers of several versions may have begun the stream.
+    SeveralVersions,
+    /// There is no record, and no node knows for how long one version alone has served.
+    UncertainPast,
+}
+
+impl UnknownOrigin {
+    /// Returns the name used in log fields and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Conflicting => "conflicting",
+            Self::SeveralVersions => "several_versions",
+            Self::UncertainPast => "uncertain_past",
+        }
+    }
+}
+
+/// The decision on a stream that its client takes up again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Resumption {
+    /// Workers of this origin may resume the stream.
+    At(StreamOrigin),
+    /// No worker may.
+    Refused(UnknownOrigin),
+}
+
+/// Decides where a stream of `service` that lasts for at most `lifetime` is resumed, by what this node and the storage
+/// nodes that answered know.
+pub fn resume_rule(service: &Arc<str>, own: &OwnKnowledge, answers: &[NodeKnowledge], lifetime: Millis) -> Resumption {
+    let mut recorded = None;
+    for node in std::iter::once(&own.known).chain(answers) {
+        match &node.origin {
+            KnownOrigin::Unknown => {}
+            KnownOrigin::Known(origin) if recorded.is_none_or(|other| other == origin) => recorded = Some(origin),
+            KnownOrigin::Known(_) | KnownOrigin::Conflicting => return Resumption::Refused(UnknownOrigin::Conflicting),
+        }
+    }
+    if let Some(origin) = recorded {
+        return Resumption::At(origin.clone());
+    }
+    deduce_version(own, answers, lifetime)
+        .map_or_else(Resumption::Refused, |version| Resumption::At(StreamOrigin { service: service.clone(), version }))
+}
+
+/// Returns the version that began a stream without a record, if one alone has served for longer than the stream lasts.
+fn deduce_version(
+    own: &OwnKnowledge,
+    answers: &[NodeKnowledge],
+    lifetime: Millis,
+) -> Result<SoftwareVersion, UnknownOrigin> {
+    // Others may have seen a second version that this node's view does not contain yet.
+    let is_current = own.view_age.is_some_and(|age| age <= MAX_VIEW_AGE);
+    if answers.is_empty() && !is_current {
+        return Err(UnknownOrigin::UncertainPast);
+    }
+    let mut longest = Millis(0);
+    let mut sole = None;
+    for node in std::iter::once(&own.known).chain(answers) {
+        match &node.versions {
+            KnownVersions::Unknown => {}
+            KnownVersions::Sole { version, lasted } if sole.is_none_or(|other| other == version) => {
+                sole = Some(version);
+                longest = longest.max(*lasted);
+            }
+            KnownVersions::Sole { .. } | KnownVersions::Several => return Err(UnknownOrigin::SeveralVersions),
+        }
+    }
+    sole.filter(|_| longest >= lifetime).cloned().ok_or(UnknownOrigin::UncertainPast)
+}
--- a/crates/core/src/serving/workers/choice.rs
+++ b/crates/core/src/serving/workers/choice.rs
@@ -54,6 +54,8 @@
     pub regions: &'a AllowedRegions,
     /// Whether the request may run again after a failed attempt.
     pub may_run_again: bool,
+    /// The only version whose workers may serve the request: that of the worker that began its stream, if any.
+    pub version: Option<&'a SoftwareVersion>,
 }
 
 /// A selected worker, with the estimates that the selection used.
@@ -166,7 +168,7 @@
         if others.is_empty() { ready } else { others }
     }
 
-    /// Returns the workers of the service that the request's regions and the operator's evacuations allow.
+    /// Returns the workers of the service that the request's regions and version and the operator's evacuations allow.
     pub(super) fn eligible<'a>(&'a self, query: &'a WorkerQuery<'_>) -> impl Iterator<Item = &'a WorkerEntry> {
         let of_service = self.workers.values().filter(|entry| &*entry.record.service == query.service);
         of_service.filter(|entry| self.is_allowed(entry, query))
@@ -177,8 +179,14 @@
         &*entry.record.service == query.service && self.is_allowed(entry, query)
     }
 
+    /// Returns whether any worker can serve the request, or will once it is healthy or has a free slot.
+    pub fn has_eligible(&self, query: &WorkerQuery<'_>, now: Timestamp) -> bool {
+        self.eligible(query).any(|entry| entry.accepts_requests(now) || is_last_resort(entry, now))
+    }
+
     fn is_allowed(&self, entry: &WorkerEntry, query: &WorkerQuery<'_>) -> bool {
-        !self.is_evacuated(&entry.record.zone) && self.regions.allows(query.regions, &entry.record.zone)
+        let has_version = query.version.is_none_or(|version| *version == entry.record.version);
+        has_version && !self.is_evacuated(&entry.record.zone) && self.regions.allows(query.regions, &entry.record.zone)
     }
 
     /// Returns the cost level to which requests placed by other nodes since their last report may have raised the
--- a/crates/core/src/serving/workers/mod.rs
+++ b/crates/core/src/serving/workers/mod.rs
@@ -30,6 +30,7 @@
 //! | [`load_in_transit`] | requests that other nodes have placed since their last report |
 //! | [`prefix_cache`] | the prompt prefixes that a worker is estimated to have cached |
 //! | [`service_times`] | response times of the workers of a service |
+//! | [`versions`] | the software versions of the known workers |
 //! | [`connection_limit`] | the maximum number of connections from one node to a worker |
 
 mod activity;
@@ -57,6 +58,7 @@
 pub mod table;
 pub mod trials;
 pub mod unavailable;
+pub mod versions;
 pub mod worker;
 
 pub use choice::{Choice, WorkerQuery};
--- a/crates/core/src/serving/workers/table.rs
+++ b/crates/core/src/serving/workers/table.rs
@@ -15,6 +15,7 @@
 use super::rate_share::RateShare;
 use super::service_times::ServiceTimes;
 use super::trials::Trials;
+use super::versions::VersionCounts;
 use super::worker::{Presence, WorkerEntry, WorkerId, WorkerIncarnation, WorkerRecord};
 use crate::moving_mean::MovingMean;
 use crate::serving::regions::RegionMap;
@@ -49,6 +50,7 @@
     pub(super) evidence: FleetEvidence,
     pub(super) capacities: Capacities,
     pub(super) trials: Trials,
+    pub(super) versions: VersionCounts,
 }
 
 impl Default for WorkerTable {
@@ -69,6 +71,7 @@
             evidence: FleetEvidence::default(),
             capacities: Capacities::default(),
             trials: Trials::default(),
+            versions: VersionCounts::default(),
         }
     }
 }
@@ -95,7 +98,10 @@
     /// Applies a record that was read at `now`, including its remaining cold start; see [`WorkerTable::upsert`].
     pub fn apply_record(&mut self, record: WorkerRecord, now: Timestamp) -> Option<WorkerChange> {
         let (incarnation, cold_remaining) = (record.incarnation(), record.cold_remaining);
+        let previous = self.record(&incarnation.id).cloned();
         let change = self.upsert(record);
+        let current = self.workers.get(&incarnation.id).map(|entry| &entry.record);
+        self.versions.record_change(previous.as_ref(), current, now);
         self.mark_cold(&incarnation, cold_remaining, now);
         change
     }
@@ -172,11 +178,18 @@
 
     /// Evicts workers that departed longer ago than the retention period and have no requests of this node in flight.
     pub fn evict_departed(&mut self, now: Timestamp) {
-        self.workers.retain(|_, entry| match entry.presence {
-            Presence::Drained { since } | Presence::Removed { since, .. } | Presence::Missing { until: since } => {
-                now.since(since) < DEPARTED_RETENTION || entry.in_flight > 0
+        let versions = &mut self.versions;
+        self.workers.retain(|_, entry| {
+            let is_retained = match entry.presence {
+                Presence::Drained { since } | Presence::Removed { since, .. } | Presence::Missing { until: since } => {
+                    now.since(since) < DEPARTED_RETENTION || entry.in_flight > 0
+                }
+                Presence::Ready | Presence::Draining => true,
+            };
+            if !is_retained {
+                versions.record_change(Some(&entry.record), None, now);
             }
-            Presence::Ready | Presence::Draining => true,
+            is_retained
         });
     }
 
--- a/crates/core/tests/cold_start_simulation.rs
+++ b/crates/core/tests/cold_start_simulation.rs
@@ -161,6 +161,7 @@
             tried: &[],
             regions: &AllowedRegions::Any,
             may_run_again: true,
+            version: None,
         };
         if gateway.table.has_cold_workers(now) {
             gateway.wanted = gateway.table.wanted_permits(&query, now, &mut self.random);
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -57,6 +57,7 @@
         tried,
         regions,
         may_run_again: true,
+        version: None,
     }
 }
 
--- a/crates/core/tests/failing_workers/fleet.rs
+++ b/crates/core/tests/failing_workers/fleet.rs
@@ -73,6 +73,7 @@
         tried,
         regions: &AllowedRegions::Any,
         may_run_again,
+        version: None,
     }
 }
 
--- a/crates/core/tests/fleet_growth.rs
+++ b/crates/core/tests/fleet_growth.rs
@@ -402,6 +402,7 @@
             tried: &[],
             regions: &AllowedRegions::Any,
             may_run_again: true,
+            version: None,
         };
         for _ in 0..200 {
             let choice = table.choose(&query, at(1), &mut random).expect("there are workers");
--- a/crates/core/tests/partitioned_choice.rs
+++ b/crates/core/tests/partitioned_choice.rs
@@ -185,6 +185,7 @@
             tried: &[],
             regions: &AllowedRegions::Any,
             may_run_again: true,
+            version: None,
         };
         self.tables[gateway].choose(&query, at(now), &mut self.random).expect("all workers are usable")
     }
@@ -306,6 +307,7 @@
             tried: &tried,
             regions: &AllowedRegions::Any,
             may_run_again: true,
+            version: None,
         };
         let mut random = Xoshiro256PlusPlus::seed_from_u64(1);
         table.choose(&query, at(now), &mut random).map(|choice| (choice.load, choice.queue_position))
--- a/crates/core/tests/relay_simulation/world.rs
+++ b/crates/core/tests/relay_simulation/world.rs
@@ -409,6 +409,7 @@
                 tried: &[],
                 regions: &AllowedRegions::Any,
                 may_run_again: true,
+                version: None,
             };
             let chosen = workers.choose(&query, at(now), random).map(|choice| choice.availability);
             assert_eq!(
--- a/crates/core/tests/worker_choice.rs
+++ b/crates/core/tests/worker_choice.rs
@@ -61,6 +61,7 @@
         tried,
         regions: &AllowedRegions::Any,
         may_run_again: true,
+        version: None,
     }
 }
 
--- a/crates/core/tests/worker_recovery.rs
+++ b/crates/core/tests/worker_recovery.rs
@@ -56,6 +56,7 @@
         tried: &[],
         regions: &AllowedRegions::Any,
         may_run_again: true,
+        version: None,
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`peers`] | messages between nodes |
 //! | [`fleet`] | this node's view of the fleet |
 //! | [`leader`] | exchanges with the leader of the job table |
+//! | [`streams`] | the origins of streams, which decide where they are resumed |
 //! | [`workers`] | connections and requests to workers |
 //! | [`online`] | online requests, from admission to the last byte of the answer |
 //! | [`batch`] | callers' requests about batch jobs |
@@ -37,4 +38,5 @@
 pub mod process;
 pub mod sockets;
 pub mod storage;
+pub mod streams;
 pub mod workers;
--- a/crates/gateway/src/observe/measures.rs
+++ b/crates/gateway/src/observe/measures.rs
@@ -53,6 +53,7 @@
     SUSPECTED_WORKERS = "stallmoor_suspected_workers", "gauge", "", "Workers that this node suspects of failing requests.";
     TRIAL_REQUESTS = "stallmoor_trial_requests_total", "counter", "end", "Requests sent to suspected workers as trials, by how they ended.";
     PERMITS = "stallmoor_gateway_permits_total", "counter", "end", "Permits for workers in a cold start that this gateway asked for: granted, denied, or without an answer of a leader.";
+    RESUMPTIONS = "stallmoor_gateway_resumptions_total", "counter", "origin", "Streams that callers resumed at this gateway, by whether the software version that began them was known.";
     SUBMISSIONS = "stallmoor_gateway_submissions_total", "counter", "result", "Batch jobs that were submitted here, by the answer.";
     STORE_CALLS = "stallmoor_metadata_calls_total", "counter", "call", "Reads and watches of the metadata store by this node.";
     PEER_MESSAGES = "stallmoor_peer_messages_total", "counter", "message", "Messages that this node sent to other nodes, by what they are about.";
@@ -138,6 +139,11 @@
     counter!(TRIAL_REQUESTS, "end" => end).increment(1);
 }
 
+/// Counts a stream that a caller resumed. `origin` is `known`, or the reason why it is not.
+pub fn count_resumption(origin: &'static str) {
+    counter!(RESUMPTIONS, "origin" => origin).increment(1);
+}
+
 /// Counts requested permits for workers in a cold start. `end` is `granted`, `denied` or `no_leader`.
 pub fn count_permits(end: &'static str, count: usize) {
     counter!(PERMITS, "end" => end).increment(count as u64);
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -29,6 +29,7 @@
 use stallmoor_core::serving::online::request_state::{RefusalReason, RequestState};
 use stallmoor_core::serving::regions::AllowedRegions;
 use stallmoor_core::serving::request::RequestAttributes;
+use stallmoor_core::serving::stream_origins::{Resumption, StreamKey, StreamOrigin};
 use stallmoor_core::serving::workers::cold_start::MAX_PERMIT_WAIT;
 use stallmoor_core::serving::workers::{Choice, WorkerIncarnation, WorkerQuery};
 use stallmoor_core::time::{Millis, Timestamp};
@@ -99,7 +100,11 @@
         run: None,
         crash_check: None,
     };
-    let answer = match active.open().await {
+    let opened = match active.find_origin().await {
+        Ok(()) => active.open().await,
+        Err(refused) => Err(refused),
+    };
+    let answer = match opened {
         Ok(answer) => answer,
         Err(refused) => {
             active.log_refusal(&refused);
@@ -115,12 +120,56 @@
         self.client.view.clock.now()
     }
 
+    /// Determines the origin of a stream that the caller resumes. Only workers of this origin may serve the request.
+    async fn find_origin(&mut self) -> Result<(), Refusal> {
+        if !self.state.resumes_stream() {
+            return Ok(());
+        }
+        let (key, lifetime) = (self.resumed_stream(), self.state.stream_lifetime());
+        let origins = self.client.origins.clone();
+        let resumption = origins.resolve(key, &self.service, lifetime, self.state.remaining(self.now())).await;
+        self.log_resumption(&resumption);
+        match resumption {
+            Resumption::At(origin) if self.request.route.leads_to(&origin.service) => {
+                self.service = origin.service.clone();
+                self.state.origin = Some(origin);
+                Ok(())
+            }
+            Resumption::At(_) => Err(self.state.refusal(RefusalReason::OriginGone)),
+            Resumption::Refused(why) => Err(self.state.refusal(RefusalReason::UnknownOrigin(why))),
+        }
+    }
+
+    /// Returns the key of the stream that the caller resumes; `None` if the caller does not name it.
+    fn resumed_stream(&self) -> Option<StreamKey> {
+        let first_attempt = self.request.attributes.first_attempt.as_deref()?;
+        Some(StreamKey::of(&self.request.identity, first_attempt))
+    }
+
+    /// Records the worker that sends the stream's first event as its origin.
+    fn record_origin(&mut self) {
+        if self.state.origin.is_some() || !self.state.is_retryable() {
+            return;
+        }
+        let Some(choice) = &self.last_choice else { return };
+        let origin = StreamOrigin { service: self.service.clone(), version: choice.version.clone() };
+        let key = StreamKey::of(&self.request.identity, &self.request.attributes.id);
+        self.client.origins.record(key, &origin, self.state.stream_lifetime());
+        self.state.origin = Some(origin);
+    }
+
+    /// Returns whether only workers of the stream's origin may serve the request, and none of them is left.
+    fn is_origin_gone(&self) -> bool {
+        let has_eligible = || self.client.view.workers().has_eligible(&self.worker_query(), self.now());
+        self.state.origin.is_some() && !has_eligible()
+    }
+
     /// Tries workers until one starts to answer.
     async fn open(&mut self) -> Result<OpenAnswer, Refusal> {
         loop {
             self.check_quarantine().await?;
             self.state.check_time(self.now())?;
-            let choice = self.choose_or_wait().await.ok_or_else(|| self.state.refusal(RefusalReason::NoWorker))?;
+            let choice = self.choose_or_wait().await.ok_or_else(|| self.refusal_without_worker())?;
             if let Some(refused) = self.shed(&choice) {
                 return Err(refused);
             }
@@ -139,6 +188,11 @@
         }
     }
 
+    fn refusal_without_worker(&self) -> Refusal {
+        let reason = if self.is_origin_gone() { RefusalReason::OriginGone } else { RefusalReason::NoWorker };
+        self.state.refusal(reason)
+    }
+
     /// Refuses a quarantined request, that is, one that has crashed too many workers. If one more crash would
     /// quarantine it, waits for the pending crash check first.
     async fn check_quarantine(&mut self) -> Result<(), Refusal> {
@@ -194,6 +248,7 @@
             tried: self.state.tried(),
             regions: &self.request.regions,
             may_run_again: self.state.is_retryable(),
+            version: self.state.origin.as_ref().map(|origin| &origin.version),
         }
     }
 
--- a/crates/gateway/src/online/records.rs
+++ b/crates/gateway/src/online/records.rs
@@ -3,6 +3,7 @@
 use stallmoor_core::error::Refusal;
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::serving::online::attempt::AttemptEnd;
+use stallmoor_core::serving::stream_origins::Resumption;
 use stallmoor_core::serving::workers::WorkerId;
 
 use super::ActiveRequest;
@@ -46,6 +47,22 @@
         record(LogEvent::RequestMoved, &fields);
     }
 
+    pub(super) fn log_resumption(&self, resumption: &Resumption) {
+        let (outcome, version) = match resumption {
+            Resumption::At(origin) => ("known", origin.version.to_string()),
+            Resumption::Refused(why) => (why.name(), String::new()),
+        };
+        let fields = [
+            Field::text("request", &self.request.attributes.id),
+            Field::text("first_attempt", self.request.attributes.first_attempt.as_deref().unwrap_or_default()),
+            Field::number("after_event", self.state.progress.last_event.unwrap_or(0)),
+            Field::text("origin", outcome),
+            Field::text("version", version),
+        ];
+        record(LogEvent::StreamResumed, &fields);
+        measures::count_resumption(outcome);
+    }
+
     pub(super) fn log_refusal(&self, refused: &Refusal) {
         let now = self.now();
         let (ready, unavailable) = {
--- a/crates/gateway/src/online/stream.rs
+++ b/crates/gateway/src/online/stream.rs
@@ -73,13 +73,17 @@
         let _ = sender.send(Err(Aborted)).await;
     }
 
-    /// Sends the request to workers, in rounds, until one of them resumes the partially sent stream.
+    /// Sends the request to workers, in rounds, until one of them resumes the partially sent stream. Gives up once no
+    /// worker of the version that began the stream is left.
     async fn resume(&mut self) -> Option<OpenAnswer> {
         let mut rounds = ResumeRounds::default();
         loop {
             if let Ok(answer) = self.open().await {
                 return answer.status.is_success().then_some(answer);
             }
+            if self.is_origin_gone() {
+                return None;
+            }
             let wait = self.state.next_round(&mut rounds, self.now())?;
             tokio::time::sleep(Duration::from_millis(wait.0)).await;
         }
@@ -144,6 +148,7 @@
             run.record_progress(event);
         }
         if !taken.bytes.is_empty() {
+            self.record_origin();
             self.send(taken.bytes, sender).await?;
         }
         if taken.has_gap { Err(StreamEnd::AttemptFailed(AttemptEnd::Broken)) } else { Ok(()) }
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -19,6 +19,7 @@
 use crate::adapter::PlatformAdapter;
 use crate::batch::job_calls::JobCalls;
 use crate::callers::server::{CallerServer, StopPhase};
+use crate::clock::NodeClock;
 use crate::fleet::fleet_view::FleetView;
 use crate::http::plain_listener::serve_readiness;
 use crate::leader::client::LeaderClient;
@@ -46,8 +47,8 @@
     let callers = settings.listen.callers.ok_or(ProcessError::MissingSetting { field: "listen.callers" })?;
     let readiness = settings.listen.readiness.ok_or(ProcessError::MissingSetting { field: "listen.readiness" })?;
     start_metrics(settings)?;
-    let components = NodeComponents::new(settings, adapter);
     let id = new_node_id();
+    let components = NodeComponents::new(settings, adapter, NodeClock::start(), id);
     components.follow_metadata(id, settings, adapter, None);
     let calls = LeaderCalls::start(&components.view, id, settings, adapter);
     tokio::spawn(exchange_permits(components.workers.clone(), calls.jobs.clone(), id));
--- a/crates/gateway/src/process/parts.rs
+++ b/crates/gateway/src/process/parts.rs
@@ -23,6 +23,7 @@
 use crate::observe::journal::{Field, record};
 use crate::observe::measures;
 use crate::sockets::listen;
+use crate::streams::StreamOrigins;
 use crate::workers::attempt::WorkerClient;
 use crate::workers::connections::ConnectionPool;
 use crate::workers::permits::PermitRequests;
@@ -39,14 +40,16 @@
 }
 
 impl NodeComponents {
-    /// Creates the components with an empty fleet view.
-    pub(super) fn new(settings: &ServingSettings, adapter: &dyn PlatformAdapter) -> Self {
+    /// Creates the components of the node `id` with an empty fleet view.
+    pub(super) fn new(settings: &ServingSettings, adapter: &dyn PlatformAdapter, clock: NodeClock, id: NodeId) -> Self {
         let zone = Arc::from(settings.node.zone.as_str());
-        let view = Arc::new(FleetView::new(NodeClock::start(), zone, random_u64()).with_regions(settings.regions()));
+        let view = Arc::new(FleetView::new(clock, zone, random_u64()).with_regions(settings.regions()));
         let metadata = Arc::new(MetadataView::new(view.clock, settings.metadata.watch_bounds()));
         let connections = Arc::new(ConnectionPool::new(view.clock));
         let permits = Arc::new(PermitRequests::default());
-        let workers = Arc::new(WorkerClient { view: view.clone(), dialect: adapter.dialect(), connections, permits });
+        let origins = Arc::new(StreamOrigins::new(view.clone(), metadata.clone(), id));
+        let dialect = adapter.dialect();
+        let workers = Arc::new(WorkerClient { view: view.clone(), dialect, connections, permits, origins });
         Self { view, metadata, workers }
     }
 
@@ -66,6 +69,7 @@
         tokio::spawn(watch.run());
         tokio::spawn(report_crashes(self.view.clone(), adapter.metadata(), settings.node.name.clone()));
         tokio::spawn(review_periodically(self.view.clone()));
+        tokio::spawn(self.workers.origins.clone().share());
         tokio::spawn(apply_updates(self.view.clone(), received, subscriber));
     }
 }
--- a/crates/gateway/src/process/storage_node.rs
+++ b/crates/gateway/src/process/storage_node.rs
@@ -22,10 +22,11 @@
 use super::signals::ProcessSignals;
 use super::{DiskSnafu, ProcessError, SystemSnafu};
 use crate::adapter::PlatformAdapter;
+use crate::clock::NodeClock;
 use crate::observe::journal::{Field, record};
 use crate::peers::peer_link::JOBS_GROUP;
 use crate::storage::disk_writer::DiskWriter;
-use crate::storage::peer_listener::accept_peers;
+use crate::storage::peer_listener::{PeerAnswerers, accept_peers};
 use crate::storage::registration;
 use crate::storage::service::{StorageComponents, StorageInputs, StorageService};
 
@@ -46,8 +47,9 @@
     let folder =
         settings.node.data_folder.as_deref().ok_or(ProcessError::MissingSetting { field: "node.data_folder" })?;
     start_metrics(settings)?;
-    let components = NodeComponents::new(settings, adapter);
-    let replica = OpenReplica::open(folder, settings, components.view.clock.now())?;
+    let clock = NodeClock::start();
+    let replica = OpenReplica::open(folder, settings, clock.now())?;
+    let components = NodeComponents::new(settings, adapter, clock, replica.id);
     let (stop, stopping) = watch::channel(false);
     let service = start_service(replica, components, settings, adapter, stopping)?;
     log_node_start(settings, "storage");
@@ -114,7 +116,12 @@
     let disk =
         DiskWriter::start(log, JOBS_GROUP, results).context(SystemSnafu { operation: "starting the disk thread" })?;
     let (peer_events, peers) = mpsc::channel(PEER_EVENT_QUEUE_CAPACITY);
-    tokio::spawn(accept_peers(open_listener(settings.peer_address())?, peer_events, components.metadata.clone()));
+    let answerers = PeerAnswerers {
+        events: peer_events,
+        metadata: components.metadata.clone(),
+        origins: components.workers.origins.clone(),
+    };
+    tokio::spawn(accept_peers(open_listener(settings.peer_address())?, answerers));
     // Unbounded: the queue holds only the changes of the store since the service last received one, a few per second.
     let (update_sender, updates) = mpsc::unbounded_channel();
     components.follow_metadata(id, settings, adapter, Some(update_sender));
--- a/crates/gateway/src/storage/peer_listener.rs
+++ b/crates/gateway/src/storage/peer_listener.rs
@@ -19,6 +19,7 @@
 use crate::peers::frames::{read_message, write_frame};
 use crate::peers::peer_link::encode;
 use crate::sockets::accept_next;
+use crate::streams::StreamOrigins;
 
 /// Maximum number of queued answers per connection. When the queue is full, the tasks that produce answers wait.
 const ANSWER_QUEUE_CAPACITY: usize = 4_096;
@@ -43,17 +44,27 @@
     },
 }
 
-/// Accepts connections of other nodes and forwards their messages to `events`. Requests for changes of the metadata
-/// store are answered from `view`.
-pub async fn accept_peers(listener: TcpListener, events: mpsc::Sender<PeerEvent>, view: Arc<MetadataView>) {
+/// The parts of a storage node that answer other nodes.
+#[derive(Clone)]
+pub struct PeerAnswerers {
+    /// Receives replication messages and the requests to the leader or to a zone's aggregator.
+    pub events: mpsc::Sender<PeerEvent>,
+    /// Answers requests for changes of the metadata store.
+    pub metadata: Arc<MetadataView>,
+    /// Answers requests about the origins of streams.
+    pub origins: Arc<StreamOrigins>,
+}
+
+/// Accepts connections of other nodes and passes their messages to `answerers`.
+pub async fn accept_peers(listener: TcpListener, answerers: PeerAnswerers) {
     loop {
         let stream = accept_next(&listener).await;
         let _ = stream.set_nodelay(true);
-        tokio::spawn(serve_peer(stream, events.clone(), view.clone()));
+        tokio::spawn(serve_peer(stream, answerers.clone()));
     }
 }
 
-async fn serve_peer(stream: TcpStream, events: mpsc::Sender<PeerEvent>, view: Arc<MetadataView>) {
+async fn serve_peer(stream: TcpStream, answerers: PeerAnswerers) {
     let peer = stream.peer_addr().map_or_else(|_| String::new(), |address| address.to_string());
     let (reader, writer) = stream.into_split();
     let mut reader = BufReader::new(reader);
@@ -62,12 +73,12 @@
     loop {
         match read_message(&mut reader).await {
             Ok(PeerMessage::Replication(message)) => {
-                if events.send(PeerEvent::Replication(message)).await.is_err() {
+                if answerers.events.send(PeerEvent::Replication(message)).await.is_err() {
                     return;
                 }
             }
             Ok(PeerMessage::GroupRequest(request)) => {
-                if !handle_request(request, &events, &answers, &view).await {
+                if !handle_request(request, &answerers, &answers).await {
                     return;
                 }
             }
@@ -83,32 +94,31 @@
 }
 
 /// Dispatches a request. Returns false if the service has stopped.
-async fn handle_request(
-    request: GroupRequest,
-    events: &mpsc::Sender<PeerEvent>,
-    answers: &mpsc::Sender<PeerMessage>,
-    view: &Arc<MetadataView>,
-) -> bool {
+async fn handle_request(request: GroupRequest, answerers: &PeerAnswerers, answers: &mpsc::Sender<PeerMessage>) -> bool {
     match request.body {
         GroupRequestBody::Jobs(body) => {
             let (reply, answer) = oneshot::channel();
             let event = PeerEvent::Request { from: request.from, request: body, reply };
-            if events.send(event).await.is_err() {
+            if answerers.events.send(event).await.is_err() {
                 return false;
             }
             let answer = async move { Some(answer.await.ok()?.map(GroupAnswerBody::Jobs)) };
             send_answer(request.id, answers.clone(), answer);
         }
         GroupRequestBody::Changes(body) => {
-            let view = view.clone();
+            let view = answerers.metadata.clone();
             let answer = async move { Some(view.answer(body).await.map(GroupAnswerBody::Changes)) };
             send_answer(request.id, answers.clone(), answer);
         }
         GroupRequestBody::Follow(body) => {
-            let view = view.clone();
+            let view = answerers.metadata.clone();
             let answer = async move { Some(view.answer_follower(body).await) };
             send_answer(request.id, answers.clone(), answer);
         }
+        GroupRequestBody::Origins(body) => {
+            let answer = answerers.origins.answer(body);
+            send_answer(request.id, answers.clone(), async move { Some(Ok(GroupAnswerBody::Origins(answer))) });
+        }
         // These requests are addressed to groups that storage nodes do not host.
         GroupRequestBody::Command(_) | GroupRequestBody::Query(_) => {}
     }
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -328,6 +328,7 @@
             tried: &failed,
             regions: &start.regions,
             may_run_again: true,
+            version: None,
         };
         let mut random = view.random();
         let mut workers = view.workers();
--- /dev/null
+++ b/crates/gateway/src/streams.rs
@@ -0,0 +1,246 @@
+//! The origins of streams: this node's directory, and the exchange with the storage nodes.
+//!
+//! [`stallmoor_core::serving::stream_origins`] decides which nodes store an origin, when it has to be sent to them, and
+//! whether a stream may be resumed. Gateways send and request origins; storage nodes answer.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use stallmoor_core::identity::NodeId;
+use stallmoor_core::peer_message::{GroupAnswerBody, GroupRequestBody};
+use stallmoor_core::serving::stream_origins::holders::{COPIES, holders};
+use stallmoor_core::serving::stream_origins::message::{OriginRecord, OriginsAnswer, OriginsRequest};
+use stallmoor_core::serving::stream_origins::{
+    NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey, StreamOrigin, resume_rule,
+};
+use stallmoor_core::serving::workers::versions::KnownVersions;
+use stallmoor_core::time::{Millis, Timestamp};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+
+use crate::fleet::fleet_view::FleetView;
+use crate::fleet::metadata_view::MetadataView;
+use crate::peers::peer_link::{PeerLinks, PeerRequest};
+
+/// Maximum time to wait for a storage node's answer to a lookup, which a caller waits for.
+const FIND_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum time to wait for a storage node to confirm origins before they are sent to another one.
+const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a node that did not answer is avoided while others respond.
+const AVOIDANCE: Millis = Millis(2_000);
+/// Interval at which departed workers are evicted, whose versions count until then.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(1_000);
+
+impl PeerRequest for OriginsRequest {
+    type Answer = OriginsAnswer;
+
+    fn into_body(self) -> GroupRequestBody {
+        GroupRequestBody::Origins(self)
+    }
+
+    fn answer_from_body(body: GroupAnswerBody) -> Option<OriginsAnswer> {
+        if let GroupAnswerBody::Origins(answer) = body { Some(answer) } else { None }
+    }
+}
+
+/// The origins of streams that this node knows, and its connections to the storage nodes that know others.
+pub struct StreamOrigins {
+    view: Arc<FleetView>,
+    metadata: Arc<MetadataView>,
+    links: PeerLinks,
+    directory: Mutex<OriginDirectory>,
+    outbox: Mutex<OriginOutbox>,
+    /// Notified when the outbox has origins to send.
+    due: Notify,
+    /// Nodes that did not answer, with the time until which they are avoided.
+    avoided: Mutex<BTreeMap<NodeId, Timestamp>>,
+}
+
+impl StreamOrigins {
+    /// Creates an empty directory for the node `id`.
+    pub fn new(view: Arc<FleetView>, metadata: Arc<MetadataView>, id: NodeId) -> Self {
+        Self {
+            view,
+            metadata,
+            links: PeerLinks::new(id),
+            directory: Mutex::default(),
+            outbox: Mutex::default(),
+            due: Notify::new(),
+            avoided: Mutex::default(),
+        }
+    }
+
+    /// Records the origin of a stream that lasts for at most `lifetime`. It is sent to storage nodes if others cannot
+    /// deduce it.
+    pub fn record(&self, key: StreamKey, origin: &StreamOrigin, lifetime: Millis) {
+        let now = self.view.clock.now();
+        lock(&self.directory).record(key, origin, now);
+        let record = OriginRecord { key, origin: origin.clone() };
+        let is_due = !self.is_deducible(&record, lifetime);
+        lock(&self.outbox).add(record, lifetime, now);
+        if is_due {
+            self.due.notify_one();
+        }
+    }
+
+    /// Returns whether other nodes can deduce the origin of a stream of this service.
+    fn is_deducible(&self, record: &OriginRecord, lifetime: Millis) -> bool {
+        let versions = self.view.workers().known_versions(&record.origin.service, self.view.clock.now());
+        matches!(versions, KnownVersions::Sole { lasted, .. } if lasted >= lifetime)
+    }
+
+    /// Stores origins that a gateway sent, or returns what this node knows of a stream.
+    pub fn answer(&self, request: OriginsRequest) -> OriginsAnswer {
+        match request {
+            OriginsRequest::Store(records) => {
+                let now = self.view.clock.now();
+                let mut directory = lock(&self.directory);
+                for OriginRecord { key, origin } in records {
+                    directory.record(key, &origin, now);
+                }
+                OriginsAnswer::Stored
+            }
+            OriginsRequest::Find { key, service } => OriginsAnswer::Found(self.knowledge(key, &service)),
+        }
+    }
+
+    /// Decides where a stream may be resumed. Asks storage nodes if this node does not know its origin.
+    pub async fn resolve(
+        self: &Arc<Self>,
+        key: Option<StreamKey>,
+        service: &Arc<str>,
+        lifetime: Millis,
+        remaining: Millis,
+    ) -> Resumption {
+        let own = OwnKnowledge { known: self.knowledge(key, service), view_age: self.metadata.state().age };
+        let mut answers = Vec::new();
+        let mut resumption = resume_rule(service, &own, &answers, lifetime);
+        if !own.known.origin.is_unknown() {
+            return resumption;
+        }
+        let request = OriginsRequest::Find { key, service: service.clone() };
+        let timeout = FIND_TIMEOUT.min(Duration::from_millis(remaining.0 / 2));
+        let mut asked = self.ask(key.unwrap_or(StreamKey(0)), &request, timeout);
+        while let Some(answer) = asked.join_next().await {
+            let Ok(Some(answer)) = answer else { continue };
+            let is_recorded = !answer.origin.is_unknown();
+            answers.push(answer);
+            resumption = resume_rule(service, &own, &answers, lifetime);
+            if is_recorded {
+                break;
+            }
+        }
+        if let (Resumption::At(origin), Some(key)) = (&resumption, key) {
+            lock(&self.directory).record(key, origin, self.view.clock.now());
+        }
+        resumption
+    }
+
+    fn knowledge(&self, key: Option<StreamKey>, service: &str) -> NodeKnowledge {
+        let now = self.view.clock.now();
+        let recorded = key.and_then(|key| lock(&self.directory).look_up(key, now));
+        NodeKnowledge { origin: recorded.into(), versions: self.view.workers().known_versions(service, now) }
+    }
+
+    /// Asks the storage nodes that may have stored a stream's origin.
+    fn ask(
+        self: &Arc<Self>,
+        key: StreamKey,
+        request: &OriginsRequest,
+        timeout: Duration,
+    ) -> JoinSet<Option<NodeKnowledge>> {
+        let mut asked = JoinSet::new();
+        for holder in self.responsive_holders(key) {
+            let (origins, request) = (self.clone(), request.clone());
+            asked.spawn(async move {
+                match origins.links.send_request(holder.address, request, timeout).await {
+                    Ok(OriginsAnswer::Found(knowledge)) => Some(knowledge),
+                    _ => {
+                        origins.avoid(holder);
+                        None
+                    }
+                }
+            });
+        }
+        asked
+    }
+
+    fn avoid(&self, holder: Holder) {
+        let now = self.view.clock.now();
+        let mut avoided = lock(&self.avoided);
+        avoided.retain(|_, until| *until > now);
+        avoided.insert(holder.node, now + AVOIDANCE);
+    }
+
+    fn responsive_holders(&self, key: StreamKey) -> Vec<Holder> {
+        let storage = self.view.storage();
+        let all = holders(key, &storage);
+        let now = self.view.clock.now();
+        let avoided = lock(&self.avoided);
+        let is_responsive = |node: NodeId| avoided.get(&node).is_none_or(|until| *until <= now);
+        let all = all.into_iter().map(|record| Holder { node: record.node, address: record.address });
+        let (responsive, others): (Vec<_>, Vec<_>) = all.partition(|holder| is_responsive(holder.node));
+        if responsive.is_empty() { others } else { responsive }
+    }
+
+    /// Sends the origins that others cannot deduce to storage nodes, until the process ends.
+    pub async fn share(self: Arc<Self>) {
+        let mut changes = self.view.changes();
+        let mut evictions = tokio::time::interval(EVICTION_INTERVAL);
+        loop {
+            tokio::select! {
+                () = self.due.notified() => {}
+                // The view, which this node owns, is never dropped.
+                _ = changes.changed() => {}
+                _ = evictions.tick() => self.view.workers().evict_departed(self.view.clock.now()),
+            }
+            let now = self.view.clock.now();
+            let due = lock(&self.outbox).take_due(|record, lifetime| self.is_deducible(record, lifetime), now);
+            for (holder, records) in self.by_holder(due) {
+                tokio::spawn(self.clone().store(holder, records));
+            }
+        }
+    }
+
+    /// Groups origins by the storage nodes that store them.
+    fn by_holder(&self, records: Vec<OriginRecord>) -> BTreeMap<Holder, Vec<OriginRecord>> {
+        let mut groups: BTreeMap<Holder, Vec<OriginRecord>> = BTreeMap::new();
+        for record in records {
+            for holder in self.responsive_holders(record.key).into_iter().take(COPIES) {
+                groups.entry(holder).or_default().push(record.clone());
+            }
+        }
+        groups
+    }
+
+    /// Sends origins to a storage node, and to another one if it does not answer.
+    async fn store(self: Arc<Self>, holder: Holder, records: Vec<OriginRecord>) {
+        if self.send(holder, records.clone()).await {
+            return;
+        }
+        self.avoid(holder);
+        for (other, records) in self.by_holder(records) {
+            if other != holder {
+                self.send(other, records).await;
+            }
+        }
+    }
+
+    async fn send(&self, holder: Holder, records: Vec<OriginRecord>) -> bool {
+        let answer = self.links.send_request(holder.address, OriginsRequest::Store(records), STORE_TIMEOUT).await;
+        answer == Ok(OriginsAnswer::Stored)
+    }
+}
+
+/// A storage node that stores origins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Holder {
+    node: NodeId,
+    address: SocketAddr,
+}
+
+fn lock<T>(value: &Mutex<T>) -> MutexGuard<'_, T> {
+    value.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/gateway/src/workers/attempt.rs
+++ b/crates/gateway/src/workers/attempt.rs
@@ -20,6 +20,7 @@
 
 use crate::adapter::dialect::{AnswerAttributes, Dialect};
 use crate::fleet::fleet_view::FleetView;
+use crate::streams::StreamOrigins;
 use crate::workers::connections::{ConnectionPool, NoConnection, SendFailure, WorkerConnection, WorkerEndpoint};
 use crate::workers::permits::PermitRequests;
 
@@ -35,6 +36,8 @@
     pub connections: Arc<ConnectionPool>,
     /// Permits to send requests to workers that have just started.
     pub permits: Arc<PermitRequests>,
+    /// The origins of streams.
+    pub origins: Arc<StreamOrigins>,
 }
 
 /// A request to be sent to one worker.
--- a/crates/gateway/tests/golden_measures.rs
+++ b/crates/gateway/tests/golden_measures.rs
@@ -13,7 +13,7 @@
 const SUBMISSION_RESULTS: [&str; 7] =
     ["accepted", "over_quota", "no_room", "key_taken", "unknown", "unexpected", "no_leader"];
 const STORE_CALLS: [&str; 2] = ["list", "watch"];
-const PEER_MESSAGES: [&str; 37] = [
+const PEER_MESSAGES: [&str; 38] = [
     "aggregate_load",
     "answer",
     "append_answer",
@@ -36,6 +36,7 @@
     "levels",
     "loads",
     "membership",
+    "origins",
     "outcome",
     "outcomes",
     "page",
@@ -54,6 +55,7 @@
 ];
 const RATE_REFUSAL_CAUSES: [&str; 5] = ["partitioned", "no_level", "fraction", "reserved", "stale_level"];
 const PERMIT_ENDS: [&str; 3] = ["granted", "denied", "no_leader"];
+const RESUMPTION_ORIGINS: [&str; 4] = ["known", "conflicting", "several_versions", "uncertain_past"];
 const TRIAL_ENDS: [&str; 2] = ["served", "failed"];
 const ELECTION_REASONS: [&str; 3] = ["silence", "process_ended", "handover"];
 const REQUEST_ENDS: [&str; 3] = ["whole", "caller gone", "broken off"];
@@ -86,6 +88,7 @@
     measures::set_exhausted_tenants(2);
     RATE_REFUSAL_CAUSES.into_iter().for_each(measures::count_rate_refusal_cause);
     measures::set_suspected_workers(4);
+    RESUMPTION_ORIGINS.into_iter().for_each(measures::count_resumption);
     PERMIT_ENDS.into_iter().for_each(|end| measures::count_permits(end, 1));
     TRIAL_ENDS.into_iter().for_each(measures::count_trial);
     ELECTION_REASONS.into_iter().for_each(measures::count_election);
--- a/crates/gateway/tests/jobs_client.rs
+++ b/crates/gateway/tests/jobs_client.rs
@@ -1,9 +1,13 @@
 //! Results of a submission that the leader client sent more than once: a refusal must not be reported as final if an
 //! earlier attempt may have been accepted.
 
+#[path = "support/peer_answerers.rs"]
+mod peer_answerers;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
+use peer_answerers::answerers;
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::serving::jobs::command::{JobKey, Submission};
 use stallmoor_core::serving::jobs::directory::StorageRecord;
@@ -29,7 +33,7 @@
     let (events, mut received) = mpsc::channel(16);
     let bounds = WatchBounds { change: Millis(2_000), contact: Millis(3_000), heartbeat: Millis(1_200) };
     let view = Arc::new(MetadataView::new(NodeClock::start(), bounds));
-    tokio::spawn(accept_peers(listener, events, view));
+    tokio::spawn(accept_peers(listener, answerers(events, view)));
     tokio::spawn(async move {
         let mut script = script.into_iter();
         let mut unanswered: Vec<Reply> = Vec::new();
--- a/crates/gateway/tests/metadata_relay.rs
+++ b/crates/gateway/tests/metadata_relay.rs
@@ -1,11 +1,15 @@
 //! A follower must receive the metadata store's changes through its relay over TCP, and fall back to the store when the
 //! relay has lost it.
 
+#[path = "support/peer_answerers.rs"]
+mod peer_answerers;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use peer_answerers::answerers;
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::serving::jobs::directory::StorageRecord;
 use stallmoor_core::serving::jobs::members::DrainState;
@@ -117,7 +121,7 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (events, mut ignored) = mpsc::channel(16);
-        tokio::spawn(accept_peers(listener, events, view.clone()));
+        tokio::spawn(accept_peers(listener, answerers(events, view.clone())));
         tokio::spawn(async move { while ignored.recv().await.is_some() {} });
         let (updates, mut received) = mpsc::unbounded_channel();
         let store = StoreConnection::new(contents);
--- a/crates/gateway/tests/outcome_exchange.rs
+++ b/crates/gateway/tests/outcome_exchange.rs
@@ -1,9 +1,13 @@
 //! The exchange of evidence with nodes of versions that do not know it: they close the connection on its request.
 
+#[path = "support/peer_answerers.rs"]
+mod peer_answerers;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use peer_answerers::answerers;
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::peer_message::GroupRefusal;
 use stallmoor_core::serving::jobs::directory::StorageRecord;
@@ -51,7 +55,8 @@
     let address = listener.local_addr().expect("listener has an address");
     let (events, mut received) = mpsc::channel(16);
     let bounds = WatchBounds { change: Millis(2_000), contact: Millis(3_000), heartbeat: Millis(1_200) };
-    tokio::spawn(accept_peers(listener, events, Arc::new(MetadataView::new(NodeClock::start(), bounds))));
+    let metadata = Arc::new(MetadataView::new(NodeClock::start(), bounds));
+    tokio::spawn(accept_peers(listener, answerers(events, metadata)));
     tokio::spawn(async move {
         while let Some(event) = received.recv().await {
             let PeerEvent::Request { request: JobsRequest::ReportOutcomes(_), reply, .. } = event else { continue };
@@ -90,7 +95,8 @@
     let address = listener.local_addr().expect("listener has an address");
     let (events, mut received) = mpsc::channel(16);
     let bounds = WatchBounds { change: Millis(2_000), contact: Millis(3_000), heartbeat: Millis(1_200) };
-    tokio::spawn(accept_peers(listener, events, Arc::new(MetadataView::new(NodeClock::start(), bounds))));
+    let metadata = Arc::new(MetadataView::new(NodeClock::start(), bounds));
+    tokio::spawn(accept_peers(listener, answerers(events, metadata)));
     let client = client(&[(STORAGE, address)]);
     client.withdraw(STORAGE);
     let event = received.recv().await.expect("a request");
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -26,7 +26,11 @@
 use stallmoor_core::serving::relay::contents::ContentsAnswer;
 use stallmoor_core::serving::relay::item::{KeyState, MetadataItem, Revision};
 use stallmoor_core::serving::relay::message::{ChangeSet, ChangesAnswer, ChangesRequest};
-use stallmoor_core::serving::workers::{LoadReport, WorkerCount, WorkerId, WorkerReport};
+use stallmoor_core::serving::stream_origins::message::{OriginRecord, OriginsAnswer, OriginsRequest};
+use stallmoor_core::serving::stream_origins::rule::KnownOrigin;
+use stallmoor_core::serving::stream_origins::{NodeKnowledge, StreamKey, StreamOrigin};
+use stallmoor_core::serving::workers::versions::KnownVersions;
+use stallmoor_core::serving::workers::{LoadReport, SoftwareVersion, WorkerCount, WorkerId, WorkerReport};
 use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 
 use crate::golden_values::{
@@ -47,6 +51,7 @@
         partition_answers(),
         jobs_answers(),
         changes_messages(),
+        origins_messages(),
         refusals(),
         configuration_messages(),
         other_messages(),
@@ -296,6 +301,28 @@
     messages
 }
 
+fn origins_messages() -> Vec<NamedMessage> {
+    let origin = StreamOrigin { service: Arc::from("lm"), version: SoftwareVersion::new("v1.1") };
+    let record = OriginRecord { key: StreamKey(0x1234_5678_9abc_def0), origin: origin.clone() };
+    let find = |key| OriginsRequest::Find { key, service: Arc::from("lm") };
+    let requests = vec![
+        ("store", OriginsRequest::Store(vec![record])),
+        ("find", find(Some(StreamKey(7)))),
+        ("find-unnamed", find(None)),
+    ];
+    let found = |origin, versions| OriginsAnswer::Found(NodeKnowledge { origin, versions });
+    let sole = KnownVersions::Sole { version: SoftwareVersion::new("v1"), lasted: Millis(90_000) };
+    let answers = vec![
+        ("stored", OriginsAnswer::Stored),
+        ("known", found(KnownOrigin::Known(origin), KnownVersions::Several)),
+        ("unknown", found(KnownOrigin::Unknown, sole)),
+        ("conflicting", found(KnownOrigin::Conflicting, KnownVersions::Unknown)),
+    ];
+    let mut messages = named("origins", requests, |value| request(GroupRequestBody::Origins(value)));
+    messages.extend(named("origins-answer", answers, |value| answer(Ok(GroupAnswerBody::Origins(value)))));
+    messages
+}
+
 fn refusals() -> Vec<NamedMessage> {
     let values = vec![
         ("busy", GroupRefusal::Busy),
