Continue the output of batch items only at the software version that began it

Callers saw, in tests of ours only: a batch item that was interrupted, paused or taken over by a new leader went on after its last event at a worker of any version, so that its text joined events of two.

Cause: an item run chose its worker by nothing but the service, and a new leader takes the logged output from the table, which does not say which version wrote it.

Change: the leader keeps the origin of each item's output. Output of another leader is continued only if one version has served since the job was received. Otherwise, or if no worker of the version is left, the item runs again from the start; a new command, Restart, discards what is logged of it. Its event, E543, is new.

Why it works: unlike a caller's stream, an item's output can be discarded until it is committed. The command precedes any further output of the item in the log. Replicas of earlier versions skip the command and would drop the result of such an item; that needs a half-upgraded group and a rollout at once, and stays open.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -105,6 +105,7 @@
     ItemRunEnded = 540, Information, "A run of a batch item ended.";
     ItemListed = 541, Information, "The result of a batch item was committed.";
     ItemRunStarted = 542, Information, "A run of a batch item started.";
+    ItemRestarted = 543, Warning, "No worker can continue the output of a batch item, because its software version has left or is not known; the item runs again from the start.";
     EmptyingReported = 550, Information, "The drain state of a machine was reported.";
     JobAccepted = 600, Information, "A batch job was accepted.";
     JobCompleted = 601, Information, "All items of a batch job have results.";
--- a/crates/core/src/serving/jobs/command.rs
+++ b/crates/core/src/serving/jobs/command.rs
@@ -207,6 +207,9 @@
     /// Stores the number of failed runs of items so that another leader continues the count. Replicas of versions that
     /// do not know this command skip it.
     Failures(Vec<ItemFailures>),
+    /// Discards the logged output of items, which run again from the start. Replicas of versions that do not know this
+    /// command skip it and drop the results of these items.
+    Restart(Vec<ItemKey>),
 }
 
 /// The outcome of applying a command.
--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -8,6 +8,7 @@
 //! | `recent_failures` | the workers at which items failed recently |
 //! | `run_estimate` | the expected duration of a run |
 //! | `start` | [`decide_start`]: whether the next item runs, waits or is abandoned |
+//! | `resumption` | [`item_resumption`]: whether and where an item continues its output |
 //! | `pacing` | [`ItemPacing`]: when items are tried, and when progress is logged |
 //!
 //! Open items come from the job table ([`super::table`]); the caller supplies the time and performs the runs. All state
@@ -16,6 +17,7 @@
 mod failures;
 mod pacing;
 mod recent_failures;
+mod resumption;
 mod run_end;
 mod run_estimate;
 mod start;
@@ -26,6 +28,7 @@
 use failures::Failures;
 pub use pacing::ItemPacing;
 use recent_failures::RecentFailures;
+pub use resumption::{ItemResumption, item_resumption};
 pub use run_end::{EVENT_TIMEOUT, FIRST_EVENT_TIMEOUT, RunEnd};
 use run_estimate::RunEstimate;
 pub use start::{ItemStart, StartDecision, decide_start, max_attempts};
@@ -33,6 +36,7 @@
 use super::command::{ItemFailures, ItemKey, ItemProgress, ItemState, JobCommand, JobKey, LoggedOutput, PartialOutput};
 use super::table::{Job, JobTable};
 use crate::backoff::Backoff;
+use crate::serving::stream_origins::StreamOrigin;
 use crate::serving::workers::WorkerId;
 use crate::time::{Millis, Timestamp, UnixMillis};
 
@@ -77,6 +81,8 @@
     output: PartialOutput,
     /// The part of the output that is logged or proposed.
     logged: LoggedOutput,
+    /// The origin of the output; `None` if there is none yet, or if another leader received it.
+    origin: Option<StreamOrigin>,
     /// Start time of the last run.
     started_at: Timestamp,
     /// The ID of the last event before the last run; 0 for none.
@@ -113,6 +119,8 @@
     finished: BTreeSet<ItemKey>,
     /// Items with failed runs that are not yet logged.
     failed: BTreeSet<ItemKey>,
+    /// Items whose logged output is discarded by a command that is not proposed yet.
+    restarted: BTreeSet<ItemKey>,
     recent_failures: RecentFailures,
     verdicts: BTreeMap<ItemKey, Verdict>,
 }
@@ -155,6 +163,7 @@
                 delays: 0,
                 output,
                 logged,
+                origin: None,
                 started_at: Timestamp::default(),
                 started_after: 0,
             };
@@ -211,6 +220,40 @@
         !self.ready.is_empty()
     }
 
+    /// Returns the origin of an item's output, if this leader received it.
+    pub fn origin(&self, key: &ItemKey) -> Option<&StreamOrigin> {
+        self.items.get(key)?.origin.as_ref()
+    }
+
+    /// Records that a run at a worker of the given origin adds to the item's output.
+    pub fn record_origin(&mut self, key: &ItemKey, origin: StreamOrigin) {
+        if let Some(open_item) = self.items.get_mut(key) {
+            open_item.origin = Some(origin);
+        }
+    }
+
+    /// Discards the output of an item that was taken: no worker can continue it. The logged part has to be discarded by
+    /// a command; see [`Dispatcher::restarts_due`].
+    pub fn restart_item(&mut self, key: &ItemKey) {
+        let Some(open_item) = self.items.get_mut(key) else { return };
+        open_item.output = PartialOutput::default();
+        open_item.origin = None;
+        open_item.started_after = 0;
+        if std::mem::take(&mut open_item.logged) != LoggedOutput::default() {
+            self.restarted.insert(key.clone());
+        }
+    }
+
+    /// Returns the items whose logged output has to be discarded before further output of them is logged.
+    pub fn restarts_due(&self) -> Option<JobCommand> {
+        (!self.restarted.is_empty()).then(|| JobCommand::Restart(self.restarted.iter().cloned().collect()))
+    }
+
+    /// Records that the command of [`Dispatcher::restarts_due`] was proposed.
+    pub fn record_proposed_restarts(&mut self) {
+        self.restarted.clear();
+    }
+
     /// Returns to the queue an item that was taken but not sent to a worker.
     pub fn requeue(&mut self, key: &ItemKey, output: PartialOutput) {
         if let Some(open_item) = self.items.get_mut(key) {
@@ -349,6 +392,9 @@
         let command = |key: &ItemKey| {
             let open_item = self.items.get(key)?;
             let Phase::Finished { state } = open_item.phase else { return None };
+            if self.restarted.contains(key) {
+                return None;
+            }
             let text = open_item.output.text.get(open_item.logged.bytes..).unwrap_or_default();
             Some(JobCommand::Finish { key: key.clone(), state, after: open_item.logged, text: Arc::from(text) })
         };
@@ -357,6 +403,9 @@
 
     /// Returns the output of a running item that is not yet logged, or `None` while it is small.
     pub fn progress_of(&self, key: &ItemKey, output: &PartialOutput) -> Option<ItemProgress> {
+        if self.restarted.contains(key) {
+            return None;
+        }
         let logged = self.items.get(key)?.logged;
         let is_due = output.last_event.unwrap_or(0) >= logged.last_event.unwrap_or(0) + MIN_PROGRESS_EVENTS;
         let text = output.text.get(logged.bytes..).filter(|_| is_due)?;
@@ -421,6 +470,7 @@
             }
             self.finished.remove(key);
             self.failed.remove(key);
+            self.restarted.remove(key);
         }
     }
 
--- a/crates/core/src/serving/jobs/dispatch/start.rs
+++ b/crates/core/src/serving/jobs/dispatch/start.rs
@@ -28,6 +28,8 @@
     pub route: Arc<Route>,
     /// The regions in which the item may run.
     pub regions: AllowedRegions,
+    /// When the item's job was received.
+    pub received_at: UnixMillis,
 }
 
 /// The decision on an item that is next in the queue.
@@ -68,6 +70,7 @@
         identity: identity_of(submission, configuration),
         route: route.clone(),
         regions: configuration.regions_for(route, submission.tenant.as_ref()),
+        received_at: submission.received_at,
     })
 }
 
--- a/crates/core/src/serving/jobs/table.rs
+++ b/crates/core/src/serving/jobs/table.rs
@@ -176,6 +176,7 @@
             JobCommand::End { job, caller } => self.end(&job, &caller),
             JobCommand::Forget { before } => self.forget(before),
             JobCommand::Failures(items) => self.record_failures(items),
+            JobCommand::Restart(items) => self.restart(items),
         }
     }
 
@@ -248,6 +249,15 @@
         JobOutcome::Committed
     }
 
+    fn restart(&mut self, items: Vec<ItemKey>) -> JobOutcome {
+        for key in items {
+            if let Some(job) = self.jobs.get_mut(&key.job) {
+                job.partials.remove(&key.item);
+            }
+        }
+        JobOutcome::Committed
+    }
+
     fn finish(&mut self, key: &ItemKey, state: ItemState, after: LoggedOutput, text: &str) -> JobOutcome {
         let Some(job) = self.jobs.get_mut(&key.job) else { return JobOutcome::UnknownJob };
         let index = key.item as usize;
--- /dev/null
+++ b/crates/core/tests/item_restarts.rs
@@ -0,0 +1,145 @@
+//! Guards against items whose output is continued by workers of another software version, and against a table and a
+//! dispatcher that disagree on what is logged of an item that runs again from the start.
+
+use std::sync::Arc;
+
+use stallmoor_core::serving::jobs::command::{ItemKey, JobCommand, JobItem, JobKey, PartialOutput, Submission};
+use stallmoor_core::serving::jobs::dispatch::{Dispatcher, ItemResumption, RunEnd, item_resumption};
+use stallmoor_core::serving::jobs::table::JobTable;
+use stallmoor_core::serving::stream_origins::StreamOrigin;
+use stallmoor_core::serving::workers::SoftwareVersion;
+use stallmoor_core::serving::workers::versions::KnownVersions;
+use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
+
+const MAX_ATTEMPTS: u32 = 3;
+const JOB_AGE: Millis = Millis(4_000);
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+fn key() -> ItemKey {
+    ItemKey { job: JobKey(Arc::from("job")), item: 0 }
+}
+
+fn table() -> JobTable {
+    let item = JobItem {
+        id: Arc::from("item"),
+        path: Arc::from("/r/1"),
+        headers: Vec::new(),
+        body: Arc::from([1, 2]),
+        token_count: 5,
+    };
+    let mut table = JobTable::default();
+    table.apply(JobCommand::Accept(Submission {
+        key: key().job,
+        route: Arc::from("r"),
+        host: Arc::from("h"),
+        tenant: None,
+        items: vec![item],
+        configuration_version: 1,
+        received_at: UnixMillis(1_000),
+        due: Millis(10_000),
+        queued_token_limit: None,
+    }));
+    table
+}
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin { service: Arc::from("lm"), version: SoftwareVersion::new(version) }
+}
+
+/// Returns the output of the first `events` events of a worker.
+fn output(events: u64, worker: &str) -> PartialOutput {
+    let mut output = PartialOutput::default();
+    (1..=events).for_each(|event| output.push(&format!("{worker}{event}"), Some(event)));
+    output
+}
+
+fn sole(lasted: Millis) -> KnownVersions {
+    KnownVersions::Sole { version: SoftwareVersion::new("v1"), lasted }
+}
+
+/// Guards against a guess of the version that a former leader received output from.
+#[test]
+fn output_of_unknown_origin_is_continued_only_if_one_version_has_served_since_the_job_was_received() {
+    let decide = |output: &PartialOutput, origin: Option<&StreamOrigin>, versions: &KnownVersions| {
+        item_resumption(output, origin, &Arc::from("lm"), versions, JOB_AGE)
+    };
+    let begun = output(3, "a");
+    let known = origin("v2");
+    for versions in [KnownVersions::Unknown, KnownVersions::Several, sole(JOB_AGE)] {
+        assert_eq!(decide(&PartialOutput::default(), Some(&known), &versions), ItemResumption::Start);
+        assert_eq!(decide(&begun, Some(&known), &versions), ItemResumption::At(known.clone()));
+    }
+    assert_eq!(decide(&begun, None, &sole(JOB_AGE)), ItemResumption::At(origin("v1")));
+    for versions in [KnownVersions::Unknown, KnownVersions::Several, sole(Millis(JOB_AGE.0 - 1))] {
+        assert_eq!(decide(&begun, None, &versions), ItemResumption::Restart);
+    }
+}
+
+/// Runs the item until 30 events are received and logged, then discards them.
+fn restart_after_progress(table: &mut JobTable, dispatcher: &mut Dispatcher) {
+    dispatcher.restart(table);
+    let (key, _) = dispatcher.take_next(at(0), UnixMillis(2_000)).expect("an item is ready");
+    dispatcher.record_origin(&key, origin("v1"));
+    let begun = output(30, "a");
+    let progress = dispatcher.progress_of(&key, &begun).expect("progress is due");
+    dispatcher.record_proposed_progress(&progress);
+    table.apply(JobCommand::Progress(vec![progress]));
+    dispatcher.finish_run(&key, &RunEnd::BrokenOff, begun, MAX_ATTEMPTS, at(1_000));
+    dispatcher.take_next(at(3_000), UnixMillis(4_000)).expect("an item is ready");
+    dispatcher.restart_item(&key);
+}
+
+/// Guards against a result that joins the logged output of one version and the rest of another.
+#[test]
+fn a_restarted_item_is_completed_by_the_output_of_its_last_run_alone() {
+    let (mut table, mut dispatcher) = (table(), Dispatcher::default());
+    restart_after_progress(&mut table, &mut dispatcher);
+    assert_eq!(dispatcher.origin(&key()), None);
+    let again = output(30, "b");
+    assert_eq!(dispatcher.progress_of(&key(), &again), None, "nothing may be logged before the output is discarded");
+    dispatcher.finish_run(&key(), &RunEnd::Completed, again, MAX_ATTEMPTS, at(4_000));
+    assert_eq!(dispatcher.uncommitted_results(), vec![]);
+    let discard = dispatcher.restarts_due().expect("logged output has to be discarded");
+    dispatcher.record_proposed_restarts();
+    assert_eq!(dispatcher.restarts_due(), None);
+    table.apply(discard);
+    for result in dispatcher.uncommitted_results() {
+        table.apply(result);
+    }
+    let page = table.job(&key().job).expect("the job exists").page(0, usize::MAX);
+    assert_eq!(page.results.len(), 1);
+    assert_eq!(*page.results[0].text, *output(30, "b").text);
+}
+
+/// Guards against a restart that is lost with its leader: the next one finds the logged output again.
+#[test]
+fn a_restart_that_was_not_committed_leaves_the_logged_output() {
+    let (mut table, mut dispatcher) = (table(), Dispatcher::default());
+    restart_after_progress(&mut table, &mut dispatcher);
+    let mut next = Dispatcher::default();
+    next.restart(&table);
+    let (_, logged) = next.take_next(at(5_000), UnixMillis(6_000)).expect("an item is ready");
+    assert_eq!(logged, output(30, "a"));
+    assert_eq!(next.origin(&key()), None);
+}
+
+/// Guards against discarding what was never logged, and against a command for an item that has ended.
+#[test]
+fn an_item_without_logged_output_restarts_without_a_command() {
+    let (mut table, mut dispatcher) = (table(), Dispatcher::default());
+    dispatcher.restart(&table);
+    let (key, _) = dispatcher.take_next(at(0), UnixMillis(2_000)).expect("an item is ready");
+    dispatcher.finish_run(&key, &RunEnd::BrokenOff, output(3, "a"), MAX_ATTEMPTS, at(100));
+    dispatcher.restart_item(&key);
+    assert_eq!(dispatcher.restarts_due(), None);
+    restart_after_progress(&mut table, &mut dispatcher);
+    dispatcher.remove(&key);
+    assert_eq!(dispatcher.restarts_due(), None);
+    let before = table.clone();
+    table.apply(JobCommand::Restart(vec![ItemKey { job: JobKey(Arc::from("other")), item: 7 }]));
+    assert_eq!(table, before);
+    assert_eq!(table.job(&key.job).and_then(|job| job.partial(0)).map(|partial| partial.last_event), Some(Some(30)));
+}
--- a/crates/core/tests/support/golden_values.rs
+++ b/crates/core/tests/support/golden_values.rs
@@ -93,6 +93,7 @@
         ("end-tenant", end(CallerIdentity::Tenant(tenant()))),
         ("forget", JobCommand::Forget { before: UnixMillis(1_600_000_000_000) }),
         ("failures", failures("job-a")),
+        ("restart", JobCommand::Restart(vec![item_key("job-a", 0), item_key("job-a", 300)])),
     ]
 }
 
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -10,15 +10,17 @@
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::serving::jobs::command::{ItemFailures, ItemKey, ItemProgress, JobCommand, JobKey, PartialOutput};
 use stallmoor_core::serving::jobs::dispatch::{
-    Dispatcher, FailedAt, ItemPacing, ItemStart, RunEnd, RunningItem, StartDecision, decide_start, max_attempts,
+    Dispatcher, FailedAt, ItemPacing, ItemResumption, ItemStart, RunEnd, RunningItem, StartDecision, decide_start,
+    item_resumption, max_attempts,
 };
 use stallmoor_core::serving::jobs::table::{Job, JobTable};
 use stallmoor_core::serving::online::attribution::Attribution;
 use stallmoor_core::serving::request::RequestAttributes;
+use stallmoor_core::serving::stream_origins::StreamOrigin;
 use stallmoor_core::serving::workers::cold_start::PERMIT_LIFETIME;
 use stallmoor_core::serving::workers::permit_grants::PermitGrants;
 use stallmoor_core::serving::workers::{Choice, WorkerId, WorkerQuery};
-use stallmoor_core::time::Timestamp;
+use stallmoor_core::time::{Millis, Timestamp};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::AbortHandle;
 
@@ -247,25 +249,71 @@
         view.quarantined_for(keys).is_some()
     }
 
+    /// Returns the origin of the workers that may continue an item's output; `None` if any worker may run the item.
+    /// Discards the output if no worker can continue it.
+    fn resume_or_restart(
+        &mut self,
+        key: &ItemKey,
+        start: &ItemStart,
+        output: &mut PartialOutput,
+        now: Timestamp,
+    ) -> Option<StreamOrigin> {
+        let service = start.route.targets.first().map(|target| target.service.clone())?;
+        let view = &self.workers.view;
+        let versions = view.workers().known_versions(&service, now);
+        let job_age = Millis(view.clock.wall_time().0.saturating_sub(start.received_at.0));
+        let origin = match item_resumption(output, self.dispatcher.origin(key), &service, &versions, job_age) {
+            ItemResumption::Start => return None,
+            ItemResumption::At(origin) => Some(origin),
+            ItemResumption::Restart => None,
+        };
+        if let Some(origin) = origin.filter(|origin| self.can_continue(origin, start, now)) {
+            return Some(origin);
+        }
+        log_restart(key, output);
+        *output = PartialOutput::default();
+        self.dispatcher.restart_item(key);
+        None
+    }
+
+    /// Returns whether a worker of this origin is left that the item may use.
+    fn can_continue(&self, origin: &StreamOrigin, start: &ItemStart, now: Timestamp) -> bool {
+        let query = WorkerQuery {
+            service: &origin.service,
+            zone: &self.workers.view.zone,
+            prefix: &[],
+            prompt_tokens: 0,
+            body_bytes: 0,
+            tried: &[],
+            regions: &start.regions,
+            may_run_again: true,
+            version: Some(&origin.version),
+        };
+        start.route.leads_to(&origin.service) && self.workers.view.workers().has_eligible(&query, now)
+    }
+
     /// Starts an item on the worker with the most capacity. Returns false and requeues the item if there is none.
     fn start_run(
         &mut self,
         key: &ItemKey,
         start: ItemStart,
-        output: PartialOutput,
+        mut output: PartialOutput,
         loads: &mut LoadExchange,
         permits: &mut PermitGrants,
         now: Timestamp,
     ) -> bool {
         let attributes = self.workers.dialect.item_facts(&start.item);
         let online_per_s = loads.placed_per_s(now);
+        let origin = self.resume_or_restart(key, &start, &mut output, now);
         let Some(Placement { service, choice }) =
-            self.choose_worker(key, &start, &attributes, online_per_s, permits, now)
+            self.choose_worker(key, &start, &attributes, origin.as_ref(), online_per_s, permits, now)
         else {
             self.dispatcher.requeue(key, output);
             return false;
         };
         log_run_start(key, &choice, &output);
+        let origin = StreamOrigin { service: service.clone(), version: choice.version.clone() };
+        self.dispatcher.record_origin(key, origin);
         self.last_run += 1;
         let run = self.last_run;
         let worker = choice.id.clone();
@@ -310,12 +358,16 @@
         key: &ItemKey,
         start: &ItemStart,
         attributes: &RequestAttributes,
+        origin: Option<&StreamOrigin>,
         online_per_s: u32,
         permits: &mut PermitGrants,
         now: Timestamp,
     ) -> Option<Placement> {
         let view = &self.workers.view;
-        let service = start.route.select_service(&mut *view.random()).cloned()?;
+        let service = match origin {
+            Some(origin) => origin.service.clone(),
+            None => start.route.select_service(&mut *view.random()).cloned()?,
+        };
         let failed = self.dispatcher.failed_workers(key);
         let mut avoided = self.dispatcher.avoided_in_last_attempt(key, start.route.max_attempts, now);
         avoided.extend_from_slice(&failed);
@@ -328,7 +380,7 @@
             tried: &failed,
             regions: &start.regions,
             may_run_again: true,
-            version: None,
+            version: origin.map(|origin| &origin.version),
         };
         let mut random = view.random();
         let mut workers = view.workers();
@@ -415,6 +467,16 @@
         self.dispatcher.unlogged_failures()
     }
 
+    /// Returns the command that discards the logged output of restarted items, if any.
+    pub(super) fn restarts_due(&self) -> Option<JobCommand> {
+        self.dispatcher.restarts_due()
+    }
+
+    /// Records that the command of [`ItemRunner::restarts_due`] was proposed.
+    pub(super) fn record_proposed_restarts(&mut self) {
+        self.dispatcher.record_proposed_restarts();
+    }
+
     /// Records that failed runs were proposed.
     pub(super) fn record_proposed_failures(&mut self, failures: &[ItemFailures]) {
         self.dispatcher.record_proposed_failures(failures);
@@ -445,6 +507,15 @@
     record(LogEvent::ItemRunEnded, &fields);
 }
 
+fn log_restart(key: &ItemKey, output: &PartialOutput) {
+    let fields = [
+        Field::text("job", &key.job),
+        Field::number("item", key.item),
+        Field::number("events", output.last_event.unwrap_or(0)),
+    ];
+    record(LogEvent::ItemRestarted, &fields);
+}
+
 fn log_run_start(key: &ItemKey, choice: &Choice, output: &PartialOutput) {
     let fields = [
         Field::text("job", &key.job),
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -252,6 +252,16 @@
         }
     }
 
+    /// Proposes to discard the logged output of restarted items.
+    fn propose_restarts(&mut self) {
+        let Some(command) = self.items.restarts_due() else { return };
+        let now = self.now();
+        // Retried with the next tick.
+        let Ok(effects) = self.replica.node_mut().propose(&command, None, now) else { return };
+        self.items.record_proposed_restarts();
+        self.execute_effects(effects);
+    }
+
     /// Proposes the output of running items, so that a new leader can resume them from there.
     fn propose_progress(&mut self) {
         let now = self.now();
@@ -331,6 +341,8 @@
             self.items.excuse_failures(now);
             self.loads.eject_reported(now);
             self.propose_results();
+            // Discards logged output before new output follows it.
+            self.propose_restarts();
             self.propose_progress();
             self.propose_failures();
             self.propose_forget();
