--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -69,6 +69,16 @@
     choice: Choice,
 }
 
+/// What the selection of a worker for an item depends on.
+struct PlacementInputs<'a> {
+    start: &'a ItemStart,
+    attributes: &'a RequestAttributes,
+    /// The origin of the item's output, to which the selection is limited.
+    origin: Option<&'a StreamOrigin>,
+    /// Online requests that all nodes place per second.
+    online_per_s: u32,
+}
+
 /// Dispatches items to workers and tracks their runs.
 pub(super) struct ItemRunner {
     workers: Arc<WorkerClient>,
@@ -305,9 +315,8 @@
         let attributes = self.workers.dialect.item_facts(&start.item);
         let online_per_s = loads.placed_per_s(now);
         let origin = self.resume_or_restart(key, &start, &mut output, now);
-        let Some(Placement { service, choice }) =
-            self.choose_worker(key, &start, &attributes, origin.as_ref(), online_per_s, permits, now)
-        else {
+        let inputs = PlacementInputs { start: &start, attributes: &attributes, origin: origin.as_ref(), online_per_s };
+        let Some(Placement { service, choice }) = self.choose_worker(key, &inputs, permits, now) else {
             self.dispatcher.requeue(key, output);
             return false;
         };
@@ -356,13 +365,11 @@
     fn choose_worker(
         &self,
         key: &ItemKey,
-        start: &ItemStart,
-        attributes: &RequestAttributes,
-        origin: Option<&StreamOrigin>,
-        online_per_s: u32,
+        inputs: &PlacementInputs<'_>,
         permits: &mut PermitGrants,
         now: Timestamp,
     ) -> Option<Placement> {
+        let PlacementInputs { start, attributes, origin, online_per_s } = *inputs;
         let view = &self.workers.view;
         let service = match origin {
             Some(origin) => origin.service.clone(),
