Quarantine parts of prompts that crash workers

Callers saw: requests with one part in their prompts, otherwise never alike, crashed one worker after the other; for seconds over a tenth of the requests of all routes were not served.

Cause: crashes were counted for whole requests only, by the body and by the chain of all parts including the last one, which belongs to its request alone. Requests that share the part at fault have no digest in common, so nothing added up.

In tests with twelve workers 70 of 109 requests with the part were sent later than allowed, with two parts and a restarted gateway 36 of 58; both failed before this change and pass with it, as do a job with such items, submitted after the crashes, and crashes of other causes.

Change: a ledger counts crashes by part, all but the last one of each prompt, over all gateways by way of the machines' crash records, in a field of their own that earlier versions ignore. A part is quarantined from the fourth crash on, of two requests at least. Crashes up to ten seconds after a worker went on with a request with the part after its first event don't count, whoever saw it, and such a survival ends a quarantine. A part with more crashes explains those of parts and requests that were only there; of two with equally many the later one in the prompts is blamed, for seconds only, until a request with one of them shows which it is. After a quarantine each node tries one request at a time, the nodes one after the other. E525, E526 and stallmoor_crash_parts are new.

Why it works: what separates the part from those around it is that no worker survives it; sound requests with the other parts have survived seconds ago, somewhere. A crash is known at its gateway after 20 ms and elsewhere within about a second, so the fourth crash stops the requests within the 3 s.

--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -8,7 +8,8 @@
 
 use super::digest::RequestDigest;
 use super::evidence::{Attribution, Evidence, Observation};
-use super::recent::RecentCompletions;
+use super::parts::{MergedParts, PartLedger};
+use super::recent::RecentTimes;
 use super::report::{Completion, Crash, CrashReport, MAX_REPORTED_CRASHES};
 use super::suspect::{LastCompletion, Source, SuspectRequest};
 use super::table::{Evicted, SuspectTable};
@@ -17,13 +18,17 @@
 use crate::time::{Millis, UnixMillis};
 
 /// Duration of a quarantine; doubles with each crash beyond the threshold.
-const QUARANTINE_BACKOFF: Backoff = Backoff::new(Millis(300_000), MAX_QUARANTINE);
+pub(super) const QUARANTINE_BACKOFF: Backoff = Backoff::new(Millis(300_000), MAX_QUARANTINE);
 /// Maximum duration of a quarantine.
 pub(super) const MAX_QUARANTINE: Millis = Millis(3_600_000);
 /// Crashes within this time after a completion of the request are not attributed to it. Exempts requests that many
 /// callers send and that therefore run on every worker that crashes.
 pub(super) const COMPLETION_GRACE_PERIOD: Millis = Millis(10_000);
 
+/// Fraction of the maximum number of reported crashes that is available for those of prompt parts in addition, as a
+/// divisor. Bounds the size of the record.
+const PART_REPORT_DIVISOR: usize = 2;
+
 /// A new or extended quarantine of a request, for logging.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantine {
@@ -61,7 +66,8 @@
 pub struct CrashLedger {
     suspects: SuspectTable,
     evicted: Evicted,
-    recent: RecentCompletions,
+    recent: RecentTimes<RequestDigest>,
+    parts: PartLedger,
 }
 
 impl Default for CrashLedger {
@@ -69,7 +75,8 @@
         Self {
             suspects: SuspectTable::default(),
             evicted: Evicted::default(),
-            recent: RecentCompletions::new(COMPLETION_GRACE_PERIOD),
+            recent: RecentTimes::new(COMPLETION_GRACE_PERIOD),
+            parts: PartLedger::default(),
         }
     }
 }
@@ -77,7 +84,17 @@
 impl CrashLedger {
     /// Returns whether no crashes are stored.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
+        self.suspects.is_empty() && self.parts.is_empty()
+    }
+
+    /// Returns the crash history of prompt parts.
+    pub fn parts(&self) -> &PartLedger {
+        &self.parts
+    }
+
+    /// Returns the crash history of prompt parts for changes.
+    pub fn parts_mut(&mut self) -> &mut PartLedger {
+        &mut self.parts
     }
 
     /// Returns the size of the ledger.
@@ -148,6 +165,11 @@
         quarantines.filter(|quarantine| quarantine.until > now).collect()
     }
 
+    /// Merges what the report says about prompt parts; see [`CrashLedger::merge`].
+    pub fn merge_parts(&mut self, report: &CrashReport, is_local: bool, now: UnixMillis) -> MergedParts {
+        self.parts.merge(&report.parts, is_local, now)
+    }
+
     /// Returns this node's report to the other nodes, of the largest size.
     pub fn report(&self) -> CrashReport {
         self.report_up_to(MAX_REPORTED_CRASHES)
@@ -156,7 +178,8 @@
     /// Returns this node's report, of at most `max_crashes` crashes and as many completions. Requests with most crashes
     /// take precedence, then those with the latest crash.
     pub fn report_up_to(&self, max_crashes: usize) -> CrashReport {
-        let mut report = CrashReport::default();
+        let mut report =
+            CrashReport { parts: self.parts.report_up_to(max_crashes / PART_REPORT_DIVISOR), ..CrashReport::default() };
         for (digest, suspect) in self.suspects.strongest_first() {
             let own = suspect.active_observations().filter(|(_, details)| details.source == Source::Local);
             let crashes = own.map(|(observation, details)| Crash {
@@ -191,8 +214,8 @@
 
     /// Counts the crashes since a request's last completion that are attributed to it.
     ///
-    /// A crash affects all requests in the worker's slots. If another affected request has stronger evidence that
-    /// suffices for a quarantine, the crash counts for that request only.
+    /// A crash affects all requests in the worker's slots. If another affected request, or a part of their prompts, has
+    /// stronger evidence that suffices for a quarantine, the crash counts for that request or part only.
     fn attribute(&self, digest: RequestDigest) -> Option<Attribution> {
         let suspect = self.suspects.get(digest)?;
         let own = suspect.evidence();
@@ -201,11 +224,11 @@
         Some(Attribution { unexplained: Evidence::of(&unexplained), total: own.total })
     }
 
-    /// Returns whether there is stronger evidence than `own` that another request caused a crash.
+    /// Returns whether there is stronger evidence than `own` that another request or a prompt part caused a crash.
     fn is_explained(&self, crash: &Observation, own: Evidence) -> bool {
         let affects =
             |other: &SuspectRequest| other.crashes().iter().any(|other| other.observation.is_same_crash(crash));
-        self.suspects.explaining(&crash.worker, own).any(affects)
+        self.suspects.explaining(&crash.worker, own).any(affects) || self.parts.explains(crash, own.total)
     }
 
     /// Returns a request's quarantine, which may have ended, or `None` below the threshold.
--- a/crates/core/src/serving/crashes/mod.rs
+++ b/crates/core/src/serving/crashes/mod.rs
@@ -9,7 +9,8 @@
 //! | [`digest`] | [`RequestKeys`]: identification of a request that is sent again |
 //! | `evidence` | the crash counts and thresholds that decide on a quarantine |
 //! | [`ledger`] | [`CrashLedger`]: the crash history and quarantine of each request |
-//! | `recent` | requests that completed recently |
+//! | [`parts`] | [`PartLedger`]: the crash history and quarantine of each prompt part |
+//! | `recent` | the requests that completed recently, and the parts that workers survived |
 //! | [`report`] | the crash reports that nodes exchange |
 //! | `suspect` | the crash history of one request |
 //! | `table` | the tracked requests, and which of them are evicted |
@@ -17,12 +18,14 @@
 pub mod digest;
 mod evidence;
 pub mod ledger;
+pub mod parts;
 mod recent;
 pub mod report;
 mod suspect;
 mod table;
 
-pub use digest::{RequestContent, RequestDigest, RequestKeys};
+pub use digest::{PartDigest, RequestContent, RequestDigest, RequestKeys};
 pub use evidence::CRASH_THRESHOLD;
 pub use ledger::{CrashCount, CrashLedger, LedgerSize, Quarantine};
+pub use parts::{PartCounts, PartLedger, PartQuarantine};
 pub use report::CrashReport;
--- a/crates/core/src/serving/crashes/report.rs
+++ b/crates/core/src/serving/crashes/report.rs
@@ -5,7 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::digest::RequestDigest;
+use super::digest::{PartDigest, RequestDigest};
+use super::evidence::Observation;
 use crate::serving::workers::WorkerId;
 use crate::time::{Millis, UnixMillis};
 
@@ -55,6 +56,54 @@
     pub at: UnixMillis,
 }
 
+/// A crash of a worker while it ran a request with a part.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct PartCrash {
+    /// Digest of the part.
+    pub part: PartDigest,
+    /// ID of the worker.
+    pub worker: WorkerId,
+    /// Time of the crash, by the clock of the node that observed it.
+    pub at: UnixMillis,
+    /// Digest of the request.
+    pub request: RequestDigest,
+    /// Number of parts before this one in the request's prompt.
+    #[serde(default)]
+    pub position: u32,
+}
+
+impl PartCrash {
+    pub(super) fn observation(&self) -> Observation {
+        Observation { worker: self.worker.clone(), at: self.at }
+    }
+}
+
+/// A request with a part that its worker survived: it went on after the first event.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct PartSurvival {
+    /// Digest of the part.
+    pub part: PartDigest,
+    /// Time of the survival, by the clock of the node that observed it.
+    pub at: UnixMillis,
+}
+
+/// What one node observed about parts of prompts.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartReport {
+    /// Crashes that later survivals have not cleared.
+    #[serde(default)]
+    pub crashes: Vec<PartCrash>,
+    /// Last survivals of parts with crashes, which clear the earlier crashes.
+    #[serde(default)]
+    pub survivals: Vec<PartSurvival>,
+}
+
+impl PartReport {
+    fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.survivals.is_empty()
+    }
+}
+
 /// Crashes and completions that one node observed.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -64,4 +113,7 @@
     /// Last completions of requests with crashes, which clear the earlier crashes.
     #[serde(default)]
     pub completions: Vec<Completion>,
+    /// Crashes and survivals by prompt part. Nodes of earlier versions ignore them.
+    #[serde(default, skip_serializing_if = "PartReport::is_empty")]
+    pub parts: PartReport,
 }
--- a/crates/core/src/serving/request.rs
+++ b/crates/core/src/serving/request.rs
@@ -2,9 +2,11 @@
 //!
 //! The gateway crate reads them from the request's headers; the body is never parsed.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::hashing::hash_parts;
+use crate::serving::crashes::PartDigest;
 use crate::time::Millis;
 
 /// One part of a prompt. Parts with the same ID contain the same text.
@@ -25,6 +27,29 @@
     pub tokens: u32,
 }
 
+/// A part that prompts of other requests may hold, too.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SharedPart {
+    /// Digest of the part and the model.
+    pub digest: PartDigest,
+    /// The part's ID as stated by the caller, for logging.
+    pub id: Arc<str>,
+    /// Number of parts before this one.
+    pub position: u32,
+}
+
+/// Returns the parts of a prompt that it may share with other requests, each once: all but the last one.
+pub fn shared_parts(model: &str, parts: &[PromptPart]) -> Arc<[SharedPart]> {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let mut known = BTreeSet::new();
+    let described = shared.iter().zip(0..).map(|(part, position)| SharedPart {
+        digest: PartDigest::of(model, &part.id),
+        id: part.id.clone(),
+        position,
+    });
+    described.filter(|part| known.insert(part.digest)).collect()
+}
+
 /// The attributes that a request states in its headers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestAttributes {
@@ -40,6 +65,8 @@
     pub prefix: Vec<PrefixBlock>,
     /// Length of the whole prompt in tokens.
     pub prompt_tokens: u32,
+    /// The parts that the prompt may share with other requests.
+    pub shared_parts: Arc<[SharedPart]>,
 }
 
 /// Hashes the parts of a prompt cumulatively, so that each hash covers the model and all earlier parts.
--- a/crates/core/tests/crash_ledger_scale.rs
+++ b/crates/core/tests/crash_ledger_scale.rs
@@ -168,7 +168,7 @@
         for crash in 0..3 {
             crash_by(&mut ledger, fatal, crash, crash);
         }
-        let report = CrashReport { crashes: crashes.clone(), completions: Vec::new() };
+        let report = CrashReport { crashes: crashes.clone(), ..CrashReport::default() };
         let started = Instant::now();
         ledger.merge(&report, false, at(1_100));
         let merged = started.elapsed() / report.crashes.len() as u32;
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -2,6 +2,7 @@
 //!
 //! Owns these tables and the process's random number generator. [`super::metadata_watch`] sends the updates.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -12,7 +13,10 @@
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::retry_budget::RetryBudget;
 use stallmoor_core::serving::configuration::GatewayConfiguration;
-use stallmoor_core::serving::crashes::{CrashCount, CrashLedger, CrashReport, Quarantine, RequestDigest, RequestKeys};
+use stallmoor_core::serving::crashes::report::PartCrash;
+use stallmoor_core::serving::crashes::{
+    CrashCount, CrashLedger, CrashReport, PartQuarantine, Quarantine, RequestDigest, RequestKeys,
+};
 use stallmoor_core::serving::jobs::directory::{FoundingRecord, StorageDirectory, StorageRecord};
 use stallmoor_core::serving::online::RETRY_LIMITS;
 use stallmoor_core::serving::quota::fleet_size::FleetSize;
@@ -74,6 +78,8 @@
 impl FleetView {
     /// Creates an empty view. `seed` initializes the random number generator.
     pub fn new(clock: NodeClock, zone: Arc<str>, seed: u64) -> Self {
+        let mut ledger = CrashLedger::default();
+        ledger.parts_mut().set_seed(seed);
         Self {
             clock,
             zone,
@@ -82,7 +88,7 @@
             workers: Mutex::default(),
             storage: Mutex::default(),
             founding: Mutex::default(),
-            crashes: Mutex::default(),
+            crashes: Mutex::new(ledger),
             size: Mutex::default(),
             reachable_gateways: AtomicU32::default(),
             crash_report_needed: Notify::new(),
@@ -159,17 +165,26 @@
         self.crashes().is_empty()
     }
 
-    /// Returns the remaining quarantine of a request; `None` if it may run.
-    pub fn quarantined_for(&self, keys: RequestKeys) -> Option<Millis> {
+    /// Returns the time for which a request is refused because it, or a part of its prompt, is quarantined; `None` if it
+    /// may run.
+    pub fn admit_after_crashes(&self, keys: &RequestKeys) -> Option<Millis> {
         let now = self.clock.wall_time();
-        let crashes = self.crashes();
-        keys.digests().filter_map(|digest| crashes.quarantined_for(digest, now)).max()
+        let nodes = self.gateways();
+        let mut crashes = self.crashes();
+        let of_request = keys.digests().filter_map(|digest| crashes.quarantined_for(digest, now));
+        let of_parts = keys.parts.iter().filter_map(|part| crashes.parts().quarantined_for(part.digest, now));
+        let remaining = of_request.chain(of_parts).max();
+        if remaining.is_some() {
+            return remaining;
+        }
+        keys.parts.iter().filter_map(|part| crashes.parts_mut().admit(part.digest, nodes, now)).max()
     }
 
-    /// Returns whether one more crash would quarantine a request.
-    pub fn is_near_quarantine(&self, keys: RequestKeys) -> bool {
+    /// Returns whether one more crash would quarantine a request or a part of its prompt.
+    pub fn is_near_quarantine(&self, keys: &RequestKeys) -> bool {
         let crashes = self.crashes();
-        keys.digests().any(|digest| crashes.is_near_quarantine(digest))
+        let is_part_near = || keys.parts.iter().any(|part| crashes.parts().is_near_quarantine(part.digest));
+        keys.digests().any(|digest| crashes.is_near_quarantine(digest)) || is_part_near()
     }
 
     /// Records that a worker crashed while running a request, and logs a resulting quarantine.
@@ -192,12 +207,71 @@
             record(LogEvent::WorkerCrashed, &fields);
             self.log_quarantine(quarantine);
         }
-        measures::set_crash_ledger_size(self.crashes().size());
+        self.record_part_crashes(crash);
+        self.update_crash_measures();
         self.crash_report_needed.notify_one();
     }
 
+    fn record_part_crashes(&self, crash: &ObservedCrash) {
+        let now = self.clock.wall_time();
+        for part in crash.keys.parts.iter() {
+            let observed = PartCrash {
+                part: part.digest,
+                worker: crash.worker.clone(),
+                at: now,
+                request: crash.keys.request(),
+                position: part.position,
+            };
+            let quarantine = self.crashes().parts_mut().record_local_crash(observed, now);
+            self.log_part_quarantine(quarantine, &part.id);
+        }
+    }
+
+    /// Records that a worker went on with a request after its first event, which clears the crashes of its parts.
+    pub fn record_survival(&self, request: &str, keys: &RequestKeys) {
+        let now = self.clock.wall_time();
+        for part in keys.parts.iter() {
+            let Some(cleared) = self.crashes().parts_mut().record_local_survival(part.digest, now) else { continue };
+            self.crash_report_needed.notify_one();
+            if cleared > 0 {
+                let fields = [
+                    Field::text("request", request),
+                    Field::text("part", &part.id),
+                    Field::text("digest", part.digest),
+                    Field::number("crashes", cleared as u64),
+                ];
+                record(LogEvent::PartCleared, &fields);
+            }
+        }
+    }
+
+    fn update_crash_measures(&self) {
+        let (size, parts) = {
+            let crashes = self.crashes();
+            (crashes.size(), crashes.parts().counts())
+        };
+        measures::set_crash_ledger_size(size);
+        measures::set_part_counts(parts);
+    }
+
+    /// Logs the quarantine of a prompt part. `id` is empty if other nodes have observed its crashes.
+    fn log_part_quarantine(&self, quarantine: Option<PartQuarantine>, id: &str) {
+        let Some(PartQuarantine { part, crashes, until }) = quarantine else { return };
+        let mut workers: Vec<&str> = crashes.iter().map(|crash| &*crash.worker.0).collect();
+        workers.dedup();
+        let requests: BTreeSet<_> = crashes.iter().map(|crash| crash.request).collect();
+        let fields = [
+            Field::text("part", id),
+            Field::text("digest", part),
+            Field::text("workers", workers.join(" ")),
+            Field::number("requests", requests.len() as u64),
+            Field::number("for_ms", until.0.saturating_sub(self.clock.wall_time().0)),
+        ];
+        record(LogEvent::PartQuarantined, &fields);
+    }
+
     /// Records that a request ran to completion, which clears its crashes.
-    pub fn record_completion(&self, request: &str, keys: RequestKeys) {
+    pub fn record_completion(&self, request: &str, keys: &RequestKeys) {
         let now = self.clock.wall_time();
         for digest in keys.digests() {
             let Some(before) = self.crashes().record_local_completion(digest, now) else { continue };
@@ -208,15 +282,21 @@
 
     /// Merges a crash report from the store. `is_local` marks the report that this machine has written.
     pub fn merge_crashes(&self, report: &CrashReport, is_local: bool) {
-        let (quarantines, size) = {
+        let now = self.clock.wall_time();
+        let (quarantines, parts) = {
             let mut crashes = self.crashes();
-            let quarantines = crashes.merge(report, is_local, self.clock.wall_time());
-            (quarantines, crashes.size())
+            (crashes.merge(report, is_local, now), crashes.merge_parts(report, is_local, now))
         };
-        measures::set_crash_ledger_size(size);
+        self.update_crash_measures();
         for quarantine in quarantines {
             self.log_quarantine(Some(quarantine));
         }
+        for quarantine in parts.quarantines {
+            self.log_part_quarantine(Some(quarantine), "");
+        }
+        if parts.has_survivals {
+            self.crash_report_needed.notify_one();
+        }
     }
 
     /// Waits until the crash ledger has changes to report.
--- a/crates/gateway/src/observe/measures.rs
+++ b/crates/gateway/src/observe/measures.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, Response, StatusCode};
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use stallmoor_core::serving::crashes::LedgerSize;
+use stallmoor_core::serving::crashes::{LedgerSize, PartCounts};
 use stallmoor_core::time::Millis;
 use tokio::net::TcpListener;
 
@@ -60,6 +60,7 @@
     PEER_BYTES = "stallmoor_peer_bytes_total", "counter", "message", "The bytes of those messages.";
     VIEW_AGE = "stallmoor_metadata_view_age_seconds", "gauge", "", "How old this node's view of the metadata store was at its last call.";
     CRASH_DIGESTS = "stallmoor_crash_digests", "gauge", "", "Digests of requests during which workers crashed, as kept at this node.";
+    CRASH_PARTS = "stallmoor_crash_parts", "gauge", "suspected", "Parts of prompts with which workers crashed, by whether the crashes are enough for a quarantine.";
     CRASH_EVICTIONS = "stallmoor_crash_evictions_total", "counter", "quarantine", "Such digests that were evicted for lack of room: `yes` with enough crashes for a quarantine, else `no`.";
     CONFIGURATION = "stallmoor_configuration_version", "gauge", "", "The version of the configuration in force.";
     LEADS = "stallmoor_storage_leads", "gauge", "", "1 while this node leads the job table, else 0.";
@@ -182,6 +183,12 @@
     counter!(CRASH_EVICTIONS, "quarantine" => "no").absolute(size.evicted - size.evicted_above_threshold);
 }
 
+/// Sets the number of prompt parts with crashes.
+pub fn set_part_counts(counts: PartCounts) {
+    gauge!(CRASH_PARTS, "suspected" => "yes").set(counts.suspected as f64);
+    gauge!(CRASH_PARTS, "suspected" => "no").set((counts.tracked - counts.suspected) as f64);
+}
+
 /// Sets the version of the active configuration.
 pub fn set_configuration_version(version: u64) {
     gauge!(CONFIGURATION).set(version as f64);
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -76,6 +76,8 @@
     first_event_after: Option<Millis>,
     /// The current run at a worker.
     run: Option<RunWatch>,
+    /// Whether a worker has gone on with the request after its first event.
+    has_survived: bool,
     /// Pending crash check of the worker whose attempt was interrupted last.
     crash_check: Option<JoinHandle<()>>,
 }
@@ -98,6 +100,7 @@
         last_choice: None,
         first_event_after: None,
         run: None,
+        has_survived: false,
         crash_check: None,
     };
     let opened = match active.find_origin().await {
@@ -200,12 +203,11 @@
         if self.crash_check.is_none() && view.has_no_crashes() {
             return Ok(());
         }
-        let keys = self.keys;
-        if let Some(check) = self.crash_check.take().filter(|_| view.is_near_quarantine(keys)) {
+        if let Some(check) = self.crash_check.take().filter(|_| view.is_near_quarantine(&self.keys)) {
             // A check that panicked counts as no crash.
             let _ = check.await;
         }
-        let remaining = view.quarantined_for(keys);
+        let remaining = view.admit_after_crashes(&self.keys);
         self.state.check_quarantine(remaining)
     }
 
@@ -326,7 +328,7 @@
             choice,
             service: self.service.clone(),
             request_id: self.request.attributes.id.clone(),
-            keys: self.keys,
+            keys: self.keys.clone(),
             progress: self.state.progress.last_event.unwrap_or(0),
         };
         self.run = Some(RunWatch::new(self.client.clone(), run));
@@ -347,7 +349,16 @@
         if let Some(run) = self.run.take() {
             run.finish();
         }
-        self.client.view.record_completion(&self.request.attributes.id, self.keys);
+        self.record_survival();
+        self.client.view.record_completion(&self.request.attributes.id, &self.keys);
+    }
+
+    /// Records once that a worker went on with the request after its first event, so no part of its prompt crashes
+    /// workers.
+    fn record_survival(&mut self) {
+        if !std::mem::replace(&mut self.has_survived, true) {
+            self.client.view.record_survival(&self.request.attributes.id, &self.keys);
+        }
     }
 
     fn head_timeout(&self) -> Duration {
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -100,7 +100,9 @@
     /// since identical items are rare.
     fn record_completion(&self, client: &WorkerClient) {
         if !client.view.has_no_crashes() {
-            client.view.record_completion(&self.item.id, self.keys(client));
+            let keys = self.keys(client);
+            client.view.record_survival(&self.item.id, &keys);
+            client.view.record_completion(&self.item.id, &keys);
         }
     }
 
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -256,7 +256,7 @@
             return false;
         }
         let keys = item_keys(&start.item, &start.identity, &*self.workers.dialect);
-        view.quarantined_for(keys).is_some()
+        view.admit_after_crashes(&keys).is_some()
     }
 
     /// Returns the origin of the workers that may continue an item's output; `None` if any worker may run the item.
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -102,7 +102,7 @@
         if has_crashed {
             self.view.record_crash(&ObservedCrash {
                 request: run.request_id.clone(),
-                keys: run.keys,
+                keys: run.keys.clone(),
                 worker: run.choice.id.clone(),
                 progress: run.progress,
             });
--- a/crates/gateway/tests/golden.rs
+++ b/crates/gateway/tests/golden.rs
@@ -88,7 +88,8 @@
         progress: number,
     };
     let completion = Completion { digest: "1".parse().expect("valid digest"), at: CRASHED_AT };
-    let report = CrashReport { crashes: (0..3).map(crash).collect(), completions: vec![completion] };
+    let report =
+        CrashReport { crashes: (0..3).map(crash).collect(), completions: vec![completion], ..CrashReport::default() };
     Row::new(&format!("{CRASH_KEY_PREFIX}edge-1"), &serde_json::to_string(&report).expect("record serializes"))
 }
 
--- a/crates/gateway/tests/golden_measures.rs
+++ b/crates/gateway/tests/golden_measures.rs
@@ -3,7 +3,7 @@
 #[path = "../../core/tests/support/golden.rs"]
 mod golden;
 
-use stallmoor_core::serving::crashes::LedgerSize;
+use stallmoor_core::serving::crashes::{LedgerSize, PartCounts};
 use stallmoor_core::serving::jobs::dispatch::RunEnd;
 use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::time::Millis;
@@ -82,6 +82,7 @@
     measures::count_rate_refusal();
     measures::set_view_age(Millis(1_500));
     measures::set_crash_ledger_size(LedgerSize { tracked: 5, evicted: 3, evicted_above_threshold: 1 });
+    measures::set_part_counts(PartCounts { tracked: 3, suspected: 1, evicted: 0 });
     measures::set_configuration_version(7);
     measures::set_is_leader(true);
     measures::set_open_items(3);
