Do not blame the prompt parts of runs that had survived

Cause: a crash was held against the parts of every run at the worker, also of those that had sent events for seconds, and the parts of items were never cleared while they ran: only completed items recorded that a worker had survived them, and only if crashes were known. So the first part of all items was quarantined for minutes.

Change: a run whose worker went on after its first event adds no crash to the parts of its prompt, and clears them, online or of an item, at its second event. A quarantine of a part lasts a minute at first instead of five and no longer grows with the workers that crash at once, only with crashes of later trials.

--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -18,7 +18,7 @@
 use crate::time::{Millis, UnixMillis};
 
 /// Duration of a quarantine; doubles with each crash beyond the threshold.
-pub(super) const QUARANTINE_BACKOFF: Backoff = Backoff::new(Millis(300_000), MAX_QUARANTINE);
+const QUARANTINE_BACKOFF: Backoff = Backoff::new(Millis(300_000), MAX_QUARANTINE);
 /// Maximum duration of a quarantine.
 pub(super) const MAX_QUARANTINE: Millis = Millis(3_600_000);
 /// Crashes within this time after a completion of the request are not attributed to it. Exempts requests that many
--- a/crates/core/src/serving/crashes/parts.rs
+++ b/crates/core/src/serving/crashes/parts.rs
@@ -11,10 +11,11 @@
 
 use super::digest::{PartDigest, RequestDigest};
 use super::evidence::{CRASH_THRESHOLD, Observation};
-use super::ledger::{MAX_QUARANTINE, QUARANTINE_BACKOFF};
+use super::ledger::MAX_QUARANTINE;
 use super::recent::RecentTimes;
 use super::report::{PartCrash, PartReport, PartSurvival};
 use super::suspect::Source;
+use crate::backoff::Backoff;
 use crate::hashing::rendezvous_weight;
 use crate::time::{Millis, UnixMillis};
 
@@ -38,6 +39,11 @@
 /// Time for which a part is retained after its last crash. Bounds memory.
 const PART_RETENTION: Millis = Millis(2 * MAX_QUARANTINE.0);
 
+/// Duration of a quarantine; doubles with each crash of a later trial. Shorter than that of a request, since it affects
+/// many callers, and only one request of each node is tried afterwards.
+const PART_QUARANTINE_BACKOFF: Backoff = Backoff::new(Millis(60_000), MAX_QUARANTINE);
+/// Time after the crash that quarantined a part in which further ones are those of requests that were on their way.
+const SETTLING_PERIOD: Millis = Millis(10_000);
 /// Minimum quarantine of a part while another one may as well be the cause. Short, as it may be wrong: afterwards a request
 /// with either part shows which of them is.
 const MIN_CONTESTED_QUARANTINE: Millis = Millis(2_000);
@@ -143,7 +149,7 @@
     }
 
     /// Returns the number of crashes for which `is_counted` holds; observations of the same crash count once.
-    fn count(&self, is_counted: impl Fn(&Observation) -> bool) -> usize {
+    fn count(&self, mut is_counted: impl FnMut(&Observation) -> bool) -> usize {
         let mut counted: Vec<Observation> = Vec::new();
         for (crash, _) in &self.crashes {
             let observation = crash.observation();
@@ -164,6 +170,17 @@
         requests.len() >= MIN_REQUESTS
     }
 
+    /// Returns the number of crashes later than those of requests that were on their way when the part was quarantined.
+    fn later_crashes(&self) -> usize {
+        let mut crashes: Vec<UnixMillis> = Vec::new();
+        self.count(|crash| {
+            crashes.push(crash.at);
+            true
+        });
+        let quarantined_at = crashes.get(PART_CRASH_THRESHOLD - 1).copied().unwrap_or_default();
+        crashes.iter().filter(|at| at.0 > quarantined_at.0.saturating_add(SETTLING_PERIOD.0)).count()
+    }
+
     /// Returns the time from the first to the last crash.
     fn duration(&self) -> Millis {
         let times = self.crashes.first().zip(self.crashes.last());
@@ -371,11 +388,13 @@
             let mut stronger = self.stronger_than(own).filter(|(_, other)| other.has_several_requests());
             !stronger.any(|(_, other)| other.is_affected_by(crash))
         };
-        let excess = history.count(is_unexplained).checked_sub(PART_CRASH_THRESHOLD)?;
+        if history.count(is_unexplained) < PART_CRASH_THRESHOLD {
+            return None;
+        }
         let wait = if self.is_contested(part, history, own) {
             contested_quarantine(part)
         } else {
-            QUARANTINE_BACKOFF.wait(u32::try_from(excess).unwrap_or(u32::MAX))
+            PART_QUARANTINE_BACKOFF.wait(u32::try_from(history.later_crashes()).unwrap_or(u32::MAX))
         };
         let crashes: Vec<PartCrash> = history.crashes.iter().map(|(crash, _)| crash.clone()).collect();
         let last = crashes.last()?.at;
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -48,6 +48,8 @@
     pub worker: WorkerId,
     /// Number of the last event received from the worker, 0 for none.
     pub progress: u64,
+    /// Whether the worker went on with the request after its first event, so that no part of the prompt is the cause.
+    pub has_survived: bool,
 }
 
 /// This node's view of the fleet, with notifications of its changes.
@@ -207,7 +209,9 @@
             record(LogEvent::WorkerCrashed, &fields);
             self.log_quarantine(quarantine);
         }
-        self.record_part_crashes(crash);
+        if !crash.has_survived {
+            self.record_part_crashes(crash);
+        }
         self.update_crash_measures();
         self.crash_report_needed.notify_one();
     }
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -76,8 +76,6 @@
     first_event_after: Option<Millis>,
     /// The current run at a worker.
     run: Option<RunWatch>,
-    /// Whether a worker has gone on with the request after its first event.
-    has_survived: bool,
     /// Pending crash check of the worker whose attempt was interrupted last.
     crash_check: Option<JoinHandle<()>>,
 }
@@ -100,7 +98,6 @@
         last_choice: None,
         first_event_after: None,
         run: None,
-        has_survived: false,
         crash_check: None,
     };
     let opened = match active.find_origin().await {
@@ -329,6 +326,7 @@
             service: self.service.clone(),
             request_id: self.request.attributes.id.clone(),
             keys: self.keys.clone(),
+            started_after: self.state.progress.last_event.unwrap_or(0),
             progress: self.state.progress.last_event.unwrap_or(0),
         };
         self.run = Some(RunWatch::new(self.client.clone(), run));
@@ -349,18 +347,10 @@
         if let Some(run) = self.run.take() {
             run.finish();
         }
-        self.record_survival();
+        self.client.view.record_survival(&self.request.attributes.id, &self.keys);
         self.client.view.record_completion(&self.request.attributes.id, &self.keys);
     }
 
-    /// Records once that a worker went on with the request after its first event, so no part of its prompt crashes
-    /// workers.
-    fn record_survival(&mut self) {
-        if !std::mem::replace(&mut self.has_survived, true) {
-            self.client.view.record_survival(&self.request.attributes.id, &self.keys);
-        }
-    }
-
     fn head_timeout(&self) -> Duration {
         let view = &self.client.view;
         let mean_first = view.workers().mean_time_to_first_event();
--- a/crates/gateway/src/online/stream.rs
+++ b/crates/gateway/src/online/stream.rs
@@ -19,9 +19,6 @@
 use crate::http::answer_body::{Aborted, AnswerBody, ChunkSender};
 use crate::workers::attempt::OpenAnswer;
 
-/// Number of events after which a worker has survived a request: it lived on after it had begun to answer.
-const SURVIVED_EVENTS: u32 = 2;
-
 /// How a stream from one worker ended.
 enum StreamEnd {
     Complete,
@@ -150,9 +147,6 @@
         if let (Some(run), Some(event)) = (&mut self.run, self.state.progress.last_event) {
             run.record_progress(event);
         }
-        if self.state.progress.events >= SURVIVED_EVENTS {
-            self.record_survival();
-        }
         if !taken.bytes.is_empty() {
             self.record_origin();
             self.send(taken.bytes, sender).await?;
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -66,7 +66,7 @@
         self.attribution.start_attempt(is_suspected);
         let is_resumed = self.output().last_event.is_some();
         let started_at = client.view.clock.now();
-        let end = self.try_run(client, in_flight).await;
+        let end = self.try_run(client, in_flight, &mut watch).await;
         if end == RunEnd::Completed && !is_resumed {
             let elapsed = client.view.clock.now().since(started_at);
             client.view.workers().service_times(&self.service).record_slot_time(elapsed);
@@ -86,12 +86,14 @@
     }
 
     fn watch(&self, client: &Arc<WorkerClient>) -> RunWatch {
+        let last_event = self.output().last_event.unwrap_or(0);
         let run = WorkerRun {
             choice: self.choice.clone(),
             service: self.service.clone(),
             request_id: self.item.id.clone(),
             keys: self.keys(client),
-            progress: self.output().last_event.unwrap_or(0),
+            started_after: last_event,
+            progress: last_event,
         };
         RunWatch::new(client.clone(), run)
     }
@@ -114,7 +116,7 @@
         self.output.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn try_run(&mut self, client: &WorkerClient, in_flight: InFlight) -> RunEnd {
+    async fn try_run(&mut self, client: &WorkerClient, in_flight: InFlight, watch: &mut RunWatch) -> RunEnd {
         let Ok(target) = self.item.path.parse::<Uri>() else { return RunEnd::Impossible };
         let context = AttemptContext {
             worker: &self.choice.id,
@@ -142,7 +144,7 @@
                 self.record_head(client, &answer);
                 match RunEnd::from_status(answer.status.as_u16()) {
                     Some(end) => end,
-                    None => self.read_events(client, answer).await,
+                    None => self.read_events(client, answer, watch).await,
                 }
             }
             Err(failed) => {
@@ -152,7 +154,7 @@
         }
     }
 
-    async fn read_events(&mut self, client: &WorkerClient, mut answer: OpenAnswer) -> RunEnd {
+    async fn read_events(&mut self, client: &WorkerClient, mut answer: OpenAnswer, watch: &mut RunWatch) -> RunEnd {
         let mut splitter = EventSplitter::default();
         let mut first = true;
         let pause = self.pause.clone();
@@ -172,6 +174,8 @@
                             return self.interrupted(client, &answer);
                         }
                     }
+                    let last_event = self.output().last_event.unwrap_or(0);
+                    watch.record_progress(last_event);
                 }
                 Ok(None) if splitter.pending().is_empty() && self.output().last_event.is_some() => {
                     answer.release();
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -24,6 +24,9 @@
 /// Delay before the last check. Workers stop a run within 500 ms after its connection was closed.
 const LAST_CHECK_DELAY: Duration = Duration::from_millis(400);
 
+/// Number of events of a run after which the worker has survived the request: it lived on after it had begun to answer.
+const SURVIVED_EVENTS: u64 = 2;
+
 /// A run of a request at a worker.
 pub struct WorkerRun {
     /// The worker that runs the request.
@@ -34,10 +37,20 @@
     pub request_id: Arc<str>,
     /// The digests by which the request's crashes are counted.
     pub keys: RequestKeys,
+    /// Number of the last event before the run, 0 for none.
+    pub started_after: u64,
     /// Number of the last event received from the worker, 0 for none.
     pub progress: u64,
 }
 
+impl WorkerRun {
+    /// Returns whether the worker went on with the request after its first event, so that no part of the prompt crashes
+    /// workers.
+    fn has_survived(&self) -> bool {
+        self.progress >= self.started_after + SURVIVED_EVENTS
+    }
+}
+
 /// Guard that checks the worker when a run is interrupted. Dropping it counts as an interruption.
 pub struct RunWatch {
     client: Arc<WorkerClient>,
@@ -50,10 +63,13 @@
         Self { client, run: Some(run) }
     }
 
-    /// Records the number of the last event received.
+    /// Records the number of the last event received, and the first time the worker has survived the request.
     pub fn record_progress(&mut self, event: u64) {
-        if let Some(run) = &mut self.run {
-            run.progress = event;
+        let Some(run) = &mut self.run else { return };
+        let had_survived = run.has_survived();
+        run.progress = event;
+        if !had_survived && run.has_survived() {
+            self.client.view.record_survival(&run.request_id, &run.keys);
         }
     }
 
@@ -105,6 +121,7 @@
                 keys: run.keys.clone(),
                 worker: run.choice.id.clone(),
                 progress: run.progress,
+                has_survived: run.has_survived(),
             });
         }
         has_crashed
