Split the crash history of parts, and the fleet view's part for crashes

Change: part_history.rs holds the history of one part, crash_view.rs what the fleet view does with crashes. Moves only; no behavior changes.

--- a/crates/core/src/serving/crashes/mod.rs
+++ b/crates/core/src/serving/crashes/mod.rs
@@ -10,6 +10,7 @@
 //! | `evidence` | the crash counts and thresholds that decide on a quarantine |
 //! | [`ledger`] | [`CrashLedger`]: the crash history and quarantine of each request |
 //! | [`parts`] | [`PartLedger`]: the crash history and quarantine of each prompt part |
+//! | `part_history` | the crash history of one prompt part |
 //! | `recent` | the requests that completed recently, and the parts that workers survived |
 //! | [`report`] | the crash reports that nodes exchange |
 //! | `suspect` | the crash history of one request |
@@ -18,6 +19,7 @@
 pub mod digest;
 mod evidence;
 pub mod ledger;
+mod part_history;
 pub mod parts;
 mod recent;
 pub mod report;
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -2,7 +2,6 @@
 //!
 //! Owns these tables and the process's random number generator. [`super::metadata_watch`] sends the updates.
 
-use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -13,17 +12,14 @@
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::retry_budget::RetryBudget;
 use stallmoor_core::serving::configuration::GatewayConfiguration;
-use stallmoor_core::serving::crashes::report::PartCrash;
-use stallmoor_core::serving::crashes::{
-    CrashCount, CrashLedger, CrashReport, PartQuarantine, Quarantine, RequestDigest, RequestKeys,
-};
+use stallmoor_core::serving::crashes::CrashLedger;
 use stallmoor_core::serving::jobs::directory::{FoundingRecord, StorageDirectory, StorageRecord};
 use stallmoor_core::serving::online::RETRY_LIMITS;
 use stallmoor_core::serving::quota::fleet_size::FleetSize;
 use stallmoor_core::serving::regions::RegionMap;
 use stallmoor_core::serving::relay::item::MetadataItem;
 use stallmoor_core::serving::workers::{WorkerChange, WorkerId, WorkerTable};
-use stallmoor_core::time::{Millis, Timestamp};
+use stallmoor_core::time::Timestamp;
 use tokio::sync::{Notify, watch};
 
 use crate::adapter::metadata::FleetUpdate;
@@ -37,21 +33,6 @@
 /// Key of the founding record of the job table's group, which is written once.
 pub const FOUNDING_KEY: &str = "stallmoor/jobs/founding";
 
-/// A worker crash that this node observed while the worker ran one of its requests.
-#[derive(Clone, Debug)]
-pub struct ObservedCrash {
-    /// The request's ID.
-    pub request: Arc<str>,
-    /// The digests by which the request's crashes are counted.
-    pub keys: RequestKeys,
-    /// The worker that crashed.
-    pub worker: WorkerId,
-    /// Number of the last event received from the worker, 0 for none.
-    pub progress: u64,
-    /// Whether the worker went on with the request after its first event, so that no part of the prompt is the cause.
-    pub has_survived: bool,
-}
-
 /// This node's view of the fleet, with notifications of its changes.
 pub struct FleetView {
     /// The clock by which ages and deadlines of the view are computed.
@@ -64,12 +45,12 @@
     workers: Mutex<WorkerTable>,
     storage: Mutex<StorageDirectory>,
     founding: Mutex<Option<FoundingRecord>>,
-    crashes: Mutex<CrashLedger>,
+    pub(super) crashes: Mutex<CrashLedger>,
     size: Mutex<FleetSize>,
     /// Number of gateways that exchanged loads at the last exchange; 0 if unknown.
     reachable_gateways: AtomicU32,
     /// Notified when the crash ledger has changes to report to other nodes.
-    crash_report_needed: Notify,
+    pub(super) crash_report_needed: Notify,
     random: Mutex<Xoshiro256PlusPlus>,
     retry_budget: Mutex<RetryBudget>,
     /// Set after the first complete read of the store.
@@ -157,167 +138,6 @@
         lock(&self.size).gateways()
     }
 
-    /// Locks the ledger of requests that crashed workers.
-    pub fn crashes(&self) -> MutexGuard<'_, CrashLedger> {
-        lock(&self.crashes)
-    }
-
-    /// Returns whether the crash ledger is empty.
-    pub fn has_no_crashes(&self) -> bool {
-        self.crashes().is_empty()
-    }
-
-    /// Returns the time for which a request is refused because it, or a part of its prompt, is quarantined; `None` if it
-    /// may run.
-    pub fn admit_after_crashes(&self, keys: &RequestKeys) -> Option<Millis> {
-        let now = self.clock.wall_time();
-        let nodes = self.gateways();
-        let mut crashes = self.crashes();
-        let of_request = keys.digests().filter_map(|digest| crashes.quarantined_for(digest, now));
-        let of_parts = keys.parts.iter().filter_map(|part| crashes.parts().quarantined_for(part.digest, now));
-        let remaining = of_request.chain(of_parts).max();
-        if remaining.is_some() {
-            return remaining;
-        }
-        keys.parts.iter().filter_map(|part| crashes.parts_mut().admit(part.digest, nodes, now)).max()
-    }
-
-    /// Returns whether one more crash would quarantine a request or a part of its prompt.
-    pub fn is_near_quarantine(&self, keys: &RequestKeys) -> bool {
-        let crashes = self.crashes();
-        let is_part_near = || keys.parts.iter().any(|part| crashes.parts().is_near_quarantine(part.digest));
-        keys.digests().any(|digest| crashes.is_near_quarantine(digest)) || is_part_near()
-    }
-
-    /// Records that a worker crashed while running a request, and logs a resulting quarantine.
-    pub fn record_crash(&self, crash: &ObservedCrash) {
-        for digest in crash.keys.digests() {
-            let (quarantine, count) = {
-                let mut crashes = self.crashes();
-                let quarantine =
-                    crashes.record_local_crash(digest, crash.worker.clone(), crash.progress, self.clock.wall_time());
-                (quarantine, crashes.count(digest))
-            };
-            let fields = [
-                Field::text("worker", &crash.worker),
-                Field::text("request", &crash.request),
-                Field::text("digest", digest),
-                Field::number("events", crash.progress),
-                Field::number("known", count.observed as u64),
-                Field::number("counted", count.counted as u64),
-            ];
-            record(LogEvent::WorkerCrashed, &fields);
-            self.log_quarantine(quarantine);
-        }
-        if !crash.has_survived {
-            self.record_part_crashes(crash);
-        }
-        self.update_crash_measures();
-        self.crash_report_needed.notify_one();
-    }
-
-    fn record_part_crashes(&self, crash: &ObservedCrash) {
-        let now = self.clock.wall_time();
-        for part in crash.keys.parts.iter() {
-            let observed = PartCrash {
-                part: part.digest,
-                worker: crash.worker.clone(),
-                at: now,
-                request: crash.keys.request(),
-                position: part.position,
-            };
-            let quarantine = self.crashes().parts_mut().record_local_crash(observed, now);
-            self.log_part_quarantine(quarantine, &part.id);
-        }
-    }
-
-    /// Records that a worker went on with a request after its first event, which clears the crashes of its parts.
-    pub fn record_survival(&self, request: &str, keys: &RequestKeys) {
-        let now = self.clock.wall_time();
-        for part in keys.parts.iter() {
-            let Some(cleared) = self.crashes().parts_mut().record_local_survival(part.digest, now) else { continue };
-            self.crash_report_needed.notify_one();
-            if cleared > 0 {
-                let fields = [
-                    Field::text("request", request),
-                    Field::text("part", &part.id),
-                    Field::text("digest", part.digest),
-                    Field::number("crashes", cleared as u64),
-                ];
-                record(LogEvent::PartCleared, &fields);
-            }
-        }
-    }
-
-    fn update_crash_measures(&self) {
-        let (size, parts) = {
-            let crashes = self.crashes();
-            (crashes.size(), crashes.parts().counts())
-        };
-        measures::set_crash_ledger_size(size);
-        measures::set_part_counts(parts);
-    }
-
-    /// Logs the quarantine of a prompt part. `id` is empty if other nodes have observed its crashes.
-    fn log_part_quarantine(&self, quarantine: Option<PartQuarantine>, id: &str) {
-        let Some(PartQuarantine { part, crashes, until }) = quarantine else { return };
-        let mut workers: Vec<&str> = crashes.iter().map(|crash| &*crash.worker.0).collect();
-        workers.dedup();
-        let requests: BTreeSet<_> = crashes.iter().map(|crash| crash.request).collect();
-        let fields = [
-            Field::text("part", id),
-            Field::text("digest", part),
-            Field::text("workers", workers.join(" ")),
-            Field::number("requests", requests.len() as u64),
-            Field::number("for_ms", until.0.saturating_sub(self.clock.wall_time().0)),
-        ];
-        record(LogEvent::PartQuarantined, &fields);
-    }
-
-    /// Records that a request ran to completion, which clears its crashes.
-    pub fn record_completion(&self, request: &str, keys: &RequestKeys) {
-        let now = self.clock.wall_time();
-        for digest in keys.digests() {
-            let Some(before) = self.crashes().record_local_completion(digest, now) else { continue };
-            self.crash_report_needed.notify_one();
-            log_crashes_cleared(request, digest, before);
-        }
-    }
-
-    /// Merges a crash report from the store. `is_local` marks the report that this machine has written.
-    pub fn merge_crashes(&self, report: &CrashReport, is_local: bool) {
-        let now = self.clock.wall_time();
-        let (quarantines, parts) = {
-            let mut crashes = self.crashes();
-            (crashes.merge(report, is_local, now), crashes.merge_parts(report, is_local, now))
-        };
-        self.update_crash_measures();
-        for quarantine in quarantines {
-            self.log_quarantine(Some(quarantine));
-        }
-        for quarantine in parts.quarantines {
-            self.log_part_quarantine(Some(quarantine), "");
-        }
-        if parts.has_survivals {
-            self.crash_report_needed.notify_one();
-        }
-    }
-
-    /// Waits until the crash ledger has changes to report.
-    pub async fn crashes_changed(&self) {
-        self.crash_report_needed.notified().await;
-    }
-
-    fn log_quarantine(&self, quarantine: Option<Quarantine>) {
-        let Some(Quarantine { digest, crashes, until }) = quarantine else { return };
-        let fields = [
-            Field::text("digest", digest),
-            Field::number("crashes", crashes as u64),
-            Field::number("for_ms", until.0.saturating_sub(self.clock.wall_time().0)),
-        ];
-        record(LogEvent::RequestQuarantined, &fields);
-    }
-
     /// Locks the process's random number generator.
     pub fn random(&self) -> MutexGuard<'_, Xoshiro256PlusPlus> {
         lock(&self.random)
@@ -434,19 +254,6 @@
     }
 }
 
-fn log_crashes_cleared(request: &str, digest: RequestDigest, before: CrashCount) {
-    if before.counted == 0 {
-        return;
-    }
-    let fields = [
-        Field::text("request", request),
-        Field::text("digest", digest),
-        Field::number("known", before.observed as u64),
-        Field::number("counted", before.counted as u64),
-    ];
-    record(LogEvent::CrashesCleared, &fields);
-}
-
 /// Parses the value of a JSON record. Returns `None` if the record is absent or invalid; invalid records are logged.
 pub(super) fn parse_record<T: DeserializeOwned>(item: &MetadataItem) -> Option<T> {
     let read = serde_json::from_slice::<T>(item.value()?);
@@ -458,7 +265,7 @@
 }
 
 /// Locks a mutex, ignoring poisoning: a panic while a lock is held leaves these values consistent.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -12,7 +12,7 @@
 use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 
-use crate::fleet::fleet_view::ObservedCrash;
+use crate::fleet::crash_view::ObservedCrash;
 use crate::workers::attempt::WorkerClient;
 use crate::workers::connections::WorkerEndpoint;
 
--- a/crates/gateway/tests/crash_reports.rs
+++ b/crates/gateway/tests/crash_reports.rs
@@ -16,7 +16,8 @@
 use stallmoor_gateway::adapter::metadata::PutOutcome;
 use stallmoor_gateway::clock::NodeClock;
 use stallmoor_gateway::fleet::crash_reports::report_crashes;
-use stallmoor_gateway::fleet::fleet_view::{FleetView, ObservedCrash};
+use stallmoor_gateway::fleet::crash_view::ObservedCrash;
+use stallmoor_gateway::fleet::fleet_view::FleetView;
 
 const CRASHES: u64 = 200;
 const CRASH_INTERVAL: Duration = Duration::from_millis(10);
