Measure the processor time of the storage service's steps

On the leader one thread does everything. Neither its log nor its metrics said which step took the time, so a leader that stood still could not be told from one whose machine did. Three metrics by kind of step (count, processor time, longest), and a line every 10 s at the leader (E312). The event loop now receives one event at a time from a module of its own; its behavior is unchanged.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -66,6 +66,7 @@
     FoundingWritten = 309, Information, "The founding record of a replica group was submitted to the metadata store.";
     MessageRefused = 310, Warning, "A message from a peer was rejected.";
     LeaderLost = 311, Warning, "This replica no longer has contact with the leader of its group and campaigns.";
+    StepsMeasured = 312, Information, "Processor time of the steps of this node's storage service since the last such line, at the leader.";
     ConfigurationInForce = 400, Information, "A configuration revision took effect on this node.";
     ConfigurationAccepted = 401, Information, "A configuration change by an operator was accepted.";
     ConfigurationRefused = 402, Warning, "A configuration change by an operator was rejected.";
--- a/crates/gateway/src/observe/measures.rs
+++ b/crates/gateway/src/observe/measures.rs
@@ -3,6 +3,7 @@
 //! Owns the metric names, against which a test checks `docs/METRICS.md`, and the process-wide recorder.
 
 use std::sync::OnceLock;
+use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -66,6 +67,9 @@
     LEADS = "stallmoor_storage_leads", "gauge", "", "1 while this node leads the job table, else 0.";
     RUNS = "stallmoor_storage_item_runs_total", "counter", "end", "Runs of batch items that ended at this node, by how.";
     ELECTIONS = "stallmoor_storage_elections_total", "counter", "reason", "Times that this node campaigned for the lead of the job table, by the reason.";
+    STEPS = "stallmoor_storage_steps_total", "counter", "step", "Steps of this node's storage service, by kind.";
+    STEP_TIME = "stallmoor_storage_step_microseconds_total", "counter", "step", "Processor time that those steps took.";
+    LONGEST_STEP = "stallmoor_storage_longest_step_seconds", "gauge", "step", "Processor time of the longest of those steps since the start of the process.";
     OPEN_ITEMS = "stallmoor_storage_open_items", "gauge", "", "Items without a result, at the leader.";
     EXHAUSTED_TENANTS = "stallmoor_storage_exhausted_tenants", "gauge", "", "Tenants that have no request left under their limit, at the leader.";
 }
@@ -204,6 +208,13 @@
     counter!(RUNS, "end" => end).increment(1);
 }
 
+/// Counts a step of the storage service. `longest` is the longest one of its kind so far.
+pub fn record_step(step: &'static str, time: Duration, longest: Duration) {
+    counter!(STEPS, "step" => step).increment(1);
+    counter!(STEP_TIME, "step" => step).increment(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
+    gauge!(LONGEST_STEP, "step" => step).set(longest.as_secs_f64());
+}
+
 /// Sets the number of items without a result.
 pub fn set_open_items(count: usize) {
     gauge!(OPEN_ITEMS).set(count as f64);
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -3,6 +3,8 @@
 //! | module | contents |
 //! |---|---|
 //! | this one | the event loop, which routes each event to the components |
+//! | `events` | the events and their sources |
+//! | `step_times` | processor time of the steps, by kind |
 //! | `replica_driver` | the replica, its disk and its links; executes effects in order, each after preceding writes |
 //! | `answers` | pending answers to other nodes, and reads that wait for results |
 //! | `requests` | handlers of the requests from other nodes |
@@ -17,6 +19,7 @@
 //! are executed as far as the disk allows, then leadership is re-evaluated, then items are dispatched.
 
 mod answers;
+mod events;
 mod item_runner;
 mod joins;
 mod load_exchange;
@@ -25,10 +28,10 @@
 mod replica_driver;
 mod requests;
 mod startup;
+mod step_times;
 
 use std::cell::LazyCell;
 use std::sync::Arc;
-use std::time::Duration;
 
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::serving::configuration::GatewayConfiguration;
@@ -51,6 +54,7 @@
 use crate::storage::peer_listener::PeerEvent;
 use crate::workers::attempt::WorkerClient;
 use answers::PendingAnswers;
+use events::{EventSources, ServiceEvent};
 use item_runner::{ItemRunner, RunReport};
 use joins::JoinRequests;
 use load_exchange::LoadExchange;
@@ -59,12 +63,7 @@
 use replica_driver::ReplicaDriver;
 use startup::StartedService;
 pub use startup::{StorageComponents, StorageInputs};
-
-/// Interval of the periodic work; bounds how late a timeout is noticed.
-const TICK_INTERVAL: Duration = Duration::from_millis(40);
-
-/// Interval of the replica's ticks, shorter than [`TICK_INTERVAL`] so that heartbeats and elections are on time.
-const REPLICA_TICK_INTERVAL: Duration = Duration::from_millis(20);
+use step_times::{Step, StepTimes};
 
 /// State of a running storage node.
 pub struct StorageService {
@@ -81,6 +80,7 @@
     /// Permits for workers in cold start; in use while this node is the leader.
     permits: PermitGrants,
     retention: Retention,
+    steps: StepTimes,
     /// Whether this node is the leader and has applied everything committed before its term.
     is_leader: bool,
 }
@@ -93,38 +93,44 @@
     /// Returns the error of a failed disk write. Nothing may be acknowledged after it.
     pub async fn run(
         components: StorageComponents,
-        mut inputs: StorageInputs,
+        inputs: StorageInputs,
     ) -> Result<(), stallmoor_storage::StorageError> {
-        let StartedService { mut service, mut results } = StartedService::new(components);
-        let mut ticks = tokio::time::interval(TICK_INTERVAL);
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut replica_ticks = tokio::time::interval(REPLICA_TICK_INTERVAL);
-        replica_ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let StartedService { mut service, results } = StartedService::new(components);
+        let mut sources = EventSources::new(inputs, results);
         loop {
-            tokio::select! {
-                Some(event) = inputs.peers.recv() => service.on_peer_event(event),
-                Some(result) = inputs.writes.recv() => service.on_written(result?),
-                Some(report) = results.runs.recv() => service.on_run_ended(report),
-                Some(update) = inputs.updates.recv() => service.membership.on_update(&update),
-                Some(initial_membership) = inputs.initial_membership.recv() =>
-                    service.membership.set_initial_membership(initial_membership),
-                Some(read) = results.pairs.recv() => service.membership.planner().finish_pair_write(read),
-                Some(loads) = results.loads.recv() => service.on_leader_loads(loads),
-                Some(answer) = results.outcomes.recv() => service.on_leader_outcomes(answer),
-                Some(address) = results.ended_peers.recv() => service.replica.on_process_ended(address),
-                _ = ticks.tick() => service.tick(),
-                _ = replica_ticks.tick() => service.tick_replica(),
-                Ok(()) = inputs.stop.changed() => {}
-            }
+            let event = sources.next().await;
+            let step = event.step();
+            service.steps.start();
+            service.on_event(event)?;
+            service.steps.finish(step);
             service.update_leadership();
-            if *inputs.stop.borrow() {
+            if sources.is_stopping() {
                 if service.stop() {
                     return Ok(());
                 }
             } else {
                 service.dispatch();
             }
+            service.steps.finish(Step::Dispatch);
+        }
+    }
+
+    fn on_event(&mut self, event: ServiceEvent) -> Result<(), stallmoor_storage::StorageError> {
+        match event {
+            ServiceEvent::Peer(event) => self.on_peer_event(event),
+            ServiceEvent::Written(result) => self.on_written(result?),
+            ServiceEvent::RunEnded(report) => self.on_run_ended(report),
+            ServiceEvent::Update(update) => self.membership.on_update(&update),
+            ServiceEvent::InitialMembership(membership) => self.membership.set_initial_membership(membership),
+            ServiceEvent::PairRead(read) => self.membership.planner().finish_pair_write(read),
+            ServiceEvent::LeaderLoads(loads) => self.on_leader_loads(loads),
+            ServiceEvent::LeaderOutcomes(answer) => self.on_leader_outcomes(answer),
+            ServiceEvent::PeerEnded(address) => self.replica.on_process_ended(address),
+            ServiceEvent::Tick => self.tick(),
+            ServiceEvent::ReplicaTick => self.tick_replica(),
+            ServiceEvent::Stop => {}
         }
+        Ok(())
     }
 
     fn now(&self) -> Timestamp {
@@ -346,6 +352,7 @@
             self.propose_progress();
             self.propose_failures();
             self.propose_forget();
+            self.steps.log_if_due(now);
         }
         self.workers.connections.close_stale();
     }
--- a/crates/gateway/src/storage/service/startup.rs
+++ b/crates/gateway/src/storage/service/startup.rs
@@ -25,6 +25,7 @@
 use super::membership::Membership;
 use super::outcome_exchange::OutcomeExchange;
 use super::replica_driver::ReplicaDriver;
+use super::step_times::StepTimes;
 use crate::adapter::metadata::{FleetUpdate, MetadataStore};
 use crate::leader::client::LeaderClient;
 use crate::peers::peer_link::PeerLinks;
@@ -113,6 +114,7 @@
             quotas: RateCoordinator::default(),
             permits: PermitGrants::default(),
             retention: Retention::new(results_kept, now),
+            steps: StepTimes::new(now),
             is_leader: false,
             workers,
         };
