Bound the exchange of outcomes by entries, not by nodes times failing workers

Cause: while any worker had failures, each node reported every 200 ms all workers that anyone had reported, most of them with 0 runs, and was answered with all of them. With 62 gateways and 90 failing workers the leader, one thread on 0.3 cores, added, subtracted and copied some 100,000 entries a second, and each gateway reviewed all of them ten times a second.

Change: a report lists only workers that the node used; an answer is made from the sums without copies of them; the interval grows with entries times reporters, to 1 s at most; a review without new evidence happens twice a second. Wire forms are unchanged: the entries left out added nothing, and nodes that were told of failures keep asking.

The harness of failing_workers asks for an answer whenever the report is not empty, as the nodes do: routes without workers are a report, too.

--- a/crates/core/src/serving/jobs/outcome_aggregator.rs
+++ b/crates/core/src/serving/jobs/outcome_aggregator.rs
@@ -137,8 +137,42 @@
     }
 }
 
+/// The part of the sums that the asker of an answer reported itself.
+#[derive(Debug, Default)]
+struct OwnSums<'a> {
+    workers: BTreeMap<(&'a WorkerId, RunKey), Sum>,
+    routes: BTreeMap<&'a Arc<str>, Sum>,
+}
+
+impl<'a> OwnSums<'a> {
+    fn of(report: &'a StoredReport) -> Self {
+        let mut own = Self::default();
+        for (worker, key, sum) in report.worker_sums() {
+            own.workers.entry((worker, key)).or_default().add(sum);
+        }
+        for (route, sum) in report.route_sums() {
+            own.routes.entry(route).or_default().add(sum);
+        }
+        own
+    }
+
+    fn subtract_from(&self, total: &mut Sum, worker: &WorkerId, key: &RunKey) {
+        if !self.workers.is_empty()
+            && let Some(own) = self.workers.get(&(worker, key.clone()))
+        {
+            total.subtract(*own);
+        }
+    }
+
+    fn subtract_from_route(&self, total: &mut Sum, route: &Arc<str>) {
+        if let Some(own) = self.routes.get(route) {
+            total.subtract(*own);
+        }
+    }
+}
+
 /// Sums over the reports of several nodes.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 struct Sums {
     workers: BTreeMap<WorkerId, BTreeMap<RunKey, Sum>>,
     routes: BTreeMap<Arc<str>, Sum>,
@@ -182,30 +216,31 @@
         }
     }
 
-    /// Returns the entries of the given workers.
-    fn entries(&self, workers: &BTreeSet<WorkerId>) -> Self {
-        let of_worker = |worker: &WorkerId| Some((worker.clone(), self.workers.get(worker)?.clone()));
-        Self { workers: workers.iter().filter_map(of_worker).collect(), routes: self.routes.clone() }
-    }
-
-    fn worker_outcomes(&self, factor: f64) -> Vec<WorkerOutcomes> {
-        let entries = self.workers.iter().flat_map(|(worker, runs)| runs.iter().map(move |run| (worker, run)));
-        let outcomes = entries.map(|(worker, ((started_at, route), sum))| {
-            let sum = sum.scaled(factor);
-            WorkerOutcomes {
-                worker: worker.clone(),
-                started_at: *started_at,
-                route: route.clone(),
-                served: milli_count(sum.served),
-                failed: milli_count(sum.failed),
-                failing_nodes: sum.failing_nodes,
+    /// Returns the sums of the given workers without those of `own`, scaled by `factor`.
+    fn worker_outcomes(&self, workers: &BTreeSet<WorkerId>, own: &OwnSums<'_>, factor: f64) -> Vec<WorkerOutcomes> {
+        let mut outcomes = Vec::new();
+        for worker in workers {
+            let Some(runs) = self.workers.get(worker) else { continue };
+            for (key, sum) in runs {
+                let mut sum = *sum;
+                own.subtract_from(&mut sum, worker, key);
+                let sum = sum.scaled(factor);
+                let (served, failed) = (milli_count(sum.served), milli_count(sum.failed));
+                if served > MilliCount(0) || failed > MilliCount(0) {
+                    let (worker, (started_at, route)) = (worker.clone(), key.clone());
+                    let failing_nodes = sum.failing_nodes;
+                    outcomes.push(WorkerOutcomes { worker, started_at, route, served, failed, failing_nodes });
+                }
             }
-        });
-        outcomes.filter(|entry| entry.served > MilliCount(0) || entry.failed > MilliCount(0)).collect()
+        }
+        outcomes
     }
 
-    fn route_outcomes(&self, factor: f64) -> Vec<RouteOutcomes> {
+    /// Returns the sums of all routes without those of `own`, scaled by `factor`.
+    fn route_outcomes(&self, own: &OwnSums<'_>, factor: f64) -> Vec<RouteOutcomes> {
         let outcomes = self.routes.iter().map(|(route, sum)| {
+            let mut sum = *sum;
+            own.subtract_from_route(&mut sum, route);
             let sum = sum.scaled(factor);
             RouteOutcomes { route: route.clone(), served: milli_count(sum.served), failed: milli_count(sum.failed) }
         });
@@ -283,19 +318,17 @@
         self.refresh(now);
         self.select(now);
         let factor = self.factor(now);
-        let mut others = self.totals.entries(&self.selected);
-        let mut in_zone = self.zones.get(zone).map(|sums| sums.entries(&self.selected)).unwrap_or_default();
-        if let Some(own) = self.reports.get(&node) {
-            others.subtract(own);
-            if &*own.zone == zone {
-                in_zone.subtract(own);
-            }
-        }
+        let report = self.reports.get(&node);
+        let own = report.map(OwnSums::of).unwrap_or_default();
+        let is_in_zone = report.is_some_and(|report| &*report.zone == zone);
+        let own_in_zone = if is_in_zone { &own } else { &OwnSums::default() };
+        let zone_sums = self.zones.get(zone);
+        let of_zone = |sums: &Sums| sums.worker_outcomes(&self.selected, own_in_zone, factor);
         OutcomeReport {
             zone: Arc::from(zone),
-            workers: others.worker_outcomes(factor),
-            zone_workers: in_zone.worker_outcomes(factor),
-            routes: others.route_outcomes(factor),
+            workers: self.totals.worker_outcomes(&self.selected, &own, factor),
+            zone_workers: zone_sums.map(of_zone).unwrap_or_default(),
+            routes: self.totals.route_outcomes(&own, factor),
         }
     }
 
--- a/crates/core/src/serving/workers/evidence.rs
+++ b/crates/core/src/serving/workers/evidence.rs
@@ -134,10 +134,6 @@
         self.own.iter().map(move |(route, own)| (route, own.at(now)))
     }
 
-    pub(super) fn own_of(&self, route: &str, now: Timestamp) -> Counts {
-        self.own(now).find(|(name, _)| &***name == route).map(|(_, counts)| counts).unwrap_or_default()
-    }
-
     pub(super) fn own_total(&self, now: Timestamp) -> Counts {
         self.own(now).fold(Counts::default(), |sum, (_, counts)| sum.plus(counts))
     }
@@ -171,7 +167,11 @@
     pub(super) shared_totals: BTreeMap<Arc<str>, Counts>,
     /// When the counts of other nodes were received.
     pub(super) shared_at: Timestamp,
+    /// Whether there is evidence that the last review did not see.
+    pub(super) has_new: bool,
     pub(super) reviewed_at: Option<Timestamp>,
+    /// Number of reviews.
+    pub(super) reviews: u64,
 }
 
 impl FleetEvidence {
--- a/crates/core/src/serving/workers/outcome_report.rs
+++ b/crates/core/src/serving/workers/outcome_report.rs
@@ -8,7 +8,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::worker::WorkerId;
-use crate::time::UnixMillis;
+use crate::time::{Millis, UnixMillis};
+
+/// Minimum time between two exchanges of a node.
+pub const MIN_EXCHANGE_INTERVAL: Millis = Millis(200);
+/// Maximum time between two exchanges of a node, a third of the time after which its report expires.
+const MAX_EXCHANGE_INTERVAL: Millis = Millis(1_000);
+/// Maximum number of entries that an aggregator or the leader sends per second; limits its CPU usage.
+const MAX_ENTRIES_PER_S: u64 = 25_000;
 
 /// Thousandths of a request. Decayed counts are fractions.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -54,3 +61,16 @@
     /// Totals of all routes with failures.
     pub routes: Vec<RouteOutcomes>,
 }
+
+impl OutcomeReport {
+    /// Returns whether no worker has failures.
+    pub fn is_empty(&self) -> bool {
+        self.workers.is_empty() && self.routes.is_empty()
+    }
+
+    /// Returns the time between two exchanges of a node that received this answer from a node with `reporters`.
+    pub fn exchange_interval(&self, reporters: u32) -> Millis {
+        let entries = self.workers.len() as u64 * u64::from(reporters);
+        Millis((entries * 1_000).div_ceil(MAX_ENTRIES_PER_S)).clamp(MIN_EXCHANGE_INTERVAL, MAX_EXCHANGE_INTERVAL)
+    }
+}
--- a/crates/core/src/serving/workers/outcomes.rs
+++ b/crates/core/src/serving/workers/outcomes.rs
@@ -54,6 +54,7 @@
         };
         entry.evidence.get_or_insert_default().record_own(route, counts, now);
         self.evidence.record_total(route, counts, now);
+        self.evidence.has_new |= outcome == Outcome::Failed || entry.suspicion().is_some();
         if outcome == Outcome::Failed {
             let held = self.times.get(&entry.record.service).and_then(ServiceTimes::mean_slot_time);
             if let Some(held) = held {
@@ -81,11 +82,13 @@
         if let Some(evidence) = &mut entry.evidence {
             evidence.retract_own(route, retracted, now);
             entry.held_slots.release_last();
+            self.evidence.has_new = true;
             self.evidence.retract_total(route, retracted, now);
         }
     }
 
-    /// Returns this node's report; without workers if there is nothing to report.
+    /// Returns this node's report; empty if no worker has failures at this node or others. Workers that only other nodes
+    /// used are not listed, so that the report does not grow with the failing workers of the fleet.
     pub fn outcome_report(&self, now: Timestamp) -> OutcomeReport {
         if self.evidence.reviewed.is_empty() {
             return OutcomeReport::default();
@@ -93,11 +96,11 @@
         let mut workers: Vec<(f64, f64, &WorkerEntry, &WorkerEvidence)> = self.reported_workers(now).collect();
         workers.sort_by(|left, right| right.0.total_cmp(&left.0).then(right.1.total_cmp(&left.1)));
         workers.truncate(MAX_REPORTED_WORKERS);
-        let workers = workers.into_iter().flat_map(|(_, _, entry, known)| self.worker_outcomes(entry, known, now));
-        let workers: Vec<WorkerOutcomes> = workers.collect();
         if workers.is_empty() {
             return OutcomeReport::default();
         }
+        let workers = workers.into_iter().flat_map(|(_, _, entry, known)| self.worker_outcomes(entry, known, now));
+        let workers: Vec<WorkerOutcomes> = workers.collect();
         let totals = self.total_contributions(now).into_iter().filter(|(_, total)| total.total() >= MIN_COUNT);
         let route_outcomes = |(route, total): (Arc<str>, Counts)| RouteOutcomes {
             route,
@@ -125,12 +128,8 @@
         known: &'a WorkerEvidence,
         now: Timestamp,
     ) -> impl Iterator<Item = WorkerOutcomes> + 'a {
-        // Routes that only other nodes reported are listed with 0 runs, since a node that reports nothing learns nothing.
         let weight = known.contribution_weight(now);
-        let own = known.own(now).filter(|(_, own)| own.total() >= MIN_COUNT);
-        let is_own = move |route: &Arc<str>| known.own_of(route, now).total() >= MIN_COUNT;
-        let others = known.shared.iter().map(|(route, _)| route).filter(move |route| !is_own(route));
-        own.chain(others.map(|route| (route, Counts::default()))).map(move |(route, own)| {
+        known.own(now).filter(|(_, own)| own.total() >= MIN_COUNT).map(move |(route, own)| {
             let others = self.evidence.own_total_of(route, now).minus(own);
             let contribution = own.scaled(weight);
             WorkerOutcomes {
--- a/crates/core/src/serving/workers/shared_outcomes.rs
+++ b/crates/core/src/serving/workers/shared_outcomes.rs
@@ -63,6 +63,7 @@
         let mut reasons = Reasons::default();
         self.clear_shared();
         self.evidence.shared_at = now;
+        self.evidence.has_new = true;
         let mut seen = BTreeSet::new();
         for outcomes in &report.workers {
             if !seen.insert((&outcomes.worker, &outcomes.route)) {
--- a/crates/core/src/serving/workers/suspicion.rs
+++ b/crates/core/src/serving/workers/suspicion.rs
@@ -42,6 +42,8 @@
 /// Number of workers with failures that may be reviewed for each millisecond since the last review. Limits the time
 /// spent when many workers fail.
 const REVIEWED_PER_MS: u64 = 20;
+/// Time after which a review is repeated without new evidence, since counts decay.
+const REPEATED_REVIEW_INTERVAL: Millis = Millis(500);
 
 /// Returns the log-likelihood ratio for a worker with failure rate above that of the other workers: two rates against
 /// one common rate. 0 if the worker's rate is not higher. The others are assumed to fail at 2% at least.
@@ -250,12 +252,19 @@
 }
 
 impl WorkerTable {
-    /// Decides anew which workers are suspected, and returns the changes.
+    /// Decides anew which workers are suspected, and returns the changes. Without new evidence only the bounds on
+    /// exclusions are applied anew, since they depend on the load.
     pub fn review_suspicion(&mut self, now: Timestamp) -> Vec<SuspicionChange> {
         if self.evidence.reviewed.is_empty() || self.was_just_reviewed(now) {
             return Vec::new();
         }
+        if !self.is_review_due(now) {
+            self.update_exclusions(now);
+            return Vec::new();
+        }
         self.evidence.reviewed_at = Some(now);
+        self.evidence.has_new = false;
+        self.evidence.reviews += 1;
         let mut reviewed = self.collect_reviewed(now);
         let mut base = self.base_counts(&reviewed, now);
         let threshold = suspicion_threshold(self.workers.len());
@@ -272,6 +281,16 @@
         self.evidence.reviewed_at.is_some_and(|at| now.since(at) < pause)
     }
 
+    fn is_review_due(&self, now: Timestamp) -> bool {
+        let is_old = self.evidence.reviewed_at.is_none_or(|at| now.since(at) >= REPEATED_REVIEW_INTERVAL);
+        self.evidence.has_new || is_old
+    }
+
+    /// Returns the number of reviews that decided anew which workers are suspected.
+    pub fn review_count(&self) -> u64 {
+        self.evidence.reviews
+    }
+
     /// Returns what is known about each worker with failures, and drops workers without.
     fn collect_reviewed(&mut self, now: Timestamp) -> Vec<Reviewed> {
         let mut collected = Vec::new();
--- a/crates/core/tests/failing_workers/fleet.rs
+++ b/crates/core/tests/failing_workers/fleet.rs
@@ -210,7 +210,7 @@
         let reports: Vec<OutcomeReport> = self.nodes.iter().map(|node| node.outcome_report(now)).collect();
         let sums = Sums::of(&reports);
         for (node, table) in self.nodes.iter_mut().enumerate() {
-            if reports[node].workers.is_empty() {
+            if reports[node].is_empty() {
                 continue;
             }
             let dropped = table.apply_outcomes(&sums.answer(node, &reports[node]), now);
--- a/crates/core/tests/failing_workers/scale.rs
+++ b/crates/core/tests/failing_workers/scale.rs
@@ -6,7 +6,7 @@
 use stallmoor_core::serving::workers::WorkerTable;
 use stallmoor_core::serving::workers::outcome_report::{MilliCount, OutcomeReport, RouteOutcomes, WorkerOutcomes};
 use stallmoor_core::serving::workers::outcomes::Outcome;
-use stallmoor_core::time::UnixMillis;
+use stallmoor_core::time::{Millis, UnixMillis};
 
 use super::fleet::{at, id, incarnation, query, random, table, zone};
 
@@ -75,6 +75,51 @@
     }
 }
 
+/// Guards against reports that grow with the failing workers of the fleet instead of with those that the node used.
+#[test]
+fn report_lists_only_workers_with_runs_of_this_node() {
+    for failing in [90, 180, 360] {
+        let node = node((400, failing, 62));
+        let report = node.outcome_report(at(0));
+        assert_eq!(report.workers.len(), (0..failing).step_by(failing / 4).count(), "{failing} failing workers");
+        assert!(!report.routes.is_empty(), "the totals of routes count for the other nodes");
+    }
+}
+
+/// Guards against an exchange whose entries grow with the nodes times the failing workers, at the leader or at the
+/// aggregator of a zone.
+#[test]
+fn entries_of_all_exchanges_together_are_limited() {
+    for (nodes, failing) in [(62, 90), (124, 90), (62, 180), (124, 180)] {
+        let answer = sums(failing, nodes);
+        let interval = answer.exchange_interval(nodes);
+        let per_s = u64::from(nodes) * answer.workers.len() as u64 * 1_000 / interval.0;
+        assert!(per_s <= 25_000, "{per_s} entries per second with {nodes} nodes and {failing} failing workers");
+    }
+    assert_eq!(sums(4, 49).exchange_interval(49), Millis(200), "few failing workers are found as soon as possible");
+    assert_eq!(sums(4, 0).exchange_interval(0), Millis(200));
+    assert_eq!(sums(2_000, 1_000).exchange_interval(1_000), Millis(1_000), "reports must not expire");
+}
+
+/// Guards against reviews that repeat the last one: without new evidence only the decay of the counts is left.
+#[test]
+fn reviews_without_new_evidence_are_rare() {
+    for failing in [90, 180, 360] {
+        let mut node = node((400, failing, 62));
+        let mut decided = 0;
+        for review in 0..30 {
+            let before = node.review_count();
+            node.review_suspicion(at(review * 100));
+            decided += node.review_count() - before;
+        }
+        assert!(decided <= 7, "{decided} of 30 reviews in 3 s decided on {failing} workers");
+        node.record_outcome(&incarnation(0), &"chat".into(), Outcome::Failed, at(3_000));
+        let before = node.review_count();
+        node.review_suspicion(at(3_050));
+        assert_eq!(node.review_count(), before + 1, "a new failure is judged at once");
+    }
+}
+
 /// Guards against reviews at each failure that take the whole processor when many workers fail.
 #[test]
 fn reviews_at_each_failure_are_limited() {
--- a/crates/gateway/src/leader/load_exchange.rs
+++ b/crates/gateway/src/leader/load_exchange.rs
@@ -37,7 +37,8 @@
             Some(loads) => {
                 let now = view.clock.now();
                 schedule.record_answer(partner, &loads, now);
-                status.send_replace(ExchangeStatus { partner, has_ejections: loads.has_ejections() });
+                let (has_ejections, reporters) = (loads.has_ejections(), loads.reporters);
+                status.send_replace(ExchangeStatus { partner, has_ejections, reporters });
                 if schedule.is_usable(partner, &loads, now) {
                     view.workers().apply_report(&loads, now);
                 }
--- a/crates/gateway/src/leader/outcome_exchange.rs
+++ b/crates/gateway/src/leader/outcome_exchange.rs
@@ -10,7 +10,7 @@
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::serving::jobs::request::{JobsAnswer, JobsRequest};
 use stallmoor_core::serving::leader::load_schedule::{EXCHANGE_TIMEOUT, LoadPartner};
-use stallmoor_core::serving::workers::outcome_report::OutcomeReport;
+use stallmoor_core::serving::workers::outcome_report::{MIN_EXCHANGE_INTERVAL, OutcomeReport};
 use stallmoor_core::time::{Millis, Timestamp};
 use tokio::sync::watch;
 
@@ -20,8 +20,6 @@
 use crate::observe::journal::{Field, record};
 use crate::peers::peer_link::{PeerCallError, PeerLinks};
 
-/// Interval between exchanges while there are failures.
-pub const EXCHANGE_INTERVAL: Millis = Millis(200);
 /// Delay after a node closed the connection on the request, because it runs a version that does not know it.
 const UNKNOWN_REQUEST_PAUSE: Millis = Millis(5_000);
 
@@ -32,11 +30,13 @@
     pub partner: LoadPartner,
     /// Whether several nodes have ejected a worker.
     pub has_ejections: bool,
+    /// Number of nodes that report to the partner.
+    pub reporters: u32,
 }
 
 impl Default for ExchangeStatus {
     fn default() -> Self {
-        Self { partner: LoadPartner::Leader, has_ejections: false }
+        Self { partner: LoadPartner::Leader, has_ejections: false, reporters: 0 }
     }
 }
 
@@ -50,11 +50,12 @@
     let client = OutcomeClient::new(view.clone(), id);
     let mut is_told = false;
     let mut last_partner = None;
+    let mut interval = MIN_EXCHANGE_INTERVAL;
     loop {
-        tokio::time::sleep(Duration::from_millis(EXCHANGE_INTERVAL.0)).await;
+        tokio::time::sleep(Duration::from_millis(interval.0)).await;
         let report = local_report(&view);
-        let ExchangeStatus { partner, has_ejections } = *loads.borrow();
-        if report.workers.is_empty() && !is_told && !has_ejections {
+        let ExchangeStatus { partner, has_ejections, reporters } = *loads.borrow();
+        if report.is_empty() && !is_told && !has_ejections {
             continue;
         }
         let partner = match partner {
@@ -68,6 +69,7 @@
         // Without an answer, the sums received earlier fade.
         if let Some(answer) = client.exchange(partner, report).await {
             is_told = !answer.workers.is_empty();
+            interval = answer.exchange_interval(reporters);
             let problems = view.workers().apply_outcomes(&answer, view.clock.now());
             log_problems(partner, &problems);
         }
--- a/crates/gateway/src/storage/service/outcome_exchange.rs
+++ b/crates/gateway/src/storage/service/outcome_exchange.rs
@@ -7,13 +7,13 @@
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::serving::jobs::outcome_aggregator::{KnownWorker, OutcomeAggregator, Sender};
 use stallmoor_core::serving::workers::WorkerId;
-use stallmoor_core::serving::workers::outcome_report::OutcomeReport;
+use stallmoor_core::serving::workers::outcome_report::{MIN_EXCHANGE_INTERVAL, OutcomeReport};
 use stallmoor_core::time::{Millis, Timestamp};
 use tokio::sync::mpsc;
 
 use crate::fleet::fleet_view::FleetView;
 use crate::leader::client::LeaderClient;
-use crate::leader::outcome_exchange::{EXCHANGE_INTERVAL, OutcomeClient, local_report, log_problems};
+use crate::leader::outcome_exchange::{OutcomeClient, local_report, log_problems};
 
 /// Minimum time between two log lines on invalid entries of reports.
 const LOG_INTERVAL: Millis = Millis(1_000);
@@ -79,9 +79,9 @@
         if now < self.due {
             return;
         }
-        self.due = now + EXCHANGE_INTERVAL;
+        self.due = now + MIN_EXCHANGE_INTERVAL;
         let own = local_report(&self.view);
-        if own.workers.is_empty() && self.aggregator.node_count() == 0 {
+        if own.is_empty() && self.aggregator.node_count() == 0 {
             return;
         }
         let others = self.report_own(own, now);
@@ -114,7 +114,7 @@
     /// Completes the exchange. `answer` is the leader's answer, `None` if it failed.
     pub(super) fn on_leader_answer(&mut self, answer: Option<OutcomeReport>, is_leader: bool, now: Timestamp) {
         self.is_in_progress = false;
-        self.due = now + EXCHANGE_INTERVAL;
+        self.due = now + MIN_EXCHANGE_INTERVAL;
         if let Some(answer) = answer.filter(|_| !is_leader) {
             let known = |worker: &WorkerId| known_worker(&self.view, worker);
             let problems = self.aggregator.apply_leader_answer(answer, known, now);
