Log the origin of items' output, so that the next leader continues it

Cause: the service and version that an item's output came from were in the memory of the leader that received it; only the output was logged. With two versions in service a new leader can't deduce the version and discards the output. Class: knowledge that ends with the process that has it.

Golden forms are added, none changes.

The dispatcher before kept no origin across restart(): its own test a_restart_that_was_not_committed shows that.

--- a/crates/core/src/serving/jobs/command.rs
+++ b/crates/core/src/serving/jobs/command.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::serving::configuration::tenant::{CallerIdentity, TenantName};
+use crate::serving::stream_origins::StreamOrigin;
 use crate::time::{Millis, UnixMillis};
 
 /// Identifies a job by the ID that its submitter chose.
@@ -174,6 +175,15 @@
     pub failures: u32,
 }
 
+/// The origin of an item's output.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemOrigin {
+    /// The item.
+    pub key: ItemKey,
+    /// The service and version of the workers that may continue its output.
+    pub origin: StreamOrigin,
+}
+
 /// A change to the job table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobCommand {
@@ -210,6 +220,9 @@
     /// Discards the logged output of items, which run again from the start. Replicas of versions that do not know this
     /// command skip it and drop the results of these items.
     Restart(Vec<ItemKey>),
+    /// Stores the origins of output that is logged next, so that another leader can continue it. Replicas of versions
+    /// that do not know this command skip it; as leaders they discard the output while there are several versions.
+    Origins(Vec<ItemOrigin>),
 }
 
 /// The outcome of applying a command.
--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -33,7 +33,9 @@
 use run_estimate::RunEstimate;
 pub use start::{ItemStart, StartDecision, decide_start, max_attempts};
 
-use super::command::{ItemFailures, ItemKey, ItemProgress, ItemState, JobCommand, JobKey, LoggedOutput, PartialOutput};
+use super::command::{
+    ItemFailures, ItemKey, ItemOrigin, ItemProgress, ItemState, JobCommand, JobKey, LoggedOutput, PartialOutput,
+};
 use super::table::{Job, JobTable};
 use crate::backoff::Backoff;
 use crate::serving::stream_origins::StreamOrigin;
@@ -81,8 +83,10 @@
     output: PartialOutput,
     /// The part of the output that is logged or proposed.
     logged: LoggedOutput,
-    /// The origin of the output; `None` if there is none yet, or if another leader received it.
+    /// The origin of the output; `None` if there is none yet, or if another leader received it and did not log it.
     origin: Option<StreamOrigin>,
+    /// The origin that is logged or proposed.
+    logged_origin: Option<StreamOrigin>,
     /// Start time of the last run.
     started_at: Timestamp,
     /// The ID of the last event before the last run; 0 for none.
@@ -163,7 +167,8 @@
                 delays: 0,
                 output,
                 logged,
-                origin: None,
+                origin: job.origin(item).cloned(),
+                logged_origin: job.origin(item).cloned(),
                 started_at: Timestamp::default(),
                 started_after: 0,
             };
@@ -220,7 +225,7 @@
         !self.ready.is_empty()
     }
 
-    /// Returns the origin of an item's output, if this leader received it.
+    /// Returns the origin of an item's output, if this leader received it or a former one logged it.
     pub fn origin(&self, key: &ItemKey) -> Option<&StreamOrigin> {
         self.items.get(key)?.origin.as_ref()
     }
@@ -238,6 +243,7 @@
         let Some(open_item) = self.items.get_mut(key) else { return };
         open_item.output = PartialOutput::default();
         open_item.origin = None;
+        open_item.logged_origin = None;
         open_item.started_after = 0;
         if std::mem::take(&mut open_item.logged) != LoggedOutput::default() {
             self.restarted.insert(key.clone());
@@ -412,6 +418,27 @@
         Some(ItemProgress { key: key.clone(), after: logged, text: Arc::from(text), last_event: output.last_event })
     }
 
+    /// Returns the command that logs the origins of progress, which has to precede it; `None` if they are logged.
+    pub fn origins_of(&self, progress: &[ItemProgress]) -> Option<JobCommand> {
+        let unlogged = |item: &ItemProgress| {
+            let open_item = self.items.get(&item.key)?;
+            let origin = open_item.origin.clone().filter(|_| open_item.origin != open_item.logged_origin)?;
+            Some(ItemOrigin { key: item.key.clone(), origin })
+        };
+        let origins: Vec<ItemOrigin> = progress.iter().filter_map(unlogged).collect();
+        (!origins.is_empty()).then_some(JobCommand::Origins(origins))
+    }
+
+    /// Records that origins were proposed.
+    pub fn record_proposed_origins(&mut self, command: &JobCommand) {
+        let JobCommand::Origins(origins) = command else { return };
+        for ItemOrigin { key, origin } in origins {
+            if let Some(open_item) = self.items.get_mut(key) {
+                open_item.logged_origin = Some(origin.clone());
+            }
+        }
+    }
+
     /// Records that progress was proposed. The next increment starts after it.
     pub fn record_proposed_progress(&mut self, progress: &ItemProgress) {
         if let Some(item) = self.items.get_mut(&progress.key) {
--- a/crates/core/src/serving/jobs/node/mod.rs
+++ b/crates/core/src/serving/jobs/node/mod.rs
@@ -304,9 +304,11 @@
             JobCommand::Accept(submission) => Some(JobsChange::Accepted(submission.key.clone())),
             JobCommand::Finish { key, .. } => Some(JobsChange::ResultCommitted(key.clone())),
             JobCommand::End { job, .. } => Some(JobsChange::Ended(job.clone())),
-            JobCommand::Progress(_) | JobCommand::Failures(_) | JobCommand::Restart(_) | JobCommand::Forget { .. } => {
-                None
-            }
+            JobCommand::Progress(_)
+            | JobCommand::Failures(_)
+            | JobCommand::Restart(_)
+            | JobCommand::Origins(_)
+            | JobCommand::Forget { .. } => None,
         };
         let outcome = self.table.apply(command);
         let change = match change {
--- a/crates/core/src/serving/jobs/table.rs
+++ b/crates/core/src/serving/jobs/table.rs
@@ -6,10 +6,11 @@
 use serde::{Deserialize, Serialize};
 
 use super::command::{
-    ItemFailures, ItemKey, ItemProgress, ItemState, JobCommand, JobItem, JobKey, JobOutcome, LoggedOutput,
+    ItemFailures, ItemKey, ItemOrigin, ItemProgress, ItemState, JobCommand, JobItem, JobKey, JobOutcome, LoggedOutput,
     PartialOutput, QueueKey, Submission,
 };
 use crate::serving::configuration::tenant::CallerIdentity;
+use crate::serving::stream_origins::StreamOrigin;
 use crate::time::UnixMillis;
 
 /// A committed result. Its position in [`Job::results`] never changes.
@@ -52,6 +53,9 @@
     /// The number of failed runs of items without a result, by index. A snapshot stores it after the table.
     #[serde(skip)]
     failures: BTreeMap<u32, u32>,
+    /// The origins of logged output, by index, where they are known. A snapshot stores them after the failed runs.
+    #[serde(skip)]
+    origins: BTreeMap<u32, StreamOrigin>,
 }
 
 impl Job {
@@ -64,6 +68,7 @@
             partials: BTreeMap::new(),
             ended: false,
             failures: BTreeMap::new(),
+            origins: BTreeMap::new(),
         }
     }
 
@@ -102,6 +107,17 @@
         self.failures.get(&item).copied().unwrap_or(0)
     }
 
+    /// Returns the origin of the logged output of an item, if known.
+    pub fn origin(&self, item: u32) -> Option<&StreamOrigin> {
+        self.origins.get(&item)
+    }
+
+    /// Forgets the logged output of an item.
+    fn remove_output(&mut self, item: u32) {
+        self.partials.remove(&item);
+        self.origins.remove(&item);
+    }
+
     /// Returns whether the logged output of an item ends exactly at `after`.
     fn log_ends_at(&self, item: u32, after: LoggedOutput) -> bool {
         let logged = self
@@ -177,18 +193,22 @@
             JobCommand::Forget { before } => self.forget(before),
             JobCommand::Failures(items) => self.record_failures(items),
             JobCommand::Restart(items) => self.restart(items),
+            JobCommand::Origins(items) => self.record_origins(items),
         }
     }
 
-    /// Encodes the table for a snapshot. The counts of failed runs follow the table; versions that do not know them
-    /// stop reading after the table.
+    /// Encodes the table for a snapshot. The counts of failed runs follow the table, and the origins of logged output
+    /// follow those; versions that do not know them stop reading before.
     pub fn encode(&self) -> Arc<[u8]> {
         // Cannot fail: all lengths are known, and a vector grows as needed.
         let mut bytes = postcard::to_stdvec(self).unwrap_or_default();
-        let failures = self.all_failures();
-        if !failures.is_empty() {
+        let (failures, origins) = (self.all_failures(), self.all_origins());
+        if !failures.is_empty() || !origins.is_empty() {
             bytes.extend(postcard::to_stdvec(&failures).unwrap_or_default());
         }
+        if !origins.is_empty() {
+            bytes.extend(postcard::to_stdvec(&origins).unwrap_or_default());
+        }
         Arc::from(bytes)
     }
 
@@ -199,11 +219,24 @@
         }
         let (mut table, rest): (Self, _) = postcard::take_from_bytes(bytes).ok()?;
         if !rest.is_empty() {
-            table.record_failures(postcard::from_bytes(rest).ok()?);
+            let (failures, rest) = postcard::take_from_bytes(rest).ok()?;
+            table.record_failures(failures);
+            if !rest.is_empty() {
+                table.record_origins(postcard::from_bytes(rest).ok()?);
+            }
         }
         Some(table)
     }
 
+    fn all_origins(&self) -> Vec<ItemOrigin> {
+        let of_job = |(job, state): (&JobKey, &Job)| {
+            let job = job.clone();
+            let origins = state.origins.clone().into_iter();
+            origins.map(move |(item, origin)| ItemOrigin { key: ItemKey { job: job.clone(), item }, origin })
+        };
+        self.jobs.iter().flat_map(of_job).collect()
+    }
+
     fn all_failures(&self) -> Vec<ItemFailures> {
         let of_job = |(job, state): (&JobKey, &Job)| {
             let job = job.clone();
@@ -252,7 +285,18 @@
     fn restart(&mut self, items: Vec<ItemKey>) -> JobOutcome {
         for key in items {
             if let Some(job) = self.jobs.get_mut(&key.job) {
-                job.partials.remove(&key.item);
+                job.remove_output(key.item);
+            }
+        }
+        JobOutcome::Committed
+    }
+
+    /// Records origins. That of output which is logged already does not change.
+    fn record_origins(&mut self, items: Vec<ItemOrigin>) -> JobOutcome {
+        for ItemOrigin { key, origin } in items {
+            let Some(job) = self.jobs.get_mut(&key.job).filter(|job| job.is_open(key.item)) else { continue };
+            if !job.partials.contains_key(&key.item) || !job.origins.contains_key(&key.item) {
+                job.origins.insert(key.item, origin);
             }
         }
         JobOutcome::Committed
@@ -273,7 +317,7 @@
                 Arc::from(format!("{logged_text}{text}"))
             }
         };
-        job.partials.remove(&key.item);
+        job.remove_output(key.item);
         job.failures.remove(&key.item);
         job.with_result[index] = true;
         let item = &mut job.submission.items[index];
@@ -291,6 +335,7 @@
         let (queue, tokens) = (job.submission.queue(), job.open_tokens());
         job.ended = true;
         job.partials.clear();
+        job.origins.clear();
         job.failures.clear();
         self.release_tokens(&queue, tokens);
         JobOutcome::Ended
--- a/crates/core/tests/item_restarts.rs
+++ b/crates/core/tests/item_restarts.rs
@@ -3,7 +3,10 @@
 
 use std::sync::Arc;
 
-use stallmoor_core::serving::jobs::command::{ItemKey, JobCommand, JobItem, JobKey, PartialOutput, Submission};
+use stallmoor_core::serving::configuration::tenant::CallerIdentity;
+use stallmoor_core::serving::jobs::command::{
+    ItemKey, ItemOrigin, JobCommand, JobItem, JobKey, PartialOutput, Submission,
+};
 use stallmoor_core::serving::jobs::dispatch::{Dispatcher, ItemResumption, RunEnd, item_resumption};
 use stallmoor_core::serving::jobs::table::JobTable;
 use stallmoor_core::serving::stream_origins::StreamOrigin;
@@ -31,18 +34,23 @@
         token_count: 5,
     };
     let mut table = JobTable::default();
-    table.apply(JobCommand::Accept(Submission {
+    table.apply(JobCommand::Accept(Submission { items: vec![item], ..submission() }));
+    table
+}
+
+/// Returns a submission without items.
+fn submission() -> Submission {
+    Submission {
         key: key().job,
         route: Arc::from("r"),
         host: Arc::from("h"),
         tenant: None,
-        items: vec![item],
+        items: Vec::new(),
         configuration_version: 1,
         received_at: UnixMillis(1_000),
         due: Millis(10_000),
         queued_token_limit: None,
-    }));
-    table
+    }
 }
 
 fn origin(version: &str) -> StreamOrigin {
@@ -143,3 +151,95 @@
     assert_eq!(table, before);
     assert_eq!(table.job(&key.job).and_then(|job| job.partial(0)).map(|partial| partial.last_event), Some(Some(30)));
 }
+
+/// Returns a table with one job of `items` items.
+fn table_of(items: u32) -> JobTable {
+    let item = |index: u32| JobItem {
+        id: Arc::from(format!("item-{index}")),
+        path: Arc::from("/r/1"),
+        headers: Vec::new(),
+        body: Arc::from([1, 2]),
+        token_count: 5,
+    };
+    let mut table = JobTable::default();
+    table.apply(JobCommand::Accept(Submission { items: (0..items).map(item).collect(), ..submission() }));
+    table
+}
+
+/// Takes all items and logs 30 events of each, received from workers of two versions in turn. Returns the commands.
+fn log_progress_of_all(dispatcher: &mut Dispatcher) -> Vec<JobCommand> {
+    let mut progress = Vec::new();
+    while let Some((key, _)) = dispatcher.take_next(at(0), UnixMillis(2_000)) {
+        dispatcher.record_origin(&key, origin_of(key.item));
+        progress.extend(dispatcher.progress_of(&key, &output(30, "a")));
+    }
+    let origins = dispatcher.origins_of(&progress).expect("the origins are not logged yet");
+    dispatcher.record_proposed_origins(&origins);
+    assert_eq!(dispatcher.origins_of(&progress), None, "origins are logged once");
+    progress.iter().for_each(|item| dispatcher.record_proposed_progress(item));
+    vec![origins, JobCommand::Progress(progress)]
+}
+
+fn origin_of(item: u32) -> StreamOrigin {
+    origin(if item.is_multiple_of(2) { "v1" } else { "v2" })
+}
+
+/// Counts the items that the leader of a table has to run from the start while there are several versions.
+fn restarts(table: &JobTable) -> usize {
+    let mut leader = Dispatcher::default();
+    leader.restart(table);
+    let mut restarts = 0;
+    while let Some((key, logged)) = leader.take_next(at(5_000), UnixMillis(6_000)) {
+        let known = leader.origin(&key);
+        let service: Arc<str> = Arc::from("lm");
+        let resumption = item_resumption(&logged, known, &service, &KnownVersions::Several, JOB_AGE);
+        restarts += usize::from(resumption == ItemResumption::Restart);
+        assert!(known.is_none_or(|known| *known == origin_of(key.item)), "the output of {key:?} is not of {known:?}");
+    }
+    restarts
+}
+
+/// Guards against a change of leader during a release that discards the output of all items.
+#[test]
+fn logged_output_survives_a_change_of_leader_while_there_are_several_versions() {
+    for items in [300, 600, 1_200] {
+        let (mut table, mut dispatcher) = (table_of(items), Dispatcher::default());
+        dispatcher.restart(&table);
+        for command in log_progress_of_all(&mut dispatcher) {
+            table.apply(command);
+        }
+        assert_eq!(restarts(&table), 0, "{items} items");
+        let restored = JobTable::decode(&table.encode()).expect("the snapshot is readable");
+        assert_eq!(restarts(&restored), 0, "{items} items, from a snapshot");
+    }
+}
+
+/// Guards against origins that outlive the output: that of a discarded one, or of an item with a result.
+#[test]
+fn origins_end_with_the_output_they_belong_to() {
+    let (mut table, mut dispatcher) = (table_of(4), Dispatcher::default());
+    dispatcher.restart(&table);
+    for command in log_progress_of_all(&mut dispatcher) {
+        table.apply(command);
+    }
+    let origin_at = |table: &JobTable, item| table.job(&key().job).and_then(|job| job.origin(item)).cloned();
+    let item = |item| ItemKey { job: key().job, item };
+    let other = ItemOrigin { key: item(1), origin: origin("v3") };
+    table.apply(JobCommand::Origins(vec![other.clone()]));
+    assert_eq!(origin_at(&table, 1), Some(origin_of(1)), "logged output does not change its origin");
+    table.apply(JobCommand::Restart(vec![item(1)]));
+    assert_eq!(origin_at(&table, 1), None);
+    table.apply(JobCommand::Origins(vec![other]));
+    assert_eq!(origin_at(&table, 1), Some(origin("v3")));
+    dispatcher.finish_run(&item(0), &RunEnd::Completed, output(40, "a"), MAX_ATTEMPTS, at(4_000));
+    for result in dispatcher.uncommitted_results() {
+        table.apply(result);
+    }
+    assert_eq!(table.job(&key().job).map(|job| job.results.len()), Some(1));
+    assert_eq!(origin_at(&table, 0), None);
+    table.apply(JobCommand::Origins(vec![ItemOrigin { key: item(0), origin: origin("v3") }]));
+    assert_eq!(origin_at(&table, 0), None, "the item has a result");
+    let caller = CallerIdentity::Unchecked;
+    table.apply(JobCommand::End { job: key().job, caller });
+    assert_eq!(origin_at(&table, 2), None);
+}
--- a/crates/core/tests/support/golden_values.rs
+++ b/crates/core/tests/support/golden_values.rs
@@ -12,9 +12,12 @@
 };
 use stallmoor_core::serving::configuration::tenant::{CallerIdentity, TenantName};
 use stallmoor_core::serving::jobs::command::{
-    ItemFailures, ItemHeader, ItemKey, ItemProgress, ItemState, JobCommand, JobItem, JobKey, LoggedOutput, Submission,
+    ItemFailures, ItemHeader, ItemKey, ItemOrigin, ItemProgress, ItemState, JobCommand, JobItem, JobKey, LoggedOutput,
+    Submission,
 };
 use stallmoor_core::serving::jobs::table::JobTable;
+use stallmoor_core::serving::stream_origins::StreamOrigin;
+use stallmoor_core::serving::workers::SoftwareVersion;
 use stallmoor_core::time::{Millis, UnixMillis};
 
 /// Returns the tenant of the test data.
@@ -74,6 +77,14 @@
     ])
 }
 
+fn origins(job: &str) -> JobCommand {
+    let origin = |version| StreamOrigin { service: Arc::from("lm"), version: SoftwareVersion::new(version) };
+    JobCommand::Origins(vec![
+        ItemOrigin { key: item_key(job, 0), origin: origin("v1") },
+        ItemOrigin { key: item_key(job, 1), origin: origin("v2") },
+    ])
+}
+
 /// Returns every kind of job table command.
 pub fn job_commands() -> Vec<(&'static str, JobCommand)> {
     let logged = LoggedOutput { bytes: 5, last_event: Some(0) };
@@ -94,11 +105,12 @@
         ("forget", JobCommand::Forget { before: UnixMillis(1_600_000_000_000) }),
         ("failures", failures("job-a")),
         ("restart", JobCommand::Restart(vec![item_key("job-a", 0), item_key("job-a", 300)])),
+        ("origins", origins("job-a")),
     ]
 }
 
-/// Returns an empty job table, one with a job in every state and failed items, and one with the same jobs without
-/// failures.
+/// Returns an empty job table, one with a job in every state and failed items, one with the same jobs without failures,
+/// and both with origins of logged output.
 pub fn job_tables() -> Vec<(&'static str, JobTable)> {
     let none = LoggedOutput::default();
     let logged = LoggedOutput { bytes: 4, last_event: Some(9) };
@@ -122,7 +134,17 @@
     }
     let mut with_failures = table.clone();
     with_failures.apply(failures("open"));
-    vec![("empty", JobTable::default()), ("jobs-with-failures", with_failures), ("jobs", table)]
+    let mut with_origins = table.clone();
+    with_origins.apply(origins("partial"));
+    let mut with_both = with_failures.clone();
+    with_both.apply(origins("partial"));
+    vec![
+        ("empty", JobTable::default()),
+        ("jobs-with-failures", with_failures),
+        ("jobs", table),
+        ("jobs-with-origins", with_origins),
+        ("jobs-with-failures-and-origins", with_both),
+    ]
 }
 
 /// Returns the identifier of a job in a partition.
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -469,6 +469,16 @@
         (!progress.is_empty()).then_some(progress)
     }
 
+    /// Returns the command that logs the origins of progress and has to precede it, if any.
+    pub(super) fn origins_of(&self, progress: &[ItemProgress]) -> Option<JobCommand> {
+        self.dispatcher.origins_of(progress)
+    }
+
+    /// Records that the command of [`ItemRunner::origins_of`] was proposed.
+    pub(super) fn record_proposed_origins(&mut self, origins: &JobCommand) {
+        self.dispatcher.record_proposed_origins(origins);
+    }
+
     /// Returns the failed runs that are not logged yet. Logging them makes a new leader apply the same retry limit.
     pub(super) fn failures_due(&self) -> Option<Vec<ItemFailures>> {
         self.dispatcher.unlogged_failures()
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -272,6 +272,12 @@
     fn propose_progress(&mut self) {
         let now = self.now();
         let Some(progress) = self.items.progress_due(now) else { return };
+        if let Some(origins) = self.items.origins_of(&progress) {
+            // Without its origin the next leader might have to discard the output.
+            let Ok(effects) = self.replica.node_mut().propose(&origins, None, now) else { return };
+            self.items.record_proposed_origins(&origins);
+            self.execute_effects(effects);
+        }
         let command = JobCommand::Progress(progress);
         // Retried after the next progress interval.
         let Ok(effects) = self.replica.node_mut().propose(&command, None, now) else { return };
