--- a/crates/gateway/src/observe/measures.rs
+++ b/crates/gateway/src/observe/measures.rs
@@ -208,9 +208,9 @@
     counter!(RUNS, "end" => end).increment(1);
 }
 
-/// Counts a step of the storage service. `longest` is the longest one of its kind so far.
-pub fn record_step(step: &'static str, time: Duration, longest: Duration) {
-    counter!(STEPS, "step" => step).increment(1);
+/// Counts steps of the storage service. `longest` is the longest one of its kind so far.
+pub fn record_steps(step: &'static str, count: u64, time: Duration, longest: Duration) {
+    counter!(STEPS, "step" => step).increment(count);
     counter!(STEP_TIME, "step" => step).increment(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
     gauge!(LONGEST_STEP, "step" => step).set(longest.as_secs_f64());
 }
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -360,6 +360,7 @@
             self.propose_forget();
             self.steps.log_if_due(now);
         }
+        self.steps.publish_if_due(now);
         self.workers.connections.close_stale();
     }
 
--- a/crates/gateway/src/storage/service/step_times.rs
+++ b/crates/gateway/src/storage/service/step_times.rs
@@ -13,6 +13,8 @@
 
 /// Minimum time between two log lines.
 const LOG_INTERVAL: Millis = Millis(10_000);
+/// Minimum time between two updates of the metrics. An update for each step would cost more than most steps.
+const METRICS_INTERVAL: Millis = Millis(1_000);
 
 /// A kind of step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,6 +84,8 @@
     longest: Duration,
     /// Longest step since the start of the process.
     longest_ever: Duration,
+    /// The part of `count` and `total` that the metrics contain.
+    published: (u64, Duration),
 }
 
 impl KindTimes {
@@ -105,11 +109,12 @@
     /// Processor time of the thread at the end of the last step.
     measured_at: Duration,
     logged_at: Timestamp,
+    published_at: Timestamp,
 }
 
 impl StepTimes {
     pub(super) fn new(now: Timestamp) -> Self {
-        Self { kinds: Default::default(), measured_at: processor_time(), logged_at: now }
+        Self { kinds: Default::default(), measured_at: processor_time(), logged_at: now, published_at: now }
     }
 
     /// Records the start of a step.
@@ -122,9 +127,24 @@
         let measured_at = processor_time();
         let time = measured_at.saturating_sub(self.measured_at);
         self.measured_at = measured_at;
-        let kind = &mut self.kinds[step as usize];
-        kind.add(time);
-        measures::record_step(step.name(), time, kind.longest_ever);
+        self.kinds[step as usize].add(time);
+    }
+
+    /// Updates the metrics if it is due.
+    pub(super) fn publish_if_due(&mut self, now: Timestamp) {
+        if now.since(self.published_at) >= METRICS_INTERVAL {
+            self.published_at = now;
+            self.publish();
+        }
+    }
+
+    fn publish(&mut self) {
+        for (step, kind) in Step::ALL.iter().zip(&mut self.kinds) {
+            let (count, total) = std::mem::replace(&mut kind.published, (kind.count, kind.total));
+            if kind.count > count {
+                measures::record_steps(step.name(), kind.count - count, kind.total - total, kind.longest_ever);
+            }
+        }
     }
 
     /// Writes a log line on the steps since the last one, if it is due.
@@ -134,6 +154,7 @@
             return;
         }
         self.logged_at = now;
+        self.publish();
         let kinds =
             Step::ALL.iter().map(|step| (*step, &self.kinds[*step as usize])).filter(|(_, kind)| kind.count > 0);
         let steps: Vec<String> = kinds.map(|(step, kind)| kind.describe(step)).collect();
--- a/crates/gateway/tests/golden_measures.rs
+++ b/crates/gateway/tests/golden_measures.rs
@@ -87,7 +87,7 @@
     measures::set_part_counts(PartCounts { tracked: 3, suspected: 1, evicted: 0 });
     measures::set_configuration_version(7);
     measures::set_is_leader(true);
-    measures::record_step("tick", Duration::from_micros(250), Duration::from_micros(500));
+    measures::record_steps("tick", 1, Duration::from_micros(250), Duration::from_micros(500));
     measures::set_open_items(3);
     measures::set_exhausted_tenants(2);
     RATE_REFUSAL_CAUSES.into_iter().for_each(measures::count_rate_refusal_cause);
