--- a/crates/core/src/serving/jobs/node/messages.rs
+++ b/crates/core/src/serving/jobs/node/messages.rs
@@ -4,6 +4,7 @@
 use crate::replication::{LogIndex, LogWrite, ReplicationMessage, Snapshot};
 use crate::serving::jobs::command::{ItemKey, JobKey};
 use crate::serving::jobs::request::JobsAnswer;
+use crate::serving::jobs::table::JobTable;
 
 /// Identifies the recipient of an answer. The caller assigns the numbers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -20,10 +21,32 @@
     SendNow(ReplicationMessage),
     /// Replaces the table (see [`JobsNode::restore`](super::JobsNode::restore)).
     Restore(Snapshot),
+    /// Encodes a snapshot, which may take long, and passes it to
+    /// [`JobsNode::finish_snapshot`](super::JobsNode::finish_snapshot). May be carried out at any time, on another thread.
+    EncodeSnapshot(SnapshotSource),
     /// Applies committed entries (see [`JobsNode::apply_up_to`](super::JobsNode::apply_up_to)).
     ApplyUpTo(LogIndex),
 }
 
+/// A copy of the table from which a snapshot is encoded. It shares the bodies and results with the table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SnapshotSource {
+    /// The snapshot without its state.
+    header: Snapshot,
+    table: JobTable,
+}
+
+impl SnapshotSource {
+    pub(super) fn new(header: Snapshot, table: JobTable) -> Self {
+        Self { header, table }
+    }
+
+    /// Encodes the snapshot. Takes a time that grows with the bodies and results in the table.
+    pub fn encode(self) -> Snapshot {
+        Snapshot { state: self.table.encode(), ..self.header }
+    }
+}
+
 /// A consequence of applying log entries.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum JobsChange {
--- a/crates/core/src/serving/jobs/node/mod.rs
+++ b/crates/core/src/serving/jobs/node/mod.rs
@@ -8,8 +8,9 @@
 mod settings;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
-pub use messages::{JobsChange, JobsEffect, NotProposed, UnreadableSnapshot, Waiter};
+pub use messages::{JobsChange, JobsEffect, NotProposed, SnapshotSource, UnreadableSnapshot, Waiter};
 pub use settings::replica_settings;
 
 use super::command::{ItemKey, JobCommand, JobKey, JobOutcome, QueueKey, Submission};
@@ -72,6 +73,8 @@
     awaiting_restore: bool,
     /// A snapshot of the table that has not replaced the start of the log yet.
     prepared_snapshot: Option<Snapshot>,
+    /// Whether the caller encodes a snapshot.
+    is_encoding: bool,
     full_ack_timeout: Millis,
 }
 
@@ -97,6 +100,7 @@
             announced_commit,
             awaiting_restore: false,
             prepared_snapshot: None,
+            is_encoding: false,
             full_ack_timeout,
         })
     }
@@ -147,10 +151,31 @@
     pub fn tick(&mut self, now: Timestamp) -> Vec<JobsEffect> {
         self.replica.tick(now);
         self.compact();
-        self.collect_effects()
+        let mut effects = self.collect_effects();
+        effects.extend(self.request_snapshot().map(JobsEffect::EncodeSnapshot));
+        effects
+    }
+
+    /// Returns what a snapshot has to be encoded from, once the log exceeds its size limit.
+    fn request_snapshot(&mut self) -> Option<SnapshotSource> {
+        if !self.is_snapshot_due() {
+            return None;
+        }
+        let header = self.replica.snapshot_of(Arc::from([]))?;
+        self.is_encoding = true;
+        Some(SnapshotSource::new(header, self.table.clone()))
     }
 
-    /// Prepares a snapshot once the log exceeds its size limit, and compacts the log when enough entries follow it.
+    /// Takes the snapshot of a [`JobsEffect::EncodeSnapshot`]. Its entries were committed, so it stays valid unless the
+    /// log has been replaced by a later one.
+    pub fn finish_snapshot(&mut self, snapshot: Snapshot) {
+        self.is_encoding = false;
+        if snapshot.index > self.replica.log().snapshot().index {
+            self.prepared_snapshot = Some(snapshot);
+        }
+    }
+
+    /// Compacts the log when enough entries follow the prepared snapshot.
     fn compact(&mut self) {
         if self.awaiting_restore {
             self.prepared_snapshot = None;
@@ -161,18 +186,15 @@
                 self.replica.compact_to(snapshot);
             }
             Some(snapshot) => self.prepared_snapshot = Some(snapshot),
-            None if self.is_snapshot_due() => {
-                self.prepared_snapshot = self.replica.snapshot_of(self.table.encode());
-            }
             None => {}
         }
     }
 
-    /// Returns whether the next tick encodes the table for a snapshot, which takes long for a large table.
+    /// Returns whether the next tick requests a snapshot.
     pub fn is_snapshot_due(&self) -> bool {
         let is_log_full = self.replica.log().bytes() > COMPACTION_THRESHOLD_BYTES;
         let is_possible = !self.awaiting_restore && self.replica.has_applied_since_snapshot();
-        self.prepared_snapshot.is_none() && is_log_full && is_possible
+        self.prepared_snapshot.is_none() && !self.is_encoding && is_log_full && is_possible
     }
 
     /// Proposes to add a job.
--- a/crates/core/tests/jobs_node.rs
+++ b/crates/core/tests/jobs_node.rs
@@ -11,6 +11,7 @@
 use stallmoor_core::serving::jobs::command::{JobItem, JobKey, Submission};
 use stallmoor_core::serving::jobs::node::{JobsChange, JobsEffect, JobsNode, NotProposed, UnreadableSnapshot, Waiter};
 use stallmoor_core::serving::jobs::request::JobsAnswer;
+use stallmoor_core::serving::jobs::table::JobTable;
 use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 
 const SELF: NodeId = NodeId(1);
@@ -237,3 +238,37 @@
     harness.node.tick(harness.now);
     assert!(!harness.node.is_snapshot_due(), "the snapshot is prepared");
 }
+
+/// Guards against ticks that wait for the encoding of a snapshot, and against a second one requested meanwhile.
+#[test]
+fn ticks_go_on_while_a_snapshot_is_encoded() {
+    let mut harness = Harness::leading();
+    let mut source = None;
+    for job in 0..2_000 {
+        let name = format!("job-{job}");
+        let mut submission = submission(&name);
+        submission.queued_token_limit = None;
+        submission.items[0].body = vec![7; 8 << 10].into();
+        let effects = harness.node.submit(submission, Waiter(job), harness.now).expect("the leader is ready");
+        harness.effects.extend(effects);
+        harness.apply_effects();
+        harness.now = harness.now + Millis(20);
+        for effect in harness.node.tick(harness.now) {
+            match effect {
+                JobsEffect::EncodeSnapshot(requested) => {
+                    assert!(source.is_none(), "one snapshot at a time");
+                    source = Some((job, requested));
+                }
+                other => harness.effects.push(other),
+            }
+        }
+        if let Some((requested_at, requested)) = source.take_if(|(requested_at, _)| *requested_at + 500 == job) {
+            let snapshot = requested.encode();
+            assert!(snapshot.index < harness.node.replica().applied(), "entries were applied meanwhile");
+            let jobs = JobTable::decode(&snapshot.state).expect("the snapshot is readable").jobs().count();
+            assert_eq!(jobs as u64, requested_at + 1, "the snapshot has the jobs of the time of its request");
+            harness.node.finish_snapshot(snapshot);
+        }
+    }
+    assert!(harness.node.replica().log().snapshot().index > LogIndex(0), "the log was compacted");
+}
--- a/crates/core/tests/support/jobs_world.rs
+++ b/crates/core/tests/support/jobs_world.rs
@@ -409,6 +409,7 @@
                 JobsEffect::Restore(snapshot) => {
                     process.node.restore(&snapshot).expect("a snapshot of a table can be decoded")
                 }
+                JobsEffect::EncodeSnapshot(source) => process.node.finish_snapshot(source.encode()),
                 JobsEffect::ApplyUpTo(index) => changes.extend(process.node.apply_up_to(index, now)),
             }
         }
--- a/crates/gateway/src/storage/service/events.rs
+++ b/crates/gateway/src/storage/service/events.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use stallmoor_core::replication::GroupMembership;
+use stallmoor_core::replication::{GroupMembership, Snapshot};
 use stallmoor_core::serving::jobs::pair::StoredPair;
 use stallmoor_core::serving::jobs::request::JobsRequest;
 use stallmoor_core::serving::workers::LoadReport;
@@ -37,6 +37,7 @@
     LeaderOutcomes(Option<OutcomeReport>),
     /// No process listens at this address of a storage node any more.
     PeerEnded(SocketAddr),
+    SnapshotEncoded(Snapshot),
     Tick,
     ReplicaTick,
     /// A graceful shutdown was requested.
@@ -58,9 +59,12 @@
             Self::RunEnded(_) => Step::RunEnded,
             Self::LeaderLoads(_) => Step::Loads,
             Self::LeaderOutcomes(_) => Step::Outcomes,
-            Self::Update(_) | Self::InitialMembership(_) | Self::PairRead(_) | Self::PeerEnded(_) | Self::Stop => {
-                Step::Updates
-            }
+            Self::Update(_)
+            | Self::InitialMembership(_)
+            | Self::PairRead(_)
+            | Self::PeerEnded(_)
+            | Self::SnapshotEncoded(_)
+            | Self::Stop => Step::Updates,
             Self::Tick => Step::Tick,
             Self::ReplicaTick => Step::ReplicaTick,
         }
@@ -98,6 +102,7 @@
             Some(loads) = results.loads.recv() => ServiceEvent::LeaderLoads(loads),
             Some(answer) = results.outcomes.recv() => ServiceEvent::LeaderOutcomes(answer),
             Some(address) = results.ended_peers.recv() => ServiceEvent::PeerEnded(address),
+            Some(snapshot) = results.snapshots.recv() => ServiceEvent::SnapshotEncoded(snapshot),
             _ = ticks.tick() => ServiceEvent::Tick,
             _ = replica_ticks.tick() => ServiceEvent::ReplicaTick,
             Ok(()) = inputs.stop.changed() => ServiceEvent::Stop,
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -126,6 +126,7 @@
             ServiceEvent::LeaderLoads(loads) => self.on_leader_loads(loads),
             ServiceEvent::LeaderOutcomes(answer) => self.on_leader_outcomes(answer),
             ServiceEvent::PeerEnded(address) => self.replica.on_process_ended(address),
+            ServiceEvent::SnapshotEncoded(snapshot) => self.replica.node_mut().finish_snapshot(snapshot),
             ServiceEvent::Tick => self.tick(),
             ServiceEvent::ReplicaTick => self.tick_replica(),
             ServiceEvent::Stop => {}
--- a/crates/gateway/src/storage/service/replica_driver.rs
+++ b/crates/gateway/src/storage/service/replica_driver.rs
@@ -18,7 +18,8 @@
 use stallmoor_core::replication::{ReplicationMessage, Snapshot};
 use stallmoor_core::serving::jobs::command::Submission;
 use stallmoor_core::serving::jobs::disk_budget::DiskBudget;
-use stallmoor_core::serving::jobs::node::{JobsChange, JobsEffect, JobsNode};
+use stallmoor_core::serving::jobs::node::{JobsChange, JobsEffect, JobsNode, SnapshotSource};
+use tokio::sync::mpsc;
 
 use crate::fleet::fleet_view::FleetView;
 use crate::observe::journal::{Field, record};
@@ -32,6 +33,8 @@
     budget: DiskBudget,
     links: PeerLinks,
     view: Arc<FleetView>,
+    /// Unbounded: at most one snapshot is being encoded.
+    snapshots: mpsc::UnboundedSender<Snapshot>,
     /// Effects that wait for the disk, in order. Needs no separate limit: during a write, proposals are bounded by the
     /// replica (`max_uncommitted_entries`) and messages of peers by the queue of the peer listener.
     queue: VecDeque<JobsEffect>,
@@ -46,8 +49,9 @@
         disk: DiskWriter,
         budget: DiskBudget,
         view: Arc<FleetView>,
+        snapshots: mpsc::UnboundedSender<Snapshot>,
     ) -> Self {
-        Self { node, disk, budget, links, view, queue: VecDeque::new(), awaited_write: None }
+        Self { node, disk, budget, links, view, snapshots, queue: VecDeque::new(), awaited_write: None }
     }
 
     pub(super) fn node(&self) -> &JobsNode {
@@ -75,6 +79,7 @@
         for effect in effects {
             match effect {
                 JobsEffect::SendNow(message) => self.send(message),
+                JobsEffect::EncodeSnapshot(source) => self.encode_snapshot(source),
                 ordered => self.queue.push_back(ordered),
             }
         }
@@ -87,6 +92,7 @@
             match self.queue.pop_front()? {
                 JobsEffect::Persist(write) => self.awaited_write = Some(self.disk.write(write)),
                 JobsEffect::Send(message) | JobsEffect::SendNow(message) => self.send(message),
+                JobsEffect::EncodeSnapshot(source) => self.encode_snapshot(source),
                 JobsEffect::Restore(snapshot) => self.restore(&snapshot),
                 JobsEffect::ApplyUpTo(index) => {
                     let now = self.view.clock.now();
@@ -115,6 +121,16 @@
         }
     }
 
+    /// Encodes a snapshot on a thread of its own: with a large table it takes so long that heartbeats would be late.
+    fn encode_snapshot(&self, source: SnapshotSource) {
+        let snapshots = self.snapshots.clone();
+        let encode = move || {
+            // The receiver is dropped only when the process ends.
+            let _ = snapshots.send(source.encode());
+        };
+        tokio::task::spawn_blocking(encode);
+    }
+
     /// Sends a message to another replica. Drops it if the address is unknown; the leader retransmits it later.
     fn send(&self, message: ReplicationMessage) {
         let address = self.view.storage().of_node(message.to).map(|record| record.address);
--- a/crates/gateway/src/storage/service/startup.rs
+++ b/crates/gateway/src/storage/service/startup.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use stallmoor_core::identity::NodeId;
-use stallmoor_core::replication::GroupMembership;
+use stallmoor_core::replication::{GroupMembership, Snapshot};
 use stallmoor_core::serving::jobs::disk_budget::DiskBudget;
 use stallmoor_core::serving::jobs::members::MembershipPlanner;
 use stallmoor_core::serving::jobs::node::JobsNode;
@@ -76,6 +76,7 @@
     pub(super) loads: mpsc::UnboundedReceiver<Option<LoadReport>>,
     pub(super) outcomes: mpsc::UnboundedReceiver<Option<OutcomeReport>>,
     pub(super) ended_peers: mpsc::UnboundedReceiver<SocketAddr>,
+    pub(super) snapshots: mpsc::UnboundedReceiver<Snapshot>,
 }
 
 /// The service and the results of its tasks.
@@ -91,6 +92,7 @@
         let (leader_answers, loads) = mpsc::unbounded_channel();
         let (leader_outcomes, outcomes) = mpsc::unbounded_channel();
         let (ended, ended_peers) = mpsc::unbounded_channel();
+        let (encoded, snapshots) = mpsc::unbounded_channel();
         let StorageComponents { node, id, tolerated_losses, workers, metadata, disk, budget, results_kept } =
             components;
         let view = workers.view.clone();
@@ -104,6 +106,7 @@
                 disk,
                 budget,
                 view.clone(),
+                encoded,
             ),
             answers: PendingAnswers::default(),
             items: ItemRunner::new(workers.clone(), reports, now),
@@ -118,6 +121,6 @@
             is_leader: false,
             workers,
         };
-        Self { service, results: TaskResults { runs, pairs, loads, outcomes, ended_peers } }
+        Self { service, results: TaskResults { runs, pairs, loads, outcomes, ended_peers, snapshots } }
     }
 }
