Find the items to pause by worker, and copy results once

What callers saw: batch items late on a busy leader.

Cause: each load report of a gateway went, for each worker with too many requests, through all running items, locked the output of each, formatted and logged a line, also where enough items were pausing already: 24,327 lines for 5,422 pauses. And the text of every result that waited for its commit was copied after every event that tried an item. Class: work for each event that grows with the fleet times the backlog.

Change: the running items are kept by worker with those that are pausing, so that a report costs nothing where enough are; E610 is written where items are paused. Results are copied until they are proposed once; a new leader proposes them again.

Tests: leader_work, at 390 items and twice and four times as many. Results were copied after every event by uncommitted_results, which stays for tests.

--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -9,6 +9,7 @@
 //! | `run_estimate` | the expected duration of a run |
 //! | `start` | [`decide_start`]: whether the next item runs, waits or is abandoned |
 //! | `resumption` | [`item_resumption`]: whether and where an item continues its output |
+//! | `worker_runs` | [`WorkerRuns`]: the items that run at each worker |
 //! | `pacing` | [`ItemPacing`]: when items are tried, and when progress is logged |
 //!
 //! Open items come from the job table ([`super::table`]); the caller supplies the time and performs the runs. All state
@@ -21,6 +22,7 @@
 mod run_end;
 mod run_estimate;
 mod start;
+mod worker_runs;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -32,6 +34,7 @@
 pub use run_end::{EVENT_TIMEOUT, FIRST_EVENT_TIMEOUT, RunEnd};
 use run_estimate::RunEstimate;
 pub use start::{ItemStart, StartDecision, decide_start, max_attempts};
+pub use worker_runs::WorkerRuns;
 
 use super::command::{
     ItemFailures, ItemKey, ItemOrigin, ItemProgress, ItemState, JobCommand, JobKey, LoggedOutput, PartialOutput,
@@ -121,6 +124,8 @@
     ready: BTreeSet<(UnixMillis, ItemKey)>,
     delayed: BTreeSet<(Timestamp, ItemKey)>,
     finished: BTreeSet<ItemKey>,
+    /// Finished items whose result was not proposed yet.
+    unproposed: BTreeSet<ItemKey>,
     /// Items with failed runs that are not yet logged.
     failed: BTreeSet<ItemKey>,
     /// Items whose logged output is discarded by a command that is not proposed yet.
@@ -395,16 +400,30 @@
 
     /// Returns commands for all results that are not yet committed.
     pub fn uncommitted_results(&self) -> Vec<JobCommand> {
-        let command = |key: &ItemKey| {
-            let open_item = self.items.get(key)?;
-            let Phase::Finished { state } = open_item.phase else { return None };
-            if self.restarted.contains(key) {
-                return None;
-            }
-            let text = open_item.output.text.get(open_item.logged.bytes..).unwrap_or_default();
-            Some(JobCommand::Finish { key: key.clone(), state, after: open_item.logged, text: Arc::from(text) })
-        };
-        self.finished.iter().filter_map(command).collect()
+        self.finished.iter().filter_map(|key| self.result_of(key)).collect()
+    }
+
+    /// Returns commands for the results that were not proposed yet. Those that wait for a commit are not copied again.
+    pub fn unproposed_results(&self) -> Vec<JobCommand> {
+        self.unproposed.iter().filter_map(|key| self.result_of(key)).collect()
+    }
+
+    /// Records that a result was proposed.
+    pub fn record_proposed_result(&mut self, command: &JobCommand) {
+        if let JobCommand::Finish { key, .. } = command {
+            self.unproposed.remove(key);
+        }
+    }
+
+    /// Returns the command for the result of a finished item, unless its logged output has to be discarded first.
+    fn result_of(&self, key: &ItemKey) -> Option<JobCommand> {
+        let open_item = self.items.get(key)?;
+        let Phase::Finished { state } = open_item.phase else { return None };
+        if self.restarted.contains(key) {
+            return None;
+        }
+        let text = open_item.output.text.get(open_item.logged.bytes..).unwrap_or_default();
+        Some(JobCommand::Finish { key: key.clone(), state, after: open_item.logged, text: Arc::from(text) })
     }
 
     /// Returns the output of a running item that is not yet logged, or `None` while it is small.
@@ -496,6 +515,7 @@
                 self.delayed.remove(&(until, key.clone()));
             }
             self.finished.remove(key);
+            self.unproposed.remove(key);
             self.failed.remove(key);
             self.restarted.remove(key);
         }
@@ -519,6 +539,7 @@
         self.ready.remove(&(open_item.due, key.clone()));
         open_item.phase = Phase::Finished { state };
         self.finished.insert(key.clone());
+        self.unproposed.insert(key.clone());
         true
     }
 
--- a/crates/core/tests/leader_work.rs
+++ b/crates/core/tests/leader_work.rs
@@ -3,12 +3,25 @@
 use std::sync::Arc;
 
 use postcard::ser_flavors::Flavor;
-use stallmoor_core::serving::jobs::command::{ItemKey, JobCommand, JobItem, JobKey, Submission};
+use stallmoor_core::serving::jobs::command::{ItemKey, JobCommand, JobItem, JobKey, PartialOutput, Submission};
+use stallmoor_core::serving::jobs::dispatch::{Dispatcher, RunEnd, WorkerRuns};
 use stallmoor_core::serving::jobs::table::JobTable;
-use stallmoor_core::time::{Millis, UnixMillis};
+use stallmoor_core::serving::workers::WorkerId;
+use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 
-/// Items that run in a busy deployment.
+/// Workers of a busy deployment.
+const WORKERS: usize = 90;
+/// Items that run there.
 const ITEMS: usize = 390;
+const MAX_ATTEMPTS: u32 = 3;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+fn worker(number: usize) -> WorkerId {
+    WorkerId(Arc::from(format!("w-{number}")))
+}
 
 fn key(item: usize) -> ItemKey {
     ItemKey { job: JobKey(Arc::from("job")), item: item as u32 }
@@ -35,6 +48,18 @@
     }
 }
 
+fn table(items: usize) -> JobTable {
+    let mut table = JobTable::default();
+    table.apply(JobCommand::Accept(submission(items)));
+    table
+}
+
+fn output() -> PartialOutput {
+    let mut output = PartialOutput::default();
+    (1..=164).for_each(|event| output.push("event", Some(event)));
+    output
+}
+
 /// Counts the calls with which a value is serialized.
 #[derive(Default)]
 struct CallCounter(usize);
@@ -71,3 +96,67 @@
         assert_eq!(calls(body_bytes), calls(500), "{body_bytes} bytes a body");
     }
 }
+
+/// Guards against copies of all results that wait for their commit, made again after every event.
+#[test]
+fn results_that_wait_for_their_commit_are_not_proposed_again() {
+    for items in [ITEMS, 2 * ITEMS, 4 * ITEMS] {
+        let mut dispatcher = Dispatcher::default();
+        dispatcher.restart(&table(items));
+        let mut copies = 0;
+        while let Some((key, _)) = dispatcher.take_next(at(0), UnixMillis(0)) {
+            dispatcher.finish_run(&key, &RunEnd::Completed, output(), MAX_ATTEMPTS, at(8_000));
+            for result in dispatcher.unproposed_results() {
+                copies += 1;
+                dispatcher.record_proposed_result(&result);
+            }
+        }
+        assert_eq!(copies, items, "each result is copied once");
+        assert_eq!(dispatcher.uncommitted_results().len(), items, "none is committed");
+    }
+}
+
+/// Guards against a result that is never proposed again, although its proposal was lost with the leadership.
+#[test]
+fn results_are_proposed_again_by_the_next_leader() {
+    let table = table(1);
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.restart(&table);
+    for _ in 0..2 {
+        let (key, _) = dispatcher.take_next(at(0), UnixMillis(0)).expect("the item is ready");
+        dispatcher.finish_run(&key, &RunEnd::Impossible, output(), MAX_ATTEMPTS, at(8_000));
+        let result = dispatcher.unproposed_results().pop().expect("there is a result");
+        dispatcher.record_proposed_result(&result);
+        assert!(dispatcher.unproposed_results().is_empty());
+        dispatcher.restart(&table);
+        assert_eq!(dispatcher.unproposed_results(), [result], "the verdict is known without another run");
+        dispatcher = Dispatcher::default();
+        dispatcher.restart(&table);
+    }
+}
+
+/// Guards against pauses that examine all running items, and against repeated requests while enough items are pausing.
+#[test]
+fn pauses_examine_the_items_of_one_worker_and_are_requested_once() {
+    for scale in [1, 2, 4] {
+        let mut runs = WorkerRuns::default();
+        for item in 0..ITEMS * scale {
+            runs.add(&worker(item % (WORKERS * scale)), &key(item));
+        }
+        let at_worker: Vec<ItemKey> = runs.continuing(&worker(0)).cloned().collect();
+        assert_eq!(at_worker.len(), ITEMS.div_ceil(WORKERS));
+        assert_eq!(runs.pauses_due(&worker(0), 2), 2);
+        at_worker.iter().take(2).for_each(|key| runs.record_pause(&worker(0), key));
+        for _ in 0..62 {
+            assert_eq!(runs.pauses_due(&worker(0), 2), 0, "the next reports find enough items pausing");
+        }
+        assert_eq!(runs.pauses_due(&worker(0), 3), 1);
+        assert_eq!(runs.pauses_due(&worker(0), 100), at_worker.len() - 2, "no more than there are");
+        runs.remove(&worker(0), &at_worker[0]);
+        assert_eq!(runs.pauses_due(&worker(0), 2), 1, "one that has ended no longer counts");
+        at_worker.iter().for_each(|key| runs.remove(&worker(0), key));
+        assert_eq!(runs.pauses_due(&worker(0), 100), 0);
+        runs.add(&worker(0), &at_worker[0]);
+        assert_eq!(runs.pauses_due(&worker(0), 1), 1, "a later run of the item is not pausing");
+    }
+}
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -1,17 +1,16 @@
 //! Runs batch items while this node is the leader: places, pauses and completes them.
 //!
-//! Owns the dispatcher, the tasks of active runs, and the set of proposed results; all are empty while the node is not
-//! the leader. The dispatcher selects the next item and the worker table selects the worker. The service proposes
+//! Owns the dispatcher and the tasks of active runs; both are empty while the node is not the leader. The dispatcher selects the next item and the worker table selects the worker. The service proposes
 //! results and progress, and reports which were committed.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::serving::jobs::command::{ItemFailures, ItemKey, ItemProgress, JobCommand, JobKey, PartialOutput};
 use stallmoor_core::serving::jobs::dispatch::{
-    Dispatcher, FailedAt, ItemPacing, ItemResumption, ItemStart, RunEnd, RunningItem, StartDecision, decide_start,
-    item_resumption, max_attempts,
+    Dispatcher, FailedAt, ItemPacing, ItemResumption, ItemStart, RunEnd, RunningItem, StartDecision, WorkerRuns,
+    decide_start, item_resumption, max_attempts,
 };
 use stallmoor_core::serving::jobs::table::{Job, JobTable};
 use stallmoor_core::serving::online::attribution::Attribution;
@@ -19,7 +18,7 @@
 use stallmoor_core::serving::stream_origins::StreamOrigin;
 use stallmoor_core::serving::workers::cold_start::PERMIT_LIFETIME;
 use stallmoor_core::serving::workers::permit_grants::PermitGrants;
-use stallmoor_core::serving::workers::{Choice, WorkerId, WorkerQuery};
+use stallmoor_core::serving::workers::{Choice, WorkerCount, WorkerId, WorkerQuery};
 use stallmoor_core::time::{Millis, Timestamp};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::AbortHandle;
@@ -51,6 +50,13 @@
 }
 
 impl ActiveRun {
+    /// Requests the run to pause.
+    fn pause(&mut self, key: &ItemKey, worker_runs: &mut WorkerRuns) {
+        self.is_pausing = true;
+        worker_runs.record_pause(&self.worker, key);
+        self.pause.notify_one();
+    }
+
     /// Returns the properties by which items are selected for a pause.
     fn running_item(&self, key: &ItemKey) -> RunningItem {
         let output = self.output.lock().unwrap_or_else(PoisonError::into_inner);
@@ -85,9 +91,9 @@
     dispatcher: Dispatcher,
     pacing: ItemPacing,
     active: BTreeMap<ItemKey, ActiveRun>,
+    /// The active runs by worker.
+    worker_runs: WorkerRuns,
     last_run: u64,
-    /// Items whose result is proposed but not committed yet.
-    proposed: HashSet<ItemKey>,
     /// What the runs of items that failed said about their workers.
     attributions: BTreeMap<ItemKey, Attribution>,
     /// Unbounded: each run sends one report, and runs are bounded by the workers' slots.
@@ -101,8 +107,8 @@
             dispatcher: Dispatcher::default(),
             pacing: ItemPacing::new(now),
             active: BTreeMap::new(),
+            worker_runs: WorkerRuns::default(),
             last_run: 0,
-            proposed: HashSet::new(),
             attributions: BTreeMap::new(),
             reports,
         }
@@ -133,7 +139,6 @@
     /// Called when an item's result is committed, whichever leader proposed it.
     pub(super) fn remove_committed(&mut self, key: &ItemKey) {
         self.dispatcher.remove(key);
-        self.proposed.remove(key);
         self.attributions.remove(key);
         self.abort(key);
     }
@@ -141,7 +146,6 @@
     /// Called when an item's result was not accepted. The item may be added again with its job.
     pub(super) fn withdraw(&mut self, key: &ItemKey) {
         self.dispatcher.withdraw(key);
-        self.proposed.remove(key);
         self.attributions.remove(key);
     }
 
@@ -154,14 +158,20 @@
     }
 
     fn abort(&mut self, key: &ItemKey) {
-        if let Some(run) = self.active.remove(key) {
+        if let Some(run) = self.remove_active(key) {
             abort_run(key, &run);
         }
     }
 
+    fn remove_active(&mut self, key: &ItemKey) -> Option<ActiveRun> {
+        let run = self.active.remove(key)?;
+        self.worker_runs.remove(&run.worker, key);
+        Some(run)
+    }
+
     fn abort_all(&mut self) {
-        self.proposed.clear();
         self.attributions.clear();
+        self.worker_runs = WorkerRuns::default();
         for (key, run) in std::mem::take(&mut self.active) {
             abort_run(&key, &run);
         }
@@ -170,25 +180,28 @@
     /// Pauses batch items on workers where online requests are waiting. They resume later, after their last event.
     pub(super) fn yield_to_online(&mut self, now: Timestamp) {
         let excess_batch_items = self.workers.view.workers().excess_batch_items(now);
-        for count in excess_batch_items {
-            self.pause_items(&count.worker, count.requests as usize);
+        for WorkerCount { worker, requests } in excess_batch_items {
+            let due = self.worker_runs.pauses_due(&worker, requests);
+            if due == 0 {
+                continue;
+            }
+            self.pause_items(&worker, due);
             let fields = [
-                Field::text("worker", &count.worker),
-                Field::number("items", count.requests),
-                Field::text("inputs", self.workers.view.workers().describe(&count.worker, now)),
+                Field::text("worker", &worker),
+                Field::number("items", due as u64),
+                Field::text("inputs", self.workers.view.workers().describe(&worker, now)),
             ];
             record(LogEvent::BatchYielded, &fields);
         }
     }
 
-    /// Pauses items on a worker until `count` of them are pausing.
+    /// Pauses `count` more items on a worker.
     fn pause_items(&mut self, worker: &WorkerId, count: usize) {
-        let at_worker = self.active.iter().filter(|(_, run)| run.worker == *worker);
-        let at_worker = at_worker.map(|(key, run)| run.running_item(key)).collect();
+        let running = |key: &ItemKey| Some(self.active.get(key)?.running_item(key));
+        let at_worker = self.worker_runs.continuing(worker).filter_map(running).collect();
         for key in self.dispatcher.choose_pauses(at_worker, count, self.workers.view.clock.wall_time()) {
             if let Some(run) = self.active.get_mut(&key) {
-                run.is_pausing = true;
-                run.pause.notify_one();
+                run.pause(&key, &mut self.worker_runs);
             }
         }
     }
@@ -200,11 +213,9 @@
         if !workers.has_evacuated_zones() {
             return;
         }
-        for run in self.active.values_mut().filter(|run| !run.is_pausing) {
-            let has_others = workers.ready_count(&run.service, now) > 0;
-            if has_others && workers.is_in_evacuated_zone(&run.worker) {
-                run.is_pausing = true;
-                run.pause.notify_one();
+        for (key, run) in self.active.iter_mut().filter(|(_, run)| !run.is_pausing) {
+            if workers.is_in_evacuated_zone(&run.worker) && workers.ready_count(&run.service, now) > 0 {
+                run.pause(key, &mut self.worker_runs);
             }
         }
     }
@@ -356,6 +367,7 @@
             is_pausing: false,
             output,
         };
+        self.worker_runs.add(&active.worker, key);
         self.active.insert(key.clone(), active);
         true
     }
@@ -420,7 +432,7 @@
             return false;
         }
         let RunReport { key, finished: FinishedRun { end, output, worker, attribution }, .. } = report;
-        self.active.remove(&key);
+        self.remove_active(&key);
         log_run_end(&key, &format!("{end:?}"), &output);
         measures::count_run(end.name());
         let configuration = self.workers.view.configuration();
@@ -441,18 +453,12 @@
 
     /// Returns the commands for results that have not been proposed yet.
     pub(super) fn unproposed_results(&self) -> Vec<JobCommand> {
-        let is_new = |command: &JobCommand| match command {
-            JobCommand::Finish { key, .. } => !self.proposed.contains(key),
-            _ => false,
-        };
-        self.dispatcher.uncommitted_results().into_iter().filter(is_new).collect()
+        self.dispatcher.unproposed_results()
     }
 
     /// Records that a result was proposed.
     pub(super) fn record_proposed_result(&mut self, command: &JobCommand) {
-        if let JobCommand::Finish { key, .. } = command {
-            self.proposed.insert(key.clone());
-        }
+        self.dispatcher.record_proposed_result(command);
     }
 
     /// Returns the output that running items produced since it was last logged, if a progress entry is due. A new
