--- a/crates/core/tests/support/golden_values.rs
+++ b/crates/core/tests/support/golden_values.rs
@@ -141,9 +141,9 @@
     vec![
         ("empty", JobTable::default()),
         ("jobs-with-failures", with_failures),
-        ("jobs", table),
         ("jobs-with-origins", with_origins),
         ("jobs-with-failures-and-origins", with_both),
+        ("jobs", table),
     ]
 }
 
