Update the leader's own view of loads once for many reports

What callers saw: batch items late on a busy leader.

Cause: each load report of a gateway made the leader sum all loads, replace its own view of all workers, list its own items at all of them and look for items to pause: gateways times workers, and the exchange goes as fast as it is answered, up to 900 a second.

Change: reports are summed as they come; the view, the list of own items and the search for items to pause follow every 20 ms. An answer merges two ordered lists.

Tests: leader_work, at 62, 124 and 248 gateways (one update for each report before), and the order of an answer.

--- a/crates/core/src/serving/jobs/load_aggregator.rs
+++ b/crates/core/src/serving/jobs/load_aggregator.rs
@@ -20,6 +20,9 @@
 const REPORT_LIFETIME: Millis = Millis(1_000);
 /// The interval at which the sums are rebuilt without expired reports. Limits the CPU time of the leader.
 const REBUILD_INTERVAL: Millis = Millis(100);
+/// The minimum time between two updates of the leader's own view of the workers. Each visits all active workers, so one
+/// for each report would cost the number of gateways times that of the workers.
+const OWN_VIEW_INTERVAL: Millis = Millis(20);
 
 /// Represents the leader of the table among the nodes that report to the aggregator of a zone. No real node has this
 /// ID.
@@ -122,6 +125,8 @@
     nodes: BTreeMap<NodeId, StoredReport>,
     totals: Totals,
     rebuilt_at: Timestamp,
+    /// The time of the last update of the leader's own view.
+    own_view_at: Option<Timestamp>,
 }
 
 impl LoadAggregator {
@@ -165,17 +170,22 @@
         let own = self.nodes.get(&node).map(|stored| &stored.report.workers);
         let own_requests: BTreeMap<&WorkerId, u32> =
             own.into_iter().flatten().map(|report| (&report.worker, report.requests)).collect();
-        let mut batch: BTreeMap<&WorkerId, u32> = batch.iter().map(|count| (&count.worker, count.requests)).collect();
+        let mut batch = sorted(batch).into_iter().peekable();
         let mut workers: Vec<WorkerReport> = Vec::with_capacity(self.totals.workers.len());
+        let only_batch = |count: &WorkerCount| {
+            let total = Total { batch: count.requests, ..Total::default() };
+            total.report(&count.worker, count.requests)
+        };
         for (worker, total) in &self.totals.workers {
+            while let Some(count) = batch.next_if(|count| count.worker < *worker) {
+                workers.push(only_batch(count));
+            }
+            let items = batch.next_if(|count| count.worker == *worker).map_or(0, |count| count.requests);
             let others = total.requests.saturating_sub(own_requests.get(worker).copied().unwrap_or(0));
-            let items = batch.remove(worker).unwrap_or(0);
             let total = Total { batch: total.batch + items, ..*total };
             workers.push(total.report(worker, others + items));
         }
-        let only_batch = batch.into_iter().map(|(worker, requests)| (worker.clone(), requests));
-        let items = |batch: u32| Total { batch, ..Total::default() };
-        workers.extend(only_batch.map(|(worker, requests)| items(requests).report(&worker, requests)));
+        workers.extend(batch.map(only_batch));
         let mut rest = Totals { workers: BTreeMap::new(), ..self.totals };
         if let Some(own) = self.nodes.get(&node) {
             rest.subtract(own);
@@ -184,6 +194,16 @@
         LoadReport { workers, reporters, ..rest.report(now) }
     }
 
+    /// Returns the number of online requests of all nodes at each worker if the leader's own view is due for an update.
+    /// To be called for each report.
+    pub fn poll_own_view(&mut self, now: Timestamp) -> Option<Vec<WorkerCount>> {
+        if self.own_view_at.is_some_and(|at| now.since(at) < OWN_VIEW_INTERVAL) {
+            return None;
+        }
+        self.own_view_at = Some(now);
+        Some(self.online_requests(now))
+    }
+
     /// Returns the number of online requests of all nodes at each worker.
     pub fn online_requests(&mut self, now: Timestamp) -> Vec<WorkerCount> {
         self.refresh(now);
@@ -232,3 +252,12 @@
         }
     }
 }
+
+/// Returns counts in the order of their workers, in which [`WorkerTable::local_loads`] lists them already.
+///
+/// [`WorkerTable::local_loads`]: crate::serving::workers::WorkerTable::local_loads
+fn sorted(counts: &[WorkerCount]) -> Vec<&WorkerCount> {
+    let mut sorted: Vec<&WorkerCount> = counts.iter().collect();
+    sorted.sort_by_key(|count| &count.worker);
+    sorted
+}
--- a/crates/core/tests/leader_work.rs
+++ b/crates/core/tests/leader_work.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 
 use postcard::ser_flavors::Flavor;
+use stallmoor_core::identity::NodeId;
 use stallmoor_core::serving::jobs::command::{ItemKey, JobCommand, JobItem, JobKey, PartialOutput, Submission};
 use stallmoor_core::serving::jobs::dispatch::{Dispatcher, RunEnd, WorkerRuns};
+use stallmoor_core::serving::jobs::load_aggregator::LoadAggregator;
 use stallmoor_core::serving::jobs::table::JobTable;
-use stallmoor_core::serving::workers::WorkerId;
+use stallmoor_core::serving::workers::{LoadReport, WorkerCount, WorkerId, WorkerReport};
 use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 
 /// Workers of a busy deployment.
@@ -135,6 +137,46 @@
     }
 }
 
+/// Guards against a view of the workers that the leader updates for each report: gateways times workers.
+#[test]
+fn the_leaders_own_view_is_updated_at_a_rate_that_does_not_grow_with_the_gateways() {
+    for gateways in [62, 124, 248] {
+        let mut aggregator = LoadAggregator::default();
+        let mut updates = 0;
+        for millis in 0..1_000 {
+            // Each gateway reports every 62 ms.
+            for gateway in (0..gateways).filter(|gateway| gateway % 62 == millis % 62) {
+                let workers = vec![report(gateway as usize % WORKERS, 3)];
+                aggregator.record_report(
+                    NodeId(gateway + 1),
+                    LoadReport { workers, ..LoadReport::default() },
+                    at(millis),
+                );
+                updates += usize::from(aggregator.poll_own_view(at(millis)).is_some());
+            }
+        }
+        assert!((45..=50).contains(&updates), "{updates} updates with {gateways} gateways");
+    }
+}
+
+/// Guards against items of the leader that gateways are not told of, whatever place their worker has in the list.
+#[test]
+fn an_answer_lists_the_workers_of_the_leaders_items_once() {
+    let mut aggregator = LoadAggregator::default();
+    let online = LoadReport { workers: [2, 4, 6].map(|number| report(number, 3)).to_vec(), ..LoadReport::default() };
+    aggregator.record_report(NodeId(1), online, at(0));
+    let items: Vec<WorkerCount> = [7, 4, 1, 3].map(|number| WorkerCount { worker: worker(number), requests: 2 }).into();
+    let answer = aggregator.report_for(NodeId(2), &items, at(0));
+    let listed: Vec<(WorkerId, u32, u32)> =
+        answer.workers.iter().map(|report| (report.worker.clone(), report.requests, report.batch)).collect();
+    let expected = [(1, 2, 2), (2, 3, 0), (3, 2, 2), (4, 5, 2), (6, 3, 0), (7, 2, 2)];
+    assert_eq!(listed, expected.map(|(number, requests, batch)| (worker(number), requests, batch)));
+}
+
+fn report(number: usize, requests: u32) -> WorkerReport {
+    WorkerReport { worker: worker(number), requests, self_reported: None, ejected_by: 0, batch: 0 }
+}
+
 /// Guards against pauses that examine all running items, and against repeated requests while enough items are pausing.
 #[test]
 fn pauses_examine_the_items_of_one_worker_and_are_requested_once() {
--- a/crates/gateway/src/storage/service/load_exchange.rs
+++ b/crates/gateway/src/storage/service/load_exchange.rs
@@ -22,6 +22,8 @@
 pub(super) struct LoadExchange {
     view: Arc<FleetView>,
     aggregator: LoadAggregator,
+    /// This node's batch items by worker, as of the last update of its own view.
+    batch_loads: Vec<WorkerCount>,
     client: Arc<LeaderClient>,
     /// Whether an exchange with the leader is in progress.
     is_in_progress: bool,
@@ -40,6 +42,7 @@
         Self {
             view,
             aggregator: LoadAggregator::default(),
+            batch_loads: Vec::new(),
             client,
             is_in_progress: false,
             due: Timestamp::default(),
@@ -50,6 +53,7 @@
     /// Discards all reports. Called when this node gains or loses leadership.
     pub(super) fn clear(&mut self) {
         self.aggregator.clear();
+        self.batch_loads.clear();
     }
 
     /// Returns the rate at which all nodes together place online requests, per second.
@@ -65,11 +69,16 @@
     /// As the leader, records a report and returns the loads of all other nodes, including this node's batch items.
     pub(super) fn report_to_leader(&mut self, from: NodeId, loads: LoadReport, now: Timestamp) -> LoadReport {
         self.aggregator.record_report(from, loads, now);
-        let batch = self.view.workers().local_loads();
-        let totals = self.aggregator.report_for(from, &batch, now);
-        let online_requests: Vec<WorkerCount> = self.aggregator.online_requests(now);
-        self.view.workers().set_shared_loads(&online_requests, now);
-        totals
+        self.aggregator.report_for(from, &self.batch_loads, now)
+    }
+
+    /// As the leader, applies the loads of all gateways to its own view if due. Returns whether it did.
+    pub(super) fn update_own_view(&mut self, now: Timestamp) -> bool {
+        let Some(online_requests) = self.aggregator.poll_own_view(now) else { return false };
+        let mut workers = self.view.workers();
+        workers.set_shared_loads(&online_requests, now);
+        self.batch_loads = workers.local_loads();
+        true
     }
 
     /// As the aggregator of a zone, records a report and returns the loads of all other nodes.
--- a/crates/gateway/src/storage/service/requests.rs
+++ b/crates/gateway/src/storage/service/requests.rs
@@ -26,7 +26,9 @@
             JobsRequest::ReportLoad(loads) | JobsRequest::AggregateLoad(loads) if self.is_leader => {
                 let totals = self.loads.report_to_leader(from, loads, now);
                 let _ = reply.send(Ok(JobsAnswer::Loads(totals)));
-                self.items.yield_to_online(now);
+                if self.loads.update_own_view(now) {
+                    self.items.yield_to_online(now);
+                }
             }
             JobsRequest::AggregateLoad(loads) => {
                 let totals = self.loads.report_to_aggregator(from, loads, now);
