Start no items at a worker shortly after a pause there

What callers saw: batch items late, and the leader busy with runs that produce nothing.

Change: a worker at which items were paused for online requests gets none for 500 ms. Its free slots still count for the reserve of the service.

Test: no_items_start_at_a_worker_shortly_after_a_pause_there (before, one started after 100 ms).

--- a/crates/core/src/serving/workers/choice.rs
+++ b/crates/core/src/serving/workers/choice.rs
@@ -21,6 +21,9 @@
 /// Time until pausing batch items frees their slots, which takes a load report exchange and a message to the worker.
 /// Batch placement leaves enough slots free for the online requests that arrive in the meantime.
 const PAUSE_LATENCY: Millis = Millis(150);
+/// Time for which a worker at which batch items were paused for online requests gets no others. They would likely be
+/// paused, too, before they produce much output.
+const YIELD_COOLDOWN: Millis = Millis(500);
 /// Cost of each batch item already running at a worker, so that items spread over workers.
 const BATCH_ITEM_COST_MS: f64 = 6.0;
 /// Upper bound of the random cost added to each candidate, so that nodes do not all select the same worker.
@@ -237,6 +240,7 @@
             return None;
         }
         let untried = with_free_slots.into_iter().filter(|(_, entry)| !query.tried.contains(&entry.record.id));
+        let untried = untried.filter(|(_, entry)| !has_yielded_recently(entry, now));
         let candidates: Vec<&WorkerEntry> = untried.map(|(_, entry)| entry).collect();
         if let Some(entry) = self.due_trial(query, now) {
             return Some(Choice::of_trial(entry, query, &candidates, now));
@@ -292,6 +296,10 @@
     entry.is_excluded() || (!query.may_run_again && entry.suspicion().is_some())
 }
 
+fn has_yielded_recently(entry: &WorkerEntry, now: Timestamp) -> bool {
+    entry.batch_yielded_at.is_some_and(|at| now.since(at) < YIELD_COOLDOWN)
+}
+
 fn is_last_resort(entry: &WorkerEntry, now: Timestamp) -> bool {
     match entry.presence {
         Presence::Removed { usable_until, .. } => now < usable_until,
--- a/crates/core/src/serving/workers/loads.rs
+++ b/crates/core/src/serving/workers/loads.rs
@@ -157,6 +157,13 @@
         self.active_entries().filter_map(excess).collect()
     }
 
+    /// Records that batch items at a worker were paused for online requests.
+    pub fn record_batch_yield(&mut self, id: &WorkerId, now: Timestamp) {
+        if let Some(entry) = self.workers.get_mut(id) {
+            entry.batch_yielded_at = Some(now);
+        }
+    }
+
     /// Returns the load estimate of a worker, for logging.
     pub fn describe(&self, id: &WorkerId, now: Timestamp) -> String {
         let Some(entry) = self.workers.get(id) else { return String::new() };
--- a/crates/core/src/serving/workers/worker.rs
+++ b/crates/core/src/serving/workers/worker.rs
@@ -217,6 +217,8 @@
     pub(super) presence: Presence,
     pub(super) in_flight: u32,
     pub(super) batch_in_flight: u32,
+    /// Last time at which batch items of this node were paused here for online requests.
+    pub(super) batch_yielded_at: Option<Timestamp>,
     pub(super) report: Option<ReportedLoad>,
     /// Load from other nodes.
     pub(super) peer_load: Option<SharedLoad>,
@@ -250,6 +252,7 @@
             presence,
             in_flight: 0,
             batch_in_flight: 0,
+            batch_yielded_at: None,
             report: None,
             peer_load: None,
             assumed: None,
--- a/crates/core/tests/worker_choice.rs
+++ b/crates/core/tests/worker_choice.rs
@@ -421,6 +421,23 @@
     assert!(table.choose_for_batch(&query(&[], &[]), 0, at(10), &mut random()).is_none());
 }
 
+/// Guards against items that start where others were just paused, only to be paused with little output.
+#[test]
+fn no_items_start_at_a_worker_shortly_after_a_pause_there() {
+    let mut table = WorkerTable::default();
+    table.upsert(worker("one", "a"));
+    table.upsert(worker("two", "a"));
+    let chosen = |table: &WorkerTable, millis| {
+        let choice = table.choose_for_batch(&query(&[], &[]), 0, at(millis), &mut random());
+        choice.map(|choice| choice.id)
+    };
+    table.record_batch_yield(&id("one"), at(0));
+    assert_eq!(chosen(&table, 100), Some(id("two")));
+    table.record_batch_yield(&id("two"), at(200));
+    assert_eq!(chosen(&table, 499), None, "free slots do not last");
+    assert_eq!(chosen(&table, 500), Some(id("one")));
+}
+
 #[test]
 fn first_event_updates_service_times_only_with_free_slot() {
     let expected_after = |load: u32| {
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -186,6 +186,7 @@
                 continue;
             }
             self.pause_items(&worker, due);
+            self.workers.view.workers().record_batch_yield(&worker, now);
             let fields = [
                 Field::text("worker", &worker),
                 Field::number("items", due as u64),
