--- a/crates/core/src/serving/jobs/dispatch/resumption.rs
+++ b/crates/core/src/serving/jobs/dispatch/resumption.rs
@@ -22,8 +22,8 @@
 }
 
 /// Decides how an item of a job that was received `job_age` ago continues. `origin` is that of its output, if this leader
-/// received it or the log has it. Otherwise the origin can only be deduced if one version alone has served `service` since the job was
-/// received.
+/// received it or the log has it. Otherwise the origin can only be deduced if one version alone has served `service` since
+/// the job was received.
 pub fn item_resumption(
     output: &PartialOutput,
     origin: Option<&StreamOrigin>,
--- a/crates/core/src/serving/jobs/node/mod.rs
+++ b/crates/core/src/serving/jobs/node/mod.rs
@@ -6,9 +6,9 @@
 
 mod messages;
 mod settings;
+mod snapshots;
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 pub use messages::{JobsChange, JobsEffect, NotProposed, SnapshotSource, UnreadableSnapshot, Waiter};
 pub use settings::replica_settings;
@@ -23,12 +23,6 @@
 };
 use crate::time::{Millis, Timestamp};
 
-/// The log size at which a snapshot is taken. Limits disk usage and startup time.
-const COMPACTION_THRESHOLD_BYTES: usize = 8 << 20;
-/// The number of bytes that must follow a snapshot before the log up to it is dropped. Followers that lag by less need
-/// no snapshot.
-const RETAINED_LOG_BYTES: usize = 2 << 20;
-
 struct Proposal {
     term: Term,
     waiter: Option<Waiter>,
@@ -156,47 +150,6 @@
         effects
     }
 
-    /// Returns what a snapshot has to be encoded from, once the log exceeds its size limit.
-    fn request_snapshot(&mut self) -> Option<SnapshotSource> {
-        if !self.is_snapshot_due() {
-            return None;
-        }
-        let header = self.replica.snapshot_of(Arc::from([]))?;
-        self.is_encoding = true;
-        Some(SnapshotSource::new(header, self.table.clone()))
-    }
-
-    /// Takes the snapshot of a [`JobsEffect::EncodeSnapshot`]. Its entries were committed, so it stays valid unless the
-    /// log has been replaced by a later one.
-    pub fn finish_snapshot(&mut self, snapshot: Snapshot) {
-        self.is_encoding = false;
-        if snapshot.index > self.replica.log().snapshot().index {
-            self.prepared_snapshot = Some(snapshot);
-        }
-    }
-
-    /// Compacts the log when enough entries follow the prepared snapshot.
-    fn compact(&mut self) {
-        if self.awaiting_restore {
-            self.prepared_snapshot = None;
-            return;
-        }
-        match self.prepared_snapshot.take() {
-            Some(snapshot) if self.replica.log().has_bytes_after(snapshot.index, RETAINED_LOG_BYTES) => {
-                self.replica.compact_to(snapshot);
-            }
-            Some(snapshot) => self.prepared_snapshot = Some(snapshot),
-            None => {}
-        }
-    }
-
-    /// Returns whether the next tick requests a snapshot.
-    pub fn is_snapshot_due(&self) -> bool {
-        let is_log_full = self.replica.log().bytes() > COMPACTION_THRESHOLD_BYTES;
-        let is_possible = !self.awaiting_restore && self.replica.has_applied_since_snapshot();
-        self.prepared_snapshot.is_none() && !self.is_encoding && is_log_full && is_possible
-    }
-
     /// Proposes to add a job.
     ///
     /// # Errors
