--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -308,6 +308,8 @@
 def main(case, record_path):
     """Runs `case(fleet, trouble)`, which returns whether the rule held, and exits with 0, 1 or 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends all processes that it started also when it is stopped itself.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     fleet = Fleet(record_path)
 
     async def run():
@@ -321,6 +323,8 @@
         fleet.note("cannot run:", reason)
     except asyncio.TimeoutError:
         fleet.note("cannot run: it took too long")
+    except KeyboardInterrupt:
+        fleet.note("cannot run: stopped")
     finally:
         fleet.stop()
         fleet.note("exit", code)
