--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -325,6 +325,9 @@
         fleet.note("cannot run: it took too long")
     except KeyboardInterrupt:
         fleet.note("cannot run: stopped")
+    except Exception as error:
+        # A fault of the case itself says nothing about the rule.
+        fleet.note("cannot run:", repr(error))
     finally:
         fleet.stop()
         fleet.note("exit", code)
