E514 tells how the run ended and how long it lasted

A run that its own node had paused could only be told from one that its worker had broken off by matching E514 with E540 by time, worker and number of events. E514 has two new fields, end (BrokenOff or Abandoned) and ran_ms; the others are unchanged. A batch run that broke off is now recorded as interrupted instead of by dropping its watch. No decision changes.

--- a/crates/gateway/src/fleet/crash_view.rs
+++ b/crates/gateway/src/fleet/crash_view.rs
@@ -16,6 +16,7 @@
 use super::fleet_view::{FleetView, lock};
 use crate::observe::journal::{Field, record};
 use crate::observe::measures;
+use crate::workers::crash_check::IncompleteEnd;
 
 /// A worker crash that this node observed while the worker ran one of its requests.
 #[derive(Clone, Debug)]
@@ -30,6 +31,10 @@
     pub progress: u64,
     /// Whether the worker went on with the request after its first event, so that no part of the prompt is the cause.
     pub has_survived: bool,
+    /// How the run ended.
+    pub end: IncompleteEnd,
+    /// Time from the start of the run to its end.
+    pub lasted: Millis,
 }
 
 impl FleetView {
@@ -81,6 +86,8 @@
                 Field::number("events", crash.progress),
                 Field::number("known", count.observed as u64),
                 Field::number("counted", count.counted as u64),
+                Field::text("end", crash.end.name()),
+                Field::number("ran_ms", crash.lasted.0),
             ];
             record(LogEvent::WorkerCrashed, &fields);
             self.log_quarantine(quarantine);
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -73,8 +73,9 @@
         }
         watch.record_progress(self.output().last_event.unwrap_or(0));
         match end {
-            // Dropping the watch checks the worker in the background, so the report is not delayed.
-            RunEnd::BrokenOff | RunEnd::Paused => drop(watch),
+            // The worker is checked in the background, so the report is not delayed.
+            RunEnd::BrokenOff => drop(watch.interrupted()),
+            RunEnd::Paused => drop(watch),
             RunEnd::Completed => {
                 watch.finish();
                 self.record_completion(client);
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -9,6 +9,7 @@
 
 use stallmoor_core::serving::crashes::RequestKeys;
 use stallmoor_core::serving::workers::Choice;
+use stallmoor_core::time::{Millis, Timestamp};
 use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 
@@ -51,16 +52,45 @@
     }
 }
 
-/// Guard that checks the worker when a run is interrupted. Dropping it counts as an interruption.
+/// How a run without a complete answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IncompleteEnd {
+    /// The worker broke off its answer, or stopped answering.
+    BrokenOff,
+    /// This node stopped the run: it was paused, or its result is no longer needed.
+    Abandoned,
+}
+
+impl IncompleteEnd {
+    /// Returns the name used in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::BrokenOff => "BrokenOff",
+            Self::Abandoned => "Abandoned",
+        }
+    }
+}
+
+/// A run without a complete answer, whose worker is checked.
+struct IncompleteRun {
+    run: WorkerRun,
+    end: IncompleteEnd,
+    /// Time from the start of the run to its end.
+    lasted: Millis,
+}
+
+/// Guard that checks the worker when a run ends without a complete answer. Dropping it counts as abandoning the run.
 pub struct RunWatch {
     client: Arc<WorkerClient>,
     run: Option<WorkerRun>,
+    started_at: Timestamp,
 }
 
 impl RunWatch {
     /// Starts watching a request that is being sent to a worker.
     pub fn new(client: Arc<WorkerClient>, run: WorkerRun) -> Self {
-        Self { client, run: Some(run) }
+        let started_at = client.view.clock.now();
+        Self { client, run: Some(run), started_at }
     }
 
     /// Records the number of the last event received, and the first time the worker has survived the request.
@@ -78,13 +108,14 @@
         self.run = None;
     }
 
-    /// Starts the checks after a run was interrupted or abandoned. Returns the task of the first check.
+    /// Starts the checks after a run was interrupted. Returns the task of the first check.
     pub fn interrupted(mut self) -> Option<JoinHandle<()>> {
-        self.start_check()
+        self.start_check(IncompleteEnd::BrokenOff)
     }
 
-    fn start_check(&mut self) -> Option<JoinHandle<()>> {
-        let run = self.run.take()?;
+    fn start_check(&mut self, end: IncompleteEnd) -> Option<JoinHandle<()>> {
+        let lasted = self.client.view.clock.now().since(self.started_at);
+        let run = IncompleteRun { run: self.run.take()?, end, lasted };
         let client = self.client.clone();
         // No runtime is available during shutdown.
         let runtime = Handle::try_current().ok()?;
@@ -98,12 +129,12 @@
 
 impl Drop for RunWatch {
     fn drop(&mut self) {
-        self.start_check();
+        self.start_check(IncompleteEnd::Abandoned);
     }
 }
 
 impl WorkerClient {
-    async fn check_again(&self, run: &WorkerRun) {
+    async fn check_again(&self, run: &IncompleteRun) {
         for delay in [SECOND_CHECK_DELAY, LAST_CHECK_DELAY] {
             if self.check_crash(run, delay).await {
                 return;
@@ -112,8 +143,9 @@
     }
 
     /// Checks the worker after `delay` and records a crash. Returns whether the worker crashed.
-    async fn check_crash(&self, run: &WorkerRun, delay: Duration) -> bool {
+    async fn check_crash(&self, incomplete: &IncompleteRun, delay: Duration) -> bool {
         tokio::time::sleep(delay).await;
+        let IncompleteRun { run, end, lasted } = incomplete;
         let has_crashed = self.has_crashed(run).await;
         if has_crashed {
             self.view.record_crash(&ObservedCrash {
@@ -122,6 +154,8 @@
                 worker: run.choice.id.clone(),
                 progress: run.progress,
                 has_survived: run.has_survived(),
+                end: *end,
+                lasted: *lasted,
             });
         }
         has_crashed
--- a/crates/gateway/tests/crash_reports.rs
+++ b/crates/gateway/tests/crash_reports.rs
@@ -13,11 +13,13 @@
 use stallmoor_core::serving::relay::item::Revision;
 use stallmoor_core::serving::request::RequestAttributes;
 use stallmoor_core::serving::workers::WorkerId;
+use stallmoor_core::time::Millis;
 use stallmoor_gateway::adapter::metadata::PutOutcome;
 use stallmoor_gateway::clock::NodeClock;
 use stallmoor_gateway::fleet::crash_reports::report_crashes;
 use stallmoor_gateway::fleet::crash_view::ObservedCrash;
 use stallmoor_gateway::fleet::fleet_view::FleetView;
+use stallmoor_gateway::workers::crash_check::IncompleteEnd;
 
 const CRASHES: u64 = 200;
 const CRASH_INTERVAL: Duration = Duration::from_millis(10);
@@ -31,7 +33,15 @@
         body: &number.to_le_bytes(),
     });
     let worker = WorkerId(Arc::from(format!("w-{number}")));
-    ObservedCrash { request: Arc::from(format!("r-{number}")), keys, worker, progress: 0, has_survived: false }
+    ObservedCrash {
+        request: Arc::from(format!("r-{number}")),
+        keys,
+        worker,
+        progress: 0,
+        has_survived: false,
+        end: IncompleteEnd::BrokenOff,
+        lasted: Millis(100),
+    }
 }
 
 /// Reports [`CRASHES`] crashes, one each [`CRASH_INTERVAL`], as one of `gateways` gateways.
