Crashes count against a request only beyond those that unrelated causes explain

Cause: the crash ledger counted crashes and never asked how many to expect. A run of 10 s meets an unrelated crash more likely than not while a sixth of the workers crash each second, and four runs in a row do so for one item in a few.

Change: a crash report tells how long the run lasted, how many events it brought, and how many workers the service had (a new optional field; earlier versions ignore it, and crashes that they report count as before). The ledger keeps the worker crashes by time. From the crashes of other workers during the runs it computes how many crashes a request that causes none would meet, and the request is quarantined only if as many as were seen have a probability below 1e-4. At one point of the response, only the part of the runs around that point counts. The same rule holds for online requests and streams, which share the ledger.

Why this works: a request that crashes its workers does so soon after each run begins, so its runs are short and the expected number stays far below one, whatever else crashes; a long run collects expected crashes as fast as it meets them.

--- a/crates/core/src/serving/crashes/evidence.rs
+++ b/crates/core/src/serving/crashes/evidence.rs
@@ -3,6 +3,8 @@
 //! A crash affects all requests in the worker's slots, most of which did not cause it. A request becomes more likely to
 //! be the cause with each crash, and more so if the crashes occur at the same point of its response.
 
+use super::coincidence::is_coincidence;
+use super::report::CrashedRun;
 use crate::serving::workers::WorkerId;
 use crate::time::{Millis, UnixMillis};
 
@@ -17,7 +19,7 @@
 const TOTAL_CRASH_THRESHOLD: usize = CRASH_THRESHOLD + 3;
 /// Observations of a crash of the same worker within this time refer to the same crash. Later ones are crashes of a
 /// restarted worker.
-const SAME_CRASH_WINDOW: Millis = Millis(1_000);
+pub(super) const SAME_CRASH_WINDOW: Millis = Millis(1_000);
 /// Maximum distance, in events, of two crashes at the same point of a response; some events are lost in transit when a
 /// worker crashes.
 const SAME_POINT_TOLERANCE: u64 = 2;
@@ -41,6 +43,30 @@
     pub(super) observation: &'a Observation,
     /// Number of the last event of the response before the crash, 0 for none.
     pub(super) progress: u64,
+    /// The run during which the worker crashed, if known.
+    pub(super) run: Option<&'a CrashedRun>,
+}
+
+impl CandidateCrash<'_> {
+    /// Returns the part of the run, from 0 to 1, in which a crash would have been at the same point of the response.
+    fn share_at_same_point(&self) -> f64 {
+        let events = self.run.map_or(0, |run| run.events);
+        ((2 * SAME_POINT_TOLERANCE + 1) as f64 / (events as f64 + 1.0)).min(1.0)
+    }
+}
+
+/// A number of crashes, and how many of them unrelated causes lead to.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    crashes: usize,
+    expected: f64,
+}
+
+impl Count {
+    /// Returns the number of crashes beyond `threshold`; `None` if there are fewer, or if they may be a coincidence.
+    fn excess(self, threshold: usize) -> Option<usize> {
+        self.crashes.checked_sub(threshold).filter(|_| !is_coincidence(self.crashes, self.expected))
+    }
 }
 
 /// Crash counts of a request. The order decides which of two requests explains a crash that affected both: crashes at
@@ -79,31 +105,77 @@
     }
 }
 
-/// Crashes attributed to a request.
+/// A crash that affected a request, weighed against the crashes of other workers.
 #[derive(Clone, Copy, Debug)]
+pub(super) struct WeighedCrash<'a> {
+    pub(super) crash: CandidateCrash<'a>,
+    /// Number of crashes that unrelated causes lead to during the run.
+    pub(super) expected: f64,
+    /// Whether there is stronger evidence that another request or a prompt part caused it.
+    pub(super) is_explained: bool,
+}
+
+/// Crashes attributed to a request.
+#[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Attribution {
-    /// Crashes that no other request explains.
-    pub(super) unexplained: Evidence,
-    /// Number of all crashes since the last completion.
-    pub(super) total: usize,
+    /// Largest number of crashes at the same point of the response that no other request explains.
+    at_same_point: Count,
+    /// All crashes that no other request explains.
+    unexplained: Count,
+    /// All crashes since the last completion.
+    all: Count,
 }
 
 impl Attribution {
+    pub(super) fn of(crashes: &[WeighedCrash<'_>]) -> Self {
+        let unexplained = crashes.iter().filter(|weighed| !weighed.is_explained);
+        Self { at_same_point: at_same_point(crashes), unexplained: count(unexplained), all: count(crashes.iter()) }
+    }
+
     /// Returns the number of crashes beyond the quarantine threshold, or `None` below it.
     pub(super) fn excess(self) -> Option<usize> {
-        self.unexplained.excess().max(self.total.checked_sub(TOTAL_CRASH_THRESHOLD))
+        let at_same_point = self.at_same_point.excess(CRASH_THRESHOLD);
+        let scattered = self.unexplained.excess(SCATTERED_CRASH_THRESHOLD);
+        at_same_point.max(scattered).max(self.all.excess(TOTAL_CRASH_THRESHOLD))
     }
 
-    /// Returns whether one more crash would quarantine the request.
+    /// Returns whether one more crash may quarantine the request.
     pub(super) fn is_near_quarantine(self) -> bool {
-        let Evidence { at_same_point, total } = self.unexplained;
-        at_same_point + 1 >= CRASH_THRESHOLD
-            || total + 1 >= SCATTERED_CRASH_THRESHOLD
-            || self.total + 1 >= TOTAL_CRASH_THRESHOLD
+        self.at_same_point.crashes + 1 >= CRASH_THRESHOLD
+            || self.unexplained.crashes + 1 >= SCATTERED_CRASH_THRESHOLD
+            || self.all.crashes + 1 >= TOTAL_CRASH_THRESHOLD
+    }
+
+    /// Returns the number of crashes that unrelated causes lead to during the runs.
+    pub(super) fn expected(self) -> f64 {
+        self.all.expected
     }
 
     /// Returns the number of crashes that count toward the quarantine.
     pub(super) fn counted(self) -> usize {
-        if self.total >= TOTAL_CRASH_THRESHOLD { self.total } else { self.unexplained.total }
+        let all = self.all.crashes;
+        if all >= TOTAL_CRASH_THRESHOLD { all } else { self.unexplained.crashes }
     }
 }
+
+fn count<'a>(crashes: impl Iterator<Item = &'a WeighedCrash<'a>>) -> Count {
+    crashes.fold(Count::default(), |count, weighed| Count {
+        crashes: count.crashes + 1,
+        expected: count.expected + weighed.expected,
+    })
+}
+
+/// Returns the largest group of unexplained crashes at the same point of the response.
+fn at_same_point(crashes: &[WeighedCrash<'_>]) -> Count {
+    let unexplained = || crashes.iter().filter(|weighed| !weighed.is_explained);
+    let count_from = |first: u64| {
+        let last = first.saturating_add(SAME_POINT_TOLERANCE);
+        let group = unexplained().filter(|weighed| (first..=last).contains(&weighed.crash.progress));
+        group.fold(Count::default(), |count, weighed| Count {
+            crashes: count.crashes + 1,
+            expected: count.expected + weighed.expected * weighed.crash.share_at_same_point(),
+        })
+    };
+    let groups = unexplained().map(|weighed| count_from(weighed.crash.progress));
+    groups.max_by_key(|group| group.crashes).unwrap_or_default()
+}
--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -6,13 +6,15 @@
 
 use std::collections::BTreeSet;
 
+use super::coincidence::expected_crashes;
 use super::digest::RequestDigest;
-use super::evidence::{Attribution, Evidence, Observation};
+use super::evidence::{Attribution, CandidateCrash, Evidence, Observation, WeighedCrash};
 use super::parts::{MergedParts, PartLedger};
 use super::recent::RecentTimes;
 use super::report::{Completion, Crash, CrashReport, MAX_REPORTED_CRASHES};
 use super::suspect::{LastCompletion, Source, SuspectRequest};
 use super::table::{Evicted, SuspectTable};
+use super::timeline::CrashTimeline;
 use crate::backoff::Backoff;
 use crate::serving::workers::WorkerId;
 use crate::time::{Millis, UnixMillis};
@@ -41,12 +43,15 @@
 }
 
 /// Crash counts of a request, for logging.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CrashCount {
     /// Number of stored observations.
     pub observed: usize,
     /// Number of crashes that count toward a quarantine.
     pub counted: usize,
+    /// Number of crashes that unrelated causes lead to during the runs of the request. Only computed once there are enough
+    /// crashes for a quarantine.
+    pub expected: f64,
 }
 
 /// Size of a ledger, for metrics.
@@ -65,6 +70,7 @@
 #[derive(Clone, Debug)]
 pub struct CrashLedger {
     suspects: SuspectTable,
+    timeline: CrashTimeline,
     evicted: Evicted,
     recent: RecentTimes<RequestDigest>,
     parts: PartLedger,
@@ -74,6 +80,7 @@
     fn default() -> Self {
         Self {
             suspects: SuspectTable::default(),
+            timeline: CrashTimeline::default(),
             evicted: Evicted::default(),
             recent: RecentTimes::new(COMPLETION_GRACE_PERIOD),
             parts: PartLedger::default(),
@@ -106,8 +113,8 @@
         }
     }
 
-    /// Records that a worker crashed while it ran a request of this node. `progress` is the number of the last event of
-    /// the response, 0 for none. Returns the resulting quarantine, if any.
+    /// Records that a worker crashed while it ran a request of this node, of which nothing else is known. `progress` is
+    /// the number of the last event of the response, 0 for none. Returns the resulting quarantine, if any.
     pub fn record_local_crash(
         &mut self,
         digest: RequestDigest,
@@ -115,7 +122,13 @@
         progress: u64,
         now: UnixMillis,
     ) -> Option<Quarantine> {
-        self.record_crash(Crash { digest, worker, at: now, progress }, Source::Local);
+        self.record_local_crash_of_run(Crash { digest, worker, at: now, progress, run: None })
+    }
+
+    /// Records that a worker crashed while it ran a request of this node. Returns the resulting quarantine, if any.
+    pub fn record_local_crash_of_run(&mut self, crash: Crash) -> Option<Quarantine> {
+        let (digest, now) = (crash.digest, crash.at);
+        self.record_crash(crash, Source::Local);
         self.evict(now);
         self.quarantine(digest)
     }
@@ -131,8 +144,8 @@
     /// Returns the crash counts of a request.
     pub fn count(&self, digest: RequestDigest) -> CrashCount {
         let observed = self.suspects.get(digest).map_or(0, SuspectRequest::observed);
-        let counted = self.attribute(digest).map_or(0, Attribution::counted);
-        CrashCount { observed, counted }
+        let attribution = self.attribute(digest).unwrap_or_default();
+        CrashCount { observed, counted: attribution.counted(), expected: attribution.expected() }
     }
 
     /// Returns the remaining quarantine of a request, or `None` if it may run.
@@ -187,6 +200,7 @@
                 worker: observation.worker.clone(),
                 at: observation.at,
                 progress: details.progress,
+                run: details.run.clone(),
             });
             report.crashes.extend(crashes.take(max_crashes - report.crashes.len()));
             let completed = suspect.reportable_completion();
@@ -204,6 +218,10 @@
     /// Records a crash. Returns whether it is new.
     fn record_crash(&mut self, crash: Crash, source: Source) -> bool {
         let digest = crash.digest;
+        if let Some(run) = &crash.run {
+            let observation = Observation { worker: crash.worker.clone(), at: crash.at };
+            self.timeline.record(&observation, &run.service);
+        }
         let recent = &self.recent;
         let new = || {
             let completed = recent.last(digest).map(|at| LastCompletion { at, source: Source::Local });
@@ -215,13 +233,26 @@
     /// Counts the crashes since a request's last completion that are attributed to it.
     ///
     /// A crash affects all requests in the worker's slots. If another affected request, or a part of their prompts, has
-    /// stronger evidence that suffices for a quarantine, the crash counts for that request or part only.
+    /// stronger evidence that suffices for a quarantine, the crash counts for that request or part only. Crashes count for
+    /// none if as many are to be expected from the crashes of other workers.
     fn attribute(&self, digest: RequestDigest) -> Option<Attribution> {
         let suspect = self.suspects.get(digest)?;
         let own = suspect.evidence();
-        let mut unexplained = suspect.crashes();
-        unexplained.retain(|crash| !self.is_explained(crash.observation, own));
-        Some(Attribution { unexplained: Evidence::of(&unexplained), total: own.total })
+        let crashes = suspect.crashes();
+        let observations: Vec<&Observation> = crashes.iter().map(|crash| crash.observation).collect();
+        let weigh = |crash| WeighedCrash {
+            crash,
+            expected: self.expected_crashes(&crash, own, &observations),
+            is_explained: self.is_explained(crash.observation, own),
+        };
+        let weighed: Vec<WeighedCrash<'_>> = crashes.iter().copied().map(weigh).collect();
+        Some(Attribution::of(&weighed))
+    }
+
+    /// Returns how many crashes unrelated causes lead to during a run, or zero if the answer would not matter, as all
+    /// crashes together do not suffice for a quarantine.
+    fn expected_crashes(&self, crash: &CandidateCrash<'_>, own: Evidence, observations: &[&Observation]) -> f64 {
+        if own.meets_threshold() { expected_crashes(crash, observations, &self.timeline) } else { 0.0 }
     }
 
     /// Returns whether there is stronger evidence than `own` that another request or a prompt part caused a crash.
--- a/crates/core/src/serving/crashes/mod.rs
+++ b/crates/core/src/serving/crashes/mod.rs
@@ -7,6 +7,7 @@
 //! | module | contents |
 //! |---|---|
 //! | [`digest`] | [`RequestKeys`]: identification of a request that is sent again |
+//! | `coincidence` | whether unrelated causes explain the crashes |
 //! | `evidence` | the crash counts and thresholds that decide on a quarantine |
 //! | [`ledger`] | [`CrashLedger`]: the crash history and quarantine of each request |
 //! | [`parts`] | [`PartLedger`]: the crash history and quarantine of each prompt part |
@@ -15,7 +16,9 @@
 //! | [`report`] | the crash reports that nodes exchange |
 //! | `suspect` | the crash history of one request |
 //! | `table` | the tracked requests, and which of them are evicted |
+//! | `timeline` | the worker crashes by time, whichever request they affected |
 
+mod coincidence;
 pub mod digest;
 mod evidence;
 pub mod ledger;
@@ -25,9 +28,10 @@
 pub mod report;
 mod suspect;
 mod table;
+mod timeline;
 
 pub use digest::{PartDigest, RequestContent, RequestDigest, RequestKeys};
 pub use evidence::CRASH_THRESHOLD;
 pub use ledger::{CrashCount, CrashLedger, LedgerSize, Quarantine};
 pub use parts::{PartCounts, PartLedger, PartQuarantine};
-pub use report::CrashReport;
+pub use report::{CrashReport, CrashedRun};
--- a/crates/core/src/serving/crashes/report.rs
+++ b/crates/core/src/serving/crashes/report.rs
@@ -3,6 +3,8 @@
 //! Each node maintains one record, which all other nodes watch. Nodes of earlier versions ignore it. The JSON field
 //! names are part of the stored format and must not change.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use super::digest::{PartDigest, RequestDigest};
@@ -45,6 +47,22 @@
     /// Number of the last event of the response before the crash, 0 for none.
     #[serde(default)]
     pub progress: u64,
+    /// The run during which the worker crashed; `None` if a node of an earlier version observed the crash.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub run: Option<CrashedRun>,
+}
+
+/// The run of a request during which a worker crashed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashedRun {
+    /// Service of the worker.
+    pub service: Arc<str>,
+    /// Number of workers of the service that accepted requests when the crash was observed.
+    pub workers: u32,
+    /// Time from the start of the run to its end, in milliseconds.
+    pub lasted: Millis,
+    /// Number of events received during the run.
+    pub events: u64,
 }
 
 /// A completion of a request.
--- a/crates/core/src/serving/crashes/suspect.rs
+++ b/crates/core/src/serving/crashes/suspect.rs
@@ -2,7 +2,7 @@
 
 use super::evidence::{CRASH_THRESHOLD, CandidateCrash, Evidence, Observation};
 use super::ledger::COMPLETION_GRACE_PERIOD;
-use super::report::Crash;
+use super::report::{Crash, CrashedRun};
 use crate::time::UnixMillis;
 
 /// Maximum number of observations stored per request; the oldest are evicted first. Bounds memory.
@@ -16,10 +16,11 @@
 }
 
 /// Details of an observation that are not part of its identity.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct ObservationDetails {
     /// Number of the last event of the response before the crash, 0 for none.
     pub(super) progress: u64,
+    pub(super) run: Option<CrashedRun>,
     pub(super) source: Source,
 }
 
@@ -64,7 +65,7 @@
     /// Records a crash. Returns whether it is new.
     pub(super) fn record_crash(&mut self, crash: Crash, source: Source) -> bool {
         let observation = Observation { worker: crash.worker, at: crash.at };
-        let details = ObservationDetails { progress: crash.progress, source };
+        let details = ObservationDetails { progress: crash.progress, run: crash.run, source };
         let Err(position) = self.observations.binary_search_by(|(known, _)| known.cmp(&observation)) else {
             return false;
         };
@@ -98,8 +99,14 @@
         let mut crashes: Vec<CandidateCrash<'_>> = Vec::new();
         for (observation, details) in self.active_observations() {
             match crashes.last_mut().filter(|last| last.observation.is_same_crash(observation)) {
-                Some(last) => last.progress = last.progress.max(details.progress),
-                None => crashes.push(CandidateCrash { observation, progress: details.progress }),
+                Some(last) => {
+                    last.progress = last.progress.max(details.progress);
+                    last.run = last.run.or(details.run.as_ref());
+                }
+                None => {
+                    let run = details.run.as_ref();
+                    crashes.push(CandidateCrash { observation, progress: details.progress, run });
+                }
             }
         }
         crashes
--- a/crates/gateway/src/fleet/crash_view.rs
+++ b/crates/gateway/src/fleet/crash_view.rs
@@ -6,9 +6,9 @@
 use std::sync::{Arc, MutexGuard};
 
 use stallmoor_core::log_event::LogEvent;
-use stallmoor_core::serving::crashes::report::PartCrash;
+use stallmoor_core::serving::crashes::report::{Crash, PartCrash};
 use stallmoor_core::serving::crashes::{
-    CrashCount, CrashLedger, CrashReport, PartQuarantine, Quarantine, RequestDigest, RequestKeys,
+    CrashCount, CrashLedger, CrashReport, CrashedRun, PartQuarantine, Quarantine, RequestDigest, RequestKeys,
 };
 use stallmoor_core::serving::workers::WorkerId;
 use stallmoor_core::time::Millis;
@@ -33,8 +33,8 @@
     pub has_survived: bool,
     /// How the run ended.
     pub end: IncompleteEnd,
-    /// Time from the start of the run to its end.
-    pub lasted: Millis,
+    /// The run during which the worker crashed.
+    pub run: CrashedRun,
 }
 
 impl FleetView {
@@ -75,8 +75,13 @@
         for digest in crash.keys.digests() {
             let (quarantine, count) = {
                 let mut crashes = self.crashes();
-                let quarantine =
-                    crashes.record_local_crash(digest, crash.worker.clone(), crash.progress, self.clock.wall_time());
+                let quarantine = crashes.record_local_crash_of_run(Crash {
+                    digest,
+                    worker: crash.worker.clone(),
+                    at: self.clock.wall_time(),
+                    progress: crash.progress,
+                    run: Some(crash.run.clone()),
+                });
                 (quarantine, crashes.count(digest))
             };
             let fields = [
@@ -86,8 +91,9 @@
                 Field::number("events", crash.progress),
                 Field::number("known", count.observed as u64),
                 Field::number("counted", count.counted as u64),
+                Field::text("expected", format_args!("{:.2}", count.expected)),
                 Field::text("end", crash.end.name()),
-                Field::number("ran_ms", crash.lasted.0),
+                Field::number("ran_ms", crash.run.lasted.0),
             ];
             record(LogEvent::WorkerCrashed, &fields);
             self.log_quarantine(quarantine);
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stallmoor_core::serving::crashes::RequestKeys;
+use stallmoor_core::serving::crashes::{CrashedRun, RequestKeys};
 use stallmoor_core::serving::workers::Choice;
 use stallmoor_core::time::{Millis, Timestamp};
 use tokio::runtime::Handle;
@@ -155,12 +155,22 @@
                 progress: run.progress,
                 has_survived: run.has_survived(),
                 end: *end,
-                lasted: *lasted,
+                run: self.crashed_run(run, *lasted),
             });
         }
         has_crashed
     }
 
+    fn crashed_run(&self, run: &WorkerRun, lasted: Millis) -> CrashedRun {
+        let ready = self.view.workers().ready_count(&run.service, self.view.clock.now());
+        CrashedRun {
+            service: run.service.clone(),
+            workers: u32::try_from(ready).unwrap_or(u32::MAX),
+            lasted,
+            events: run.progress.saturating_sub(run.started_after),
+        }
+    }
+
     /// Returns whether the worker is unreachable. Without evidence, that is if the worker's zone is evacuated or the
     /// connection limit is reached, it does not count as crashed.
     async fn has_crashed(&self, run: &WorkerRun) -> bool {
--- a/crates/gateway/tests/golden.rs
+++ b/crates/gateway/tests/golden.rs
@@ -86,6 +86,7 @@
         worker: WorkerId(Arc::from(format!("i-{number}"))),
         at: CRASHED_AT,
         progress: number,
+        run: None,
     };
     let completion = Completion { digest: "1".parse().expect("valid digest"), at: CRASHED_AT };
     let report =
