--- a/crates/core/src/serving/crashes/evidence.rs
+++ b/crates/core/src/serving/crashes/evidence.rs
@@ -19,7 +19,7 @@
 const TOTAL_CRASH_THRESHOLD: usize = CRASH_THRESHOLD + 3;
 /// Observations of a crash of the same worker within this time refer to the same crash. Later ones are crashes of a
 /// restarted worker.
-pub(super) const SAME_CRASH_WINDOW: Millis = Millis(1_000);
+const SAME_CRASH_WINDOW: Millis = Millis(1_000);
 /// Maximum distance, in events, of two crashes at the same point of a response; some events are lost in transit when a
 /// worker crashes.
 const SAME_POINT_TOLERANCE: u64 = 2;
--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -5,6 +5,7 @@
 //! the same decisions.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use super::coincidence::expected_crashes;
 use super::digest::RequestDigest;
@@ -133,6 +134,12 @@
         self.quarantine(digest)
     }
 
+    /// Records that a worker of `service` was lost, whatever it ran. Such losses tell how many crashes unrelated causes lead
+    /// to; a loss of which a crash is known counts once.
+    pub fn record_worker_loss(&mut self, worker: WorkerId, service: &Arc<str>, at: UnixMillis) {
+        self.timeline.record(&Observation { worker, at }, service);
+    }
+
     /// Records that a request of this node completed, which clears its earlier crashes. Returns the crash counts before
     /// that, or `None` if there were no crashes.
     pub fn record_local_completion(&mut self, digest: RequestDigest, now: UnixMillis) -> Option<CrashCount> {
--- a/crates/core/src/serving/workers/table.rs
+++ b/crates/core/src/serving/workers/table.rs
@@ -202,6 +202,12 @@
         self.workers.values().filter(is_ready).count()
     }
 
+    /// Returns the service of a worker that neither drains nor has departed.
+    pub fn ready_service(&self, id: &WorkerId) -> Option<Arc<str>> {
+        let entry = self.workers.get(id).filter(|entry| matches!(entry.presence, Presence::Ready))?;
+        Some(entry.record.service.clone())
+    }
+
     /// Returns the entry of a worker if it matches the given incarnation, and marks the worker as active.
     pub(super) fn entry_mut(&mut self, incarnation: &WorkerIncarnation) -> Option<&mut WorkerEntry> {
         let entry =
--- a/crates/core/tests/crash_storm.rs
+++ b/crates/core/tests/crash_storm.rs
@@ -65,15 +65,18 @@
     for workers in SIZES {
         let outcomes = play_all("storm and fatal", Scenario { workers, has_storm: true, fatal_items: FATAL_ITEMS });
         for outcome in outcomes {
+            assert_eq!(outcome.unfinished, 0, "{workers} workers: {outcome:?}");
             assert!(outcome.late_fatal_runs <= MAX_LATE_RUNS, "{workers} workers: {outcome:?}");
         }
     }
 }
 
 const SERVICE: &str = "service";
+/// Twelve workers, and the records of six that crashed within the last seconds.
+const RECORDS: u32 = 18;
 
 fn crash_of_run(request: &str, number: u64, millis: u64, lasted: u64, progress: u64) -> Crash {
-    let run = CrashedRun { service: Arc::from(SERVICE), workers: 12, lasted: Millis(lasted), events: progress };
+    let run = CrashedRun { service: Arc::from(SERVICE), workers: RECORDS, lasted: Millis(lasted), events: progress };
     Crash { digest: digest(request), worker: worker(number), at: at(millis), progress, run: Some(run) }
 }
 
@@ -96,12 +99,12 @@
         ledger.record_local_crash_of_run(crash_of_run("long", number as u64, millis, 2_900, 70 * number as u64));
     }
     assert_eq!(ledger.quarantined_for(digest("long"), at(12_000)), None);
-    for (number, millis) in [3_000, 3_200, 3_400, 3_600].into_iter().enumerate() {
+    for (number, millis) in [6_000, 6_200, 6_400, 6_600, 6_800].into_iter().enumerate() {
         ledger.record_local_crash_of_run(crash_of_run("fatal", 50 + number as u64, millis, 120, number as u64 * 9));
     }
     assert!(
         ledger.quarantined_for(digest("fatal"), at(12_000)).is_some(),
-        "short runs don't meet four crashes by chance"
+        "short runs don't meet five crashes by chance"
     );
 }
 
@@ -120,6 +123,35 @@
     assert_eq!(ledger.quarantined_for(digest("resumed"), at(4_000)), None);
 }
 
+/// Guards against counting only the crashes of workers at which this node ran something.
+#[test]
+fn lost_workers_that_ran_nothing_count_as_crashes_of_others() {
+    let mut ledger = CrashLedger::default();
+    for (number, millis) in [3_000, 6_000, 9_000, 12_000].into_iter().enumerate() {
+        ledger.record_local_crash_of_run(crash_of_run("long", number as u64, millis, 2_900, 70 * number as u64));
+    }
+    assert!(ledger.quarantined_for(digest("long"), at(12_000)).is_some(), "no other crash is known");
+    for loss in 2..24_u64 {
+        ledger.record_worker_loss(worker(100 + loss), &Arc::from(SERVICE), at(loss * 500));
+    }
+    assert_eq!(ledger.quarantined_for(digest("long"), at(15_600)), None);
+}
+
+/// Guards against counting the crash of a worker once more when its record is removed.
+#[test]
+fn loss_of_a_worker_that_is_known_to_have_crashed_counts_once() {
+    let mut ledger = CrashLedger::default();
+    for number in 0..3 {
+        ledger.record_local_crash_of_run(crash_of_run("fatal", number, 1_000 + 150 * number, 120, 0));
+    }
+    for number in 0..3 {
+        ledger.record_worker_loss(worker(number), &Arc::from(SERVICE), at(2_000));
+    }
+    let count = ledger.count(digest("fatal"));
+    assert!(count.expected.abs() < f64::EPSILON, "{count:?}");
+    assert!(ledger.quarantined_for(digest("fatal"), at(2_000)).is_some());
+}
+
 /// Guards against disagreement of nodes, as the decision depends on the crashes of other requests.
 #[test]
 fn a_node_that_learns_of_the_other_crashes_ends_a_quarantine() {
--- a/crates/core/tests/support/storm.rs
+++ b/crates/core/tests/support/storm.rs
@@ -24,6 +24,8 @@
 /// Time from a crash until the leader has detected it, and until another worker takes its place.
 const DETECTION_MS: u64 = 20;
 const DOWN_MS: u64 = 2_000;
+/// Time from a crash until the worker's record is removed.
+const RECORD_LAPSE_MS: u64 = 3_600;
 /// Items are submitted until then, one for each worker in this interval.
 const SUBMITTED_UNTIL_MS: u64 = 30_000;
 const SUBMISSION_MS: u64 = 2_000;
@@ -88,6 +90,8 @@
     workers: Vec<Worker>,
     next_worker: u64,
     items: Vec<Item>,
+    /// Times at which workers crashed.
+    crashed: Vec<u64>,
     /// Number of sound items submitted.
     submitted: u64,
     open: BTreeSet<usize>,
@@ -104,6 +108,7 @@
         workers,
         next_worker: scenario.workers,
         items: Vec::new(),
+        crashed: Vec::new(),
         submitted: 0,
         open: BTreeSet::new(),
         undetected: BTreeMap::new(),
@@ -166,8 +171,9 @@
     }
 
     fn crash(&mut self, index: usize, now: u64) {
-        let ready = self.workers.iter().filter(|worker| worker.up_from <= now).count() as u32;
+        let records = self.workers.iter().filter(|worker| worker.up_from <= now).count() + self.stale_records(now);
         let number = self.workers[index].number;
+        self.crashed.push(now);
         for run in std::mem::take(&mut self.workers[index].runs) {
             let item = &mut self.items[run.item];
             let lasted = now - run.started;
@@ -182,7 +188,12 @@
                 worker: worker(number),
                 at: at(now + DETECTION_MS),
                 progress: item.done_ms / EVENT_MS,
-                run: Some(CrashedRun { service: Arc::from("service"), workers: ready, lasted: Millis(lasted), events }),
+                run: Some(CrashedRun {
+                    service: Arc::from("service"),
+                    workers: records as u32,
+                    lasted: Millis(lasted),
+                    events,
+                }),
             };
             self.undetected.entry(now + DETECTION_MS).or_default().push((run.item, crash));
             self.open.insert(run.item);
@@ -191,6 +202,11 @@
         self.next_worker += 1;
     }
 
+    /// Returns the number of crashed workers whose records are not removed yet.
+    fn stale_records(&self, now: u64) -> usize {
+        self.crashed.iter().filter(|at| now - **at < RECORD_LAPSE_MS).count()
+    }
+
     fn finish(&mut self, now: u64) {
         for worker in &mut self.workers {
             let items = &mut self.items;
--- a/crates/gateway/src/fleet/crash_view.rs
+++ b/crates/gateway/src/fleet/crash_view.rs
@@ -10,8 +10,8 @@
 use stallmoor_core::serving::crashes::{
     CrashCount, CrashLedger, CrashReport, CrashedRun, PartQuarantine, Quarantine, RequestDigest, RequestKeys,
 };
-use stallmoor_core::serving::workers::WorkerId;
-use stallmoor_core::time::Millis;
+use stallmoor_core::serving::workers::{WorkerId, WorkerRecord};
+use stallmoor_core::time::{Millis, UnixMillis};
 
 use super::fleet_view::{FleetView, lock};
 use crate::observe::journal::{Field, record};
@@ -105,6 +105,22 @@
         self.crash_report_needed.notify_one();
     }
 
+    /// Records that the record of a worker was removed. Unless the worker was draining, it has crashed.
+    pub(super) fn record_worker_loss(&self, worker: &WorkerId) {
+        let Some(service) = self.workers().ready_service(worker) else { return };
+        let crashed_at = UnixMillis(self.clock.wall_time().0.saturating_sub(self.record_lapse.0));
+        self.crashes().record_worker_loss(worker.clone(), &service, crashed_at);
+    }
+
+    /// Records that a worker has crashed if `record` is of a later start than the one that is known.
+    pub(super) fn record_worker_restart(&self, record: &WorkerRecord) {
+        let known = self.workers().record(&record.id).and_then(|known| known.started_at);
+        let Some(restarted_at) = record.started_at.filter(|at| known.is_some_and(|known| known < *at)) else { return };
+        if let Some(service) = self.workers().ready_service(&record.id) {
+            self.crashes().record_worker_loss(record.id.clone(), &service, restarted_at);
+        }
+    }
+
     fn record_part_crashes(&self, crash: &ObservedCrash) {
         let now = self.clock.wall_time();
         for part in crash.keys.parts.iter() {
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -19,7 +19,7 @@
 use stallmoor_core::serving::regions::RegionMap;
 use stallmoor_core::serving::relay::item::MetadataItem;
 use stallmoor_core::serving::workers::{WorkerChange, WorkerId, WorkerTable};
-use stallmoor_core::time::Timestamp;
+use stallmoor_core::time::{Millis, Timestamp};
 use tokio::sync::{Notify, watch};
 
 use crate::adapter::metadata::FleetUpdate;
@@ -46,6 +46,8 @@
     storage: Mutex<StorageDirectory>,
     founding: Mutex<Option<FoundingRecord>>,
     pub(super) crashes: Mutex<CrashLedger>,
+    /// Time from a worker's crash to the removal of its record.
+    pub(super) record_lapse: Millis,
     size: Mutex<FleetSize>,
     /// Number of gateways that exchanged loads at the last exchange; 0 if unknown.
     reachable_gateways: AtomicU32,
@@ -72,6 +74,7 @@
             storage: Mutex::default(),
             founding: Mutex::default(),
             crashes: Mutex::new(ledger),
+            record_lapse: Millis::default(),
             size: Mutex::default(),
             reachable_gateways: AtomicU32::default(),
             crash_report_needed: Notify::new(),
@@ -88,6 +91,11 @@
         Self { regions, workers, ..self }
     }
 
+    /// Sets the time after which the record of a crashed worker is removed from the metadata store.
+    pub fn with_record_lapse(self, record_lapse: Millis) -> Self {
+        Self { record_lapse, ..self }
+    }
+
     /// Returns the active configuration; `None` before the first one is read.
     pub fn configuration(&self) -> Option<Arc<GatewayConfiguration>> {
         lock(&self.configuration).clone()
@@ -164,6 +172,7 @@
         match update {
             FleetUpdate::Configuration(configuration) => self.apply_configuration(configuration),
             FleetUpdate::Worker(worker) => {
+                self.record_worker_restart(worker);
                 let change = self.workers().apply_record(worker.clone(), self.clock.now());
                 let details = [Field::text("address", worker.address), Field::text("version", &worker.version)];
                 log_worker_change(change, details);
@@ -223,6 +232,7 @@
 
     fn remove_worker(&self, id: &WorkerId, usable_until: Timestamp) {
         let now = self.clock.now();
+        self.record_worker_loss(id);
         let change = self.workers().remove(id, usable_until, now);
         log_worker_change(change, []);
         self.workers().evict_departed(now);
--- a/crates/gateway/src/process/parts.rs
+++ b/crates/gateway/src/process/parts.rs
@@ -8,6 +8,7 @@
 use snafu::ResultExt;
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::time::Millis;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
@@ -29,6 +30,9 @@
 use crate::workers::permits::PermitRequests;
 use crate::workers::suspicion::review_periodically;
 
+/// Number of heartbeats without which the record of a worker is removed from the metadata store.
+const HEARTBEATS_TO_LAPSE: u64 = 3;
+
 /// Fleet view and worker client of a node.
 pub(super) struct NodeComponents {
     /// View of the active configuration, the workers and the storage nodes.
@@ -43,8 +47,12 @@
     /// Creates the components of the node `id` with an empty fleet view.
     pub(super) fn new(settings: &ServingSettings, adapter: &dyn PlatformAdapter, clock: NodeClock, id: NodeId) -> Self {
         let zone = Arc::from(settings.node.zone.as_str());
-        let view = Arc::new(FleetView::new(clock, zone, random_u64()).with_regions(settings.regions()));
-        let metadata = Arc::new(MetadataView::new(view.clock, settings.metadata.watch_bounds()));
+        let bounds = settings.metadata.watch_bounds();
+        let view = FleetView::new(clock, zone, random_u64())
+            .with_regions(settings.regions())
+            .with_record_lapse(Millis(HEARTBEATS_TO_LAPSE * bounds.heartbeat.0));
+        let view = Arc::new(view);
+        let metadata = Arc::new(MetadataView::new(view.clock, bounds));
         let connections = Arc::new(ConnectionPool::new(view.clock));
         let permits = Arc::new(PermitRequests::default());
         let origins = Arc::new(StreamOrigins::new(view.clone(), metadata.clone(), id));
