Quarantined batch items are tried again once few workers crash

What callers saw: a sound item that was quarantined by coincidence was never sent to a worker again. Its job ended, or showed it neither completed nor given up, with all workers idle.

A caller may repeat its request; an item has none, and 300 s is longer than a job is open. So any wrong quarantine, of whatever cause, was final.

Change: the leader runs a quarantined item as a trial (E527), one item at a time, 2, 4 and 8 s after its last crash, while at most one of twenty workers of the service crashed in the last 2 s. An item during whose runs no other worker crashed gets one failed trial, otherwise three, which is what users allow after the third crash. The number follows from the stored crashes, so that another leader does not begin anew. The rule is decided in core/serving/crashes/trials.rs.

Why this works: while few workers crash, a run that ends with a crash is no coincidence, and a run that ends well clears the item.

--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -12,10 +12,11 @@
 use super::evidence::{Attribution, CandidateCrash, Evidence, Observation, WeighedCrash};
 use super::parts::{MergedParts, PartLedger};
 use super::recent::RecentTimes;
-use super::report::{Completion, Crash, CrashReport, MAX_REPORTED_CRASHES};
+use super::report::{Completion, Crash, CrashReport, CrashedRun, MAX_REPORTED_CRASHES};
 use super::suspect::{LastCompletion, Source, SuspectRequest};
 use super::table::{Evicted, SuspectTable};
 use super::timeline::CrashTimeline;
+use super::trials::{CALM_PERIOD, ItemAdmission, TrialPacing, is_calm, next_trial};
 use crate::backoff::Backoff;
 use crate::serving::workers::WorkerId;
 use crate::time::{Millis, UnixMillis};
@@ -75,6 +76,7 @@
     evicted: Evicted,
     recent: RecentTimes<RequestDigest>,
     parts: PartLedger,
+    trials: TrialPacing,
 }
 
 impl Default for CrashLedger {
@@ -85,6 +87,7 @@
             evicted: Evicted::default(),
             recent: RecentTimes::new(COMPLETION_GRACE_PERIOD),
             parts: PartLedger::default(),
+            trials: TrialPacing::default(),
         }
     }
 }
@@ -161,6 +164,33 @@
         (remaining > 0).then_some(Millis(remaining))
     }
 
+    /// Returns whether a batch item with these digests may run now. After [`ItemAdmission::Trial`] this node admits no other
+    /// trial until the result is likely to be known.
+    pub fn admit_item(&mut self, digests: impl Iterator<Item = RequestDigest>, now: UnixMillis) -> ItemAdmission {
+        let quarantined: Vec<_> = digests.filter(|digest| self.quarantined_for(*digest, now).is_some()).collect();
+        if quarantined.is_empty() {
+            return ItemAdmission::Runs;
+        }
+        if !self.trials.is_due(now) || !quarantined.iter().all(|digest| self.may_be_tried(*digest, now)) {
+            return ItemAdmission::Waits;
+        }
+        self.trials.start(now);
+        ItemAdmission::Trial
+    }
+
+    fn may_be_tried(&self, digest: RequestDigest, now: UnixMillis) -> bool {
+        let mut crashes = self.weighed_crashes(digest);
+        crashes.sort_by_key(|weighed| weighed.crash.observation.at);
+        let is_due = next_trial(&crashes).is_some_and(|at| at <= now);
+        let run = crashes.last().and_then(|weighed| weighed.crash.run);
+        is_due && run.is_none_or(|run| self.is_calm(run, now))
+    }
+
+    fn is_calm(&self, run: &CrashedRun, now: UnixMillis) -> bool {
+        let since = UnixMillis(now.0.saturating_sub(CALM_PERIOD.0));
+        is_calm(self.timeline.count(&run.service, since, now, &[]), run.workers)
+    }
+
     /// Returns whether one more crash would quarantine the request. If so, the next attempt has to wait until the
     /// outcome of the previous one is known.
     pub fn is_near_quarantine(&self, digest: RequestDigest) -> bool {
@@ -243,17 +273,20 @@
     /// stronger evidence that suffices for a quarantine, the crash counts for that request or part only. Crashes count for
     /// none if as many are to be expected from the crashes of other workers.
     fn attribute(&self, digest: RequestDigest) -> Option<Attribution> {
-        let suspect = self.suspects.get(digest)?;
+        self.suspects.get(digest).map(|_| Attribution::of(&self.weighed_crashes(digest)))
+    }
+
+    fn weighed_crashes(&self, digest: RequestDigest) -> Vec<WeighedCrash<'_>> {
+        let Some(suspect) = self.suspects.get(digest) else { return Vec::new() };
         let own = suspect.evidence();
         let crashes = suspect.crashes();
         let observations: Vec<&Observation> = crashes.iter().map(|crash| crash.observation).collect();
-        let weigh = |crash| WeighedCrash {
-            crash,
-            expected: self.expected_crashes(&crash, own, &observations),
+        let weighed = crashes.iter().map(|crash| WeighedCrash {
+            crash: *crash,
+            expected: self.expected_crashes(crash, own, &observations),
             is_explained: self.is_explained(crash.observation, own),
-        };
-        let weighed: Vec<WeighedCrash<'_>> = crashes.iter().copied().map(weigh).collect();
-        Some(Attribution::of(&weighed))
+        });
+        weighed.collect()
     }
 
     /// Returns how many crashes unrelated causes lead to during a run, or zero if the answer would not matter, as all
--- a/crates/core/src/serving/crashes/mod.rs
+++ b/crates/core/src/serving/crashes/mod.rs
@@ -16,6 +16,7 @@
 //! | [`report`] | the crash reports that nodes exchange |
 //! | `suspect` | the crash history of one request |
 //! | `table` | the tracked requests, and which of them are evicted |
+//! | `trials` | when a quarantined batch item runs again |
 //! | `timeline` | the worker crashes by time, whichever request they affected |
 
 mod coincidence;
@@ -29,9 +30,11 @@
 mod suspect;
 mod table;
 mod timeline;
+mod trials;
 
 pub use digest::{PartDigest, RequestContent, RequestDigest, RequestKeys};
 pub use evidence::CRASH_THRESHOLD;
 pub use ledger::{CrashCount, CrashLedger, LedgerSize, Quarantine};
 pub use parts::{PartCounts, PartLedger, PartQuarantine};
 pub use report::{CrashReport, CrashedRun};
+pub use trials::ItemAdmission;
--- a/crates/core/tests/support/storm.rs
+++ b/crates/core/tests/support/storm.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use stallmoor_core::serving::crashes::report::Crash;
-use stallmoor_core::serving::crashes::{CrashLedger, CrashedRun};
+use stallmoor_core::serving::crashes::{CrashLedger, CrashedRun, ItemAdmission};
 use stallmoor_core::time::Millis;
 
 use super::crashes::{at, digest, worker};
@@ -234,7 +234,8 @@
             if self.items[item].next_run > now {
                 continue;
             }
-            if self.ledger.quarantined_for(digest(&self.items[item].name), at(now)).is_some() {
+            let digests = std::iter::once(digest(&self.items[item].name));
+            if self.ledger.admit_item(digests, at(now)) == ItemAdmission::Waits {
                 self.items[item].was_quarantined = true;
                 self.items[item].next_run = now + 1_000;
                 continue;
--- a/crates/gateway/src/fleet/crash_view.rs
+++ b/crates/gateway/src/fleet/crash_view.rs
@@ -8,7 +8,8 @@
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::serving::crashes::report::{Crash, PartCrash};
 use stallmoor_core::serving::crashes::{
-    CrashCount, CrashLedger, CrashReport, CrashedRun, PartQuarantine, Quarantine, RequestDigest, RequestKeys,
+    CrashCount, CrashLedger, CrashReport, CrashedRun, ItemAdmission, PartQuarantine, Quarantine, RequestDigest,
+    RequestKeys,
 };
 use stallmoor_core::serving::workers::{WorkerId, WorkerRecord};
 use stallmoor_core::time::{Millis, UnixMillis};
@@ -63,6 +64,23 @@
         keys.parts.iter().filter_map(|part| crashes.parts_mut().admit(part.digest, nodes, now)).max()
     }
 
+    /// Returns whether a batch item may run now; see [`CrashLedger::admit_item`]. Items with a quarantined part wait.
+    pub fn admit_item_after_crashes(&self, keys: &RequestKeys) -> ItemAdmission {
+        let now = self.clock.wall_time();
+        let nodes = self.gateways();
+        let mut crashes = self.crashes();
+        if keys.parts.iter().any(|part| crashes.parts().quarantined_for(part.digest, now).is_some()) {
+            return ItemAdmission::Waits;
+        }
+        let admission = crashes.admit_item(keys.digests(), now);
+        let mut admits = |part| crashes.parts_mut().admit(part, nodes, now).is_none();
+        if admission != ItemAdmission::Waits && keys.parts.iter().all(|part| admits(part.digest)) {
+            admission
+        } else {
+            ItemAdmission::Waits
+        }
+    }
+
     /// Returns whether one more crash would quarantine a request or a part of its prompt.
     pub fn is_near_quarantine(&self, keys: &RequestKeys) -> bool {
         let crashes = self.crashes();
@@ -91,7 +109,7 @@
                 Field::number("events", crash.progress),
                 Field::number("known", count.observed as u64),
                 Field::number("counted", count.counted as u64),
-                Field::text("expected", format_args!("{:.2}", count.expected)),
+                Field::decimal("expected", count.expected),
                 Field::text("end", crash.end.name()),
                 Field::number("ran_ms", crash.run.lasted.0),
             ];
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::serving::crashes::{ItemAdmission, RequestKeys};
 use stallmoor_core::serving::jobs::command::{ItemFailures, ItemKey, ItemProgress, JobCommand, JobKey, PartialOutput};
 use stallmoor_core::serving::jobs::dispatch::{
     Dispatcher, FailedAt, ItemPacing, ItemResumption, ItemStart, RunEnd, RunningItem, StartDecision, WorkerRuns,
@@ -247,7 +248,7 @@
                 StartDecision::Start(start) if self.dispatcher.is_exhausted(&key, start.route.max_attempts) => {
                     self.dispatcher.give_up(&key);
                 }
-                StartDecision::Start(start) if self.is_quarantined(&start) => {
+                StartDecision::Start(start) if !self.admit_after_crashes(&key, &start) => {
                     self.dispatcher.delay_quarantined(&key, output, now)
                 }
                 StartDecision::Start(start) => {
@@ -261,14 +262,21 @@
         true
     }
 
-    /// Returns whether an item is quarantined because it crashed workers.
-    fn is_quarantined(&self, start: &ItemStart) -> bool {
+    /// Returns whether an item may run: it is not quarantined because it crashed workers, or its trial is due.
+    fn admit_after_crashes(&self, key: &ItemKey, start: &ItemStart) -> bool {
         let view = &self.workers.view;
         if view.has_no_crashes() {
-            return false;
+            return true;
         }
         let keys = item_keys(&start.item, &start.identity, &*self.workers.dialect);
-        view.admit_after_crashes(&keys).is_some()
+        match view.admit_item_after_crashes(&keys) {
+            ItemAdmission::Runs => true,
+            ItemAdmission::Waits => false,
+            ItemAdmission::Trial => {
+                log_trial(key, &keys);
+                true
+            }
+        }
     }
 
     /// Returns the origin of the workers that may continue an item's output; `None` if any worker may run the item.
@@ -531,6 +539,11 @@
     record(LogEvent::ItemRunEnded, &fields);
 }
 
+fn log_trial(key: &ItemKey, keys: &RequestKeys) {
+    let fields = [Field::text("job", &key.job), Field::number("item", key.item), Field::text("digest", keys.content)];
+    record(LogEvent::QuarantineTrial, &fields);
+}
+
 fn log_restart(key: &ItemKey, output: &PartialOutput) {
     let fields = [
         Field::text("job", &key.job),
