A run that this node abandoned midway does not count as a crash

Cause (hypothesis 1): after a run without a complete answer the worker is checked up to half a second later, since it may run an abandoned request for a moment and crash. In a storm of crashes any worker is likely to crash within that half second, and while workers are missing online requests need the others, so that many items are paused.

Change: whether a run counts is decided in core/serving/crashes/incomplete_run.rs. A run that its worker broke off counts as before, at any event. A run that this node abandoned counts only if the worker had not yet gone on after its first event; a request that crashes each worker which begins it does so before. The same holds for streams whose caller leaves.

--- a/crates/core/src/serving/crashes/mod.rs
+++ b/crates/core/src/serving/crashes/mod.rs
@@ -9,6 +9,7 @@
 //! | [`digest`] | [`RequestKeys`]: identification of a request that is sent again |
 //! | `coincidence` | whether unrelated causes explain the crashes |
 //! | `evidence` | the crash counts and thresholds that decide on a quarantine |
+//! | `incomplete_run` | which runs count if their worker crashed |
 //! | [`ledger`] | [`CrashLedger`]: the crash history and quarantine of each request |
 //! | [`parts`] | [`PartLedger`]: the crash history and quarantine of each prompt part |
 //! | `part_history` | the crash history of one prompt part |
@@ -22,6 +23,7 @@
 mod coincidence;
 pub mod digest;
 mod evidence;
+mod incomplete_run;
 pub mod ledger;
 mod part_history;
 pub mod parts;
@@ -34,6 +36,7 @@
 
 pub use digest::{PartDigest, RequestContent, RequestDigest, RequestKeys};
 pub use evidence::CRASH_THRESHOLD;
+pub use incomplete_run::{IncompleteEnd, has_survived};
 pub use ledger::{CrashCount, CrashLedger, LedgerSize, Quarantine};
 pub use parts::{PartCounts, PartLedger, PartQuarantine};
 pub use report::{CrashReport, CrashedRun};
--- a/crates/gateway/src/fleet/crash_view.rs
+++ b/crates/gateway/src/fleet/crash_view.rs
@@ -8,8 +8,8 @@
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::serving::crashes::report::{Crash, PartCrash};
 use stallmoor_core::serving::crashes::{
-    CrashCount, CrashLedger, CrashReport, CrashedRun, ItemAdmission, PartQuarantine, Quarantine, RequestDigest,
-    RequestKeys,
+    CrashCount, CrashLedger, CrashReport, CrashedRun, IncompleteEnd, ItemAdmission, PartQuarantine, Quarantine,
+    RequestDigest, RequestKeys,
 };
 use stallmoor_core::serving::workers::{WorkerId, WorkerRecord};
 use stallmoor_core::time::{Millis, UnixMillis};
@@ -17,7 +17,6 @@
 use super::fleet_view::{FleetView, lock};
 use crate::observe::journal::{Field, record};
 use crate::observe::measures;
-use crate::workers::crash_check::IncompleteEnd;
 
 /// A worker crash that this node observed while the worker ran one of its requests.
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stallmoor_core::serving::crashes::{CrashedRun, RequestKeys};
+use stallmoor_core::serving::crashes::{CrashedRun, IncompleteEnd, RequestKeys, has_survived};
 use stallmoor_core::serving::workers::Choice;
 use stallmoor_core::time::{Millis, Timestamp};
 use tokio::runtime::Handle;
@@ -25,9 +25,6 @@
 /// Delay before the last check. Workers stop a run within 500 ms after its connection was closed.
 const LAST_CHECK_DELAY: Duration = Duration::from_millis(400);
 
-/// Number of events of a run after which the worker has survived the request: it lived on after it had begun to answer.
-const SURVIVED_EVENTS: u64 = 2;
-
 /// A run of a request at a worker.
 pub struct WorkerRun {
     /// The worker that runs the request.
@@ -48,26 +45,12 @@
     /// Returns whether the worker went on with the request after its first event, so that no part of the prompt crashes
     /// workers.
     fn has_survived(&self) -> bool {
-        self.progress >= self.started_after + SURVIVED_EVENTS
+        has_survived(self.events())
     }
-}
 
-/// How a run without a complete answer ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum IncompleteEnd {
-    /// The worker broke off its answer, or stopped answering.
-    BrokenOff,
-    /// This node stopped the run: it was paused, or its result is no longer needed.
-    Abandoned,
-}
-
-impl IncompleteEnd {
-    /// Returns the name used in the log.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::BrokenOff => "BrokenOff",
-            Self::Abandoned => "Abandoned",
-        }
+    /// Returns the number of events received from the worker during the run.
+    fn events(&self) -> u64 {
+        self.progress.saturating_sub(self.started_after)
     }
 }
 
@@ -115,7 +98,8 @@
 
     fn start_check(&mut self, end: IncompleteEnd) -> Option<JoinHandle<()>> {
         let lasted = self.client.view.clock.now().since(self.started_at);
-        let run = IncompleteRun { run: self.run.take()?, end, lasted };
+        let run = self.run.take().filter(|run| end.may_be_crash(run.events()))?;
+        let run = IncompleteRun { run, end, lasted };
         let client = self.client.clone();
         // No runtime is available during shutdown.
         let runtime = Handle::try_current().ok()?;
@@ -167,7 +151,7 @@
             service: run.service.clone(),
             workers: u32::try_from(ready).unwrap_or(u32::MAX),
             lasted,
-            events: run.progress.saturating_sub(run.started_after),
+            events: run.events(),
         }
     }
 
--- a/crates/gateway/tests/crash_reports.rs
+++ b/crates/gateway/tests/crash_reports.rs
@@ -9,7 +9,7 @@
 
 use recording_store::{RecordingStore, Write};
 use stallmoor_core::serving::configuration::tenant::CallerIdentity;
-use stallmoor_core::serving::crashes::{CrashReport, CrashedRun, RequestContent, RequestKeys};
+use stallmoor_core::serving::crashes::{CrashReport, CrashedRun, IncompleteEnd, RequestContent, RequestKeys};
 use stallmoor_core::serving::relay::item::Revision;
 use stallmoor_core::serving::request::RequestAttributes;
 use stallmoor_core::serving::workers::WorkerId;
@@ -19,7 +19,6 @@
 use stallmoor_gateway::fleet::crash_reports::report_crashes;
 use stallmoor_gateway::fleet::crash_view::ObservedCrash;
 use stallmoor_gateway::fleet::fleet_view::FleetView;
-use stallmoor_gateway::workers::crash_check::IncompleteEnd;
 
 const CRASHES: u64 = 200;
 const CRASH_INTERVAL: Duration = Duration::from_millis(10);
