A pair is recognized after its members compacted their logs

Members that compacted at different indexes did not find their own pair, and the one that was left never asked to go on alone.

Change: a record belongs to the pair if the voters are the same and its index is not below that of the membership; a replica that no longer knows the index takes the record. The log keeps the index through its own compactions, in memory. Stored and sent forms are unchanged. A change of state keeps the index of the record. A leader replaces a record that names itself as the survivor.

Why it is safe: the leader writes the record right after the membership is committed, so both members hold all that was committed under it and under every earlier pair of the same voters; before the voters change the record is dissolved. Only a record of a former pair could mislead, and its index is below that of the membership.

--- a/crates/core/src/replication/log.rs
+++ b/crates/core/src/replication/log.rs
@@ -49,6 +49,12 @@
     pub payload: EntryPayload,
 }
 
+impl Entry {
+    fn changes_membership(&self) -> bool {
+        matches!(self.payload, EntryPayload::Membership(_))
+    }
+}
+
 /// The state machine at one log index. Replaces all entries up to that index.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -126,13 +132,15 @@
     snapshot: Snapshot,
     entries: Vec<Entry>,
     bytes: usize,
+    /// The index of the snapshot's membership, if this process has seen the entry.
+    snapshot_membership: Option<LogIndex>,
 }
 
 impl ReplicatedLog {
     /// Creates a log from persisted state.
     pub fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
         let bytes = entries.iter().map(entry_bytes).sum();
-        Self { snapshot, entries, bytes }
+        Self { snapshot, entries, bytes, snapshot_membership: None }
     }
 
     /// Returns the latest snapshot.
@@ -224,6 +232,12 @@
 
     /// Replaces the entries up to the snapshot's index with the snapshot.
     pub fn compact(&mut self, snapshot: Snapshot) {
+        let replaced = self.entries.iter().rev().filter(|entry| entry.index <= snapshot.index);
+        self.snapshot_membership = replaced
+            .filter(|entry| entry.changes_membership())
+            .map(|entry| entry.index)
+            .next()
+            .or(self.snapshot_membership);
         self.entries.retain(|entry| entry.index > snapshot.index);
         self.bytes = self.entries.iter().map(entry_bytes).sum();
         self.snapshot = snapshot;
@@ -233,6 +247,7 @@
     pub fn restore(&mut self, snapshot: Snapshot) {
         self.entries.clear();
         self.bytes = 0;
+        self.snapshot_membership = None;
         self.snapshot = snapshot;
     }
 
@@ -242,11 +257,17 @@
     }
 
     /// Returns the index of the latest membership change, or the snapshot's index if no entry after it changes the
-    /// membership.
+    /// membership. The latter differs between replicas, so it must not identify a membership.
     pub fn membership_index(&self) -> LogIndex {
         self.membership_entry().map_or(self.snapshot.index, |(index, _)| index)
     }
 
+    /// Returns the index of the latest membership change, which is the same at all replicas; `None` if the entry was
+    /// compacted before this process started, or was part of a snapshot from the leader.
+    pub fn known_membership_index(&self) -> Option<LogIndex> {
+        self.membership_entry().map(|(index, _)| index).or(self.snapshot_membership)
+    }
+
     /// Returns the membership in effect at `index`.
     pub fn membership_at(&self, index: LogIndex) -> GroupMembership {
         let in_log = self.entries.iter().rev().filter(|entry| entry.index <= index);
--- a/crates/core/src/serving/jobs/members.rs
+++ b/crates/core/src/serving/jobs/members.rs
@@ -215,7 +215,7 @@
         let step = self.next_step(replica, directory, &drained, is_eligible, now);
         let changes_voters = matches!(step, Some(MembershipChange::Promote(_) | MembershipChange::Remove(_)));
         actions.extend(self.pair_write(replica, true, changes_voters, false));
-        if changes_voters && !self.pair.allows_change(membership, replica.log().membership_index()) {
+        if changes_voters && !self.pair.allows_change(membership, replica.log().known_membership_index()) {
             return actions;
         }
         actions.extend(step.map(MembershipAction::Change));
@@ -275,7 +275,7 @@
         if replica.is_leader() || membership.voters.len() != 2 || !membership.voters.contains(&self.own) {
             return Vec::new();
         }
-        if self.pair.is_survivor(self.own, membership, replica.log().membership_index()) {
+        if self.pair.is_survivor(self.own, membership, replica.log().known_membership_index()) {
             return vec![MembershipAction::ContinueAlone];
         }
         if !self.is_pair_peer_lost(membership, directory, now) {
@@ -302,13 +302,14 @@
         if self.pair_write_in_progress {
             return None;
         }
-        let index = replica.log().membership_index();
+        let record_index = replica.log().membership_index();
         let view = PairView {
             own: self.own,
             leads,
             membership: replica.membership(),
-            index,
-            is_committed: index <= replica.commit(),
+            index: replica.log().known_membership_index(),
+            record_index,
+            is_committed: record_index <= replica.commit(),
             other_is_lost,
             wants_change,
         };
@@ -346,7 +347,7 @@
         let membership = replica.membership();
         let index = replica.log().membership_index();
         let is_settled = index <= replica.commit()
-            && self.pair.is_intact(membership, index)
+            && self.pair.is_intact(membership, replica.log().known_membership_index())
             && replica.all_members_caught_up()
             && membership.learners.is_empty();
         let mut reports = Vec::new();
--- a/crates/core/src/serving/jobs/pair.rs
+++ b/crates/core/src/serving/jobs/pair.rs
@@ -8,6 +8,11 @@
 //! * a member that lost contact with the other one records itself as the survivor before it continues alone;
 //! * the leader dissolves the record before the group grows, so that a member that was disconnected in the meantime
 //!   cannot become the survivor of a former pair.
+//!
+//! A record belongs to the latest pair of its voters if its index is not below that of the membership. A replica that has
+//! compacted its log may not know that index; the record is then the latest one of these voters all the same, since
+//! the leader writes the record of a pair right after the membership is committed, and both members hold all that was
+//! committed under it.
 
 use std::collections::BTreeSet;
 
@@ -30,7 +35,7 @@
 /// The record of a pair in the metadata store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PairRecord {
-    /// The log index of the membership.
+    /// The log index of the membership, or a later one if the leader that wrote the record did not know it.
     pub index: LogIndex,
     /// The two voters.
     pub voters: BTreeSet<NodeId>,
@@ -56,8 +61,10 @@
     pub leads: bool,
     /// The membership in the member's log.
     pub membership: &'a GroupMembership,
-    /// The log index of that membership.
-    pub index: LogIndex,
+    /// The log index of that membership; `None` if the log no longer holds it.
+    pub index: Option<LogIndex>,
+    /// The index of the record that the member writes if it is the first one: that of the membership, or a later one.
+    pub record_index: LogIndex,
     /// Whether the member knows that the membership is committed.
     pub is_committed: bool,
     /// Whether the other member is considered lost.
@@ -75,9 +82,16 @@
     }
 
     /// Returns the state of the pair in the member's log, or `None` if the record describes another membership.
-    pub fn state_of(&self, membership: &GroupMembership, index: LogIndex) -> Option<PairState> {
-        let record = self.record.as_ref()?;
-        (record.index == index && record.voters == membership.voters).then_some(record.state)
+    /// `index` is the log index of the membership, if known.
+    pub fn state_of(&self, membership: &GroupMembership, index: Option<LogIndex>) -> Option<PairState> {
+        self.current(membership, index).map(|record| record.state)
+    }
+
+    /// Returns the record if it describes the pair in the member's log.
+    fn current(&self, membership: &GroupMembership, index: Option<LogIndex>) -> Option<&PairRecord> {
+        let is_of_former_pair = |record: &PairRecord| index.is_some_and(|index| record.index < index);
+        let record = self.record.as_ref().filter(|record| record.voters == membership.voters);
+        record.filter(|record| !is_of_former_pair(record))
     }
 
     /// Returns the record that the member should write now, if any.
@@ -85,7 +99,9 @@
         if view.membership.voters.len() != 2 || !view.membership.voters.contains(&view.own) {
             return None;
         }
-        let record = |state| Some(PairRecord { index: view.index, voters: view.membership.voters.clone(), state });
+        // A change of the state keeps the index, so that both members go on reading the record as that of their pair.
+        let index = self.current(view.membership, view.index).map_or(view.record_index, |record| record.index);
+        let record = |state| Some(PairRecord { index, voters: view.membership.voters.clone(), state });
         match self.state_of(view.membership, view.index) {
             _ if view.leads && view.wants_change && !self.allows_change(view.membership, view.index) => {
                 record(PairState::Dissolved)
@@ -93,6 +109,12 @@
             None | Some(PairState::Dissolved) if view.leads && view.is_committed && !view.wants_change => {
                 record(PairState::Whole)
             }
+            // The member leads the pair, so the other one is back, or the record is of a former pair.
+            Some(PairState::Survived(survivor))
+                if survivor == view.own && view.leads && view.is_committed && !view.wants_change =>
+            {
+                record(PairState::Whole)
+            }
             Some(PairState::Whole) if view.other_is_lost && !view.leads => record(PairState::Survived(view.own)),
             _ => None,
         }
@@ -100,17 +122,17 @@
 
     /// Returns whether the voters may be changed. A pair must be dissolved first, because its record, or a write of it
     /// that is still in flight, could make the other member a survivor.
-    pub fn allows_change(&self, membership: &GroupMembership, index: LogIndex) -> bool {
+    pub fn allows_change(&self, membership: &GroupMembership, index: Option<LogIndex>) -> bool {
         membership.voters.len() != 2 || self.state_of(membership, index) == Some(PairState::Dissolved)
     }
 
     /// Returns whether the group is not a pair, or its record says that both members are required.
-    pub fn is_intact(&self, membership: &GroupMembership, index: LogIndex) -> bool {
+    pub fn is_intact(&self, membership: &GroupMembership, index: Option<LogIndex>) -> bool {
         membership.voters.len() != 2 || self.state_of(membership, index) == Some(PairState::Whole)
     }
 
     /// Returns whether the record names this member as the survivor.
-    pub fn is_survivor(&self, own: NodeId, membership: &GroupMembership, index: LogIndex) -> bool {
+    pub fn is_survivor(&self, own: NodeId, membership: &GroupMembership, index: Option<LogIndex>) -> bool {
         self.state_of(membership, index) == Some(PairState::Survived(own))
     }
 }
--- a/crates/core/tests/jobs_rules.rs
+++ b/crates/core/tests/jobs_rules.rs
@@ -413,12 +413,15 @@
     GroupMembership::of_voters([NodeId(1), NodeId(2)])
 }
 
+const INDEX: Option<LogIndex> = Some(LogIndex(50));
+
 fn view(membership: &GroupMembership, own: u64, leads: bool) -> PairView<'_> {
     PairView {
         own: NodeId(own),
         leads,
         membership,
-        index: LogIndex(50),
+        index: INDEX,
+        record_index: LogIndex(50),
         is_committed: true,
         other_is_lost: false,
         wants_change: false,
@@ -452,8 +455,40 @@
     assert_eq!(stored(PairState::Whole, 49).next_write(&lost), None, "the record describes another membership");
     assert_eq!(stored(PairState::Dissolved, 50).next_write(&lost), None, "the group has grown since");
     assert_eq!(stored(PairState::Survived(NodeId(1)), 50).next_write(&lost), None, "the other member was faster");
-    assert!(stored(PairState::Survived(NodeId(2)), 50).is_survivor(NodeId(2), &membership, LogIndex(50)));
-    assert!(!stored(PairState::Survived(NodeId(1)), 50).is_survivor(NodeId(2), &membership, LogIndex(50)));
+    assert!(stored(PairState::Survived(NodeId(2)), 50).is_survivor(NodeId(2), &membership, INDEX));
+    assert!(!stored(PairState::Survived(NodeId(1)), 50).is_survivor(NodeId(2), &membership, INDEX));
+}
+
+/// Guards against a member that does not find its own pair once it has compacted the entry that formed it.
+#[test]
+fn pair_is_recognized_after_its_entry_was_compacted() {
+    let membership = pair();
+    let forgot = PairView { index: None, record_index: LogIndex(400), ..view(&membership, 2, false) };
+    let lost = PairView { other_is_lost: true, ..forgot };
+    for recorded in [50, 442] {
+        let whole = stored(PairState::Whole, recorded);
+        let survived = whole.next_write(&lost).expect("the record is due");
+        assert_eq!(survived, PairRecord { state: PairState::Survived(NodeId(2)), ..whole.record.expect("a record") });
+        assert!(stored(PairState::Survived(NodeId(2)), recorded).is_survivor(NodeId(2), &membership, None));
+        // The other member still knows the entry, and must not overwrite the record.
+        let other = PairView { leads: true, ..view(&membership, 1, true) };
+        assert_eq!(stored(PairState::Survived(NodeId(2)), recorded).next_write(&other), None);
+    }
+    let leads = PairView { leads: true, ..forgot };
+    assert_eq!(stored(PairState::Whole, 50).next_write(&leads), None, "the record is not written again");
+}
+
+/// Guards against a survivor that continues alone once more because of the record of a former pair.
+#[test]
+fn leader_replaces_a_record_that_names_it_as_the_survivor() {
+    let membership = pair();
+    for (index, recorded) in [(INDEX, 50), (INDEX, 20), (None, 20)] {
+        let leads = PairView { index, ..view(&membership, 1, true) };
+        let written = stored(PairState::Survived(NodeId(1)), recorded).next_write(&leads);
+        assert_eq!(written.map(|record| record.state), Some(PairState::Whole), "{index:?}, {recorded}");
+    }
+    let former = stored(PairState::Survived(NodeId(2)), 20);
+    assert!(!former.is_survivor(NodeId(2), &membership, INDEX), "the record is of a former pair");
 }
 
 #[test]
@@ -461,11 +496,11 @@
     let membership = pair();
     let grows = PairView { wants_change: true, ..view(&membership, 1, true) };
     for known in [StoredPair::default(), stored(PairState::Whole, 50)] {
-        assert!(!known.allows_change(&membership, LogIndex(50)));
+        assert!(!known.allows_change(&membership, INDEX));
         assert_eq!(known.next_write(&grows).map(|record| record.state), Some(PairState::Dissolved));
     }
     let dissolved = stored(PairState::Dissolved, 50);
-    assert!(dissolved.allows_change(&membership, LogIndex(50)));
+    assert!(dissolved.allows_change(&membership, INDEX));
     assert_eq!(dissolved.next_write(&grows), None);
 }
 
--- a/crates/core/tests/jobs_simulation.rs
+++ b/crates/core/tests/jobs_simulation.rs
@@ -163,3 +163,56 @@
         world.check();
     }
 }
+
+/// Lets the two members of a pair compact their logs, each at an index of its own.
+fn compact_pair(world: &mut World) {
+    world.drain_one();
+    assert_eq!(world.store.completed.len(), 1, "the machine was drained");
+    world.body_bytes = 60_000;
+    // A member that was restarted compacts at another index than the other one.
+    for _ in 0..8 {
+        let name = world.random_machine();
+        world.lose_power(&name, 300);
+        world.run_for(2_500);
+    }
+    world.body_bytes = 200;
+    let replicas = world.machines.values().filter_map(|machine| machine.process.as_ref());
+    let snapshots: Vec<LogIndex> = replicas.map(|process| process.node.replica().log().snapshot().index).collect();
+    assert!(snapshots.iter().all(|index| *index > LogIndex(0)), "each replica has compacted its log: {snapshots:?}");
+    world.run_for(6_000);
+}
+
+/// Guards against a pair that can't be identified once its members have compacted the log, so that the remaining one does
+/// not continue after the other one is lost.
+#[test]
+fn pair_survives_the_loss_of_its_leader_after_its_logs_were_compacted() {
+    for seed in 1..=12 {
+        let mut world = World::new(seed, 3);
+        world.run_for(3_000);
+        compact_pair(&mut world);
+        let leader = world.leaders().first().cloned().expect("the pair has a leader");
+        world.lose_disk(&leader, 2_000);
+        world.run_for(8_000);
+        world.check();
+    }
+}
+
+/// The same after both members were restarted, so that they know the pair from their snapshots only.
+#[test]
+fn restarted_pair_survives_the_loss_of_its_leader_after_its_logs_were_compacted() {
+    for seed in 1..=12 {
+        let mut world = World::new(seed, 3);
+        world.run_for(3_000);
+        compact_pair(&mut world);
+        for name in world.machines.keys().cloned().collect::<Vec<_>>() {
+            if world.machines[&name].process.is_some() {
+                world.lose_power(&name, 500);
+            }
+        }
+        world.run_for(6_000);
+        let leader = world.leaders().first().cloned().expect("the pair has a leader");
+        world.lose_disk(&leader, 2_000);
+        world.run_for(8_000);
+        world.check();
+    }
+}
