A change of members that can't be committed does not stop the group

Cause: the leader removed the drained voter as soon as the rest sufficed by number. A change is in effect when it is appended, so the removal needed the vote of the voter that had just been lost. The leader stood down; the drained machine could not be elected, as its log was shorter, and the record of the pair is written for committed changes only. A follower that held the change when its leader lost its disk was stuck in the same way.

Change, decided in core/replication and core/serving/jobs without I/O: - a change is proposed only if a majority of the voters that it leaves has answered a message sent since it became due; - the replica that proposed a change withdraws it (E313) if it can't be committed and a majority of the former voters is there; only that replica knows that it was not committed, and it forgets the proposal when it votes for another one, follows a leader or restarts; - a member of a pair that has no record yet may become its survivor by the same compare-and-swap; a withdrawal that would leave such a pair writes Dissolved first, so that only one of the two happens.

No stored or sent form changes.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -67,6 +67,7 @@
     MessageRefused = 310, Warning, "A message from a peer was rejected.";
     LeaderLost = 311, Warning, "This replica no longer has contact with the leader of its group and campaigns.";
     StepsMeasured = 312, Information, "Processor time of the steps of this node's storage service since the last such line, at the leader.";
+    MembershipWithdrawn = 313, Warning, "This replica withdrew a membership change of its own that could not be committed, since voters that it leaves are lost.";
     ConfigurationInForce = 400, Information, "A configuration revision took effect on this node.";
     ConfigurationAccepted = 401, Information, "A configuration change by an operator was accepted.";
     ConfigurationRefused = 402, Warning, "A configuration change by an operator was rejected.";
--- a/crates/core/src/replication/election.rs
+++ b/crates/core/src/replication/election.rs
@@ -87,6 +87,7 @@
             && matches!(self.role, Role::Follower { leader: None })
             && self.is_up_to_date(last_index, last_term);
         if granted {
+            self.proposed_change = None;
             self.hard_state.voted_for = Some(from);
             self.write.hard_state = Some(self.hard_state);
             self.reset_election_deadline(now);
@@ -135,6 +136,7 @@
         }
         self.promised_until = Some(now + announced.unwrap_or(UNANNOUNCED_ELECTION_TIMEOUT).min(MAX_ELECTION_TIMEOUT));
         self.last_leader_contact = now;
+        self.proposed_change = None;
         self.campaigns = 0;
         self.reset_election_deadline(now);
         self.hasten_election();
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -26,6 +26,7 @@
 mod role;
 mod status;
 mod step;
+mod withdrawal;
 
 pub use leader_loss::{CampaignReason, CampaignStart};
 pub use log::{Entry, EntryPayload, HardState, LogIndex, LogWrite, PersistedReplica, ReplicatedLog, Snapshot, Term};
--- a/crates/core/src/replication/replica.rs
+++ b/crates/core/src/replication/replica.rs
@@ -107,6 +107,8 @@
     pub(super) last_leader_contact: Timestamp,
     pub(super) ended_leader: EndedLeader,
     pub(super) campaign_start: Option<CampaignStart>,
+    /// The latest membership change that this replica proposed, until it acknowledges another leader or candidate.
+    pub(super) proposed_change: Option<LogIndex>,
     /// The number of consecutive campaigns without a leader.
     pub(super) campaigns: u32,
     pub(super) random: Xoshiro256PlusPlus,
@@ -147,6 +149,7 @@
             last_leader_contact: now,
             ended_leader: None,
             campaign_start: None,
+            proposed_change: None,
             campaigns: 0,
             random: Xoshiro256PlusPlus::seed_from_u64(seed),
             write: LogWrite::default(),
@@ -238,6 +241,7 @@
             return Err(ProposalError::Busy);
         }
         let index = self.append_as_leader(EntryPayload::Membership(next));
+        self.proposed_change = Some(index);
         self.track_members(now);
         self.replicate(now);
         self.flush();
--- a/crates/core/src/serving/jobs/members.rs
+++ b/crates/core/src/serving/jobs/members.rs
@@ -20,6 +20,9 @@
 const MEMBER_TIMEOUT: Millis = Millis(2_200);
 /// A spare is added to the group only if it was in contact within this time. Keeps a dead one from being added.
 const SPARE_CONTACT_TIMEOUT: Millis = Millis(1_500);
+/// The time for which an answer shows that a voter is live when a change of the voters is considered. A few heartbeat
+/// intervals.
+const ANSWER_TIMEOUT: Millis = Millis(500);
 /// The interval between two plans. Limits the CPU time of planning.
 const PLAN_INTERVAL: Millis = Millis(100);
 /// The time without contact after which a member of a pair is considered lost. Longer than for larger groups, because
@@ -78,6 +81,8 @@
         /// The expected revision.
         revision: u64,
     },
+    /// Withdraws a change of this replica that can't be committed, since too many of the voters that it leaves are lost.
+    WithdrawChange,
     /// Continues as the only voter, as decided by the metadata store.
     ContinueAlone,
     /// Reports the progress of draining a machine to the operator.
@@ -89,6 +94,15 @@
     },
 }
 
+/// What a replica wants of the record of the pair.
+#[derive(Clone, Copy, Debug, Default)]
+struct PairIntent {
+    leads: bool,
+    wants_change: bool,
+    wants_withdrawal: bool,
+    other_is_lost: bool,
+}
+
 /// Plans the changes of membership for one replica, from its contacts with other nodes and the requested drains.
 #[derive(Clone, Debug)]
 pub struct MembershipPlanner {
@@ -102,6 +116,8 @@
     drains: BTreeMap<Arc<str>, Option<DrainState>>,
     pair: StoredPair,
     pair_write_in_progress: bool,
+    /// The change that is due, and the time since which its voters have to answer.
+    wanted_change: Option<(MembershipChange, Timestamp)>,
 }
 
 impl MembershipPlanner {
@@ -118,6 +134,7 @@
             drains: BTreeMap::new(),
             pair: StoredPair::default(),
             pair_write_in_progress: false,
+            wanted_change: None,
         }
     }
 
@@ -174,7 +191,8 @@
         if leads {
             self.plan_as_leader(replica, directory, is_eligible, now)
         } else {
-            self.plan_as_survivor(replica, directory, now)
+            let withdrawal = self.plan_withdrawal(replica, directory, now);
+            withdrawal.map_or_else(|| self.plan_as_survivor(replica, directory, now), |action| vec![action])
         }
     }
 
@@ -213,8 +231,14 @@
         }
         let mut actions = Vec::new();
         let step = self.next_step(replica, directory, &drained, is_eligible, now);
+        let step = self.safe_step(replica, step, now);
         let changes_voters = matches!(step, Some(MembershipChange::Promote(_) | MembershipChange::Remove(_)));
-        actions.extend(self.pair_write(replica, true, changes_voters, false));
+        actions.extend(
+            self.pair_write(
+                &PairIntent { leads: true, wants_change: changes_voters, ..PairIntent::default() },
+                replica,
+            ),
+        );
         if changes_voters && !self.pair.allows_change(membership, replica.log().known_membership_index()) {
             return actions;
         }
@@ -264,6 +288,61 @@
         step.or_else(removal)
     }
 
+    /// Returns the change if it is safe now. It is considered anew once its voters have answered again.
+    fn safe_step(
+        &mut self,
+        replica: &Replica,
+        step: Option<MembershipChange>,
+        now: Timestamp,
+    ) -> Option<MembershipChange> {
+        let wanted = step.map(|change| match self.wanted_change {
+            Some((wanted, since)) if wanted == change && now.since(since) < ANSWER_TIMEOUT => (wanted, since),
+            _ => (change, now),
+        });
+        self.wanted_change = wanted;
+        wanted.filter(|(change, since)| self.leaves_live_majority(replica, *change, *since)).map(|(change, _)| change)
+    }
+
+    /// Returns whether a majority of the voters after a change holds all committed entries, and has answered a message that
+    /// was sent since the change is wanted. Otherwise the change, which is in effect as soon as it is appended, might never be
+    /// committed.
+    fn leaves_live_majority(&self, replica: &Replica, change: MembershipChange, wanted_since: Timestamp) -> bool {
+        let next = replica.membership().after(change);
+        let is_live = |node: &NodeId| {
+            let acked_send = replica.progress(*node).and_then(|progress| progress.last_acked_send);
+            let has_answered = acked_send.is_some_and(|at| at >= wanted_since);
+            *node == self.own || (has_answered && self.is_caught_up(replica, *node))
+        };
+        next.voters.iter().filter(|node| is_live(node)).count() >= next.majority()
+    }
+
+    /// Withdraws a change of this replica that can't be committed. If it forms a pair, the pair is dissolved first, so that
+    /// the other member does not continue alone.
+    fn plan_withdrawal(
+        &mut self,
+        replica: &Replica,
+        directory: &StorageDirectory,
+        now: Timestamp,
+    ) -> Option<MembershipAction> {
+        if !self.is_change_lost(replica, directory, now) {
+            return None;
+        }
+        if self.pair.allows_change(replica.membership(), replica.log().known_membership_index()) {
+            return Some(MembershipAction::WithdrawChange);
+        }
+        self.pair_write(&PairIntent { wants_withdrawal: true, ..PairIntent::default() }, replica)
+    }
+
+    /// Returns whether this replica proposed a change that can't be committed, but without which there would be a leader.
+    fn is_change_lost(&self, replica: &Replica, directory: &StorageDirectory, now: Timestamp) -> bool {
+        let Some(before) = replica.membership_before_withdrawable_change() else { return false };
+        let has_majority = |membership: &GroupMembership| {
+            let live = membership.voters.iter().filter(|voter| !self.is_lost(replica, directory, **voter, now));
+            live.count() >= membership.majority()
+        };
+        !has_majority(replica.membership()) && has_majority(&before)
+    }
+
     /// Makes this member the survivor of a pair whose other member is lost, once the metadata store has decided so.
     fn plan_as_survivor(
         &mut self,
@@ -281,7 +360,7 @@
         if !self.is_pair_peer_lost(membership, directory, now) {
             return Vec::new();
         }
-        self.pair_write(replica, false, false, true).into_iter().collect()
+        self.pair_write(&PairIntent { other_is_lost: true, ..PairIntent::default() }, replica).into_iter().collect()
     }
 
     fn is_pair_peer_lost(&self, membership: &GroupMembership, directory: &StorageDirectory, now: Timestamp) -> bool {
@@ -292,26 +371,21 @@
         is_replaced || now.since(contact_at) >= PAIR_MEMBER_TIMEOUT
     }
 
-    fn pair_write(
-        &mut self,
-        replica: &Replica,
-        leads: bool,
-        wants_change: bool,
-        other_is_lost: bool,
-    ) -> Option<MembershipAction> {
+    fn pair_write(&mut self, intent: &PairIntent, replica: &Replica) -> Option<MembershipAction> {
         if self.pair_write_in_progress {
             return None;
         }
         let record_index = replica.log().membership_index();
         let view = PairView {
             own: self.own,
-            leads,
+            leads: intent.leads,
             membership: replica.membership(),
             index: replica.log().known_membership_index(),
             record_index,
             is_committed: record_index <= replica.commit(),
-            other_is_lost,
-            wants_change,
+            other_is_lost: intent.other_is_lost,
+            wants_change: intent.wants_change,
+            wants_withdrawal: intent.wants_withdrawal,
         };
         let record = self.pair.next_write(&view)?;
         self.pair_write_in_progress = true;
@@ -329,13 +403,13 @@
 
     /// A member is lost if its machine's disk has a new identity or the node has not been in contact for too long.
     fn is_lost(&self, replica: &Replica, directory: &StorageDirectory, node: NodeId, now: Timestamp) -> bool {
-        if node == self.own {
-            return false;
-        }
-        let has_timed_out = |at: Option<Timestamp>| at.is_none_or(|at| now.since(at) >= MEMBER_TIMEOUT);
+        node != self.own && (directory.of_node(node).is_none() || self.has_timed_out(replica, node, now))
+    }
+
+    fn has_timed_out(&self, replica: &Replica, node: NodeId, now: Timestamp) -> bool {
+        let is_old = |at: Option<Timestamp>| at.is_none_or(|at| now.since(at) >= MEMBER_TIMEOUT);
         let answered_at = replica.progress(node).and_then(|progress| progress.last_answer);
-        let contact_at = self.last_contact.get(&node).copied();
-        directory.of_node(node).is_none() || (has_timed_out(answered_at) && has_timed_out(contact_at))
+        node != self.own && is_old(answered_at) && is_old(self.last_contact.get(&node).copied())
     }
 
     fn is_caught_up(&self, replica: &Replica, node: NodeId) -> bool {
--- a/crates/core/src/serving/jobs/node/mod.rs
+++ b/crates/core/src/serving/jobs/node/mod.rs
@@ -202,6 +202,12 @@
         self.collect_effects()
     }
 
+    /// Withdraws a membership change that can't be committed.
+    pub fn withdraw_membership_change(&mut self) -> Vec<JobsEffect> {
+        self.replica.withdraw_membership_change();
+        self.collect_effects()
+    }
+
     /// Transfers leadership to another member.
     pub fn transfer_leadership(&mut self, target: NodeId, now: Timestamp) -> Vec<JobsEffect> {
         self.replica.transfer_leadership(target, now);
--- a/crates/core/src/serving/jobs/pair.rs
+++ b/crates/core/src/serving/jobs/pair.rs
@@ -9,6 +9,10 @@
 //! * the leader dissolves the record before the group grows, so that a member that was disconnected in the meantime
 //!   cannot become the survivor of a former pair.
 //!
+//! If the pair is formed by a change that was not committed, or not yet recorded, when one of its members is lost, there is
+//! no record of it. The other member may then record itself as the survivor, unless the member that proposed the change
+//! has dissolved the pair before, in order to withdraw the change. Compare-and-swap admits one of the two.
+//!
 //! A record belongs to the latest pair of its voters if its index is not below that of the membership. A replica that has
 //! compacted its log may not know that index; the record is then the latest one of these voters all the same, since
 //! the leader writes the record of a pair right after the membership is committed, and both members hold all that was
@@ -71,6 +75,8 @@
     pub other_is_lost: bool,
     /// Whether the leader wants to change the voters.
     pub wants_change: bool,
+    /// Whether the member, which does not lead, wants to withdraw the change that formed the pair.
+    pub wants_withdrawal: bool,
 }
 
 impl StoredPair {
@@ -115,11 +121,22 @@
             {
                 record(PairState::Whole)
             }
+            None if view.wants_withdrawal && self.precedes(view.index) => record(PairState::Dissolved),
+            None if view.other_is_lost && !view.leads && self.precedes(view.index) => {
+                record(PairState::Survived(view.own))
+            }
             Some(PairState::Whole) if view.other_is_lost && !view.leads => record(PairState::Survived(view.own)),
             _ => None,
         }
     }
 
+    /// Returns whether the pair with this index has no record yet: the stored one, if any, is of a former pair, which was
+    /// dissolved or survived. A record of a later pair means that the group has moved on.
+    fn precedes(&self, index: Option<LogIndex>) -> bool {
+        let Some(index) = index else { return false };
+        self.record.as_ref().is_none_or(|record| record.index < index && record.state != PairState::Whole)
+    }
+
     /// Returns whether the voters may be changed. A pair must be dissolved first, because its record, or a write of it
     /// that is still in flight, could make the other member a survivor.
     pub fn allows_change(&self, membership: &GroupMembership, index: Option<LogIndex>) -> bool {
--- a/crates/core/tests/jobs_rules.rs
+++ b/crates/core/tests/jobs_rules.rs
@@ -425,6 +425,7 @@
         is_committed: true,
         other_is_lost: false,
         wants_change: false,
+        wants_withdrawal: false,
     }
 }
 
--- a/crates/core/tests/jobs_simulation.rs
+++ b/crates/core/tests/jobs_simulation.rs
@@ -216,3 +216,21 @@
         world.check();
     }
 }
+
+/// Guards against removing the voter of a drained machine while the other voter that remains is lost: the removal could
+/// not be committed, and no leader would be elected again.
+#[test]
+fn disk_lost_while_a_machine_is_drained_loses_nothing() {
+    for seed in 1..=32 {
+        let mut world = World::new(seed, 3);
+        world.run_for(3_000);
+        let drained = world.random_machine();
+        let lost = world.machines.keys().find(|name| **name != drained).cloned().expect("there are others");
+        world.drained.push(Arc::from(drained.as_str()));
+        let pause = world.random.random_range(0..400);
+        world.run_for(pause);
+        world.lose_disk(&lost, 2_000);
+        world.run_for(12_000);
+        world.check();
+    }
+}
--- a/crates/core/tests/support/jobs_world.rs
+++ b/crates/core/tests/support/jobs_world.rs
@@ -362,6 +362,7 @@
                 MembershipAction::TransferLeadership(target) => {
                     process.queue.extend(process.node.transfer_leadership(target, now));
                 }
+                MembershipAction::WithdrawChange => process.queue.extend(process.node.withdraw_membership_change()),
                 MembershipAction::ContinueAlone => process.queue.extend(process.node.become_sole_voter(now)),
                 MembershipAction::WritePair { record, revision } => {
                     let reachable = store_is_up && !is_partitioned;
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -410,6 +410,12 @@
                     self.execute_effects(effects);
                 }
                 MembershipAction::WritePair { record, revision } => self.membership.write_pair(record, revision),
+                MembershipAction::WithdrawChange => {
+                    let index = self.replica.node().replica().log().membership_index().0;
+                    record(LogEvent::MembershipWithdrawn, &[Field::number("membership", index)]);
+                    let effects = self.replica.node_mut().withdraw_membership_change();
+                    self.execute_effects(effects);
+                }
                 MembershipAction::ContinueAlone => {
                     let index = self.replica.node().replica().log().membership_index().0;
                     record(LogEvent::WentOnAlone, &[Field::number("membership", index)]);
