A repeated request is quarantined after two late crashes, whatever explains them

What callers would see: a request that crashes its workers some seconds into each run looks like a bystander while many workers crash, and would be sent on as long as the storm lasts; users allow three retries later than the contact bound after the third crash.

Change: a request that its caller may repeat is quarantined once two of its crashes are later than 3 s after its third one. One of three late retries may be under way by then. Batch items go by the evidence alone: nobody repeats them, and most sound items of a long storm have as many crashes.

a_repeated_request_is_quarantined_after_two_late_crashes_in_a_storm fails without the rule.

--- a/crates/core/src/serving/crashes/evidence.rs
+++ b/crates/core/src/serving/crashes/evidence.rs
@@ -17,6 +17,11 @@
 const SCATTERED_CRASH_THRESHOLD: usize = CRASH_THRESHOLD + 1;
 /// Number of crashes after which a request is quarantined even if other requests explain them.
 const TOTAL_CRASH_THRESHOLD: usize = CRASH_THRESHOLD + 3;
+/// Number of late crashes after which a request is quarantined even if unrelated causes explain them, as it might crash its
+/// workers after some time. Users allow three late retries; one of them may be under way when the crash is known.
+const LATE_CRASH_THRESHOLD: usize = 2;
+/// Time from the third crash of a request after which its crashes are late: nodes in touch know of the third one by then.
+const LATE_PERIOD: Millis = Millis(3_000);
 /// Observations of a crash of the same worker within this time refer to the same crash. Later ones are crashes of a
 /// restarted worker.
 const SAME_CRASH_WINDOW: Millis = Millis(1_000);
@@ -124,12 +129,19 @@
     unexplained: Count,
     /// All crashes since the last completion.
     all: Count,
+    /// Number of late crashes that no other request explains.
+    late: usize,
 }
 
 impl Attribution {
     pub(super) fn of(crashes: &[WeighedCrash<'_>]) -> Self {
         let unexplained = crashes.iter().filter(|weighed| !weighed.is_explained);
-        Self { at_same_point: at_same_point(crashes), unexplained: count(unexplained), all: count(crashes.iter()) }
+        Self {
+            at_same_point: at_same_point(crashes),
+            unexplained: count(unexplained),
+            all: count(crashes.iter()),
+            late: late_crashes(crashes),
+        }
     }
 
     /// Returns the number of crashes beyond the quarantine threshold, or `None` below it.
@@ -139,6 +151,12 @@
         at_same_point.max(scattered).max(self.all.excess(TOTAL_CRASH_THRESHOLD))
     }
 
+    /// Returns the number of crashes beyond the quarantine threshold of a request that its caller may repeat, which is
+    /// limited whatever explains the crashes. A batch item is not: nobody repeats it, so it would not be done.
+    pub(super) fn excess_of_repeated(self) -> Option<usize> {
+        self.excess().max(self.late.checked_sub(LATE_CRASH_THRESHOLD))
+    }
+
     /// Returns whether one more crash may quarantine the request.
     pub(super) fn is_near_quarantine(self) -> bool {
         self.at_same_point.crashes + 1 >= CRASH_THRESHOLD
@@ -165,6 +183,14 @@
     })
 }
 
+fn late_crashes(crashes: &[WeighedCrash<'_>]) -> usize {
+    let unexplained = crashes.iter().filter(|weighed| !weighed.is_explained);
+    let mut times: Vec<u64> = unexplained.map(|weighed| weighed.crash.observation.at.0).collect();
+    times.sort_unstable();
+    let third = times.get(CRASH_THRESHOLD - 1).copied();
+    third.map_or(0, |third| times.iter().filter(|at| **at > third.saturating_add(LATE_PERIOD.0)).count())
+}
+
 /// Returns the largest group of unexplained crashes at the same point of the response.
 fn at_same_point(crashes: &[WeighedCrash<'_>]) -> Count {
     let unexplained = || crashes.iter().filter(|weighed| !weighed.is_explained);
--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -158,7 +158,8 @@
         CrashCount { observed, counted: attribution.counted(), expected: attribution.expected() }
     }
 
-    /// Returns the remaining quarantine of a request, or `None` if it may run.
+    /// Returns the remaining quarantine of a request that its caller may repeat, or `None` if it may run. For batch items see
+    /// [`CrashLedger::admit_item`].
     pub fn quarantined_for(&self, digest: RequestDigest, now: UnixMillis) -> Option<Millis> {
         let remaining = self.quarantine(digest)?.until.0.saturating_sub(now.0);
         (remaining > 0).then_some(Millis(remaining))
@@ -167,7 +168,10 @@
     /// Returns whether a batch item with these digests may run now. After [`ItemAdmission::Trial`] this node admits no other
     /// trial until the result is likely to be known.
     pub fn admit_item(&mut self, digests: impl Iterator<Item = RequestDigest>, now: UnixMillis) -> ItemAdmission {
-        let quarantined: Vec<_> = digests.filter(|digest| self.quarantined_for(*digest, now).is_some()).collect();
+        let is_quarantined = |digest: &RequestDigest| {
+            self.quarantine_of(*digest, Attribution::excess).is_some_and(|quarantine| quarantine.until > now)
+        };
+        let quarantined: Vec<_> = digests.filter(is_quarantined).collect();
         if quarantined.is_empty() {
             return ItemAdmission::Runs;
         }
@@ -304,8 +308,16 @@
 
     /// Returns a request's quarantine, which may have ended, or `None` below the threshold.
     fn quarantine(&self, digest: RequestDigest) -> Option<Quarantine> {
+        self.quarantine_of(digest, Attribution::excess_of_repeated)
+    }
+
+    fn quarantine_of(
+        &self,
+        digest: RequestDigest,
+        excess: impl Fn(Attribution) -> Option<usize>,
+    ) -> Option<Quarantine> {
         let attribution = self.attribute(digest)?;
-        let excess = u32::try_from(attribution.excess()?).unwrap_or(u32::MAX);
+        let excess = u32::try_from(excess(attribution)?).unwrap_or(u32::MAX);
         let last_crash = self.suspects.get(digest)?.last_crash();
         let until = UnixMillis(last_crash.0.saturating_add(QUARANTINE_BACKOFF.wait(excess).0));
         Some(Quarantine { digest, crashes: attribution.counted(), until })
--- a/crates/core/tests/crash_storm.rs
+++ b/crates/core/tests/crash_storm.rs
@@ -12,7 +12,7 @@
 use crashes::{at, digest, worker};
 use proptest::prelude::*;
 use stallmoor_core::serving::crashes::report::Crash;
-use stallmoor_core::serving::crashes::{CrashLedger, CrashedRun};
+use stallmoor_core::serving::crashes::{CrashLedger, CrashedRun, ItemAdmission};
 use stallmoor_core::time::Millis;
 use storm::{FATAL_ITEMS, Outcome, Scenario, play};
 
@@ -108,6 +108,29 @@
     );
 }
 
+/// Guards against repeating a request without limit that crashes its workers after seconds, as if it were a bystander.
+#[test]
+fn a_repeated_request_is_quarantined_after_two_late_crashes_in_a_storm() {
+    let mut ledger = CrashLedger::default();
+    let mut quarantined = Vec::new();
+    for second in 1..=20_u64 {
+        for other in 0..2 {
+            let request = format!("other {second} {other}");
+            ledger.record_local_crash_of_run(crash_of_run(&request, 100 + 2 * second + other, second * 1_000, 500, 1));
+        }
+        if second.is_multiple_of(2) && quarantined.is_empty() {
+            ledger.record_local_crash_of_run(crash_of_run("slow", second, second * 1_000, 1_900, 40 * second));
+        }
+        if ledger.quarantined_for(digest("slow"), at(second * 1_000)).is_some() {
+            quarantined.push(second);
+        }
+    }
+    // The third crash is that of second 6, the late ones are those of seconds 10 and 12.
+    assert_eq!(quarantined.first(), Some(&12));
+    let admission = ledger.admit_item(std::iter::once(digest("slow")), at(12_000));
+    assert_eq!(admission, ItemAdmission::Runs, "nobody repeats an item, so it goes by the evidence alone");
+}
+
 /// Guards against blaming a run that resumed where the last one had crashed, and met the next crash before its first event.
 #[test]
 fn crashes_before_the_first_event_after_a_resumption_may_be_a_coincidence() {
