A pair is dissolved for the change that is wanted, not only for one that is safe at this moment

With a store that takes longer than 400 ms to write the record, the leader of a pair would have written Dissolved and Whole by turns: a change counts as safe for 500 ms after its voters have to answer again, and while it does not, the pair was recorded as whole. The record now follows the change that is wanted, as before the check of live voters; only the change itself waits for it.

--- a/crates/core/src/serving/crashes/coincidence.rs
+++ b/crates/core/src/serving/crashes/coincidence.rs
@@ -7,8 +7,8 @@
 use super::timeline::CrashTimeline;
 use crate::time::{Millis, UnixMillis};
 
-/// Time before a run in which crashes of other workers count for the rate during the run. Covers several
-/// gaps between the crashes of a storm.
+/// Time before a run in which crashes of other workers count for the rate during the run. Covers several gaps between the
+/// crashes of a storm.
 const RATE_MARGIN: Millis = Millis(2_000);
 /// Time after a run in which crashes count as simultaneous with its end, as they are observed at slightly different times.
 const OBSERVATION_JITTER: Millis = Millis(50);
--- a/crates/core/src/serving/crashes/evidence.rs
+++ b/crates/core/src/serving/crashes/evidence.rs
@@ -18,7 +18,7 @@
 /// Number of crashes after which a request is quarantined even if other requests explain them.
 const TOTAL_CRASH_THRESHOLD: usize = CRASH_THRESHOLD + 3;
 /// Number of late crashes after which a request is quarantined even if unrelated causes explain them, as it might crash its
-/// workers after some time. Users allow three late retries; one of them may be under way when the crash is known.
+/// workers after some time. Another retry may be under way when the crash is known.
 const LATE_CRASH_THRESHOLD: usize = 2;
 /// Time from the third crash of a request after which its crashes are late: nodes in touch know of the third one by then.
 const LATE_PERIOD: Millis = Millis(3_000);
@@ -153,7 +153,7 @@
 
     /// Returns the number of crashes beyond the quarantine threshold of a request that its caller may repeat, which is
     /// limited whatever explains the crashes. A batch item is not: nobody repeats it, so it would not be done.
-    pub(super) fn excess_of_repeated(self) -> Option<usize> {
+    pub(super) fn excess_if_repeated(self) -> Option<usize> {
         self.excess().max(self.late.checked_sub(LATE_CRASH_THRESHOLD))
     }
 
--- a/crates/core/src/serving/crashes/incomplete_run.rs
+++ b/crates/core/src/serving/crashes/incomplete_run.rs
@@ -23,7 +23,7 @@
 
     /// Returns whether a crash of the worker after the run counts against the request. A worker may run a request for a
     /// moment after this node abandoned it, but if it had survived the request by then, a later crash has another cause.
-    pub fn may_be_crash(self, events: u64) -> bool {
+    pub fn counts_if_crashed(self, events: u64) -> bool {
         match self {
             Self::BrokenOff => true,
             Self::Abandoned => !has_survived(events),
--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -308,7 +308,7 @@
 
     /// Returns a request's quarantine, which may have ended, or `None` below the threshold.
     fn quarantine(&self, digest: RequestDigest) -> Option<Quarantine> {
-        self.quarantine_of(digest, Attribution::excess_of_repeated)
+        self.quarantine_of(digest, Attribution::excess_if_repeated)
     }
 
     fn quarantine_of(
--- a/crates/core/src/serving/crashes/timeline.rs
+++ b/crates/core/src/serving/crashes/timeline.rs
@@ -11,7 +11,6 @@
 const MAX_OBSERVATIONS: usize = 65_536;
 /// Observations of one worker within the same interval are stored once, since a crash affects all requests of a worker.
 const RESOLUTION: Millis = Millis(100);
-
 /// Observations of one worker within this time are of one crash. Longer than the time after which the record of a crashed
 /// worker is removed, which is observed in addition to the runs that the crash interrupted.
 const SAME_CRASH_PERIOD: Millis = Millis(6_000);
--- a/crates/core/src/serving/crashes/trials.rs
+++ b/crates/core/src/serving/crashes/trials.rs
@@ -10,7 +10,7 @@
 use crate::time::{Millis, UnixMillis};
 
 /// Maximum number of trials that end with a crash, after which a request waits for the end of its quarantine, if other
-/// workers crashed during its runs. Users allow three retries after the third crash.
+/// workers crashed during its runs.
 const MAX_FAILED_TRIALS: usize = 3;
 /// The same if no other worker crashed during its runs, so that a coincidence is unlikely.
 const MAX_FAILED_TRIALS_IF_ALONE: usize = 1;
--- a/crates/core/src/serving/jobs/members.rs
+++ b/crates/core/src/serving/jobs/members.rs
@@ -230,16 +230,12 @@
             return vec![MembershipAction::TransferLeadership(target)];
         }
         let mut actions = Vec::new();
-        let step = self.next_step(replica, directory, &drained, is_eligible, now);
-        let step = self.safe_step(replica, step, now);
-        let changes_voters = matches!(step, Some(MembershipChange::Promote(_) | MembershipChange::Remove(_)));
-        actions.extend(
-            self.pair_write(
-                &PairIntent { leads: true, wants_change: changes_voters, ..PairIntent::default() },
-                replica,
-            ),
-        );
-        if changes_voters && !self.pair.allows_change(membership, replica.log().known_membership_index()) {
+        let wanted = self.next_step(replica, directory, &drained, is_eligible, now);
+        let step = self.safe_step(replica, wanted, now);
+        let wants_change = matches!(wanted, Some(MembershipChange::Promote(_) | MembershipChange::Remove(_)));
+        let intent = PairIntent { leads: true, wants_change, ..PairIntent::default() };
+        actions.extend(self.pair_write(&intent, replica));
+        if wants_change && !self.pair.allows_change(membership, replica.log().known_membership_index()) {
             return actions;
         }
         actions.extend(step.map(MembershipAction::Change));
@@ -294,19 +290,18 @@
         surplus.or_else(repair).or_else(removal)
     }
 
-    /// Returns the change if it is safe now. It is considered anew once its voters have answered again.
+    /// Returns the wanted change if it is safe now. It is considered anew once its voters have answered again.
     fn safe_step(
         &mut self,
         replica: &Replica,
-        step: Option<MembershipChange>,
+        wanted: Option<MembershipChange>,
         now: Timestamp,
     ) -> Option<MembershipChange> {
-        let wanted = step.map(|change| match self.wanted_change {
-            Some((wanted, since)) if wanted == change && now.since(since) < ANSWER_TIMEOUT => (wanted, since),
-            _ => (change, now),
-        });
-        self.wanted_change = wanted;
-        wanted.filter(|(change, since)| self.leaves_live_majority(replica, *change, *since)).map(|(change, _)| change)
+        let since =
+            self.wanted_change.filter(|(known, since)| Some(*known) == wanted && now.since(*since) < ANSWER_TIMEOUT);
+        self.wanted_change = since.or(wanted.map(|change| (change, now)));
+        let (change, since) = self.wanted_change?;
+        self.leaves_live_majority(replica, change, since).then_some(change)
     }
 
     /// Returns whether a majority of the voters after a change holds all committed entries, and has answered a message that
--- a/crates/core/tests/jobs_simulation.rs
+++ b/crates/core/tests/jobs_simulation.rs
@@ -288,7 +288,7 @@
             world.run_for(pause);
             remove_drained(&mut world);
         }
-        println!("seed {seed}");
+        println!("seed {seed} is checked");
         world.check();
     }
 }
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -98,7 +98,7 @@
 
     fn start_check(&mut self, end: IncompleteEnd) -> Option<JoinHandle<()>> {
         let lasted = self.client.view.clock.now().since(self.started_at);
-        let run = self.run.take().filter(|run| end.may_be_crash(run.events()))?;
+        let run = self.run.take().filter(|run| end.counts_if_crashed(run.events()))?;
         let run = IncompleteRun { run, end, lasted };
         let client = self.client.clone();
         // No runtime is available during shutdown.
