--- a/crates/core/tests/replication_rules.rs
+++ b/crates/core/tests/replication_rules.rs
@@ -163,3 +163,73 @@
     let step = change.on_answer(ApplyAnswer::Manifest(Some((5, manifest(5)))), now);
     assert!(matches!(step, ApplyStep::WritePart(_)), "{step:?}");
 }
+
+/// A leader that has proposed the removal of replica 3 and then lost contact with replica 2, so that it stood down.
+fn with_lost_change() -> Harness {
+    let mut harness = Harness::bootstrapped();
+    harness.win_election();
+    harness.acknowledge(2, 2);
+    while harness.replica.next_committed().is_some() {}
+    let now = harness.time();
+    harness.replica.propose_membership(MembershipChange::Remove(NodeId(3)), now).expect("the change is accepted");
+    harness.execute_effects();
+    harness.now += 5_000;
+    let now = harness.time();
+    harness.replica.tick(now);
+    harness.execute_effects();
+    assert!(!harness.replica.is_leader(), "no majority has answered");
+    harness
+}
+
+/// Guards against a group without a leader because of a change that its proposer can't commit.
+#[test]
+fn a_proposer_without_a_leader_withdraws_its_change() {
+    let mut harness = with_lost_change();
+    let before = harness.replica.membership_before_withdrawable_change();
+    assert_eq!(before, Some(GroupMembership::of_voters([SELF, NodeId(2), NodeId(3)])));
+    harness.replica.withdraw_membership_change();
+    harness.execute_effects();
+    assert_eq!(Some(harness.replica.membership().clone()), before);
+    let restarted = Harness::open(harness.disk);
+    assert_eq!(Some(restarted.replica.membership().clone()), before, "the withdrawal is durable");
+}
+
+/// Guards against withdrawing a change that another leader may have committed.
+#[test]
+fn a_proposer_that_voted_for_another_replica_withdraws_nothing() {
+    let mut harness = with_lost_change();
+    harness.now += 10_000;
+    let term = harness.replica.term().0;
+    assert!(grants_vote(&harness.step(2, term + 1, vote_request())));
+    assert_eq!(harness.replica.membership_before_withdrawable_change(), None);
+    let last = harness.replica.log().last_index();
+    harness.replica.withdraw_membership_change();
+    assert_eq!(harness.replica.log().last_index(), last);
+}
+
+/// Guards against withdrawing a change of which a restarted replica can't tell whether it was committed.
+#[test]
+fn a_restarted_proposer_withdraws_nothing() {
+    let harness = with_lost_change();
+    let restarted = Harness::open(harness.disk);
+    assert!(!restarted.replica.membership().contains(NodeId(3)), "the change is in the log");
+    assert_eq!(restarted.replica.membership_before_withdrawable_change(), None);
+}
+
+/// Guards against withdrawing a change that was committed.
+#[test]
+fn a_committed_change_is_not_withdrawn() {
+    let mut harness = Harness::bootstrapped();
+    harness.win_election();
+    harness.acknowledge(2, 2);
+    while harness.replica.next_committed().is_some() {}
+    let now = harness.time();
+    let index = harness.replica.propose_membership(MembershipChange::Remove(NodeId(3)), now).expect("it is accepted");
+    harness.execute_effects();
+    harness.acknowledge(2, index.0);
+    assert_eq!(harness.replica.commit(), index);
+    harness.now += 5_000;
+    let now = harness.time();
+    harness.replica.tick(now);
+    assert_eq!(harness.replica.membership_before_withdrawable_change(), None);
+}
