Split the safety of membership changes from their planning

Which members are live, whether a change may be proposed and whether one has to be withdrawn is in members/change_safety.rs now. No logic changes.

--- a/crates/core/src/serving/jobs/members.rs
+++ b/crates/core/src/serving/jobs/members.rs
@@ -1,8 +1,10 @@
 //! Membership of the job table's group: replaces lost members, drains machines on request, and lets a group of two
 //! tolerate the loss of one member. A spare is a storage node that is not a member.
 //!
-//! Each replica has its own [`MembershipPlanner`]. [`MembershipPlanner::plan`] returns the actions that are due, and
-//! the caller carries them out.
+//! Each replica has its own [`MembershipPlanner`]. [`MembershipPlanner::plan`] returns the actions that are due, and the
+//! caller carries them out. `change_safety` decides which changes can be committed.
+
+mod change_safety;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -20,9 +22,6 @@
 const MEMBER_TIMEOUT: Millis = Millis(2_200);
 /// A spare is added to the group only if it was in contact within this time. Keeps a dead one from being added.
 const SPARE_CONTACT_TIMEOUT: Millis = Millis(1_500);
-/// The time for which an answer shows that a voter is live when a change of the voters is considered. A few heartbeat
-/// intervals.
-const ANSWER_TIMEOUT: Millis = Millis(500);
 /// The interval between two plans. Limits the CPU time of planning.
 const PLAN_INTERVAL: Millis = Millis(100);
 /// The time without contact after which a member of a pair is considered lost. Longer than for larger groups, because
@@ -290,60 +289,6 @@
         surplus.or_else(repair).or_else(removal)
     }
 
-    /// Returns the wanted change if it is safe now. It is considered anew once its voters have answered again.
-    fn safe_step(
-        &mut self,
-        replica: &Replica,
-        wanted: Option<MembershipChange>,
-        now: Timestamp,
-    ) -> Option<MembershipChange> {
-        let since =
-            self.wanted_change.filter(|(known, since)| Some(*known) == wanted && now.since(*since) < ANSWER_TIMEOUT);
-        self.wanted_change = since.or(wanted.map(|change| (change, now)));
-        let (change, since) = self.wanted_change?;
-        self.leaves_live_majority(replica, change, since).then_some(change)
-    }
-
-    /// Returns whether a majority of the voters after a change holds all committed entries, and has answered a message that
-    /// was sent since the change is wanted. Otherwise the change, which is in effect as soon as it is appended, might never be
-    /// committed.
-    fn leaves_live_majority(&self, replica: &Replica, change: MembershipChange, wanted_since: Timestamp) -> bool {
-        let next = replica.membership().after(change);
-        let is_live = |node: &NodeId| {
-            let acked_send = replica.progress(*node).and_then(|progress| progress.last_acked_send);
-            let has_answered = acked_send.is_some_and(|at| at >= wanted_since);
-            *node == self.own || (has_answered && self.is_caught_up(replica, *node))
-        };
-        next.voters.iter().filter(|node| is_live(node)).count() >= next.majority()
-    }
-
-    /// Withdraws a change of this replica that can't be committed. If it forms a pair, the pair is dissolved first, so that
-    /// the other member does not continue alone.
-    fn plan_withdrawal(
-        &mut self,
-        replica: &Replica,
-        directory: &StorageDirectory,
-        now: Timestamp,
-    ) -> Option<MembershipAction> {
-        if !self.is_change_lost(replica, directory, now) {
-            return None;
-        }
-        if self.pair.allows_change(replica.membership(), replica.log().known_membership_index()) {
-            return Some(MembershipAction::WithdrawChange);
-        }
-        self.pair_write(&PairIntent { wants_withdrawal: true, ..PairIntent::default() }, replica)
-    }
-
-    /// Returns whether this replica proposed a change that can't be committed, but without which there would be a leader.
-    fn is_change_lost(&self, replica: &Replica, directory: &StorageDirectory, now: Timestamp) -> bool {
-        let Some(before) = replica.membership_before_withdrawable_change() else { return false };
-        let has_majority = |membership: &GroupMembership| {
-            let live = membership.voters.iter().filter(|voter| !self.is_lost(replica, directory, **voter, now));
-            live.count() >= membership.majority()
-        };
-        !has_majority(replica.membership()) && has_majority(&before)
-    }
-
     /// Makes this member the survivor of a pair whose other member is lost, once the metadata store has decided so.
     fn plan_as_survivor(
         &mut self,
@@ -402,23 +347,6 @@
         node == self.own || self.last_contact.get(&node).is_some_and(|at| now.since(*at) < SPARE_CONTACT_TIMEOUT)
     }
 
-    /// A member is lost if its machine's disk has a new identity or the node has not been in contact for too long.
-    fn is_lost(&self, replica: &Replica, directory: &StorageDirectory, node: NodeId, now: Timestamp) -> bool {
-        node != self.own && (directory.of_node(node).is_none() || self.has_timed_out(replica, node, now))
-    }
-
-    /// A member is gone if it is lost, and its machine's disk has a new identity. A directory that lists this node is loaded.
-    fn is_gone(&self, replica: &Replica, directory: &StorageDirectory, node: NodeId, now: Timestamp) -> bool {
-        let is_replaced = directory.of_node(self.own).is_some() && directory.of_node(node).is_none();
-        is_replaced && self.has_timed_out(replica, node, now)
-    }
-
-    fn has_timed_out(&self, replica: &Replica, node: NodeId, now: Timestamp) -> bool {
-        let is_old = |at: Option<Timestamp>| at.is_none_or(|at| now.since(at) >= MEMBER_TIMEOUT);
-        let answered_at = replica.progress(node).and_then(|progress| progress.last_answer);
-        node != self.own && is_old(answered_at) && is_old(self.last_contact.get(&node).copied())
-    }
-
     fn is_caught_up(&self, replica: &Replica, node: NodeId) -> bool {
         node == self.own || replica.progress(node).is_some_and(|progress| progress.matched >= replica.commit())
     }
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -73,7 +73,8 @@
         }
         watch.record_progress(self.output().last_event.unwrap_or(0));
         match end {
-            // The worker is checked in the background, so the report is not delayed.
+            // The worker is checked in the background, so the report is not delayed. Dropping the watch of a paused run
+            // counts as abandoning it.
             RunEnd::BrokenOff => drop(watch.interrupted()),
             RunEnd::Paused => drop(watch),
             RunEnd::Completed => {
