Log which version began a stream, and what a resumption rests on

What callers saw: streams joined from two versions after all gateways were killed. The log could not tell why: E520 named no version, a stream whose gateway is killed leaves no E521, and E524 did not say whether the origin was recorded, where, or deduced and by whose word.

E529 (StreamBegan) is written before the first event of a stream that its caller may resume is forwarded; E520 gets the version of the attempt; E524 gets basis (own_record, storage_record, versions, nothing) and informant. New fields stand beside the old ones. The rule returns what it rests on; it decides as before.

--- a/crates/core/src/serving/stream_origins/mod.rs
+++ b/crates/core/src/serving/stream_origins/mod.rs
@@ -23,4 +23,6 @@
 pub use directory::OriginDirectory;
 pub use origin::{StreamKey, StreamOrigin};
 pub use outbox::OriginOutbox;
-pub use rule::{NodeKnowledge, OwnKnowledge, Resumption, UnknownOrigin, resume_rule, stream_lifetime};
+pub use rule::{
+    Basis, Decision, Informant, NodeKnowledge, OwnKnowledge, Resumption, UnknownOrigin, resume_rule, stream_lifetime,
+};
--- a/crates/core/src/serving/stream_origins/rule.rs
+++ b/crates/core/src/serving/stream_origins/rule.rs
@@ -108,46 +108,115 @@
     Refused(UnknownOrigin),
 }
 
+/// The node whose knowledge decided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Informant {
+    /// The node that decides.
+    Own,
+    /// The node that gave the answer with this index.
+    Answer(usize),
+}
+
+/// What a decision rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Basis {
+    /// The stream's record at a node.
+    Record(Informant),
+    /// The versions that a node has known.
+    Versions(Informant),
+    /// No node knew anything.
+    Nothing,
+}
+
+impl Basis {
+    /// Returns the name used in log fields.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Record(Informant::Own) => "own_record",
+            Self::Record(Informant::Answer(_)) => "storage_record",
+            Self::Versions(_) => "versions",
+            Self::Nothing => "nothing",
+        }
+    }
+
+    /// Returns the node whose knowledge decided, if any.
+    pub fn informant(self) -> Option<Informant> {
+        match self {
+            Self::Record(informant) | Self::Versions(informant) => Some(informant),
+            Self::Nothing => None,
+        }
+    }
+}
+
+/// A decision, and what it rests on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decision {
+    /// Where the stream is resumed.
+    pub resumption: Resumption,
+    /// What that rests on.
+    pub basis: Basis,
+}
+
 /// Decides where a stream of `service` that lasts for at most `lifetime` is resumed, by what this node and the storage
 /// nodes that answered know.
-pub fn resume_rule(service: &Arc<str>, own: &OwnKnowledge, answers: &[NodeKnowledge], lifetime: Millis) -> Resumption {
+pub fn resume_rule(service: &Arc<str>, own: &OwnKnowledge, answers: &[NodeKnowledge], lifetime: Millis) -> Decision {
     let mut recorded = None;
-    for node in std::iter::once(&own.known).chain(answers) {
+    for (informant, node) in informants(own, answers) {
         match &node.origin {
             KnownOrigin::Unknown => {}
-            KnownOrigin::Known(origin) if recorded.is_none_or(|other| other == origin) => recorded = Some(origin),
-            KnownOrigin::Known(_) | KnownOrigin::Conflicting => return Resumption::Refused(UnknownOrigin::Conflicting),
+            KnownOrigin::Known(origin) if recorded.is_none_or(|(_, other)| other == origin) => {
+                recorded.get_or_insert((informant, origin));
+            }
+            KnownOrigin::Known(_) | KnownOrigin::Conflicting => {
+                return refused(UnknownOrigin::Conflicting, Basis::Record(informant));
+            }
         }
     }
-    if let Some(origin) = recorded {
-        return Resumption::At(origin.clone());
+    if let Some((informant, origin)) = recorded {
+        return Decision { resumption: Resumption::At(origin.clone()), basis: Basis::Record(informant) };
     }
-    deduce_version(own, answers, lifetime)
-        .map_or_else(Resumption::Refused, |version| Resumption::At(StreamOrigin { service: service.clone(), version }))
+    deduce_version(service, own, answers, lifetime)
 }
 
-/// Returns the version that began a stream without a record, if one alone has served for longer than the stream lasts.
-fn deduce_version(
-    own: &OwnKnowledge,
-    answers: &[NodeKnowledge],
-    lifetime: Millis,
-) -> Result<SoftwareVersion, UnknownOrigin> {
+fn informants<'a>(
+    own: &'a OwnKnowledge,
+    answers: &'a [NodeKnowledge],
+) -> impl Iterator<Item = (Informant, &'a NodeKnowledge)> {
+    let answers = answers.iter().enumerate().map(|(index, answer)| (Informant::Answer(index), answer));
+    std::iter::once((Informant::Own, &own.known)).chain(answers)
+}
+
+fn refused(why: UnknownOrigin, basis: Basis) -> Decision {
+    Decision { resumption: Resumption::Refused(why), basis }
+}
+
+/// Decides on a stream without a record: it is resumed if one version alone has served for longer than the stream lasts.
+fn deduce_version(service: &Arc<str>, own: &OwnKnowledge, answers: &[NodeKnowledge], lifetime: Millis) -> Decision {
     // Others may have seen a second version that this node's view does not contain yet.
     let is_current = own.view_age.is_some_and(|age| age <= MAX_VIEW_AGE);
     if answers.is_empty() && !is_current {
-        return Err(UnknownOrigin::UncertainPast);
+        return refused(UnknownOrigin::UncertainPast, Basis::Nothing);
     }
-    let mut longest = Millis(0);
-    let mut sole = None;
-    for node in std::iter::once(&own.known).chain(answers) {
+    let mut longest: Option<(Informant, &SoftwareVersion, Millis)> = None;
+    for (informant, node) in informants(own, answers) {
         match &node.versions {
             KnownVersions::Unknown => {}
-            KnownVersions::Sole { version, lasted } if sole.is_none_or(|other| other == version) => {
-                sole = Some(version);
-                longest = longest.max(*lasted);
+            KnownVersions::Sole { version, lasted } if longest.is_none_or(|(_, other, _)| other == version) => {
+                if longest.is_none_or(|(_, _, longest)| *lasted > longest) {
+                    longest = Some((informant, version, *lasted));
+                }
+            }
+            KnownVersions::Sole { .. } | KnownVersions::Several => {
+                return refused(UnknownOrigin::SeveralVersions, Basis::Versions(informant));
             }
-            KnownVersions::Sole { .. } | KnownVersions::Several => return Err(UnknownOrigin::SeveralVersions),
         }
     }
-    sole.filter(|_| longest >= lifetime).cloned().ok_or(UnknownOrigin::UncertainPast)
+    let Some((informant, version, lasted)) = longest else {
+        return refused(UnknownOrigin::UncertainPast, Basis::Nothing);
+    };
+    if lasted < lifetime {
+        return refused(UnknownOrigin::UncertainPast, Basis::Versions(informant));
+    }
+    let origin = StreamOrigin { service: service.clone(), version: version.clone() };
+    Decision { resumption: Resumption::At(origin), basis: Basis::Versions(informant) }
 }
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -19,8 +19,8 @@
 use stallmoor_core::serving::stream_origins::message::OriginRecord;
 use stallmoor_core::serving::stream_origins::rule::KnownOrigin;
 use stallmoor_core::serving::stream_origins::{
-    NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey, StreamOrigin, UnknownOrigin,
-    resume_rule, stream_lifetime,
+    Basis, Informant, NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey, StreamOrigin,
+    UnknownOrigin, resume_rule, stream_lifetime,
 };
 use stallmoor_core::serving::workers::versions::KnownVersions;
 use stallmoor_core::serving::workers::{SoftwareVersion, WorkerId, WorkerQuery, WorkerRecord, WorkerTable};
@@ -55,7 +55,25 @@
 }
 
 fn resume(own: NodeKnowledge, view_age: Option<Millis>, answers: &[NodeKnowledge]) -> Resumption {
-    resume_rule(&Arc::from(SERVICE), &OwnKnowledge { known: own, view_age }, answers, LIFETIME)
+    resume_rule(&Arc::from(SERVICE), &OwnKnowledge { known: own, view_age }, answers, LIFETIME).resumption
+}
+
+/// Guards against logs that do not tell how the origin of a resumed stream was known, and by which node.
+#[test]
+fn a_decision_names_what_it_rests_on() {
+    let basis = |own: NodeKnowledge, answers: &[NodeKnowledge]| {
+        resume_rule(&Arc::from(SERVICE), &OwnKnowledge { known: own, view_age: CURRENT }, answers, LIFETIME).basis
+    };
+    let known = || KnownOrigin::Known(origin("v1"));
+    let blank = || node(KnownOrigin::Unknown, KnownVersions::Unknown);
+    assert_eq!(basis(node(known(), KnownVersions::Several), &[]), Basis::Record(Informant::Own));
+    let answers = [blank(), node(known(), KnownVersions::Several)];
+    assert_eq!(basis(blank(), &answers), Basis::Record(Informant::Answer(1)));
+    let versions = |lasted| node(KnownOrigin::Unknown, sole("v1", lasted));
+    assert_eq!(basis(versions(10), &[blank(), versions(LIFETIME.0)]), Basis::Versions(Informant::Answer(1)));
+    let several = node(KnownOrigin::Unknown, KnownVersions::Several);
+    assert_eq!(basis(versions(LIFETIME.0), &[several]), Basis::Versions(Informant::Answer(0)));
+    assert_eq!(basis(blank(), &[blank()]), Basis::Nothing);
 }
 
 /// Guards against a recorded origin that is ignored because versions look alike, or the other way round.
@@ -396,7 +414,8 @@
             }
         }
         let own = OwnKnowledge { known, view_age };
-        let Resumption::At(origin) = resume_rule(&Arc::from(SERVICE), &own, &answers, LIFETIME) else { return false };
+        let decision = resume_rule(&Arc::from(SERVICE), &own, &answers, LIFETIME);
+        let Resumption::At(origin) = decision.resumption else { return false };
         let table = &self.gateways[gateway].table;
         let Some(chosen) = table.choose(&query(Some(&origin.version)), now, &mut self.random) else { return false };
         if self.workers.iter().all(|worker| worker.id != chosen.id || worker.version != chosen.version) {
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -127,9 +127,9 @@
         }
         let (key, lifetime) = (self.resumed_stream(), self.state.stream_lifetime());
         let origins = self.client.origins.clone();
-        let resumption = origins.resolve(key, &self.service, lifetime, self.state.remaining(self.now())).await;
-        self.log_resumption(&resumption);
-        match resumption {
+        let resolved = origins.resolve(key, &self.service, lifetime, self.state.remaining(self.now())).await;
+        self.log_resumption(&resolved);
+        match resolved.resumption {
             Resumption::At(origin) if self.request.route.leads_to(&origin.service) => {
                 self.service = origin.service.clone();
                 self.state.origin = Some(origin);
@@ -154,7 +154,8 @@
         let Some(choice) = &self.last_choice else { return };
         let origin = StreamOrigin { service: self.service.clone(), version: choice.version.clone() };
         let key = StreamKey::of(&self.request.identity, &self.request.attributes.id);
-        self.client.origins.record(key, &origin, self.state.stream_lifetime());
+        let is_shared = self.client.origins.record(key, &origin, self.state.stream_lifetime());
+        self.log_stream_start(&origin, is_shared);
         self.state.origin = Some(origin);
     }
 
--- a/crates/gateway/src/online/records.rs
+++ b/crates/gateway/src/online/records.rs
@@ -3,12 +3,13 @@
 use stallmoor_core::error::Refusal;
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::serving::online::attempt::AttemptEnd;
-use stallmoor_core::serving::stream_origins::Resumption;
+use stallmoor_core::serving::stream_origins::{Resumption, StreamOrigin};
 use stallmoor_core::serving::workers::WorkerId;
 
 use super::ActiveRequest;
 use crate::observe::journal::{Field, record};
 use crate::observe::measures;
+use crate::streams::Resolved;
 
 impl ActiveRequest {
     pub(super) fn log_attempt(&self, worker: &WorkerId, end: AttemptEnd) {
@@ -18,11 +19,30 @@
             Field::text("end", format!("{end:?}")),
             Field::number("events", self.state.progress.events),
             Field::number("age_ms", self.state.age(self.now()).0),
+            Field::text("version", self.chosen_version()),
         ];
         record(LogEvent::AttemptEnded, &fields);
         measures::count_failed_attempt(end.name());
     }
 
+    /// Returns the software version of the worker that was chosen last.
+    fn chosen_version(&self) -> String {
+        self.last_choice.as_ref().map(|choice| choice.version.to_string()).unwrap_or_default()
+    }
+
+    /// Logs the origin of a stream before its first event is forwarded. The gateway may be killed before the end.
+    pub(super) fn log_stream_start(&self, origin: &StreamOrigin, is_shared: bool) {
+        let worker = self.last_choice.as_ref().map(|choice| choice.id.to_string()).unwrap_or_default();
+        let fields = [
+            Field::text("request", &self.request.attributes.id),
+            Field::text("worker", worker),
+            Field::text("service", &origin.service),
+            Field::text("version", &origin.version),
+            Field::text("origin", if is_shared { "shared" } else { "deducible" }),
+        ];
+        record(LogEvent::StreamBegan, &fields);
+    }
+
     /// Inputs to the choice of the worker: load and cached tokens as estimated by this node.
     fn choice_fields(&self) -> Vec<Field> {
         let Some(choice) = &self.last_choice else { return Vec::new() };
@@ -47,8 +67,8 @@
         record(LogEvent::RequestMoved, &fields);
     }
 
-    pub(super) fn log_resumption(&self, resumption: &Resumption) {
-        let (outcome, version) = match resumption {
+    pub(super) fn log_resumption(&self, resolved: &Resolved) {
+        let (outcome, version) = match &resolved.resumption {
             Resumption::At(origin) => ("known", origin.version.to_string()),
             Resumption::Refused(why) => (why.name(), String::new()),
         };
@@ -58,6 +78,8 @@
             Field::number("after_event", self.state.progress.last_event.unwrap_or(0)),
             Field::text("origin", outcome),
             Field::text("version", version),
+            Field::text("basis", resolved.basis),
+            Field::text("informant", resolved.informant.map(|node| node.to_string()).unwrap_or_default()),
         ];
         record(LogEvent::StreamResumed, &fields);
         measures::count_resumption(outcome);
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -13,7 +13,8 @@
 use stallmoor_core::serving::stream_origins::holders::{COPIES, holders};
 use stallmoor_core::serving::stream_origins::message::{OriginRecord, OriginsAnswer, OriginsRequest};
 use stallmoor_core::serving::stream_origins::{
-    NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey, StreamOrigin, resume_rule,
+    Decision, Informant, NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey,
+    StreamOrigin, resume_rule,
 };
 use stallmoor_core::serving::workers::versions::KnownVersions;
 use stallmoor_core::time::{Millis, Timestamp};
@@ -47,6 +48,7 @@
 
 /// The origins of streams that this node knows, and its connections to the storage nodes that know others.
 pub struct StreamOrigins {
+    id: NodeId,
     view: Arc<FleetView>,
     metadata: Arc<MetadataView>,
     links: PeerLinks,
@@ -58,10 +60,21 @@
     avoided: Mutex<BTreeMap<NodeId, Timestamp>>,
 }
 
+/// The decision on a stream that its client resumes, with what it rests on.
+pub struct Resolved {
+    /// Where the stream is resumed.
+    pub resumption: Resumption,
+    /// Name of what the decision rests on.
+    pub basis: &'static str,
+    /// The node whose knowledge decided, if any.
+    pub informant: Option<NodeId>,
+}
+
 impl StreamOrigins {
     /// Creates an empty directory for the node `id`.
     pub fn new(view: Arc<FleetView>, metadata: Arc<MetadataView>, id: NodeId) -> Self {
         Self {
+            id,
             view,
             metadata,
             links: PeerLinks::new(id),
@@ -73,8 +86,8 @@
     }
 
     /// Records the origin of a stream that lasts for at most `lifetime`. It is sent to storage nodes if others cannot
-    /// deduce it.
-    pub fn record(&self, key: StreamKey, origin: &StreamOrigin, lifetime: Millis) {
+    /// deduce it, which is returned.
+    pub fn record(&self, key: StreamKey, origin: &StreamOrigin, lifetime: Millis) -> bool {
         let now = self.view.clock.now();
         lock(&self.directory).record(key, origin, now);
         let record = OriginRecord { key, origin: origin.clone() };
@@ -83,6 +96,7 @@
         if is_due {
             self.due.notify_one();
         }
+        is_due
     }
 
     /// Returns whether other nodes can deduce the origin of a stream of this service.
@@ -113,29 +127,40 @@
         service: &Arc<str>,
         lifetime: Millis,
         remaining: Millis,
-    ) -> Resumption {
+    ) -> Resolved {
         let own = OwnKnowledge { known: self.knowledge(key, service), view_age: self.metadata.state().age };
-        let mut answers = Vec::new();
-        let mut resumption = resume_rule(service, &own, &answers, lifetime);
+        let (mut nodes, mut answers) = (Vec::new(), Vec::new());
+        let mut decision = resume_rule(service, &own, &answers, lifetime);
         if !own.known.origin.is_unknown() {
-            return resumption;
+            return self.resolved(decision, &nodes);
         }
         let request = OriginsRequest::Find { key, service: service.clone() };
         let timeout = FIND_TIMEOUT.min(Duration::from_millis(remaining.0 / 2));
         let mut asked = self.ask(key.unwrap_or(StreamKey(0)), &request, timeout);
         while let Some(answer) = asked.join_next().await {
-            let Ok(Some(answer)) = answer else { continue };
+            let Ok(Some((node, answer))) = answer else { continue };
             let is_recorded = !answer.origin.is_unknown();
+            nodes.push(node);
             answers.push(answer);
-            resumption = resume_rule(service, &own, &answers, lifetime);
+            decision = resume_rule(service, &own, &answers, lifetime);
             if is_recorded {
                 break;
             }
         }
-        if let (Resumption::At(origin), Some(key)) = (&resumption, key) {
+        if let (Resumption::At(origin), Some(key)) = (&decision.resumption, key) {
             lock(&self.directory).record(key, origin, self.view.clock.now());
         }
-        resumption
+        self.resolved(decision, &nodes)
+    }
+
+    /// Names the node whose knowledge decided; `nodes` gave the answers.
+    fn resolved(&self, decision: Decision, nodes: &[NodeId]) -> Resolved {
+        let Decision { resumption, basis } = decision;
+        let informant = basis.informant().and_then(|informant| match informant {
+            Informant::Own => Some(self.id),
+            Informant::Answer(index) => nodes.get(index).copied(),
+        });
+        Resolved { resumption, basis: basis.name(), informant }
     }
 
     fn knowledge(&self, key: Option<StreamKey>, service: &str) -> NodeKnowledge {
@@ -150,13 +175,13 @@
         key: StreamKey,
         request: &OriginsRequest,
         timeout: Duration,
-    ) -> JoinSet<Option<NodeKnowledge>> {
+    ) -> JoinSet<Option<(NodeId, NodeKnowledge)>> {
         let mut asked = JoinSet::new();
         for holder in self.responsive_holders(key) {
             let (origins, request) = (self.clone(), request.clone());
             asked.spawn(async move {
                 match origins.links.send_request(holder.address, request, timeout).await {
-                    Ok(OriginsAnswer::Found(knowledge)) => Some(knowledge),
+                    Ok(OriginsAnswer::Found(knowledge)) => Some((holder.node, knowledge)),
                     _ => {
                         origins.avoid(holder);
                         None
