Count a version as serving alone only while the view was current

What callers saw: streams joined from two versions after all gateways were killed. A stream whose origin no node has recorded goes on at the sole version that any node claims to have known for longer than a stream lasts.

Cause: that time ran on while the node's view of the workers was not updated. A storage node that was cut off from the store, or frozen, while the fleet went to the next version and back again decided on the streams of the version in between; so did one that had not read the change yet. A gateway with such a view did not send origins to storage nodes either. The same time decided on items' output that another leader received.

Now a duration counts as observed only while the view was current throughout: it ends at the last confirmation, begins anew when more than MAX_VIEW_AGE lies between two confirmations and changes may have been missed, and is zero while the view is older. An answer without changes since the view's revision shows that there were none. The removal of a worker that was never seen starts it anew, too. Gateways and storage nodes use the same decision, so that origins are sent as soon as others cannot deduce them.

The other side: all 90 streams of a calm fleet go on after all gateways were killed, with one of three storage nodes current, and all 180 of two versions whose origins were stored.

--- a/crates/core/src/serving/stream_origins/mod.rs
+++ b/crates/core/src/serving/stream_origins/mod.rs
@@ -9,6 +9,7 @@
 //! | [`origin`] | the origin of a stream, and the key under which nodes store it |
 //! | [`directory`] | the origins that one node knows, within bounds |
 //! | [`outbox`] | the origins of a gateway's streams that other nodes may have to learn |
+//! | [`sharing`] | when a gateway stores an origin at storage nodes |
 //! | [`holders`] | the storage nodes that store an origin |
 //! | [`rule`] | the decision whether and where a stream is resumed |
 //! | [`message`] | the messages between gateways and storage nodes |
@@ -19,6 +20,7 @@
 pub mod origin;
 pub mod outbox;
 pub mod rule;
+pub mod sharing;
 
 pub use directory::OriginDirectory;
 pub use origin::{StreamKey, StreamOrigin};
--- a/crates/core/src/serving/stream_origins/rule.rs
+++ b/crates/core/src/serving/stream_origins/rule.rs
@@ -10,6 +10,7 @@
 
 use super::directory::{RETENTION, RecordedOrigin};
 use super::origin::StreamOrigin;
+use crate::serving::relay::continuity::MAX_VIEW_AGE;
 use crate::serving::workers::SoftwareVersion;
 use crate::serving::workers::versions::KnownVersions;
 use crate::time::Millis;
@@ -22,9 +23,6 @@
 /// Maximum duration of a stream; its origin is retained for longer than that.
 const MAX_LIFETIME: Millis = Millis(RETENTION.0 / 2);
 
-/// Maximum age of this node's view of the workers by which it may deduce an origin without an answer of another node.
-const MAX_VIEW_AGE: Millis = Millis(2_000);
-
 /// Returns the time after which a stream of a route with the given timeout is no longer resumed.
 pub fn stream_lifetime(route_timeout: Millis) -> Millis {
     Millis(route_timeout.0.saturating_mul(ATTEMPTS_PER_STREAM)).clamp(MIN_LIFETIME, MAX_LIFETIME)
@@ -35,7 +33,7 @@
 pub struct NodeKnowledge {
     /// The recorded origins of the stream: none, one, or several if records conflict.
     pub origin: KnownOrigin,
-    /// The versions of the service's workers.
+    /// The versions of the service's workers, as far as the node has observed them.
     pub versions: KnownVersions,
 }
 
--- a/crates/core/src/serving/workers/table.rs
+++ b/crates/core/src/serving/workers/table.rs
@@ -143,7 +143,11 @@
 
     /// Handles the removal of a worker's record. The worker can be selected as a last resort until `usable_until`.
     pub fn remove(&mut self, id: &WorkerId, usable_until: Timestamp, now: Timestamp) -> Option<WorkerChange> {
-        let entry = self.workers.get_mut(id)?;
+        let Some(entry) = self.workers.get_mut(id) else {
+            // The worker was added and removed between two updates of the view.
+            self.versions.record_unseen_worker(now);
+            return None;
+        };
         let usable_until = match entry.presence {
             Presence::Ready => usable_until,
             // A worker that did not rewrite its record in time is not a last resort.
--- a/crates/core/src/serving/workers/versions.rs
+++ b/crates/core/src/serving/workers/versions.rs
@@ -7,6 +7,7 @@
 
 use super::table::WorkerTable;
 use super::worker::{SoftwareVersion, WorkerRecord};
+use crate::serving::relay::continuity::Observation;
 use crate::time::{Millis, Timestamp};
 
 /// What a node knows about the versions of a service's workers, including recently departed ones.
@@ -26,6 +27,17 @@
     Several,
 }
 
+impl KnownVersions {
+    /// Limits the duration to the time for which the node has observed the workers. What a view that is not current
+    /// contains still shows which versions have served, but not for how long.
+    pub fn observed(self, observation: &Observation) -> Self {
+        match self {
+            Self::Sole { version, lasted } => Self::Sole { version, lasted: observation.observed_part(lasted) },
+            Self::Unknown | Self::Several => self,
+        }
+    }
+}
+
 /// Number of workers by service and version, including departed workers that the table retains: their streams may still be
 /// resumed.
 #[derive(Clone, Debug, Default)]
@@ -36,7 +48,7 @@
 #[derive(Clone, Debug, Default)]
 struct ServiceVersions {
     workers: BTreeMap<SoftwareVersion, usize>,
-    /// Last time at which the set of versions changed.
+    /// Last time at which the set of versions changed, or may have changed unseen.
     changed_at: Timestamp,
 }
 
@@ -66,6 +78,11 @@
         }
     }
 
+    /// Records that a worker of any service and version may have served unseen.
+    pub(super) fn record_unseen_worker(&mut self, now: Timestamp) {
+        self.by_service.values_mut().for_each(|versions| versions.changed_at = now);
+    }
+
     fn remove(&mut self, service: &Arc<str>, version: &SoftwareVersion, now: Timestamp) {
         let Some(versions) = self.by_service.get_mut(service) else { return };
         let Some(count) = versions.workers.get_mut(version) else { return };
--- /dev/null
+++ b/crates/core/tests/stale_versions.rs
@@ -0,0 +1,450 @@
+//! Guards against streams that are joined from two software versions after gateways were killed, because a node deduces
+//! their version from a view of the workers that is not current, or was not throughout.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use stallmoor_core::identity::NodeId;
+use stallmoor_core::serving::configuration::tenant::CallerIdentity;
+use stallmoor_core::serving::jobs::directory::{StorageDirectory, StorageRecord};
+use stallmoor_core::serving::regions::AllowedRegions;
+use stallmoor_core::serving::relay::continuity::{Continuity, MAX_VIEW_AGE, Observation, ViewUpdate};
+use stallmoor_core::serving::stream_origins::holders::{COPIES, holders};
+use stallmoor_core::serving::stream_origins::message::OriginRecord;
+use stallmoor_core::serving::stream_origins::sharing::is_deducible;
+use stallmoor_core::serving::stream_origins::{
+    NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey, StreamOrigin, resume_rule,
+};
+use stallmoor_core::serving::workers::versions::KnownVersions;
+use stallmoor_core::serving::workers::{SoftwareVersion, WorkerId, WorkerQuery, WorkerRecord, WorkerTable};
+use stallmoor_core::time::{Millis, Timestamp};
+
+const SERVICE: &str = "lm";
+const LIFETIME: Millis = Millis(10_000);
+/// Time after which connected nodes confirm their views.
+const CONFIRM_INTERVAL: Millis = Millis(500);
+/// Time for which a fleet has been up when a test begins.
+const CALM: u64 = 60_000;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+fn key(stream: usize) -> StreamKey {
+    StreamKey::of(&CallerIdentity::Unchecked, &format!("stream-{stream}"))
+}
+
+fn record(id: &str, version: &str) -> WorkerRecord {
+    WorkerRecord {
+        id: WorkerId(Arc::from(id)),
+        service: Arc::from(SERVICE),
+        address: SocketAddr::from(([10, 1, 0, 1], 80)),
+        zone: Arc::from("a"),
+        version: SoftwareVersion::new(version),
+        slots: 8,
+        draining: false,
+        started_at: None,
+        cold_remaining: Millis(0),
+    }
+}
+
+fn query(version: Option<&SoftwareVersion>) -> WorkerQuery<'_> {
+    WorkerQuery {
+        service: SERVICE,
+        zone: "a",
+        prefix: &[],
+        prompt_tokens: 0,
+        body_bytes: 0,
+        tried: &[],
+        regions: &AllowedRegions::Any,
+        may_run_again: true,
+        version,
+    }
+}
+
+/// A change of the workers' records in the store.
+#[derive(Clone)]
+enum Change {
+    Written(WorkerRecord),
+    Removed(WorkerId),
+}
+
+/// A node's view of the workers. A node that is cut off from the store still answers others.
+struct View {
+    table: WorkerTable,
+    continuity: Continuity,
+    records: BTreeMap<WorkerId, WorkerRecord>,
+    is_cut_off: bool,
+    missed: Vec<Change>,
+}
+
+impl View {
+    /// Creates the view of a node that starts with records that were complete at `confirmed_at`.
+    fn new(records: &BTreeMap<WorkerId, WorkerRecord>, confirmed_at: Timestamp, now: Timestamp) -> Self {
+        let mut view = Self {
+            table: WorkerTable::default(),
+            continuity: Continuity::default(),
+            records: records.clone(),
+            is_cut_off: false,
+            missed: Vec::new(),
+        };
+        for worker in records.values() {
+            view.table.apply_record(worker.clone(), now);
+        }
+        view.continuity.record(ViewUpdate::Replaced, confirmed_at);
+        view
+    }
+
+    fn observe(&mut self, change: &Change, now: Timestamp) {
+        if self.is_cut_off {
+            return self.missed.push(change.clone());
+        }
+        self.apply(change, now);
+        self.continuity.record(ViewUpdate::Changed, now);
+    }
+
+    fn apply(&mut self, change: &Change, now: Timestamp) {
+        match change {
+            Change::Written(worker) => {
+                self.records.insert(worker.id.clone(), worker.clone());
+                self.table.apply_record(worker.clone(), now);
+            }
+            Change::Removed(id) => {
+                self.records.remove(id);
+                self.table.remove(id, now, now);
+            }
+        }
+    }
+
+    /// Brings the view up to date: after a short gap by each change, after a long one by a list of what is left.
+    fn confirm(&mut self, present: &BTreeMap<WorkerId, WorkerRecord>, now: Timestamp) {
+        if self.is_cut_off {
+            return;
+        }
+        let missed = std::mem::take(&mut self.missed);
+        if self.continuity.observed(now).is_current() {
+            missed.iter().for_each(|change| self.apply(change, now));
+            let update = if missed.is_empty() { ViewUpdate::Unchanged } else { ViewUpdate::Changed };
+            return self.continuity.record(update, now);
+        }
+        let gone: Vec<_> = self.records.keys().filter(|id| !present.contains_key(*id)).cloned().collect();
+        gone.into_iter().for_each(|id| self.apply(&Change::Removed(id), now));
+        present.values().for_each(|worker| self.apply(&Change::Written(worker.clone()), now));
+        self.continuity.record(ViewUpdate::Replaced, now);
+    }
+
+    fn versions(&self, now: Timestamp) -> KnownVersions {
+        self.table.known_versions(SERVICE, now).observed(&self.continuity.observed(now))
+    }
+}
+
+struct Gateway {
+    view: View,
+    directory: OriginDirectory,
+    outbox: OriginOutbox,
+}
+
+struct Storage {
+    view: View,
+    directory: OriginDirectory,
+}
+
+struct Stream {
+    versions: BTreeSet<SoftwareVersion>,
+}
+
+struct Worker {
+    id: WorkerId,
+    started_at: Timestamp,
+}
+
+/// Gateways, storage nodes, workers and streams, without the time that messages take.
+struct Fleet {
+    gateways: Vec<Gateway>,
+    storage: Vec<Storage>,
+    nodes: StorageDirectory,
+    workers: Vec<Worker>,
+    present: BTreeMap<WorkerId, WorkerRecord>,
+    streams: Vec<Stream>,
+    started_workers: usize,
+    now: Timestamp,
+    random: Xoshiro256PlusPlus,
+}
+
+impl Fleet {
+    /// Starts a fleet of one version.
+    fn new(gateways: usize, workers: usize, seed: u64) -> Self {
+        let mut nodes = StorageDirectory::default();
+        for number in 0..3_u64 {
+            nodes.upsert(StorageRecord {
+                name: Arc::from(format!("storage-{number}")),
+                node: NodeId(number + 1),
+                address: SocketAddr::from(([10, 0, number as u8, 1], 80)),
+                zone: Arc::from(format!("zone-{number}")),
+            });
+        }
+        let records = (0..workers).map(|worker| record(&format!("i-{worker}"), "v1"));
+        let present: BTreeMap<_, _> = records.map(|worker| (worker.id.clone(), worker)).collect();
+        let now = at(0);
+        let view = || View::new(&present, now, now);
+        let gateway =
+            |_| Gateway { view: view(), directory: OriginDirectory::default(), outbox: OriginOutbox::default() };
+        let storage = |_| Storage { view: view(), directory: OriginDirectory::default() };
+        Self {
+            gateways: (0..gateways).map(gateway).collect(),
+            storage: (0..3).map(storage).collect(),
+            nodes,
+            workers: present.keys().map(|id| Worker { id: id.clone(), started_at: now }).collect(),
+            present: present.clone(),
+            streams: Vec::new(),
+            started_workers: workers,
+            now,
+            random: Xoshiro256PlusPlus::seed_from_u64(seed),
+        }
+    }
+
+    fn wait(&mut self, span: u64) {
+        let end = self.now + Millis(span);
+        while self.now < end {
+            self.now = self.now + CONFIRM_INTERVAL.min(end.since(self.now));
+            let (now, present) = (self.now, &self.present);
+            let gateways = self.gateways.iter_mut().map(|gateway| &mut gateway.view);
+            for view in gateways.chain(self.storage.iter_mut().map(|node| &mut node.view)) {
+                view.confirm(present, now);
+                view.table.evict_departed(now);
+            }
+            self.share();
+        }
+    }
+
+    /// Starts a gateway again.
+    fn restart_gateway(&mut self, gateway: usize) {
+        let view = View::new(&self.present, self.now, self.now);
+        self.gateways[gateway] =
+            Gateway { view, directory: OriginDirectory::default(), outbox: OriginOutbox::default() };
+    }
+
+    fn kill_all_gateways(&mut self) {
+        (0..self.gateways.len()).for_each(|gateway| self.restart_gateway(gateway));
+    }
+
+    fn restart_storage(&mut self, node: usize) {
+        let view = View::new(&self.present, self.now, self.now);
+        self.storage[node] = Storage { view, directory: OriginDirectory::default() };
+    }
+
+    /// Replaces a worker, under the same ID or another one, unless it has only just started.
+    fn replace_worker(&mut self, worker: usize, version: &str, keeps_id: bool) {
+        if self.now.since(self.workers[worker].started_at) <= MAX_VIEW_AGE {
+            return;
+        }
+        let former = self.workers[worker].id.clone();
+        if !keeps_id {
+            self.publish(&Change::Removed(former.clone()));
+            self.present.remove(&former);
+        }
+        let id = if keeps_id { former } else { WorkerId(Arc::from(format!("i-{}", self.started_workers))) };
+        self.started_workers += 1;
+        let current = record(&id.0, version);
+        self.publish(&Change::Written(current.clone()));
+        self.present.insert(id.clone(), current);
+        self.workers[worker] = Worker { id, started_at: self.now };
+        self.share();
+    }
+
+    fn replace_all(&mut self, version: &str) {
+        (0..self.workers.len()).for_each(|worker| self.replace_worker(worker, version, false));
+    }
+
+    fn publish(&mut self, change: &Change) {
+        let now = self.now;
+        self.gateways.iter_mut().for_each(|gateway| gateway.view.observe(change, now));
+        self.storage.iter_mut().for_each(|node| node.view.observe(change, now));
+    }
+
+    /// Cuts a storage node or a gateway off from the store, or connects it again; its next confirmation follows.
+    fn set_cut_off(&mut self, node: usize, is_cut_off: bool) {
+        let count = self.storage.len();
+        let view = match node.checked_sub(count) {
+            None => &mut self.storage[node].view,
+            Some(gateway) => &mut self.gateways[gateway].view,
+        };
+        view.is_cut_off = is_cut_off;
+    }
+
+    /// Stores the origins that are due.
+    fn share(&mut self) {
+        for gateway in 0..self.gateways.len() {
+            let entry = &mut self.gateways[gateway];
+            let versions = entry.view.versions(self.now);
+            for due in entry.outbox.take_due(|_, lifetime| is_deducible(&versions, lifetime), self.now) {
+                self.store(&due);
+            }
+        }
+    }
+
+    fn store(&mut self, due: &OriginRecord) {
+        for holder in holders(due.key, &self.nodes).into_iter().take(COPIES) {
+            self.storage[holder.node.0 as usize - 1].directory.record(due.key, &due.origin, self.now);
+        }
+    }
+
+    /// Begins a stream at a gateway, which may be killed right after the first event.
+    fn begin(&mut self, gateway: usize, is_killed: bool) {
+        let (now, id) = (self.now, self.streams.len());
+        let entry = &mut self.gateways[gateway];
+        let Some(chosen) = entry.view.table.choose(&query(None), now, &mut self.random) else { return };
+        // A worker that was replaced rejects requests that name its former ID.
+        if self.present.get(&chosen.id).is_none_or(|worker| worker.version != chosen.version) {
+            return;
+        }
+        let due = OriginRecord {
+            key: key(id),
+            origin: StreamOrigin { service: Arc::from(SERVICE), version: chosen.version.clone() },
+        };
+        entry.directory.record(due.key, &due.origin, now);
+        entry.outbox.add(due, LIFETIME, now);
+        self.streams.push(Stream { versions: BTreeSet::from([chosen.version]) });
+        if is_killed {
+            self.restart_gateway(gateway);
+        }
+        self.share();
+    }
+
+    /// Resumes a stream at a gateway. Returns whether it goes on.
+    fn resume(&mut self, stream: usize, gateway: usize) -> bool {
+        let (now, id) = (self.now, key(stream));
+        let mut answers = Vec::new();
+        for holder in holders(id, &self.nodes) {
+            let number = holder.node.0 as usize - 1;
+            let node = &mut self.storage[number];
+            let origin = node.directory.look_up(id, now).into();
+            answers.push(NodeKnowledge { origin, versions: node.view.versions(now) });
+        }
+        let entry = &mut self.gateways[gateway];
+        let origin = entry.directory.look_up(id, now).into();
+        let known = NodeKnowledge { origin, versions: entry.view.versions(now) };
+        let own = OwnKnowledge { known, view_age: entry.view.continuity.observed(now).age };
+        let decision = resume_rule(&Arc::from(SERVICE), &own, &answers, LIFETIME);
+        let Resumption::At(origin) = decision.resumption else { return false };
+        entry.directory.record(id, &origin, now);
+        let chosen = entry.view.table.choose(&query(Some(&origin.version)), now, &mut self.random);
+        let serves = |worker: &WorkerId| self.present.get(worker).map(|worker| worker.version.clone());
+        if chosen.is_none_or(|chosen| serves(&chosen.id) != Some(chosen.version)) {
+            return false;
+        }
+        self.streams[stream].versions.insert(origin.version);
+        true
+    }
+
+    /// Resumes all streams and returns how many go on.
+    fn resume_all(&mut self) -> usize {
+        let gateways = self.gateways.len();
+        (0..self.streams.len()).filter(|stream| self.resume(*stream, stream % gateways)).count()
+    }
+
+    fn mixed(&self) -> usize {
+        self.streams.iter().filter(|stream| stream.versions.len() > 1).count()
+    }
+}
+
+/// Guards against a storage node that claims to have known one version for long although it was cut off from the store
+/// while the fleet went to the next version and back again.
+#[test]
+fn a_rollback_that_a_storage_node_missed_does_not_decide_on_the_streams_of_the_version_between() {
+    for is_back in [false, true] {
+        let mut fleet = Fleet::new(3, 6, 1);
+        fleet.wait(CALM);
+        fleet.set_cut_off(0, true);
+        fleet.replace_all("v2");
+        fleet.wait(5_000);
+        (0..30).for_each(|number| fleet.begin(number % 3, true));
+        fleet.replace_all("v1");
+        fleet.wait(2_500);
+        // The others lose what they know.
+        (1..3).for_each(|node| fleet.restart_storage(node));
+        fleet.kill_all_gateways();
+        fleet.set_cut_off(0, !is_back);
+        fleet.wait(500);
+        fleet.resume_all();
+        assert_eq!(fleet.mixed(), 0, "the node was connected again: {is_back}");
+    }
+}
+
+/// Guards against guesses on streams whose gateway was killed with the first event, before it stored the origin: also
+/// right after the last worker of a version left, and where a storage node has just started.
+#[test]
+fn a_stream_of_the_last_milliseconds_before_a_kill_is_refused() {
+    for starts_node in [false, true] {
+        let mut fleet = Fleet::new(3, 6, 3);
+        fleet.wait(CALM);
+        (0..3).for_each(|worker| fleet.replace_worker(worker, "v2", false));
+        fleet.wait(5_000);
+        (0..30).for_each(|number| fleet.begin(number % 3, true));
+        (3..6).for_each(|worker| fleet.replace_worker(worker, "v2", false));
+        fleet.kill_all_gateways();
+        if starts_node {
+            fleet.restart_storage(0);
+        }
+        for _ in 0..8 {
+            fleet.wait(1_000);
+            fleet.resume_all();
+            assert_eq!(fleet.mixed(), 0, "a storage node has just started: {starts_node}");
+        }
+    }
+}
+
+/// The other side of the guard: against refusing streams of a calm fleet after all gateways were killed.
+#[test]
+fn streams_of_a_calm_fleet_go_on_after_all_gateways_were_killed() {
+    let mut fleet = Fleet::new(9, 12, 4);
+    fleet.wait(CALM);
+    (0..90).for_each(|number| fleet.begin(number % 9, false));
+    fleet.kill_all_gateways();
+    fleet.wait(1_000);
+    fleet.restart_storage(0);
+    fleet.set_cut_off(1, true);
+    fleet.wait(3_000);
+    assert_eq!(fleet.resume_all(), 90, "one storage node is up and current");
+}
+
+/// The other side of the guard: against refusing streams of several versions whose origins were stored.
+#[test]
+fn stored_streams_go_on_after_all_gateways_were_killed() {
+    let mut fleet = Fleet::new(9, 12, 5);
+    fleet.wait(CALM);
+    (0..90).for_each(|number| fleet.begin(number % 9, false));
+    (0..6).for_each(|worker| fleet.replace_worker(worker, "v2", false));
+    (0..90).for_each(|number| fleet.begin(number % 9, false));
+    fleet.kill_all_gateways();
+    fleet.restart_storage(0);
+    fleet.wait(1_000);
+    assert_eq!((fleet.resume_all(), fleet.mixed()), (180, 0));
+}
+
+/// Guards against durations that go on while a view is not updated, and after it could have missed changes.
+#[test]
+fn a_view_is_observed_only_while_it_is_confirmed_in_time() {
+    let mut continuity = Continuity::default();
+    assert_eq!(continuity.observed(at(0)), Observation::default());
+    for confirmed in [0, 2_000, 4_000] {
+        continuity.record(ViewUpdate::Changed, at(confirmed));
+    }
+    let sole = |lasted| KnownVersions::Sole { version: SoftwareVersion::new("v1"), lasted: Millis(lasted) };
+    assert_eq!(sole(5_000).observed(&continuity.observed(at(5_000))), sole(4_000));
+    assert_eq!(sole(2_000).observed(&continuity.observed(at(5_000))), sole(1_000));
+    assert_eq!(sole(6_001).observed(&continuity.observed(at(6_001))), sole(0), "the view is not current");
+    assert_eq!(KnownVersions::Several.observed(&continuity.observed(at(9_000))), KnownVersions::Several);
+    // A store that reports no changes since the view's revision shows that there were none.
+    continuity.record(ViewUpdate::Unchanged, at(10_000));
+    assert_eq!(continuity.observed(at(10_000)).lasted, Millis(10_000));
+    for update in [ViewUpdate::Changed, ViewUpdate::Replaced] {
+        let mut after_gap = continuity;
+        after_gap.record(update, at(12_001));
+        after_gap.record(ViewUpdate::Changed, at(13_000));
+        assert_eq!(after_gap.observed(at(13_000)).lasted, Millis(999), "{update:?}");
+    }
+}
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -265,6 +265,15 @@
     assert_eq!(table.known_versions(SERVICE, at(71_000)), sole("v1", 1_000));
 }
 
+/// Guards against a worker that began streams and left between two updates of a view.
+#[test]
+fn the_removal_of_an_unknown_worker_ends_the_time_for_which_one_version_was_known() {
+    let mut table = WorkerTable::default();
+    table.apply_record(record(1, "v1"), at(0));
+    table.remove(&WorkerId(Arc::from("i-unseen")), at(30_000), at(30_000));
+    assert_eq!(table.known_versions(SERVICE, at(31_000)), sole("v1", 1_000));
+}
+
 /// A gateway of the simulated fleet.
 #[derive(Default)]
 struct Gateway {
--- a/crates/gateway/src/fleet/metadata_view.rs
+++ b/crates/gateway/src/fleet/metadata_view.rs
@@ -9,6 +9,7 @@
 use stallmoor_core::peer_message::{GroupAnswerBody, GroupRefusal};
 use stallmoor_core::serving::relay::bounds::WatchBounds;
 use stallmoor_core::serving::relay::contents::{ContentsAnswer, pack};
+use stallmoor_core::serving::relay::continuity::{Continuity, Observation, ViewUpdate};
 use stallmoor_core::serving::relay::item::{MetadataItem, Revision};
 use stallmoor_core::serving::relay::message::{ChangeSet, ChangesAnswer, ChangesRequest};
 use stallmoor_core::serving::relay::mirror::{Mirror, MissingKeys};
@@ -26,6 +27,7 @@
 #[derive(Debug, Default)]
 struct ViewContents {
     mirror: Mirror,
+    continuity: Continuity,
     /// When the last request from another node arrived.
     last_request_at: Option<Timestamp>,
     /// Start of the current outage of the store; `None` while it is reachable.
@@ -89,6 +91,12 @@
         ViewState { now, at: state.mirror.at(), age: state.mirror.age(now), last_request_at: state.last_request_at }
     }
 
+    /// Returns for how long this node has observed the store.
+    pub fn observation(&self) -> Observation {
+        let now = self.clock.now();
+        self.lock().continuity.observed(now)
+    }
+
     /// Waits until a request from another node arrives.
     pub async fn wait_for_request(&self) {
         self.request_received.notified().await;
@@ -103,19 +111,26 @@
         missing: MissingKeys,
         confirmed: Timestamp,
     ) -> Vec<MetadataItem> {
-        self.change(confirmed, |mirror| mirror.replace(listed, at, missing))
+        self.change(ViewUpdate::Replaced, confirmed, |mirror| mirror.replace(listed, at, missing))
     }
 
     /// Applies changes after which the view was current at `confirmed`. Returns the items that changed.
     pub fn advance(&self, changes: Vec<MetadataItem>, at: Revision, confirmed: Timestamp) -> Vec<MetadataItem> {
-        self.change(confirmed, |mirror| mirror.advance(changes, at))
+        let update = if changes.is_empty() { ViewUpdate::Unchanged } else { ViewUpdate::Changed };
+        self.change(update, confirmed, |mirror| mirror.advance(changes, at))
     }
 
-    fn change(&self, confirmed: Timestamp, change: impl FnOnce(&mut Mirror) -> Vec<MetadataItem>) -> Vec<MetadataItem> {
+    fn change(
+        &self,
+        update: ViewUpdate,
+        confirmed: Timestamp,
+        change: impl FnOnce(&mut Mirror) -> Vec<MetadataItem>,
+    ) -> Vec<MetadataItem> {
         let changed = {
             let mut state = self.lock();
             let changed = change(&mut state.mirror);
             state.mirror.confirm(confirmed);
+            state.continuity.record(update, confirmed);
             changed
         };
         self.changed.send_modify(|count| *count += 1);
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -290,7 +290,7 @@
     ) -> Option<StreamOrigin> {
         let service = start.route.targets.first().map(|target| target.service.clone())?;
         let view = &self.workers.view;
-        let versions = view.workers().known_versions(&service, now);
+        let versions = self.workers.origins.known_versions(&service);
         let job_age = Millis(view.clock.wall_time().0.saturating_sub(start.received_at.0));
         let origin = match item_resumption(output, self.dispatcher.origin(key), &service, &versions, job_age) {
             ItemResumption::Start => return None,
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -12,6 +12,7 @@
 use stallmoor_core::peer_message::{GroupAnswerBody, GroupRequestBody};
 use stallmoor_core::serving::stream_origins::holders::{COPIES, holders};
 use stallmoor_core::serving::stream_origins::message::{OriginRecord, OriginsAnswer, OriginsRequest};
+use stallmoor_core::serving::stream_origins::sharing::is_deducible;
 use stallmoor_core::serving::stream_origins::{
     Decision, Informant, NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey,
     StreamOrigin, resume_rule,
@@ -101,8 +102,13 @@
 
     /// Returns whether other nodes can deduce the origin of a stream of this service.
     fn is_deducible(&self, record: &OriginRecord, lifetime: Millis) -> bool {
-        let versions = self.view.workers().known_versions(&record.origin.service, self.view.clock.now());
-        matches!(versions, KnownVersions::Sole { lasted, .. } if lasted >= lifetime)
+        is_deducible(&self.known_versions(&record.origin.service), lifetime)
+    }
+
+    /// Returns what this node has observed of the versions of a service's workers.
+    pub fn known_versions(&self, service: &str) -> KnownVersions {
+        let observation = self.metadata.observation();
+        self.view.workers().known_versions(service, self.view.clock.now()).observed(&observation)
     }
 
     /// Stores origins that a gateway sent, or returns what this node knows of a stream.
@@ -166,7 +172,7 @@
     fn knowledge(&self, key: Option<StreamKey>, service: &str) -> NodeKnowledge {
         let now = self.view.clock.now();
         let recorded = key.and_then(|key| lock(&self.directory).look_up(key, now));
-        NodeKnowledge { origin: recorded.into(), versions: self.view.workers().known_versions(service, now) }
+        NodeKnowledge { origin: recorded.into(), versions: self.known_versions(service) }
     }
 
     /// Asks the storage nodes that may have stored a stream's origin.
