Retain the version that a worker had before it came back with another one

What callers saw: streams joined from two versions. A worker may start again under its ID with another version. Its former version was forgotten at once, where that of a departed worker is retained for a minute, so that nodes deduced the new version for streams that the earlier incarnation had begun.

The former version now counts as long as that of a departed worker.

Test: `the_version_of_an_earlier_incarnation_counts_as_long_as_that_of_a_ departed_worker` failed before (Sole v1 for 59,999 ms instead of Several). `a_table_knows_the_versions...` asserted the fault itself ("an ID may come back with another version": sole after 1,000 ms); it now asserts Several at the same point, and the rest as before.

--- a/crates/core/src/serving/workers/table.rs
+++ b/crates/core/src/serving/workers/table.rs
@@ -21,8 +21,9 @@
 use crate::serving::regions::RegionMap;
 use crate::time::{Millis, Timestamp};
 
-/// Time for which a departed worker is retained, so that a stale record does not make a drained worker available again.
-const DEPARTED_RETENTION: Millis = Millis(60_000);
+/// Time for which a departed worker is retained, so that a stale record does not make a drained worker available again,
+/// and for which the version counts that a worker had before it came back under its ID.
+pub(super) const DEPARTED_RETENTION: Millis = Millis(60_000);
 
 /// This node's view of all workers.
 #[derive(Clone, Debug)]
@@ -195,6 +196,7 @@
             }
             is_retained
         });
+        self.versions.evict(now);
     }
 
     /// Returns the number of workers of a service that accept requests.
--- a/crates/core/src/serving/workers/versions.rs
+++ b/crates/core/src/serving/workers/versions.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::table::WorkerTable;
+use super::table::{DEPARTED_RETENTION, WorkerTable};
 use super::worker::{SoftwareVersion, WorkerRecord};
 use crate::serving::relay::continuity::Observation;
 use crate::time::{Millis, Timestamp};
@@ -38,8 +38,8 @@
     }
 }
 
-/// Number of workers by service and version, including departed workers that the table retains: their streams may still be
-/// resumed.
+/// The versions of each service's workers, including departed ones that the table retains and earlier incarnations of
+/// present ones: their streams may still be resumed.
 #[derive(Clone, Debug, Default)]
 pub(super) struct VersionCounts {
     by_service: BTreeMap<Arc<str>, ServiceVersions>,
@@ -47,13 +47,50 @@
 
 #[derive(Clone, Debug, Default)]
 struct ServiceVersions {
-    workers: BTreeMap<SoftwareVersion, usize>,
+    versions: BTreeMap<SoftwareVersion, VersionEntry>,
     /// Last time at which the set of versions changed, or may have changed unseen.
     changed_at: Timestamp,
 }
 
+#[derive(Clone, Debug)]
+struct VersionEntry {
+    /// Number of workers.
+    workers: usize,
+    /// Time until which the version is retained for workers that came back under their ID with another one.
+    retained_until: Timestamp,
+}
+
+impl ServiceVersions {
+    fn add(&mut self, version: SoftwareVersion, now: Timestamp) {
+        let entry = self.versions.entry(version).or_insert_with(|| {
+            self.changed_at = now;
+            VersionEntry { workers: 0, retained_until: now }
+        });
+        entry.workers += 1;
+    }
+
+    fn evict(&mut self, now: Timestamp) {
+        let count = self.versions.len();
+        self.versions.retain(|_, entry| entry.workers > 0 || entry.retained_until > now);
+        if self.versions.len() != count {
+            self.changed_at = now;
+        }
+    }
+
+    fn known(&self, now: Timestamp) -> KnownVersions {
+        let mut names = self.versions.keys();
+        match (names.next(), names.next()) {
+            (None, _) => KnownVersions::Unknown,
+            (Some(version), None) => {
+                KnownVersions::Sole { version: version.clone(), lasted: now.since(self.changed_at) }
+            }
+            (Some(_), Some(_)) => KnownVersions::Several,
+        }
+    }
+}
+
 impl VersionCounts {
-    /// Counts a worker whose record changed from `previous` to `current`; `None` if it was or is unknown.
+    /// Counts a worker whose record changed from `previous` to `current`; `None` if it was unknown or is evicted.
     pub(super) fn record_change(
         &mut self,
         previous: Option<&WorkerRecord>,
@@ -65,17 +102,18 @@
         if previous == current {
             return;
         }
+        // An evicted worker was already retained.
+        let retained_until = if current.is_some() { now + DEPARTED_RETENTION } else { now };
         if let Some((service, version)) = current {
-            let versions = self.by_service.entry(service).or_default();
-            let count = versions.workers.entry(version).or_insert(0);
-            *count += 1;
-            if *count == 1 {
-                versions.changed_at = now;
-            }
+            self.by_service.entry(service).or_default().add(version, now);
         }
-        if let Some((service, version)) = previous {
-            self.remove(&service, &version, now);
+        let Some((service, version)) = previous else { return };
+        let Some(versions) = self.by_service.get_mut(&service) else { return };
+        if let Some(entry) = versions.versions.get_mut(&version) {
+            entry.workers -= 1;
+            entry.retained_until = entry.retained_until.max(retained_until);
         }
+        versions.evict(now);
     }
 
     /// Records that a worker of any service and version may have served unseen.
@@ -83,32 +121,15 @@
         self.by_service.values_mut().for_each(|versions| versions.changed_at = now);
     }
 
-    fn remove(&mut self, service: &Arc<str>, version: &SoftwareVersion, now: Timestamp) {
-        let Some(versions) = self.by_service.get_mut(service) else { return };
-        let Some(count) = versions.workers.get_mut(version) else { return };
-        *count -= 1;
-        if *count == 0 {
-            versions.workers.remove(version);
-            versions.changed_at = now;
-        }
-    }
-
-    fn of_service(&self, service: &str, now: Timestamp) -> KnownVersions {
-        let Some(versions) = self.by_service.get(service) else { return KnownVersions::Unknown };
-        let mut names = versions.workers.keys();
-        match (names.next(), names.next()) {
-            (None, _) => KnownVersions::Unknown,
-            (Some(version), None) => {
-                KnownVersions::Sole { version: version.clone(), lasted: now.since(versions.changed_at) }
-            }
-            (Some(_), Some(_)) => KnownVersions::Several,
-        }
+    /// Evicts the versions that are no longer retained.
+    pub(super) fn evict(&mut self, now: Timestamp) {
+        self.by_service.values_mut().for_each(|versions| versions.evict(now));
     }
 }
 
 impl WorkerTable {
     /// Returns what this node knows about the versions of a service's workers.
     pub fn known_versions(&self, service: &str, now: Timestamp) -> KnownVersions {
-        self.versions.of_service(service, now)
+        self.versions.by_service.get(service).map_or(KnownVersions::Unknown, |versions| versions.known(now))
     }
 }
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -256,7 +256,11 @@
     assert_eq!(table.known_versions(SERVICE, at(3_000)), KnownVersions::Several);
     assert!(table.has_eligible(&query(Some(&version("v2"))), at(3_000)));
     table.apply_record(record(3, "v1"), at(4_000));
-    assert_eq!(table.known_versions(SERVICE, at(5_000)), sole("v1", 1_000), "an ID may come back with another version");
+    assert_eq!(
+        table.known_versions(SERVICE, at(5_000)),
+        KnownVersions::Several,
+        "an ID came back with another version"
+    );
     table.apply_record(record(4, "v2"), at(6_000));
     table.remove(&WorkerId(Arc::from("i-4")), at(6_500), at(6_000));
     assert!(!table.has_eligible(&query(Some(&version("v2"))), at(7_000)));
@@ -265,6 +269,20 @@
     assert_eq!(table.known_versions(SERVICE, at(71_000)), sole("v1", 1_000));
 }
 
+/// Guards against forgetting the version of a worker that came back under its ID with another one: the streams that its
+/// earlier incarnation began may still be resumed.
+#[test]
+fn the_version_of_an_earlier_incarnation_counts_as_long_as_that_of_a_departed_worker() {
+    let mut table = WorkerTable::default();
+    table.apply_record(record(1, "v1"), at(0));
+    table.apply_record(record(2, "v2"), at(0));
+    table.apply_record(record(2, "v1"), at(4_000));
+    table.evict_departed(at(63_999));
+    assert_eq!(table.known_versions(SERVICE, at(63_999)), KnownVersions::Several);
+    table.evict_departed(at(64_000));
+    assert_eq!(table.known_versions(SERVICE, at(65_000)), sole("v1", 1_000));
+}
+
 /// Guards against a worker that began streams and left between two updates of a view.
 #[test]
 fn the_removal_of_an_unknown_worker_ends_the_time_for_which_one_version_was_known() {
