Store the origin of a stream before its first event while its version is new

What callers saw: streams joined from two versions after all gateways were killed while a new version came into service.

Cause: a gateway that had just read of a new version forwarded the first event and sent the origin afterwards. If it was killed between the two, nodes that had not read of the version yet, with views that count as current, deduced the earlier one.

Now the origin is stored at a storage node first, for at most 100 ms, while this node has known the version for no longer than the age up to which views count as current. After that every node with a current view knows the version, and a stream without a record is refused. If no storage node confirms in time the event is forwarded, since a caller waits.

--- a/crates/core/src/serving/workers/versions.rs
+++ b/crates/core/src/serving/workers/versions.rs
@@ -56,6 +56,7 @@
 struct VersionEntry {
     /// Number of workers.
     workers: usize,
+    known_since: Timestamp,
     /// Time until which the version is retained for workers that came back under their ID with another one.
     retained_until: Timestamp,
 }
@@ -64,7 +65,7 @@
     fn add(&mut self, version: SoftwareVersion, now: Timestamp) {
         let entry = self.versions.entry(version).or_insert_with(|| {
             self.changed_at = now;
-            VersionEntry { workers: 0, retained_until: now }
+            VersionEntry { workers: 0, known_since: now, retained_until: now }
         });
         entry.workers += 1;
     }
@@ -132,4 +133,10 @@
     pub fn known_versions(&self, service: &str, now: Timestamp) -> KnownVersions {
         self.versions.by_service.get(service).map_or(KnownVersions::Unknown, |versions| versions.known(now))
     }
+
+    /// Returns for how long this node has known a version of a service; zero if it does not.
+    pub fn version_known_for(&self, service: &str, version: &SoftwareVersion, now: Timestamp) -> Millis {
+        let entry = self.versions.by_service.get(service).and_then(|versions| versions.versions.get(version));
+        entry.map_or(Millis(0), |entry| now.since(entry.known_since))
+    }
 }
--- a/crates/core/tests/stale_versions.rs
+++ b/crates/core/tests/stale_versions.rs
@@ -1,10 +1,13 @@
 //! Guards against streams that are joined from two software versions after gateways were killed, because a node deduces
 //! their version from a view of the workers that is not current, or was not throughout.
 
+mod support;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use stallmoor_core::identity::NodeId;
@@ -14,7 +17,7 @@
 use stallmoor_core::serving::relay::continuity::{Continuity, MAX_VIEW_AGE, Observation, ViewUpdate};
 use stallmoor_core::serving::stream_origins::holders::{COPIES, holders};
 use stallmoor_core::serving::stream_origins::message::OriginRecord;
-use stallmoor_core::serving::stream_origins::sharing::is_deducible;
+use stallmoor_core::serving::stream_origins::sharing::{Sharing, is_deducible};
 use stallmoor_core::serving::stream_origins::{
     NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey, StreamOrigin, resume_rule,
 };
@@ -153,6 +156,7 @@
 }
 
 struct Stream {
+    began_at: Timestamp,
     versions: BTreeSet<SoftwareVersion>,
 }
 
@@ -220,15 +224,24 @@
         }
     }
 
-    /// Starts a gateway again.
-    fn restart_gateway(&mut self, gateway: usize) {
-        let view = View::new(&self.present, self.now, self.now);
+    /// Starts a gateway again, with the present records or with those of a storage node that are current.
+    fn restart_gateway(&mut self, gateway: usize, source: Option<usize>) {
+        let source = source.map(|node| &self.storage[node].view);
+        let observation = source.map(|view| view.continuity.observed(self.now)).unwrap_or_default();
+        let view = match (source, observation) {
+            (Some(source), Observation { age: Some(age), .. }) if observation.is_current() => {
+                let mut view = View::new(&source.records, self.now - age, self.now);
+                view.missed.clone_from(&source.missed);
+                view
+            }
+            _ => View::new(&self.present, self.now, self.now),
+        };
         self.gateways[gateway] =
             Gateway { view, directory: OriginDirectory::default(), outbox: OriginOutbox::default() };
     }
 
     fn kill_all_gateways(&mut self) {
-        (0..self.gateways.len()).for_each(|gateway| self.restart_gateway(gateway));
+        (0..self.gateways.len()).for_each(|gateway| self.restart_gateway(gateway, None));
     }
 
     fn restart_storage(&mut self, node: usize) {
@@ -305,24 +318,32 @@
             key: key(id),
             origin: StreamOrigin { service: Arc::from(SERVICE), version: chosen.version.clone() },
         };
+        let known_for = entry.view.table.version_known_for(SERVICE, &chosen.version, now);
+        let sharing = Sharing::of(&entry.view.versions(now), known_for, LIFETIME);
         entry.directory.record(due.key, &due.origin, now);
-        entry.outbox.add(due, LIFETIME, now);
-        self.streams.push(Stream { versions: BTreeSet::from([chosen.version]) });
+        if sharing == Sharing::BeforeFirstEvent {
+            self.store(&due);
+        } else {
+            entry.outbox.add(due, LIFETIME, now);
+        }
+        self.streams.push(Stream { began_at: now, versions: BTreeSet::from([chosen.version]) });
         if is_killed {
-            self.restart_gateway(gateway);
+            self.restart_gateway(gateway, None);
         }
         self.share();
     }
 
-    /// Resumes a stream at a gateway. Returns whether it goes on.
-    fn resume(&mut self, stream: usize, gateway: usize) -> bool {
+    /// Resumes a stream at a gateway, while one of the storage nodes may not answer. Returns whether it goes on.
+    fn resume(&mut self, stream: usize, gateway: usize, silent: Option<usize>) -> bool {
         let (now, id) = (self.now, key(stream));
         let mut answers = Vec::new();
         for holder in holders(id, &self.nodes) {
             let number = holder.node.0 as usize - 1;
             let node = &mut self.storage[number];
             let origin = node.directory.look_up(id, now).into();
-            answers.push(NodeKnowledge { origin, versions: node.view.versions(now) });
+            if silent != Some(number) {
+                answers.push(NodeKnowledge { origin, versions: node.view.versions(now) });
+            }
         }
         let entry = &mut self.gateways[gateway];
         let origin = entry.directory.look_up(id, now).into();
@@ -343,7 +364,7 @@
     /// Resumes all streams and returns how many go on.
     fn resume_all(&mut self) -> usize {
         let gateways = self.gateways.len();
-        (0..self.streams.len()).filter(|stream| self.resume(*stream, stream % gateways)).count()
+        (0..self.streams.len()).filter(|stream| self.resume(*stream, stream % gateways, None)).count()
     }
 
     fn mixed(&self) -> usize {
@@ -374,6 +395,24 @@
     }
 }
 
+/// Guards against streams of a new version that is deduced to be the earlier one by nodes that have not read its records
+/// yet, after the gateway was killed with the first event.
+#[test]
+fn the_origin_of_a_stream_of_a_new_version_is_stored_before_its_first_event() {
+    let mut fleet = Fleet::new(4, 6, 2);
+    fleet.wait(CALM);
+    (0..3).for_each(|node| fleet.set_cut_off(node, true));
+    fleet.set_cut_off(3 + 3, true);
+    fleet.replace_worker(0, "v2", false);
+    (0..60).for_each(|number| fleet.begin(number % 3, true));
+    let of_v2 = fleet.streams.iter().filter(|stream| stream.versions.contains(&SoftwareVersion::new("v2"))).count();
+    assert!(of_v2 > 0, "no stream began at the new version");
+    (0..60).for_each(|stream| {
+        fleet.resume(stream, 3, None);
+    });
+    assert_eq!(fleet.mixed(), 0, "of {of_v2} streams of the new version");
+}
+
 /// Guards against guesses on streams whose gateway was killed with the first event, before it stored the origin: also
 /// right after the last worker of a version left, and where a storage node has just started.
 #[test]
@@ -448,3 +487,70 @@
         assert_eq!(after_gap.observed(at(13_000)).lasted, Millis(999), "{update:?}");
     }
 }
+
+#[derive(Clone, Debug)]
+enum Step {
+    Begin(usize, bool),
+    Resume(usize, usize, Option<usize>),
+    RestartGateway(usize, Option<usize>),
+    KillAllGateways,
+    RestartStorage(usize),
+    Replace(usize, usize, bool),
+    ReplaceAll(usize),
+    CutOff(usize, bool),
+    Wait(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let node = || proptest::option::of(0..3_usize);
+    let step = prop_oneof![
+        8 => (0..3_usize, any::<bool>()).prop_map(|(gateway, is_killed)| Step::Begin(gateway, is_killed)),
+        10 => (0..64_usize, 0..3_usize, node()).prop_map(|(stream, gateway, silent)| Step::Resume(stream, gateway, silent)),
+        1 => (0..3_usize, node()).prop_map(|(gateway, source)| Step::RestartGateway(gateway, source)),
+        1 => Just(Step::KillAllGateways),
+        1 => (0..3_usize).prop_map(Step::RestartStorage),
+        2 => (0..2_usize, 0..2_usize, any::<bool>()).prop_map(|(worker, version, keeps_id)| Step::Replace(worker, version, keeps_id)),
+        2 => (0..2_usize).prop_map(Step::ReplaceAll),
+        3 => (0..6_usize, any::<bool>()).prop_map(|(node, is_cut_off)| Step::CutOff(node, is_cut_off)),
+        2 => (0..3_000_u64).prop_map(Step::Wait),
+        1 => (3_000..90_000_u64).prop_map(Step::Wait),
+    ];
+    proptest::collection::vec(step, 1..120)
+}
+
+/// Several rare steps must meet, so there are more cases than usual.
+fn fuzz_config() -> ProptestConfig {
+    let config = support::fuzz_config();
+    ProptestConfig { cases: config.cases * 10, ..config }
+}
+
+proptest! {
+    #![proptest_config(fuzz_config())]
+
+    /// Guards against any sequence of kills, rollouts, rollbacks and cuts that joins two versions in one stream.
+    #[test]
+    fn no_sequence_of_cuts_and_rollbacks_joins_two_versions(steps in steps(), seed in any::<u64>()) {
+        let mut fleet = Fleet::new(3, 2, seed);
+        fleet.wait(CALM);
+        for step in steps {
+            match step {
+                Step::Begin(gateway, is_killed) => fleet.begin(gateway, is_killed),
+                Step::Resume(stream, gateway, silent) => {
+                    let count = fleet.streams.len();
+                    let stream = stream % count.max(1);
+                    if count > 0 && fleet.now.since(fleet.streams[stream].began_at) < LIFETIME {
+                        fleet.resume(stream, gateway, silent);
+                    }
+                }
+                Step::RestartGateway(gateway, source) => fleet.restart_gateway(gateway, source),
+                Step::KillAllGateways => fleet.kill_all_gateways(),
+                Step::RestartStorage(node) => fleet.restart_storage(node),
+                Step::Replace(worker, version, keeps_id) => fleet.replace_worker(worker, ["v1", "v2"][version], keeps_id),
+                Step::ReplaceAll(version) => fleet.replace_all(["v1", "v2"][version]),
+                Step::CutOff(node, is_cut_off) => fleet.set_cut_off(node, is_cut_off),
+                Step::Wait(span) => fleet.wait(span),
+            }
+            prop_assert_eq!(fleet.mixed(), 0);
+        }
+    }
+}
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -147,15 +147,15 @@
     }
 
     /// Records the worker that sends the stream's first event as its origin.
-    fn record_origin(&mut self) {
+    async fn record_origin(&mut self) {
         if self.state.origin.is_some() || !self.state.is_retryable() {
             return;
         }
         let Some(choice) = &self.last_choice else { return };
         let origin = StreamOrigin { service: self.service.clone(), version: choice.version.clone() };
         let key = StreamKey::of(&self.request.identity, &self.request.attributes.id);
-        let is_shared = self.client.origins.record(key, &origin, self.state.stream_lifetime());
-        self.log_stream_start(&origin, is_shared);
+        let sharing = self.client.origins.record(key, &origin, self.state.stream_lifetime()).await;
+        self.log_stream_start(&origin, sharing);
         self.state.origin = Some(origin);
     }
 
--- a/crates/gateway/src/online/records.rs
+++ b/crates/gateway/src/online/records.rs
@@ -3,6 +3,7 @@
 use stallmoor_core::error::Refusal;
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::serving::online::attempt::AttemptEnd;
+use stallmoor_core::serving::stream_origins::sharing::Sharing;
 use stallmoor_core::serving::stream_origins::{Resumption, StreamOrigin};
 use stallmoor_core::serving::workers::WorkerId;
 
@@ -31,14 +32,14 @@
     }
 
     /// Logs the origin of a stream before its first event is forwarded. The gateway may be killed before the end.
-    pub(super) fn log_stream_start(&self, origin: &StreamOrigin, is_shared: bool) {
+    pub(super) fn log_stream_start(&self, origin: &StreamOrigin, sharing: Sharing) {
         let worker = self.last_choice.as_ref().map(|choice| choice.id.to_string()).unwrap_or_default();
         let fields = [
             Field::text("request", &self.request.attributes.id),
             Field::text("worker", worker),
             Field::text("service", &origin.service),
             Field::text("version", &origin.version),
-            Field::text("origin", if is_shared { "shared" } else { "deducible" }),
+            Field::text("origin", sharing.name()),
         ];
         record(LogEvent::StreamBegan, &fields);
     }
--- a/crates/gateway/src/online/stream.rs
+++ b/crates/gateway/src/online/stream.rs
@@ -148,7 +148,7 @@
             run.record_progress(event);
         }
         if !taken.bytes.is_empty() {
-            self.record_origin();
+            self.record_origin().await;
             self.send(taken.bytes, sender).await?;
         }
         if taken.has_gap { Err(StreamEnd::AttemptFailed(AttemptEnd::Broken)) } else { Ok(()) }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -12,7 +12,7 @@
 use stallmoor_core::peer_message::{GroupAnswerBody, GroupRequestBody};
 use stallmoor_core::serving::stream_origins::holders::{COPIES, holders};
 use stallmoor_core::serving::stream_origins::message::{OriginRecord, OriginsAnswer, OriginsRequest};
-use stallmoor_core::serving::stream_origins::sharing::is_deducible;
+use stallmoor_core::serving::stream_origins::sharing::{Sharing, is_deducible};
 use stallmoor_core::serving::stream_origins::{
     Decision, Informant, NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey,
     StreamOrigin, resume_rule,
@@ -30,6 +30,8 @@
 const FIND_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum time to wait for a storage node to confirm origins before they are sent to another one.
 const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum time for which the first event of a stream is held until its origin is stored.
+const FIRST_STORE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which a node that did not answer is avoided while others respond.
 const AVOIDANCE: Millis = Millis(2_000);
 /// Interval at which departed workers are evicted, whose versions count until then.
@@ -86,18 +88,47 @@
         }
     }
 
-    /// Records the origin of a stream that lasts for at most `lifetime`. It is sent to storage nodes if others cannot
-    /// deduce it, which is returned.
-    pub fn record(&self, key: StreamKey, origin: &StreamOrigin, lifetime: Millis) -> bool {
+    /// Records the origin of a stream that lasts for at most `lifetime`. Stores it at storage nodes first if the stream's
+    /// first event must not be forwarded before.
+    pub async fn record(self: &Arc<Self>, key: StreamKey, origin: &StreamOrigin, lifetime: Millis) -> Sharing {
         let now = self.view.clock.now();
         lock(&self.directory).record(key, origin, now);
         let record = OriginRecord { key, origin: origin.clone() };
-        let is_due = !self.is_deducible(&record, lifetime);
+        let sharing = self.sharing(&record, lifetime);
+        if sharing == Sharing::BeforeFirstEvent && self.store_first(record.clone()).await {
+            return sharing;
+        }
         lock(&self.outbox).add(record, lifetime, now);
-        if is_due {
+        if sharing != Sharing::Deducible {
             self.due.notify_one();
         }
-        is_due
+        sharing
+    }
+
+    fn sharing(&self, record: &OriginRecord, lifetime: Millis) -> Sharing {
+        let StreamOrigin { service, version } = &record.origin;
+        let versions = self.known_versions(service);
+        let known_for = self.view.workers().version_known_for(service, version, self.view.clock.now());
+        Sharing::of(&versions, known_for, lifetime)
+    }
+
+    /// Stores an origin at storage nodes. Returns whether one of them confirmed it in time; the others may follow.
+    async fn store_first(self: &Arc<Self>, record: OriginRecord) -> bool {
+        let mut stores = JoinSet::new();
+        for (holder, records) in self.by_holder(vec![record]) {
+            stores.spawn(self.clone().store(holder, records));
+        }
+        let first = async {
+            while let Some(stored) = stores.join_next().await {
+                if matches!(stored, Ok(true)) {
+                    return true;
+                }
+            }
+            false
+        };
+        let is_stored = tokio::time::timeout(FIRST_STORE_TIMEOUT, first).await.unwrap_or(false);
+        stores.detach_all();
+        is_stored
     }
 
     /// Returns whether other nodes can deduce the origin of a stream of this service.
@@ -246,17 +277,19 @@
         groups
     }
 
-    /// Sends origins to a storage node, and to another one if it does not answer.
-    async fn store(self: Arc<Self>, holder: Holder, records: Vec<OriginRecord>) {
+    /// Sends origins to a storage node, and to another one if it does not answer. Returns whether they are stored.
+    async fn store(self: Arc<Self>, holder: Holder, records: Vec<OriginRecord>) -> bool {
         if self.send(holder, records.clone()).await {
-            return;
+            return true;
         }
         self.avoid(holder);
+        let mut is_stored = false;
         for (other, records) in self.by_holder(records) {
             if other != holder {
-                self.send(other, records).await;
+                is_stored |= self.send(other, records).await;
             }
         }
+        is_stored
     }
 
     async fn send(&self, holder: Holder, records: Vec<OriginRecord>) -> bool {
