Refuse streams whose worker came back with another version

What callers saw: streams joined from two versions. The origin of a stream is the version in its worker's record when the worker was chosen. A worker that has come back under its ID with another version is taken for its former version until its new record is read; answers name the ID alone. The stream was then resumed at the former version.

Now an origin counts as confirmed once a view that was complete two seconds after the first event still has the same service and version for the worker. If the record changes before, both origins are recorded here and at the storage nodes, where they conflict: the stream is broken off instead of resumed, and its later attempts are refused. No form of a message changes.

--- a/crates/core/src/serving/stream_origins/mod.rs
+++ b/crates/core/src/serving/stream_origins/mod.rs
@@ -10,6 +10,7 @@
 //! | [`directory`] | the origins that one node knows, within bounds |
 //! | [`outbox`] | the origins of a gateway's streams that other nodes may have to learn |
 //! | [`sharing`] | when a gateway stores an origin at storage nodes |
+//! | [`unconfirmed`] | the origins that a newer record of a worker may contradict |
 //! | [`holders`] | the storage nodes that store an origin |
 //! | [`rule`] | the decision whether and where a stream is resumed |
 //! | [`message`] | the messages between gateways and storage nodes |
@@ -21,6 +22,7 @@
 pub mod outbox;
 pub mod rule;
 pub mod sharing;
+pub mod unconfirmed;
 
 pub use directory::OriginDirectory;
 pub use origin::{StreamKey, StreamOrigin};
--- a/crates/core/tests/stale_versions.rs
+++ b/crates/core/tests/stale_versions.rs
@@ -18,6 +18,7 @@
 use stallmoor_core::serving::stream_origins::holders::{COPIES, holders};
 use stallmoor_core::serving::stream_origins::message::OriginRecord;
 use stallmoor_core::serving::stream_origins::sharing::{Sharing, is_deducible};
+use stallmoor_core::serving::stream_origins::unconfirmed::{UnconfirmedOrigin, UnconfirmedOrigins};
 use stallmoor_core::serving::stream_origins::{
     NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey, StreamOrigin, resume_rule,
 };
@@ -40,6 +41,10 @@
     StreamKey::of(&CallerIdentity::Unchecked, &format!("stream-{stream}"))
 }
 
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin { service: Arc::from(SERVICE), version: SoftwareVersion::new(version) }
+}
+
 fn record(id: &str, version: &str) -> WorkerRecord {
     WorkerRecord {
         id: WorkerId(Arc::from(id)),
@@ -488,6 +493,32 @@
     }
 }
 
+/// Guards against a wrong origin: a stream whose worker came back under its ID with another version before its record was
+/// read.
+#[test]
+fn an_origin_is_contradicted_by_a_newer_record_of_its_worker() {
+    let mut table = WorkerTable::default();
+    for id in ["i-0", "i-1"] {
+        table.apply_record(record(id, "v1"), at(0));
+    }
+    let mut unconfirmed = UnconfirmedOrigins::default();
+    let begin = |unconfirmed: &mut UnconfirmedOrigins, stream, worker: &str, began_at| {
+        let record = OriginRecord { key: key(stream), origin: origin("v1") };
+        let worker = WorkerId(Arc::from(worker));
+        unconfirmed.add(UnconfirmedOrigin { record, lifetime: LIFETIME, worker, began_at });
+    };
+    begin(&mut unconfirmed, 1, "i-0", at(1_000));
+    assert!(unconfirmed.take_contradicted(|id| table.record(id), at(3_000)).is_empty());
+    begin(&mut unconfirmed, 2, "i-0", at(4_000));
+    begin(&mut unconfirmed, 3, "i-1", at(4_000));
+    table.apply_record(record("i-0", "v2"), at(4_500));
+    let contradicted = unconfirmed.take_contradicted(|id| table.record(id), at(4_500));
+    let keys: Vec<_> = contradicted.iter().map(|contradiction| contradiction.recorded.record.key).collect();
+    assert_eq!(keys, [key(2)], "the first stream was confirmed, the third has another worker");
+    assert_eq!(contradicted[0].present, origin("v2"));
+    assert!(unconfirmed.take_contradicted(|id| table.record(id), at(9_000)).is_empty());
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Begin(usize, bool),
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -154,11 +154,19 @@
         let Some(choice) = &self.last_choice else { return };
         let origin = StreamOrigin { service: self.service.clone(), version: choice.version.clone() };
         let key = StreamKey::of(&self.request.identity, &self.request.attributes.id);
-        let sharing = self.client.origins.record(key, &origin, self.state.stream_lifetime()).await;
+        let worker = choice.id.clone();
+        let sharing = self.client.origins.record(key, &origin, self.state.stream_lifetime(), &worker).await;
         self.log_stream_start(&origin, sharing);
         self.state.origin = Some(origin);
     }
 
+    /// Returns whether it is not known which version began the stream, because its worker came back with another one.
+    fn is_origin_contradicted(&self) -> bool {
+        let own = || StreamKey::of(&self.request.identity, &self.request.attributes.id);
+        let key = if self.state.resumes_stream() { self.resumed_stream() } else { Some(own()) };
+        key.is_some_and(|key| self.client.origins.is_conflicting(key))
+    }
+
     /// Returns whether only workers of the stream's origin may serve the request, and none of them is left.
     fn is_origin_gone(&self) -> bool {
         let has_eligible = || self.client.view.workers().has_eligible(&self.worker_query(), self.now());
--- a/crates/gateway/src/online/stream.rs
+++ b/crates/gateway/src/online/stream.rs
@@ -74,10 +74,13 @@
     }
 
     /// Sends the request to workers, in rounds, until one of them resumes the partially sent stream. Gives up once no
-    /// worker of the version that began the stream is left.
+    /// worker of the version that began the stream is left, or that version is not known.
     async fn resume(&mut self) -> Option<OpenAnswer> {
         let mut rounds = ResumeRounds::default();
         loop {
+            if self.is_origin_contradicted() {
+                return None;
+            }
             if let Ok(answer) = self.open().await {
                 return answer.status.is_success().then_some(answer);
             }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -10,13 +10,16 @@
 
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::peer_message::{GroupAnswerBody, GroupRequestBody};
+use stallmoor_core::serving::stream_origins::directory::RecordedOrigin;
 use stallmoor_core::serving::stream_origins::holders::{COPIES, holders};
 use stallmoor_core::serving::stream_origins::message::{OriginRecord, OriginsAnswer, OriginsRequest};
 use stallmoor_core::serving::stream_origins::sharing::{Sharing, is_deducible};
+use stallmoor_core::serving::stream_origins::unconfirmed::{Contradiction, UnconfirmedOrigin, UnconfirmedOrigins};
 use stallmoor_core::serving::stream_origins::{
     Decision, Informant, NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey,
     StreamOrigin, resume_rule,
 };
+use stallmoor_core::serving::workers::WorkerId;
 use stallmoor_core::serving::workers::versions::KnownVersions;
 use stallmoor_core::time::{Millis, Timestamp};
 use tokio::sync::Notify;
@@ -57,6 +60,7 @@
     links: PeerLinks,
     directory: Mutex<OriginDirectory>,
     outbox: Mutex<OriginOutbox>,
+    unconfirmed: Mutex<UnconfirmedOrigins>,
     /// Notified when the outbox has origins to send.
     due: Notify,
     /// Nodes that did not answer, with the time until which they are avoided.
@@ -83,17 +87,26 @@
             links: PeerLinks::new(id),
             directory: Mutex::default(),
             outbox: Mutex::default(),
+            unconfirmed: Mutex::default(),
             due: Notify::new(),
             avoided: Mutex::default(),
         }
     }
 
-    /// Records the origin of a stream that lasts for at most `lifetime`. Stores it at storage nodes first if the stream's
-    /// first event must not be forwarded before.
-    pub async fn record(self: &Arc<Self>, key: StreamKey, origin: &StreamOrigin, lifetime: Millis) -> Sharing {
+    /// Records the origin of a stream that lasts for at most `lifetime`, by the record of `worker`, which has sent the
+    /// first event. Stores it at storage nodes first if the event must not be forwarded before.
+    pub async fn record(
+        self: &Arc<Self>,
+        key: StreamKey,
+        origin: &StreamOrigin,
+        lifetime: Millis,
+        worker: &WorkerId,
+    ) -> Sharing {
         let now = self.view.clock.now();
         lock(&self.directory).record(key, origin, now);
         let record = OriginRecord { key, origin: origin.clone() };
+        let unconfirmed = UnconfirmedOrigin { record: record.clone(), lifetime, worker: worker.clone(), began_at: now };
+        lock(&self.unconfirmed).add(unconfirmed);
         let sharing = self.sharing(&record, lifetime);
         if sharing == Sharing::BeforeFirstEvent && self.store_first(record.clone()).await {
             return sharing;
@@ -131,6 +144,32 @@
         is_stored
     }
 
+    /// Marks the streams as conflicting whose origin is contradicted by the present record of the worker that began them.
+    fn review_unconfirmed(&self) {
+        let now = self.view.clock.now();
+        let Some(age) = self.metadata.observation().age else { return };
+        let contradicted = {
+            let workers = self.view.workers();
+            lock(&self.unconfirmed).take_contradicted(|id| workers.record(id), now - age)
+        };
+        for Contradiction { recorded, present } in contradicted {
+            let UnconfirmedOrigin { record, lifetime, .. } = recorded;
+            // Both are sent, so that nodes that know neither do not take one for the origin.
+            for origin in [record.origin, present] {
+                let record = OriginRecord { key: record.key, origin };
+                lock(&self.directory).record(record.key, &record.origin, now);
+                lock(&self.outbox).add(record, lifetime, now);
+            }
+            self.due.notify_one();
+        }
+    }
+
+    /// Returns whether records of a stream contradict each other, so that no worker may go on with it.
+    pub fn is_conflicting(&self, key: StreamKey) -> bool {
+        self.review_unconfirmed();
+        lock(&self.directory).look_up(key, self.view.clock.now()) == Some(RecordedOrigin::Conflicting)
+    }
+
     /// Returns whether other nodes can deduce the origin of a stream of this service.
     fn is_deducible(&self, record: &OriginRecord, lifetime: Millis) -> bool {
         is_deducible(&self.known_versions(&record.origin.service), lifetime)
@@ -258,6 +297,7 @@
                 _ = changes.changed() => {}
                 _ = evictions.tick() => self.view.workers().evict_departed(self.view.clock.now()),
             }
+            self.review_unconfirmed();
             let now = self.view.clock.now();
             let due = lock(&self.outbox).take_due(|record, lifetime| self.is_deducible(record, lifetime), now);
             for (holder, records) in self.by_holder(due) {
