Do not cut the lifetime of streams on routes with long timeouts

A stream's lifetime, after which its origin is deduced from the version that served alone since, was cut to 60 s: on a route with a timeout of more than 30 s a stream could go on at a version that came into service after it had begun. On routes with timeouts below 3 s it did not allow for workers whose record is gone, at which other nodes may begin streams for 3 s.

Checked: callers keep one deadline over all of their attempts, three or more of them as well, and the deadline of the users' sites is the route's timeout; twice the timeout stays.

Test: `a_stream_never_counts_as_ended_before_its_last_attempt_may_begin` failed before. It replaces `a_stream_never_counts_as_ended_later_than_its_ record_is_evicted`, which required the cut: a lifetime shorter than the retention of records protects nothing, since a stream without a record is refused or deduced by this same lifetime. The new test keeps the lower bound, and the upper one for all timeouts up to 55 s.

--- a/crates/core/src/serving/stream_origins/directory.rs
+++ b/crates/core/src/serving/stream_origins/directory.rs
@@ -9,8 +9,8 @@
 /// Maximum number of streams in a directory; the one recorded or looked up least recently is evicted first. A client that
 /// resumes an evicted stream is refused while versions differ. Bounds memory.
 pub const MAX_STREAMS: usize = 65_536;
-/// Time for which the origin of a stream is retained after it was recorded or looked up last. Longer than any stream
-/// lasts; see [`stream_lifetime`](super::stream_lifetime).
+/// Time for which the origin of a stream is retained after it was recorded or looked up last. The origin
+/// of a stream that lasts longer can only be deduced.
 pub const RETENTION: Millis = Millis(120_000);
 /// Maximum number of different origins that streams share in memory.
 const MAX_SHARED_ORIGINS: usize = 256;
--- a/crates/core/src/serving/stream_origins/rule.rs
+++ b/crates/core/src/serving/stream_origins/rule.rs
@@ -8,24 +8,27 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::directory::{RETENTION, RecordedOrigin};
+use super::directory::RecordedOrigin;
 use super::origin::StreamOrigin;
 use crate::serving::relay::continuity::MAX_VIEW_AGE;
 use crate::serving::workers::SoftwareVersion;
 use crate::serving::workers::versions::KnownVersions;
 use crate::time::Millis;
 
-/// Number of times that the route's timeout must pass until no attempt for the same stream is left: clients may try
-/// again.
+/// Number of times that the route's timeout must pass until no attempt for the same stream is left. A client keeps one
+/// deadline over all of its attempts, which may be longer than the route's timeout.
 const ATTEMPTS_PER_STREAM: u64 = 2;
 /// Minimum duration after which a stream counts as ended, so that nodes whose views differ for seconds agree.
 const MIN_LIFETIME: Millis = Millis(5_000);
-/// Maximum duration of a stream; its origin is retained for longer than that.
-const MAX_LIFETIME: Millis = Millis(RETENTION.0 / 2);
+/// Time for which nodes may still begin streams at a worker whose record is gone: until their views are no longer
+/// current, and as a last resort.
+const PLACEMENT_DELAY: Millis = Millis(MAX_VIEW_AGE.0 + 1_000);
 
-/// Returns the time after which a stream of a route with the given timeout is no longer resumed.
+/// Returns the time after which a stream of a route with the given timeout is no longer resumed. The record of a stream
+/// that lasts longer than records are retained is lost; its origin cannot be deduced before this time either.
 pub fn stream_lifetime(route_timeout: Millis) -> Millis {
-    Millis(route_timeout.0.saturating_mul(ATTEMPTS_PER_STREAM)).clamp(MIN_LIFETIME, MAX_LIFETIME)
+    let attempts = Millis(route_timeout.0.saturating_mul(ATTEMPTS_PER_STREAM));
+    attempts.max(route_timeout + PLACEMENT_DELAY).max(MIN_LIFETIME)
 }
 
 /// What one node knows about a stream.
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -197,12 +197,15 @@
     }
 }
 
-/// Guards against streams that outlast their records.
+/// Guards against streams that are still resumed after they count as ended, so that their origin is deduced from versions
+/// that served later: on routes with long timeouts, and at workers that have just left.
 #[test]
-fn a_stream_never_counts_as_ended_later_than_its_record_is_evicted() {
-    for timeout in [0, 1_000, 5_000, 60_000, 3_600_000, u64::MAX] {
+fn a_stream_never_counts_as_ended_before_its_last_attempt_may_begin() {
+    for timeout in [0, 1_000, 2_400, 5_000, 60_000, 3_600_000, u64::MAX] {
         let lifetime = stream_lifetime(Millis(timeout));
-        assert!(lifetime >= Millis(5_000) && lifetime < RETENTION, "{timeout}: {lifetime:?}");
+        assert!(lifetime >= Millis(5_000) && lifetime.0 >= timeout.saturating_mul(2), "{timeout}: {lifetime:?}");
+        assert!(lifetime.0 >= timeout.saturating_add(3_000), "{timeout}: {lifetime:?}");
+        assert!(timeout > 55_000 || lifetime < RETENTION, "{timeout}: {lifetime:?}");
     }
 }
 
