Limit the answers of workers: events, bodies, item output, what waits for callers

What callers saw: nothing at first. A worker that sent one event, a plain body or an item's events without end was read until the request's deadline, and a caller that did not read was sent 32 chunks of any size. Each took the memory of the process at the speed of the connection; a gateway has 260 MB. An idempotent request whose body broke off was answered 502 beside a healthy worker.

Cause: what has to be complete before it is passed on was collected without a limit (`EventSplitter`, `buffer_answer`, `PartialOutput`, `reuse_after_refusal`), and what waits for a caller was limited by count, not by size.

Why this works: the limits are decided in core (`AnswerLimits`), the splitter returns an error instead of growing, and such an answer ends the attempt as `TooLarge`: a run, so no promise that it did not run; held against the worker unless it happens at two; tried elsewhere where the request may run again. All long answers together are limited by `answers.held_bytes`; what meets that limit ends as `NoMemory`, which says nothing about the worker. Output of an item over its limit is discarded and the item runs again from the start, elsewhere if it can, after pauses of up to 20 s: only its waiting time gives it up. New: the table `answers`, E529, `stallmoor_answers_over_limit_total`, `stallmoor_held_answer_bytes`. Two golden error messages that list all fields name the new ones.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -106,6 +106,7 @@
     PartQuarantined = 525, Warning, "Several workers crashed while they ran different requests with one part in their prompts, and none survived such a request; requests with this part are refused for a limited time.";
     PartCleared = 526, Information, "A worker went on with a request after its first event; the worker crashes attributed to the parts of its prompt were cleared.";
     QuarantineTrial = 527, Information, "A batch item that is quarantined runs as a trial, as few workers crash.";
+    AnswerTooLarge = 529, Warning, "An answer exceeded a limit on its size; its connection was closed.";
     StorageNodeSeen = 530, Information, "The record of a storage node was read.";
     ItemRunEnded = 540, Information, "A run of a batch item ended.";
     ItemListed = 541, Information, "The result of a batch item was committed.";
--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -48,6 +48,10 @@
 /// are paused again at once; the maximum is short, so that recovered workers are found soon.
 const RUN_BACKOFF: Backoff = Backoff::new(Millis(40), Millis(640));
 
+/// The delay after a run whose output exceeded the limit, doubled with each consecutive one. Each such run takes a worker
+/// as long as a whole one, and an item that exceeds the limit at every worker runs until its waiting time is over.
+const LARGE_OUTPUT_BACKOFF: Backoff = Backoff::new(Millis(640), Millis(20_480));
+
 /// The interval between two checks of a quarantined item. Bounds how late the end of its quarantine or of its time
 /// limit is noticed.
 const QUARANTINE_CHECK_INTERVAL: Millis = Millis(1_000);
@@ -78,6 +82,8 @@
     phase: Phase,
     due: UnixMillis,
     failures: Failures,
+    /// Workers at which the output exceeded the limit. Bounded by the backoff after such runs.
+    too_large_at: Vec<WorkerId>,
     delays: u32,
     output: PartialOutput,
     /// The part of the output that is logged or proposed.
@@ -165,6 +171,7 @@
                 phase: Phase::Ready,
                 due,
                 failures: Failures::resume(job.failures(item), verdict.failures),
+                too_large_at: Vec::new(),
                 delays: 0,
                 output,
                 logged,
@@ -321,10 +328,16 @@
                     }
                 }
             }
+            RunEnd::OutputTooLarge => {
+                open_item.too_large_at.extend(failed_at.map(|failed_at| failed_at.worker));
+                self.restart_item(key);
+                self.delay(key, LARGE_OUTPUT_BACKOFF, now);
+                return false;
+            }
             RunEnd::BrokenOff | RunEnd::Paused if made_progress => open_item.delays = 0,
             RunEnd::BrokenOff | RunEnd::NotRun | RunEnd::Paused => {}
         }
-        self.delay(key, now);
+        self.delay(key, RUN_BACKOFF, now);
         false
     }
 
@@ -351,9 +364,10 @@
         self.items.get(key).is_some_and(|open_item| open_item.failures.is_exhausted(max_attempts))
     }
 
-    /// Returns the workers at which an item failed.
+    /// Returns the workers at which an item failed or its output exceeded the limit.
     pub fn failed_workers(&self, key: &ItemKey) -> Vec<WorkerId> {
-        self.items.get(key).map(|open_item| open_item.failures.workers().cloned().collect()).unwrap_or_default()
+        let Some(open_item) = self.items.get(key) else { return Vec::new() };
+        open_item.failures.workers().chain(&open_item.too_large_at).cloned().collect()
     }
 
     /// Returns the workers to avoid in the last attempt of an item: those at which any item failed recently. Empty if
@@ -442,9 +456,9 @@
         true
     }
 
-    fn delay(&mut self, key: &ItemKey, now: Timestamp) {
+    fn delay(&mut self, key: &ItemKey, backoff: Backoff, now: Timestamp) {
         let Some(open_item) = self.items.get_mut(key) else { return };
-        let until = now + RUN_BACKOFF.wait(open_item.delays);
+        let until = now + backoff.wait(open_item.delays);
         open_item.delays += 1;
         self.delay_until(key, until);
     }
--- a/crates/core/src/serving/jobs/dispatch/run_end.rs
+++ b/crates/core/src/serving/jobs/dispatch/run_end.rs
@@ -19,6 +19,8 @@
     Failed,
     /// The connection broke or the worker stopped responding. The output so far is retained.
     BrokenOff,
+    /// The output exceeds the limit. It is discarded, and the item runs again from the start.
+    OutputTooLarge,
     /// The run was stopped in favor of online requests. The output so far is retained.
     Paused,
     /// The item did not run.
@@ -41,7 +43,11 @@
     pub fn from_attempt(end: AttemptEnd) -> Self {
         match end {
             AttemptEnd::NotConnected | AttemptEnd::NotRun { .. } => Self::NotRun,
-            AttemptEnd::Failed { .. } | AttemptEnd::Broken | AttemptEnd::Silent => Self::BrokenOff,
+            AttemptEnd::Failed { .. }
+            | AttemptEnd::Broken
+            | AttemptEnd::Silent
+            | AttemptEnd::TooLarge { .. }
+            | AttemptEnd::NoMemory => Self::BrokenOff,
         }
     }
 
@@ -52,6 +58,7 @@
             Self::Impossible => "impossible",
             Self::Failed => "failed",
             Self::BrokenOff => "broken_off",
+            Self::OutputTooLarge => "output_too_large",
             Self::Paused => "paused",
             Self::NotRun => "not_run",
         }
--- a/crates/core/src/serving/online/attempt.rs
+++ b/crates/core/src/serving/online/attempt.rs
@@ -4,6 +4,7 @@
 //! worker stated that it did not run it. All code that needs to know whether a request may have run relies on this
 //! module.
 
+use super::answer_limits::AnswerPart;
 use crate::serving::configuration::RouteKind;
 
 /// The outcome of an attempt that ended without a complete answer.
@@ -25,6 +26,13 @@
     Broken,
     /// The worker sent nothing before the timeout.
     Silent,
+    /// The answer exceeds a limit.
+    TooLarge {
+        /// The part that exceeds its limit.
+        part: AnswerPart,
+    },
+    /// This node has no memory left to hold the answer, which says nothing about the worker.
+    NoMemory,
 }
 
 impl AttemptEnd {
@@ -36,6 +44,8 @@
             Self::Failed { .. } => "failed",
             Self::Broken => "broken",
             Self::Silent => "silent",
+            Self::TooLarge { .. } => "too_large",
+            Self::NoMemory => "no_memory",
         }
     }
 
--- a/crates/core/src/serving/online/attribution.rs
+++ b/crates/core/src/serving/online/attribution.rs
@@ -153,6 +153,12 @@
         if self.silence.take().is_some() { Evidence::default() } else { self.record_failure(worker) }
     }
 
+    /// Handles an answer that exceeds a limit. Like a server error, it is the request's fault if it happens at two workers
+    /// of which the later one is not suspected.
+    pub fn on_too_large(&mut self, worker: &WorkerIncarnation, is_suspected: bool, now: Timestamp) -> Evidence {
+        self.on_server_error(worker, is_suspected, now)
+    }
+
     /// Handles a server error signed by the worker.
     pub fn on_server_error(&mut self, worker: &WorkerIncarnation, is_suspected: bool, now: Timestamp) -> Evidence {
         let failed_elsewhere = self.errors.iter().any(|failure| failure.worker.id != worker.id);
@@ -185,9 +191,10 @@
     pub fn on_end(&mut self, worker: &WorkerIncarnation, end: AttemptEnd) -> Evidence {
         match end {
             AttemptEnd::Broken => self.on_broken(worker),
-            AttemptEnd::NotConnected | AttemptEnd::NotRun { .. } => self.on_not_run(),
-            // Server errors are handled when the head of the answer arrives.
-            AttemptEnd::Silent | AttemptEnd::Failed { .. } => Evidence::default(),
+            AttemptEnd::NotConnected | AttemptEnd::NotRun { .. } | AttemptEnd::NoMemory => self.on_not_run(),
+            // Server errors are handled when the head of the answer arrives, and answers over a limit by
+            // [`Attribution::on_too_large`].
+            AttemptEnd::Silent | AttemptEnd::Failed { .. } | AttemptEnd::TooLarge { .. } => Evidence::default(),
         }
     }
 
--- a/crates/core/src/serving/online/event_stream.rs
+++ b/crates/core/src/serving/online/event_stream.rs
@@ -1,7 +1,9 @@
 //! Splits a stream of server-sent events into complete events.
 //!
 //! A worker may fail in the middle of an event. Only complete events are forwarded, so that another worker can resume
-//! the stream after the last one.
+//! the stream after the last one. The size of an event is limited, since a faulty worker may send one without end.
+
+use snafu::Snafu;
 
 /// One complete server-sent event.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,30 +23,55 @@
     }
 }
 
+/// An event exceeds the limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("an event has more than {limit} bytes"))]
+pub struct EventTooLarge {
+    /// Maximum size of an event in bytes.
+    pub limit: usize,
+}
+
 /// Buffers received bytes and splits off complete events.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct EventSplitter {
+    /// Maximum size of an event in bytes, including the blank line that ends it.
+    limit: usize,
     pending: Vec<u8>,
     /// Offset in `pending` at which the search for the end of the next event continues.
     search_from: usize,
 }
 
 impl EventSplitter {
+    /// Creates a splitter of events of up to `limit` bytes each.
+    pub fn new(limit: usize) -> Self {
+        Self { limit, pending: Vec::new(), search_from: 0 }
+    }
+
     /// Appends bytes and returns the events that are now complete.
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<ServerSentEvent> {
+    ///
+    /// # Errors
+    ///
+    /// [`EventTooLarge`]: an event exceeds the limit, whether it is complete or not. Nothing more can be split.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<ServerSentEvent>, EventTooLarge> {
         self.pending.extend_from_slice(bytes);
         let mut events = Vec::new();
         let mut start = 0;
         while let Some(end) = find_event_end(&self.pending, start.max(self.search_from)) {
+            self.check_size(end - start)?;
             let event = self.pending[start..end].to_vec();
             events.push(ServerSentEvent { id: event_id(&event), bytes: event });
             start = end;
             self.search_from = end;
         }
+        self.check_size(self.pending.len() - start)?;
         self.pending.drain(..start);
         // The blank line may be split between two reads.
         self.search_from = self.pending.len().saturating_sub(3);
-        events
+        Ok(events)
+    }
+
+    fn check_size(&self, bytes: usize) -> Result<(), EventTooLarge> {
+        if bytes > self.limit { Err(EventTooLarge { limit: self.limit }) } else { Ok(()) }
     }
 
     /// Returns the bytes of the last, incomplete event.
--- a/crates/core/src/serving/online/mod.rs
+++ b/crates/core/src/serving/online/mod.rs
@@ -7,6 +7,7 @@
 //! |---|---|
 //! | [`admission`] | route lookup and authentication of callers |
 //! | [`request_state`] | the state of one request: attempts so far, and what may be tried next |
+//! | [`answer_limits`] | limits on the size of answers |
 //! | [`attempt`] | attempt outcomes, and whether the request may have run |
 //! | [`attribution`] | what attempts say about their workers |
 //! | [`timeouts`] | timeouts after which a request switches to another worker |
@@ -15,6 +16,7 @@
 //! | [`stream_progress`] | the progress of a stream, and which events are forwarded to the caller |
 
 pub mod admission;
+pub mod answer_limits;
 pub mod attempt;
 pub mod attribution;
 pub mod event_stream;
--- a/crates/core/src/serving/workers/health.rs
+++ b/crates/core/src/serving/workers/health.rs
@@ -102,7 +102,8 @@
             AttemptEnd::NotConnected => {
                 self.record_failed_attempt(incarnation, false, started_at, now);
             }
-            AttemptEnd::Failed { .. } | AttemptEnd::Broken | AttemptEnd::Silent => {
+            AttemptEnd::NoMemory => {}
+            AttemptEnd::Failed { .. } | AttemptEnd::Broken | AttemptEnd::Silent | AttemptEnd::TooLarge { .. } => {
                 self.record_failed_attempt(incarnation, true, started_at, now);
             }
         }
--- a/crates/core/tests/attempts_and_events.rs
+++ b/crates/core/tests/attempts_and_events.rs
@@ -106,7 +106,7 @@
             bytes.extend_from_slice(format!("id: {number}{end}data: {data}{end}{end}").as_bytes());
         }
         bytes.extend_from_slice(tail.as_bytes());
-        let mut splitter = EventSplitter::default();
+        let mut splitter = EventSplitter::new(usize::MAX);
         let mut complete: Vec<ServerSentEvent> = Vec::new();
         let mut rest = &bytes[..];
         for cut in cuts.iter().cycle() {
@@ -114,7 +114,7 @@
                 break;
             }
             let (piece, further) = rest.split_at((*cut).min(rest.len()));
-            complete.extend(splitter.push(piece));
+            complete.extend(splitter.push(piece).expect("no event is too large"));
             rest = further;
         }
         prop_assert_eq!(complete.len(), events.len());
--- a/crates/gateway/src/http/answer_body.rs
+++ b/crates/gateway/src/http/answer_body.rs
@@ -1,14 +1,20 @@
 //! The body of an answer to a caller: either complete, or streamed from a worker.
 
+use std::collections::VecDeque;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+
+use crate::workers::answer_memory::HeldMemory;
 
 /// Maximum number of chunks buffered for a slow caller. While the buffer is full, the worker's connection is not read.
 const MAX_BUFFERED_CHUNKS: usize = 32;
+/// Maximum size of these chunks in bytes. A longer chunk is buffered alone.
+const MAX_BUFFERED_BYTES: u32 = 65_536;
 
 /// Error of an answer that could not be completed. Closes the connection, so that the caller can detect the truncation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,13 +28,81 @@
 
 impl std::error::Error for Aborted {}
 
+/// The caller has disconnected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Disconnected;
+
 /// Sends the chunks of a streamed answer.
-pub type ChunkSender = mpsc::Sender<Result<Bytes, Aborted>>;
+pub struct ChunkSender {
+    chunks: mpsc::Sender<Result<Bytes, Aborted>>,
+    /// Bytes that may be buffered.
+    capacity: Arc<Semaphore>,
+}
+
+impl ChunkSender {
+    /// Sends a chunk as soon as there is room for it, or ends the answer with an error.
+    ///
+    /// # Errors
+    ///
+    /// [`Disconnected`]: nobody reads the answer.
+    pub async fn send(&self, chunk: Result<Bytes, Aborted>) -> Result<(), Disconnected> {
+        let chunk = match chunk {
+            Ok(bytes) => Ok(self.reserve(bytes).await),
+            Err(aborted) => Err(aborted),
+        };
+        self.chunks.send(chunk).await.map_err(|_| Disconnected)
+    }
+
+    /// Waits until the caller has disconnected.
+    pub async fn closed(&self) {
+        self.chunks.closed().await;
+    }
+
+    /// Waits until there is room for a chunk, which it takes until the chunk is written.
+    async fn reserve(&self, bytes: Bytes) -> Bytes {
+        let size = u32::try_from(bytes.len()).unwrap_or(u32::MAX).min(MAX_BUFFERED_BYTES);
+        // Chunks that are dropped with a disconnected caller's answer make room, and the semaphore is never closed.
+        let permit = self.capacity.clone().acquire_many_owned(size).await.ok();
+        Bytes::from_owner(BufferedChunk { bytes, _permit: permit })
+    }
+}
+
+/// A chunk that takes room until it is dropped.
+struct BufferedChunk {
+    bytes: Bytes,
+    _permit: Option<OwnedSemaphorePermit>,
+}
+
+impl AsRef<[u8]> for BufferedChunk {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// A body that is held completely.
+#[derive(Default)]
+pub struct CompleteBody {
+    /// The parts that were not sent yet.
+    parts: VecDeque<Bytes>,
+    /// Memory that the body holds until it is sent.
+    _memory: Option<HeldMemory>,
+}
+
+impl CompleteBody {
+    /// Creates a body that holds `memory`.
+    pub fn new(parts: impl IntoIterator<Item = Bytes>, memory: HeldMemory) -> Self {
+        Self { parts: parts.into_iter().collect(), _memory: Some(memory) }
+    }
+
+    fn remaining_bytes(&self) -> u64 {
+        self.parts.iter().map(|part| part.len() as u64).sum()
+    }
+}
 
 /// The body of an answer.
 pub enum AnswerBody {
-    /// A complete body; `None` if it is empty or already sent.
-    Full(Option<Bytes>),
+    /// A complete body.
+    Full(CompleteBody),
     /// A streamed body.
     Chunks(mpsc::Receiver<Result<Bytes, Aborted>>),
 }
@@ -37,13 +111,15 @@
     /// Creates a body from complete content.
     pub fn full(bytes: impl Into<Bytes>) -> Self {
         let bytes = bytes.into();
-        Self::Full((!bytes.is_empty()).then_some(bytes))
+        let parts = (!bytes.is_empty()).then_some(bytes).into_iter().collect();
+        Self::Full(CompleteBody { parts, _memory: None })
     }
 
     /// Creates a streamed body and the sender of its chunks.
     pub fn channel() -> (ChunkSender, Self) {
-        let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-        (sender, Self::Chunks(receiver))
+        let (chunks, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+        let capacity = Arc::new(Semaphore::new(MAX_BUFFERED_BYTES as usize));
+        (ChunkSender { chunks, capacity }, Self::Chunks(receiver))
     }
 }
 
@@ -53,7 +129,7 @@
 
     fn poll_frame(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         match &mut *self {
-            Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Full(body) => Poll::Ready(body.parts.pop_front().map(|part| Ok(Frame::data(part)))),
             Self::Chunks(receiver) => {
                 receiver.poll_recv(context).map(|chunk| chunk.map(|result| result.map(Frame::data)))
             }
@@ -61,12 +137,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Full(None))
+        matches!(self, Self::Full(body) if body.parts.is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
+            Self::Full(body) => SizeHint::with_exact(body.remaining_bytes()),
             Self::Chunks(_) => SizeHint::default(),
         }
     }
--- a/crates/gateway/src/observe/measures.rs
+++ b/crates/gateway/src/observe/measures.rs
@@ -49,6 +49,8 @@
     FIRST_EVENT = "stallmoor_gateway_first_event_seconds", "histogram", "route", "Time from a request to its first event.";
     DURATION = "stallmoor_gateway_request_seconds", "histogram", "route", "Time from a request to its end.";
     ATTEMPTS = "stallmoor_gateway_failed_attempts_total", "counter", "end", "Attempts at workers that ended without a whole answer, by how.";
+    LARGE_ANSWERS = "stallmoor_answers_over_limit_total", "counter", "part", "Answers of workers, the metadata store and other nodes that exceeded a limit on their size, by the part that did.";
+    HELD_BYTES = "stallmoor_held_answer_bytes", "gauge", "", "Memory that long answers of workers hold until they are complete or passed on.";
     RATE_REFUSALS = "stallmoor_gateway_rate_refusals_total", "counter", "", "Requests that were refused since their tenant had used up its limit.";
     RATE_REFUSALS_BY_CAUSE = "stallmoor_gateway_rate_refusals_by_cause_total", "counter", "cause", "Requests that were refused since their tenant had used up its limit, by what the refusal rested on.";
     SUSPECTED_WORKERS = "stallmoor_suspected_workers", "gauge", "", "Workers that this node suspects of failing requests.";
@@ -124,6 +126,16 @@
     counter!(ATTEMPTS, "end" => end).increment(1);
 }
 
+/// Counts an answer that exceeded the limit of `part`.
+pub fn count_large_answer(part: &'static str) {
+    counter!(LARGE_ANSWERS, "part" => part).increment(1);
+}
+
+/// Sets the memory that long answers hold.
+pub fn set_held_answer_bytes(bytes: usize) {
+    gauge!(HELD_BYTES).set(bytes as f64);
+}
+
 /// Counts a request that was refused because its tenant's rate limit was exhausted.
 pub fn count_rate_refusal() {
     counter!(RATE_REFUSALS).increment(1);
--- a/crates/gateway/src/observe/mod.rs
+++ b/crates/gateway/src/observe/mod.rs
@@ -3,9 +3,11 @@
 //! | module | contents |
 //! |---|---|
 //! | [`journal`] | structured log lines: numbered events with named fields |
+//! | [`large_answers`] | the record of answers that exceed a limit on their size |
 //! | [`log_writer`] | the thread that writes log lines |
 //! | [`measures`] | counters, gauges and histograms, and the endpoint that serves them |
 
 pub mod journal;
+pub mod large_answers;
 pub mod log_writer;
 pub mod measures;
--- a/crates/gateway/src/online/evidence.rs
+++ b/crates/gateway/src/online/evidence.rs
@@ -4,11 +4,13 @@
 use std::pin::pin;
 use std::time::Duration;
 
+use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::serving::online::attribution::{Attribution, Evidence, HeadVerdict};
 use stallmoor_core::serving::workers::{WorkerId, WorkerIncarnation};
 use stallmoor_core::time::Timestamp;
 
 use super::ActiveRequest;
+use crate::workers::answer_reader::record_too_large;
 use crate::workers::attempt::{FailedAttempt, OpenAnswer};
 use crate::workers::suspicion::apply_evidence;
 
@@ -48,6 +50,17 @@
         });
     }
 
+    /// Records an attempt whose worker had started to answer.
+    pub(super) fn record_attempt_evidence(&mut self, worker: &WorkerIncarnation, end: AttemptEnd) {
+        let AttemptEnd::TooLarge { part } = end else {
+            self.record_evidence(|attribution, _| attribution.on_end(worker, end));
+            return;
+        };
+        record_too_large(&worker.id, &self.request.attributes.id, part, &self.client.answers.limits);
+        let is_suspected = self.client.view.workers().is_suspected(&worker.id, self.now());
+        self.record_evidence(|attribution, now| attribution.on_too_large(worker, is_suspected, now));
+    }
+
     /// Waits for the answer of an attempt. Records a failure of its worker as soon as it is silent for too long.
     pub(super) async fn watch_silence<T>(
         &mut self,
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -17,7 +17,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::header::HeaderMap;
 use hyper::{Method, Response, Uri};
 use stallmoor_core::error::{ErrorKind, Refusal};
@@ -36,8 +35,9 @@
 use tokio::task::JoinHandle;
 
 use crate::adapter::dialect::AttemptContext;
-use crate::http::answer_body::{Aborted, AnswerBody};
+use crate::http::answer_body::AnswerBody;
 use crate::http::refusal;
+use crate::workers::answer_reader::read_body;
 use crate::workers::attempt::{Attempt, OpenAnswer, WorkerClient};
 use crate::workers::crash_check::{RunWatch, WorkerRun};
 
@@ -111,8 +111,7 @@
             return refusal::answer(&refused);
         }
     };
-    let is_stream = active.state.is_stream() && answer.status.is_success();
-    if is_stream { active.respond_streaming(answer) } else { active.respond_buffered(answer).await }
+    active.respond(answer).await
 }
 
 impl ActiveRequest {
@@ -313,7 +312,7 @@
 
     /// Records the failure of an attempt, started at `sent_at`, whose worker had already started to answer.
     fn end_attempt(&mut self, worker: &WorkerIncarnation, end: AttemptEnd, sent_at: Timestamp) {
-        self.record_evidence(|attribution, _| attribution.on_end(worker, end));
+        self.record_attempt_evidence(worker, end);
         self.client.view.workers().record_ended_attempt(worker, end, sent_at, self.now());
         self.log_attempt(&worker.id, end);
         self.state.record_attempt_end(&worker.id, end, &mut self.client.view.retry_budget());
@@ -336,7 +335,9 @@
     fn run_ended(&mut self, end: AttemptEnd) {
         let Some(run) = self.run.take() else { return };
         match end {
-            AttemptEnd::Broken | AttemptEnd::Silent => self.crash_check = run.interrupted(),
+            AttemptEnd::Broken | AttemptEnd::Silent | AttemptEnd::TooLarge { .. } | AttemptEnd::NoMemory => {
+                self.crash_check = run.interrupted();
+            }
             AttemptEnd::NotConnected | AttemptEnd::NotRun { .. } | AttemptEnd::Failed { .. } => run.finish(),
         }
     }
@@ -358,34 +359,66 @@
         Duration::from_millis(timeout.0)
     }
 
-    /// Responds after buffering the complete body.
-    async fn respond_buffered(mut self, answer: OpenAnswer) -> Response<AnswerBody> {
-        let (worker, verdict) = (answer.worker.clone(), answer.verdict());
-        let BufferedAnswer { answer, body } = match buffer_answer(answer, self.state.remaining(self.now())).await {
-            Ok(parts) => parts,
-            Err(Aborted) => {
-                // A worker that is too slow for the deadline has not failed.
-                if self.state.remaining(self.now()) > Millis(0) {
-                    self.record_evidence(|attribution, _| attribution.on_end(&worker, AttemptEnd::Broken));
+    /// Responds with a stream, or with a complete body. Tries further workers while bodies can't be completed.
+    async fn respond(mut self, answer: OpenAnswer) -> Response<AnswerBody> {
+        let mut current = answer;
+        loop {
+            if self.state.is_stream() && current.status.is_success() {
+                return self.respond_streaming(current);
+            }
+            let (worker, sent_at) = (current.worker.clone(), current.sent_at);
+            let end = match self.buffer(current).await {
+                Ok(response) => return response,
+                Err(end) => end,
+            };
+            // A worker that is too slow for the deadline has not failed.
+            if self.state.remaining(self.now()) == Millis(0) {
+                self.run_ended(end);
+                return self.refuse_incomplete(end);
+            }
+            self.end_attempt(&worker, end, sent_at);
+            if !self.state.may_resume() {
+                return self.refuse_incomplete(end);
+            }
+            match self.open().await {
+                Ok(answer) => current = answer,
+                Err(refused) => {
+                    self.log_refusal(&refused);
+                    return refusal::answer(&refused);
                 }
-                self.run_ended(AttemptEnd::Broken);
-                self.log_end("broken off");
-                return refusal::from_kind(ErrorKind::AnswerIncomplete, "the worker broke off its answer");
             }
+        }
+    }
+
+    fn refuse_incomplete(&self, end: AttemptEnd) -> Response<AnswerBody> {
+        self.log_end("broken off");
+        let detail = match end {
+            AttemptEnd::TooLarge { .. } => "the worker's answer exceeds the limit",
+            AttemptEnd::NoMemory => "there is no memory for the worker's answer",
+            _ => "the worker broke off its answer",
         };
+        refusal::from_kind(ErrorKind::AnswerIncomplete, detail)
+    }
+
+    /// Reads the complete body of an answer and returns the response.
+    async fn buffer(&mut self, mut answer: OpenAnswer) -> Result<Response<AnswerBody>, AttemptEnd> {
+        let timeout = Duration::from_millis(self.state.remaining(self.now()).0);
+        let reading = read_body(&mut answer.body, &self.client.answers);
+        let body = tokio::time::timeout(timeout, reading).await.unwrap_or(Err(AttemptEnd::Broken))?;
         self.log_end(answer.status.as_str());
-        if verdict == HeadVerdict::Serving {
-            self.record_evidence(|attribution, _| attribution.on_served(&worker));
+        if answer.verdict() == HeadVerdict::Serving {
+            self.record_evidence(|attribution, _| attribution.on_served(&answer.worker));
         }
         if answer.status.is_success() {
             self.run_completed();
         } else if let Some(run) = self.run.take() {
             run.finish();
         }
-        let mut response = Response::new(AnswerBody::full(body));
+        let mut response = Response::new(AnswerBody::Full(body));
         *response.status_mut() = answer.status;
         *response.headers_mut() = self.client.dialect.answer_headers(&answer.headers);
-        response
+        answer.release();
+        Ok(response)
     }
 }
 
@@ -398,28 +431,3 @@
         body: &request.body,
     })
 }
-
-struct BufferedAnswer {
-    answer: AnswerHead,
-    body: Bytes,
-}
-
-struct AnswerHead {
-    status: hyper::StatusCode,
-    headers: HeaderMap,
-}
-
-async fn buffer_answer(mut answer: OpenAnswer, timeout: Millis) -> Result<BufferedAnswer, Aborted> {
-    let reading = async {
-        let mut bytes = Vec::new();
-        while let Some(frame) = answer.body.frame().await {
-            let frame = frame.map_err(|_| Aborted)?;
-            bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
-        }
-        Ok(Bytes::from(bytes))
-    };
-    let body = tokio::time::timeout(Duration::from_millis(timeout.0), reading).await.map_err(|_| Aborted)??;
-    let head = AnswerHead { status: answer.status, headers: answer.headers.clone() };
-    answer.release();
-    Ok(BufferedAnswer { answer: head, body })
-}
--- a/crates/gateway/src/online/stream.rs
+++ b/crates/gateway/src/online/stream.rs
@@ -5,18 +5,18 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
 use stallmoor_core::serving::online::attempt::AttemptEnd;
-use stallmoor_core::serving::online::event_stream::{EventSplitter, ServerSentEvent};
+use stallmoor_core::serving::online::event_stream::ServerSentEvent;
 use stallmoor_core::serving::online::request_state::ResumeRounds;
 use stallmoor_core::serving::online::timeouts::AwaitedEvent;
 use stallmoor_core::time::{Millis, Timestamp};
 
 use super::ActiveRequest;
-use crate::http::answer_body::{Aborted, AnswerBody, ChunkSender};
+use crate::http::answer_body::{Aborted, AnswerBody, ChunkSender, Disconnected};
+use crate::workers::answer_reader::EventReader;
 use crate::workers::attempt::OpenAnswer;
 
 /// How a stream from one worker ended.
@@ -91,7 +91,7 @@
 
     /// Forwards complete events until the stream ends, fails or times out, or the caller disconnects.
     async fn forward_from(&mut self, mut answer: OpenAnswer, sender: &ChunkSender) -> StreamEnd {
-        let mut splitter = EventSplitter::default();
+        let mut reader = EventReader::new(&self.client.answers);
         let mut first = true;
         let mut first_event_at = None;
         let sent_at = answer.sent_at;
@@ -121,13 +121,14 @@
                     if first {
                         self.record_evidence(|attribution, _| attribution.on_served(&answer.worker));
                     }
-                    return finish_stream(answer, &splitter);
+                    return finish_stream(answer, &reader);
                 }
             };
-            let events = splitter.push(&data);
-            if events.is_empty() {
-                continue;
-            }
+            let events = match reader.push(&data) {
+                Ok(events) if events.is_empty() => continue,
+                Ok(events) => events,
+                Err(end) => return StreamEnd::AttemptFailed(end),
+            };
             if first {
                 first = false;
                 first_event_at.get_or_insert(self.now());
@@ -156,10 +157,17 @@
 
     async fn send(&self, chunk: Vec<u8>, sender: &ChunkSender) -> Result<(), StreamEnd> {
         let remaining = Duration::from_millis(self.state.remaining(self.now()).0);
-        match tokio::time::timeout(remaining, sender.send(Ok(Bytes::from(chunk)))).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(StreamEnd::CallerDisconnected),
-            Err(_) => Err(StreamEnd::DeadlineExceeded),
+        let sending = async {
+            let chunk = self.client.answers.memory.hold(chunk).await;
+            sender.send(Ok(chunk)).await
+        };
+        tokio::select! {
+            sent = tokio::time::timeout(remaining, sending) => match sent {
+                Ok(Ok(())) => Ok(()),
+                Ok(Err(Disconnected)) => Err(StreamEnd::CallerDisconnected),
+                Err(_) => Err(StreamEnd::DeadlineExceeded),
+            },
+            () = sender.closed() => Err(StreamEnd::CallerDisconnected),
         }
     }
 
@@ -194,8 +202,8 @@
 }
 
 /// Handles the end of a worker's stream, which is complete unless it ended within an event.
-fn finish_stream(answer: OpenAnswer, splitter: &EventSplitter) -> StreamEnd {
-    if !splitter.pending().is_empty() {
+fn finish_stream(answer: OpenAnswer, reader: &EventReader) -> StreamEnd {
+    if !reader.is_at_event_end() {
         return StreamEnd::AttemptFailed(AttemptEnd::Broken);
     }
     answer.release();
--- a/crates/gateway/src/process/parts.rs
+++ b/crates/gateway/src/process/parts.rs
@@ -57,7 +57,8 @@
         let permits = Arc::new(PermitRequests::default());
         let origins = Arc::new(StreamOrigins::new(view.clone(), metadata.clone(), id));
         let dialect = adapter.dialect();
-        let workers = Arc::new(WorkerClient { view: view.clone(), dialect, connections, permits, origins });
+        let answers = settings.answers.bounds();
+        let workers = Arc::new(WorkerClient { view: view.clone(), dialect, connections, permits, origins, answers });
         Self { view, metadata, workers }
     }
 
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -10,10 +10,14 @@
 
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
+use stallmoor_core::serving::online::answer_limits::AnswerLimits;
 use stallmoor_core::serving::regions::{RegionMap, RegionName};
 use stallmoor_core::serving::relay::bounds::WatchBounds;
 use stallmoor_core::time::Millis;
 
+use crate::workers::answer_memory::AnswerMemory;
+use crate::workers::answer_reader::AnswerBounds;
+
 /// Default of `metadata.config_ms` and `metadata.drain_ms`.
 const DEFAULT_CHANGE_MS: f64 = 2_000.0;
 /// Default of `metadata.contact_ms`.
@@ -25,6 +29,17 @@
 /// Default of `stop.grace_s`.
 const DEFAULT_GRACE_S: f64 = 8.0;
 
+/// Default of `metadata.answer_bytes`.
+const DEFAULT_STORE_ANSWER_BYTES: usize = 16 << 20;
+/// Default of `answers.event_bytes`.
+const DEFAULT_EVENT_BYTES: usize = 1 << 20;
+/// Default of `answers.body_bytes`.
+const DEFAULT_BODY_BYTES: usize = 8 << 20;
+/// Default of `answers.item_bytes`.
+const DEFAULT_ITEM_BYTES: usize = 1 << 20;
+/// Default of `answers.held_bytes`.
+const DEFAULT_HELD_BYTES: usize = 64 << 20;
+
 /// Error in reading or validating the settings file.
 #[derive(Debug, Snafu)]
 pub enum SettingsError {
@@ -72,6 +87,9 @@
     /// Region of each zone, keyed by zone name.
     #[serde(default)]
     pub zones: BTreeMap<String, String>,
+    /// Limits on the answers of workers.
+    #[serde(default)]
+    pub answers: AnswersTable,
     /// Batch jobs; used by storage nodes.
     #[serde(default)]
     pub jobs: JobsTable,
@@ -137,6 +155,9 @@
     /// Approximate interval at which a worker writes its record, in milliseconds.
     #[serde(default = "MetadataTable::default_heartbeat_ms")]
     pub heartbeat_ms: f64,
+    /// Maximum size of an answer of the metadata store, in bytes.
+    #[serde(default = "MetadataTable::default_answer_bytes")]
+    pub answer_bytes: usize,
 }
 
 impl MetadataTable {
@@ -156,6 +177,10 @@
         DEFAULT_HEARTBEAT_MS
     }
 
+    fn default_answer_bytes() -> usize {
+        DEFAULT_STORE_ANSWER_BYTES
+    }
+
     /// Returns the time limits within which the node must receive changes.
     pub fn watch_bounds(&self) -> WatchBounds {
         let millis = |value: f64| Millis(value.max(0.0) as u64);
@@ -196,6 +221,39 @@
     }
 }
 
+/// The table `[answers]`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AnswersTable {
+    /// Maximum size of one event of a stream, in bytes.
+    pub event_bytes: usize,
+    /// Maximum size of the body of an answer that is not a stream, in bytes.
+    pub body_bytes: usize,
+    /// Maximum size of the output of a batch item, in bytes.
+    pub item_bytes: usize,
+    /// Memory that all long answers hold together at most, in bytes.
+    pub held_bytes: usize,
+}
+
+impl AnswersTable {
+    /// Returns the limits, with memory of which nothing is held.
+    pub fn bounds(&self) -> AnswerBounds {
+        let limits = AnswerLimits { event: self.event_bytes, body: self.body_bytes, item_output: self.item_bytes };
+        AnswerBounds { limits, memory: AnswerMemory::new(self.held_bytes) }
+    }
+}
+
+impl Default for AnswersTable {
+    fn default() -> Self {
+        Self {
+            event_bytes: DEFAULT_EVENT_BYTES,
+            body_bytes: DEFAULT_BODY_BYTES,
+            item_bytes: DEFAULT_ITEM_BYTES,
+            held_bytes: DEFAULT_HELD_BYTES,
+        }
+    }
+}
+
 /// The table `[jobs]`.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -303,6 +361,18 @@
                 return invalid(field, "must be from 1 to 3600000");
             }
         }
+        let sizes = [
+            ("metadata.answer_bytes", settings.metadata.answer_bytes),
+            ("answers.event_bytes", settings.answers.event_bytes),
+            ("answers.body_bytes", settings.answers.body_bytes),
+            ("answers.item_bytes", settings.answers.item_bytes),
+            ("answers.held_bytes", settings.answers.held_bytes),
+        ];
+        for (field, bytes) in sizes {
+            if !(1_024..=1_000_000_000).contains(&bytes) {
+                return invalid(field, "must be from 1024 to 1000000000");
+            }
+        }
         if !(0.1..=3_600.0).contains(&settings.stop.grace_s) {
             return invalid("stop.grace_s", "must be from 0.1 to 3600");
         }
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -12,14 +12,15 @@
 use stallmoor_core::serving::crashes::{RequestContent, RequestKeys};
 use stallmoor_core::serving::jobs::command::{JobItem, PartialOutput};
 use stallmoor_core::serving::jobs::dispatch::{EVENT_TIMEOUT, FIRST_EVENT_TIMEOUT, RunEnd};
+use stallmoor_core::serving::online::answer_limits::AnswerPart;
 use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::serving::online::attribution::{Attribution, Evidence, HeadVerdict};
-use stallmoor_core::serving::online::event_stream::EventSplitter;
 use stallmoor_core::serving::workers::{Choice, WorkerId, WorkerIncarnation};
 use stallmoor_core::time::Timestamp;
 use tokio::sync::Notify;
 
 use crate::adapter::dialect::{AttemptContext, Dialect};
+use crate::workers::answer_reader::{EventReader, record_too_large};
 use crate::workers::attempt::{Attempt, FailedAttempt, InFlight, OpenAnswer, WorkerClient};
 use crate::workers::crash_check::{RunWatch, WorkerRun};
 use crate::workers::suspicion::apply_evidence;
@@ -75,7 +76,7 @@
         match end {
             // The worker is checked in the background, so the report is not delayed. Dropping the watch of a paused run
             // counts as abandoning it.
-            RunEnd::BrokenOff => drop(watch.interrupted()),
+            RunEnd::BrokenOff | RunEnd::OutputTooLarge => drop(watch.interrupted()),
             RunEnd::Paused => drop(watch),
             RunEnd::Completed => {
                 watch.finish();
@@ -83,6 +84,9 @@
             }
             RunEnd::Impossible | RunEnd::Failed | RunEnd::NotRun => watch.finish(),
         }
+        if end == RunEnd::OutputTooLarge {
+            *self.output() = PartialOutput::default();
+        }
         let output = self.output().clone();
         FinishedRun { end, output, worker: self.choice.id, attribution: self.attribution }
     }
@@ -157,7 +161,7 @@
     }
 
     async fn read_events(&mut self, client: &WorkerClient, mut answer: OpenAnswer, watch: &mut RunWatch) -> RunEnd {
-        let mut splitter = EventSplitter::default();
+        let mut reader = EventReader::new(&client.answers);
         let mut first = true;
         let pause = self.pause.clone();
         loop {
@@ -167,31 +171,47 @@
             };
             match frame {
                 Ok(Some(Ok(frame))) => {
-                    let events = splitter.push(&frame.into_data().unwrap_or_default());
+                    let events = match reader.push(&frame.into_data().unwrap_or_default()) {
+                        Ok(events) => events,
+                        Err(end) => return self.interrupted(client, &answer, end),
+                    };
                     if !events.is_empty() && std::mem::take(&mut first) {
                         self.record_evidence(client, |attribution, worker, _| attribution.on_served(worker));
                     }
                     for event in events {
                         if !self.output().append_event(&event.data(), event.id) {
-                            return self.interrupted(client, &answer);
+                            return self.interrupted(client, &answer, AttemptEnd::Broken);
                         }
                     }
+                    if self.output().text.len() > client.answers.limits.item_output {
+                        // None of the output can be relied on, and no worker can complete it.
+                        self.interrupted(client, &answer, AttemptEnd::TooLarge { part: AnswerPart::ItemOutput });
+                        return RunEnd::OutputTooLarge;
+                    }
                     let last_event = self.output().last_event.unwrap_or(0);
                     watch.record_progress(last_event);
                 }
-                Ok(None) if splitter.pending().is_empty() && self.output().last_event.is_some() => {
+                Ok(None) if reader.is_at_event_end() && self.output().last_event.is_some() => {
                     answer.release();
                     return RunEnd::Completed;
                 }
-                _ => return self.interrupted(client, &answer),
+                _ => return self.interrupted(client, &answer, AttemptEnd::Broken),
             }
         }
     }
 
-    fn interrupted(&mut self, client: &WorkerClient, answer: &OpenAnswer) -> RunEnd {
-        self.record_evidence(client, |attribution, worker, _| attribution.on_broken(worker));
+    fn interrupted(&mut self, client: &WorkerClient, answer: &OpenAnswer, end: AttemptEnd) -> RunEnd {
+        if let AttemptEnd::TooLarge { part } = end {
+            record_too_large(&answer.worker.id, &self.item.id, part, &client.answers.limits);
+            let is_suspected = self.is_worker_suspected(client);
+            self.record_evidence(client, |attribution, worker, now| {
+                attribution.on_too_large(worker, is_suspected, now)
+            });
+        } else {
+            self.record_evidence(client, |attribution, worker, _| attribution.on_end(worker, end));
+        }
         let now = client.view.clock.now();
-        client.view.workers().record_failed_attempt(&answer.worker, true, answer.sent_at, now);
+        client.view.workers().record_ended_attempt(&answer.worker, end, answer.sent_at, now);
         RunEnd::BrokenOff
     }
 }
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -446,7 +446,8 @@
         measures::count_run(end.name());
         let configuration = self.workers.view.configuration();
         let max_attempts = max_attempts(table.job(&key.job), configuration.as_deref());
-        if end == RunEnd::Failed || self.dispatcher.failures(&key) > 0 {
+        let is_evidence = matches!(end, RunEnd::Failed | RunEnd::OutputTooLarge);
+        if is_evidence || self.dispatcher.failures(&key) > 0 {
             self.attributions.insert(key.clone(), attribution);
         }
         let is_suspected = self.workers.view.workers().is_suspected(&worker, now);
--- a/crates/gateway/src/workers/attempt.rs
+++ b/crates/gateway/src/workers/attempt.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response, StatusCode, Uri};
+use stallmoor_core::serving::online::answer_limits::AnswerPart;
 use stallmoor_core::serving::online::attempt::{AnswerMetadata, AttemptEnd};
 use stallmoor_core::serving::online::attribution::{HeadVerdict, WorkerRefusal, judge_head};
 use stallmoor_core::serving::request::PrefixBlock;
@@ -21,11 +22,13 @@
 use crate::adapter::dialect::{AnswerAttributes, Dialect};
 use crate::fleet::fleet_view::FleetView;
 use crate::streams::StreamOrigins;
+use crate::workers::answer_reader::{AnswerBounds, RefusalBody, record_too_large, skip_refusal};
 use crate::workers::connections::{ConnectionPool, NoConnection, SendFailure, WorkerConnection, WorkerEndpoint};
 use crate::workers::permits::PermitRequests;
 
 /// Maximum time to read the body of a refusal before its connection is closed instead of reused.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Client for sending requests to workers.
 pub struct WorkerClient {
     /// This node's view of the fleet.
@@ -38,6 +41,8 @@
     pub permits: Arc<PermitRequests>,
     /// The origins of streams.
     pub origins: Arc<StreamOrigins>,
+    /// Limits on the answers.
+    pub answers: AnswerBounds,
 }
 
 /// A request to be sent to one worker.
@@ -188,7 +193,11 @@
         match answer_metadata(parts.status, &attributes).check(&request_id) {
             Ok(()) => {}
             Err(end @ AttemptEnd::NotRun { .. }) => {
-                reuse_after_refusal(&mut connection, &attributes, &parts.headers, body).await;
+                if reuse_after_refusal(&mut connection, &attributes, &parts.headers, body).await
+                    == RefusalBody::TooLarge
+                {
+                    record_too_large(&choice.id, &request_id, AnswerPart::Refusal, &self.answers.limits);
+                }
                 return Err(FailedAttempt { end, refusal: Some(self.refusal_of(&choice, &attributes)) });
             }
             Err(end) => return Err(end.into()),
@@ -260,10 +269,12 @@
     attributes: &AnswerAttributes,
     headers: &HeaderMap,
     body: Incoming,
-) {
+) -> RefusalBody {
     let keep_alive = attributes.keep_alive.map(|span| Duration::from_millis(span.0));
-    let remainder = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body.collect()).await;
-    if matches!(remainder, Ok(Ok(_))) && !wants_close(headers) {
+    let skipped = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, skip_refusal(body)).await;
+    let end = skipped.unwrap_or(RefusalBody::Broken);
+    if end == RefusalBody::Complete && !wants_close(headers) {
         connection.keep(keep_alive);
     }
+    end
 }
--- a/crates/gateway/src/workers/connections.rs
+++ b/crates/gateway/src/workers/connections.rs
@@ -31,6 +31,9 @@
 /// Maximum time for a connection to become ready after an answer before it is closed.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum size of the head of an answer, and of what is read ahead of its body.
+const MAX_HEAD_BYTES: usize = 65_536;
+
 /// Address of one incarnation of a worker. Connections to an earlier incarnation can't be reused for a later one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct WorkerEndpoint {
@@ -297,7 +300,11 @@
 
 async fn connect(address: SocketAddr) -> std::io::Result<NewConnection> {
     let stream = connect_tuned(address).await?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(std::io::Error::other)?;
     let task = tokio::spawn(async move {
         // Errors are reported to the requests on the connection.
         let _ = connection.await;
--- a/crates/gateway/tests/golden_measures.rs
+++ b/crates/gateway/tests/golden_measures.rs
@@ -7,6 +7,7 @@
 
 use stallmoor_core::serving::crashes::{LedgerSize, PartCounts};
 use stallmoor_core::serving::jobs::dispatch::RunEnd;
+use stallmoor_core::serving::online::answer_limits::AnswerPart;
 use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::time::Millis;
 use stallmoor_gateway::observe::measures::{self, ALL};
@@ -60,6 +61,8 @@
 const RESUMPTION_ORIGINS: [&str; 4] = ["known", "conflicting", "several_versions", "uncertain_past"];
 const TRIAL_ENDS: [&str; 2] = ["served", "failed"];
 const ELECTION_REASONS: [&str; 3] = ["silence", "process_ended", "handover"];
+const ANSWER_PARTS: [AnswerPart; 4] =
+    [AnswerPart::Event, AnswerPart::Body, AnswerPart::Refusal, AnswerPart::ItemOutput];
 const REQUEST_ENDS: [&str; 3] = ["whole", "caller gone", "broken off"];
 
 fn record_everything() {
@@ -73,10 +76,19 @@
         AttemptEnd::Failed { status: 500 },
         AttemptEnd::Broken,
         AttemptEnd::Silent,
+        AttemptEnd::TooLarge { part: AnswerPart::Event },
+        AttemptEnd::NoMemory,
     ];
     attempts.into_iter().for_each(|end| measures::count_failed_attempt(end.name()));
-    let runs =
-        [RunEnd::Completed, RunEnd::Impossible, RunEnd::Failed, RunEnd::BrokenOff, RunEnd::Paused, RunEnd::NotRun];
+    let runs = [
+        RunEnd::Completed,
+        RunEnd::Impossible,
+        RunEnd::Failed,
+        RunEnd::BrokenOff,
+        RunEnd::Paused,
+        RunEnd::NotRun,
+        RunEnd::OutputTooLarge,
+    ];
     runs.iter().for_each(|end| measures::count_run(end.name()));
     SUBMISSION_RESULTS.into_iter().for_each(measures::count_submission);
     STORE_CALLS.into_iter().for_each(measures::count_store_call);
@@ -94,6 +106,8 @@
     measures::set_suspected_workers(4);
     RESUMPTION_ORIGINS.into_iter().for_each(measures::count_resumption);
     PERMIT_ENDS.into_iter().for_each(|end| measures::count_permits(end, 1));
+    ANSWER_PARTS.into_iter().for_each(|part| measures::count_large_answer(part.name()));
+    measures::set_held_answer_bytes(70_000);
     TRIAL_ENDS.into_iter().for_each(measures::count_trial);
     ELECTION_REASONS.into_iter().for_each(measures::count_election);
 }
--- a/crates/gateway/tests/golden_settings.rs
+++ b/crates/gateway/tests/golden_settings.rs
@@ -8,7 +8,7 @@
 
 use stallmoor_gateway::process::settings::ServingSettings;
 
-/// Sets every field except `evacuate_ms` and `zones` to a value other than its default.
+/// Sets every field except `evacuate_ms`, `zones` and the limits on answers to a value other than its default.
 const FULL: &str = r#"
 [node]
 name = "edge-7"
@@ -61,7 +61,7 @@
 
 /// Lists the parsed fields by table and name, followed by derived values in brackets.
 fn describe(settings: &ServingSettings) -> String {
-    let ServingSettings { node, listen, metadata, tolerance, zones: _, jobs, stop, log } = settings;
+    let ServingSettings { node, listen, metadata, tolerance, zones: _, answers: _, jobs, stop, log } = settings;
     let bounds = metadata.watch_bounds();
     let lines = [
         format!("node.name = {:?}", node.name),
@@ -131,6 +131,40 @@
     golden::check_text("settings_zones.txt", &format!("{output}# too short\n{error}\n"));
 }
 
+/// The limits on answers, and the error messages about them.
+#[test]
+fn answer_limits_match_the_golden_file() {
+    const ANSWERS: &str = "[answers]\nevent_bytes = 3000\nbody_bytes = 4000\nitem_bytes = 5000\nheld_bytes = 6000\n";
+    let metadata = MINIMAL.replace("address = \"[::1]:2\"", "address = \"[::1]:2\"\nanswer_bytes = 2000");
+    let full = format!("{metadata}\n{ANSWERS}");
+    let mut output = String::new();
+    for (title, text) in [("full", &*full), ("minimal", MINIMAL)] {
+        let ServingSettings { metadata, answers, .. } = read(text);
+        let lines = [
+            ("metadata.answer_bytes", metadata.answer_bytes),
+            ("answers.event_bytes", answers.event_bytes),
+            ("answers.body_bytes", answers.body_bytes),
+            ("answers.item_bytes", answers.item_bytes),
+            ("answers.held_bytes", answers.held_bytes),
+        ];
+        writeln!(output, "# {title}").expect("writing to a string succeeds");
+        for (name, value) in lines {
+            writeln!(output, "{name} = {value}").expect("writing to a string succeeds");
+        }
+    }
+    let cases = [
+        ("unknown field", "item_bytes", "items"),
+        ("store's answers too short", "answer_bytes = 2000", "answer_bytes = 1023"),
+        ("events too long", "event_bytes = 3000", "event_bytes = 1000000001"),
+        ("negative", "held_bytes = 6000", "held_bytes = -1"),
+    ];
+    for (case, from, to) in cases {
+        let error = ServingSettings::parse(&full.replace(from, to), Path::new("node.toml")).expect_err(case);
+        writeln!(output, "# {case}\n{}", error.to_string().trim_end()).expect("writing to a string succeeds");
+    }
+    golden::check_text("settings_answers.txt", &output);
+}
+
 /// Each case replaces one piece of text in the full file.
 #[test]
 fn error_messages_match_the_golden_file() {
