Do not log a repeated submission of a job again

What callers saw: with disks nearly full a job was refused for lack of room too early, and each repeat of an accepted submission, which must be accepted, filled the disks of all storage nodes further.

Cause: the leader proposed a submission of a job that is in the table, or proposed already, like a new one. The disk budget passes such submissions, since they need no additional space: this was not so. Gateways repeat a submission by themselves when it is not answered in 300 ms, so it happens wherever the leader is slow.

A repeat is now answered from the table, or together with the proposal of this term, once all responsive replicas store the job: the same answers as before, without a log entry. It may be, since a job that was applied was committed. If leadership is lost, the outcome is unknown as before.

--- a/crates/core/src/serving/jobs/node/mod.rs
+++ b/crates/core/src/serving/jobs/node/mod.rs
@@ -4,7 +4,9 @@
 //! [`JobsEffect::Persist`] must be durable before any later effect is carried out; further events may be handled in the
 //! meantime, and their effects are queued. The caller reports each completed write with [`JobsNode::record_durable`].
 
+mod answers;
 mod messages;
+mod repeats;
 mod settings;
 mod snapshots;
 
@@ -13,6 +15,8 @@
 pub use messages::{JobsChange, JobsEffect, NotProposed, SnapshotSource, UnreadableSnapshot, Waiter};
 pub use settings::replica_settings;
 
+use self::answers::{PendingAnswer, answer_of, indeterminate_answers};
+use self::repeats::Repeat;
 use super::command::{ItemKey, JobCommand, JobKey, JobOutcome, QueueKey, Submission};
 use super::request::JobsAnswer;
 use super::table::JobTable;
@@ -28,6 +32,8 @@
     waiter: Option<Waiter>,
     /// The job that the proposal would add.
     job: Option<ProposedJob>,
+    /// Further submissions of that job.
+    repeats: Vec<Repeat>,
 }
 
 /// A proposed job whose tokens count against the limit until the proposal is applied.
@@ -49,13 +55,6 @@
     change: Option<JobsChange>,
 }
 
-struct PendingAnswer {
-    index: LogIndex,
-    waiter: Waiter,
-    answer: JobsAnswer,
-    deadline: Timestamp,
-}
-
 /// One replica of the job table.
 pub struct JobsNode {
     replica: Replica,
@@ -150,7 +149,7 @@
         effects
     }
 
-    /// Proposes to add a job.
+    /// Proposes to add a job. A job that is in the table or proposed already is not proposed again.
     ///
     /// # Errors
     ///
@@ -162,6 +161,9 @@
         now: Timestamp,
     ) -> Result<Vec<JobsEffect>, NotProposed> {
         self.check_ready(now)?;
+        if self.submit_repeat(&submission, waiter, now) {
+            return Ok(Vec::new());
+        }
         if !self.has_or_proposes(&submission.key)
             && let Some(limit) = submission.queued_token_limit
         {
@@ -235,51 +237,27 @@
         while self.replica.applied() < index {
             let Some(entry) = self.replica.next_committed() else { break };
             let proposal = self.proposals.remove(&entry.index);
-            let is_own = proposal.as_ref().is_some_and(|proposal| proposal.term == entry.term);
-            let waiter = proposal.and_then(|proposal| proposal.waiter);
             let EntryPayload::Command(bytes) = &entry.payload else {
-                changes.extend(waiter.map(|waiter| JobsChange::Answer { waiter, answer: JobsAnswer::Indeterminate }));
+                changes.extend(indeterminate_answers(proposal));
                 continue;
             };
             let Some(command) = JobCommand::decode(bytes) else {
                 // The effect of the command is unknown here, so its sender must not wait for an outcome.
                 changes.push(JobsChange::Unreadable(entry.index));
-                changes.extend(waiter.map(|waiter| JobsChange::Answer { waiter, answer: JobsAnswer::Indeterminate }));
+                changes.extend(indeterminate_answers(proposal));
                 continue;
             };
             let applied = self.apply(command);
             changes.extend(applied.change);
-            if let Some(waiter) = waiter {
-                let answer = if is_own { applied.answer } else { JobsAnswer::Indeterminate };
-                let deadline = now + self.full_ack_timeout;
-                self.pending.push(PendingAnswer { index: entry.index, waiter, answer, deadline });
+            match proposal {
+                Some(proposal) if proposal.term == entry.term => self.answer_proposal(proposal, applied.answer, now),
+                replaced => changes.extend(indeterminate_answers(replaced)),
             }
         }
         changes.extend(self.release_answers(now));
         changes
     }
 
-    /// Returns the answers whose entries are stored by all responsive replicas or whose deadline has passed.
-    pub fn release_answers(&mut self, now: Timestamp) -> Vec<JobsChange> {
-        let replica = &self.replica;
-        let is_due = |pending: &PendingAnswer| {
-            pending.deadline <= now || replica.is_on_all_responsive_voters(pending.index, now)
-        };
-        let (due, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.pending).into_iter().partition(is_due);
-        self.pending = waiting;
-        due.into_iter().map(|pending| JobsChange::Answer { waiter: pending.waiter, answer: pending.answer }).collect()
-    }
-
-    /// Answers proposals whose outcome is unknown because this node no longer leads.
-    pub fn abandon_lost_proposals(&mut self) -> Vec<JobsChange> {
-        if self.replica.is_leader() {
-            return Vec::new();
-        }
-        let lost = std::mem::take(&mut self.proposals);
-        let waiters = lost.into_values().filter_map(|proposal| proposal.waiter);
-        waiters.map(|waiter| JobsChange::Answer { waiter, answer: JobsAnswer::Indeterminate }).collect()
-    }
-
     fn apply(&mut self, command: JobCommand) -> Applied {
         let change = match &command {
             JobCommand::Accept(submission) => Some(JobsChange::Accepted(submission.key.clone())),
@@ -300,13 +278,7 @@
             Some(JobsChange::Ended(_)) if outcome == JobOutcome::UnknownJob => None,
             other => other,
         };
-        let answer = match outcome {
-            JobOutcome::Accepted | JobOutcome::Committed | JobOutcome::Forgotten => JobsAnswer::Accepted,
-            JobOutcome::Dropped | JobOutcome::Ended => JobsAnswer::Ended,
-            JobOutcome::KeyTaken => JobsAnswer::KeyTaken,
-            JobOutcome::UnknownJob => JobsAnswer::UnknownJob,
-        };
-        Applied { answer, change }
+        Applied { answer: answer_of(outcome), change }
     }
 
     /// Returns whether an item has a result, or its job has ended or is gone.
@@ -352,7 +324,7 @@
             ProposalError::NotLeader(leader) => NotProposed::NotLeader(leader),
             ProposalError::Busy => NotProposed::Busy,
         })?;
-        self.proposals.insert(index, Proposal { term: self.replica.term(), waiter, job });
+        self.proposals.insert(index, Proposal { term: self.replica.term(), waiter, job, repeats: Vec::new() });
         Ok(self.collect_effects())
     }
 
--- a/crates/core/src/serving/jobs/table.rs
+++ b/crates/core/src/serving/jobs/table.rs
@@ -9,7 +9,7 @@
     ItemFailures, ItemKey, ItemOrigin, ItemProgress, ItemState, JobCommand, JobItem, JobKey, JobOutcome, LoggedOutput,
     PartialOutput, QueueKey, Submission,
 };
-use crate::serving::configuration::tenant::CallerIdentity;
+use crate::serving::configuration::tenant::{CallerIdentity, TenantName};
 use crate::serving::stream_origins::StreamOrigin;
 use crate::time::UnixMillis;
 
@@ -258,10 +258,15 @@
         JobOutcome::Committed
     }
 
+    /// Returns the outcome of submitting a job whose ID is in the table, or `None` if it is not.
+    pub fn outcome_of_repeat(&self, key: &JobKey, tenant: Option<&TenantName>) -> Option<JobOutcome> {
+        let is_same = self.jobs.get(key)?.submission.tenant.as_ref() == tenant;
+        Some(if is_same { JobOutcome::Accepted } else { JobOutcome::KeyTaken })
+    }
+
     fn accept(&mut self, submission: Submission) -> JobOutcome {
-        if let Some(job) = self.jobs.get(&submission.key) {
-            let is_same = job.submission.tenant == submission.tenant;
-            return if is_same { JobOutcome::Accepted } else { JobOutcome::KeyTaken };
+        if let Some(outcome) = self.outcome_of_repeat(&submission.key, submission.tenant.as_ref()) {
+            return outcome;
         }
         *self.open_tokens.entry(submission.queue()).or_default() += submission.token_count();
         self.jobs.insert(submission.key.clone(), Job::new(submission));
--- a/crates/core/tests/jobs_node.rs
+++ b/crates/core/tests/jobs_node.rs
@@ -8,6 +8,7 @@
     Entry, EntryPayload, GroupMembership, LogIndex, MessageKind, PersistedReplica, ReplicaSettings, ReplicationMessage,
     Snapshot, Term,
 };
+use stallmoor_core::serving::configuration::tenant::TenantName;
 use stallmoor_core::serving::jobs::command::{JobItem, JobKey, Submission};
 use stallmoor_core::serving::jobs::node::{JobsChange, JobsEffect, JobsNode, NotProposed, UnreadableSnapshot, Waiter};
 use stallmoor_core::serving::jobs::request::JobsAnswer;
@@ -127,6 +128,83 @@
 }
 
 /// Returns a follower's positive answer to a request of the candidate or leader.
+fn answers_of(changes: Vec<JobsChange>) -> Vec<(Waiter, JobsAnswer)> {
+    let answer = |change| match change {
+        JobsChange::Answer { waiter, answer } => Some((waiter, answer)),
+        _ => None,
+    };
+    changes.into_iter().filter_map(answer).collect()
+}
+
+/// Guards against repeated submissions of an accepted job that fill the disk with further copies of its bodies.
+#[test]
+fn repeated_submission_of_an_accepted_job_is_not_logged_again() {
+    let mut harness = Harness::leading();
+    harness.submit("a", 1).expect("the job fits");
+    harness.apply_effects();
+    let log_bytes = harness.node.replica().log().bytes();
+    for waiter in 2..12 {
+        harness.submit("a", waiter).expect("a repeated submission is accepted");
+        harness.apply_effects();
+    }
+    assert_eq!(harness.node.replica().log().bytes(), log_bytes);
+    let other_tenant = Submission { tenant: Some(TenantName::new("other")), ..submission("a") };
+    let effects = harness.node.submit(other_tenant, Waiter(12), harness.now).expect("the job is in the table");
+    assert!(effects.is_empty());
+    let answers = answers_of(harness.node.release_answers(harness.now));
+    let mut expected: Vec<_> = (2..12).map(|waiter| (Waiter(waiter), JobsAnswer::Accepted)).collect();
+    expected.push((Waiter(12), JobsAnswer::KeyTaken));
+    assert_eq!(answers, expected);
+}
+
+/// Guards against callers that repeat a slow submission and thereby fill the disk with further copies of its bodies.
+#[test]
+fn repeated_submission_of_a_proposed_job_is_not_logged_again() {
+    let mut harness = leader_of_two();
+    harness.apply_effects();
+    harness.submit("a", 1).expect("the job fits");
+    let last = harness.node.replica().log().last_index();
+    for waiter in 2..5 {
+        harness.submit("a", waiter).expect("a repeated submission of a proposed job is accepted");
+    }
+    assert_eq!(harness.node.replica().log().last_index(), last);
+    assert!(answers_of(harness.node.release_answers(harness.now)).is_empty(), "the job is not committed yet");
+    let messages = harness.take_messages();
+    for answer in messages.iter().filter_map(granted) {
+        let effects = harness.node.step(answer, harness.now);
+        harness.effects.extend(effects);
+    }
+    harness.node.record_durable();
+    let mut answers = answers_of(harness.apply_effects());
+    answers.extend(answers_of(harness.node.release_answers(harness.now)));
+    let expected: Vec<_> = (1..5).map(|waiter| (Waiter(waiter), JobsAnswer::Accepted)).collect();
+    assert_eq!(answers, expected);
+}
+
+/// Guards against repeated submissions that get no answer when another replica takes over.
+#[test]
+fn repeated_submission_is_indeterminate_once_the_leader_is_replaced() {
+    let mut harness = leader_of_two();
+    harness.apply_effects();
+    harness.submit("a", 1).expect("the job fits");
+    harness.submit("a", 2).expect("a repeated submission of a proposed job is accepted");
+    let term = Term(harness.node.replica().term().0 + 1);
+    let previous = harness.node.replica().log().last_index();
+    let previous_term = harness.node.replica().log().last_term();
+    let kind = MessageKind::Append {
+        previous_index: previous,
+        previous_term,
+        commit: LogIndex(0),
+        sent_at: harness.now,
+        election_timeout: None,
+        entries: Vec::new(),
+    };
+    let append = ReplicationMessage { group: GroupId(0), from: OTHER, to: SELF, term, kind };
+    harness.node.step(append, harness.now);
+    let answers = answers_of(harness.node.abandon_lost_proposals());
+    assert_eq!(answers, [(Waiter(1), JobsAnswer::Indeterminate), (Waiter(2), JobsAnswer::Indeterminate)]);
+}
+
 fn granted(message: &ReplicationMessage) -> Option<ReplicationMessage> {
     let kind = match &message.kind {
         MessageKind::PreVote { .. } => MessageKind::PreVoteAnswer { granted: true },
