--- a/crates/core/src/serving/workers/table.rs
+++ b/crates/core/src/serving/workers/table.rs
@@ -21,8 +21,9 @@
 use crate::serving::regions::RegionMap;
 use crate::time::{Millis, Timestamp};
 
-/// Time for which a departed worker is retained, so that a stale record does not make a drained worker available again.
-const DEPARTED_RETENTION: Millis = Millis(60_000);
+/// Time for which a departed worker is retained, so that a stale record does not make a drained worker available again,
+/// and for which the version counts that a worker had before it came back under its ID.
+pub(super) const DEPARTED_RETENTION: Millis = Millis(60_000);
 
 /// This node's view of all workers.
 #[derive(Clone, Debug)]
@@ -143,7 +144,11 @@
 
     /// Handles the removal of a worker's record. The worker can be selected as a last resort until `usable_until`.
     pub fn remove(&mut self, id: &WorkerId, usable_until: Timestamp, now: Timestamp) -> Option<WorkerChange> {
-        let entry = self.workers.get_mut(id)?;
+        let Some(entry) = self.workers.get_mut(id) else {
+            // The worker was added and removed between two updates of the view.
+            self.versions.record_unseen_worker(now);
+            return None;
+        };
         let usable_until = match entry.presence {
             Presence::Ready => usable_until,
             // A worker that did not rewrite its record in time is not a last resort.
@@ -191,6 +196,7 @@
             }
             is_retained
         });
+        self.versions.evict(now);
     }
 
     /// Returns the number of workers of a service that accept requests.
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -19,8 +19,8 @@
 use stallmoor_core::serving::stream_origins::message::OriginRecord;
 use stallmoor_core::serving::stream_origins::rule::KnownOrigin;
 use stallmoor_core::serving::stream_origins::{
-    NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey, StreamOrigin, UnknownOrigin,
-    resume_rule, stream_lifetime,
+    Basis, Informant, NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey, StreamOrigin,
+    UnknownOrigin, resume_rule, stream_lifetime,
 };
 use stallmoor_core::serving::workers::versions::KnownVersions;
 use stallmoor_core::serving::workers::{SoftwareVersion, WorkerId, WorkerQuery, WorkerRecord, WorkerTable};
@@ -55,7 +55,25 @@
 }
 
 fn resume(own: NodeKnowledge, view_age: Option<Millis>, answers: &[NodeKnowledge]) -> Resumption {
-    resume_rule(&Arc::from(SERVICE), &OwnKnowledge { known: own, view_age }, answers, LIFETIME)
+    resume_rule(&Arc::from(SERVICE), &OwnKnowledge { known: own, view_age }, answers, LIFETIME).resumption
+}
+
+/// Guards against logs that do not tell how the origin of a resumed stream was known, and by which node.
+#[test]
+fn a_decision_names_what_it_rests_on() {
+    let basis = |own: NodeKnowledge, answers: &[NodeKnowledge]| {
+        resume_rule(&Arc::from(SERVICE), &OwnKnowledge { known: own, view_age: CURRENT }, answers, LIFETIME).basis
+    };
+    let known = || KnownOrigin::Known(origin("v1"));
+    let blank = || node(KnownOrigin::Unknown, KnownVersions::Unknown);
+    assert_eq!(basis(node(known(), KnownVersions::Several), &[]), Basis::Record(Informant::Own));
+    let answers = [blank(), node(known(), KnownVersions::Several)];
+    assert_eq!(basis(blank(), &answers), Basis::Record(Informant::Answer(1)));
+    let versions = |lasted| node(KnownOrigin::Unknown, sole("v1", lasted));
+    assert_eq!(basis(versions(10), &[blank(), versions(LIFETIME.0)]), Basis::Versions(Informant::Answer(1)));
+    let several = node(KnownOrigin::Unknown, KnownVersions::Several);
+    assert_eq!(basis(versions(LIFETIME.0), &[several]), Basis::Versions(Informant::Answer(0)));
+    assert_eq!(basis(blank(), &[blank()]), Basis::Nothing);
 }
 
 /// Guards against a recorded origin that is ignored because versions look alike, or the other way round.
@@ -179,12 +197,15 @@
     }
 }
 
-/// Guards against streams that outlast their records.
+/// Guards against streams that are still resumed after they count as ended, so that their origin is deduced from versions
+/// that served later: on routes with long timeouts, and at workers that have just left.
 #[test]
-fn a_stream_never_counts_as_ended_later_than_its_record_is_evicted() {
-    for timeout in [0, 1_000, 5_000, 60_000, 3_600_000, u64::MAX] {
+fn a_stream_never_counts_as_ended_before_its_last_attempt_may_begin() {
+    for timeout in [0, 1_000, 2_400, 5_000, 60_000, 3_600_000, u64::MAX] {
         let lifetime = stream_lifetime(Millis(timeout));
-        assert!(lifetime >= Millis(5_000) && lifetime < RETENTION, "{timeout}: {lifetime:?}");
+        assert!(lifetime >= Millis(5_000) && lifetime.0 >= timeout.saturating_mul(2), "{timeout}: {lifetime:?}");
+        assert!(lifetime.0 >= timeout.saturating_add(3_000), "{timeout}: {lifetime:?}");
+        assert!(timeout > 55_000 || lifetime < RETENTION, "{timeout}: {lifetime:?}");
     }
 }
 
@@ -238,7 +259,11 @@
     assert_eq!(table.known_versions(SERVICE, at(3_000)), KnownVersions::Several);
     assert!(table.has_eligible(&query(Some(&version("v2"))), at(3_000)));
     table.apply_record(record(3, "v1"), at(4_000));
-    assert_eq!(table.known_versions(SERVICE, at(5_000)), sole("v1", 1_000), "an ID may come back with another version");
+    assert_eq!(
+        table.known_versions(SERVICE, at(5_000)),
+        KnownVersions::Several,
+        "an ID came back with another version"
+    );
     table.apply_record(record(4, "v2"), at(6_000));
     table.remove(&WorkerId(Arc::from("i-4")), at(6_500), at(6_000));
     assert!(!table.has_eligible(&query(Some(&version("v2"))), at(7_000)));
@@ -247,6 +272,29 @@
     assert_eq!(table.known_versions(SERVICE, at(71_000)), sole("v1", 1_000));
 }
 
+/// Guards against forgetting the version of a worker that came back under its ID with another one: the streams that its
+/// earlier incarnation began may still be resumed.
+#[test]
+fn the_version_of_an_earlier_incarnation_counts_as_long_as_that_of_a_departed_worker() {
+    let mut table = WorkerTable::default();
+    table.apply_record(record(1, "v1"), at(0));
+    table.apply_record(record(2, "v2"), at(0));
+    table.apply_record(record(2, "v1"), at(4_000));
+    table.evict_departed(at(63_999));
+    assert_eq!(table.known_versions(SERVICE, at(63_999)), KnownVersions::Several);
+    table.evict_departed(at(64_000));
+    assert_eq!(table.known_versions(SERVICE, at(65_000)), sole("v1", 1_000));
+}
+
+/// Guards against a worker that began streams and left between two updates of a view.
+#[test]
+fn the_removal_of_an_unknown_worker_ends_the_time_for_which_one_version_was_known() {
+    let mut table = WorkerTable::default();
+    table.apply_record(record(1, "v1"), at(0));
+    table.remove(&WorkerId(Arc::from("i-unseen")), at(30_000), at(30_000));
+    assert_eq!(table.known_versions(SERVICE, at(31_000)), sole("v1", 1_000));
+}
+
 /// A gateway of the simulated fleet.
 #[derive(Default)]
 struct Gateway {
@@ -396,7 +444,8 @@
             }
         }
         let own = OwnKnowledge { known, view_age };
-        let Resumption::At(origin) = resume_rule(&Arc::from(SERVICE), &own, &answers, LIFETIME) else { return false };
+        let decision = resume_rule(&Arc::from(SERVICE), &own, &answers, LIFETIME);
+        let Resumption::At(origin) = decision.resumption else { return false };
         let table = &self.gateways[gateway].table;
         let Some(chosen) = table.choose(&query(Some(&origin.version)), now, &mut self.random) else { return false };
         if self.workers.iter().all(|worker| worker.id != chosen.id || worker.version != chosen.version) {
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -10,11 +10,16 @@
 
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::peer_message::{GroupAnswerBody, GroupRequestBody};
+use stallmoor_core::serving::stream_origins::directory::RecordedOrigin;
 use stallmoor_core::serving::stream_origins::holders::{COPIES, holders};
 use stallmoor_core::serving::stream_origins::message::{OriginRecord, OriginsAnswer, OriginsRequest};
+use stallmoor_core::serving::stream_origins::sharing::{Sharing, is_deducible};
+use stallmoor_core::serving::stream_origins::unconfirmed::{Contradiction, UnconfirmedOrigin, UnconfirmedOrigins};
 use stallmoor_core::serving::stream_origins::{
-    NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey, StreamOrigin, resume_rule,
+    Decision, Informant, NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey,
+    StreamOrigin, resume_rule,
 };
+use stallmoor_core::serving::workers::WorkerId;
 use stallmoor_core::serving::workers::versions::KnownVersions;
 use stallmoor_core::time::{Millis, Timestamp};
 use tokio::sync::Notify;
@@ -28,6 +33,8 @@
 const FIND_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum time to wait for a storage node to confirm origins before they are sent to another one.
 const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum time for which the first event of a stream is held until its origin is stored.
+const FIRST_STORE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which a node that did not answer is avoided while others respond.
 const AVOIDANCE: Millis = Millis(2_000);
 /// Interval at which departed workers are evicted, whose versions count until then.
@@ -47,48 +54,131 @@
 
 /// The origins of streams that this node knows, and its connections to the storage nodes that know others.
 pub struct StreamOrigins {
+    id: NodeId,
     view: Arc<FleetView>,
     metadata: Arc<MetadataView>,
     links: PeerLinks,
     directory: Mutex<OriginDirectory>,
     outbox: Mutex<OriginOutbox>,
+    unconfirmed: Mutex<UnconfirmedOrigins>,
     /// Notified when the outbox has origins to send.
     due: Notify,
     /// Nodes that did not answer, with the time until which they are avoided.
     avoided: Mutex<BTreeMap<NodeId, Timestamp>>,
 }
 
+/// The decision on a stream that its client resumes, with what it rests on.
+pub struct Resolved {
+    /// Where the stream is resumed.
+    pub resumption: Resumption,
+    /// Name of what the decision rests on.
+    pub basis: &'static str,
+    /// The node whose knowledge decided, if any.
+    pub informant: Option<NodeId>,
+}
+
 impl StreamOrigins {
     /// Creates an empty directory for the node `id`.
     pub fn new(view: Arc<FleetView>, metadata: Arc<MetadataView>, id: NodeId) -> Self {
         Self {
+            id,
             view,
             metadata,
             links: PeerLinks::new(id),
             directory: Mutex::default(),
             outbox: Mutex::default(),
+            unconfirmed: Mutex::default(),
             due: Notify::new(),
             avoided: Mutex::default(),
         }
     }
 
-    /// Records the origin of a stream that lasts for at most `lifetime`. It is sent to storage nodes if others cannot
-    /// deduce it.
-    pub fn record(&self, key: StreamKey, origin: &StreamOrigin, lifetime: Millis) {
+    /// Records the origin of a stream that lasts for at most `lifetime`, by the record of `worker`, which has sent the
+    /// first event. Stores it at storage nodes first if the event must not be forwarded before.
+    pub async fn record(
+        self: &Arc<Self>,
+        key: StreamKey,
+        origin: &StreamOrigin,
+        lifetime: Millis,
+        worker: &WorkerId,
+    ) -> Sharing {
         let now = self.view.clock.now();
         lock(&self.directory).record(key, origin, now);
         let record = OriginRecord { key, origin: origin.clone() };
-        let is_due = !self.is_deducible(&record, lifetime);
+        let unconfirmed = UnconfirmedOrigin { record: record.clone(), lifetime, worker: worker.clone(), began_at: now };
+        lock(&self.unconfirmed).add(unconfirmed);
+        let sharing = self.sharing(&record, lifetime);
+        if sharing == Sharing::BeforeFirstEvent && self.store_first(record.clone()).await {
+            return sharing;
+        }
         lock(&self.outbox).add(record, lifetime, now);
-        if is_due {
+        if sharing != Sharing::Deducible {
             self.due.notify_one();
         }
+        sharing
+    }
+
+    fn sharing(&self, record: &OriginRecord, lifetime: Millis) -> Sharing {
+        let StreamOrigin { service, version } = &record.origin;
+        let versions = self.known_versions(service);
+        let known_for = self.view.workers().version_known_for(service, version, self.view.clock.now());
+        Sharing::of(&versions, known_for, lifetime)
+    }
+
+    /// Stores an origin at storage nodes. Returns whether one of them confirmed it in time; the others may follow.
+    async fn store_first(self: &Arc<Self>, record: OriginRecord) -> bool {
+        let mut stores = JoinSet::new();
+        for (holder, records) in self.by_holder(vec![record]) {
+            stores.spawn(self.clone().store(holder, records));
+        }
+        let first = async {
+            while let Some(stored) = stores.join_next().await {
+                if matches!(stored, Ok(true)) {
+                    return true;
+                }
+            }
+            false
+        };
+        let is_stored = tokio::time::timeout(FIRST_STORE_TIMEOUT, first).await.unwrap_or(false);
+        stores.detach_all();
+        is_stored
+    }
+
+    /// Marks the streams as conflicting whose origin is contradicted by the present record of the worker that began them.
+    fn review_unconfirmed(&self) {
+        let now = self.view.clock.now();
+        let Some(age) = self.metadata.observation().age else { return };
+        let contradicted = {
+            let workers = self.view.workers();
+            lock(&self.unconfirmed).take_contradicted(|id| workers.record(id), now - age)
+        };
+        for Contradiction { recorded, present } in contradicted {
+            let UnconfirmedOrigin { record, lifetime, .. } = recorded;
+            // Both are sent, so that nodes that know neither do not take one for the origin.
+            for origin in [record.origin, present] {
+                let record = OriginRecord { key: record.key, origin };
+                lock(&self.directory).record(record.key, &record.origin, now);
+                lock(&self.outbox).add(record, lifetime, now);
+            }
+            self.due.notify_one();
+        }
+    }
+
+    /// Returns whether records of a stream contradict each other, so that no worker may go on with it.
+    pub fn is_conflicting(&self, key: StreamKey) -> bool {
+        self.review_unconfirmed();
+        lock(&self.directory).look_up(key, self.view.clock.now()) == Some(RecordedOrigin::Conflicting)
     }
 
     /// Returns whether other nodes can deduce the origin of a stream of this service.
     fn is_deducible(&self, record: &OriginRecord, lifetime: Millis) -> bool {
-        let versions = self.view.workers().known_versions(&record.origin.service, self.view.clock.now());
-        matches!(versions, KnownVersions::Sole { lasted, .. } if lasted >= lifetime)
+        is_deducible(&self.known_versions(&record.origin.service), lifetime)
+    }
+
+    /// Returns what this node has observed of the versions of a service's workers.
+    pub fn known_versions(&self, service: &str) -> KnownVersions {
+        let observation = self.metadata.observation();
+        self.view.workers().known_versions(service, self.view.clock.now()).observed(&observation)
     }
 
     /// Stores origins that a gateway sent, or returns what this node knows of a stream.
@@ -113,35 +203,46 @@
         service: &Arc<str>,
         lifetime: Millis,
         remaining: Millis,
-    ) -> Resumption {
+    ) -> Resolved {
         let own = OwnKnowledge { known: self.knowledge(key, service), view_age: self.metadata.state().age };
-        let mut answers = Vec::new();
-        let mut resumption = resume_rule(service, &own, &answers, lifetime);
+        let (mut nodes, mut answers) = (Vec::new(), Vec::new());
+        let mut decision = resume_rule(service, &own, &answers, lifetime);
         if !own.known.origin.is_unknown() {
-            return resumption;
+            return self.resolved(decision, &nodes);
         }
         let request = OriginsRequest::Find { key, service: service.clone() };
         let timeout = FIND_TIMEOUT.min(Duration::from_millis(remaining.0 / 2));
         let mut asked = self.ask(key.unwrap_or(StreamKey(0)), &request, timeout);
         while let Some(answer) = asked.join_next().await {
-            let Ok(Some(answer)) = answer else { continue };
+            let Ok(Some((node, answer))) = answer else { continue };
             let is_recorded = !answer.origin.is_unknown();
+            nodes.push(node);
             answers.push(answer);
-            resumption = resume_rule(service, &own, &answers, lifetime);
+            decision = resume_rule(service, &own, &answers, lifetime);
             if is_recorded {
                 break;
             }
         }
-        if let (Resumption::At(origin), Some(key)) = (&resumption, key) {
+        if let (Resumption::At(origin), Some(key)) = (&decision.resumption, key) {
             lock(&self.directory).record(key, origin, self.view.clock.now());
         }
-        resumption
+        self.resolved(decision, &nodes)
+    }
+
+    /// Names the node whose knowledge decided; `nodes` gave the answers.
+    fn resolved(&self, decision: Decision, nodes: &[NodeId]) -> Resolved {
+        let Decision { resumption, basis } = decision;
+        let informant = basis.informant().and_then(|informant| match informant {
+            Informant::Own => Some(self.id),
+            Informant::Answer(index) => nodes.get(index).copied(),
+        });
+        Resolved { resumption, basis: basis.name(), informant }
     }
 
     fn knowledge(&self, key: Option<StreamKey>, service: &str) -> NodeKnowledge {
         let now = self.view.clock.now();
         let recorded = key.and_then(|key| lock(&self.directory).look_up(key, now));
-        NodeKnowledge { origin: recorded.into(), versions: self.view.workers().known_versions(service, now) }
+        NodeKnowledge { origin: recorded.into(), versions: self.known_versions(service) }
     }
 
     /// Asks the storage nodes that may have stored a stream's origin.
@@ -150,13 +251,13 @@
         key: StreamKey,
         request: &OriginsRequest,
         timeout: Duration,
-    ) -> JoinSet<Option<NodeKnowledge>> {
+    ) -> JoinSet<Option<(NodeId, NodeKnowledge)>> {
         let mut asked = JoinSet::new();
         for holder in self.responsive_holders(key) {
             let (origins, request) = (self.clone(), request.clone());
             asked.spawn(async move {
                 match origins.links.send_request(holder.address, request, timeout).await {
-                    Ok(OriginsAnswer::Found(knowledge)) => Some(knowledge),
+                    Ok(OriginsAnswer::Found(knowledge)) => Some((holder.node, knowledge)),
                     _ => {
                         origins.avoid(holder);
                         None
@@ -196,6 +297,7 @@
                 _ = changes.changed() => {}
                 _ = evictions.tick() => self.view.workers().evict_departed(self.view.clock.now()),
             }
+            self.review_unconfirmed();
             let now = self.view.clock.now();
             let due = lock(&self.outbox).take_due(|record, lifetime| self.is_deducible(record, lifetime), now);
             for (holder, records) in self.by_holder(due) {
@@ -215,17 +317,19 @@
         groups
     }
 
-    /// Sends origins to a storage node, and to another one if it does not answer.
-    async fn store(self: Arc<Self>, holder: Holder, records: Vec<OriginRecord>) {
+    /// Sends origins to a storage node, and to another one if it does not answer. Returns whether they are stored.
+    async fn store(self: Arc<Self>, holder: Holder, records: Vec<OriginRecord>) -> bool {
         if self.send(holder, records.clone()).await {
-            return;
+            return true;
         }
         self.avoid(holder);
+        let mut is_stored = false;
         for (other, records) in self.by_holder(records) {
             if other != holder {
-                self.send(other, records).await;
+                is_stored |= self.send(other, records).await;
             }
         }
+        is_stored
     }
 
     async fn send(&self, holder: Holder, records: Vec<OriginRecord>) -> bool {
