E541 states the result of its own item

Operators saw E541 with "Completed" for an item that was given up, and the reverse, at nodes that applied several results of a job at once, such as followers that catch up and nodes that start again.

Cause: the state logged was that of the job's last result, not of the item that the event names. Callers read the right state.

`Job::result_of` finds an item's result; the test holds a job whose last result is not that of the first item. The event itself is not covered by the test.

--- a/crates/core/src/serving/jobs/table.rs
+++ b/crates/core/src/serving/jobs/table.rs
@@ -87,6 +87,11 @@
         self.with_result.get(item as usize).copied().unwrap_or(false)
     }
 
+    /// Returns the result of an item, if it has one.
+    pub fn result_of(&self, item: u32) -> Option<&CommittedResult> {
+        self.results.iter().find(|result| result.item == item)
+    }
+
     /// Returns the indexes of the items without a result; none if the job has ended.
     pub fn open_items(&self) -> impl Iterator<Item = u32> + '_ {
         (0..self.with_result.len() as u32).filter(|item| self.is_open(*item))
--- a/crates/core/tests/jobs_rules.rs
+++ b/crates/core/tests/jobs_rules.rs
@@ -82,6 +82,25 @@
     assert!(job.open_item_by_id("j-2").is_some());
 }
 
+/// Guards against a log that states the result of another item of the job when several were committed together.
+#[test]
+fn each_item_has_its_own_result() {
+    let mut table = JobTable::default();
+    accept(&mut table, "j", 3, 0, 1_000);
+    let given_up = ItemKey { job: key("j"), item: 0 };
+    let give_up = JobCommand::Finish {
+        key: given_up,
+        state: ItemState::GivenUp,
+        after: LoggedOutput::default(),
+        text: Arc::from(""),
+    };
+    table.apply(finish("j", 2, "two"));
+    table.apply(give_up);
+    let job = table.job(&key("j")).expect("the job was accepted");
+    let states = [0, 1, 2].map(|item| job.result_of(item).map(|result| result.state));
+    assert_eq!(states, [Some(ItemState::GivenUp), None, Some(ItemState::Completed)]);
+}
+
 #[test]
 fn job_is_visible_only_to_its_tenant() {
     let mut table = JobTable::default();
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -225,7 +225,7 @@
     }
 
     fn log_result(&self, key: &ItemKey) {
-        let result = self.replica.node().table().job(&key.job).and_then(|job| job.results.last());
+        let result = self.replica.node().table().job(&key.job).and_then(|job| job.result_of(key.item));
         let state = result.map_or_else(String::new, |result| format!("{:?}", result.state));
         let fields = [Field::text("job", &key.job), Field::number("item", key.item), Field::text("state", state)];
         record(LogEvent::ItemListed, &fields);
