Limit the frames of answers between nodes

What callers saw: nothing while nodes are sound. An answer frame of up to 256 MiB was read into memory as it arrived, which is as much as a gateway or a storage node has; a frame over that, and one that is no message, ended the connection without a line in the log.

Why this works: `read_message` takes the limit of its use and returns a typed error before it reads the frame. Recorded with E529 (`part="peer"`), or E310 if the frame is no message.

--- a/crates/gateway/src/peers/frames.rs
+++ b/crates/gateway/src/peers/frames.rs
@@ -2,9 +2,40 @@
 
 use std::io;
 
+use snafu::{ResultExt, Snafu};
 use stallmoor_core::peer_message::PeerMessage;
+use stallmoor_wire::WireError;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
+/// Maximum size of a frame with an answer, in bytes. Answers hold a part of a node's view or a page of results, unlike
+/// replication messages, which may hold a whole job table.
+pub const MAX_ANSWER_FRAME_BYTES: usize = 32 << 20;
+
+/// Why no message could be read. The connection can't be used any longer.
+#[derive(Debug, Snafu)]
+pub enum FrameError {
+    /// Reading failed, or the stream ended.
+    #[snafu(display("{source}"))]
+    Disconnected {
+        /// Error of the stream.
+        source: io::Error,
+    },
+    /// The frame exceeds the limit.
+    #[snafu(display("a frame of {bytes} bytes, over the limit of {limit}"))]
+    TooLarge {
+        /// Size of the frame in bytes.
+        bytes: usize,
+        /// Maximum size of a frame in bytes.
+        limit: usize,
+    },
+    /// The frame is not a valid message.
+    #[snafu(display("{source}"))]
+    Malformed {
+        /// Error of the decoder.
+        source: WireError,
+    },
+}
+
 /// Writes an encoded message with its length, without flushing.
 ///
 /// # Errors
@@ -15,24 +46,24 @@
     writer.write_all(frame).await
 }
 
-/// Reads and decodes the next message.
+/// Reads and decodes the next message, whose frame has up to `limit` bytes.
 ///
 /// # Errors
 ///
-/// Reading failed, the stream ended, or the frame is too large or not a valid message.
-pub async fn read_message(reader: &mut (impl AsyncRead + Unpin)) -> io::Result<PeerMessage> {
+/// [`FrameError`]: reading failed, the stream ended, or the frame is too large or not a valid message.
+pub async fn read_message(reader: &mut (impl AsyncRead + Unpin), limit: usize) -> Result<PeerMessage, FrameError> {
     let mut length = [0; 4];
-    reader.read_exact(&mut length).await?;
-    let length = u32::from_le_bytes(length) as usize;
-    if length > stallmoor_wire::MAX_FRAME_BYTES {
-        return Err(io::Error::new(io::ErrorKind::InvalidData, "a frame over the limit"));
+    reader.read_exact(&mut length).await.context(DisconnectedSnafu)?;
+    let bytes = u32::from_le_bytes(length) as usize;
+    if bytes > limit {
+        return TooLargeSnafu { bytes, limit }.fail();
     }
     // The buffer grows with the received data, so that a large length alone allocates no memory.
     let mut frame = Vec::new();
-    let mut limited_reader = reader.take(length as u64);
-    limited_reader.read_to_end(&mut frame).await?;
-    if frame.len() < length {
-        return Err(io::ErrorKind::UnexpectedEof.into());
+    let mut limited_reader = reader.take(bytes as u64);
+    limited_reader.read_to_end(&mut frame).await.context(DisconnectedSnafu)?;
+    if frame.len() < bytes {
+        return Err(io::Error::from(io::ErrorKind::UnexpectedEof)).context(DisconnectedSnafu);
     }
-    stallmoor_wire::decode(&frame).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error.to_string()))
+    stallmoor_wire::decode(&frame).context(MalformedSnafu)
 }
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -21,8 +21,9 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::observe::journal::{Field, record};
+use crate::observe::large_answers::record_large_answer;
 use crate::observe::measures;
-use crate::peers::frames::{read_message, write_frame};
+use crate::peers::frames::{FrameError, MAX_ANSWER_FRAME_BYTES, read_message, write_frame};
 use crate::sockets::connect_tuned;
 
 /// The group of the job table, to which all requests between gateways and storage nodes are addressed.
@@ -292,7 +293,7 @@
     if let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, connect_tuned(key.to)).await {
         was_connected = true;
         let (reader, writer) = stream.into_split();
-        let reading = read_answers(BufReader::new(reader), pending.clone());
+        let reading = read_answers(key.to, BufReader::new(reader), pending.clone());
         let writing = write_queue(BufWriter::new(writer), &mut queue, key.link_use.write_timeout());
         tokio::select! {
             () = reading => {}
@@ -316,13 +317,23 @@
     matches!(connection, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
-async fn read_answers(mut reader: BufReader<tokio::net::tcp::OwnedReadHalf>, pending: Pending) {
-    while let Ok(message) = read_message(&mut reader).await {
-        if let PeerMessage::GroupAnswer(answer) = message
-            && let Some(sender) = lock(&pending).remove(&answer.id)
-        {
-            // The caller may have stopped waiting.
-            let _ = sender.send(answer);
+/// Passes answers on to their requests until the connection breaks or carries something else.
+async fn read_answers(from: SocketAddr, mut reader: BufReader<tokio::net::tcp::OwnedReadHalf>, pending: Pending) {
+    loop {
+        match read_message(&mut reader, MAX_ANSWER_FRAME_BYTES).await {
+            Ok(PeerMessage::GroupAnswer(answer)) => {
+                if let Some(sender) = lock(&pending).remove(&answer.id) {
+                    // The caller may have stopped waiting.
+                    let _ = sender.send(answer);
+                }
+            }
+            Ok(_) => {}
+            Err(FrameError::Disconnected { .. }) => return,
+            Err(FrameError::TooLarge { limit, .. }) => return record_large_answer(from, "", "peer", limit),
+            Err(error @ FrameError::Malformed { .. }) => {
+                let fields = [Field::text("peer", from), Field::text("detail", error)];
+                return record(LogEvent::MessageRefused, &fields);
+            }
         }
     }
 }
--- a/crates/gateway/src/storage/peer_listener.rs
+++ b/crates/gateway/src/storage/peer_listener.rs
@@ -16,7 +16,7 @@
 
 use crate::fleet::metadata_view::MetadataView;
 use crate::observe::journal::{Field, record};
-use crate::peers::frames::{read_message, write_frame};
+use crate::peers::frames::{FrameError, read_message, write_frame};
 use crate::peers::peer_link::encode;
 use crate::sockets::accept_next;
 use crate::streams::StreamOrigins;
@@ -71,7 +71,7 @@
     let (answers, queue) = mpsc::channel(ANSWER_QUEUE_CAPACITY);
     tokio::spawn(write_answers(BufWriter::new(writer), queue));
     loop {
-        match read_message(&mut reader).await {
+        match read_message(&mut reader, stallmoor_wire::MAX_FRAME_BYTES).await {
             Ok(PeerMessage::Replication(message)) => {
                 if answerers.events.send(PeerEvent::Replication(message)).await.is_err() {
                     return;
@@ -83,12 +83,12 @@
                 }
             }
             Ok(_) => {}
-            Err(error) if error.kind() == std::io::ErrorKind::InvalidData => {
+            Err(FrameError::Disconnected { .. }) => return,
+            Err(error) => {
                 let fields = [Field::text("peer", peer), Field::text("detail", error)];
                 record(LogEvent::MessageRefused, &fields);
                 return;
             }
-            Err(_) => return,
         }
     }
 }
--- a/crates/gateway/tests/golden.rs
+++ b/crates/gateway/tests/golden.rs
@@ -36,7 +36,8 @@
     let mut frame = Vec::new();
     write_frame(&mut frame, &stallmoor_wire::encode(&message)).await.expect("writing to memory succeeds");
     for row in check_rows("frames.txt", &[Row::new("status-request", &to_hex(&frame))]) {
-        let read = read_message(&mut &from_hex(&row.text)[..]).await.expect("frame is valid");
+        let read =
+            read_message(&mut &from_hex(&row.text)[..], stallmoor_wire::MAX_FRAME_BYTES).await.expect("frame is valid");
         assert_eq!(read, message, "{}", row.name);
     }
 }
