Limit the answers of engines and of nodes to the command line

What callers saw: nothing while engines are sound. The body of an engine's refusal was collected without a limit and without a timeout; an event of up to 1 MiB was searched from its start with each read, which took so long that 4 to 5 MiB were sent before the limit was noticed; the command line collected a node's answer for up to 30 s.

The command line has no test of its own.

Why this works: `Limited` for bodies (64 KiB and 1.5 s for a refusal, 64 MiB for other answers), and `EventSplitter`, which continues its search and returns an error, in place of the second splitter.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode};
 use serde_json::Value;
-use stallmoor_clients::HttpCaller;
+use stallmoor_clients::{HttpCaller, MAX_RESPONSE_BYTES};
 use stallmoor_core::node::configuration::ConfigurationError;
 
 use crate::outcome::CommandError;
@@ -64,7 +64,7 @@
         let exchange = async {
             let response = self.caller.send(request).await.map_err(|error| unreachable(error.to_string()))?;
             let status = response.status();
-            let collected = response.into_body().collect().await;
+            let collected = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
             let body = collected.map_err(|error| unreachable(error.to_string()))?.to_bytes();
             Ok((status, body))
         };
--- a/crates/clients/src/engine.rs
+++ b/crates/clients/src/engine.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -17,6 +17,7 @@
 use stallmoor_core::node::control::ModelOrder;
 use stallmoor_core::node::routing::{BlockHash, CacheEvent, CacheEventBatch, LoadReport};
 use stallmoor_core::node::{EngineOrder, EngineRequest, OrderOutcome, RequestClass, StreamEvent};
+use stallmoor_core::serving::online::event_stream::EventSplitter;
 
 use crate::http::{HttpCaller, HttpError};
 use crate::{BoxFuture, EnginePoll, Engines, StreamSink};
@@ -26,7 +27,10 @@
 const ORDER_TIMEOUT: Duration = Duration::from_secs(50);
 /// Time limit for the response head of a request.
 const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time limit for the body of a refusal.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(1_500);
 const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
 
 /// [`Engines`] over HTTP.
 pub struct HttpEngines {
@@ -152,15 +156,19 @@
 /// Reads server-sent events until the stream ends or the sink returns false.
 async fn read_events(response: Response<Incoming>, request_attempt: AttemptId, sink: &StreamSink) {
     let mut body = response.into_body();
-    let mut buffer: Vec<u8> = Vec::new();
+    let mut splitter = EventSplitter::new(MAX_EVENT_BYTES);
     let ended = loop {
         let Some(frame) = body.frame().await else { break None };
         let data = match frame {
             Ok(frame) => frame.into_data().unwrap_or_default(),
             Err(error) => break Some(error.to_string()),
         };
-        buffer.extend_from_slice(&data);
-        while let Some(event) = take_event(&mut buffer) {
+        let events = match splitter.push(&data) {
+            Ok(events) => events,
+            Err(error) => break Some(error.to_string()),
+        };
+        for event in events {
+            let event = parse_event(&event.bytes);
             // The end of another attempt does not end this stream.
             let is_end = match &event {
                 StreamEvent::End { attempt, .. } => *attempt == request_attempt,
@@ -171,36 +179,31 @@
                 return;
             }
         }
-        if buffer.len() > MAX_EVENT_BYTES {
-            break Some("an event is too large".to_owned());
-        }
     };
     sink(StreamEvent::Broken { detail: ended.unwrap_or_else(|| "the stream closed without an end".to_owned()) });
 }
 
-/// Removes the first complete event from the buffer and parses it.
-fn take_event(buffer: &mut Vec<u8>) -> Option<StreamEvent> {
-    let end = buffer.windows(2).position(|pair| pair == b"\n\n")?;
-    let rest = buffer.split_off(end + 2);
-    let block = std::mem::replace(buffer, rest);
-    let payload = block.strip_prefix(b"data: ").unwrap_or(&block);
+fn parse_event(bytes: &[u8]) -> StreamEvent {
+    let payload = bytes.strip_prefix(b"data: ").unwrap_or(bytes);
     let Ok(event) = serde_json::from_slice::<GenerateEvent>(payload.trim_ascii()) else {
-        return Some(StreamEvent::Broken { detail: "an event could not be read".to_owned() });
+        return StreamEvent::Broken { detail: "an event could not be read".to_owned() };
     };
     // An invalid attempt ID matches no attempt, so the event is handled as belonging to another stream.
     let attempt = AttemptId::parse(&event.attempt).unwrap_or(AttemptId(0));
-    Some(match event.length {
+    match event.length {
         Some(length) => StreamEvent::End { attempt, length },
         None => StreamEvent::Chunk { attempt, first: event.first, tokens: event.tokens, text: event.text },
-    })
+    }
 }
 
 /// Parses an error response. Without an explicit refusal it is unknown whether the request ran.
 async fn read_refusal(response: Response<Incoming>) -> StreamEvent {
     let status = response.status();
-    let body = match response.into_body().collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return StreamEvent::Broken { detail: error.to_string() },
+    let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect();
+    let body = match tokio::time::timeout(REFUSAL_TIMEOUT, body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => return StreamEvent::Broken { detail: error.to_string() },
+        Err(_) => return StreamEvent::Broken { detail: "the engine did not end its answer".to_owned() },
     };
     match serde_json::from_slice::<RefusalBody>(&body) {
         Ok(RefusalBody { refused: Some(reason), .. }) => StreamEvent::Refused { leaving: reason == "leaving" },
--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -12,7 +12,7 @@
 use snafu::Snafu;
 
 /// Maximum size of a response body.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+pub const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
 /// An error of an HTTP call.
 #[derive(Debug, Snafu)]
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -18,7 +18,7 @@
 };
 
 pub use engine::HttpEngines;
-pub use http::{HttpCaller, HttpError};
+pub use http::{HttpCaller, HttpError, MAX_RESPONSE_BYTES};
 pub use key_value::HttpKeyValue;
 pub use machine_list::HttpMachineList;
 
