Batch items under which workers crashed are tried until their job ends

Callers saw sound items of a batch that were never placed again after several bursts of worker crashes, though all was calm and workers had room; they ended as dead_lettered when their job's time was over.

Cause: a quarantined item got three trials, one if nothing else crashed during its runs, and then waited for the end of a quarantine that outlasts its job. A trial in the next burst fails like the first. No trial started at all while one worker in two seconds crashed (below 20 workers), one trial started every 2 s for all items together, and an item with a quarantined prompt part waited up to an hour for others to show that it is sound. Class: a verdict that is final for work that is owed, where only its rate has to be limited.

Now the crashes of an item only decide when its next trial is due, and the lane of its service how many trials run at a time: one for 20 workers, one more for each trial that passes, half after each that fails. Other crashes delay trials, but don't stop them. A trial for which no worker has room no longer uses up its turn.

E544 and stallmoor_item_waits_total tell why an item waits, which no log did. They came with the fix, since the reasons are those of the new decision.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -105,12 +105,13 @@
     StreamResumed = 524, Information, "A caller resumed a stream; the request goes only to workers of the service and software version that began the stream, or is refused if they are not known.";
     PartQuarantined = 525, Warning, "Several workers crashed while they ran different requests with one part in their prompts, and none survived such a request; requests with this part are refused for a limited time.";
     PartCleared = 526, Information, "A worker went on with a request after its first event; the worker crashes attributed to the parts of its prompt were cleared.";
-    QuarantineTrial = 527, Information, "A batch item that is quarantined runs as a trial, as few workers crash.";
+    QuarantineTrial = 527, Information, "A batch item that is quarantined runs as a trial.";
     StorageNodeSeen = 530, Information, "The record of a storage node was read.";
     ItemRunEnded = 540, Information, "A run of a batch item ended.";
     ItemListed = 541, Information, "The result of a batch item was committed.";
     ItemRunStarted = 542, Information, "A run of a batch item started.";
     ItemRestarted = 543, Warning, "No worker can continue the output of a batch item, because its software version has left or is not known; the item runs again from the start.";
+    ItemWaits = 544, Information, "A batch item waits for its next trial, because several workers crashed while running it or requests that share a part of its prompt.";
     EmptyingReported = 550, Information, "The drain state of a machine was reported.";
     JobAccepted = 600, Information, "A batch job was accepted.";
     JobCompleted = 601, Information, "All items of a batch job have results.";
--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -12,11 +12,11 @@
 use super::evidence::{Attribution, CandidateCrash, Evidence, Observation, WeighedCrash};
 use super::parts::{MergedParts, PartLedger};
 use super::recent::RecentTimes;
-use super::report::{Completion, Crash, CrashReport, CrashedRun, MAX_REPORTED_CRASHES};
+use super::report::{Completion, Crash, CrashReport, MAX_REPORTED_CRASHES};
 use super::suspect::{LastCompletion, Source, SuspectRequest};
 use super::table::{Evicted, SuspectTable};
 use super::timeline::CrashTimeline;
-use super::trials::{CALM_PERIOD, ItemAdmission, TrialPacing, is_calm, next_trial};
+use super::trial_lanes::TrialLanes;
 use crate::backoff::Backoff;
 use crate::serving::workers::WorkerId;
 use crate::time::{Millis, UnixMillis};
@@ -71,12 +71,12 @@
 /// nodes and persist across restarts; clock skew of a few seconds is tolerated, since a quarantine lasts minutes.
 #[derive(Clone, Debug)]
 pub struct CrashLedger {
-    suspects: SuspectTable,
-    timeline: CrashTimeline,
+    pub(super) suspects: SuspectTable,
+    pub(super) timeline: CrashTimeline,
     evicted: Evicted,
     recent: RecentTimes<RequestDigest>,
-    parts: PartLedger,
-    trials: TrialPacing,
+    pub(super) parts: PartLedger,
+    pub(super) trials: TrialLanes,
 }
 
 impl Default for CrashLedger {
@@ -87,7 +87,7 @@
             evicted: Evicted::default(),
             recent: RecentTimes::new(COMPLETION_GRACE_PERIOD),
             parts: PartLedger::default(),
-            trials: TrialPacing::default(),
+            trials: TrialLanes::default(),
         }
     }
 }
@@ -132,6 +132,7 @@
     /// Records that a worker crashed while it ran a request of this node. Returns the resulting quarantine, if any.
     pub fn record_local_crash_of_run(&mut self, crash: Crash) -> Option<Quarantine> {
         let (digest, now) = (crash.digest, crash.at);
+        self.trials.record_crash(digest, now);
         self.record_crash(crash, Source::Local);
         self.evict(now);
         self.quarantine(digest)
@@ -147,6 +148,7 @@
     /// that, or `None` if there were no crashes.
     pub fn record_local_completion(&mut self, digest: RequestDigest, now: UnixMillis) -> Option<CrashCount> {
         self.recent.record(digest, now);
+        self.trials.record_completion(digest);
         let previous_count = self.count(digest);
         self.record_completion(Completion { digest, at: now }, Source::Local).then_some(previous_count)
     }
@@ -159,42 +161,12 @@
     }
 
     /// Returns the remaining quarantine of a request that its caller may repeat, or `None` if it may run. For batch items see
-    /// [`CrashLedger::admit_item`].
+    /// [`CrashLedger::admit_item_with_parts`].
     pub fn quarantined_for(&self, digest: RequestDigest, now: UnixMillis) -> Option<Millis> {
         let remaining = self.quarantine(digest)?.until.0.saturating_sub(now.0);
         (remaining > 0).then_some(Millis(remaining))
     }
 
-    /// Returns whether a batch item with these digests may run now. After [`ItemAdmission::Trial`] this node admits no other
-    /// trial until the result is likely to be known.
-    pub fn admit_item(&mut self, digests: impl Iterator<Item = RequestDigest>, now: UnixMillis) -> ItemAdmission {
-        let is_quarantined = |digest: &RequestDigest| {
-            self.quarantine_of(*digest, Attribution::excess).is_some_and(|quarantine| quarantine.until > now)
-        };
-        let quarantined: Vec<_> = digests.filter(is_quarantined).collect();
-        if quarantined.is_empty() {
-            return ItemAdmission::Runs;
-        }
-        if !self.trials.is_due(now) || !quarantined.iter().all(|digest| self.may_be_tried(*digest, now)) {
-            return ItemAdmission::Waits;
-        }
-        self.trials.start(now);
-        ItemAdmission::Trial
-    }
-
-    fn may_be_tried(&self, digest: RequestDigest, now: UnixMillis) -> bool {
-        let mut crashes = self.weighed_crashes(digest);
-        crashes.sort_by_key(|weighed| weighed.crash.observation.at);
-        let is_due = next_trial(&crashes).is_some_and(|at| at <= now);
-        let run = crashes.last().and_then(|weighed| weighed.crash.run);
-        is_due && run.is_none_or(|run| self.is_calm(run, now))
-    }
-
-    fn is_calm(&self, run: &CrashedRun, now: UnixMillis) -> bool {
-        let since = UnixMillis(now.0.saturating_sub(CALM_PERIOD.0));
-        is_calm(self.timeline.count(&run.service, since, now, &[]), run.workers)
-    }
-
     /// Returns whether one more crash would quarantine the request. If so, the next attempt has to wait until the
     /// outcome of the previous one is known.
     pub fn is_near_quarantine(&self, digest: RequestDigest) -> bool {
@@ -280,7 +252,7 @@
         self.suspects.get(digest).map(|_| Attribution::of(&self.weighed_crashes(digest)))
     }
 
-    fn weighed_crashes(&self, digest: RequestDigest) -> Vec<WeighedCrash<'_>> {
+    pub(super) fn weighed_crashes(&self, digest: RequestDigest) -> Vec<WeighedCrash<'_>> {
         let Some(suspect) = self.suspects.get(digest) else { return Vec::new() };
         let own = suspect.evidence();
         let crashes = suspect.crashes();
@@ -308,21 +280,17 @@
 
     /// Returns a request's quarantine, which may have ended, or `None` below the threshold.
     fn quarantine(&self, digest: RequestDigest) -> Option<Quarantine> {
-        self.quarantine_of(digest, Attribution::excess_if_repeated)
-    }
-
-    fn quarantine_of(
-        &self,
-        digest: RequestDigest,
-        excess: impl Fn(Attribution) -> Option<usize>,
-    ) -> Option<Quarantine> {
         let attribution = self.attribute(digest)?;
-        let excess = u32::try_from(excess(attribution)?).unwrap_or(u32::MAX);
-        let last_crash = self.suspects.get(digest)?.last_crash();
-        let until = UnixMillis(last_crash.0.saturating_add(QUARANTINE_BACKOFF.wait(excess).0));
+        let until = self.quarantine_end(digest, attribution.excess_if_repeated()?);
         Some(Quarantine { digest, crashes: attribution.counted(), until })
     }
 
+    pub(super) fn quarantine_end(&self, digest: RequestDigest, excess: usize) -> UnixMillis {
+        let excess = u32::try_from(excess).unwrap_or(u32::MAX);
+        let last_crash = self.suspects.get(digest).map(SuspectRequest::last_crash).unwrap_or_default();
+        UnixMillis(last_crash.0.saturating_add(QUARANTINE_BACKOFF.wait(excess).0))
+    }
+
     /// Records a completion. Returns whether the request has crashes; completions of requests without crashes are not
     /// stored.
     fn record_completion(&mut self, completion: Completion, source: Source) -> bool {
--- a/crates/core/src/serving/crashes/mod.rs
+++ b/crates/core/src/serving/crashes/mod.rs
@@ -10,6 +10,7 @@
 //! | `coincidence` | whether unrelated causes explain the crashes |
 //! | `evidence` | the crash counts and thresholds that decide on a quarantine |
 //! | `incomplete_run` | which runs count if their worker crashed |
+//! | `item_admission` | whether a batch item may run |
 //! | [`ledger`] | [`CrashLedger`]: the crash history and quarantine of each request |
 //! | [`parts`] | [`PartLedger`]: the crash history and quarantine of each prompt part |
 //! | `part_history` | the crash history of one prompt part |
@@ -18,12 +19,14 @@
 //! | `suspect` | the crash history of one request |
 //! | `table` | the tracked requests, and which of them are evicted |
 //! | `trials` | when a quarantined batch item runs again |
+//! | `trial_lanes` | how many quarantined batch items are tried at a time |
 //! | `timeline` | the worker crashes by time, whichever request they affected |
 
 mod coincidence;
 pub mod digest;
 mod evidence;
 mod incomplete_run;
+mod item_admission;
 pub mod ledger;
 mod part_history;
 pub mod parts;
@@ -32,6 +35,7 @@
 mod suspect;
 mod table;
 mod timeline;
+mod trial_lanes;
 mod trials;
 
 pub use digest::{PartDigest, RequestContent, RequestDigest, RequestKeys};
@@ -40,4 +44,4 @@
 pub use ledger::{CrashCount, CrashLedger, LedgerSize, Quarantine};
 pub use parts::{PartCounts, PartLedger, PartQuarantine};
 pub use report::{CrashReport, CrashedRun};
-pub use trials::ItemAdmission;
+pub use trials::{ItemAdmission, ItemWait, WaitReason};
--- a/crates/core/src/serving/crashes/parts.rs
+++ b/crates/core/src/serving/crashes/parts.rs
@@ -16,6 +16,7 @@
 use super::recent::RecentTimes;
 use super::report::{PartCrash, PartReport, PartSurvival};
 use super::suspect::Source;
+use super::trials::PART_TRIAL_DELAY;
 use crate::backoff::Backoff;
 use crate::hashing::rendezvous_weight;
 use crate::time::{Millis, UnixMillis};
@@ -154,6 +155,14 @@
         (remaining > 0).then_some(Millis(remaining))
     }
 
+    /// Returns when a batch item with a part may be tried, or `None` if the part is not quarantined. A batch item is owed, so it
+    /// does not wait for the end of the quarantine.
+    pub(super) fn item_trial_due(&self, part: PartDigest, now: UnixMillis) -> Option<UnixMillis> {
+        let until = self.quarantine(part).map(|quarantine| quarantine.until).filter(|until| *until > now)?;
+        let last_crash = self.parts.get(&part)?.crashes.last().map(|(crash, _)| crash.at)?;
+        Some(until.min(UnixMillis(last_crash.0.saturating_add(PART_TRIAL_DELAY.0))))
+    }
+
     /// Returns the time for which this node refuses requests with a part, or `None` if the request at hand may run. After
     /// a quarantine, the request is a trial: this node admits no other one until the result is known, and the nodes, of
     /// which there are `nodes`, begin at different times.
--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -40,6 +40,7 @@
 use super::command::{ItemKey, ItemState, JobKey, LoggedOutput, PartialOutput};
 use super::table::{Job, JobTable};
 use crate::backoff::Backoff;
+use crate::serving::crashes::{ItemWait, WaitReason};
 use crate::serving::stream_origins::StreamOrigin;
 use crate::serving::workers::WorkerId;
 use crate::time::{Millis, Timestamp, UnixMillis};
@@ -48,10 +49,6 @@
 /// are paused again at once; the maximum is short, so that recovered workers are found soon.
 const RUN_BACKOFF: Backoff = Backoff::new(Millis(40), Millis(640));
 
-/// The interval between two checks of a quarantined item. Bounds how late the end of its quarantine or of its time
-/// limit is noticed.
-const QUARANTINE_CHECK_INTERVAL: Millis = Millis(1_000);
-
 /// An item that is running at a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunningItem {
@@ -90,6 +87,8 @@
     started_at: Timestamp,
     /// The ID of the last event before the last run; 0 for none.
     started_after: u64,
+    /// Why the item waits for a trial, if it does.
+    waits_for: Option<WaitReason>,
 }
 
 /// What the runs at this node showed about an item. Retained after a loss of leadership until the item has a committed
@@ -172,6 +171,7 @@
                 logged_origin: job.origin(item).cloned(),
                 started_at: Timestamp::default(),
                 started_after: 0,
+                waits_for: None,
             };
             self.items.insert(key.clone(), open_item);
             if verdict.is_impossible {
@@ -260,12 +260,27 @@
         }
     }
 
-    /// Returns a quarantined item to the queue, to be checked again after a fixed interval.
-    pub fn delay_quarantined(&mut self, key: &ItemKey, output: PartialOutput, now: Timestamp) {
+    /// Returns a quarantined item to the queue, to be checked again later. Returns whether the reason for which it waits is new.
+    pub fn delay_quarantined(
+        &mut self,
+        key: &ItemKey,
+        output: PartialOutput,
+        wait: &ItemWait,
+        now: Timestamp,
+        wall_time: UnixMillis,
+    ) -> bool {
+        let Some(open_item) = self.items.get_mut(key) else { return false };
+        open_item.output = output;
+        let is_new = open_item.waits_for.replace(wait.reason) != Some(wait.reason);
+        self.delay_until(key, now + wait.check_after(wall_time));
+        is_new
+    }
+
+    /// Records that an item that was taken runs, so that it no longer waits for a trial.
+    pub fn record_start(&mut self, key: &ItemKey) {
         if let Some(open_item) = self.items.get_mut(key) {
-            open_item.output = output;
+            open_item.waits_for = None;
         }
-        self.delay_until(key, now + QUARANTINE_CHECK_INTERVAL);
     }
 
     /// Handles the end of a run at an unknown worker; see [`Dispatcher::finish_run_at`].
--- a/crates/gateway/src/fleet/crash_view.rs
+++ b/crates/gateway/src/fleet/crash_view.rs
@@ -63,21 +63,9 @@
         keys.parts.iter().filter_map(|part| crashes.parts_mut().admit(part.digest, nodes, now)).max()
     }
 
-    /// Returns whether a batch item may run now; see [`CrashLedger::admit_item`]. Items with a quarantined part wait.
+    /// Returns whether a batch item may run now; see [`CrashLedger::admit_item_with_parts`].
     pub fn admit_item_after_crashes(&self, keys: &RequestKeys) -> ItemAdmission {
-        let now = self.clock.wall_time();
-        let nodes = self.gateways();
-        let mut crashes = self.crashes();
-        if keys.parts.iter().any(|part| crashes.parts().quarantined_for(part.digest, now).is_some()) {
-            return ItemAdmission::Waits;
-        }
-        let admission = crashes.admit_item(keys.digests(), now);
-        let mut admits = |part| crashes.parts_mut().admit(part, nodes, now).is_none();
-        if admission != ItemAdmission::Waits && keys.parts.iter().all(|part| admits(part.digest)) {
-            admission
-        } else {
-            ItemAdmission::Waits
-        }
+        self.crashes().admit_item_with_parts(keys, self.gateways(), self.clock.wall_time())
     }
 
     /// Returns whether one more crash would quarantine a request or a part of its prompt.
--- a/crates/gateway/src/observe/measures.rs
+++ b/crates/gateway/src/observe/measures.rs
@@ -62,6 +62,7 @@
     VIEW_AGE = "stallmoor_metadata_view_age_seconds", "gauge", "", "How old this node's view of the metadata store was at its last call.";
     CRASH_DIGESTS = "stallmoor_crash_digests", "gauge", "", "Digests of requests during which workers crashed, as kept at this node.";
     CRASH_PARTS = "stallmoor_crash_parts", "gauge", "suspected", "Parts of prompts with which workers crashed, by whether the crashes are enough for a quarantine.";
+    ITEM_WAITS = "stallmoor_item_waits_total", "counter", "reason", "Waits of quarantined batch items for their next trial, by reason.";
     CRASH_EVICTIONS = "stallmoor_crash_evictions_total", "counter", "quarantine", "Such digests that were evicted for lack of room: `yes` with enough crashes for a quarantine, else `no`.";
     CONFIGURATION = "stallmoor_configuration_version", "gauge", "", "The version of the configuration in force.";
     LEADS = "stallmoor_storage_leads", "gauge", "", "1 while this node leads the job table, else 0.";
@@ -180,6 +181,11 @@
     gauge!(VIEW_AGE).set(seconds(age));
 }
 
+/// Counts a quarantined batch item that begins to wait for this reason.
+pub fn count_item_wait(reason: &'static str) {
+    counter!(ITEM_WAITS, "reason" => reason).increment(1);
+}
+
 /// Sets the size of the ledger of requests during which workers crashed.
 pub fn set_crash_ledger_size(size: LedgerSize) {
     gauge!(CRASH_DIGESTS).set(size.tracked as f64);
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use stallmoor_core::log_event::LogEvent;
-use stallmoor_core::serving::crashes::{ItemAdmission, RequestKeys};
+use stallmoor_core::serving::crashes::{ItemAdmission, ItemWait, RequestKeys};
 use stallmoor_core::serving::jobs::command::{ItemFailures, ItemKey, ItemProgress, JobCommand, JobKey, PartialOutput};
 use stallmoor_core::serving::jobs::dispatch::{
     Dispatcher, FailedAt, ItemPacing, ItemResumption, ItemStart, RunEnd, RunningItem, StartDecision, WorkerRuns,
@@ -20,7 +20,7 @@
 use stallmoor_core::serving::workers::cold_start::PERMIT_LIFETIME;
 use stallmoor_core::serving::workers::permit_grants::PermitGrants;
 use stallmoor_core::serving::workers::{Choice, WorkerCount, WorkerId, WorkerQuery};
-use stallmoor_core::time::{Millis, Timestamp};
+use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::AbortHandle;
 
@@ -76,6 +76,13 @@
     choice: Choice,
 }
 
+/// Whether an item may run after crashes.
+enum Admission {
+    /// The item runs, as a trial if its keys are given.
+    Runs(Option<RequestKeys>),
+    Waits(RequestKeys, ItemWait),
+}
+
 /// What the selection of a worker for an item depends on.
 struct PlacementInputs<'a> {
     start: &'a ItemStart,
@@ -248,34 +255,60 @@
                 StartDecision::Start(start) if self.dispatcher.is_exhausted(&key, start.route.max_attempts) => {
                     self.dispatcher.give_up(&key);
                 }
-                StartDecision::Start(start) if !self.admit_after_crashes(&key, &start) => {
-                    self.dispatcher.delay_quarantined(&key, output, now)
-                }
-                StartDecision::Start(start) => {
-                    if !self.start_run(&key, start, output, loads, permits, now) {
-                        self.pacing.record_no_capacity(now);
-                        break;
+                StartDecision::Start(start) => match self.admit_after_crashes(&start) {
+                    Admission::Waits(keys, wait) => self.delay_quarantined(&key, &keys, output, &wait, now),
+                    Admission::Runs(trial) => {
+                        let has_started = self.start_run(&key, start, output, loads, permits, now);
+                        self.record_start(&key, has_started, trial.as_ref());
+                        if !has_started {
+                            self.pacing.record_no_capacity(now);
+                            break;
+                        }
                     }
-                }
+                },
             }
         }
         true
     }
 
-    /// Returns whether an item may run: it is not quarantined because it crashed workers, or its trial is due.
-    fn admit_after_crashes(&self, key: &ItemKey, start: &ItemStart) -> bool {
+    /// Decides whether an item may run although workers crashed while they ran it.
+    fn admit_after_crashes(&self, start: &ItemStart) -> Admission {
         let view = &self.workers.view;
         if view.has_no_crashes() {
-            return true;
+            return Admission::Runs(None);
         }
         let keys = item_keys(&start.item, &start.identity, &*self.workers.dialect);
         match view.admit_item_after_crashes(&keys) {
-            ItemAdmission::Runs => true,
-            ItemAdmission::Waits => false,
-            ItemAdmission::Trial => {
-                log_trial(key, &keys);
-                true
-            }
+            ItemAdmission::Runs => Admission::Runs(None),
+            ItemAdmission::Trial => Admission::Runs(Some(keys)),
+            ItemAdmission::Waits(wait) => Admission::Waits(keys, wait),
+        }
+    }
+
+    /// Records whether an admitted item was sent to a worker. `trial` identifies it if it runs as a trial.
+    fn record_start(&mut self, key: &ItemKey, has_started: bool, trial: Option<&RequestKeys>) {
+        if has_started {
+            self.dispatcher.record_start(key);
+        }
+        match trial {
+            Some(keys) if has_started => log_trial(key, keys),
+            Some(keys) => self.workers.view.crashes().cancel_trial(keys),
+            None => {}
+        }
+    }
+
+    fn delay_quarantined(
+        &mut self,
+        key: &ItemKey,
+        keys: &RequestKeys,
+        output: PartialOutput,
+        wait: &ItemWait,
+        now: Timestamp,
+    ) {
+        let wall_time = self.workers.view.clock.wall_time();
+        if self.dispatcher.delay_quarantined(key, output, wait, now, wall_time) {
+            log_wait(key, keys, wait, wall_time);
+            measures::count_item_wait(wait.reason.name());
         }
     }
 
@@ -544,6 +577,18 @@
     record(LogEvent::QuarantineTrial, &fields);
 }
 
+fn log_wait(key: &ItemKey, keys: &RequestKeys, wait: &ItemWait, wall_time: UnixMillis) {
+    let fields = [
+        Field::text("job", &key.job),
+        Field::number("item", key.item),
+        Field::text("digest", keys.content),
+        Field::text("reason", wait.reason.name()),
+        Field::number("crashes", wait.crashes as u64),
+        Field::number("for_ms", wait.until.0.saturating_sub(wall_time.0)),
+    ];
+    record(LogEvent::ItemWaits, &fields);
+}
+
 fn log_restart(key: &ItemKey, output: &PartialOutput) {
     let fields = [
         Field::text("job", &key.job),
--- a/crates/gateway/tests/golden_measures.rs
+++ b/crates/gateway/tests/golden_measures.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use stallmoor_core::serving::crashes::{LedgerSize, PartCounts};
+use stallmoor_core::serving::crashes::{LedgerSize, PartCounts, WaitReason};
 use stallmoor_core::serving::jobs::dispatch::RunEnd;
 use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::time::Millis;
@@ -95,6 +95,7 @@
     RESUMPTION_ORIGINS.into_iter().for_each(measures::count_resumption);
     PERMIT_ENDS.into_iter().for_each(|end| measures::count_permits(end, 1));
     TRIAL_ENDS.into_iter().for_each(measures::count_trial);
+    WaitReason::all().into_iter().for_each(|reason| measures::count_item_wait(reason.name()));
     ELECTION_REASONS.into_iter().for_each(measures::count_election);
 }
 
