--- a/crates/gateway/tests/golden_measures.rs
+++ b/crates/gateway/tests/golden_measures.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use stallmoor_core::serving::crashes::{LedgerSize, PartCounts};
+use stallmoor_core::serving::crashes::{LedgerSize, PartCounts, WaitReason};
 use stallmoor_core::serving::jobs::dispatch::RunEnd;
 use stallmoor_core::serving::online::answer_limits::AnswerPart;
 use stallmoor_core::serving::online::attempt::AttemptEnd;
@@ -109,6 +109,7 @@
     ANSWER_PARTS.into_iter().for_each(|part| measures::count_large_answer(part.name()));
     measures::set_held_answer_bytes(70_000);
     TRIAL_ENDS.into_iter().for_each(measures::count_trial);
+    WaitReason::all().into_iter().for_each(|reason| measures::count_item_wait(reason.name()));
     ELECTION_REASONS.into_iter().for_each(measures::count_election);
 }
 
