--- a/crates/core/src/serving/online/answer_limits.rs
+++ b/crates/core/src/serving/online/answer_limits.rs
@@ -5,6 +5,8 @@
 /// A part of an answer that is limited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerPart {
+    /// The status line and the headers.
+    Head,
     /// One event of a stream.
     Event,
     /// The body of an answer that is not a stream.
@@ -19,6 +21,7 @@
     /// Returns the name used in the log and as a metric label.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Head => "head",
             Self::Event => "event",
             Self::Body => "body",
             Self::Refusal => "refusal",
@@ -27,6 +30,8 @@
     }
 }
 
+/// Maximum size of the head of an answer in bytes, and of what is read ahead of its body.
+pub const MAX_HEAD_BYTES: usize = 65_536;
 /// Maximum size of the body of a refusal, in bytes. Longer ones are not read to the end, and their connection is not
 /// used again.
 pub const MAX_REFUSAL_BYTES: usize = 16_384;
@@ -46,6 +51,7 @@
     /// Returns the limit of a part.
     pub fn of(&self, part: AnswerPart) -> usize {
         match part {
+            AnswerPart::Head => MAX_HEAD_BYTES,
             AnswerPart::Event => self.event,
             AnswerPart::Body => self.body,
             AnswerPart::Refusal => MAX_REFUSAL_BYTES,
--- a/crates/core/tests/answer_limits.rs
+++ b/crates/core/tests/answer_limits.rs
@@ -8,7 +8,7 @@
 use stallmoor_core::serving::jobs::command::{ItemKey, JobCommand, JobItem, JobKey, PartialOutput, Submission};
 use stallmoor_core::serving::jobs::dispatch::{Dispatcher, FailedAt, RunEnd};
 use stallmoor_core::serving::jobs::table::JobTable;
-use stallmoor_core::serving::online::answer_limits::{AnswerLimits, AnswerPart, MAX_REFUSAL_BYTES};
+use stallmoor_core::serving::online::answer_limits::{AnswerLimits, AnswerPart, MAX_HEAD_BYTES, MAX_REFUSAL_BYTES};
 use stallmoor_core::serving::online::attempt::{AttemptCounts, AttemptEnd};
 use stallmoor_core::serving::online::attribution::{Attribution, EvidenceChange};
 use stallmoor_core::serving::online::event_stream::{EventSplitter, EventTooLarge};
@@ -74,8 +74,8 @@
 #[test]
 fn each_part_has_its_limit() {
     let limits = AnswerLimits { event: 1, body: 2, item_output: 3 };
-    let parts = [AnswerPart::Event, AnswerPart::Body, AnswerPart::ItemOutput, AnswerPart::Refusal];
-    assert_eq!(parts.map(|part| limits.of(part)), [1, 2, 3, MAX_REFUSAL_BYTES]);
+    let parts = [AnswerPart::Event, AnswerPart::Body, AnswerPart::ItemOutput, AnswerPart::Refusal, AnswerPart::Head];
+    assert_eq!(parts.map(|part| limits.of(part)), [1, 2, 3, MAX_REFUSAL_BYTES, MAX_HEAD_BYTES]);
 }
 
 /// Guards against a promise that a request did not run, and against more runs than the route allows.
--- a/crates/gateway/src/online/evidence.rs
+++ b/crates/gateway/src/online/evidence.rs
@@ -44,13 +44,13 @@
 
     /// Records an attempt without a valid answer.
     pub(super) fn record_failed_attempt(&mut self, worker: &WorkerIncarnation, failed: &FailedAttempt) {
-        self.record_evidence(|attribution, _| match &failed.refusal {
-            Some(refusal) => attribution.on_refusal(worker, refusal),
-            None => attribution.on_end(worker, failed.end),
-        });
+        match &failed.refusal {
+            Some(refusal) => self.record_evidence(|attribution, _| attribution.on_refusal(worker, refusal)),
+            None => self.record_attempt_evidence(worker, failed.end),
+        }
     }
 
-    /// Records an attempt whose worker had started to answer.
+    /// Records the end of an attempt without a complete answer.
     pub(super) fn record_attempt_evidence(&mut self, worker: &WorkerIncarnation, end: AttemptEnd) {
         let AttemptEnd::TooLarge { part } = end else {
             self.record_evidence(|attribution, _| attribution.on_end(worker, end));
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -201,15 +201,7 @@
     }
 
     fn interrupted(&mut self, client: &WorkerClient, answer: &OpenAnswer, end: AttemptEnd) -> RunEnd {
-        if let AttemptEnd::TooLarge { part } = end {
-            record_too_large(&answer.worker.id, &self.item.id, part, &client.answers.limits);
-            let is_suspected = self.is_worker_suspected(client);
-            self.record_evidence(client, |attribution, worker, now| {
-                attribution.on_too_large(worker, is_suspected, now)
-            });
-        } else {
-            self.record_evidence(client, |attribution, worker, _| attribution.on_end(worker, end));
-        }
+        self.record_attempt_evidence(client, end);
         let now = client.view.clock.now();
         client.view.workers().record_ended_attempt(&answer.worker, end, answer.sent_at, now);
         RunEnd::BrokenOff
@@ -250,13 +242,31 @@
     }
 
     fn record_failed_attempt(&mut self, client: &WorkerClient, failed: &FailedAttempt) {
-        let is_queueing = client.view.workers().reports_full(&self.choice.incarnation(), client.view.clock.now());
-        self.record_evidence(client, |attribution, worker, now| match (&failed.refusal, failed.end) {
-            (Some(refusal), _) => attribution.on_refusal(worker, refusal),
+        match (&failed.refusal, failed.end) {
+            (Some(refusal), _) => {
+                self.record_evidence(client, |attribution, worker, _| attribution.on_refusal(worker, refusal));
+            }
             // The run waited for the whole of [`FIRST_EVENT_TIMEOUT`].
-            (None, AttemptEnd::Silent) => attribution.on_silence(worker, is_queueing, now),
-            (None, end) => attribution.on_end(worker, end),
-        });
+            (None, AttemptEnd::Silent) => {
+                let now = client.view.clock.now();
+                let is_queueing = client.view.workers().reports_full(&self.choice.incarnation(), now);
+                self.record_evidence(client, |attribution, worker, now| {
+                    attribution.on_silence(worker, is_queueing, now)
+                });
+            }
+            (None, end) => self.record_attempt_evidence(client, end),
+        }
+    }
+
+    /// Records the end of an attempt without a complete answer.
+    fn record_attempt_evidence(&mut self, client: &WorkerClient, end: AttemptEnd) {
+        let AttemptEnd::TooLarge { part } = end else {
+            self.record_evidence(client, |attribution, worker, _| attribution.on_end(worker, end));
+            return;
+        };
+        record_too_large(&self.choice.id, &self.item.id, part, &client.answers.limits);
+        let is_suspected = self.is_worker_suspected(client);
+        self.record_evidence(client, |attribution, worker, now| attribution.on_too_large(worker, is_suspected, now));
     }
 }
 
--- a/crates/gateway/src/workers/attempt.rs
+++ b/crates/gateway/src/workers/attempt.rs
@@ -249,6 +249,7 @@
         Err(_) => Err(AttemptEnd::Silent),
         Ok(Err(SendFailure::NotSent)) => Err(AttemptEnd::NotConnected),
         Ok(Err(SendFailure::MayHaveArrived)) => Err(AttemptEnd::Broken),
+        Ok(Err(SendFailure::HeadTooLarge)) => Err(AttemptEnd::TooLarge { part: AnswerPart::Head }),
         Ok(Ok(response)) => Ok(response),
     }
 }
--- a/crates/gateway/src/workers/connections.rs
+++ b/crates/gateway/src/workers/connections.rs
@@ -14,6 +14,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use stallmoor_core::serving::online::answer_limits::MAX_HEAD_BYTES;
 use stallmoor_core::serving::workers::Choice;
 use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 use tokio::task::AbortHandle;
@@ -31,9 +32,6 @@
 /// Maximum time for a connection to become ready after an answer before it is closed.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Maximum size of the head of an answer, and of what is read ahead of its body.
-const MAX_HEAD_BYTES: usize = 65_536;
-
 /// Address of one incarnation of a worker. Connections to an earlier incarnation can't be reused for a later one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct WorkerEndpoint {
@@ -242,6 +240,8 @@
     NotSent,
     /// The worker may have received the request.
     MayHaveArrived,
+    /// The head of the answer exceeds [`MAX_HEAD_BYTES`].
+    HeadTooLarge,
 }
 
 impl WorkerConnection {
@@ -252,10 +252,11 @@
     /// [`SendFailure`]: the connection broke before the answer.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendFailure> {
         let Some(sender) = self.sender.as_mut() else { return Err(SendFailure::NotSent) };
-        sender
-            .try_send_request(request)
-            .await
-            .map_err(|error| if error.message().is_some() { SendFailure::NotSent } else { SendFailure::MayHaveArrived })
+        sender.try_send_request(request).await.map_err(|error| match error.message() {
+            Some(_) => SendFailure::NotSent,
+            None if error.error().is_parse_too_large() => SendFailure::HeadTooLarge,
+            None => SendFailure::MayHaveArrived,
+        })
     }
 
     /// Marks the connection as reusable after a complete answer. `keep_alive` is the keep-alive time that the worker
--- a/crates/gateway/tests/golden_measures.rs
+++ b/crates/gateway/tests/golden_measures.rs
@@ -61,8 +61,8 @@
 const RESUMPTION_ORIGINS: [&str; 4] = ["known", "conflicting", "several_versions", "uncertain_past"];
 const TRIAL_ENDS: [&str; 2] = ["served", "failed"];
 const ELECTION_REASONS: [&str; 3] = ["silence", "process_ended", "handover"];
-const ANSWER_PARTS: [AnswerPart; 4] =
-    [AnswerPart::Event, AnswerPart::Body, AnswerPart::Refusal, AnswerPart::ItemOutput];
+const ANSWER_PARTS: [AnswerPart; 5] =
+    [AnswerPart::Head, AnswerPart::Event, AnswerPart::Body, AnswerPart::Refusal, AnswerPart::ItemOutput];
 const REQUEST_ENDS: [&str; 3] = ["whole", "caller gone", "broken off"];
 
 fn record_everything() {
