Release the memory of a long body as it is sent

What callers saw: a caller that reads a long plain body slowly held the memory of all of it until the end, so that others' long answers could fail as `NoMemory`.

--- a/crates/gateway/src/http/answer_body.rs
+++ b/crates/gateway/src/http/answer_body.rs
@@ -84,14 +84,25 @@
 pub struct CompleteBody {
     /// The parts that were not sent yet.
     parts: VecDeque<Bytes>,
-    /// Memory that the body holds until it is sent.
-    _memory: Option<HeldMemory>,
+    /// Memory that these parts hold.
+    memory: Option<HeldMemory>,
 }
 
 impl CompleteBody {
     /// Creates a body that holds `memory`.
     pub fn new(parts: impl IntoIterator<Item = Bytes>, memory: HeldMemory) -> Self {
-        Self { parts: parts.into_iter().collect(), _memory: Some(memory) }
+        Self { parts: parts.into_iter().collect(), memory: Some(memory) }
+    }
+
+    /// Removes the next part and releases the memory that it held.
+    fn take_next(&mut self) -> Option<Bytes> {
+        let part = self.parts.pop_front()?;
+        let remaining = self.remaining_bytes();
+        if let Some(memory) = &mut self.memory {
+            // Less memory can always be held.
+            let _ = memory.resize(usize::try_from(remaining).unwrap_or(usize::MAX));
+        }
+        Some(part)
     }
 
     fn remaining_bytes(&self) -> u64 {
@@ -112,7 +123,7 @@
     pub fn full(bytes: impl Into<Bytes>) -> Self {
         let bytes = bytes.into();
         let parts = (!bytes.is_empty()).then_some(bytes).into_iter().collect();
-        Self::Full(CompleteBody { parts, _memory: None })
+        Self::Full(CompleteBody { parts, memory: None })
     }
 
     /// Creates a streamed body and the sender of its chunks.
@@ -129,7 +140,7 @@
 
     fn poll_frame(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         match &mut *self {
-            Self::Full(body) => Poll::Ready(body.parts.pop_front().map(|part| Ok(Frame::data(part)))),
+            Self::Full(body) => Poll::Ready(body.take_next().map(|part| Ok(Frame::data(part)))),
             Self::Chunks(receiver) => {
                 receiver.poll_recv(context).map(|chunk| chunk.map(|result| result.map(Frame::data)))
             }
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! | module | contents |
 //! |---|---|
+//! | `buffered` | answers that are read completely before they are passed on |
 //! | `stream` | forwarding a stream and resuming it at another worker |
 //! | `evidence` | what the request's attempts say about their workers |
 //! | `records` | the log lines and metrics of a request |
@@ -9,6 +10,7 @@
 //! This module only performs the I/O: [`RequestState`] and the worker table decide each step, and the result of it is
 //! reported back to them. Attempts are made through `workers`; the state of the fleet comes from `fleet`.
 
+mod buffered;
 mod evidence;
 mod records;
 mod stream;
@@ -24,7 +26,6 @@
 use stallmoor_core::serving::configuration::tenant::CallerIdentity;
 use stallmoor_core::serving::crashes::{RequestContent, RequestKeys};
 use stallmoor_core::serving::online::attempt::AttemptEnd;
-use stallmoor_core::serving::online::attribution::HeadVerdict;
 use stallmoor_core::serving::online::request_state::{RefusalReason, RequestState};
 use stallmoor_core::serving::regions::AllowedRegions;
 use stallmoor_core::serving::request::RequestAttributes;
@@ -37,7 +38,6 @@
 use crate::adapter::dialect::AttemptContext;
 use crate::http::answer_body::AnswerBody;
 use crate::http::refusal;
-use crate::workers::answer_reader::read_body;
 use crate::workers::attempt::{Attempt, OpenAnswer, WorkerClient};
 use crate::workers::crash_check::{RunWatch, WorkerRun};
 
@@ -358,68 +358,6 @@
         let timeout = self.state.head_timeout(&view.retry_budget(), mean_first, self.now());
         Duration::from_millis(timeout.0)
     }
-
-    /// Responds with a stream, or with a complete body. Tries further workers while bodies can't be completed.
-    async fn respond(mut self, answer: OpenAnswer) -> Response<AnswerBody> {
-        let mut current = answer;
-        loop {
-            if self.state.is_stream() && current.status.is_success() {
-                return self.respond_streaming(current);
-            }
-            let (worker, sent_at) = (current.worker.clone(), current.sent_at);
-            let end = match self.buffer(current).await {
-                Ok(response) => return response,
-                Err(end) => end,
-            };
-            // A worker that is too slow for the deadline has not failed.
-            if self.state.remaining(self.now()) == Millis(0) {
-                self.run_ended(end);
-                return self.refuse_incomplete(end);
-            }
-            self.end_attempt(&worker, end, sent_at);
-            if !self.state.may_resume() {
-                return self.refuse_incomplete(end);
-            }
-            match self.open().await {
-                Ok(answer) => current = answer,
-                Err(refused) => {
-                    self.log_refusal(&refused);
-                    return refusal::answer(&refused);
-                }
-            }
-        }
-    }
-
-    fn refuse_incomplete(&self, end: AttemptEnd) -> Response<AnswerBody> {
-        self.log_end("broken off");
-        let detail = match end {
-            AttemptEnd::TooLarge { .. } => "the worker's answer exceeds the limit",
-            AttemptEnd::NoMemory => "there is no memory for the worker's answer",
-            _ => "the worker broke off its answer",
-        };
-        refusal::from_kind(ErrorKind::AnswerIncomplete, detail)
-    }
-
-    /// Reads the complete body of an answer and returns the response.
-    async fn buffer(&mut self, mut answer: OpenAnswer) -> Result<Response<AnswerBody>, AttemptEnd> {
-        let timeout = Duration::from_millis(self.state.remaining(self.now()).0);
-        let reading = read_body(&mut answer.body, &self.client.answers);
-        let body = tokio::time::timeout(timeout, reading).await.unwrap_or(Err(AttemptEnd::Broken))?;
-        self.log_end(answer.status.as_str());
-        if answer.verdict() == HeadVerdict::Serving {
-            self.record_evidence(|attribution, _| attribution.on_served(&answer.worker));
-        }
-        if answer.status.is_success() {
-            self.run_completed();
-        } else if let Some(run) = self.run.take() {
-            run.finish();
-        }
-        let mut response = Response::new(AnswerBody::Full(body));
-        *response.status_mut() = answer.status;
-        *response.headers_mut() = self.client.dialect.answer_headers(&answer.headers);
-        answer.release();
-        Ok(response)
-    }
 }
 
 fn request_keys(request: &OnlineRequest) -> RequestKeys {
