Crashes under batch items no longer refuse callers with the same prompt part

Callers' requests with a prompt part were refused with 503 for a minute or more after four workers had crashed under batch items with that part, though items are never what crashes workers by themselves. Cause: one history of prompt parts for requests of callers and for batch items.

Survivals of either kind clear both.

--- a/crates/core/src/serving/crashes/item_admission.rs
+++ b/crates/core/src/serving/crashes/item_admission.rs
@@ -65,7 +65,8 @@
     fn quarantine_of_item(&self, keys: &RequestKeys, now: UnixMillis) -> Option<ItemQuarantine> {
         let of_digests = keys.digests().filter_map(|digest| self.item_quarantine(digest, now));
         let of_parts = keys.parts.iter().filter_map(|part| {
-            let due = self.parts.item_trial_due(part.digest, now)?;
+            let of_requests = self.parts.item_trial_due(part.digest, now);
+            let due = of_requests.max(self.item_parts.item_trial_due(part.digest, now))?;
             Some(ItemQuarantine { due, reason: WaitReason::Part, ..ItemQuarantine::default() })
         });
         of_digests.chain(of_parts).max_by_key(|quarantine| quarantine.due)
@@ -79,9 +80,14 @@
         nodes: u32,
         now: UnixMillis,
     ) -> ItemAdmission {
-        let ended = keys.parts.iter().filter(|part| self.parts.quarantined_for(part.digest, now).is_none());
-        let ended: Vec<_> = ended.map(|part| part.digest).collect();
-        let refused = ended.into_iter().filter_map(|part| self.parts.admit(part, nodes, now)).max();
+        let mut refused = None;
+        for ledger in [&mut self.parts, &mut self.item_parts] {
+            for part in keys.parts.iter() {
+                if ledger.quarantined_for(part.digest, now).is_none() {
+                    refused = refused.max(ledger.admit(part.digest, nodes, now));
+                }
+            }
+        }
         let Some(refused) = refused else { return admission };
         self.trials.cancel(keys.content);
         waits(WaitReason::Part, 0, UnixMillis(now.0.saturating_add(refused.0)))
--- a/crates/core/src/serving/crashes/ledger.rs
+++ b/crates/core/src/serving/crashes/ledger.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use super::coincidence::expected_crashes;
-use super::digest::RequestDigest;
+use super::digest::{PartDigest, RequestDigest};
 use super::evidence::{Attribution, CandidateCrash, Evidence, Observation, WeighedCrash};
 use super::parts::{MergedParts, PartLedger};
 use super::recent::RecentTimes;
@@ -76,6 +76,9 @@
     evicted: Evicted,
     recent: RecentTimes<RequestDigest>,
     pub(super) parts: PartLedger,
+    /// Crashes during batch items, by prompt part. They only affect other batch items: requests that crash workers by themselves
+    /// are not handed in for later, and a caller is refused where an item only waits.
+    pub(super) item_parts: PartLedger,
     pub(super) trials: TrialLanes,
 }
 
@@ -87,6 +90,7 @@
             evicted: Evicted::default(),
             recent: RecentTimes::new(COMPLETION_GRACE_PERIOD),
             parts: PartLedger::default(),
+            item_parts: PartLedger::default(),
             trials: TrialLanes::default(),
         }
     }
@@ -95,7 +99,7 @@
 impl CrashLedger {
     /// Returns whether no crashes are stored.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty() && self.parts.is_empty()
+        self.suspects.is_empty() && self.parts.is_empty() && self.item_parts.is_empty()
     }
 
     /// Returns the crash history of prompt parts.
@@ -108,6 +112,11 @@
         &mut self.parts
     }
 
+    /// Returns the crash history of prompt parts during batch items for changes.
+    pub fn item_parts_mut(&mut self) -> &mut PartLedger {
+        &mut self.item_parts
+    }
+
     /// Returns the size of the ledger.
     pub fn size(&self) -> LedgerSize {
         LedgerSize {
@@ -196,6 +205,19 @@
         self.parts.merge(&report.parts, is_local, now)
     }
 
+    /// Merges what the report says about prompt parts during batch items; see [`CrashLedger::merge`].
+    pub fn merge_item_parts(&mut self, report: &CrashReport, is_local: bool, now: UnixMillis) -> MergedParts {
+        self.item_parts.merge(&report.item_parts, is_local, now)
+    }
+
+    /// Records that a worker went on with a request of this node with the part after its first event. Returns the number of
+    /// crashes that this clears if other nodes have to learn it.
+    pub fn record_local_survival(&mut self, part: PartDigest, now: UnixMillis) -> Option<usize> {
+        let of_items = self.item_parts.record_local_survival(part, now);
+        let of_requests = self.parts.record_local_survival(part, now);
+        of_requests.max(of_items)
+    }
+
     /// Returns this node's report to the other nodes, of the largest size.
     pub fn report(&self) -> CrashReport {
         self.report_up_to(MAX_REPORTED_CRASHES)
@@ -204,8 +226,12 @@
     /// Returns this node's report, of at most `max_crashes` crashes and as many completions. Requests with most crashes
     /// take precedence, then those with the latest crash.
     pub fn report_up_to(&self, max_crashes: usize) -> CrashReport {
-        let mut report =
-            CrashReport { parts: self.parts.report_up_to(max_crashes / PART_REPORT_DIVISOR), ..CrashReport::default() };
+        let max_parts = max_crashes / PART_REPORT_DIVISOR;
+        let mut report = CrashReport {
+            parts: self.parts.report_up_to(max_parts),
+            item_parts: self.item_parts.report_up_to(max_parts),
+            ..CrashReport::default()
+        };
         for (digest, suspect) in self.suspects.strongest_first() {
             let own = suspect.active_observations().filter(|(_, details)| details.source == Source::Local);
             let crashes = own.map(|(observation, details)| Crash {
@@ -275,7 +301,9 @@
     fn is_explained(&self, crash: &Observation, own: Evidence) -> bool {
         let affects =
             |other: &SuspectRequest| other.crashes().iter().any(|other| other.observation.is_same_crash(crash));
-        self.suspects.explaining(&crash.worker, own).any(affects) || self.parts.explains(crash, own.total)
+        self.suspects.explaining(&crash.worker, own).any(affects)
+            || self.parts.explains(crash, own.total)
+            || self.item_parts.explains(crash, own.total)
     }
 
     /// Returns a request's quarantine, which may have ended, or `None` below the threshold.
--- a/crates/core/src/serving/crashes/report.rs
+++ b/crates/core/src/serving/crashes/report.rs
@@ -134,4 +134,7 @@
     /// Crashes and survivals by prompt part. Nodes of earlier versions ignore them.
     #[serde(default, skip_serializing_if = "PartReport::is_empty")]
     pub parts: PartReport,
+    /// The same, observed during batch items. Nodes of earlier versions ignore them.
+    #[serde(default, skip_serializing_if = "PartReport::is_empty")]
+    pub item_parts: PartReport,
 }
--- a/crates/core/tests/owed_items.rs
+++ b/crates/core/tests/owed_items.rs
@@ -10,8 +10,9 @@
 
 use crashes::{at, digest, worker};
 use stallmoor_core::backoff::Backoff;
-use stallmoor_core::serving::crashes::report::Crash;
-use stallmoor_core::serving::crashes::{CrashLedger, CrashedRun, ItemAdmission};
+use stallmoor_core::serving::crashes::report::{Crash, PartCrash};
+use stallmoor_core::serving::crashes::{CrashLedger, CrashedRun, ItemAdmission, PartDigest, RequestKeys};
+use stallmoor_core::serving::request::SharedPart;
 use stallmoor_core::time::Millis;
 
 /// Time after the last disruption at which an item counts as lost that neither has a result nor is running.
@@ -283,3 +284,47 @@
         assert_eq!(open, 0, "{workers} workers, {fatal} fatal items");
     }
 }
+
+/// Crashes of four workers, each during another batch item with the part.
+fn crash_items_with(ledger: &mut CrashLedger, part: PartDigest) {
+    for number in 0..4 {
+        let observed = PartCrash {
+            part,
+            worker: worker(number),
+            at: at(1_000 * number),
+            request: digest(&format!("item {number}")),
+            position: 1,
+        };
+        ledger.item_parts_mut().record_local_crash(observed, at(1_000 * number));
+    }
+}
+
+/// Guards against refusing callers because workers crashed under batch items with the same prompt part, and against items that
+/// wait for the end of that quarantine.
+#[test]
+fn crashes_under_items_with_a_prompt_part_keep_no_caller_waiting() {
+    const LAST_CRASH_MS: u64 = 3_000;
+    let part = PartDigest::of("model", "part");
+    let (mut leader, mut gateway, mut next_leader) =
+        (CrashLedger::default(), CrashLedger::default(), CrashLedger::default());
+    crash_items_with(&mut leader, part);
+    for node in [&mut gateway, &mut next_leader] {
+        node.merge_parts(&leader.report(), false, at(LAST_CRASH_MS));
+        node.merge_item_parts(&leader.report(), false, at(LAST_CRASH_MS));
+    }
+    assert_eq!(gateway.parts().quarantined_for(part, at(LAST_CRASH_MS)), None);
+    assert_eq!(gateway.parts_mut().admit(part, 1, at(LAST_CRASH_MS)), None);
+    let shared = SharedPart { digest: part, id: Arc::from("part"), position: 1 };
+    let keys = RequestKeys { content: digest("next"), prompt: None, parts: Arc::from([shared]) };
+    for node in [&mut leader, &mut next_leader] {
+        assert!(node.admit_item_with_parts(&keys, 1, at(LAST_CRASH_MS + 1_000)).waits());
+        let placed = (0..=PLACED_WITHIN_MS)
+            .step_by(100)
+            .find(|waited| node.admit_item_with_parts(&keys, 1, at(LAST_CRASH_MS + waited)) == ItemAdmission::Trial);
+        assert!(placed.is_some(), "the item is not tried within {PLACED_WITHIN_MS} ms");
+        node.record_local_survival(part, at(LAST_CRASH_MS + PLACED_WITHIN_MS));
+        let other = RequestKeys { content: digest("other"), ..keys.clone() };
+        let admission = node.admit_item_with_parts(&other, 1, at(LAST_CRASH_MS + PLACED_WITHIN_MS));
+        assert_eq!(admission, ItemAdmission::Runs);
+    }
+}
--- a/crates/gateway/src/fleet/crash_view.rs
+++ b/crates/gateway/src/fleet/crash_view.rs
@@ -31,6 +31,8 @@
     pub progress: u64,
     /// Whether the worker went on with the request after its first event, so that no part of the prompt is the cause.
     pub has_survived: bool,
+    /// Whether the request is a batch item.
+    pub is_item: bool,
     /// How the run ended.
     pub end: IncompleteEnd,
     /// The run during which the worker crashed.
@@ -136,8 +138,13 @@
                 request: crash.keys.request(),
                 position: part.position,
             };
-            let quarantine = self.crashes().parts_mut().record_local_crash(observed, now);
-            self.log_part_quarantine(quarantine, &part.id);
+            let quarantine = {
+                let mut crashes = self.crashes();
+                let ledger = if crash.is_item { crashes.item_parts_mut() } else { crashes.parts_mut() };
+                ledger.record_local_crash(observed, now)
+            };
+            let scope = if crash.is_item { "items" } else { "all" };
+            self.log_part_quarantine(quarantine, &part.id, scope);
         }
     }
 
@@ -145,7 +152,7 @@
     pub fn record_survival(&self, request: &str, keys: &RequestKeys) {
         let now = self.clock.wall_time();
         for part in keys.parts.iter() {
-            let Some(cleared) = self.crashes().parts_mut().record_local_survival(part.digest, now) else { continue };
+            let Some(cleared) = self.crashes().record_local_survival(part.digest, now) else { continue };
             self.crash_report_needed.notify_one();
             if cleared > 0 {
                 let fields = [
@@ -168,8 +175,9 @@
         measures::set_part_counts(parts);
     }
 
-    /// Logs the quarantine of a prompt part. `id` is empty if other nodes have observed its crashes.
-    fn log_part_quarantine(&self, quarantine: Option<PartQuarantine>, id: &str) {
+    /// Logs the quarantine of a prompt part. `id` is empty if other nodes have observed its crashes; `scope` tells which requests
+    /// with the part wait.
+    fn log_part_quarantine(&self, quarantine: Option<PartQuarantine>, id: &str, scope: &str) {
         let Some(PartQuarantine { part, crashes, until }) = quarantine else { return };
         let mut workers: Vec<&str> = crashes.iter().map(|crash| &*crash.worker.0).collect();
         workers.dedup();
@@ -179,6 +187,7 @@
             Field::text("digest", part),
             Field::text("workers", workers.join(" ")),
             Field::number("requests", requests.len() as u64),
+            Field::text("scope", scope),
             Field::number("for_ms", until.0.saturating_sub(self.clock.wall_time().0)),
         ];
         record(LogEvent::PartQuarantined, &fields);
@@ -197,18 +206,22 @@
     /// Merges a crash report from the store. `is_local` marks the report that this machine has written.
     pub fn merge_crashes(&self, report: &CrashReport, is_local: bool) {
         let now = self.clock.wall_time();
-        let (quarantines, parts) = {
+        let (quarantines, parts, item_parts) = {
             let mut crashes = self.crashes();
-            (crashes.merge(report, is_local, now), crashes.merge_parts(report, is_local, now))
+            (
+                crashes.merge(report, is_local, now),
+                crashes.merge_parts(report, is_local, now),
+                crashes.merge_item_parts(report, is_local, now),
+            )
         };
         self.update_crash_measures();
         for quarantine in quarantines {
             self.log_quarantine(Some(quarantine));
         }
         for quarantine in parts.quarantines {
-            self.log_part_quarantine(Some(quarantine), "");
+            self.log_part_quarantine(Some(quarantine), "", "all");
         }
-        if parts.has_survivals {
+        if parts.has_survivals || item_parts.has_survivals {
             self.crash_report_needed.notify_one();
         }
     }
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -65,6 +65,7 @@
     pub fn new(clock: NodeClock, zone: Arc<str>, seed: u64) -> Self {
         let mut ledger = CrashLedger::default();
         ledger.parts_mut().set_seed(seed);
+        ledger.item_parts_mut().set_seed(seed);
         Self {
             clock,
             zone,
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -325,6 +325,7 @@
             choice,
             service: self.service.clone(),
             request_id: self.request.attributes.id.clone(),
+            is_item: false,
             keys: self.keys.clone(),
             started_after: self.state.progress.last_event.unwrap_or(0),
             progress: self.state.progress.last_event.unwrap_or(0),
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -93,6 +93,7 @@
             choice: self.choice.clone(),
             service: self.service.clone(),
             request_id: self.item.id.clone(),
+            is_item: true,
             keys: self.keys(client),
             started_after: last_event,
             progress: last_event,
--- a/crates/gateway/src/workers/crash_check.rs
+++ b/crates/gateway/src/workers/crash_check.rs
@@ -33,6 +33,8 @@
     pub service: Arc<str>,
     /// The request's ID.
     pub request_id: Arc<str>,
+    /// Whether the request is a batch item.
+    pub is_item: bool,
     /// The digests by which the request's crashes are counted.
     pub keys: RequestKeys,
     /// Number of the last event before the run, 0 for none.
@@ -138,6 +140,7 @@
                 worker: run.choice.id.clone(),
                 progress: run.progress,
                 has_survived: run.has_survived(),
+                is_item: run.is_item,
                 end: *end,
                 run: self.crashed_run(run, *lasted),
             });
--- a/crates/gateway/tests/crash_reports.rs
+++ b/crates/gateway/tests/crash_reports.rs
@@ -38,6 +38,7 @@
         worker,
         progress: 0,
         has_survived: false,
+        is_item: false,
         end: IncompleteEnd::BrokenOff,
         run: CrashedRun { service: Arc::from("s"), workers: 9, lasted: Millis(100), events: 0 },
     }
