Do not hold items back until a corrected clock reaches earlier times again

What callers would see: a clock that is ahead for a while and is then corrected keeps batch items waiting for as long as it was ahead, although all is calm and workers have room; for an hour, longer than their job lasts.

Cause: trials are timed by the wall clock, since crashes are shared between nodes. Crashes that were recorded while a clock was ahead, here or at another node, lie in the future after its correction, and the next trial is due after the last of them. The same for the places of trials: one that began or failed by the clock that was ahead occupied its place until the clock reached its time again. Fleets of up to 39 workers have one place, so no item was tried.

Times of crashes that are later than nodes' clocks may differ no longer decide when a trial is due; the others do, so that trials are still paced. A place is free once the clock differs from the time at which it was taken by the period, in either direction.

Not changed: a quarantine of online requests, which such a crash prolongs.

--- a/crates/core/src/serving/crashes/item_admission.rs
+++ b/crates/core/src/serving/crashes/item_admission.rs
@@ -100,7 +100,7 @@
         let until = self.quarantine_end(digest, attribution.excess()?);
         let last_run = crashes.last()?.crash.run;
         let is_calm = last_run.is_none_or(|run| self.is_calm(run, now));
-        let next = NextTrial::after(&crashes)?;
+        let next = NextTrial::after(&crashes, now);
         let (due, reason) = next.due(is_calm, now);
         let quarantine = ItemQuarantine {
             due,
--- a/crates/core/src/serving/crashes/parts.rs
+++ b/crates/core/src/serving/crashes/parts.rs
@@ -16,7 +16,7 @@
 use super::recent::RecentTimes;
 use super::report::{PartCrash, PartReport, PartSurvival};
 use super::suspect::Source;
-use super::trials::PART_TRIAL_DELAY;
+use super::trials::{PART_TRIAL_DELAY, last_plausible};
 use crate::backoff::Backoff;
 use crate::hashing::rendezvous_weight;
 use crate::time::{Millis, UnixMillis};
@@ -159,8 +159,8 @@
     /// does not wait for the end of the quarantine.
     pub(super) fn item_trial_due(&self, part: PartDigest, now: UnixMillis) -> Option<UnixMillis> {
         let until = self.quarantine(part).map(|quarantine| quarantine.until).filter(|until| *until > now)?;
-        let last_crash = self.parts.get(&part)?.crashes.last().map(|(crash, _)| crash.at)?;
-        Some(until.min(UnixMillis(last_crash.0.saturating_add(PART_TRIAL_DELAY.0))))
+        let last_crash = last_plausible(self.parts.get(&part)?.crashes.iter().map(|(crash, _)| crash.at), now);
+        Some(last_crash.map_or(now, |last| until.min(UnixMillis(last.0.saturating_add(PART_TRIAL_DELAY.0)))))
     }
 
     /// Returns the time for which this node refuses requests with a part, or `None` if the request at hand may run. After
--- a/crates/core/src/serving/crashes/trial_lanes.rs
+++ b/crates/core/src/serving/crashes/trial_lanes.rs
@@ -46,9 +46,19 @@
     }
 }
 
-/// Time by which something that happened at `since` has passed.
+/// Returns whether a period from `since` on has passed. It has if the clock was set back by as much.
 fn has_passed(since: UnixMillis, period: Millis, now: UnixMillis) -> bool {
-    now.0.saturating_sub(since.0) >= period.0
+    now.0.abs_diff(since.0) >= period.0
+}
+
+/// Returns an entry of which a period has passed, if there is any.
+fn first_passed(
+    entries: &BTreeSet<(UnixMillis, RequestDigest)>,
+    period: Millis,
+    now: UnixMillis,
+) -> Option<(UnixMillis, RequestDigest)> {
+    // Those from before the clock was set back are last.
+    [entries.first(), entries.last()].into_iter().flatten().find(|(since, _)| has_passed(*since, period, now)).copied()
 }
 
 /// An item that waits for a place.
@@ -82,17 +92,16 @@
 impl TrialLane {
     /// Applies the time that has passed.
     fn advance(&mut self, now: UnixMillis) {
-        while let Some(&(started, digest)) = self.undecided.first().filter(|(at, _)| has_passed(*at, TRIAL_PERIOD, now))
-        {
-            self.undecided.remove(&(started, digest));
-            self.passed.insert((started, digest));
+        while let Some(trial) = first_passed(&self.undecided, TRIAL_PERIOD, now) {
+            self.undecided.remove(&trial);
+            self.passed.insert(trial);
             self.pass();
         }
-        while let Some(&(_, digest)) = self.passed.first().filter(|(at, _)| has_passed(*at, MAX_TRIAL_AGE, now)) {
+        while let Some((_, digest)) = first_passed(&self.passed, MAX_TRIAL_AGE, now) {
             self.end(digest);
         }
-        while self.failures.first().is_some_and(|(at, _)| has_passed(*at, FAILURE_PERIOD, now)) {
-            self.failures.pop_first();
+        while let Some(failure) = first_passed(&self.failures, FAILURE_PERIOD, now) {
+            self.failures.remove(&failure);
         }
         while let Some(first) = self.order.first().map(|(_, digest)| *digest) {
             if self.waiting.get(&first).is_some_and(|waiting| !has_passed(waiting.checked_at, MAX_CHECK_AGE, now)) {
--- a/crates/core/src/serving/crashes/trials.rs
+++ b/crates/core/src/serving/crashes/trials.rs
@@ -24,6 +24,9 @@
 /// Number of workers of a service for each crash that is tolerated in [`CALM_PERIOD`].
 const WORKERS_PER_CRASH: usize = 20;
 
+/// Maximum difference between the clocks of two nodes. The clock of a crash that is later has been set since.
+const MAX_CLOCK_SKEW: Millis = Millis(5_000);
+
 /// Interval between two checks of an item that waits for a trial.
 const CHECK_INTERVAL: Millis = Millis(1_000);
 /// Interval between two checks of an item whose trial is due.
@@ -115,12 +118,12 @@
 
 impl NextTrial {
     /// Returns the time of the next trial after the crashes `by_time` of an item, which are in order of time.
-    pub(super) fn after(by_time: &[WeighedCrash<'_>]) -> Option<Self> {
-        let last = by_time.last()?.crash.observation.at;
+    pub(super) fn after(by_time: &[WeighedCrash<'_>], now: UnixMillis) -> Self {
+        let last = last_plausible(by_time.iter().map(|weighed| weighed.crash.observation.at), now);
         let failed = failed_trials(by_time);
         let delay = trial_delay(failed);
-        let after = |millis: u64| UnixMillis(last.0.saturating_add(millis));
-        Some(Self { if_calm: after(delay.0), at_latest: after(delay.0 * STORM_DELAY_FACTOR), failed: failed.len() })
+        let after = |delay: u64| last.map_or(now, |last| UnixMillis(last.0.saturating_add(delay)));
+        Self { if_calm: after(delay.0), at_latest: after(delay.0 * STORM_DELAY_FACTOR), failed: failed.len() }
     }
 
     /// Returns the time of the next trial, and why the item waits until then.
@@ -133,6 +136,11 @@
     }
 }
 
+/// Returns the last of the times of crashes, except those by clocks that were ahead.
+pub(super) fn last_plausible(times: impl Iterator<Item = UnixMillis>, now: UnixMillis) -> Option<UnixMillis> {
+    times.filter(|at| at.0 <= now.0.saturating_add(MAX_CLOCK_SKEW.0)).max()
+}
+
 /// Returns the crashes after the one that quarantined an item, by all its crashes in order of time.
 fn failed_trials<'a, 'b>(by_time: &'a [WeighedCrash<'b>]) -> &'a [WeighedCrash<'b>] {
     let is_quarantined = |count: &usize| Attribution::of(&by_time[..*count]).excess().is_some();
