Store the origin of a stream first when its version has come back, too

What callers would see: a stream of a version that came back is resumed at the other version, if its gateway is killed with the first event.

Cause: the first event waits until the origin is stored while the version is new to the gateway. That was counted from the first worker of the version that the gateway knew of, for as long as it retains one: a minute longer than the last one is there. Nodes that started after the version had left do not retain it, do not know that it is back until they read its first record, and deduce the other one, which served alone for long.

Evidence: the new test, a rollback after the storage nodes and a gateway were restarted, failed before: the_origin_of_a_stream_of_a_version_that_comes_back_is_stored_before_... of 22 streams of the version that came back left: 16, right: 0

The time counts anew when a worker appears whose version no present worker has. The scan for one ends at the worker's own earlier record in all other cases.

--- a/crates/core/src/serving/workers/table.rs
+++ b/crates/core/src/serving/workers/table.rs
@@ -99,10 +99,15 @@
     /// Applies a record that was read at `now`, including its remaining cold start; see [`WorkerTable::upsert`].
     pub fn apply_record(&mut self, record: WorkerRecord, now: Timestamp) -> Option<WorkerChange> {
         let (incarnation, cold_remaining) = (record.incarnation(), record.cold_remaining);
+        let (service, version) = (record.service.clone(), record.version.clone());
         let previous = self.record(&incarnation.id).cloned();
+        let appears = !self.has_present(&incarnation.id, &service, &version);
         let change = self.upsert(record);
         let current = self.workers.get(&incarnation.id).map(|entry| &entry.record);
         self.versions.record_change(previous.as_ref(), current, now);
+        if appears {
+            self.versions.record_appearance(&service, &version, now);
+        }
         self.mark_cold(&incarnation, cold_remaining, now);
         change
     }
--- a/crates/core/src/serving/workers/versions.rs
+++ b/crates/core/src/serving/workers/versions.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::table::{DEPARTED_RETENTION, WorkerTable};
-use super::worker::{SoftwareVersion, WorkerRecord};
+use super::worker::{Presence, SoftwareVersion, WorkerEntry, WorkerId, WorkerRecord};
 use crate::serving::relay::continuity::Observation;
 use crate::time::{Millis, Timestamp};
 
@@ -56,7 +56,8 @@
 struct VersionEntry {
     /// Number of workers.
     workers: usize,
-    known_since: Timestamp,
+    /// Time at which the first worker appeared, or the first one after all earlier ones had departed.
+    appeared_at: Timestamp,
     /// Time until which the version is retained for workers that came back under their ID with another one.
     retained_until: Timestamp,
 }
@@ -65,7 +66,7 @@
     fn add(&mut self, version: SoftwareVersion, now: Timestamp) {
         let entry = self.versions.entry(version).or_insert_with(|| {
             self.changed_at = now;
-            VersionEntry { workers: 0, known_since: now, retained_until: now }
+            VersionEntry { workers: 0, appeared_at: now, retained_until: now }
         });
         entry.workers += 1;
     }
@@ -117,6 +118,15 @@
         versions.evict(now);
     }
 
+    /// Records that a worker has a version that no present worker had. Nodes that do not retain the departed ones, since they
+    /// started later, may not know the version yet.
+    pub(super) fn record_appearance(&mut self, service: &str, version: &SoftwareVersion, now: Timestamp) {
+        let entry = self.by_service.get_mut(service).and_then(|versions| versions.versions.get_mut(version));
+        if let Some(entry) = entry {
+            entry.appeared_at = now;
+        }
+    }
+
     /// Records that a worker of any service and version may have served unseen.
     pub(super) fn record_unseen_worker(&mut self, now: Timestamp) {
         self.by_service.values_mut().for_each(|versions| versions.changed_at = now);
@@ -134,9 +144,19 @@
         self.versions.by_service.get(service).map_or(KnownVersions::Unknown, |versions| versions.known(now))
     }
 
-    /// Returns for how long this node has known a version of a service; zero if it does not.
+    /// Returns how long ago a version of a service appeared, or came back after its workers had departed; zero if this node
+    /// does not know it.
     pub fn version_known_for(&self, service: &str, version: &SoftwareVersion, now: Timestamp) -> Millis {
         let entry = self.versions.by_service.get(service).and_then(|versions| versions.versions.get(version));
-        entry.map_or(Millis(0), |entry| now.since(entry.known_since))
+        entry.map_or(Millis(0), |entry| now.since(entry.appeared_at))
+    }
+
+    /// Returns whether a present worker of a service has a version; checks the worker `id` first.
+    pub(super) fn has_present(&self, id: &WorkerId, service: &str, version: &SoftwareVersion) -> bool {
+        let has_version = |entry: &WorkerEntry| {
+            let is_present = matches!(entry.presence, Presence::Ready | Presence::Draining);
+            is_present && *entry.record.service == *service && entry.record.version == *version
+        };
+        self.workers.get(id).is_some_and(has_version) || self.workers.values().any(has_version)
     }
 }
--- a/crates/core/tests/stale_versions.rs
+++ b/crates/core/tests/stale_versions.rs
@@ -418,6 +418,31 @@
     assert_eq!(fleet.mixed(), 0, "of {of_v2} streams of the new version");
 }
 
+/// Guards against streams of a version that comes back, which is deduced to be the other one by nodes that have started since
+/// it left and have not read its records yet.
+#[test]
+fn the_origin_of_a_stream_of_a_version_that_comes_back_is_stored_before_its_first_event() {
+    let (mut of_v1, mut mixed) = (0, 0);
+    for seed in 0..40 {
+        let mut fleet = Fleet::new(2, 6, seed);
+        fleet.wait(CALM);
+        fleet.replace_all("v2");
+        fleet.wait(3_000);
+        (0..3).for_each(|node| fleet.restart_storage(node));
+        fleet.restart_gateway(1, None);
+        fleet.wait(LIFETIME.0 + 5_000);
+        (0..3).for_each(|node| fleet.set_cut_off(node, true));
+        fleet.set_cut_off(3 + 1, true);
+        (0..3).for_each(|worker| fleet.replace_worker(worker, "v1", false));
+        fleet.begin(0, true);
+        of_v1 += usize::from(fleet.streams[0].versions.contains(&SoftwareVersion::new("v1")));
+        fleet.resume(0, 1, None);
+        mixed += fleet.mixed();
+    }
+    assert!(of_v1 > 0, "no stream began at the version that came back");
+    assert_eq!(mixed, 0, "of {of_v1} streams of the version that came back");
+}
+
 /// Guards against guesses on streams whose gateway was killed with the first event, before it stored the origin: also
 /// right after the last worker of a version left, and where a storage node has just started.
 #[test]
