--- a/crates/gateway/tests/golden_measures.rs
+++ b/crates/gateway/tests/golden_measures.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use stallmoor_core::serving::crashes::{LedgerSize, PartCounts};
+use stallmoor_core::serving::crashes::{LedgerSize, PartCounts, WaitReason};
 use stallmoor_core::serving::jobs::dispatch::RunEnd;
 use stallmoor_core::serving::online::answer_limits::AnswerPart;
 use stallmoor_core::serving::online::attempt::AttemptEnd;
@@ -61,8 +61,8 @@
 const RESUMPTION_ORIGINS: [&str; 4] = ["known", "conflicting", "several_versions", "uncertain_past"];
 const TRIAL_ENDS: [&str; 2] = ["served", "failed"];
 const ELECTION_REASONS: [&str; 3] = ["silence", "process_ended", "handover"];
-const ANSWER_PARTS: [AnswerPart; 4] =
-    [AnswerPart::Event, AnswerPart::Body, AnswerPart::Refusal, AnswerPart::ItemOutput];
+const ANSWER_PARTS: [AnswerPart; 5] =
+    [AnswerPart::Head, AnswerPart::Event, AnswerPart::Body, AnswerPart::Refusal, AnswerPart::ItemOutput];
 const REQUEST_ENDS: [&str; 3] = ["whole", "caller gone", "broken off"];
 
 fn record_everything() {
@@ -109,6 +109,7 @@
     ANSWER_PARTS.into_iter().for_each(|part| measures::count_large_answer(part.name()));
     measures::set_held_answer_bytes(70_000);
     TRIAL_ENDS.into_iter().for_each(measures::count_trial);
+    WaitReason::all().into_iter().for_each(|reason| measures::count_item_wait(reason.name()));
     ELECTION_REASONS.into_iter().for_each(measures::count_election);
 }
 
