Let an item that is no longer due keep no place from other trials

What callers would see: after a storm a sound batch item waits although a place for trials is free.

Cause: an item whose trial is due waits in its service's queue. If a crash of an equal request becomes known meanwhile, its trial is due later, but it stayed in the queue under its former rank: it was next, did not start, and each of its checks kept its entry from expiring. In a fleet of up to 39 workers, with one place, no other item was tried until its wait was over, which is up to two minutes after many failed trials. The same if its last crash was at another service, whose queue it then joined in addition.

An item that is next leaves all queues; it joins the one of its service again if its trial is still due.

--- a/crates/core/src/serving/crashes/item_admission.rs
+++ b/crates/core/src/serving/crashes/item_admission.rs
@@ -44,6 +44,8 @@
         if self.trials.is_behind(keys.content, now) {
             return waits(WaitReason::Turn, self.crashes_of(keys.content), now);
         }
+        // Unless its trial is still due, it must not keep others waiting.
+        self.trials.leave(keys.content);
         let Some(quarantine) = self.quarantine_of_item(keys, now) else {
             return self.admit_to_ended_quarantines(keys, ItemAdmission::Runs, nodes, now);
         };
--- a/crates/core/src/serving/crashes/trial_lanes.rs
+++ b/crates/core/src/serving/crashes/trial_lanes.rs
@@ -181,6 +181,13 @@
         })
     }
 
+    /// Records that an item does not wait for a place.
+    pub(super) fn leave(&mut self, digest: RequestDigest) {
+        for lane in self.lanes.values_mut() {
+            lane.leave(digest);
+        }
+    }
+
     /// Starts a trial at a service with `workers` workers if a place is free. Returns whether it started.
     pub(super) fn start(&mut self, trial: DueTrial, service: &Arc<str>, workers: u32, now: UnixMillis) -> bool {
         let lane = self.lanes.entry(service.clone()).or_default();
--- a/crates/core/tests/crash_trials.rs
+++ b/crates/core/tests/crash_trials.rs
@@ -112,3 +112,31 @@
     assert!(admit(&mut ledger, "b", 6_100).waits());
     assert_eq!(admit(&mut ledger, "b", 8_000), ItemAdmission::Trial);
 }
+
+/// Guards against an item that keeps others from the only place for trials although its own trial is no longer due.
+#[test]
+fn an_item_that_is_not_due_takes_no_turn() {
+    let mut ledger = CrashLedger::default();
+    for (item, first_worker, from) in [("first", 0, 0), ("second", 10, 40_000), ("third", 20, 40_010)] {
+        for number in 0..3 {
+            ledger.record_local_crash_of_run(crash(item, first_worker + number, from + 50 * number, 20));
+        }
+    }
+    assert_eq!(admit(&mut ledger, "first", 46_000), ItemAdmission::Trial);
+    for item in ["second", "third"] {
+        assert!(admit(&mut ledger, item, 46_000).waits(), "the only place is taken");
+    }
+    ledger.record_local_crash_of_run(crash("first", 30, 46_200, 20));
+    for now in (46_400..50_400).step_by(200) {
+        assert!(["second", "third"].iter().all(|item| admit(&mut ledger, item, now).waits()), "at {now} ms");
+    }
+    // Another node runs a request like the second item.
+    let mut other = CrashLedger::default();
+    other.record_local_crash_of_run(crash("second", 31, 50_400, 20));
+    ledger.merge(&other.report(), false, at(50_400));
+    let tried = (50_400..60_000).step_by(200).find(|now| {
+        assert!(admit(&mut ledger, "second", *now).waits(), "its last crash was at 50,400 ms");
+        admit(&mut ledger, "third", *now) == ItemAdmission::Trial
+    });
+    assert!(tried.is_some_and(|tried| tried <= 52_000), "a place is free from 51,200 ms on: {tried:?}");
+}
