--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -3,7 +3,7 @@
 # by callers and workers.
 #
 # Usage: scripts/soak.sh [--seed S] [--seconds N] [--gateways N] [--storage N] [--workers N] [--keep FOLDER]
-#                        [--without others|releases|endless|unlucky]...
+#                        [--without others|releases|endless|item-crashes]...
 #        scripts/soak.sh --kept
 #
 # The seed defaults to a random one, the duration to one minute. --without leaves out releases while all gateways are
