Log the age of the view that decides on a resumed stream

E524 named the basis of a decision and the node whose knowledge decided, but not how old that knowledge was. Whether a gateway decided by a view of before the request, by a storage node that was behind, or after it had stood still could not be told apart. The event has view_age_ms now: the time since the gateway's own view was confirmed.

--- a/crates/gateway/src/online/records.rs
+++ b/crates/gateway/src/online/records.rs
@@ -82,6 +82,8 @@
             Field::text("basis", resolved.basis),
             Field::text("informant", resolved.informant.map(|node| node.to_string()).unwrap_or_default()),
         ];
+        let view_age = resolved.view_age.map(|age| Field::number("view_age_ms", age.0));
+        let fields: Vec<Field> = fields.into_iter().chain(view_age).collect();
         record(LogEvent::StreamResumed, &fields);
         measures::count_resumption(outcome);
     }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -75,6 +75,8 @@
     pub basis: &'static str,
     /// The node whose knowledge decided, if any.
     pub informant: Option<NodeId>,
+    /// Time since this node's view of the workers was last confirmed; `None` before the first complete view.
+    pub view_age: Option<Millis>,
 }
 
 impl StreamOrigins {
@@ -236,7 +238,8 @@
             Informant::Own => Some(self.id),
             Informant::Answer(index) => nodes.get(index).copied(),
         });
-        Resolved { resumption, basis: basis.name(), informant }
+        let view_age = self.metadata.observation().age;
+        Resolved { resumption, basis: basis.name(), informant, view_age }
     }
 
     fn knowledge(&self, key: Option<StreamKey>, service: &str) -> NodeKnowledge {
