--- a/crates/core/src/serving/relay/mod.rs
+++ b/crates/core/src/serving/relay/mod.rs
@@ -14,6 +14,7 @@
 //! |---|---|
 //! | [`item`] | revisions, and items at a revision |
 //! | [`mirror`] | one node's copy of the store, and the changes since a revision |
+//! | [`confirmation`] | reads that confirm a node's copy on request |
 //! | [`continuity`] | for how long a node's copy was current throughout |
 //! | [`message`] | requests to a relay, and the answers |
 //! | [`choice`] | which relay a node queries |
@@ -26,6 +27,7 @@
 
 pub mod bounds;
 pub mod choice;
+pub mod confirmation;
 pub mod contents;
 pub mod continuity;
 mod first_view;
--- a/crates/core/src/serving/relay/policy.rs
+++ b/crates/core/src/serving/relay/policy.rs
@@ -256,6 +256,12 @@
         self.must_list = true;
     }
 
+    /// Returns whether a read of the changes since the view's revision confirms the view. After a failed call the store's
+    /// history may no longer hold them; while the store can't be reached, no read is made.
+    pub fn can_confirm(&self, view: ViewState) -> bool {
+        view.at.is_some() && !self.must_list && self.outage.is_none()
+    }
+
     /// Records a failed call to the store. `jitter` is a random number from 0 to 1 that spreads the retries of
     /// different nodes. Returns whether it is the first of consecutive failures.
     pub fn record_store_failure(&mut self, role: WatchRole, view: ViewState, call: FailedCall, jitter: f64) -> bool {
--- a/crates/core/src/serving/stream_origins/holders.rs
+++ b/crates/core/src/serving/stream_origins/holders.rs
@@ -14,6 +14,11 @@
 /// Number of storage nodes that are asked for an origin.
 pub const ASKED: usize = COPIES + 1;
 
+/// Returns how many of a stream's `holders` have to answer so that one of them has the record that [`COPIES`] of them store.
+pub fn lookup_quorum(holders: usize) -> usize {
+    holders.saturating_sub(COPIES) + 1
+}
+
 /// Returns the storage nodes that may store a stream's origin, best first: in different zones as long as there are any.
 pub fn holders(key: StreamKey, directory: &StorageDirectory) -> Vec<&StorageRecord> {
     let ranked = rendezvous(key.0, directory.records(), |record| record.node.0, directory.len());
--- a/crates/core/src/serving/stream_origins/message.rs
+++ b/crates/core/src/serving/stream_origins/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::origin::{StreamKey, StreamOrigin};
-use super::rule::NodeKnowledge;
+use super::rule::{NodeKnowledge, Statement};
 
 /// The origin of one stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,6 +28,13 @@
         /// Service that the stream's route leads to.
         service: Arc<str>,
     },
+    /// Like [`Self::Find`]; a node without a record of the stream first confirms its view of the workers, if it can.
+    FindConfirmed {
+        /// Key of the stream; `None` if its client did not name it.
+        key: Option<StreamKey>,
+        /// Service that the stream's route leads to.
+        service: Arc<str>,
+    },
 }
 
 /// The answer to an [`OriginsRequest`].
@@ -37,4 +44,6 @@
     Stored,
     /// What the node knows of the stream.
     Found(NodeKnowledge),
+    /// What the node states about the stream, in answer to [`OriginsRequest::FindConfirmed`].
+    Stated(Statement),
 }
--- a/crates/core/src/serving/stream_origins/mod.rs
+++ b/crates/core/src/serving/stream_origins/mod.rs
@@ -28,5 +28,6 @@
 pub use origin::{StreamKey, StreamOrigin};
 pub use outbox::OriginOutbox;
 pub use rule::{
-    Basis, Decision, Informant, NodeKnowledge, OwnKnowledge, Resumption, UnknownOrigin, resume_rule, stream_lifetime,
+    Basis, Confirmation, Decision, Informant, NodeKnowledge, Resumption, Statement, UnknownOrigin, resume_rule,
+    stream_lifetime,
 };
--- a/crates/core/src/serving/stream_origins/rule.rs
+++ b/crates/core/src/serving/stream_origins/rule.rs
@@ -3,12 +3,20 @@
 //! A recorded origin decides. Without one, the stream can only be resumed if all workers that may have begun it have the
 //! same version: one version alone has served for longer than a stream lasts. Otherwise it is refused, since a guess
 //! could join events of two versions.
+//!
+//! A view of the workers is only known to be complete up to its last confirmation. A worker may join after it, begin
+//! streams and lose their gateway before the next one. The version is therefore deduced from a view that was confirmed by
+//! a read which began after the request to resume the stream arrived: the record of a worker is written before its first
+//! stream begins. Where the store can't be read, enough of the storage nodes that would have the stream's record must
+//! answer that they have none, with views that are older by at most the time for which records are stored before the
+//! first event (see [`super::sharing`]).
 
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use super::directory::RecordedOrigin;
+use super::holders::lookup_quorum;
 use super::origin::StreamOrigin;
 use crate::serving::relay::continuity::MAX_VIEW_AGE;
 use crate::serving::workers::SoftwareVersion;
@@ -40,13 +48,34 @@
     pub versions: KnownVersions,
 }
 
-/// What the node that decides knows about a stream.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct OwnKnowledge {
-    /// What it knows like any other node.
+/// When a node's view of the workers was last confirmed to be complete, relative to the arrival of the request to resume
+/// a stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Confirmation {
+    /// By a read of the store that began after it: the view contains each worker that may have begun the stream.
+    After,
+    /// Before it: a worker may have joined since, and begun the stream.
+    #[default]
+    Before,
+}
+
+/// What a node states about a stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Statement {
+    /// What the node knows.
     pub known: NodeKnowledge,
-    /// Time since its view of the workers was last confirmed to be complete; `None` before the first complete view.
-    pub view_age: Option<Millis>,
+    /// When its view of the workers was confirmed.
+    pub confirmation: Confirmation,
+}
+
+impl Statement {
+    /// Returns the version that alone has served for `lifetime`, as far as the node has observed.
+    fn sole_version(&self, lifetime: Millis) -> Option<&SoftwareVersion> {
+        match &self.known.versions {
+            KnownVersions::Sole { version, lasted } if *lasted >= lifetime => Some(version),
+            _ => None,
+        }
+    }
 }
 
 /// The recorded origin of a stream.
@@ -125,6 +154,8 @@
     Record(Informant),
     /// The versions that a node has known.
     Versions(Informant),
+    /// The versions that a node has known, and enough storage nodes without a record of the stream.
+    Quorum(Informant),
     /// No node knew anything.
     Nothing,
 }
@@ -136,6 +167,7 @@
             Self::Record(Informant::Own) => "own_record",
             Self::Record(Informant::Answer(_)) => "storage_record",
             Self::Versions(_) => "versions",
+            Self::Quorum(_) => "quorum",
             Self::Nothing => "nothing",
         }
     }
@@ -143,7 +175,7 @@
     /// Returns the node whose knowledge decided, if any.
     pub fn informant(self) -> Option<Informant> {
         match self {
-            Self::Record(informant) | Self::Versions(informant) => Some(informant),
+            Self::Record(informant) | Self::Versions(informant) | Self::Quorum(informant) => Some(informant),
             Self::Nothing => None,
         }
     }
@@ -158,12 +190,18 @@
     pub basis: Basis,
 }
 
-/// Decides where a stream of `service` that lasts for at most `lifetime` is resumed, by what this node and the storage
-/// nodes that answered know.
-pub fn resume_rule(service: &Arc<str>, own: &OwnKnowledge, answers: &[NodeKnowledge], lifetime: Millis) -> Decision {
+/// Decides where a stream of `service` that lasts for at most `lifetime` is resumed, by what this node and those of the
+/// stream's `holders` that answered state.
+pub fn resume_rule(
+    service: &Arc<str>,
+    own: &Statement,
+    answers: &[Statement],
+    holders: usize,
+    lifetime: Millis,
+) -> Decision {
     let mut recorded = None;
-    for (informant, node) in informants(own, answers) {
-        match &node.origin {
+    for (informant, statement) in informants(own, answers) {
+        match &statement.known.origin {
             KnownOrigin::Unknown => {}
             KnownOrigin::Known(origin) if recorded.is_none_or(|(_, other)| other == origin) => {
                 recorded.get_or_insert((informant, origin));
@@ -176,48 +214,59 @@
     if let Some((informant, origin)) = recorded {
         return Decision { resumption: Resumption::At(origin.clone()), basis: Basis::Record(informant) };
     }
-    deduce_version(service, own, answers, lifetime)
+    if let Some(informant) = informant_of_several(own, answers) {
+        return refused(UnknownOrigin::SeveralVersions, Basis::Versions(informant));
+    }
+    match deduce_version(own, answers, holders, lifetime) {
+        Some((version, basis)) => {
+            let origin = StreamOrigin { service: service.clone(), version: version.clone() };
+            Decision { resumption: Resumption::At(origin), basis }
+        }
+        None => refused(UnknownOrigin::UncertainPast, Basis::Nothing),
+    }
 }
 
-fn informants<'a>(
-    own: &'a OwnKnowledge,
-    answers: &'a [NodeKnowledge],
-) -> impl Iterator<Item = (Informant, &'a NodeKnowledge)> {
+fn informants<'a>(own: &'a Statement, answers: &'a [Statement]) -> impl Iterator<Item = (Informant, &'a Statement)> {
     let answers = answers.iter().enumerate().map(|(index, answer)| (Informant::Answer(index), answer));
-    std::iter::once((Informant::Own, &own.known)).chain(answers)
+    std::iter::once((Informant::Own, own)).chain(answers)
 }
 
 fn refused(why: UnknownOrigin, basis: Basis) -> Decision {
     Decision { resumption: Resumption::Refused(why), basis }
 }
 
-/// Decides on a stream without a record: it is resumed if one version alone has served for longer than the stream lasts.
-fn deduce_version(service: &Arc<str>, own: &OwnKnowledge, answers: &[NodeKnowledge], lifetime: Millis) -> Decision {
-    // Others may have seen a second version that this node's view does not contain yet.
-    let is_current = own.view_age.is_some_and(|age| age <= MAX_VIEW_AGE);
-    if answers.is_empty() && !is_current {
-        return refused(UnknownOrigin::UncertainPast, Basis::Nothing);
-    }
-    let mut longest: Option<(Informant, &SoftwareVersion, Millis)> = None;
-    for (informant, node) in informants(own, answers) {
-        match &node.versions {
-            KnownVersions::Unknown => {}
-            KnownVersions::Sole { version, lasted } if longest.is_none_or(|(_, other, _)| other == version) => {
-                if longest.is_none_or(|(_, _, longest)| *lasted > longest) {
-                    longest = Some((informant, version, *lasted));
-                }
-            }
-            KnownVersions::Sole { .. } | KnownVersions::Several => {
-                return refused(UnknownOrigin::SeveralVersions, Basis::Versions(informant));
-            }
+/// Returns the first node that knows several versions, or another one than a node before it. Also a view that is not
+/// current shows which versions have served.
+fn informant_of_several(own: &Statement, answers: &[Statement]) -> Option<Informant> {
+    let mut sole: Option<&SoftwareVersion> = None;
+    informants(own, answers).find_map(|(informant, statement)| match &statement.known.versions {
+        KnownVersions::Unknown => None,
+        KnownVersions::Sole { version, .. } if sole.is_none_or(|other| other == version) => {
+            sole = Some(version);
+            None
         }
-    }
-    let Some((informant, version, lasted)) = longest else {
-        return refused(UnknownOrigin::UncertainPast, Basis::Nothing);
+        KnownVersions::Sole { .. } | KnownVersions::Several => Some(informant),
+    })
+}
+
+/// Returns the version that began a stream without a record, if one version alone has served for longer than the stream
+/// lasts.
+fn deduce_version<'a>(
+    own: &'a Statement,
+    answers: &'a [Statement],
+    holders: usize,
+    lifetime: Millis,
+) -> Option<(&'a SoftwareVersion, Basis)> {
+    let sole = |(informant, statement): (Informant, &'a Statement)| {
+        statement.sole_version(lifetime).map(|version| (informant, statement.confirmation, version))
     };
-    if lasted < lifetime {
-        return refused(UnknownOrigin::UncertainPast, Basis::Versions(informant));
+    let confirmed = informants(own, answers).filter_map(sole).find(|(_, at, _)| *at == Confirmation::After);
+    if let Some((informant, _, version)) = confirmed {
+        return Some((version, Basis::Versions(informant)));
     }
-    let origin = StreamOrigin { service: service.clone(), version: version.clone() };
-    Decision { resumption: Resumption::At(origin), basis: Basis::Versions(informant) }
+    // A node that has not observed the workers for that long may have lost its records.
+    let answers = answers.iter().enumerate().map(|(index, answer)| (Informant::Answer(index), answer));
+    let mut without_record = answers.filter_map(sole);
+    let (informant, _, version) = without_record.next()?;
+    (1 + without_record.count() >= lookup_quorum(holders)).then_some((version, Basis::Quorum(informant)))
 }
--- a/crates/core/src/serving/stream_origins/sharing.rs
+++ b/crates/core/src/serving/stream_origins/sharing.rs
@@ -25,12 +25,17 @@
         }
     }
 
+    /// Returns whether nodes whose views count as current may not know a version that this node has known for `known_for`.
+    pub fn is_new(known_for: Millis) -> bool {
+        known_for <= MAX_VIEW_AGE
+    }
+
     /// Decides for a stream that lasts for at most `lifetime`, whose version this node has known for `known_for` among
     /// the `versions` of the service.
     pub fn of(versions: &KnownVersions, known_for: Millis, lifetime: Millis) -> Self {
         if is_deducible(versions, lifetime) {
             Self::Deducible
-        } else if known_for <= MAX_VIEW_AGE {
+        } else if Self::is_new(known_for) {
             Self::BeforeFirstEvent
         } else {
             Self::Prompt
--- a/crates/core/tests/stale_versions.rs
+++ b/crates/core/tests/stale_versions.rs
@@ -15,12 +15,14 @@
 use stallmoor_core::serving::jobs::directory::{StorageDirectory, StorageRecord};
 use stallmoor_core::serving::regions::AllowedRegions;
 use stallmoor_core::serving::relay::continuity::{Continuity, MAX_VIEW_AGE, Observation, ViewUpdate};
-use stallmoor_core::serving::stream_origins::holders::{COPIES, holders};
+use stallmoor_core::serving::stream_origins::holders::{COPIES, holders, lookup_quorum};
 use stallmoor_core::serving::stream_origins::message::OriginRecord;
+use stallmoor_core::serving::stream_origins::rule::KnownOrigin;
 use stallmoor_core::serving::stream_origins::sharing::{Sharing, is_deducible};
 use stallmoor_core::serving::stream_origins::unconfirmed::{UnconfirmedOrigin, UnconfirmedOrigins};
 use stallmoor_core::serving::stream_origins::{
-    NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey, StreamOrigin, resume_rule,
+    Confirmation, NodeKnowledge, OriginDirectory, OriginOutbox, Resumption, Statement, StreamKey, StreamOrigin,
+    UnknownOrigin, resume_rule,
 };
 use stallmoor_core::serving::workers::versions::KnownVersions;
 use stallmoor_core::serving::workers::{SoftwareVersion, WorkerId, WorkerQuery, WorkerRecord, WorkerTable};
@@ -32,6 +34,19 @@
 const CONFIRM_INTERVAL: Millis = Millis(500);
 /// Time for which a fleet has been up when a test begins.
 const CALM: u64 = 60_000;
+/// All storage nodes, and none of them.
+const ALL: Reach = Reach([true; 3]);
+const NONE: Reach = Reach([false; 3]);
+
+/// Which storage nodes a gateway reaches.
+#[derive(Clone, Copy, Debug)]
+struct Reach([bool; 3]);
+
+impl Reach {
+    fn all_but(silent: usize) -> Self {
+        Self(std::array::from_fn(|node| node != silent))
+    }
+}
 
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(1_000_000 + millis)
@@ -144,6 +159,15 @@
         self.continuity.record(ViewUpdate::Replaced, now);
     }
 
+    /// Confirms the view for a request that has arrived, unless the node is cut off.
+    fn confirm_for_request(&mut self, present: &BTreeMap<WorkerId, WorkerRecord>, now: Timestamp) -> Confirmation {
+        if self.is_cut_off {
+            return Confirmation::Before;
+        }
+        self.confirm(present, now);
+        Confirmation::After
+    }
+
     fn versions(&self, now: Timestamp) -> KnownVersions {
         self.table.known_versions(SERVICE, now).observed(&self.continuity.observed(now))
     }
@@ -162,6 +186,7 @@
 
 struct Stream {
     began_at: Timestamp,
+    /// Versions of the workers whose events the client has received; empty if its gateway ended before the first one.
     versions: BTreeSet<SoftwareVersion>,
 }
 
@@ -299,19 +324,27 @@
             let entry = &mut self.gateways[gateway];
             let versions = entry.view.versions(self.now);
             for due in entry.outbox.take_due(|_, lifetime| is_deducible(&versions, lifetime), self.now) {
-                self.store(&due);
+                self.store(&due, COPIES, ALL);
             }
         }
     }
 
-    fn store(&mut self, due: &OriginRecord) {
-        for holder in holders(due.key, &self.nodes).into_iter().take(COPIES) {
-            self.storage[holder.node.0 as usize - 1].directory.record(due.key, &due.origin, self.now);
-        }
+    /// Stores an origin at the first `count` of its holders that are in reach. Returns how many these are.
+    fn store(&mut self, due: &OriginRecord, count: usize, reach: Reach) -> usize {
+        let holders = holders(due.key, &self.nodes).into_iter().map(|holder| holder.node.0 as usize - 1);
+        let stored: Vec<_> = holders.filter(|node| reach.0[*node]).take(count).collect();
+        stored.iter().for_each(|node| self.storage[*node].directory.record(due.key, &due.origin, self.now));
+        stored.len()
     }
 
     /// Begins a stream at a gateway, which may be killed right after the first event.
     fn begin(&mut self, gateway: usize, is_killed: bool) {
+        self.begin_within(gateway, is_killed, ALL);
+    }
+
+    /// Like [`Self::begin`], at a gateway that reaches some storage nodes. If it can't store the origin of a stream of a new
+    /// version, it is killed while it holds the first event.
+    fn begin_within(&mut self, gateway: usize, is_killed: bool, reach: Reach) {
         let (now, id) = (self.now, self.streams.len());
         let entry = &mut self.gateways[gateway];
         let Some(chosen) = entry.view.table.choose(&query(None), now, &mut self.random) else { return };
@@ -327,7 +360,11 @@
         let sharing = Sharing::of(&entry.view.versions(now), known_for, LIFETIME);
         entry.directory.record(due.key, &due.origin, now);
         if sharing == Sharing::BeforeFirstEvent {
-            self.store(&due);
+            let copies = COPIES.min(holders(due.key, &self.nodes).len());
+            if self.store(&due, usize::MAX, reach) < copies {
+                self.streams.push(Stream { began_at: now, versions: BTreeSet::new() });
+                return self.restart_gateway(gateway, None);
+            }
         } else {
             entry.outbox.add(due, LIFETIME, now);
         }
@@ -338,23 +375,33 @@
         self.share();
     }
 
-    /// Resumes a stream at a gateway, while one of the storage nodes may not answer. Returns whether it goes on.
-    fn resume(&mut self, stream: usize, gateway: usize, silent: Option<usize>) -> bool {
-        let (now, id) = (self.now, key(stream));
+    /// Resumes a stream at a gateway that reaches some storage nodes. Returns whether it goes on.
+    fn resume(&mut self, stream: usize, gateway: usize, reach: Reach) -> bool {
+        if self.streams[stream].versions.is_empty() {
+            return false;
+        }
+        let (now, id, service) = (self.now, key(stream), Arc::from(SERVICE));
         let mut answers = Vec::new();
-        for holder in holders(id, &self.nodes) {
-            let number = holder.node.0 as usize - 1;
+        let asked: Vec<_> = holders(id, &self.nodes).into_iter().map(|holder| holder.node.0 as usize - 1).collect();
+        for number in asked.iter().copied().filter(|node| reach.0[*node]) {
             let node = &mut self.storage[number];
+            let confirmation = node.view.confirm_for_request(&self.present, now);
             let origin = node.directory.look_up(id, now).into();
-            if silent != Some(number) {
-                answers.push(NodeKnowledge { origin, versions: node.view.versions(now) });
-            }
+            let known = NodeKnowledge { origin, versions: node.view.versions(now) };
+            answers.push(Statement { known, confirmation });
         }
         let entry = &mut self.gateways[gateway];
-        let origin = entry.directory.look_up(id, now).into();
-        let known = NodeKnowledge { origin, versions: entry.view.versions(now) };
-        let own = OwnKnowledge { known, view_age: entry.view.continuity.observed(now).age };
-        let decision = resume_rule(&Arc::from(SERVICE), &own, &answers, LIFETIME);
+        let origin: KnownOrigin = entry.directory.look_up(id, now).into();
+        let state = |entry: &Gateway, confirmation| {
+            let known = NodeKnowledge { origin: origin.clone(), versions: entry.view.versions(now) };
+            Statement { known, confirmation }
+        };
+        let own = state(entry, Confirmation::Before);
+        let mut decision = resume_rule(&service, &own, &answers, asked.len(), LIFETIME);
+        if decision.resumption == Resumption::Refused(UnknownOrigin::UncertainPast) {
+            let confirmation = entry.view.confirm_for_request(&self.present, now);
+            decision = resume_rule(&service, &state(entry, confirmation), &answers, asked.len(), LIFETIME);
+        }
         let Resumption::At(origin) = decision.resumption else { return false };
         entry.directory.record(id, &origin, now);
         let chosen = entry.view.table.choose(&query(Some(&origin.version)), now, &mut self.random);
@@ -369,7 +416,7 @@
     /// Resumes all streams and returns how many go on.
     fn resume_all(&mut self) -> usize {
         let gateways = self.gateways.len();
-        (0..self.streams.len()).filter(|stream| self.resume(*stream, stream % gateways, None)).count()
+        (0..self.streams.len()).filter(|stream| self.resume(*stream, stream % gateways, ALL)).count()
     }
 
     fn mixed(&self) -> usize {
@@ -413,7 +460,7 @@
     let of_v2 = fleet.streams.iter().filter(|stream| stream.versions.contains(&SoftwareVersion::new("v2"))).count();
     assert!(of_v2 > 0, "no stream began at the new version");
     (0..60).for_each(|stream| {
-        fleet.resume(stream, 3, None);
+        fleet.resume(stream, 3, ALL);
     });
     assert_eq!(fleet.mixed(), 0, "of {of_v2} streams of the new version");
 }
@@ -436,7 +483,7 @@
         (0..3).for_each(|worker| fleet.replace_worker(worker, "v1", false));
         fleet.begin(0, true);
         of_v1 += usize::from(fleet.streams[0].versions.contains(&SoftwareVersion::new("v1")));
-        fleet.resume(0, 1, None);
+        fleet.resume(0, 1, ALL);
         mixed += fleet.mixed();
     }
     assert!(of_v1 > 0, "no stream began at the version that came back");
@@ -494,6 +541,80 @@
     assert_eq!((fleet.resume_all(), fleet.mixed()), (180, 0));
 }
 
+/// Guards against a gateway that was cut off from the store a moment before workers of a new version joined, and takes up
+/// their streams: its view says that the former version alone has served up to now.
+#[test]
+fn a_gateway_cut_off_before_a_version_joined_does_not_deduce_the_former_one() {
+    let mut begun = 0;
+    for (has_storage, is_storage_cut_off) in [(false, false), (true, false), (true, true)] {
+        for seed in 0..5 {
+            let mut fleet = Fleet::new(2, 6, seed);
+            if !has_storage {
+                fleet.nodes = StorageDirectory::default();
+            }
+            fleet.wait(CALM);
+            fleet.set_cut_off(3 + 1, true);
+            (0..3).for_each(|node| fleet.set_cut_off(node, is_storage_cut_off));
+            (0..3).for_each(|worker| fleet.replace_worker(worker, "v2", false));
+            (0..20).for_each(|_| fleet.begin(0, false));
+            fleet.restart_gateway(0, None);
+            fleet.wait(1_000);
+            let of_v2 = |stream: &&Stream| stream.versions.contains(&SoftwareVersion::new("v2"));
+            begun += fleet.streams.iter().filter(of_v2).count();
+            for stream in 0..fleet.streams.len() {
+                fleet.resume(stream, 1, ALL);
+            }
+            assert_eq!(fleet.mixed(), 0, "storage nodes: {has_storage}, cut off: {is_storage_cut_off}");
+        }
+    }
+    assert!(begun > 0, "no stream began at the new version");
+}
+
+/// Guards against a gateway that decides by a storage node that is as far behind as itself and does not hold the stream's
+/// record.
+#[test]
+fn storage_nodes_that_are_behind_do_not_decide_below_the_quorum() {
+    let mut fleet = Fleet::new(2, 6, 7);
+    fleet.wait(CALM);
+    (0..3).for_each(|node| fleet.set_cut_off(node, true));
+    fleet.set_cut_off(3 + 1, true);
+    (0..3).for_each(|worker| fleet.replace_worker(worker, "v2", false));
+    (0..60).for_each(|_| fleet.begin_within(0, false, Reach::all_but(0)));
+    fleet.restart_gateway(0, None);
+    let only_first = Reach([true, false, false]);
+    (0..60).for_each(|stream| {
+        fleet.resume(stream, 1, only_first);
+    });
+    assert_eq!(fleet.mixed(), 0);
+}
+
+/// The other side of the guard: against refusing streams of a fleet of one version while the store is away, one storage
+/// node is gone, or none is in reach.
+#[test]
+fn streams_of_one_version_go_on_without_the_store_and_without_storage_nodes() {
+    let cases = [(ALL, false), (Reach::all_but(2), false), (NONE, false), (ALL, true), (Reach::all_but(1), true)];
+    for (reach, is_store_away) in cases {
+        let mut fleet = Fleet::new(3, 6, 8);
+        fleet.wait(CALM);
+        (0..30).for_each(|_| fleet.begin(0, false));
+        fleet.restart_gateway(0, None);
+        (0..6).for_each(|node| fleet.set_cut_off(node, is_store_away));
+        fleet.wait(1_500);
+        let going_on = (0..30).filter(|stream| fleet.resume(*stream, 1 + stream % 2, reach)).count();
+        assert_eq!(going_on, 30, "{reach:?}, without the store: {is_store_away}");
+    }
+}
+
+/// Guards against a quorum that has no node in common with the storage nodes that hold a record.
+#[test]
+fn a_lookup_meets_a_node_that_holds_the_record() {
+    for count in 1..=10_usize {
+        let asked = count.min(3);
+        assert!(lookup_quorum(asked) + COPIES.min(asked) > asked && lookup_quorum(asked) <= asked, "{asked}");
+    }
+    assert!(lookup_quorum(0) > 0, "no answer is no quorum");
+}
+
 /// Guards against durations that go on while a view is not updated, and after it could have missed changes.
 #[test]
 fn a_view_is_observed_only_while_it_is_confirmed_in_time() {
@@ -546,28 +667,35 @@
 
 #[derive(Clone, Debug)]
 enum Step {
-    Begin(usize, bool),
-    Resume(usize, usize, Option<usize>),
+    Begin(usize, bool, Reach),
+    Resume(usize, usize, Reach),
     RestartGateway(usize, Option<usize>),
     KillAllGateways,
     RestartStorage(usize),
     Replace(usize, usize, bool),
     ReplaceAll(usize),
     CutOff(usize, bool),
+    /// Cuts all storage nodes off from the store, or connects them again.
+    CutOffStore(bool),
     Wait(u64),
 }
 
+fn reach() -> impl Strategy<Value = Reach> {
+    prop_oneof![4 => Just(ALL), 2 => (0..3_usize).prop_map(Reach::all_but), 1 => any::<[bool; 3]>().prop_map(Reach), 1 => Just(NONE)]
+}
+
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let node = || proptest::option::of(0..3_usize);
     let step = prop_oneof![
-        8 => (0..3_usize, any::<bool>()).prop_map(|(gateway, is_killed)| Step::Begin(gateway, is_killed)),
-        10 => (0..64_usize, 0..3_usize, node()).prop_map(|(stream, gateway, silent)| Step::Resume(stream, gateway, silent)),
+        8 => (0..3_usize, any::<bool>(), reach()).prop_map(|(gateway, is_killed, reach)| Step::Begin(gateway, is_killed, reach)),
+        10 => (0..64_usize, 0..3_usize, reach()).prop_map(|(stream, gateway, reach)| Step::Resume(stream, gateway, reach)),
         1 => (0..3_usize, node()).prop_map(|(gateway, source)| Step::RestartGateway(gateway, source)),
         1 => Just(Step::KillAllGateways),
         1 => (0..3_usize).prop_map(Step::RestartStorage),
         2 => (0..2_usize, 0..2_usize, any::<bool>()).prop_map(|(worker, version, keeps_id)| Step::Replace(worker, version, keeps_id)),
         2 => (0..2_usize).prop_map(Step::ReplaceAll),
         3 => (0..6_usize, any::<bool>()).prop_map(|(node, is_cut_off)| Step::CutOff(node, is_cut_off)),
+        1 => any::<bool>().prop_map(Step::CutOffStore),
         2 => (0..3_000_u64).prop_map(Step::Wait),
         1 => (3_000..90_000_u64).prop_map(Step::Wait),
     ];
@@ -590,12 +718,12 @@
         fleet.wait(CALM);
         for step in steps {
             match step {
-                Step::Begin(gateway, is_killed) => fleet.begin(gateway, is_killed),
-                Step::Resume(stream, gateway, silent) => {
+                Step::Begin(gateway, is_killed, reach) => fleet.begin_within(gateway, is_killed, reach),
+                Step::Resume(stream, gateway, reach) => {
                     let count = fleet.streams.len();
                     let stream = stream % count.max(1);
                     if count > 0 && fleet.now.since(fleet.streams[stream].began_at) < LIFETIME {
-                        fleet.resume(stream, gateway, silent);
+                        fleet.resume(stream, gateway, reach);
                     }
                 }
                 Step::RestartGateway(gateway, source) => fleet.restart_gateway(gateway, source),
@@ -604,6 +732,7 @@
                 Step::Replace(worker, version, keeps_id) => fleet.replace_worker(worker, ["v1", "v2"][version], keeps_id),
                 Step::ReplaceAll(version) => fleet.replace_all(["v1", "v2"][version]),
                 Step::CutOff(node, is_cut_off) => fleet.set_cut_off(node, is_cut_off),
+                Step::CutOffStore(is_cut_off) => (0..3).for_each(|node| fleet.set_cut_off(node, is_cut_off)),
                 Step::Wait(span) => fleet.wait(span),
             }
             prop_assert_eq!(fleet.mixed(), 0);
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -19,8 +19,8 @@
 use stallmoor_core::serving::stream_origins::message::OriginRecord;
 use stallmoor_core::serving::stream_origins::rule::KnownOrigin;
 use stallmoor_core::serving::stream_origins::{
-    Basis, Informant, NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey, StreamOrigin,
-    UnknownOrigin, resume_rule, stream_lifetime,
+    Basis, Confirmation, Informant, NodeKnowledge, OriginDirectory, OriginOutbox, Resumption, Statement, StreamKey,
+    StreamOrigin, UnknownOrigin, resume_rule, stream_lifetime,
 };
 use stallmoor_core::serving::workers::versions::KnownVersions;
 use stallmoor_core::serving::workers::{SoftwareVersion, WorkerId, WorkerQuery, WorkerRecord, WorkerTable};
@@ -28,7 +28,6 @@
 
 const SERVICE: &str = "lm";
 const LIFETIME: Millis = Millis(10_000);
-const CURRENT: Option<Millis> = Some(Millis(300));
 
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(1_000_000 + millis)
@@ -54,25 +53,37 @@
     NodeKnowledge { origin, versions }
 }
 
-fn resume(own: NodeKnowledge, view_age: Option<Millis>, answers: &[NodeKnowledge]) -> Resumption {
-    resume_rule(&Arc::from(SERVICE), &OwnKnowledge { known: own, view_age }, answers, LIFETIME).resumption
+/// Returns the statement of a node whose view was confirmed after the request arrived.
+fn after(known: NodeKnowledge) -> Statement {
+    Statement { known, confirmation: Confirmation::After }
+}
+
+/// Returns the statement of a node whose view was confirmed before the request arrived.
+fn before(known: NodeKnowledge) -> Statement {
+    Statement { known, confirmation: Confirmation::Before }
+}
+
+fn resume(own: Statement, answers: &[Statement]) -> Resumption {
+    resume_rule(&Arc::from(SERVICE), &own, answers, ASKED, LIFETIME).resumption
 }
 
 /// Guards against logs that do not tell how the origin of a resumed stream was known, and by which node.
 #[test]
 fn a_decision_names_what_it_rests_on() {
-    let basis = |own: NodeKnowledge, answers: &[NodeKnowledge]| {
-        resume_rule(&Arc::from(SERVICE), &OwnKnowledge { known: own, view_age: CURRENT }, answers, LIFETIME).basis
-    };
+    let basis = |own, answers: &[Statement]| resume_rule(&Arc::from(SERVICE), &own, answers, ASKED, LIFETIME).basis;
     let known = || KnownOrigin::Known(origin("v1"));
-    let blank = || node(KnownOrigin::Unknown, KnownVersions::Unknown);
-    assert_eq!(basis(node(known(), KnownVersions::Several), &[]), Basis::Record(Informant::Own));
-    let answers = [blank(), node(known(), KnownVersions::Several)];
+    let blank = || before(node(KnownOrigin::Unknown, KnownVersions::Unknown));
+    assert_eq!(basis(before(node(known(), KnownVersions::Several)), &[]), Basis::Record(Informant::Own));
+    let answers = [blank(), before(node(known(), KnownVersions::Several))];
     assert_eq!(basis(blank(), &answers), Basis::Record(Informant::Answer(1)));
     let versions = |lasted| node(KnownOrigin::Unknown, sole("v1", lasted));
-    assert_eq!(basis(versions(10), &[blank(), versions(LIFETIME.0)]), Basis::Versions(Informant::Answer(1)));
-    let several = node(KnownOrigin::Unknown, KnownVersions::Several);
-    assert_eq!(basis(versions(LIFETIME.0), &[several]), Basis::Versions(Informant::Answer(0)));
+    let long = LIFETIME.0;
+    assert_eq!(basis(before(versions(10)), &[blank(), after(versions(long))]), Basis::Versions(Informant::Answer(1)));
+    assert_eq!(basis(after(versions(long)), &[]), Basis::Versions(Informant::Own));
+    let quorum = [blank(), before(versions(long)), before(versions(long))];
+    assert_eq!(basis(blank(), &quorum), Basis::Quorum(Informant::Answer(1)));
+    let several = before(node(KnownOrigin::Unknown, KnownVersions::Several));
+    assert_eq!(basis(after(versions(long)), &[several]), Basis::Versions(Informant::Answer(0)));
     assert_eq!(basis(blank(), &[blank()]), Basis::Nothing);
 }
 
@@ -81,42 +92,58 @@
 fn a_recorded_origin_decides_whatever_versions_are_known() {
     let known = |name: &str| KnownOrigin::Known(origin(name));
     for versions in [KnownVersions::Unknown, KnownVersions::Several, sole("v2", 60_000)] {
-        let own = node(known("v1"), versions.clone());
-        assert_eq!(resume(own, CURRENT, &[]), Resumption::At(origin("v1")));
-        let asked = node(KnownOrigin::Unknown, versions);
-        assert_eq!(resume(asked, None, &[node(known("v1"), KnownVersions::Several)]), Resumption::At(origin("v1")));
+        for state in [before, after] {
+            let own = node(known("v1"), versions.clone());
+            assert_eq!(resume(state(own), &[]), Resumption::At(origin("v1")));
+            let asked = node(KnownOrigin::Unknown, versions.clone());
+            let answer = before(node(known("v1"), KnownVersions::Several));
+            assert_eq!(resume(state(asked), &[answer]), Resumption::At(origin("v1")));
+        }
     }
     let conflict = Resumption::Refused(UnknownOrigin::Conflicting);
-    let own = node(known("v1"), sole("v1", 60_000));
-    assert_eq!(resume(own.clone(), CURRENT, &[node(known("v2"), KnownVersions::Several)]), conflict);
-    assert_eq!(resume(own, CURRENT, &[node(KnownOrigin::Conflicting, KnownVersions::Several)]), conflict);
+    let own = after(node(known("v1"), sole("v1", 60_000)));
+    assert_eq!(resume(own.clone(), &[before(node(known("v2"), KnownVersions::Several))]), conflict);
+    assert_eq!(resume(own, &[before(node(KnownOrigin::Conflicting, KnownVersions::Several))]), conflict);
 }
 
-/// Guards against guesses: a stream without a record is resumed only if one version alone has served for long enough.
+/// Guards against guesses: a stream without a record is resumed only if one version alone has served for long enough, up to
+/// the request.
 #[test]
 fn an_unrecorded_stream_is_resumed_only_if_its_version_can_be_deduced() {
     let unknown = |versions| node(KnownOrigin::Unknown, versions);
     let refused = Resumption::Refused;
     let long = LIFETIME.0;
-    assert_eq!(resume(unknown(sole("v1", long)), CURRENT, &[]), Resumption::At(origin("v1")));
-    assert_eq!(resume(unknown(KnownVersions::Several), CURRENT, &[]), refused(UnknownOrigin::SeveralVersions));
-    assert_eq!(resume(unknown(sole("v1", long - 1)), CURRENT, &[]), refused(UnknownOrigin::UncertainPast));
-    assert_eq!(resume(unknown(KnownVersions::Unknown), CURRENT, &[]), refused(UnknownOrigin::UncertainPast));
+    assert_eq!(resume(after(unknown(sole("v1", long))), &[]), Resumption::At(origin("v1")));
+    assert_eq!(resume(after(unknown(KnownVersions::Several)), &[]), refused(UnknownOrigin::SeveralVersions));
+    assert_eq!(resume(after(unknown(sole("v1", long - 1))), &[]), refused(UnknownOrigin::UncertainPast));
+    assert_eq!(resume(after(unknown(KnownVersions::Unknown)), &[]), refused(UnknownOrigin::UncertainPast));
     // A node that was restarted relies on one that was not.
-    let restarted = unknown(sole("v1", 100));
-    assert_eq!(resume(restarted.clone(), CURRENT, &[unknown(sole("v1", long))]), Resumption::At(origin("v1")));
-    assert_eq!(resume(restarted, CURRENT, &[unknown(sole("v2", long))]), refused(UnknownOrigin::SeveralVersions));
+    let restarted = after(unknown(sole("v1", 100)));
+    let v1 = || after(unknown(sole("v1", long)));
+    assert_eq!(resume(restarted.clone(), &[v1()]), Resumption::At(origin("v1")));
+    assert_eq!(resume(restarted, &[after(unknown(sole("v2", long)))]), refused(UnknownOrigin::SeveralVersions));
     // A node that has just started knows no workers, which is no evidence of another version.
-    let just_started = unknown(KnownVersions::Unknown);
-    assert_eq!(resume(unknown(sole("v1", long)), CURRENT, &[just_started]), Resumption::At(origin("v1")));
-    assert_eq!(
-        resume(unknown(sole("v1", long)), CURRENT, &[unknown(KnownVersions::Several)]),
-        refused(UnknownOrigin::SeveralVersions)
-    );
-    // A node that is cut off from everything may have missed a new version.
-    for view_age in [None, Some(Millis(5_000))] {
-        assert_eq!(resume(unknown(sole("v1", long)), view_age, &[]), refused(UnknownOrigin::UncertainPast));
-    }
+    let just_started = after(unknown(KnownVersions::Unknown));
+    assert_eq!(resume(v1(), &[just_started]), Resumption::At(origin("v1")));
+    let several = before(unknown(KnownVersions::Several));
+    assert_eq!(resume(v1(), &[several]), refused(UnknownOrigin::SeveralVersions));
+}
+
+/// Guards against a version that joined after the last confirmation of a view and began the stream: views that were
+/// confirmed before the request decide only by a quorum of storage nodes without a record.
+#[test]
+fn a_view_confirmed_before_the_request_decides_only_with_a_quorum() {
+    let v1 = |lasted| before(node(KnownOrigin::Unknown, sole("v1", lasted)));
+    let (long, refused) = (LIFETIME.0, Resumption::Refused(UnknownOrigin::UncertainPast));
+    assert_eq!(resume(v1(long), &[]), refused);
+    assert_eq!(resume(v1(long), &[v1(long)]), refused, "one of three storage nodes may lack the record");
+    assert_eq!(resume(v1(long), &[v1(long), v1(long - 1)]), refused, "a node that has started since lost its records");
+    assert_eq!(resume(v1(0), &[v1(long), v1(long)]), Resumption::At(origin("v1")));
+    let with_holders = |holders, answers: &[Statement]| {
+        resume_rule(&Arc::from(SERVICE), &v1(long), answers, holders, LIFETIME).resumption
+    };
+    assert_eq!(with_holders(0, &[]), refused, "without storage nodes there are no records");
+    assert_eq!(with_holders(2, &[v1(long)]), Resumption::At(origin("v1")), "both hold a record");
 }
 
 /// Guards against a client that uses an ID twice, and against records that arrive twice.
@@ -434,17 +461,17 @@
     fn resume(&mut self, stream: usize, gateway: usize) -> bool {
         let (now, id) = (self.now, self.streams[stream].id);
         let entry = &mut self.gateways[gateway];
-        let view_age = Some(if entry.is_cut_off { Millis(5_000) } else { Millis(100) });
+        let confirmation = if entry.is_cut_off { Confirmation::Before } else { Confirmation::After };
         let known = Self::knowledge(&mut entry.directory, &entry.table, id, now);
         let mut answers = Vec::new();
         if !entry.is_cut_off {
             for holder in holders(key(id), &self.nodes) {
                 let node = &mut self.storage[holder.node.0 as usize - 1];
-                answers.push(Self::knowledge(&mut node.directory, &node.table, id, now));
+                answers.push(after(Self::knowledge(&mut node.directory, &node.table, id, now)));
             }
         }
-        let own = OwnKnowledge { known, view_age };
-        let decision = resume_rule(&Arc::from(SERVICE), &own, &answers, LIFETIME);
+        let own = Statement { known, confirmation };
+        let decision = resume_rule(&Arc::from(SERVICE), &own, &answers, ASKED, LIFETIME);
         let Resumption::At(origin) = decision.resumption else { return false };
         let table = &self.gateways[gateway].table;
         let Some(chosen) = table.choose(&query(Some(&origin.version)), now, &mut self.random) else { return false };
--- a/crates/gateway/src/adapter/metadata.rs
+++ b/crates/gateway/src/adapter/metadata.rs
@@ -6,6 +6,7 @@
 
 use stallmoor_core::serving::configuration::GatewayConfiguration;
 use stallmoor_core::serving::jobs::members::DrainState;
+use stallmoor_core::serving::relay::confirmation::ConfirmedReads;
 use stallmoor_core::serving::relay::item::{KeyState, MetadataItem, Revision};
 use stallmoor_core::serving::relay::outage::RecordGrace;
 use stallmoor_core::serving::workers::{WorkerId, WorkerRecord};
@@ -34,6 +35,8 @@
     },
     /// The initial read of the store is complete, and all its updates have been delivered.
     Synced,
+    /// A read that a request for a confirmation caused has ended, and all its updates have been delivered.
+    ReadAfterRequest(ConfirmedReads),
     /// An operator evacuates a zone, so that its workers receive no requests, or cancels the evacuation.
     ZoneEvacuation {
         /// Name of the zone.
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -17,6 +17,7 @@
 use stallmoor_core::serving::online::RETRY_LIMITS;
 use stallmoor_core::serving::quota::fleet_size::FleetSize;
 use stallmoor_core::serving::regions::RegionMap;
+use stallmoor_core::serving::relay::confirmation::ConfirmedReads;
 use stallmoor_core::serving::relay::item::MetadataItem;
 use stallmoor_core::serving::workers::{WorkerChange, WorkerId, WorkerTable};
 use stallmoor_core::time::{Millis, Timestamp};
@@ -57,6 +58,7 @@
     retry_budget: Mutex<RetryBudget>,
     /// Set after the first complete read of the store.
     is_synced: AtomicBool,
+    confirmed_reads: watch::Sender<ConfirmedReads>,
     changed: watch::Sender<u64>,
 }
 
@@ -82,6 +84,7 @@
             random: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(seed)),
             retry_budget: Mutex::new(RetryBudget::new(RETRY_LIMITS)),
             is_synced: AtomicBool::new(false),
+            confirmed_reads: watch::Sender::new(ConfirmedReads::default()),
             changed: watch::Sender::new(0),
         }
     }
@@ -162,6 +165,11 @@
         self.changed.subscribe()
     }
 
+    /// Subscribes to the reads that confirmed this view, of which all updates are applied.
+    pub fn confirmed_reads(&self) -> watch::Receiver<ConfirmedReads> {
+        self.confirmed_reads.subscribe()
+    }
+
     /// Returns the cache size of each worker of a service, in tokens; 0 if unknown.
     pub fn worker_cache_tokens(&self, service: &str) -> u64 {
         let configuration = self.configuration();
@@ -182,6 +190,10 @@
             FleetUpdate::WorkerMissing { worker, until } => self.mark_worker_missing(worker, *until),
             FleetUpdate::ZoneEvacuation { zone, evacuated } => self.set_zone_evacuation(zone, *evacuated),
             FleetUpdate::Synced => self.is_synced.store(true, Ordering::Relaxed),
+            FleetUpdate::ReadAfterRequest(reads) => {
+                self.confirmed_reads.send_replace(*reads);
+                return;
+            }
             FleetUpdate::InternalItem(item) => self.apply_internal_item(item),
             FleetUpdate::Unreadable { detail, worker } => {
                 record(LogEvent::RecordUnreadable, &[Field::text("detail", detail)]);
--- a/crates/gateway/src/fleet/metadata_view.rs
+++ b/crates/gateway/src/fleet/metadata_view.rs
@@ -8,6 +8,7 @@
 
 use stallmoor_core::peer_message::{GroupAnswerBody, GroupRefusal};
 use stallmoor_core::serving::relay::bounds::WatchBounds;
+use stallmoor_core::serving::relay::confirmation::{ConfirmationRequest, ConfirmationRequests, ConfirmedReads};
 use stallmoor_core::serving::relay::contents::{ContentsAnswer, pack};
 use stallmoor_core::serving::relay::continuity::{Continuity, Observation, ViewUpdate};
 use stallmoor_core::serving::relay::item::{MetadataItem, Revision};
@@ -33,6 +34,7 @@
     /// Start of the current outage of the store; `None` while it is reachable.
     unreachable_since: Option<Timestamp>,
     packed: Option<PackedItems>,
+    confirmations: ConfirmationRequests,
 }
 
 /// All items of a view, packed for nodes whose revision is too old for an incremental update.
@@ -75,13 +77,16 @@
     changed: watch::Sender<u64>,
     /// Notified when a request from another node arrives.
     request_received: Notify,
+    /// Notified when a confirmation is requested.
+    confirmation_requested: Notify,
 }
 
 impl MetadataView {
     /// Creates an empty view.
     pub fn new(clock: NodeClock, bounds: WatchBounds) -> Self {
         let changed = watch::Sender::new(0);
-        Self { clock, bounds, state: Mutex::default(), changed, request_received: Notify::new() }
+        let (request_received, confirmation_requested) = (Notify::new(), Notify::new());
+        Self { clock, bounds, state: Mutex::default(), changed, request_received, confirmation_requested }
     }
 
     /// Returns the state that the watch policy bases its next step on.
@@ -102,6 +107,37 @@
         self.request_received.notified().await;
     }
 
+    /// Requests a read of the store that begins after this call; `None` if the store is known to be out of reach.
+    pub fn request_confirmation(&self) -> Option<ConfirmationRequest> {
+        let mut state = self.lock();
+        if state.mirror.at().is_none() || state.unreachable_since.is_some() {
+            return None;
+        }
+        let request = state.confirmations.add();
+        self.confirmation_requested.notify_one();
+        Some(request)
+    }
+
+    /// Waits until a confirmation is requested.
+    pub async fn wait_for_confirmation_request(&self) {
+        self.confirmation_requested.notified().await;
+    }
+
+    /// Returns the time to wait until a read that confirms the view may begin.
+    pub fn wait_before_confirmation(&self) -> Millis {
+        self.lock().confirmations.wait_before_read(self.clock.now())
+    }
+
+    /// Records that a read begins that confirms the view, and returns the last request that it serves.
+    pub fn begin_confirmation(&self) -> ConfirmationRequest {
+        self.lock().confirmations.begin_read(self.clock.now())
+    }
+
+    /// Records that the read that serves the requests up to `served` has ended.
+    pub fn end_confirmation(&self, served: ConfirmationRequest, is_confirmed: bool) -> ConfirmedReads {
+        self.lock().confirmations.end_read(served, is_confirmed)
+    }
+
     /// Replaces the view by the complete contents of the store, which were current at `confirmed`. Returns the items
     /// that changed.
     pub fn replace(
--- a/crates/gateway/src/fleet/metadata_watch.rs
+++ b/crates/gateway/src/fleet/metadata_watch.rs
@@ -3,6 +3,7 @@
 //! Performs the calls and logs which relay the node follows. [`WatchPolicy`] decides where to get the next changes from
 //! and how long a call may take.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::serving::relay::bounds::WatchBounds;
+use stallmoor_core::serving::relay::confirmation::CONFIRMATION_TIMEOUT;
 use stallmoor_core::serving::relay::item::{MetadataItem, Revision};
 use stallmoor_core::serving::relay::message::{ChangesAnswer, ChangesRequest};
 use stallmoor_core::serving::relay::mirror::MissingKeys;
@@ -26,6 +28,9 @@
 use crate::observe::journal::{Field, record};
 use crate::observe::measures;
 
+/// Wait of a watch that confirms the view: none, as the store answers once there is nothing to report.
+const CONFIRMATION_WAIT: Millis = Millis(1);
+
 /// Follows the store's changes and publishes them as fleet updates.
 pub struct MetadataWatch {
     id: NodeId,
@@ -92,12 +97,53 @@
     /// Waits for a call. In a role that yields to requests, cancels the call and returns `None` if a request from
     /// another node arrives first.
     async fn run_until_requested<T>(&self, call: impl Future<Output = T>) -> Option<T> {
-        tokio::select! {
-            answer = call => Some(answer),
-            () = self.view.wait_for_request(), if self.role.yields_to_requests() => None,
+        let mut call = pin!(call);
+        loop {
+            tokio::select! {
+                biased;
+                answer = &mut call => return Some(answer),
+                // A read that has begun is not canceled, as others wait for it.
+                () = self.view.wait_for_confirmation_request() => self.confirm_view().await,
+                () = self.view.wait_for_request(), if self.role.yields_to_requests() => return None,
+            }
         }
     }
 
+    /// Waits before the next call, and meanwhile confirms the view whenever that is requested.
+    async fn pause(&self, span: Millis) {
+        let mut pause = pin!(tokio::time::sleep(as_duration(span)));
+        loop {
+            tokio::select! {
+                () = &mut pause => return,
+                () = self.view.wait_for_confirmation_request() => self.confirm_view().await,
+            }
+        }
+    }
+
+    /// Confirms the view by a read that begins now. A read that fails has no other consequences: the calls that follow
+    /// the store show whether it can be reached.
+    async fn confirm_view(&self) {
+        tokio::time::sleep(as_duration(self.view.wait_before_confirmation())).await;
+        let served = self.view.begin_confirmation();
+        let is_confirmed = self.read_changes().await;
+        self.send(FleetUpdate::ReadAfterRequest(self.view.end_confirmation(served, is_confirmed)));
+    }
+
+    /// Applies the changes up to now. Returns whether the store answered.
+    async fn read_changes(&self) -> bool {
+        let state = self.view.state();
+        let Some(since) = state.at.filter(|_| self.policy.can_confirm(state)) else { return false };
+        let started_at = self.fleet.clock.now();
+        measures::count_store_call("confirm");
+        let reading = self.store.changes(since, CONFIRMATION_WAIT);
+        let result = tokio::time::timeout(as_duration(CONFIRMATION_TIMEOUT), reading).await;
+        let Ok(Ok(ItemSnapshot { items, at })) = result else { return false };
+        let grace = self.policy.record_grace(self.view.state());
+        let changed = self.view.advance(items, at, started_at);
+        self.publish(&changed, &grace);
+        true
+    }
+
     async fn query_relay(&mut self, relay: NodeId, since: Option<Revision>, hold: Millis, timeout: Millis) {
         let requested_at = self.fleet.clock.now();
         let address = self.fleet.storage().of_node(relay).map(|record| record.address);
@@ -214,7 +260,7 @@
                 let changed = self.view.advance(items, at, confirmed);
                 self.publish(&changed, &grace);
                 if has_changes {
-                    tokio::time::sleep(as_duration(self.policy.pause(self.role))).await;
+                    self.pause(self.policy.pause(self.role)).await;
                 }
             }
             Err(ReadFailure::HistoryGone) => self.policy.record_compacted_history(),
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! | module | contents |
 //! |---|---|
+//! | [`confirmation`] | waiting until the view contains all changes up to a request |
 //! | [`crash_reports`] | publishing this machine's record of worker crashes |
 //! | [`crash_view`] | the requests and prompt parts that crash workers |
 //! | [`fleet_view`] | the active configuration, the workers and the storage nodes |
@@ -12,6 +13,7 @@
 //! | `relay_calls` | requests to relays of this version and the previous one |
 //! | [`metadata_watch`] | following the store, directly or through a relay |
 
+pub mod confirmation;
 pub mod crash_reports;
 pub mod crash_view;
 pub mod fleet_view;
--- a/crates/gateway/src/storage/peer_listener.rs
+++ b/crates/gateway/src/storage/peer_listener.rs
@@ -116,8 +116,9 @@
             send_answer(request.id, answers.clone(), answer);
         }
         GroupRequestBody::Origins(body) => {
-            let answer = answerers.origins.answer(body);
-            send_answer(request.id, answers.clone(), async move { Some(Ok(GroupAnswerBody::Origins(answer))) });
+            let origins = answerers.origins.clone();
+            let answer = async move { Some(Ok(GroupAnswerBody::Origins(origins.answer(body).await))) };
+            send_answer(request.id, answers.clone(), answer);
         }
         // These requests are addressed to groups that storage nodes do not host.
         GroupRequestBody::Command(_) | GroupRequestBody::Query(_) => {}
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -16,27 +16,33 @@
 use stallmoor_core::serving::stream_origins::sharing::{Sharing, is_deducible};
 use stallmoor_core::serving::stream_origins::unconfirmed::{Contradiction, UnconfirmedOrigin, UnconfirmedOrigins};
 use stallmoor_core::serving::stream_origins::{
-    Decision, Informant, NodeKnowledge, OriginDirectory, OriginOutbox, OwnKnowledge, Resumption, StreamKey,
-    StreamOrigin, resume_rule,
+    Confirmation, Decision, Informant, NodeKnowledge, OriginDirectory, OriginOutbox, Resumption, Statement, StreamKey,
+    StreamOrigin, UnknownOrigin, resume_rule,
 };
 use stallmoor_core::serving::workers::WorkerId;
 use stallmoor_core::serving::workers::versions::KnownVersions;
 use stallmoor_core::time::{Millis, Timestamp};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
+use crate::fleet::confirmation;
 use crate::fleet::fleet_view::FleetView;
 use crate::fleet::metadata_view::MetadataView;
-use crate::peers::peer_link::{PeerLinks, PeerRequest};
+use crate::peers::peer_link::{PeerCallError, PeerLinks, PeerRequest};
 
 /// Maximum time to wait for a storage node's answer to a lookup, which a caller waits for.
 const FIND_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum time to wait for a storage node to confirm origins before they are sent to another one.
 const STORE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum time for which the first event of a stream is held until its origin is stored.
+/// Maximum time to wait for storage nodes to confirm the origin of a stream whose first event is held.
 const FIRST_STORE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time after which storage nodes that did not confirm it in time are tried again.
+const FIRST_STORE_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Time for which a node that did not answer is avoided while others respond.
 const AVOIDANCE: Millis = Millis(2_000);
+/// Key by which the storage nodes are chosen for a stream that its client does not name.
+const UNNAMED: StreamKey = StreamKey(0);
 /// Interval at which departed workers are evicted, whose versions count until then.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -110,7 +116,7 @@
         let unconfirmed = UnconfirmedOrigin { record: record.clone(), lifetime, worker: worker.clone(), began_at: now };
         lock(&self.unconfirmed).add(unconfirmed);
         let sharing = self.sharing(&record, lifetime);
-        if sharing == Sharing::BeforeFirstEvent && self.store_first(record.clone()).await {
+        if sharing == Sharing::BeforeFirstEvent && self.store_first(&record).await {
             return sharing;
         }
         lock(&self.outbox).add(record, lifetime, now);
@@ -127,21 +133,51 @@
         Sharing::of(&versions, known_for, lifetime)
     }
 
-    /// Stores an origin at storage nodes. Returns whether one of them confirmed it in time; the others may follow.
-    async fn store_first(self: &Arc<Self>, record: OriginRecord) -> bool {
+    /// Stores an origin at as many storage nodes as a lookup relies on. Returns false once other nodes know the version by
+    /// the records of its workers, or if there are no storage nodes.
+    async fn store_first(self: &Arc<Self>, record: &OriginRecord) -> bool {
+        let StreamOrigin { service, version } = &record.origin;
+        loop {
+            let copies = COPIES.min(holders(record.key, &self.view.storage()).len());
+            if copies == 0 {
+                return false;
+            }
+            if self.store_copies(record, copies).await {
+                return true;
+            }
+            let known_for = self.view.workers().version_known_for(service, version, self.view.clock.now());
+            if !Sharing::is_new(known_for) {
+                return false;
+            }
+            tokio::time::sleep(FIRST_STORE_RETRY_DELAY).await;
+        }
+    }
+
+    /// Sends an origin to all storage nodes that may store it. Returns whether `copies` of them confirmed it in time; the
+    /// others may follow.
+    async fn store_copies(self: &Arc<Self>, record: &OriginRecord, copies: usize) -> bool {
         let mut stores = JoinSet::new();
-        for (holder, records) in self.by_holder(vec![record]) {
-            stores.spawn(self.clone().store(holder, records));
+        for holder in self.responsive_holders(record.key) {
+            let (origins, records) = (self.clone(), vec![record.clone()]);
+            stores.spawn(async move {
+                let is_stored = origins.send(holder, records).await;
+                if !is_stored {
+                    origins.avoid(holder);
+                }
+                is_stored
+            });
         }
-        let first = async {
+        let mut confirmed = 0;
+        let confirming = async {
             while let Some(stored) = stores.join_next().await {
-                if matches!(stored, Ok(true)) {
+                confirmed += usize::from(matches!(stored, Ok(true)));
+                if confirmed >= copies {
                     return true;
                 }
             }
             false
         };
-        let is_stored = tokio::time::timeout(FIRST_STORE_TIMEOUT, first).await.unwrap_or(false);
+        let is_stored = tokio::time::timeout(FIRST_STORE_TIMEOUT, confirming).await.unwrap_or(false);
         stores.detach_all();
         is_stored
     }
@@ -184,7 +220,7 @@
     }
 
     /// Stores origins that a gateway sent, or returns what this node knows of a stream.
-    pub fn answer(&self, request: OriginsRequest) -> OriginsAnswer {
+    pub async fn answer(&self, request: OriginsRequest) -> OriginsAnswer {
         match request {
             OriginsRequest::Store(records) => {
                 let now = self.view.clock.now();
@@ -195,7 +231,22 @@
                 OriginsAnswer::Stored
             }
             OriginsRequest::Find { key, service } => OriginsAnswer::Found(self.knowledge(key, &service)),
+            OriginsRequest::FindConfirmed { key, service } => {
+                OriginsAnswer::Stated(self.confirmed_statement(key, &service).await)
+            }
+        }
+    }
+
+    /// Returns what this node knows of a stream. Confirms its view of the workers first if the decision may rest on it.
+    async fn confirmed_statement(&self, key: Option<StreamKey>, service: &str) -> Statement {
+        let known = self.knowledge(key, service);
+        if !known.origin.is_unknown() || !matches!(known.versions, KnownVersions::Sole { .. }) {
+            return Statement { known, confirmation: Confirmation::Before };
         }
+        let is_confirmed = confirmation::confirm(&self.view, &self.metadata).await;
+        // Records and changes of the workers may have arrived meanwhile.
+        let known = self.knowledge(key, service);
+        Statement { known, confirmation: if is_confirmed { Confirmation::After } else { Confirmation::Before } }
     }
 
     /// Decides where a stream may be resumed. Asks storage nodes if this node does not know its origin.
@@ -206,25 +257,30 @@
         lifetime: Millis,
         remaining: Millis,
     ) -> Resolved {
-        let own = OwnKnowledge { known: self.knowledge(key, service), view_age: self.metadata.state().age };
+        let statement = || Statement { known: self.knowledge(key, service), confirmation: Confirmation::Before };
         let (mut nodes, mut answers) = (Vec::new(), Vec::new());
-        let mut decision = resume_rule(service, &own, &answers, lifetime);
+        let holder_count = holders(key.unwrap_or(UNNAMED), &self.view.storage()).len();
+        let own = statement();
+        let mut decision = resume_rule(service, &own, &answers, holder_count, lifetime);
         if !own.known.origin.is_unknown() {
             return self.resolved(decision, &nodes);
         }
-        let request = OriginsRequest::Find { key, service: service.clone() };
         let timeout = FIND_TIMEOUT.min(Duration::from_millis(remaining.0 / 2));
-        let mut asked = self.ask(key.unwrap_or(StreamKey(0)), &request, timeout);
+        let mut asked = self.ask(key, service, timeout);
         while let Some(answer) = asked.join_next().await {
             let Ok(Some((node, answer))) = answer else { continue };
-            let is_recorded = !answer.origin.is_unknown();
+            let is_recorded = !answer.known.origin.is_unknown();
             nodes.push(node);
             answers.push(answer);
-            decision = resume_rule(service, &own, &answers, lifetime);
-            if is_recorded {
+            decision = resume_rule(service, &statement(), &answers, holder_count, lifetime);
+            if is_recorded || matches!(decision.resumption, Resumption::At(_)) {
                 break;
             }
         }
+        if decision.resumption == Resumption::Refused(UnknownOrigin::UncertainPast) {
+            let own = self.confirmed_statement(key, service).await;
+            decision = resume_rule(service, &own, &answers, holder_count, lifetime);
+        }
         if let (Resumption::At(origin), Some(key)) = (&decision.resumption, key) {
             lock(&self.directory).record(key, origin, self.view.clock.now());
         }
@@ -251,26 +307,48 @@
     /// Asks the storage nodes that may have stored a stream's origin.
     fn ask(
         self: &Arc<Self>,
-        key: StreamKey,
-        request: &OriginsRequest,
+        key: Option<StreamKey>,
+        service: &Arc<str>,
         timeout: Duration,
-    ) -> JoinSet<Option<(NodeId, NodeKnowledge)>> {
+    ) -> JoinSet<Option<(NodeId, Statement)>> {
         let mut asked = JoinSet::new();
-        for holder in self.responsive_holders(key) {
-            let (origins, request) = (self.clone(), request.clone());
+        for holder in self.responsive_holders(key.unwrap_or(UNNAMED)) {
+            let (origins, service) = (self.clone(), service.clone());
             asked.spawn(async move {
-                match origins.links.send_request(holder.address, request, timeout).await {
-                    Ok(OriginsAnswer::Found(knowledge)) => Some((holder.node, knowledge)),
-                    _ => {
-                        origins.avoid(holder);
-                        None
-                    }
+                let statement = origins.ask_holder(holder, key, &service, timeout).await;
+                if statement.is_none() {
+                    origins.avoid(holder);
                 }
+                statement.map(|statement| (holder.node, statement))
             });
         }
         asked
     }
 
+    /// Asks a storage node. One of an earlier version closes the connection on a request that it does not know, and is
+    /// asked for what it knows without a confirmation.
+    async fn ask_holder(
+        &self,
+        holder: Holder,
+        key: Option<StreamKey>,
+        service: &Arc<str>,
+        timeout: Duration,
+    ) -> Option<Statement> {
+        let asked_at = Instant::now();
+        let request = OriginsRequest::FindConfirmed { key, service: service.clone() };
+        match self.links.send_request(holder.address, request, timeout).await {
+            Ok(OriginsAnswer::Stated(statement)) => return Some(statement),
+            Err(PeerCallError::NoAnswer) => {}
+            _ => return None,
+        }
+        let left = timeout.checked_sub(asked_at.elapsed()).filter(|left| !left.is_zero())?;
+        let request = OriginsRequest::Find { key, service: service.clone() };
+        match self.links.send_request(holder.address, request, left).await {
+            Ok(OriginsAnswer::Found(known)) => Some(Statement { known, confirmation: Confirmation::Before }),
+            _ => None,
+        }
+    }
+
     fn avoid(&self, holder: Holder) {
         let now = self.view.clock.now();
         let mut avoided = lock(&self.avoided);
--- a/crates/gateway/tests/metadata_relay.rs
+++ b/crates/gateway/tests/metadata_relay.rs
@@ -21,12 +21,14 @@
     BoxFuture, FleetUpdate, ItemSnapshot, MetadataStore, PutOutcome, ReadFailure,
 };
 use stallmoor_gateway::clock::NodeClock;
+use stallmoor_gateway::fleet::confirmation;
 use stallmoor_gateway::fleet::fleet_view::FleetView;
 use stallmoor_gateway::fleet::metadata_view::MetadataView;
 use stallmoor_gateway::fleet::metadata_watch::MetadataWatch;
 use stallmoor_gateway::storage::peer_listener::accept_peers;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
 
 const BOUNDS: WatchBounds = WatchBounds { change: Millis(1_000), contact: Millis(1_500), heartbeat: Millis(1_200) };
 const RELAY: NodeId = NodeId(1);
@@ -108,6 +110,7 @@
 struct Node {
     store: Arc<StoreConnection>,
     fleet: Arc<FleetView>,
+    view: Arc<MetadataView>,
     /// The latest revision that the node has published.
     latest_revision: Arc<Mutex<u64>>,
     address: SocketAddr,
@@ -125,17 +128,19 @@
         tokio::spawn(async move { while ignored.recv().await.is_some() {} });
         let (updates, mut received) = mpsc::unbounded_channel();
         let store = StoreConnection::new(contents);
-        tokio::spawn(MetadataWatch::new(id, store.clone(), fleet.clone(), view, BOUNDS, updates).run());
+        tokio::spawn(MetadataWatch::new(id, store.clone(), fleet.clone(), view.clone(), BOUNDS, updates).run());
         let latest_revision = Arc::new(Mutex::new(0));
         let recorded_revision = latest_revision.clone();
+        let applied = fleet.clone();
         tokio::spawn(async move {
             while let Some(update) = received.recv().await {
-                if let FleetUpdate::InternalItem(item) = update {
+                if let FleetUpdate::InternalItem(item) = &update {
                     *recorded_revision.lock().expect("not poisoned") = item.revision.0;
                 }
+                applied.apply(&update);
             }
         });
-        Self { store, fleet, latest_revision, address }
+        Self { store, fleet, view, latest_revision, address }
     }
 
     /// Adds a storage node to this node's view, as a candidate for its relay.
@@ -214,3 +219,41 @@
     // One call is tolerated: a delayed answer of the relay makes the follower call the store once.
     assert!(follower.calls() <= before + 1, "the follower made {} calls", follower.calls() - before);
 }
+
+/// Guards against a confirmed view that lacks a change from before the request, on a relay, which waits after each answer with
+/// changes, and on its follower, which waits for its relay; and against a call for each of many requests.
+#[tokio::test]
+async fn a_confirmed_view_contains_the_changes_before_the_request() {
+    let contents = Arc::new(Contents(watch::Sender::new(1)));
+    let (relay, follower) = relay_and_follower(&contents).await;
+    for node in [&relay, &follower] {
+        for _ in 0..10 {
+            contents.write();
+            let written = *contents.0.borrow();
+            assert!(confirmation::confirm(&node.fleet, &node.view).await, "the store answers");
+            assert!(node.latest_revision() >= written, "{} of {written}", node.latest_revision());
+        }
+        let before = node.calls();
+        let mut requests = JoinSet::new();
+        for _ in 0..100 {
+            let (fleet, view) = (node.fleet.clone(), node.view.clone());
+            requests.spawn(async move { confirmation::confirm(&fleet, &view).await });
+        }
+        assert!(requests.join_all().await.into_iter().all(|is_confirmed| is_confirmed));
+        assert!(node.calls() - before < 10, "{} calls for 100 requests", node.calls() - before);
+    }
+}
+
+/// Guards against waiting for a store that is known to be out of reach, and against a confirmation without an answer.
+#[tokio::test]
+async fn a_view_is_not_confirmed_without_the_store() {
+    let contents = Arc::new(Contents(watch::Sender::new(1)));
+    let (relay, _follower) = relay_and_follower(&contents).await;
+    relay.store.is_refused.store(true, Ordering::SeqCst);
+    assert!(!confirmation::confirm(&relay.fleet, &relay.view).await);
+    // The relay's next call fails, too.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let started = tokio::time::Instant::now();
+    assert!(!confirmation::confirm(&relay.fleet, &relay.view).await);
+    assert!(started.elapsed() < Duration::from_millis(50), "{:?}", started.elapsed());
+}
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -28,7 +28,7 @@
 use stallmoor_core::serving::relay::message::{ChangeSet, ChangesAnswer, ChangesRequest};
 use stallmoor_core::serving::stream_origins::message::{OriginRecord, OriginsAnswer, OriginsRequest};
 use stallmoor_core::serving::stream_origins::rule::KnownOrigin;
-use stallmoor_core::serving::stream_origins::{NodeKnowledge, StreamKey, StreamOrigin};
+use stallmoor_core::serving::stream_origins::{Confirmation, NodeKnowledge, Statement, StreamKey, StreamOrigin};
 use stallmoor_core::serving::workers::versions::KnownVersions;
 use stallmoor_core::serving::workers::{LoadReport, SoftwareVersion, WorkerCount, WorkerId, WorkerReport};
 use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
@@ -309,10 +309,18 @@
         ("store", OriginsRequest::Store(vec![record])),
         ("find", find(Some(StreamKey(7)))),
         ("find-unnamed", find(None)),
+        ("find-confirmed", OriginsRequest::FindConfirmed { key: Some(StreamKey(7)), service: Arc::from("lm") }),
     ];
     let found = |origin, versions| OriginsAnswer::Found(NodeKnowledge { origin, versions });
     let sole = KnownVersions::Sole { version: SoftwareVersion::new("v1"), lasted: Millis(90_000) };
+    let stated = |confirmation| {
+        let known = NodeKnowledge { origin: KnownOrigin::Unknown, versions: sole.clone() };
+        OriginsAnswer::Stated(Statement { known, confirmation })
+    };
+    let (stated_after, stated_before) = (stated(Confirmation::After), stated(Confirmation::Before));
     let answers = vec![
+        ("stated-after", stated_after),
+        ("stated-before", stated_before),
         ("stored", OriginsAnswer::Stored),
         ("known", found(KnownOrigin::Known(origin), KnownVersions::Several)),
         ("unknown", found(KnownOrigin::Unknown, sole)),
