Streams: an end of the connection alone does not complete an answer without events

Callers got a 200 with an empty body, or with the events before a break, framed as whole; items were listed as completed with a part of their output.

Cause: an answer without a length or chunks ends with its connection, and so does a worker that stops after its head. The end between two events counted as the end of the stream, also if the answer held no event. Class: the absence of further bytes is taken for a statement that there are none. Items checked that some event had arrived, but in any run: the run that stopped vouched for the output of the one before.

Evidence, on the code before: stream_without_an_event_is_not_whole (200, body "", complete), resumed_stream_is_not_whole_if_its_worker_stops_after_the_head (200 with event 1 of 3, complete), item_is_not_completed_by_a_worker_that_stops_after_the_head ("piece 1" of three pieces, completed) failed. All pass now.

An answer completes a stream if it held an event, or if its length or chunks say that nothing follows what earlier answers held. Otherwise the attempt is broken and the stream goes on elsewhere. An item's output that only such an end would complete is discarded and the item runs again from the start, since at workers that never frame their answers no further run could confirm it. Its runs are counted as `unconfirmed`.

--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -349,6 +349,7 @@
                 self.delay(key, LARGE_OUTPUT_BACKOFF, now);
                 return false;
             }
+            RunEnd::Unconfirmed => self.restart_item(key),
             RunEnd::BrokenOff | RunEnd::Paused if made_progress => open_item.delays = 0,
             RunEnd::BrokenOff | RunEnd::NotRun | RunEnd::Paused => {}
         }
--- a/crates/core/src/serving/jobs/dispatch/run_end.rs
+++ b/crates/core/src/serving/jobs/dispatch/run_end.rs
@@ -21,6 +21,9 @@
     BrokenOff,
     /// The output exceeds the limit. It is discarded, and the item runs again from the start.
     OutputTooLarge,
+    /// The run added nothing to the output of earlier ones, and it is not known whether the output is complete. It is
+    /// discarded, and the item runs again from the start.
+    Unconfirmed,
     /// The run was stopped in favor of online requests. The output so far is retained.
     Paused,
     /// The item did not run.
@@ -59,6 +62,7 @@
             Self::Failed => "failed",
             Self::BrokenOff => "broken_off",
             Self::OutputTooLarge => "output_too_large",
+            Self::Unconfirmed => "unconfirmed",
             Self::Paused => "paused",
             Self::NotRun => "not_run",
         }
--- a/crates/core/src/serving/online/mod.rs
+++ b/crates/core/src/serving/online/mod.rs
@@ -13,6 +13,7 @@
 //! | [`timeouts`] | timeouts after which a request switches to another worker |
 //! | [`shedding`] | immediate refusal of new streams that would be late, and their `Retry-After` |
 //! | [`event_stream`] | splitting an answer into complete events |
+//! | [`stream_end`] | whether the end of an answer completes a stream |
 //! | [`stream_progress`] | the progress of a stream, and which events are forwarded to the caller |
 
 pub mod admission;
@@ -22,6 +23,7 @@
 pub mod event_stream;
 pub mod request_state;
 pub mod shedding;
+pub mod stream_end;
 pub mod stream_progress;
 pub mod timeouts;
 
--- a/crates/core/src/serving/online/stream_progress.rs
+++ b/crates/core/src/serving/online/stream_progress.rs
@@ -39,6 +39,11 @@
         Self { last_event, events: 0 }
     }
 
+    /// Returns whether the caller has events of the stream.
+    pub fn has_events(&self) -> bool {
+        self.events > 0 || self.last_event.is_some_and(|event| event > 0)
+    }
+
     /// Selects the events to forward, and records them as forwarded. If the stream is not resumable, all are forwarded.
     pub fn take(&mut self, events: Vec<ServerSentEvent>, is_resumable: bool) -> AcceptedEvents {
         let mut accepted = AcceptedEvents::default();
--- a/crates/gateway/src/online/stream.rs
+++ b/crates/gateway/src/online/stream.rs
@@ -11,6 +11,7 @@
 use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::serving::online::event_stream::ServerSentEvent;
 use stallmoor_core::serving::online::request_state::ResumeRounds;
+use stallmoor_core::serving::online::stream_end::StreamCompletion;
 use stallmoor_core::serving::online::timeouts::AwaitedEvent;
 use stallmoor_core::time::{Millis, Timestamp};
 
@@ -94,7 +95,7 @@
 
     /// Forwards complete events until the stream ends, fails or times out, or the caller disconnects.
     async fn forward_from(&mut self, mut answer: OpenAnswer, sender: &ChunkSender) -> StreamEnd {
-        let mut reader = EventReader::new(&self.client.answers);
+        let mut reader = EventReader::new(&self.client.answers, answer.framing());
         let mut first = true;
         let mut first_event_at = None;
         let sent_at = answer.sent_at;
@@ -121,10 +122,7 @@
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) => {
                     self.record_stream_slot_time(first_event_at);
-                    if first {
-                        self.record_evidence(|attribution, _| attribution.on_served(&answer.worker));
-                    }
-                    return finish_stream(answer, &reader);
+                    return self.finish_stream(answer, &reader);
                 }
             };
             let events = match reader.push(&data) {
@@ -146,6 +144,21 @@
         }
     }
 
+    /// Handles the end of a worker's answer. Without evidence that the stream is complete it goes on elsewhere.
+    fn finish_stream(&mut self, answer: OpenAnswer, reader: &EventReader) -> StreamEnd {
+        let ended = reader.ended();
+        match ended.completion(self.state.progress.has_events()) {
+            StreamCompletion::Broken | StreamCompletion::Unknown => StreamEnd::AttemptFailed(AttemptEnd::Broken),
+            StreamCompletion::Complete => {
+                if !ended.has_events {
+                    self.record_evidence(|attribution, _| attribution.on_served(&answer.worker));
+                }
+                answer.release();
+                StreamEnd::Complete
+            }
+        }
+    }
+
     async fn forward_events(&mut self, events: Vec<ServerSentEvent>, sender: &ChunkSender) -> Result<(), StreamEnd> {
         let taken = self.state.progress.take(events, self.state.is_retryable());
         if let (Some(run), Some(event)) = (&mut self.run, self.state.progress.last_event) {
@@ -203,12 +216,3 @@
         Duration::from_millis(timeout.0)
     }
 }
-
-/// Handles the end of a worker's stream, which is complete unless it ended within an event.
-fn finish_stream(answer: OpenAnswer, reader: &EventReader) -> StreamEnd {
-    if !reader.is_at_event_end() {
-        return StreamEnd::AttemptFailed(AttemptEnd::Broken);
-    }
-    answer.release();
-    StreamEnd::Complete
-}
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -15,6 +15,7 @@
 use stallmoor_core::serving::online::answer_limits::AnswerPart;
 use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::serving::online::attribution::{Attribution, Evidence, HeadVerdict};
+use stallmoor_core::serving::online::stream_end::StreamCompletion;
 use stallmoor_core::serving::workers::{Choice, WorkerId, WorkerIncarnation};
 use stallmoor_core::time::Timestamp;
 use tokio::sync::Notify;
@@ -76,7 +77,7 @@
         match end {
             // The worker is checked in the background, so the report is not delayed. Dropping the watch of a paused run
             // counts as abandoning it.
-            RunEnd::BrokenOff | RunEnd::OutputTooLarge => drop(watch.interrupted()),
+            RunEnd::BrokenOff | RunEnd::OutputTooLarge | RunEnd::Unconfirmed => drop(watch.interrupted()),
             RunEnd::Paused => drop(watch),
             RunEnd::Completed => {
                 watch.finish();
@@ -84,7 +85,7 @@
             }
             RunEnd::Impossible | RunEnd::Failed | RunEnd::NotRun => watch.finish(),
         }
-        if end == RunEnd::OutputTooLarge {
+        if matches!(end, RunEnd::OutputTooLarge | RunEnd::Unconfirmed) {
             *self.output() = PartialOutput::default();
         }
         let output = self.output().clone();
@@ -162,7 +163,7 @@
     }
 
     async fn read_events(&mut self, client: &WorkerClient, mut answer: OpenAnswer, watch: &mut RunWatch) -> RunEnd {
-        let mut reader = EventReader::new(&client.answers);
+        let mut reader = EventReader::new(&client.answers, answer.framing());
         let mut first = true;
         let pause = self.pause.clone();
         loop {
@@ -192,15 +193,27 @@
                     let last_event = self.output().last_event.unwrap_or(0);
                     watch.record_progress(last_event);
                 }
-                Ok(None) if reader.is_at_event_end() && self.output().last_event.is_some() => {
-                    answer.release();
-                    return RunEnd::Completed;
-                }
+                Ok(None) => return self.finish_output(client, answer, &reader),
                 _ => return self.interrupted(client, &answer, AttemptEnd::Broken),
             }
         }
     }
 
+    fn finish_output(&mut self, client: &WorkerClient, answer: OpenAnswer, reader: &EventReader) -> RunEnd {
+        let is_resumed = self.output().last_event.is_some();
+        match reader.ended().completion(is_resumed) {
+            StreamCompletion::Complete => {
+                answer.release();
+                RunEnd::Completed
+            }
+            StreamCompletion::Broken => self.interrupted(client, &answer, AttemptEnd::Broken),
+            StreamCompletion::Unknown => {
+                self.interrupted(client, &answer, AttemptEnd::Broken);
+                RunEnd::Unconfirmed
+            }
+        }
+    }
+
     fn interrupted(&mut self, client: &WorkerClient, answer: &OpenAnswer, end: AttemptEnd) -> RunEnd {
         self.record_attempt_evidence(client, end);
         let now = client.view.clock.now();
--- a/crates/gateway/src/workers/answer_reader.rs
+++ b/crates/gateway/src/workers/answer_reader.rs
@@ -8,6 +8,7 @@
 use stallmoor_core::serving::online::answer_limits::{AnswerLimits, AnswerPart, MAX_REFUSAL_BYTES};
 use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::serving::online::event_stream::{EventSplitter, ServerSentEvent};
+use stallmoor_core::serving::online::stream_end::{BodyFraming, EndedAnswer};
 
 use super::answer_memory::{AnswerMemory, HeldMemory};
 use crate::http::answer_body::CompleteBody;
@@ -25,13 +26,16 @@
 /// The events of one answer.
 pub struct EventReader {
     splitter: EventSplitter,
+    framing: BodyFraming,
+    has_events: bool,
     memory: HeldMemory,
 }
 
 impl EventReader {
     /// Creates a reader of an answer of which nothing was received yet.
-    pub fn new(bounds: &AnswerBounds) -> Self {
-        Self { splitter: EventSplitter::new(bounds.limits.event), memory: bounds.memory.hold_none() }
+    pub fn new(bounds: &AnswerBounds, framing: BodyFraming) -> Self {
+        let splitter = EventSplitter::new(bounds.limits.event);
+        Self { splitter, framing, has_events: false, memory: bounds.memory.hold_none() }
     }
 
     /// Appends received bytes and returns the events that are now complete.
@@ -42,13 +46,18 @@
     pub fn push(&mut self, data: &[u8]) -> Result<Vec<ServerSentEvent>, AttemptEnd> {
         let too_large = AttemptEnd::TooLarge { part: AnswerPart::Event };
         let events = self.splitter.push(data).map_err(|_| too_large)?;
+        self.has_events |= !events.is_empty();
         self.memory.resize(self.splitter.pending().len()).map_err(|_| AttemptEnd::NoMemory)?;
         Ok(events)
     }
 
-    /// Returns whether no part of another event was received.
-    pub fn is_at_event_end(&self) -> bool {
-        self.splitter.pending().is_empty()
+    /// Describes the answer once its body has ended without an error.
+    pub fn ended(&self) -> EndedAnswer {
+        EndedAnswer {
+            framing: self.framing,
+            is_within_event: !self.splitter.pending().is_empty(),
+            has_events: self.has_events,
+        }
     }
 }
 
--- a/crates/gateway/src/workers/attempt.rs
+++ b/crates/gateway/src/workers/attempt.rs
@@ -14,6 +14,7 @@
 use stallmoor_core::serving::online::answer_limits::AnswerPart;
 use stallmoor_core::serving::online::attempt::{AnswerMetadata, AttemptEnd};
 use stallmoor_core::serving::online::attribution::{HeadVerdict, WorkerRefusal, judge_head};
+use stallmoor_core::serving::online::stream_end::BodyFraming;
 use stallmoor_core::serving::request::PrefixBlock;
 use stallmoor_core::serving::workers::connection_limit::connection_limit;
 use stallmoor_core::serving::workers::{Choice, WorkerIncarnation};
@@ -21,6 +22,7 @@
 
 use crate::adapter::dialect::{AnswerAttributes, Dialect};
 use crate::fleet::fleet_view::FleetView;
+use crate::http::headers::body_framing;
 use crate::streams::StreamOrigins;
 use crate::workers::answer_reader::{AnswerBounds, RefusalBody, record_too_large, skip_refusal};
 use crate::workers::connections::{ConnectionPool, NoConnection, SendFailure, WorkerConnection, WorkerEndpoint};
@@ -122,6 +124,11 @@
         judge_head(self.status.as_u16(), is_own)
     }
 
+    /// Returns how the end of the body is known.
+    pub fn framing(&self) -> BodyFraming {
+        body_framing(&self.headers)
+    }
+
     /// Makes the connection available for reuse. Must be called only after the complete body was read.
     pub fn release(mut self) {
         let keep_alive = self.attributes.keep_alive.map(|span| Duration::from_millis(span.0));
--- a/crates/gateway/tests/golden_measures.rs
+++ b/crates/gateway/tests/golden_measures.rs
@@ -88,6 +88,7 @@
         RunEnd::Paused,
         RunEnd::NotRun,
         RunEnd::OutputTooLarge,
+        RunEnd::Unconfirmed,
     ];
     runs.iter().for_each(|end| measures::count_run(end.name()));
     SUBMISSION_RESULTS.into_iter().for_each(measures::count_submission);
