Streams: a streamed answer is whole only once its sender says so

A caller would get the events so far framed as whole if the task that forwards them ends early, by a panic or because its runtime shuts down before the connection's task. Shown on the body; a process was not seen to do it.

Cause: the end of the channel between the two tasks was the end of the answer, and dropping the sender closes the channel. Class as before: the absence of further chunks was taken for a statement that there are none.

The sender states the end; an answer whose sender is gone without it is broken off. Breaking off needs no message any more, which used to wait for room in the channel.

--- a/crates/gateway/src/http/answer_body.rs
+++ b/crates/gateway/src/http/answer_body.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -32,27 +33,31 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Disconnected;
 
-/// Sends the chunks of a streamed answer.
+/// Sends the chunks of a streamed answer, which is broken off if the sender is dropped before
+/// [`ChunkSender::complete`].
 pub struct ChunkSender {
-    chunks: mpsc::Sender<Result<Bytes, Aborted>>,
+    chunks: mpsc::Sender<Bytes>,
+    is_complete: Arc<AtomicBool>,
     /// Bytes that may be buffered.
     capacity: Arc<Semaphore>,
 }
 
 impl ChunkSender {
-    /// Sends a chunk as soon as there is room for it, or ends the answer with an error.
+    /// Sends a chunk as soon as there is room for it.
     ///
     /// # Errors
     ///
     /// [`Disconnected`]: nobody reads the answer.
-    pub async fn send(&self, chunk: Result<Bytes, Aborted>) -> Result<(), Disconnected> {
-        let chunk = match chunk {
-            Ok(bytes) => Ok(self.reserve(bytes).await),
-            Err(aborted) => Err(aborted),
-        };
+    pub async fn send(&self, chunk: Bytes) -> Result<(), Disconnected> {
+        let chunk = self.reserve(chunk).await;
         self.chunks.send(chunk).await.map_err(|_| Disconnected)
     }
 
+    /// Ends the answer as whole after the chunks sent so far.
+    pub fn complete(self) {
+        self.is_complete.store(true, Ordering::Release);
+    }
+
     /// Waits until the caller has disconnected.
     pub async fn closed(&self) {
         self.chunks.closed().await;
@@ -110,12 +115,29 @@
     }
 }
 
+/// Receives the chunks of a streamed answer.
+pub struct ChunkReceiver {
+    chunks: mpsc::Receiver<Bytes>,
+    /// Whether the chunks are the whole answer once all were received.
+    is_complete: Arc<AtomicBool>,
+}
+
+impl ChunkReceiver {
+    fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Aborted>>> {
+        self.chunks.poll_recv(context).map(|chunk| match chunk {
+            Some(bytes) => Some(Ok(bytes)),
+            None if self.is_complete.load(Ordering::Acquire) => None,
+            None => Some(Err(Aborted)),
+        })
+    }
+}
+
 /// The body of an answer.
 pub enum AnswerBody {
     /// A complete body.
     Full(CompleteBody),
     /// A streamed body.
-    Chunks(mpsc::Receiver<Result<Bytes, Aborted>>),
+    Chunks(ChunkReceiver),
 }
 
 impl AnswerBody {
@@ -130,7 +152,9 @@
     pub fn channel() -> (ChunkSender, Self) {
         let (chunks, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
         let capacity = Arc::new(Semaphore::new(MAX_BUFFERED_BYTES as usize));
-        (ChunkSender { chunks, capacity }, Self::Chunks(receiver))
+        let is_complete = Arc::new(AtomicBool::new(false));
+        let sender = ChunkSender { chunks, is_complete: is_complete.clone(), capacity };
+        (sender, Self::Chunks(ChunkReceiver { chunks: receiver, is_complete }))
     }
 }
 
@@ -142,7 +166,7 @@
         match &mut *self {
             Self::Full(body) => Poll::Ready(body.take_next().map(|part| Ok(Frame::data(part)))),
             Self::Chunks(receiver) => {
-                receiver.poll_recv(context).map(|chunk| chunk.map(|result| result.map(Frame::data)))
+                receiver.poll_chunk(context).map(|chunk| chunk.map(|result| result.map(Frame::data)))
             }
         }
     }
--- a/crates/gateway/src/online/stream.rs
+++ b/crates/gateway/src/online/stream.rs
@@ -16,10 +16,17 @@
 use stallmoor_core::time::{Millis, Timestamp};
 
 use super::ActiveRequest;
-use crate::http::answer_body::{Aborted, AnswerBody, ChunkSender, Disconnected};
+use crate::http::answer_body::{AnswerBody, ChunkSender, Disconnected};
 use crate::workers::answer_reader::EventReader;
 use crate::workers::attempt::OpenAnswer;
 
+/// What was forwarded of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Forwarded {
+    Whole,
+    Part,
+}
+
 /// How a stream from one worker ended.
 enum StreamEnd {
     Complete,
@@ -36,11 +43,15 @@
         *response.status_mut() = answer.status;
         *response.headers_mut() = self.client.dialect.answer_headers(&answer.headers);
         response.headers_mut().remove(CONTENT_LENGTH);
-        tokio::spawn(async move { self.forward(answer, &sender).await });
+        tokio::spawn(async move {
+            if self.forward(answer, &sender).await == Forwarded::Whole {
+                sender.complete();
+            }
+        });
         response
     }
 
-    async fn forward(&mut self, answer: OpenAnswer, sender: &ChunkSender) {
+    async fn forward(&mut self, answer: OpenAnswer, sender: &ChunkSender) -> Forwarded {
         let mut current = answer;
         let mut outcome = "broken off";
         loop {
@@ -48,9 +59,13 @@
             match self.forward_from(current, sender).await {
                 StreamEnd::Complete => {
                     self.run_completed();
-                    return self.log_end("whole");
+                    self.log_end("whole");
+                    return Forwarded::Whole;
+                }
+                StreamEnd::CallerDisconnected => {
+                    outcome = "caller gone";
+                    break;
                 }
-                StreamEnd::CallerDisconnected => return self.log_end("caller gone"),
                 StreamEnd::DeadlineExceeded => {
                     outcome = "out of time";
                     break;
@@ -62,7 +77,10 @@
             }
             let resumed = tokio::select! {
                 resumed = self.resume() => resumed,
-                () = sender.closed() => return self.log_end("caller gone"),
+                () = sender.closed() => {
+                    outcome = "caller gone";
+                    break;
+                }
             };
             match resumed {
                 Some(answer) => current = answer,
@@ -70,8 +88,7 @@
             }
         }
         self.log_end(outcome);
-        // Sending fails only if the caller has disconnected.
-        let _ = sender.send(Err(Aborted)).await;
+        Forwarded::Part
     }
 
     /// Sends the request to workers, in rounds, until one of them resumes the partially sent stream. Gives up once no
@@ -175,7 +192,7 @@
         let remaining = Duration::from_millis(self.state.remaining(self.now()).0);
         let sending = async {
             let chunk = self.client.answers.memory.hold(chunk).await;
-            sender.send(Ok(chunk)).await
+            sender.send(chunk).await
         };
         tokio::select! {
             sent = tokio::time::timeout(remaining, sending) => match sent {
