Attempts: a status is no promise without the worker's statement

A caller whose request may run once got 503, 429 or 408 from an answer without X-Not-Executed, and would send a request again that may have run. Items counted such answers as failed runs, and were given up after some of them.

Cause: only whether a retry is allowed was asked before an answer was forwarded, not what its status says to the caller.

Such an answer is broken: requests that may run again go on elsewhere, others get a 502, which promises nothing. Which statuses promise is the platform's word and stated by the adapter.

--- a/crates/core/src/serving/online/attempt.rs
+++ b/crates/core/src/serving/online/attempt.rs
@@ -68,11 +68,14 @@
     pub not_run: bool,
     /// Whether a worker other than the addressed one answered.
     pub other_instance: bool,
+    /// Whether callers take the status for a promise that the request was not run.
+    pub promises_not_run: bool,
 }
 
 impl AnswerMetadata<'_> {
     /// Checks that this is the answer to the given request. A success must carry both the signature and the ID, since
-    /// it is forwarded to the caller unchanged.
+    /// it is forwarded to the caller unchanged. For the same reason a status that promises that the request was not run
+    /// must come with the worker's statement.
     ///
     /// # Errors
     ///
@@ -85,6 +88,9 @@
         if self.not_run {
             return Err(AttemptEnd::NotRun { other_instance: self.other_instance });
         }
+        if self.promises_not_run {
+            return Err(AttemptEnd::Broken);
+        }
         let is_success = (200..300).contains(&self.status);
         let is_verified = self.is_signed && self.request_id.is_some();
         if is_success && !is_verified { Err(AttemptEnd::Broken) } else { Ok(()) }
--- a/crates/core/tests/online_request.rs
+++ b/crates/core/tests/online_request.rs
@@ -368,6 +368,7 @@
         is_signed: true,
         not_run: false,
         other_instance: false,
+        promises_not_run: false,
     };
     let check = |marks: AnswerMetadata<'_>| marks.check("mine");
     assert_eq!(check(valid), Ok(()));
@@ -378,6 +379,9 @@
     let refused = AnswerMetadata { status: 421, is_signed: false, not_run: true, other_instance: true, ..valid };
     assert_eq!(check(refused), Err(AttemptEnd::NotRun { other_instance: true }));
     assert_eq!(check(AnswerMetadata { other_instance: false, ..refused }), Err(NOT_RUN));
+    let promised = AnswerMetadata { status: 503, promises_not_run: true, ..valid };
+    assert_eq!(check(promised), Err(AttemptEnd::Broken));
+    assert_eq!(check(AnswerMetadata { not_run: true, ..promised }), Err(NOT_RUN));
 }
 
 #[test]
--- a/crates/gateway/src/adapter/dialect.rs
+++ b/crates/gateway/src/adapter/dialect.rs
@@ -76,6 +76,8 @@
     pub not_run: bool,
     /// Whether the answer comes from a worker other than the intended one.
     pub other_instance: bool,
+    /// Whether callers take the status for a promise that the request was not run.
+    pub promises_not_run: bool,
     /// Current load of the worker.
     pub load: Option<WorkerLoad>,
     /// Remaining duration of the worker's cold start.
--- a/crates/gateway/src/workers/attempt.rs
+++ b/crates/gateway/src/workers/attempt.rs
@@ -268,6 +268,7 @@
         is_signed: attributes.is_signed,
         not_run: attributes.not_run,
         other_instance: attributes.other_instance,
+        promises_not_run: attributes.promises_not_run,
     }
 }
 
