Items: only a worker's own answer can fail an item

Items were listed as dead_lettered after a 422, or MaxAttempts answers of 500, without their ID: bytes that no worker gave for them.

Cause: the head was judged as foreign for the evidence on the worker, but the item's run ended by its status alone.

Such a run has broken off now, and the item goes on elsewhere.

--- a/crates/core/src/serving/jobs/dispatch/run_end.rs
+++ b/crates/core/src/serving/jobs/dispatch/run_end.rs
@@ -1,6 +1,7 @@
 //! The meaning of a worker's answer to a batch item, or of its absence.
 
 use crate::serving::online::attempt::AttemptEnd;
+use crate::serving::online::attribution::HeadVerdict;
 use crate::time::Millis;
 
 /// The timeout for the first event of a run, after which the item is freed from an unresponsive worker.
@@ -31,9 +32,11 @@
 }
 
 impl RunEnd {
-    /// Classifies the HTTP status of a worker's answer. Returns `None` if the output follows.
-    pub fn from_status(status: u16) -> Option<Self> {
+    /// Classifies the head of an answer. Returns `None` if the output follows. Only the worker itself can say that the
+    /// item failed, so an answer that is not its own has broken the run off.
+    pub fn from_head(status: u16, verdict: HeadVerdict) -> Option<Self> {
         match status {
+            _ if verdict == HeadVerdict::Foreign => Some(Self::BrokenOff),
             200..=299 => None,
             // 422 Unprocessable Content: the worker can never process the request.
             422 => Some(Self::Impossible),
--- a/crates/core/tests/item_rules.rs
+++ b/crates/core/tests/item_rules.rs
@@ -22,6 +22,7 @@
 use stallmoor_core::serving::jobs::retention::Retention;
 use stallmoor_core::serving::jobs::table::JobTable;
 use stallmoor_core::serving::online::attempt::AttemptEnd;
+use stallmoor_core::serving::online::attribution::HeadVerdict;
 use stallmoor_core::serving::regions::AllowedRegions;
 use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 
@@ -179,11 +180,12 @@
 
 #[test]
 fn answer_of_a_worker_distinguishes_failed_from_impossible_items() {
-    assert_eq!(RunEnd::from_status(200), None);
-    assert_eq!(RunEnd::from_status(299), None);
-    assert_eq!(RunEnd::from_status(422), Some(RunEnd::Impossible));
+    assert_eq!(RunEnd::from_head(200, HeadVerdict::Serving), None);
+    assert_eq!(RunEnd::from_head(299, HeadVerdict::Serving), None);
+    assert_eq!(RunEnd::from_head(422, HeadVerdict::Serving), Some(RunEnd::Impossible));
     for status in [199, 300, 400, 429, 500, 503] {
-        assert_eq!(RunEnd::from_status(status), Some(RunEnd::Failed));
+        assert_eq!(RunEnd::from_head(status, HeadVerdict::Serving), Some(RunEnd::Failed));
+        assert_eq!(RunEnd::from_head(status, HeadVerdict::Foreign), Some(RunEnd::BrokenOff));
     }
     assert_eq!(RunEnd::from_attempt(AttemptEnd::NotConnected), RunEnd::NotRun);
     assert_eq!(RunEnd::from_attempt(AttemptEnd::NotRun { other_instance: true }), RunEnd::NotRun);
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -150,7 +150,7 @@
         match opened {
             Ok(answer) => {
                 self.record_head(client, &answer);
-                match RunEnd::from_status(answer.status.as_u16()) {
+                match RunEnd::from_head(answer.status.as_u16(), answer.verdict()) {
                     Some(end) => end,
                     None => self.read_events(client, answer, watch).await,
                 }
