--- a/crates/gateway/tests/peer_frames.rs
+++ b/crates/gateway/tests/peer_frames.rs
@@ -52,3 +52,15 @@
     let taken = peer.await.expect("the peer ends");
     assert!(taken < MAX_ANSWER_FRAME_BYTES, "{taken} bytes were taken");
 }
+
+/// Guards against a part of a frame that passes for a message.
+#[tokio::test]
+async fn part_of_a_frame_is_no_message() {
+    let encoded = stallmoor_wire::encode(&PeerMessage::DirectoryRequest { from: NodeId(7) });
+    let mut sent = Vec::new();
+    write_frame(&mut sent, &encoded).await.expect("writing to memory succeeds");
+    for bytes in 0..sent.len() {
+        let read = read_message(&mut &sent[..bytes], encoded.len()).await;
+        assert!(matches!(read, Err(FrameError::Disconnected { .. })), "{bytes} bytes: {read:?}");
+    }
+}
