Count the tokens of a cached prompt part anew when its length changes

What callers saw: requests of a worker lost their cache affinity for as long as the worker was known, once a part of a prompt came with another length and was evicted; in builds with overflow checks the request failed by a panic.

Cause: a part that replaces a shorter one under the same hash left the sum of tokens as it was, and the eviction subtracted the new length. The sum wrapped below zero, so every later prompt was evicted at once. The lengths are whatever callers state in the head.

Evidence: part_of_changed_length_leaves_cache_estimate_sound failed before, "attempt to subtract with overflow" in prefix_cache.rs; found by worker_table_computes_with_extreme_values.

The sum now changes by the difference of the two lengths, so it is always the sum over the stored parts.

--- a/crates/core/src/serving/workers/prefix_cache.rs
+++ b/crates/core/src/serving/workers/prefix_cache.rs
@@ -36,9 +36,8 @@
     pub fn record(&mut self, prefix: &[PrefixBlock], memory_tokens: u64, now: Timestamp) {
         for block in prefix {
             let cached = CachedBlock { tokens: block.tokens, used_at: now };
-            if self.blocks.insert(block.chain, cached).is_none() {
-                self.tokens += u64::from(block.tokens);
-            }
+            let replaced = self.blocks.insert(block.chain, cached).map_or(0, |replaced| replaced.tokens);
+            self.tokens = self.tokens + u64::from(block.tokens) - u64::from(replaced);
         }
         let capacity =
             if memory_tokens == 0 { DEFAULT_CAPACITY_TOKENS } else { memory_tokens * CACHE_MEMORY_PERCENT / 100 };
