Saturate sums of numbers that callers, workers and other nodes state

What callers saw: a worker that states running and one waiting request looked idle, as the sum wrapped to 0; a prompt, a job or a route with numbers near the largest was weighed, limited or scheduled by what was left after the wrap. In builds with overflow checks the request, the table of jobs, or the task that follows the store ended by a panic.

Cause: sums and products of values as they were read: loads of workers and sums of load reports, tokens of prompt parts and of items, weights and times of routes, due times of jobs, times of survivals in crash reports. Class: arithmetic on numbers that another process chooses.

Evidence: the four properties of extreme_records failed before, "attempt to add with overflow" in cost.rs, load_aggregator.rs, configuration/mod.rs and part_history.rs; job_of_largest_numbers_is_accepted_and_dispatched failed by the sum of tokens. With the sums saturated all pass.

Saturated sums keep the order by which these numbers are compared: a worker that states the largest load is the last to be chosen. Weights are summed in 64 bits, so that shares stay exact.

--- a/crates/core/src/serving/configuration/mod.rs
+++ b/crates/core/src/serving/configuration/mod.rs
@@ -89,16 +89,17 @@
     /// Selects a service at random by the targets' weights, or the first one if all weights are zero.
     pub fn select_service(&self, random: &mut impl Rng) -> Option<&Arc<str>> {
         let first = self.targets.first().map(|target| &target.service);
-        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
+        let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
         if self.targets.len() < 2 || total == 0 {
             return first;
         }
         let mut drawn = random.random_range(0..total);
         for target in &self.targets {
-            if drawn < target.weight {
+            let weight = u64::from(target.weight);
+            if drawn < weight {
                 return Some(&target.service);
             }
-            drawn -= target.weight;
+            drawn -= weight;
         }
         first
     }
--- a/crates/core/src/serving/crashes/part_history.rs
+++ b/crates/core/src/serving/crashes/part_history.rs
@@ -46,7 +46,7 @@
 
     /// Records a survival. Returns whether it is new enough to be reported.
     pub(super) fn record_survival(&mut self, survival: Survival) -> bool {
-        let is_new = self.survived.is_none_or(|known| known.at.0 + SURVIVAL_INTERVAL.0 <= survival.at.0);
+        let is_new = self.survived.is_none_or(|known| known.at.0.saturating_add(SURVIVAL_INTERVAL.0) <= survival.at.0);
         if is_new {
             self.survived = Some(survival);
             let exempt_until = self.exempt_until();
--- a/crates/core/src/serving/jobs/command.rs
+++ b/crates/core/src/serving/jobs/command.rs
@@ -90,9 +90,9 @@
         QueueKey { route: self.route.clone(), tenant: self.tenant.clone() }
     }
 
-    /// Returns the total number of tokens of all items.
+    /// Returns the total number of tokens of all items. Saturates, since callers may state any numbers.
     pub fn token_count(&self) -> u64 {
-        self.items.iter().map(|item| item.token_count).sum()
+        self.items.iter().fold(0, |sum, item| sum.saturating_add(item.token_count))
     }
 
     /// Returns the total size of all item bodies in bytes.
--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -153,7 +153,7 @@
     /// Adds the items of a job that have no result.
     pub fn add_job(&mut self, job: &Job) {
         let submission = &job.submission;
-        let due = UnixMillis(submission.received_at.0 + submission.due.0);
+        let due = UnixMillis(submission.received_at.0.saturating_add(submission.due.0));
         for item in job.open_items() {
             let key = ItemKey { job: submission.key.clone(), item };
             if self.items.contains_key(&key) {
@@ -195,7 +195,7 @@
             .iter()
             .find(|(due, key)| {
                 let done = self.items.get(key).and_then(|open_item| open_item.output.last_event).unwrap_or(0);
-                wall_time.0 + self.estimate.remaining(done).0 <= due.0
+                wall_time.0.saturating_add(self.estimate.remaining(done).0) <= due.0
             })
             .or_else(|| self.ready.first())
             .cloned()?;
@@ -212,7 +212,7 @@
     pub fn pause_order(&self, running: &mut [RunningItem], wall_time: UnixMillis) {
         let slack = |item: &RunningItem| {
             let due = self.items.get(&item.key).map_or(UnixMillis(0), |open_item| open_item.due);
-            let ends = wall_time.0 + self.estimate.remaining(item.events).0;
+            let ends = wall_time.0.saturating_add(self.estimate.remaining(item.events).0);
             due.0.checked_sub(ends).map(std::cmp::Reverse)
         };
         running.sort_by_cached_key(|item| (slack(item), std::cmp::Reverse(item.run)));
--- a/crates/core/src/serving/jobs/load_aggregator.rs
+++ b/crates/core/src/serving/jobs/load_aggregator.rs
@@ -43,7 +43,7 @@
     /// Returns the time at which the gateways reported, weighted by the requests that they placed.
     fn weighted_time(&self) -> u64 {
         let reported_at = self.received_at.as_millis().saturating_sub(self.report.age.0);
-        reported_at * u64::from(self.report.placed_per_s)
+        reported_at.saturating_mul(u64::from(self.report.placed_per_s))
     }
 }
 
@@ -84,14 +84,14 @@
 
 impl Totals {
     fn add(&mut self, stored: &StoredReport) {
-        self.placed_per_s += stored.report.placed_per_s;
-        self.nodes += stored.nodes();
-        self.weighted_time += stored.weighted_time();
+        self.placed_per_s = self.placed_per_s.saturating_add(stored.report.placed_per_s);
+        self.nodes = self.nodes.saturating_add(stored.nodes());
+        self.weighted_time = self.weighted_time.saturating_add(stored.weighted_time());
         for worker in &stored.report.workers {
             let total = self.workers.entry(worker.worker.clone()).or_default();
-            total.requests += worker.requests;
-            total.ejecting_nodes += worker.ejected_by;
-            total.batch += worker.batch;
+            total.requests = total.requests.saturating_add(worker.requests);
+            total.ejecting_nodes = total.ejecting_nodes.saturating_add(worker.ejected_by);
+            total.batch = total.batch.saturating_add(worker.batch);
             total.self_reported = total.self_reported.max(worker.self_reported);
         }
     }
@@ -182,8 +182,8 @@
             }
             let items = batch.next_if(|count| count.worker == *worker).map_or(0, |count| count.requests);
             let others = total.requests.saturating_sub(own_requests.get(worker).copied().unwrap_or(0));
-            let total = Total { batch: total.batch + items, ..*total };
-            workers.push(total.report(worker, others + items));
+            let total = Total { batch: total.batch.saturating_add(items), ..*total };
+            workers.push(total.report(worker, others.saturating_add(items)));
         }
         workers.extend(batch.map(only_batch));
         let mut rest = Totals { workers: BTreeMap::new(), ..self.totals };
--- a/crates/core/src/serving/jobs/node/mod.rs
+++ b/crates/core/src/serving/jobs/node/mod.rs
@@ -300,7 +300,7 @@
         // A job that was submitted more than once counts once.
         let proposed: BTreeMap<&JobKey, u64> =
             self.proposed_jobs().filter(|job| job.queue == *queue).map(|job| (&job.key, job.tokens)).collect();
-        self.table.open_tokens(queue) + proposed.values().sum::<u64>()
+        proposed.values().fold(self.table.open_tokens(queue), |sum, tokens| sum.saturating_add(*tokens))
     }
 
     fn check_ready(&self, now: Timestamp) -> Result<(), NotProposed> {
--- a/crates/core/src/serving/jobs/table.rs
+++ b/crates/core/src/serving/jobs/table.rs
@@ -134,7 +134,8 @@
 
     /// Returns the number of tokens of items without a result.
     pub fn open_tokens(&self) -> u64 {
-        self.open_items().map(|item| self.submission.items[item as usize].token_count).sum()
+        let counts = self.open_items().map(|item| self.submission.items[item as usize].token_count);
+        counts.fold(0, u64::saturating_add)
     }
 
     /// Returns the item with the given ID, unless it already has a result.
@@ -273,7 +274,8 @@
         if let Some(outcome) = self.outcome_of_repeat(&submission.key, submission.tenant.as_ref()) {
             return outcome;
         }
-        *self.open_tokens.entry(submission.queue()).or_default() += submission.token_count();
+        let open = self.open_tokens.entry(submission.queue()).or_default();
+        *open = open.saturating_add(submission.token_count());
         self.jobs.insert(submission.key.clone(), Job::new(submission));
         JobOutcome::Accepted
     }
--- a/crates/core/src/serving/online/timeouts.rs
+++ b/crates/core/src/serving/online/timeouts.rs
@@ -35,8 +35,8 @@
 
 /// Returns the timeout for the head of an answer if the request may switch to another worker.
 pub fn first_event_timeout(route: &Route, mean_first: Millis) -> Millis {
-    let of_objective = Millis(route.objective.0 * FIRST_EVENT_TIMEOUT_PERCENT / 100);
-    of_objective.max(MIN_FIRST_EVENT_TIMEOUT).max(Millis(mean_first.0 * MEAN_MULTIPLE))
+    let of_objective = Millis(route.objective.0.saturating_mul(FIRST_EVENT_TIMEOUT_PERCENT) / 100);
+    of_objective.max(MIN_FIRST_EVENT_TIMEOUT).max(Millis(mean_first.0.saturating_mul(MEAN_MULTIPLE)))
 }
 
 /// Returns the timeout for an event if the request may switch to another worker, or `None` if the route has no target
@@ -48,6 +48,6 @@
             let allowed = first_event_timeout(route, mean_first);
             Millis(allowed.0.saturating_sub(now.since(sent_at).0)).max(MIN_EVENT_TIMEOUT)
         }
-        AwaitedEvent::Next => Millis(gap.0 * GAP_TIMEOUT_PERCENT / 100),
+        AwaitedEvent::Next => Millis(gap.0.saturating_mul(GAP_TIMEOUT_PERCENT) / 100),
     })
 }
--- a/crates/core/src/serving/request.rs
+++ b/crates/core/src/serving/request.rs
@@ -69,6 +69,11 @@
     pub shared_parts: Arc<[SharedPart]>,
 }
 
+/// Returns the number of tokens in the blocks. Saturates, since callers may state any numbers.
+pub fn count_tokens<'a>(blocks: impl IntoIterator<Item = &'a PrefixBlock>) -> u32 {
+    blocks.into_iter().fold(0, |sum, block| sum.saturating_add(block.tokens))
+}
+
 /// Hashes the parts of a prompt cumulatively, so that each hash covers the model and all earlier parts.
 pub fn hash_prefix(model: &str, parts: &[PromptPart]) -> Vec<PrefixBlock> {
     let mut blocks = Vec::with_capacity(parts.len());
--- a/crates/core/src/serving/workers/cost.rs
+++ b/crates/core/src/serving/workers/cost.rs
@@ -3,6 +3,7 @@
 use super::choice::WorkerQuery;
 use super::load_in_transit::CostSlope;
 use super::worker::WorkerEntry;
+use crate::serving::request::count_tokens;
 use crate::time::{Millis, Timestamp};
 
 /// Time to process one prompt token that is not cached.
@@ -33,7 +34,7 @@
 /// Returns the estimated time to the first event, in milliseconds, including the cost of leaving the zone.
 pub(super) fn estimate_cost(entry: &WorkerEntry, query: &WorkerQuery<'_>, has_affinity: bool, now: Timestamp) -> f64 {
     let cached = f64::from(entry.cache.cached_tokens(query.prefix));
-    let shared: u32 = query.prefix.iter().rev().skip(1).map(|block| block.tokens).sum();
+    let shared = count_tokens(query.prefix.iter().rev().skip(1));
     let estimated_cached = if has_affinity { cached.max(f64::from(shared) * AFFINITY_CACHED_FRACTION) } else { cached };
     let uncached = (f64::from(query.prompt_tokens) - estimated_cached).max(0.0);
     let cross_zone_cost = if &*entry.record.zone == query.zone {
--- a/crates/core/src/serving/workers/prefix_cache.rs
+++ b/crates/core/src/serving/workers/prefix_cache.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::serving::request::PrefixBlock;
+use crate::serving::request::{PrefixBlock, count_tokens};
 use crate::time::Timestamp;
 
 /// Percentage of a worker's memory assumed to be available for cached prefixes.
@@ -28,7 +28,7 @@
 impl PrefixCache {
     /// Returns the number of prompt tokens covered by the longest cached prefix.
     pub fn cached_tokens(&self, prefix: &[PrefixBlock]) -> u32 {
-        prefix.iter().take_while(|block| self.blocks.contains_key(&block.chain)).map(|block| block.tokens).sum()
+        count_tokens(prefix.iter().take_while(|block| self.blocks.contains_key(&block.chain)))
     }
 
     /// Records a prompt that was sent to the worker. `memory_tokens` is the worker's memory size in tokens, 0 if
@@ -39,8 +39,10 @@
             let replaced = self.blocks.insert(block.chain, cached).map_or(0, |replaced| replaced.tokens);
             self.tokens = self.tokens + u64::from(block.tokens) - u64::from(replaced);
         }
-        let capacity =
-            if memory_tokens == 0 { DEFAULT_CAPACITY_TOKENS } else { memory_tokens * CACHE_MEMORY_PERCENT / 100 };
+        let capacity = match memory_tokens {
+            0 => DEFAULT_CAPACITY_TOKENS,
+            tokens => tokens.saturating_mul(CACHE_MEMORY_PERCENT) / 100,
+        };
         while self.tokens > capacity && self.evict_least_recently_used() {}
     }
 
--- a/crates/core/src/serving/workers/worker.rs
+++ b/crates/core/src/serving/workers/worker.rs
@@ -120,6 +120,13 @@
     pub slowdown: Slowdown,
 }
 
+impl WorkerLoad {
+    /// Returns the number of running and queued requests. Saturates, since the worker may report any numbers.
+    pub fn requests(self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// Time that work takes at a worker, in percent of the usual time. Exceeds 100 when other load shares the machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Slowdown(pub u32);
@@ -190,13 +197,12 @@
 impl ReportedLoad {
     /// Returns the reported load without the requests of this node.
     pub(super) fn of_others(&self) -> u32 {
-        (self.load.running + self.load.waiting).saturating_sub(self.in_flight_at_report)
+        self.load.requests().saturating_sub(self.in_flight_at_report)
     }
 
     /// Returns the reported load, adjusted for requests that this node has started and ended since.
     pub(super) fn corrected(&self, in_flight: u32) -> u32 {
-        let reported = self.load.running + self.load.waiting;
-        (reported + in_flight).saturating_sub(self.in_flight_at_report)
+        self.load.requests().saturating_add(in_flight).saturating_sub(self.in_flight_at_report)
     }
 }
 
@@ -303,7 +309,7 @@
     /// Returns the load with which the worker is compared with others: its estimated requests, and the slots that failed
     /// runs keep, so that a worker that fails fast does not look idle.
     pub(super) fn estimated_load(&self, now: Timestamp) -> u32 {
-        self.present_load(now) + self.held_slots.count(now)
+        self.present_load(now).saturating_add(self.held_slots.count(now))
     }
 
     /// Returns the estimated number of requests at the worker: the requests of this node plus the last aggregated load
@@ -321,7 +327,7 @@
         let reported = self.report.filter(|report| now.since(report.at) < REPORT_LIFETIME);
         let reported = reported.filter(|report| shared.is_none_or(|shared| report.at >= shared.at));
         let from_report = reported.map_or(0, |report| report.corrected(self.in_flight));
-        let from_nodes = shared.map_or(0, |shared| shared.load) + self.in_flight;
+        let from_nodes = shared.map_or(0, |shared| shared.load).saturating_add(self.in_flight);
         from_nodes.max(from_report)
     }
 
@@ -329,7 +335,7 @@
     pub(super) fn reports_full(&self, now: Timestamp) -> bool {
         let own = self.report.filter(|report| now.since(report.at) < FULL_REPORT_LIFETIME);
         let to_peers = self.shared_load(now).filter(|shared| now.since(shared.at) < FULL_REPORT_LIFETIME);
-        let own_load = own.map(|report| report.load.running + report.load.waiting);
+        let own_load = own.map(|report| report.load.requests());
         own_load.max(to_peers.and_then(|shared| shared.self_reported)).is_some_and(|load| load >= self.record.slots)
     }
 
@@ -345,7 +351,7 @@
     pub(super) fn queue_position(&self, now: Timestamp) -> u32 {
         let batch = self.shared_load(now).map_or(0, |shared| shared.batch);
         let online = self.reported_load(now).saturating_sub(batch);
-        (online + 1).saturating_sub(self.record.slots)
+        online.saturating_add(1).saturating_sub(self.record.slots)
     }
 
     /// Returns whether the worker has no requests, no recent load reports, and no active ejection.
