Restart items whose worker turns out to have another version

Seen by callers: the text of a batch item joins events of two software versions, for example three events of v1.1 and the rest of v1, listed as completed.

Cause: the origin of an item's output is the version in the record with which its worker was chosen. A worker that came back under its ID with another version is chosen by its former record until the new one is read. Streams review such origins (UnconfirmedOrigins); items did not, so that workers of the former version went on with the output. The class: a decision rests on what was last confirmed before the run, and nothing looks at it again once more is known.

Why it works: the leader keeps the workers of an item's runs until a view that was complete two seconds after the start of the run shows them unchanged. If a record names another service or version before that, it is not known which incarnation ran the item: its output, also the logged part, is discarded, and the item runs again. A worker counts as confirmed one review after its view was, since the workers' table receives a change after the view counts as complete.

Not covered: a result that is proposed before the new record is read, and a leader that is lost between logging such output and reading the record.

--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //! | module | contents |
 //! |---|---|
 //! | this one | [`Dispatcher`]: the items without a result, in the order in which they run and pause |
+//! | `contributors` | the workers whose records may still contradict the origin of an item's output |
 //! | `run_end` | [`RunEnd`]: the meaning of a worker's answer, or of its absence, for an item |
 //! | `failures` | the failed runs of an item, and when they are enough to give it up |
 //! | `recent_failures` | the workers at which items failed recently |
@@ -16,6 +17,7 @@
 //! Open items come from the job table ([`super::table`]); the caller supplies the time and performs the runs. All state
 //! is rebuilt from the table when a replica becomes the leader.
 
+mod contributors;
 mod failures;
 mod pacing;
 mod proposals;
@@ -28,6 +30,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use contributors::Contributors;
 use failures::Failures;
 pub use pacing::ItemPacing;
 use recent_failures::RecentFailures;
@@ -42,7 +45,7 @@
 use crate::backoff::Backoff;
 use crate::serving::crashes::{ItemWait, WaitReason};
 use crate::serving::stream_origins::StreamOrigin;
-use crate::serving::workers::WorkerId;
+use crate::serving::workers::{WorkerId, WorkerRecord};
 use crate::time::{Millis, Timestamp, UnixMillis};
 
 /// The delay after an unsuccessful run, doubled with each consecutive one. The growth limits the number of runs that
@@ -105,6 +108,17 @@
     is_impossible: bool,
 }
 
+/// An item whose output was discarded, because the record of a worker that produced part of it names another version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ContradictedItem {
+    /// The item.
+    pub key: ItemKey,
+    /// Whether it was running. Its run must be aborted.
+    pub was_running: bool,
+    /// The ID of the last event that was discarded, unless the item was running; 0 for none.
+    pub events: u64,
+}
+
 /// The worker of a failed run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FailedAt {
@@ -131,6 +145,8 @@
     failed: BTreeSet<ItemKey>,
     /// Items whose logged output is discarded by a command that is not proposed yet.
     restarted: BTreeSet<ItemKey>,
+    /// Items whose origin a newer record of a worker may contradict.
+    contributors: BTreeMap<ItemKey, Contributors>,
     recent_failures: RecentFailures,
     verdicts: BTreeMap<ItemKey, Verdict>,
 }
@@ -245,6 +261,55 @@
         }
     }
 
+    /// Records that a run at a worker, which was chosen by a record of the given origin, adds to the item's output.
+    pub fn record_run(&mut self, key: &ItemKey, worker: WorkerId, origin: StreamOrigin, now: Timestamp) {
+        let Some(open_item) = self.items.get_mut(key) else { return };
+        open_item.origin = Some(origin.clone());
+        let contributors = self.contributors.entry(key.clone()).or_default();
+        if open_item.started_after == 0 {
+            *contributors = Contributors::default();
+        }
+        contributors.add(worker, origin, now);
+    }
+
+    /// Discards the output of the items for which the present record of a worker contradicts the origin, and returns them
+    /// to the queue. Results that were proposed stay. `confirmed_at` is the time at which the view that `record_of` reads
+    /// was complete.
+    pub fn restart_contradicted<'a>(
+        &mut self,
+        record_of: impl Fn(&WorkerId) -> Option<&'a WorkerRecord>,
+        confirmed_at: Timestamp,
+    ) -> Vec<ContradictedItem> {
+        let mut contradicted = Vec::new();
+        self.contributors.retain(|key, contributors| {
+            if contributors.is_contradicted(&record_of, confirmed_at) {
+                contradicted.push(key.clone());
+                return false;
+            }
+            !contributors.is_empty()
+        });
+        contradicted.into_iter().filter_map(|key| self.restart_open(key)).collect()
+    }
+
+    /// Discards the output of an item and returns it to the queue, unless it has no output or its result was proposed.
+    fn restart_open(&mut self, key: ItemKey) -> Option<ContradictedItem> {
+        let open_item = self.items.get(&key)?;
+        let was_running = matches!(open_item.phase, Phase::Running);
+        let events = open_item.output.last_event.unwrap_or(0);
+        match open_item.phase {
+            Phase::Running => {}
+            Phase::Ready | Phase::Delayed { .. } if open_item.output.last_event.is_some() => {}
+            Phase::Finished { state: ItemState::Completed } if self.unproposed.contains(&key) => {}
+            Phase::Ready | Phase::Delayed { .. } | Phase::Finished { .. } => return None,
+        }
+        self.restart_item(&key);
+        if was_running || self.finished.remove(&key) {
+            self.unproposed.remove(&key);
+            self.requeue(&key, PartialOutput::default());
+        }
+        Some(ContradictedItem { key, was_running, events })
+    }
+
     /// Discards the output of an item that was taken: no worker can continue it. The logged part has to be discarded by
     /// a command; see [`Dispatcher::restarts_due`].
     pub fn restart_item(&mut self, key: &ItemKey) {
@@ -446,6 +511,7 @@
             self.unproposed.remove(key);
             self.failed.remove(key);
             self.restarted.remove(key);
+            self.contributors.remove(key);
         }
     }
 
--- a/crates/core/tests/item_restarts.rs
+++ b/crates/core/tests/item_restarts.rs
@@ -1,17 +1,18 @@
 //! Guards against items whose output is continued by workers of another software version, and against a table and a
 //! dispatcher that disagree on what is logged of an item that runs again from the start.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use stallmoor_core::serving::configuration::tenant::CallerIdentity;
 use stallmoor_core::serving::jobs::command::{
     ItemKey, ItemOrigin, JobCommand, JobItem, JobKey, PartialOutput, Submission,
 };
-use stallmoor_core::serving::jobs::dispatch::{Dispatcher, ItemResumption, RunEnd, item_resumption};
+use stallmoor_core::serving::jobs::dispatch::{ContradictedItem, Dispatcher, ItemResumption, RunEnd, item_resumption};
 use stallmoor_core::serving::jobs::table::JobTable;
 use stallmoor_core::serving::stream_origins::StreamOrigin;
-use stallmoor_core::serving::workers::SoftwareVersion;
 use stallmoor_core::serving::workers::versions::KnownVersions;
+use stallmoor_core::serving::workers::{SoftwareVersion, WorkerId, WorkerRecord};
 use stallmoor_core::time::{Millis, Timestamp, UnixMillis};
 
 const MAX_ATTEMPTS: u32 = 3;
@@ -243,3 +244,82 @@
     table.apply(JobCommand::End { job: key().job, caller });
     assert_eq!(origin_at(&table, 2), None);
 }
+
+fn worker() -> WorkerId {
+    WorkerId(Arc::from("i-1"))
+}
+
+fn record_of(version: &str) -> WorkerRecord {
+    WorkerRecord {
+        id: worker(),
+        service: Arc::from("lm"),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        zone: Arc::from("a"),
+        version: SoftwareVersion::new(version),
+        slots: 8,
+        draining: false,
+        started_at: None,
+        cold_remaining: Millis(0),
+    }
+}
+
+/// Returns a dispatcher whose item runs since 0 ms at a worker that was chosen by a record of version 1.
+fn running() -> (JobTable, Dispatcher) {
+    let (table, mut dispatcher) = (table(), Dispatcher::default());
+    dispatcher.restart(&table);
+    let (key, _) = dispatcher.take_next(at(0), UnixMillis(2_000)).expect("an item is ready");
+    dispatcher.record_run(&key, worker(), origin("v1"), at(0));
+    (table, dispatcher)
+}
+
+fn review(dispatcher: &mut Dispatcher, record: &WorkerRecord, confirmed_ms: u64) -> Vec<ContradictedItem> {
+    dispatcher.restart_contradicted(|id| (record.id == *id).then_some(record), at(confirmed_ms))
+}
+
+/// Guards against an item that is continued at the version which its worker had before it came back with another one.
+#[test]
+fn an_item_is_restarted_once_the_record_of_its_worker_names_another_version() {
+    let (mut table, mut dispatcher) = running();
+    let begun = output(30, "a");
+    let progress = dispatcher.progress_of(&key(), &begun).expect("progress is due");
+    dispatcher.record_proposed_progress(&progress);
+    table.apply(JobCommand::Progress(vec![progress]));
+    dispatcher.finish_run(&key(), &RunEnd::Paused, begun, MAX_ATTEMPTS, at(300));
+    assert_eq!(review(&mut dispatcher, &record_of("v1"), 1_500), vec![]);
+    let restarted = ContradictedItem { key: key(), was_running: false, events: 30 };
+    assert_eq!(review(&mut dispatcher, &record_of("v2"), 1_900), vec![restarted]);
+    assert_eq!(review(&mut dispatcher, &record_of("v2"), 1_900), vec![], "the item is restarted once");
+    assert_eq!(dispatcher.origin(&key()), None);
+    table.apply(dispatcher.restarts_due().expect("logged output has to be discarded"));
+    assert_eq!(table.job(&key().job).and_then(|job| job.partial(0)), None);
+    let (_, left) = dispatcher.take_next(at(3_000), UnixMillis(5_000)).expect("an item is ready");
+    assert_eq!(left, PartialOutput::default());
+}
+
+/// Guards against items that run on, or whose results are committed, although their worker has another version.
+#[test]
+fn a_running_item_and_an_unproposed_result_are_restarted() {
+    let (_, mut dispatcher) = running();
+    let restarted = |was_running, events| vec![ContradictedItem { key: key(), was_running, events }];
+    assert_eq!(review(&mut dispatcher, &record_of("v2"), 100), restarted(true, 0));
+    dispatcher.take_next(at(200), UnixMillis(2_200)).expect("the item is ready again");
+    dispatcher.record_run(&key(), worker(), origin("v1"), at(200));
+    dispatcher.finish_run(&key(), &RunEnd::Completed, output(6, "a"), MAX_ATTEMPTS, at(900));
+    assert_eq!(review(&mut dispatcher, &record_of("v2"), 1_000), restarted(false, 6));
+    assert_eq!(dispatcher.uncommitted_results(), vec![]);
+    assert!(dispatcher.has_ready(at(1_000)));
+}
+
+/// Guards against items that are run again for nothing: their worker's record was confirmed, or their result proposed.
+#[test]
+fn confirmed_output_and_proposed_results_stay() {
+    let (_, mut dispatcher) = running();
+    assert_eq!(review(&mut dispatcher, &record_of("v1"), 2_000), vec![]);
+    assert_eq!(review(&mut dispatcher, &record_of("v2"), 5_000), vec![], "the worker came back after the run");
+    let (_, mut dispatcher) = running();
+    dispatcher.finish_run(&key(), &RunEnd::Completed, output(6, "a"), MAX_ATTEMPTS, at(900));
+    let proposed = dispatcher.unproposed_results();
+    proposed.iter().for_each(|command| dispatcher.record_proposed_result(command));
+    assert_eq!(review(&mut dispatcher, &record_of("v2"), 1_000), vec![]);
+    assert_eq!(dispatcher.uncommitted_results(), proposed);
+}
--- a/crates/gateway/src/process/storage_node.rs
+++ b/crates/gateway/src/process/storage_node.rs
@@ -141,6 +141,7 @@
         id,
         tolerated_losses,
         workers: components.workers,
+        metadata_view: components.metadata,
         metadata: adapter.metadata(),
         disk,
         budget: DiskBudget::new(settings.jobs.disk_bytes()),
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -10,8 +10,8 @@
 use stallmoor_core::serving::crashes::{ItemAdmission, ItemWait, RequestKeys};
 use stallmoor_core::serving::jobs::command::{ItemFailures, ItemKey, ItemProgress, JobCommand, JobKey, PartialOutput};
 use stallmoor_core::serving::jobs::dispatch::{
-    Dispatcher, FailedAt, ItemPacing, ItemResumption, ItemStart, RunEnd, RunningItem, StartDecision, WorkerRuns,
-    decide_start, item_resumption, max_attempts,
+    ContradictedItem, Dispatcher, FailedAt, ItemPacing, ItemResumption, ItemStart, RunEnd, RunningItem, StartDecision,
+    WorkerRuns, decide_start, item_resumption, max_attempts,
 };
 use stallmoor_core::serving::jobs::table::{Job, JobTable};
 use stallmoor_core::serving::online::attribution::Attribution;
@@ -25,6 +25,7 @@
 use tokio::task::AbortHandle;
 
 use super::load_exchange::LoadExchange;
+use crate::fleet::metadata_view::MetadataView;
 use crate::observe::journal::{Field, record};
 use crate::observe::measures;
 use crate::storage::item_run::{FinishedRun, ItemRun, item_keys};
@@ -96,6 +97,9 @@
 /// Dispatches items to workers and tracks their runs.
 pub(super) struct ItemRunner {
     workers: Arc<WorkerClient>,
+    metadata: Arc<MetadataView>,
+    /// When the view was complete, as of the previous review of the origins.
+    reviewed_view: Timestamp,
     dispatcher: Dispatcher,
     pacing: ItemPacing,
     active: BTreeMap<ItemKey, ActiveRun>,
@@ -109,9 +113,16 @@
 }
 
 impl ItemRunner {
-    pub(super) fn new(workers: Arc<WorkerClient>, reports: mpsc::UnboundedSender<RunReport>, now: Timestamp) -> Self {
+    pub(super) fn new(
+        workers: Arc<WorkerClient>,
+        metadata: Arc<MetadataView>,
+        reports: mpsc::UnboundedSender<RunReport>,
+        now: Timestamp,
+    ) -> Self {
         Self {
             workers,
+            metadata,
+            reviewed_view: Timestamp::default(),
             dispatcher: Dispatcher::default(),
             pacing: ItemPacing::new(now),
             active: BTreeMap::new(),
@@ -333,12 +344,34 @@
         if let Some(origin) = origin.filter(|origin| self.can_continue(origin, start, now)) {
             return Some(origin);
         }
-        log_restart(key, output);
+        log_restart(key, output.last_event.unwrap_or(0));
         *output = PartialOutput::default();
         self.dispatcher.restart_item(key);
         None
     }
 
+    /// Restarts the items to which a worker added that turns out to have another version than was assumed when it was
+    /// chosen.
+    pub(super) fn review_origins(&mut self, now: Timestamp) {
+        let Some(age) = self.metadata.observation().age else { return };
+        let confirmed_at = now - age;
+        if confirmed_at <= self.reviewed_view {
+            return;
+        }
+        // The workers' table may be about to receive the latest changes, but it has those of the previous review.
+        let previous = std::mem::replace(&mut self.reviewed_view, confirmed_at);
+        let contradicted = {
+            let workers = self.workers.view.workers();
+            self.dispatcher.restart_contradicted(|worker| workers.record(worker), previous)
+        };
+        for ContradictedItem { key, was_running, events } in contradicted {
+            if was_running {
+                self.abort(&key);
+            }
+            log_restart(&key, events);
+        }
+    }
+
     /// Returns whether a worker of this origin is left that the item may use.
     fn can_continue(&self, origin: &StreamOrigin, start: &ItemStart, now: Timestamp) -> bool {
         let query = WorkerQuery {
@@ -375,7 +408,7 @@
         };
         log_run_start(key, &choice, &output);
         let origin = StreamOrigin { service: service.clone(), version: choice.version.clone() };
-        self.dispatcher.record_origin(key, origin);
+        self.dispatcher.record_run(key, choice.id.clone(), origin, now);
         self.last_run += 1;
         let run = self.last_run;
         let worker = choice.id.clone();
@@ -590,12 +623,8 @@
     record(LogEvent::ItemWaits, &fields);
 }
 
-fn log_restart(key: &ItemKey, output: &PartialOutput) {
-    let fields = [
-        Field::text("job", &key.job),
-        Field::number("item", key.item),
-        Field::number("events", output.last_event.unwrap_or(0)),
-    ];
+fn log_restart(key: &ItemKey, events: u64) {
+    let fields = [Field::text("job", &key.job), Field::number("item", key.item), Field::number("events", events)];
     record(LogEvent::ItemRestarted, &fields);
 }
 
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -350,6 +350,7 @@
             measures::set_exhausted_tenants(self.quotas.exhausted());
             self.permits.evict_unused(now);
             self.items.pause_evacuated(now);
+            self.items.review_origins(now);
             self.outcomes.share_own_runs(now);
             self.items.excuse_failures(now);
             self.loads.eject_reported(now);
--- a/crates/gateway/src/storage/service/startup.rs
+++ b/crates/gateway/src/storage/service/startup.rs
@@ -27,6 +27,7 @@
 use super::replica_driver::ReplicaDriver;
 use super::step_times::StepTimes;
 use crate::adapter::metadata::{FleetUpdate, MetadataStore};
+use crate::fleet::metadata_view::MetadataView;
 use crate::leader::client::LeaderClient;
 use crate::peers::peer_link::PeerLinks;
 use crate::storage::disk_writer::{DiskWriter, WriteResult};
@@ -43,6 +44,8 @@
     pub tolerated_losses: usize,
     /// Client for workers, which also provides the view of the fleet.
     pub workers: Arc<WorkerClient>,
+    /// This node's view of the metadata store.
+    pub metadata_view: Arc<MetadataView>,
     /// Client for writes to the metadata store.
     pub metadata: Arc<dyn MetadataStore>,
     /// Handle of the disk thread.
@@ -93,8 +96,17 @@
         let (leader_outcomes, outcomes) = mpsc::unbounded_channel();
         let (ended, ended_peers) = mpsc::unbounded_channel();
         let (encoded, snapshots) = mpsc::unbounded_channel();
-        let StorageComponents { node, id, tolerated_losses, workers, metadata, disk, budget, results_kept } =
-            components;
+        let StorageComponents {
+            node,
+            id,
+            tolerated_losses,
+            workers,
+            metadata_view,
+            metadata,
+            disk,
+            budget,
+            results_kept,
+        } = components;
         let view = workers.view.clone();
         let now = view.clock.now();
         let planner = MembershipPlanner::new(id, tolerated_losses, now);
@@ -109,7 +121,7 @@
                 encoded,
             ),
             answers: PendingAnswers::default(),
-            items: ItemRunner::new(workers.clone(), reports, now),
+            items: ItemRunner::new(workers.clone(), metadata_view, reports, now),
             membership: Membership::new(id, planner, metadata, pair_reads),
             joins: JoinRequests::new(client.clone()),
             loads: LoadExchange::new(view.clone(), client.clone(), leader_answers),
