Do not send an item that was chosen before the leader stood still

What could be seen: an item of a job whose end was acknowledged reaches a worker seconds later and runs there.

Cause: the lease of a leader is checked when an item is chosen. Its request is sent by a task of its own, after a connection was opened. A process that stood still in between sends it when it goes on, although another leader may have acknowledged the end of the job meanwhile. The class: read, await, decide.

Evidence: items_after_a_stop, an_item_is_not_sent_if_the_process_stood_still_since_it_was_chosen, plays a stop of 4.5 s between the choice and the connection. With the check switched off the item runs ("left: Completed, right: NotRun"). The consequence with a second leader is read, not played.

Why it works: an attempt for an item carries the time until which the decision holds, and is given up as not run if that has passed once the connection is open. A leader chooses within a lease of 0.8 s at most, so no item is sent more than 1.3 s after a majority last followed the leader, about when another one can be elected. What remains is a stop between the check and the write, which only the worker could detect.

--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -35,7 +35,7 @@
 pub use pacing::ItemPacing;
 use recent_failures::RecentFailures;
 pub use resumption::{ItemResumption, item_resumption};
-pub use run_end::{EVENT_TIMEOUT, FIRST_EVENT_TIMEOUT, RunEnd};
+pub use run_end::{EVENT_TIMEOUT, FIRST_EVENT_TIMEOUT, RunEnd, SEND_TIMEOUT};
 use run_estimate::RunEstimate;
 pub use start::{ItemStart, StartDecision, decide_start, max_attempts};
 pub use worker_runs::WorkerRuns;
--- a/crates/core/src/serving/jobs/dispatch/run_end.rs
+++ b/crates/core/src/serving/jobs/dispatch/run_end.rs
@@ -3,6 +3,9 @@
 use crate::serving::online::attempt::AttemptEnd;
 use crate::time::Millis;
 
+/// The time from the decision to start a run within which its request has to be sent. A leader that stood still for
+/// longer may have been replaced, and the item's job may have ended since.
+pub const SEND_TIMEOUT: Millis = Millis(500);
 /// The timeout for the first event of a run, after which the item is freed from an unresponsive worker.
 pub const FIRST_EVENT_TIMEOUT: Millis = Millis(2_500);
 /// The timeout for each further event of a run.
--- a/crates/gateway/src/online/mod.rs
+++ b/crates/gateway/src/online/mod.rs
@@ -316,6 +316,7 @@
             headers,
             body: request.body.clone(),
             in_flight,
+            send_until: None,
         }
     }
 
--- a/crates/gateway/src/storage/item_run.rs
+++ b/crates/gateway/src/storage/item_run.rs
@@ -11,7 +11,7 @@
 use stallmoor_core::serving::configuration::tenant::CallerIdentity;
 use stallmoor_core::serving::crashes::{RequestContent, RequestKeys};
 use stallmoor_core::serving::jobs::command::{JobItem, PartialOutput};
-use stallmoor_core::serving::jobs::dispatch::{EVENT_TIMEOUT, FIRST_EVENT_TIMEOUT, RunEnd};
+use stallmoor_core::serving::jobs::dispatch::{EVENT_TIMEOUT, FIRST_EVENT_TIMEOUT, RunEnd, SEND_TIMEOUT};
 use stallmoor_core::serving::online::answer_limits::AnswerPart;
 use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::serving::online::attribution::{Attribution, Evidence, HeadVerdict};
@@ -49,6 +49,8 @@
     pub service: Arc<str>,
     /// Worker selected for the run.
     pub choice: Choice,
+    /// When the run was decided on, by a node that was the leader.
+    pub decided_at: Timestamp,
     /// Output accumulated so far, including that of earlier runs. The service reads it during the run.
     pub output: Arc<Mutex<PartialOutput>>,
     /// Name of the route, under which evidence is recorded.
@@ -140,6 +142,7 @@
             body: bytes::Bytes::copy_from_slice(&self.item.body),
             in_flight,
             choice: self.choice.clone(),
+            send_until: Some(self.decided_at + SEND_TIMEOUT),
         };
         let pause = self.pause.clone();
         let opened = tokio::select! {
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -422,6 +422,7 @@
             identity,
             service,
             choice,
+            decided_at: now,
             output: output.clone(),
             route: route.name.clone(),
             attribution: self.attributions.remove(key).unwrap_or_default(),
--- a/crates/gateway/src/workers/attempt.rs
+++ b/crates/gateway/src/workers/attempt.rs
@@ -63,6 +63,8 @@
     pub body: Bytes,
     /// Guard by which the worker's load includes this request.
     pub in_flight: InFlight,
+    /// Time after which the request may no longer be sent, because the decision to send it is out of date.
+    pub send_until: Option<Timestamp>,
 }
 
 /// Guard that counts a request towards a worker's load until it is dropped.
@@ -182,6 +184,10 @@
     async fn try_open(&self, attempt: Attempt, timeout: Duration) -> Result<OpenAnswer, FailedAttempt> {
         let sent_at = self.view.clock.now();
         let mut connection = self.connect(&attempt).await?;
+        // The process may have stood still since the worker was chosen.
+        if attempt.send_until.is_some_and(|until| self.view.clock.now() > until) {
+            return Err(AttemptEnd::NotRun { other_instance: false }.into());
+        }
         let Attempt { choice, request_id, method, target, headers, body, in_flight, .. } = attempt;
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
