Discard an answer on limits that waited for a stopped gateway

Seen by tenants' neighbors: after a stop of seconds a gateway admits a burst that the limit no longer has.

Cause: the age of a tenant's level counts from when the gateway reads the leader's answer. The time-out of the report does not help: it looks at the answer first, so an answer that lay in the socket during the stop is taken, however old. The class: a view counts from when a node comes to hear of it.

Why it works: an answer that is older than twice the report's time-out counts as lost, so the gateway goes on with its part of the limit until the next report. How old it is counts from when the report was sent, by the node's clock.

--- a/crates/core/src/serving/quota/limiter.rs
+++ b/crates/core/src/serving/quota/limiter.rs
@@ -17,6 +17,9 @@
 /// Time after which a report without an answer counts as lost, and this gateway continues with its own share of the
 /// limits.
 pub const REPORT_TIMEOUT: Millis = Millis(250);
+/// Time after which an answer that arrives counts as lost. Longer than [`REPORT_TIMEOUT`], so that only a process that
+/// stood still finds an older one.
+const MAX_ANSWER_AGE: Millis = Millis(REPORT_TIMEOUT.0 * 2);
 /// Interval between checks whether a report is due.
 pub const REPORT_CHECK_INTERVAL: Millis = Millis(20);
 /// Lifetime of a level in report intervals, so that it outlives two lost reports. At least [`MIN_LEVEL_LIFETIME`].
@@ -168,6 +171,16 @@
         QuotaReport { machine: self.machine.clone(), tenants }
     }
 
+    /// Applies the leader's answer, which arrived at `now`, to a report sent at `reported_at`. An answer that waited for
+    /// this process longer than a report may take counts as lost, since other gateways have admitted requests since.
+    pub fn apply_answer(&mut self, report: &QuotaReport, answer: &QuotaLevels, reported_at: Timestamp, now: Timestamp) {
+        if now.since(reported_at) > MAX_ANSWER_AGE {
+            self.record_report_failure();
+        } else {
+            self.apply(report, answer, now);
+        }
+    }
+
     /// Applies the leader's answer to a report. The levels refill from `at` on.
     pub fn apply(&mut self, report: &QuotaReport, answer: &QuotaLevels, at: Timestamp) {
         self.interval = answer.interval();
--- a/crates/gateway/src/leader/rate_limits.rs
+++ b/crates/gateway/src/leader/rate_limits.rs
@@ -104,7 +104,9 @@
         let request = JobsRequest::ReportQuota(report.clone());
         match jobs.client.send_request(request, last_report_at + REPORT_TIMEOUT).await {
             // The age of the levels counts from the arrival of the answer.
-            Ok(JobsAnswer::Quota(levels)) => limits.limiter().apply(&report, &levels, clock.now()),
+            Ok(JobsAnswer::Quota(levels)) => {
+                limits.limiter().apply_answer(&report, &levels, last_report_at, clock.now());
+            }
             // This gateway's share of the limits applies. The client has logged an unexpected answer.
             Ok(_) | Err(_) => limits.limiter().record_report_failure(),
         }
