--- a/crates/core/src/serving/relay/continuity.rs
+++ b/crates/core/src/serving/relay/continuity.rs
@@ -6,7 +6,7 @@
 use crate::time::{Millis, Timestamp};
 
 /// Maximum age of a view that counts as current, and maximum time between two confirmations of a view that counts as
-/// observed throughout. A worker takes longer to start, serve and leave.
+/// observed throughout. A worker takes longer to start, serve and leave, but not to start and serve.
 pub const MAX_VIEW_AGE: Millis = Millis(2_000);
 
 /// How a view was brought up to date.
