Ask avoided storage nodes if the others are too few for a decision

Callers of a fleet of one version that took up a stream while the store was out of reach got 503 uncertain_past for two seconds after two of three storage nodes were silent for a moment, although all of them answered again.

Cause: a node that did not answer is avoided for two seconds as long as any other one responds. Since a lookup needs the answers of two, and the first event of a new version the confirmations of two, a single one that responds is not enough, and the nodes that could complete the number were not asked.

Evidence: stream_lookups.rs fails before the change with Refused(UncertainPast), basis "nothing", and passes with it. That the held first event is sent to them, too, was read, not run.

Why it works: nodes are left out only while as many others remain as the lookup's quorum or the copies need. At three holders one silent node is still not waited for.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -11,7 +11,7 @@
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::peer_message::{GroupAnswerBody, GroupRequestBody};
 use stallmoor_core::serving::stream_origins::directory::RecordedOrigin;
-use stallmoor_core::serving::stream_origins::holders::{COPIES, holders};
+use stallmoor_core::serving::stream_origins::holders::{COPIES, holders, lookup_quorum};
 use stallmoor_core::serving::stream_origins::message::{OriginRecord, OriginsAnswer, OriginsRequest};
 use stallmoor_core::serving::stream_origins::sharing::{Sharing, is_deducible};
 use stallmoor_core::serving::stream_origins::unconfirmed::{Contradiction, UnconfirmedOrigin, UnconfirmedOrigins};
@@ -39,7 +39,7 @@
 const FIRST_STORE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which storage nodes that did not confirm it in time are tried again.
 const FIRST_STORE_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Time for which a node that did not answer is avoided while others respond.
+/// Time for which a node that did not answer is avoided while enough others respond.
 const AVOIDANCE: Millis = Millis(2_000);
 /// Key by which the storage nodes are chosen for a stream that its client does not name.
 const UNNAMED: StreamKey = StreamKey(0);
@@ -157,7 +157,7 @@
     /// others may follow.
     async fn store_copies(self: &Arc<Self>, record: &OriginRecord, copies: usize) -> bool {
         let mut stores = JoinSet::new();
-        for holder in self.responsive_holders(record.key) {
+        for holder in self.responsive_holders(record.key, copies) {
             let (origins, records) = (self.clone(), vec![record.clone()]);
             stores.spawn(async move {
                 let is_stored = origins.send(holder, records).await;
@@ -266,7 +266,7 @@
             return self.resolved(decision, &nodes);
         }
         let timeout = FIND_TIMEOUT.min(Duration::from_millis(remaining.0 / 2));
-        let mut asked = self.ask(key, service, timeout);
+        let mut asked = self.ask(key, service, holder_count, timeout);
         while let Some(answer) = asked.join_next().await {
             let Ok(Some((node, answer))) = answer else { continue };
             let is_recorded = !answer.known.origin.is_unknown();
@@ -304,15 +304,16 @@
         NodeKnowledge { origin: recorded.into(), versions: self.known_versions(service) }
     }
 
-    /// Asks the storage nodes that may have stored a stream's origin.
+    /// Asks the storage nodes that may have stored a stream's origin, `holder_count` in all.
     fn ask(
         self: &Arc<Self>,
         key: Option<StreamKey>,
         service: &Arc<str>,
+        holder_count: usize,
         timeout: Duration,
     ) -> JoinSet<Option<(NodeId, Statement)>> {
         let mut asked = JoinSet::new();
-        for holder in self.responsive_holders(key.unwrap_or(UNNAMED)) {
+        for holder in self.responsive_holders(key.unwrap_or(UNNAMED), lookup_quorum(holder_count)) {
             let (origins, service) = (self.clone(), service.clone());
             asked.spawn(async move {
                 let statement = origins.ask_holder(holder, key, &service, timeout).await;
@@ -356,15 +357,20 @@
         avoided.insert(holder.node, now + AVOIDANCE);
     }
 
-    fn responsive_holders(&self, key: StreamKey) -> Vec<Holder> {
+    /// Returns the storage nodes that may store a stream's origin, without those that are avoided as long as `needed` others
+    /// remain.
+    fn responsive_holders(&self, key: StreamKey, needed: usize) -> Vec<Holder> {
         let storage = self.view.storage();
         let all = holders(key, &storage);
         let now = self.view.clock.now();
         let avoided = lock(&self.avoided);
         let is_responsive = |node: NodeId| avoided.get(&node).is_none_or(|until| *until <= now);
         let all = all.into_iter().map(|record| Holder { node: record.node, address: record.address });
-        let (responsive, others): (Vec<_>, Vec<_>) = all.partition(|holder| is_responsive(holder.node));
-        if responsive.is_empty() { others } else { responsive }
+        let (mut responsive, others): (Vec<_>, Vec<_>) = all.partition(|holder| is_responsive(holder.node));
+        if responsive.len() < needed {
+            responsive.extend(others);
+        }
+        responsive
     }
 
     /// Sends the origins that others cannot deduce to storage nodes, until the process ends.
@@ -391,7 +397,7 @@
     fn by_holder(&self, records: Vec<OriginRecord>) -> BTreeMap<Holder, Vec<OriginRecord>> {
         let mut groups: BTreeMap<Holder, Vec<OriginRecord>> = BTreeMap::new();
         for record in records {
-            for holder in self.responsive_holders(record.key).into_iter().take(COPIES) {
+            for holder in self.responsive_holders(record.key, 1).into_iter().take(COPIES) {
                 groups.entry(holder).or_default().push(record.clone());
             }
         }
--- /dev/null
+++ b/crates/gateway/tests/stream_lookups.rs
@@ -0,0 +1,94 @@
+//! A lookup of a stream's origin must ask as many storage nodes as its decision needs, also after some did not answer in
+//! time.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use stallmoor_core::identity::NodeId;
+use stallmoor_core::serving::jobs::directory::StorageRecord;
+use stallmoor_core::serving::relay::bounds::WatchBounds;
+use stallmoor_core::serving::relay::item::Revision;
+use stallmoor_core::serving::relay::mirror::MissingKeys;
+use stallmoor_core::serving::stream_origins::{Resumption, StreamKey, StreamOrigin, UnknownOrigin};
+use stallmoor_core::serving::workers::{SoftwareVersion, WorkerId, WorkerRecord};
+use stallmoor_core::time::Millis;
+use stallmoor_gateway::adapter::metadata::FleetUpdate;
+use stallmoor_gateway::clock::NodeClock;
+use stallmoor_gateway::fleet::fleet_view::FleetView;
+use stallmoor_gateway::fleet::metadata_view::MetadataView;
+use stallmoor_gateway::storage::peer_listener::{PeerAnswerers, accept_peers};
+use stallmoor_gateway::streams::StreamOrigins;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+const SERVICE: &str = "lm";
+const BOUNDS: WatchBounds = WatchBounds { change: Millis(1_000), contact: Millis(1_500), heartbeat: Millis(1_200) };
+/// The views of the nodes are complete for longer than this when a stream is looked up, and are never confirmed again.
+const LIFETIME: Millis = Millis(20);
+
+/// A node that knows one worker, and can't reach the store.
+struct Node {
+    fleet: Arc<FleetView>,
+    metadata: Arc<MetadataView>,
+    origins: Arc<StreamOrigins>,
+}
+
+impl Node {
+    async fn start(id: NodeId) -> Self {
+        let clock = NodeClock::start();
+        let fleet = Arc::new(FleetView::new(clock, Arc::from("a"), id.0));
+        let metadata = Arc::new(MetadataView::new(clock, BOUNDS));
+        let worker = WorkerRecord {
+            id: WorkerId(Arc::from("i-1")),
+            service: Arc::from(SERVICE),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
+            zone: Arc::from("a"),
+            version: SoftwareVersion::new("v1"),
+            slots: 8,
+            draining: false,
+            started_at: None,
+            cold_remaining: Millis(0),
+        };
+        fleet.apply(&FleetUpdate::Worker(worker));
+        metadata.replace(Vec::new(), Revision(1), MissingKeys::Removed, clock.now());
+        tokio::time::sleep(Duration::from_millis(2 * LIFETIME.0)).await;
+        metadata.advance(Vec::new(), Revision(1), clock.now());
+        metadata.set_unreachable_for(Millis(1));
+        let origins = Arc::new(StreamOrigins::new(fleet.clone(), metadata.clone(), id));
+        Self { fleet, metadata, origins }
+    }
+
+    /// Answers other nodes from now on.
+    fn serve(&self, listener: TcpListener) {
+        let (events, mut ignored) = mpsc::channel(16);
+        let answerers = PeerAnswerers { events, metadata: self.metadata.clone(), origins: self.origins.clone() };
+        tokio::spawn(accept_peers(listener, answerers));
+        tokio::spawn(async move { while ignored.recv().await.is_some() {} });
+    }
+}
+
+/// Guards against streams of a fleet of one version that are refused for two seconds because two of three storage nodes were
+/// silent for a moment: the lookup asked the third alone, and one answer is less than its quorum.
+#[tokio::test]
+async fn storage_nodes_that_were_silent_are_asked_if_the_others_are_too_few() {
+    let gateway = Node::start(NodeId(9)).await;
+    let mut storage = Vec::new();
+    for id in 1..=3 {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+        let (name, address) = (Arc::from(format!("storage-{id}")), listener.local_addr().expect("an address"));
+        gateway.fleet.storage().upsert(StorageRecord { name, node: NodeId(id), address, zone: Arc::from("a") });
+        storage.push((Node::start(NodeId(id)).await, listener));
+    }
+    let (first, listener) = storage.remove(0);
+    first.serve(listener);
+    let (key, service, remaining) = (Some(StreamKey(7)), Arc::from(SERVICE), Millis(5_000));
+    let resolved = gateway.origins.resolve(key, &service, LIFETIME, remaining).await;
+    assert_eq!(resolved.resumption, Resumption::Refused(UnknownOrigin::UncertainPast), "two of three are silent");
+    for (node, listener) in storage {
+        node.serve(listener);
+    }
+    let resolved = gateway.origins.resolve(key, &service, LIFETIME, remaining).await;
+    let origin = StreamOrigin { service, version: SoftwareVersion::new("v1") };
+    assert_eq!((resolved.resumption, resolved.basis), (Resumption::At(origin), "quorum"));
+}
