Decide on a resumed stream within the time that its caller has left

Callers that took up a stream with less than about 0.3 s left got the decision after their deadline: 151 ms after the request with 100 ms left, where no storage node is in reach and the read of the store does not end.

Cause: the lookup at storage nodes takes at most half of the time that is left, but the confirmation of the gateway's own view after it takes up to CONFIRMATION_TIMEOUT whatever is left.

Evidence: a_confirmation_is_not_waited_for_beyond_the_callers_deadline fails before the change ("decided after 151.535909ms") and passes with it.

Why it works: the confirmation takes at most half of the time that is left by then. When that is over, the view counts as confirmed before the request, which decides nothing by itself.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -265,7 +265,8 @@
         if !own.known.origin.is_unknown() {
             return self.resolved(decision, &nodes);
         }
-        let timeout = FIND_TIMEOUT.min(Duration::from_millis(remaining.0 / 2));
+        let (began_at, remaining) = (Instant::now(), Duration::from_millis(remaining.0));
+        let timeout = FIND_TIMEOUT.min(remaining / 2);
         let mut asked = self.ask(key, service, holder_count, timeout);
         while let Some(answer) = asked.join_next().await {
             let Ok(Some((node, answer))) = answer else { continue };
@@ -278,7 +279,9 @@
             }
         }
         if decision.resumption == Resumption::Refused(UnknownOrigin::UncertainPast) {
-            let own = self.confirmed_statement(key, service).await;
+            let left = remaining.saturating_sub(began_at.elapsed());
+            let confirmed = tokio::time::timeout(left / 2, self.confirmed_statement(key, service)).await;
+            let own = confirmed.unwrap_or_else(|_| statement());
             decision = resume_rule(service, &own, &answers, holder_count, lifetime);
         }
         if let (Resumption::At(origin), Some(key)) = (&decision.resumption, key) {
--- a/crates/gateway/tests/stream_lookups.rs
+++ b/crates/gateway/tests/stream_lookups.rs
@@ -21,6 +21,7 @@
 use stallmoor_gateway::streams::StreamOrigins;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 const SERVICE: &str = "lm";
 const BOUNDS: WatchBounds = WatchBounds { change: Millis(1_000), contact: Millis(1_500), heartbeat: Millis(1_200) };
@@ -92,3 +93,18 @@
     let origin = StreamOrigin { service, version: SoftwareVersion::new("v1") };
     assert_eq!((resolved.resumption, resolved.basis), (Resumption::At(origin), "quorum"));
 }
+
+/// Guards against a decision that comes after the caller's deadline: a node that waits for a read of the store that does not
+/// end waits no longer than its caller.
+#[tokio::test]
+async fn a_confirmation_is_not_waited_for_beyond_the_callers_deadline() {
+    let gateway = Node::start(NodeId(9)).await;
+    // The store is thought to be in reach, but no read ends.
+    gateway.metadata.set_unreachable_for(Millis(0));
+    let remaining = Millis(100);
+    let began = Instant::now();
+    let resolved = gateway.origins.resolve(Some(StreamKey(7)), &Arc::from(SERVICE), LIFETIME, remaining).await;
+    let elapsed = began.elapsed();
+    assert_eq!(resolved.resumption, Resumption::Refused(UnknownOrigin::UncertainPast));
+    assert!(elapsed < Duration::from_millis(remaining.0), "decided after {elapsed:?}");
+}
