Count late confirmations of an origin whose first event is held

Callers waited up to two seconds for the first event of a stream of a new version although its origin was stored at all three storage nodes within 0.2 s.

Cause: each attempt to store the origin waits 100 ms and counted the confirmations of its own messages alone. Where an answer takes longer than that, as from a busy node or one in another zone, no attempt ever counts it, and the event is held until the version is no longer new. Two nodes that confirm in different attempts were not counted together either.

Evidence: late_confirmations_of_an_origin_end_the_hold_of_the_first_event, with answers that take 200 ms: "held for 1.933726167s" before the change; passes with it (limit 1 s).

Why it works: a storage node that has confirmed the origin holds it whichever message it answers. Confirmations count per node, over all attempts, among the nodes that are holders at present; as many of them as before are needed. Nodes that have confirmed it are not sent it again.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -3,7 +3,7 @@
 //! [`stallmoor_core::serving::stream_origins`] decides which nodes store an origin, when it has to be sent to them, and
 //! whether a stream may be resumed. Gateways send and request origins; storage nodes answer.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -133,53 +133,53 @@
         Sharing::of(&versions, known_for, lifetime)
     }
 
-    /// Stores an origin at as many storage nodes as a lookup relies on. Returns false once other nodes know the version by
+    /// Stores an origin at as many storage nodes as a lookup relies on; the others may follow. Returns false once other nodes know the version by
     /// the records of its workers, or if there are no storage nodes.
     async fn store_first(self: &Arc<Self>, record: &OriginRecord) -> bool {
         let StreamOrigin { service, version } = &record.origin;
+        let (mut stores, mut confirmed) = (JoinSet::new(), BTreeSet::new());
         loop {
-            let copies = COPIES.min(holders(record.key, &self.view.storage()).len());
+            let holders: BTreeSet<NodeId> =
+                holders(record.key, &self.view.storage()).into_iter().map(|holder| holder.node).collect();
+            let copies = COPIES.min(holders.len());
             if copies == 0 {
                 return false;
             }
-            if self.store_copies(record, copies).await {
+            for holder in self.responsive_holders(record.key, copies) {
+                if !confirmed.contains(&holder.node) {
+                    stores.spawn(self.clone().store_copy(holder, record.clone()));
+                }
+            }
+            // Those that confirm it later count for the next attempt.
+            let confirming = async {
+                while confirmed.intersection(&holders).count() < copies {
+                    match stores.join_next().await {
+                        Some(stored) => confirmed.extend(stored.ok().flatten()),
+                        None => return,
+                    }
+                }
+            };
+            let _ = tokio::time::timeout(FIRST_STORE_TIMEOUT, confirming).await;
+            if confirmed.intersection(&holders).count() >= copies {
+                stores.detach_all();
                 return true;
             }
             let known_for = self.view.workers().version_known_for(service, version, self.view.clock.now());
             if !Sharing::is_new(known_for) {
+                stores.detach_all();
                 return false;
             }
             tokio::time::sleep(FIRST_STORE_RETRY_DELAY).await;
         }
     }
 
-    /// Sends an origin to all storage nodes that may store it. Returns whether `copies` of them confirmed it in time; the
-    /// others may follow.
-    async fn store_copies(self: &Arc<Self>, record: &OriginRecord, copies: usize) -> bool {
-        let mut stores = JoinSet::new();
-        for holder in self.responsive_holders(record.key, copies) {
-            let (origins, records) = (self.clone(), vec![record.clone()]);
-            stores.spawn(async move {
-                let is_stored = origins.send(holder, records).await;
-                if !is_stored {
-                    origins.avoid(holder);
-                }
-                is_stored
-            });
+    /// Sends an origin to a storage node. Returns the node once it has confirmed it.
+    async fn store_copy(self: Arc<Self>, holder: Holder, record: OriginRecord) -> Option<NodeId> {
+        let is_stored = self.send(holder, vec![record]).await;
+        if !is_stored {
+            self.avoid(holder);
         }
-        let mut confirmed = 0;
-        let confirming = async {
-            while let Some(stored) = stores.join_next().await {
-                confirmed += usize::from(matches!(stored, Ok(true)));
-                if confirmed >= copies {
-                    return true;
-                }
-            }
-            false
-        };
-        let is_stored = tokio::time::timeout(FIRST_STORE_TIMEOUT, confirming).await.unwrap_or(false);
-        stores.detach_all();
-        is_stored
+        is_stored.then_some(holder.node)
     }
 
     /// Marks the streams as conflicting whose origin is contradicted by the present record of the worker that began them.
--- a/crates/gateway/tests/stream_lookups.rs
+++ b/crates/gateway/tests/stream_lookups.rs
@@ -10,6 +10,7 @@
 use stallmoor_core::serving::relay::bounds::WatchBounds;
 use stallmoor_core::serving::relay::item::Revision;
 use stallmoor_core::serving::relay::mirror::MissingKeys;
+use stallmoor_core::serving::stream_origins::sharing::Sharing;
 use stallmoor_core::serving::stream_origins::{Resumption, StreamKey, StreamOrigin, UnknownOrigin};
 use stallmoor_core::serving::workers::{SoftwareVersion, WorkerId, WorkerRecord};
 use stallmoor_core::time::Millis;
@@ -19,7 +20,8 @@
 use stallmoor_gateway::fleet::metadata_view::MetadataView;
 use stallmoor_gateway::storage::peer_listener::{PeerAnswerers, accept_peers};
 use stallmoor_gateway::streams::StreamOrigins;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -108,3 +110,50 @@
     assert_eq!(resolved.resumption, Resumption::Refused(UnknownOrigin::UncertainPast));
     assert!(elapsed < Duration::from_millis(remaining.0), "decided after {elapsed:?}");
 }
+
+/// Returns the address of a link to a node, which delivers the node's answers late.
+async fn slow_link(to: SocketAddr, delay: Duration) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((caller, _)) = listener.accept().await {
+            let (mut requests, mut answers) = caller.into_split();
+            let (mut node_answers, mut node) = TcpStream::connect(to).await.expect("the node listens").into_split();
+            tokio::spawn(async move { tokio::io::copy(&mut requests, &mut node).await });
+            let (late, mut due) = mpsc::unbounded_channel::<(Instant, Vec<u8>)>();
+            tokio::spawn(async move {
+                let mut bytes = vec![0; 4_096];
+                while let Ok(count @ 1..) = node_answers.read(&mut bytes).await {
+                    let _ = late.send((Instant::now() + delay, bytes[..count].to_vec()));
+                }
+            });
+            tokio::spawn(async move {
+                while let Some((at, bytes)) = due.recv().await {
+                    tokio::time::sleep_until(at).await;
+                    let _ = answers.write_all(&bytes).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a first event that is held for two seconds although the storage nodes confirm its origin: each confirmation
+/// came later than one attempt waits.
+#[tokio::test]
+async fn late_confirmations_of_an_origin_end_the_hold_of_the_first_event() {
+    let gateway = Node::start(NodeId(9)).await;
+    for id in 1..=3 {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+        let address = slow_link(listener.local_addr().expect("an address"), Duration::from_millis(200)).await;
+        let name = Arc::from(format!("storage-{id}"));
+        gateway.fleet.storage().upsert(StorageRecord { name, node: NodeId(id), address, zone: Arc::from("a") });
+        Node::start(NodeId(id)).await.serve(listener);
+    }
+    let origin = StreamOrigin { service: Arc::from(SERVICE), version: SoftwareVersion::new("v1") };
+    let began = Instant::now();
+    let sharing = gateway.origins.record(StreamKey(7), &origin, Millis(5_000), &WorkerId(Arc::from("i-1"))).await;
+    let elapsed = began.elapsed();
+    assert_eq!(sharing, Sharing::BeforeFirstEvent);
+    assert!(elapsed < Duration::from_millis(1_000), "held for {elapsed:?}");
+}
