--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -254,14 +254,18 @@
             return;
         }
         let Some(name) = item.key.strip_prefix(STORAGE_KEY_PREFIX) else { return };
-        match parse_record::<StorageRecord>(item) {
-            Some(stored) => {
-                let fields = [Field::text("machine", name), Field::text("node", stored.node)];
-                record(LogEvent::StorageNodeSeen, &fields);
-                self.storage().upsert(stored);
-            }
-            None => self.storage().remove(name),
+        if item.value().is_none() {
+            return self.storage().remove(name);
+        }
+        // An unreadable record was not written by the machine, which writes its own again.
+        let Some(stored) = parse_record::<StorageRecord>(item) else { return };
+        if *stored.name != *name {
+            let detail = format!("{} at {}: the record is of {}", item.key, item.revision, stored.name);
+            return record(LogEvent::RecordUnreadable, &[Field::text("detail", detail)]);
         }
+        let fields = [Field::text("machine", name), Field::text("node", stored.node)];
+        record(LogEvent::StorageNodeSeen, &fields);
+        self.storage().upsert(stored);
     }
 }
 
--- a/crates/gateway/src/process/storage_node.rs
+++ b/crates/gateway/src/process/storage_node.rs
@@ -28,7 +28,7 @@
 use crate::storage::disk_writer::DiskWriter;
 use crate::storage::peer_listener::{PeerAnswerers, accept_peers};
 use crate::storage::registration;
-use crate::storage::service::{StorageComponents, StorageInputs, StorageService};
+use crate::storage::service::{OwnRecord, StorageComponents, StorageInputs, StorageService};
 
 /// Maximum number of queued peer messages. When the queue is full, further messages stay in their connections.
 const PEER_EVENT_QUEUE_CAPACITY: usize = 4_096;
@@ -125,7 +125,9 @@
     // Unbounded: the queue holds only the changes of the store since the service last received one, a few per second.
     let (update_sender, updates) = mpsc::unbounded_channel();
     components.follow_metadata(id, settings, adapter, Some(update_sender));
-    tokio::spawn(registration::register(adapter.metadata(), local_record(settings, id)));
+    let own_record = OwnRecord::new(&settings.node.name);
+    let overwritten = own_record.overwritten.clone();
+    tokio::spawn(registration::keep_registered(adapter.metadata(), local_record(settings, id), overwritten));
     let tolerated_losses = settings.tolerance.replicas();
     // Unbounded: only one message is ever sent.
     let (membership_sender, initial_membership) = mpsc::unbounded_channel();
@@ -139,6 +141,7 @@
     let components = StorageComponents {
         node,
         id,
+        own_record,
         tolerated_losses,
         workers: components.workers,
         metadata: adapter.metadata(),
--- a/crates/gateway/src/storage/service/membership.rs
+++ b/crates/gateway/src/storage/service/membership.rs
@@ -9,20 +9,44 @@
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::replication::{GroupMembership, Replica};
+use stallmoor_core::serving::jobs::directory::StorageRecord;
 use stallmoor_core::serving::jobs::members::{DrainState, MembershipPlanner};
 use stallmoor_core::serving::jobs::pair::{PairRecord, StoredPair};
 use stallmoor_core::serving::relay::item::{MetadataItem, Revision};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::adapter::metadata::{FleetUpdate, MetadataStore, PutOutcome};
 use crate::observe::journal::{Field, record};
-use crate::storage::registration::PAIR_KEY;
+use crate::storage::registration::{PAIR_KEY, storage_record_key};
 
 /// Delay before a failed drain report is retried; limits the load on a store that is down.
 const DRAIN_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Delay before the pair record is read after a failed write; limits the load on a store that is down.
 const PAIR_READ_DELAY: Duration = Duration::from_millis(200);
 
+/// This node's record in the metadata store.
+pub struct OwnRecord {
+    key: String,
+    /// Notified when another writer has overwritten the record by something unreadable.
+    pub overwritten: Arc<Notify>,
+}
+
+impl OwnRecord {
+    /// Describes the record of the machine that this node runs on.
+    pub fn new(machine: &str) -> Self {
+        Self { key: storage_record_key(machine), overwritten: Arc::default() }
+    }
+
+    /// Requests that the record be written again if it can't be read. A readable one is of a later node on this machine.
+    fn on_item(&self, item: &MetadataItem) {
+        let is_own = *item.key == *self.key;
+        let is_unreadable = |value| serde_json::from_slice::<StorageRecord>(value).is_err();
+        if is_own && item.value().is_some_and(is_unreadable) {
+            self.overwritten.notify_one();
+        }
+    }
+}
+
 /// This node's view of the group's members, and the related calls to the metadata store.
 pub(super) struct Membership {
     id: NodeId,
@@ -32,6 +56,7 @@
     initial_membership: Option<GroupMembership>,
     /// Unbounded: at most one write of the pair record is in progress.
     pair_reads: mpsc::UnboundedSender<Option<StoredPair>>,
+    own_record: OwnRecord,
 }
 
 impl Membership {
@@ -40,8 +65,9 @@
         planner: MembershipPlanner,
         metadata: Arc<dyn MetadataStore>,
         pair_reads: mpsc::UnboundedSender<Option<StoredPair>>,
+        own_record: OwnRecord,
     ) -> Self {
-        Self { id, planner, metadata, initial_membership: None, pair_reads }
+        Self { id, planner, metadata, initial_membership: None, pair_reads, own_record }
     }
 
     pub(super) fn id(&self) -> NodeId {
@@ -72,6 +98,7 @@
             FleetUpdate::InternalItem(item) if &*item.key == PAIR_KEY => {
                 self.planner.apply_pair_record(decode_pair(item))
             }
+            FleetUpdate::InternalItem(item) => self.own_record.on_item(item),
             _ => {}
         }
     }
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -59,6 +59,7 @@
 use joins::JoinRequests;
 use load_exchange::LoadExchange;
 use membership::Membership;
+pub use membership::OwnRecord;
 use outcome_exchange::OutcomeExchange;
 use replica_driver::ReplicaDriver;
 use startup::StartedService;
--- a/crates/gateway/src/storage/service/startup.rs
+++ b/crates/gateway/src/storage/service/startup.rs
@@ -22,7 +22,7 @@
 use super::item_runner::{ItemRunner, RunReport};
 use super::joins::JoinRequests;
 use super::load_exchange::LoadExchange;
-use super::membership::Membership;
+use super::membership::{Membership, OwnRecord};
 use super::outcome_exchange::OutcomeExchange;
 use super::replica_driver::ReplicaDriver;
 use super::step_times::StepTimes;
@@ -39,6 +39,8 @@
     pub node: JobsNode,
     /// Identity of this node.
     pub id: NodeId,
+    /// This node's record in the metadata store.
+    pub own_record: OwnRecord,
     /// Number of replicas whose simultaneous loss must be tolerated.
     pub tolerated_losses: usize,
     /// Client for workers, which also provides the view of the fleet.
@@ -93,7 +95,7 @@
         let (leader_outcomes, outcomes) = mpsc::unbounded_channel();
         let (ended, ended_peers) = mpsc::unbounded_channel();
         let (encoded, snapshots) = mpsc::unbounded_channel();
-        let StorageComponents { node, id, tolerated_losses, workers, metadata, disk, budget, results_kept } =
+        let StorageComponents { node, id, own_record, tolerated_losses, workers, metadata, disk, budget, results_kept } =
             components;
         let view = workers.view.clone();
         let now = view.clock.now();
@@ -110,7 +112,7 @@
             ),
             answers: PendingAnswers::default(),
             items: ItemRunner::new(workers.clone(), reports, now),
-            membership: Membership::new(id, planner, metadata, pair_reads),
+            membership: Membership::new(id, planner, metadata, pair_reads, own_record),
             joins: JoinRequests::new(client.clone()),
             loads: LoadExchange::new(view.clone(), client.clone(), leader_answers),
             outcomes: OutcomeExchange::new(view, id, client, leader_outcomes),
