--- a/crates/gateway/src/storage/service/startup.rs
+++ b/crates/gateway/src/storage/service/startup.rs
@@ -22,7 +22,7 @@
 use super::item_runner::{ItemRunner, RunReport};
 use super::joins::JoinRequests;
 use super::load_exchange::LoadExchange;
-use super::membership::Membership;
+use super::membership::{Membership, OwnRecord};
 use super::outcome_exchange::OutcomeExchange;
 use super::replica_driver::ReplicaDriver;
 use super::step_times::StepTimes;
@@ -40,6 +40,8 @@
     pub node: JobsNode,
     /// Identity of this node.
     pub id: NodeId,
+    /// This node's record in the metadata store.
+    pub own_record: OwnRecord,
     /// Number of replicas whose simultaneous loss must be tolerated.
     pub tolerated_losses: usize,
     /// Client for workers, which also provides the view of the fleet.
@@ -99,6 +101,7 @@
         let StorageComponents {
             node,
             id,
+            own_record,
             tolerated_losses,
             workers,
             metadata_view,
@@ -122,7 +125,7 @@
             ),
             answers: PendingAnswers::default(),
             items: ItemRunner::new(workers.clone(), metadata_view, reports, now),
-            membership: Membership::new(id, planner, metadata, pair_reads),
+            membership: Membership::new(id, planner, metadata, pair_reads, own_record),
             joins: JoinRequests::new(client.clone()),
             loads: LoadExchange::new(view.clone(), client.clone(), leader_answers),
             outcomes: OutcomeExchange::new(view, id, client, leader_outcomes),
