--- a/crates/gateway/src/online/stream.rs
+++ b/crates/gateway/src/online/stream.rs
@@ -11,14 +11,22 @@
 use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::serving::online::event_stream::ServerSentEvent;
 use stallmoor_core::serving::online::request_state::ResumeRounds;
+use stallmoor_core::serving::online::stream_end::StreamCompletion;
 use stallmoor_core::serving::online::timeouts::AwaitedEvent;
 use stallmoor_core::time::{Millis, Timestamp};
 
 use super::ActiveRequest;
-use crate::http::answer_body::{Aborted, AnswerBody, ChunkSender, Disconnected};
+use crate::http::answer_body::{AnswerBody, ChunkSender, Disconnected};
 use crate::workers::answer_reader::EventReader;
 use crate::workers::attempt::OpenAnswer;
 
+/// What was forwarded of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Forwarded {
+    Whole,
+    Part,
+}
+
 /// How a stream from one worker ended.
 enum StreamEnd {
     Complete,
@@ -35,11 +43,15 @@
         *response.status_mut() = answer.status;
         *response.headers_mut() = self.client.dialect.answer_headers(&answer.headers);
         response.headers_mut().remove(CONTENT_LENGTH);
-        tokio::spawn(async move { self.forward(answer, &sender).await });
+        tokio::spawn(async move {
+            if self.forward(answer, &sender).await == Forwarded::Whole {
+                sender.complete();
+            }
+        });
         response
     }
 
-    async fn forward(&mut self, answer: OpenAnswer, sender: &ChunkSender) {
+    async fn forward(&mut self, answer: OpenAnswer, sender: &ChunkSender) -> Forwarded {
         let mut current = answer;
         let mut outcome = "broken off";
         loop {
@@ -47,9 +59,13 @@
             match self.forward_from(current, sender).await {
                 StreamEnd::Complete => {
                     self.run_completed();
-                    return self.log_end("whole");
+                    self.log_end("whole");
+                    return Forwarded::Whole;
+                }
+                StreamEnd::CallerDisconnected => {
+                    outcome = "caller gone";
+                    break;
                 }
-                StreamEnd::CallerDisconnected => return self.log_end("caller gone"),
                 StreamEnd::DeadlineExceeded => {
                     outcome = "out of time";
                     break;
@@ -61,7 +77,10 @@
             }
             let resumed = tokio::select! {
                 resumed = self.resume() => resumed,
-                () = sender.closed() => return self.log_end("caller gone"),
+                () = sender.closed() => {
+                    outcome = "caller gone";
+                    break;
+                }
             };
             match resumed {
                 Some(answer) => current = answer,
@@ -69,8 +88,7 @@
             }
         }
         self.log_end(outcome);
-        // Sending fails only if the caller has disconnected.
-        let _ = sender.send(Err(Aborted)).await;
+        Forwarded::Part
     }
 
     /// Sends the request to workers, in rounds, until one of them resumes the partially sent stream. Gives up once no
@@ -94,7 +112,7 @@
 
     /// Forwards complete events until the stream ends, fails or times out, or the caller disconnects.
     async fn forward_from(&mut self, mut answer: OpenAnswer, sender: &ChunkSender) -> StreamEnd {
-        let mut reader = EventReader::new(&self.client.answers);
+        let mut reader = EventReader::new(&self.client.answers, answer.framing());
         let mut first = true;
         let mut first_event_at = None;
         let sent_at = answer.sent_at;
@@ -121,10 +139,7 @@
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) => {
                     self.record_stream_slot_time(first_event_at);
-                    if first {
-                        self.record_evidence(|attribution, _| attribution.on_served(&answer.worker));
-                    }
-                    return finish_stream(answer, &reader);
+                    return self.finish_stream(answer, &reader);
                 }
             };
             let events = match reader.push(&data) {
@@ -146,6 +161,21 @@
         }
     }
 
+    /// Handles the end of a worker's answer. Without evidence that the stream is complete it goes on elsewhere.
+    fn finish_stream(&mut self, answer: OpenAnswer, reader: &EventReader) -> StreamEnd {
+        let ended = reader.ended();
+        match ended.completion(self.state.progress.has_events()) {
+            StreamCompletion::Broken | StreamCompletion::Unknown => StreamEnd::AttemptFailed(AttemptEnd::Broken),
+            StreamCompletion::Complete => {
+                if !ended.has_events {
+                    self.record_evidence(|attribution, _| attribution.on_served(&answer.worker));
+                }
+                answer.release();
+                StreamEnd::Complete
+            }
+        }
+    }
+
     async fn forward_events(&mut self, events: Vec<ServerSentEvent>, sender: &ChunkSender) -> Result<(), StreamEnd> {
         let taken = self.state.progress.take(events, self.state.is_retryable());
         if let (Some(run), Some(event)) = (&mut self.run, self.state.progress.last_event) {
@@ -162,7 +192,7 @@
         let remaining = Duration::from_millis(self.state.remaining(self.now()).0);
         let sending = async {
             let chunk = self.client.answers.memory.hold(chunk).await;
-            sender.send(Ok(chunk)).await
+            sender.send(chunk).await
         };
         tokio::select! {
             sent = tokio::time::timeout(remaining, sending) => match sent {
@@ -203,12 +233,3 @@
         Duration::from_millis(timeout.0)
     }
 }
-
-/// Handles the end of a worker's stream, which is complete unless it ended within an event.
-fn finish_stream(answer: OpenAnswer, reader: &EventReader) -> StreamEnd {
-    if !reader.is_at_event_end() {
-        return StreamEnd::AttemptFailed(AttemptEnd::Broken);
-    }
-    answer.release();
-    StreamEnd::Complete
-}
