--- a/crates/gateway/src/storage/registration.rs
+++ b/crates/gateway/src/storage/registration.rs
@@ -31,10 +31,8 @@
 
 /// Writes the node's record to the metadata store, and writes it again each time that `overwritten` is notified.
 pub async fn keep_registered(metadata: Arc<dyn MetadataStore>, record: StorageRecord, overwritten: Arc<Notify>) {
-    let key = storage_record_key(&record.name);
-    let Ok(value) = serde_json::to_vec(&record) else { return };
     loop {
-        register(&*metadata, &key, &value).await;
+        register(metadata.clone(), record.clone()).await;
         tokio::time::sleep(RETRY_INTERVAL).await;
         overwritten.notified().await;
     }
@@ -45,17 +43,19 @@
     format!("{STORAGE_KEY_PREFIX}{machine}")
 }
 
-/// Retries until the store contains the record.
-async fn register(metadata: &dyn MetadataStore, key: &str, value: &[u8]) {
+/// Writes the node's record to the metadata store, retrying until the store contains it.
+pub async fn register(metadata: Arc<dyn MetadataStore>, record: StorageRecord) {
+    let key = storage_record_key(&record.name);
+    let Ok(value) = serde_json::to_vec(&record) else { return };
     let mut expected = Revision(0);
     loop {
-        match metadata.put(key.to_owned(), value.to_vec(), expected).await {
+        match metadata.put(key.clone(), value.clone(), expected).await {
             PutOutcome::Written(_) => return,
             PutOutcome::Unknown => tokio::time::sleep(RETRY_INTERVAL).await,
             PutOutcome::Conflict => {}
         }
-        match metadata.get(key.to_owned()).await {
-            Some(item) if item.value() == Some(value) => return,
+        match metadata.get(key.clone()).await {
+            Some(item) if item.value() == Some(&value[..]) => return,
             Some(item) if item.value().is_some() => expected = item.revision,
             Some(_) => expected = Revision(0),
             None => tokio::time::sleep(RETRY_INTERVAL).await,
