Hear the holders of a record before a version is deduced

Callers on a split or moved route could get a stream continued at another service than the one that began it, although two storage nodes held its record.

Cause: the lookup ended at the first answer that allowed a deduction. One of three storage nodes lacks the record by design (two copies). If its view is confirmed before the others' answers arrive, it deduces the version of the route's present service, and the record, which names the service, is not heard.

Why it works: once as many holders as the lookup's quorum have answered without a record, none that is stored twice exists. With fewer answers the lookup goes on to its time-out, as it did for every unrecorded stream before deductions ended it; then what was heard decides. It costs up to FIND_TIMEOUT where two of three storage nodes are silent.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -274,7 +274,9 @@
             nodes.push(node);
             answers.push(answer);
             decision = resume_rule(service, &statement(), &answers, holder_count, lifetime);
-            if is_recorded || matches!(decision.resumption, Resumption::At(_)) {
+            // Fewer answers may all lack the record, which may name another service.
+            let is_unrecorded = answers.len() >= lookup_quorum(holder_count);
+            if is_recorded || (is_unrecorded && matches!(decision.resumption, Resumption::At(_))) {
                 break;
             }
         }
--- a/crates/gateway/tests/stream_lookups.rs
+++ b/crates/gateway/tests/stream_lookups.rs
@@ -10,6 +10,7 @@
 use stallmoor_core::serving::relay::bounds::WatchBounds;
 use stallmoor_core::serving::relay::item::Revision;
 use stallmoor_core::serving::relay::mirror::MissingKeys;
+use stallmoor_core::serving::stream_origins::message::{OriginRecord, OriginsRequest};
 use stallmoor_core::serving::stream_origins::sharing::Sharing;
 use stallmoor_core::serving::stream_origins::{Resumption, StreamKey, StreamOrigin, UnknownOrigin};
 use stallmoor_core::serving::workers::{SoftwareVersion, WorkerId, WorkerRecord};
@@ -157,3 +158,37 @@
     assert_eq!(sharing, Sharing::BeforeFirstEvent);
     assert!(elapsed < Duration::from_millis(1_000), "held for {elapsed:?}");
 }
+
+/// Guards against a stream that goes on at another service than the one that began it, on a split or moved route: a storage
+/// node without its record deduced the version of the route's present service, and the nodes that hold the record were not
+/// heard.
+#[tokio::test]
+async fn a_version_is_not_deduced_before_a_holder_of_a_record_must_have_answered() {
+    let gateway = Node::start(NodeId(9)).await;
+    let origin = StreamOrigin { service: Arc::from("other"), version: SoftwareVersion::new("v9") };
+    for id in 1..=3 {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+        let (mut address, node) = (listener.local_addr().expect("an address"), Node::start(NodeId(id)).await);
+        if id == 1 {
+            // Its view is confirmed whenever that is requested.
+            node.metadata.set_unreachable_for(Millis(0));
+            let (fleet, metadata) = (node.fleet.clone(), node.metadata.clone());
+            tokio::spawn(async move {
+                loop {
+                    metadata.wait_for_confirmation_request().await;
+                    let reads = metadata.end_confirmation(metadata.begin_confirmation(), true);
+                    fleet.apply(&FleetUpdate::ReadAfterRequest(reads));
+                }
+            });
+        } else {
+            let record = OriginRecord { key: StreamKey(7), origin: origin.clone() };
+            node.origins.answer(OriginsRequest::Store(vec![record])).await;
+            address = slow_link(address, Duration::from_millis(50)).await;
+        }
+        let name = Arc::from(format!("storage-{id}"));
+        gateway.fleet.storage().upsert(StorageRecord { name, node: NodeId(id), address, zone: Arc::from("a") });
+        node.serve(listener);
+    }
+    let resolved = gateway.origins.resolve(Some(StreamKey(7)), &Arc::from(SERVICE), LIFETIME, Millis(5_000)).await;
+    assert_eq!((resolved.resumption, resolved.basis), (Resumption::At(origin), "storage_record"));
+}
