Test that a first event waits for two storage nodes

With one confirmation in place of two, no test of the gateway failed: the core tests play the hold themselves. This one fails then, and passes with two.

--- a/crates/gateway/tests/stream_lookups.rs
+++ b/crates/gateway/tests/stream_lookups.rs
@@ -192,3 +192,26 @@
     let resolved = gateway.origins.resolve(Some(StreamKey(7)), &Arc::from(SERVICE), LIFETIME, Millis(5_000)).await;
     assert_eq!((resolved.resumption, resolved.basis), (Resumption::At(origin), "storage_record"));
 }
+
+/// Guards against a first event of a new version that is forwarded although one storage node alone holds its origin: two that
+/// do not may outvote it.
+#[tokio::test]
+async fn a_first_event_is_held_while_one_storage_node_alone_has_its_origin() {
+    let gateway = Node::start(NodeId(9)).await;
+    let mut silent = Vec::new();
+    for id in 1..=3 {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+        let (name, address) = (Arc::from(format!("storage-{id}")), listener.local_addr().expect("an address"));
+        gateway.fleet.storage().upsert(StorageRecord { name, node: NodeId(id), address, zone: Arc::from("a") });
+        if id == 1 {
+            Node::start(NodeId(id)).await.serve(listener);
+        } else {
+            silent.push(listener);
+        }
+    }
+    let origin = StreamOrigin { service: Arc::from(SERVICE), version: SoftwareVersion::new("v1") };
+    let began = Instant::now();
+    gateway.origins.record(StreamKey(7), &origin, Millis(5_000), &WorkerId(Arc::from("i-1"))).await;
+    let known_for = gateway.fleet.workers().version_known_for(SERVICE, &origin.version, gateway.fleet.clock.now());
+    assert!(!Sharing::is_new(known_for), "forwarded after {:?}", began.elapsed());
+}
