Make no read to confirm a view shortly after one that failed

A gateway that follows a relay but is cut off from the store does not count the store as out of reach. Each stream that callers took up there waited 150 ms for a read that failed, during which the relay's answer was not applied.

After a read that failed none is made for half a second; what was known before the request decides at once, by a quorum or not at all. view_confirmation has a test of both sides.

--- a/crates/core/src/serving/relay/confirmation.rs
+++ b/crates/core/src/serving/relay/confirmation.rs
@@ -8,6 +8,8 @@
 
 /// Maximum time for a read that confirms a view. Whoever waits for it has a caller waiting.
 pub const CONFIRMATION_TIMEOUT: Millis = Millis(150);
+/// Time after a read that failed for which no other is made. A node that is cut off from the store decides at once then.
+pub const FAILED_READ_BACKOFF: Millis = Millis(500);
 /// Minimum time from one read to the next, so that a node with many requests makes a bounded number of calls.
 pub const MIN_READ_INTERVAL: Millis = Millis(25);
 
@@ -40,13 +42,17 @@
     last: ConfirmationRequest,
     reads: ConfirmedReads,
     last_read_at: Option<Timestamp>,
+    last_failure_at: Option<Timestamp>,
 }
 
 impl ConfirmationRequests {
-    /// Adds a request.
-    pub fn add(&mut self) -> ConfirmationRequest {
+    /// Adds a request; `None` if a read has failed lately.
+    pub fn add(&mut self, now: Timestamp) -> Option<ConfirmationRequest> {
+        if self.last_failure_at.is_some_and(|failed| now.since(failed) < FAILED_READ_BACKOFF) {
+            return None;
+        }
         self.last.0 += 1;
-        self.last
+        Some(self.last)
     }
 
     /// Returns the time to wait until a read may begin.
@@ -60,12 +66,13 @@
         self.last
     }
 
-    /// Records that the read that serves the requests up to `served` has ended.
-    pub fn end_read(&mut self, served: ConfirmationRequest, is_confirmed: bool) -> ConfirmedReads {
+    /// Records that the read that serves the requests up to `served` has ended at `now`.
+    pub fn end_read(&mut self, served: ConfirmationRequest, is_confirmed: bool, now: Timestamp) -> ConfirmedReads {
         self.reads.ended = self.reads.ended.max(served);
         if is_confirmed {
             self.reads.succeeded = self.reads.succeeded.max(served);
         }
+        self.last_failure_at = (!is_confirmed).then_some(now);
         self.reads
     }
 }
--- a/crates/core/tests/view_confirmation.rs
+++ b/crates/core/tests/view_confirmation.rs
@@ -1,7 +1,7 @@
 //! Guards against a confirmation that is taken for a request made after its read began, and against a read for each request.
 
 use proptest::prelude::*;
-use stallmoor_core::serving::relay::confirmation::{ConfirmationRequests, MIN_READ_INTERVAL};
+use stallmoor_core::serving::relay::confirmation::{ConfirmationRequests, FAILED_READ_BACKOFF, MIN_READ_INTERVAL};
 use stallmoor_core::time::{Millis, Timestamp};
 
 fn at(millis: u64) -> Timestamp {
@@ -12,16 +12,30 @@
 #[test]
 fn a_read_serves_the_requests_made_before_it_began() {
     let mut requests = ConfirmationRequests::default();
-    let (first, second) = (requests.add(), requests.add());
+    let add = |requests: &mut ConfirmationRequests| requests.add(at(0)).expect("no read has failed");
+    let (first, second) = (add(&mut requests), add(&mut requests));
     let served = requests.begin_read(at(0));
-    let late = requests.add();
-    let reads = requests.end_read(served, true);
+    let late = add(&mut requests);
+    let reads = requests.end_read(served, true, at(0));
     assert_eq!([first, second, late].map(|request| reads.outcome(request)), [Some(true), Some(true), None]);
     let served = requests.begin_read(at(30));
-    let reads = requests.end_read(served, false);
+    let reads = requests.end_read(served, false, at(40));
     assert_eq!([second, late].map(|request| reads.outcome(request)), [Some(true), Some(false)]);
 }
 
+/// Guards against waiting for a read that is likely to fail, and against none any more after a failure.
+#[test]
+fn no_read_is_made_shortly_after_one_that_failed() {
+    let mut requests = ConfirmationRequests::default();
+    let first = requests.add(at(0)).expect("no read has failed");
+    let served = requests.begin_read(at(0));
+    assert_eq!(requests.end_read(served, false, at(150)).outcome(first), Some(false));
+    assert_eq!(requests.add(at(150 + FAILED_READ_BACKOFF.0 - 1)), None);
+    assert!(requests.add(at(150 + FAILED_READ_BACKOFF.0)).is_some());
+    requests.end_read(served, true, at(700));
+    assert!(requests.add(at(700)).is_some());
+}
+
 /// Guards against calls in proportion to the requests.
 #[test]
 fn reads_are_spaced() {
@@ -37,13 +51,16 @@
     #[test]
     fn a_request_is_confirmed_only_by_a_read_that_began_after_it(steps in proptest::collection::vec(0..4_u8, 1..60)) {
         let mut requests = ConfirmationRequests::default();
-        let (mut made, mut reading, mut confirmed_up_to) = (Vec::new(), None, 0);
+        let (mut made, mut reading, mut confirmed_up_to, mut clock) = (Vec::new(), None, 0, 0);
         for step in steps {
             match (step, reading) {
-                (0, _) => made.push(requests.add()),
-                (1, None) => reading = Some((requests.begin_read(at(0)), made.len())),
+                (0, _) => {
+                    clock += FAILED_READ_BACKOFF.0;
+                    made.push(requests.add(at(clock)).expect("no read has failed lately"));
+                }
+                (1, None) => reading = Some((requests.begin_read(at(clock)), made.len())),
                 (2 | 3, Some((served, count))) => {
-                    let reads = requests.end_read(served, step == 2);
+                    let reads = requests.end_read(served, step == 2, at(clock));
                     confirmed_up_to = if step == 2 { count } else { confirmed_up_to };
                     reading = None;
                     for (index, request) in made.iter().enumerate() {
--- a/crates/gateway/src/fleet/metadata_view.rs
+++ b/crates/gateway/src/fleet/metadata_view.rs
@@ -107,13 +107,15 @@
         self.request_received.notified().await;
     }
 
-    /// Requests a read of the store that begins after this call; `None` if the store is known to be out of reach.
+    /// Requests a read of the store that begins after this call; `None` if the store is known to be out of reach, or a read
+    /// has failed lately.
     pub fn request_confirmation(&self) -> Option<ConfirmationRequest> {
+        let now = self.clock.now();
         let mut state = self.lock();
         if state.mirror.at().is_none() || state.unreachable_since.is_some() {
             return None;
         }
-        let request = state.confirmations.add();
+        let request = state.confirmations.add(now)?;
         self.confirmation_requested.notify_one();
         Some(request)
     }
@@ -135,7 +137,7 @@
 
     /// Records that the read that serves the requests up to `served` has ended.
     pub fn end_confirmation(&self, served: ConfirmationRequest, is_confirmed: bool) -> ConfirmedReads {
-        self.lock().confirmations.end_read(served, is_confirmed)
+        self.lock().confirmations.end_read(served, is_confirmed, self.clock.now())
     }
 
     /// Replaces the view by the complete contents of the store, which were current at `confirmed`. Returns the items
