Test that a read under way does not confirm a later request

The wiring in confirm_view had no test of its own: with the request number taken after the read instead of before it, all tests of metadata_relay passed. The new one fails then ("2 of 3"), with a store whose answers take 80 ms.

--- a/crates/gateway/tests/metadata_relay.rs
+++ b/crates/gateway/tests/metadata_relay.rs
@@ -53,12 +53,15 @@
 struct StoreConnection {
     contents: Arc<Contents>,
     is_refused: AtomicBool,
+    /// Time in milliseconds for which answers are under way after they were read.
+    answer_delay: AtomicU64,
     calls: AtomicU64,
 }
 
 impl StoreConnection {
     fn new(contents: Arc<Contents>) -> Arc<Self> {
-        Arc::new(Self { contents, is_refused: AtomicBool::new(false), calls: AtomicU64::new(0) })
+        let (is_refused, answer_delay) = (AtomicBool::new(false), AtomicU64::new(0));
+        Arc::new(Self { contents, is_refused, answer_delay, calls: AtomicU64::new(0) })
     }
 
     fn call(&self) -> Result<(), ReadFailure> {
@@ -91,10 +94,13 @@
             self.call()?;
             let mut changes = self.contents.0.subscribe();
             let is_newer = |revision: &u64| *revision > since.0;
-            match tokio::time::timeout(Duration::from_millis(wait.0), changes.wait_for(is_newer)).await {
+            let answer = match tokio::time::timeout(Duration::from_millis(wait.0), changes.wait_for(is_newer)).await {
                 Ok(_) => Ok(self.read()),
                 Err(_) => Ok(ItemSnapshot { items: Vec::new(), at: since }),
-            }
+            };
+            let delay = self.answer_delay.load(Ordering::SeqCst);
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+            answer
         })
     }
 
@@ -244,6 +250,27 @@
     }
 }
 
+/// Guards against a read that confirms the view for a request that came after it began: the change before the request is not
+/// in it.
+#[tokio::test]
+async fn a_read_under_way_does_not_confirm_a_later_request() {
+    let contents = Arc::new(Contents(watch::Sender::new(1)));
+    let (relay, _follower) = relay_and_follower(&contents).await;
+    relay.store.answer_delay.store(80, Ordering::SeqCst);
+    for _ in 0..5 {
+        let (fleet, view) = (relay.fleet.clone(), relay.view.clone());
+        let first = tokio::spawn(async move { confirmation::confirm(&fleet, &view).await });
+        tokio::time::sleep(Duration::from_millis(40)).await;
+        contents.write();
+        let written = *contents.0.borrow();
+        if confirmation::confirm(&relay.fleet, &relay.view).await {
+            assert!(relay.latest_revision() >= written, "{} of {written}", relay.latest_revision());
+        }
+        first.await.expect("the first request ends");
+        tokio::time::sleep(Duration::from_millis(600)).await;
+    }
+}
+
 /// Guards against waiting for a store that is known to be out of reach, and against a confirmation without an answer.
 #[tokio::test]
 async fn a_view_is_not_confirmed_without_the_store() {
