Remember for some seconds which storage nodes give no confirmed statements

A storage node of the previous version closes the connection on FindConfirmed, and with it breaks the other requests of that gateway on the same connection. Each lookup did so while a fleet is upgraded.

A node that answers only the former request is not sent the new one for 5 s; not longer, as a node whose connection was reset looks the same. The test has three storage nodes that close the connection: ten lookups are decided by their quorum over at most three connections each.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -41,6 +41,8 @@
 const FIRST_STORE_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Time for which a node that did not answer is avoided while enough others respond.
 const AVOIDANCE: Millis = Millis(2_000);
+/// Time for which a node that closed the connection on a request that earlier versions do not know is not sent it.
+const LEGACY_PERIOD: Millis = Millis(5_000);
 /// Key by which the storage nodes are chosen for a stream that its client does not name.
 const UNNAMED: StreamKey = StreamKey(0);
 /// Interval at which departed workers are evicted, whose versions count until then.
@@ -71,6 +73,8 @@
     due: Notify,
     /// Nodes that did not answer, with the time until which they are avoided.
     avoided: Mutex<BTreeMap<NodeId, Timestamp>>,
+    /// Nodes that do not know [`OriginsRequest::FindConfirmed`], with the time until which they are not sent it.
+    legacy: Mutex<BTreeMap<NodeId, Timestamp>>,
 }
 
 /// The decision on a stream that its client resumes, with what it rests on.
@@ -98,6 +102,7 @@
             unconfirmed: Mutex::default(),
             due: Notify::new(),
             avoided: Mutex::default(),
+            legacy: Mutex::default(),
         }
     }
 
@@ -133,8 +138,8 @@
         Sharing::of(&versions, known_for, lifetime)
     }
 
-    /// Stores an origin at as many storage nodes as a lookup relies on; the others may follow. Returns false once other nodes know the version by
-    /// the records of its workers, or if there are no storage nodes.
+    /// Stores an origin at as many storage nodes as a lookup relies on; the others may follow. Returns false once other
+    /// nodes know the version by the records of its workers, or if there are no storage nodes.
     async fn store_first(self: &Arc<Self>, record: &OriginRecord) -> bool {
         let StreamOrigin { service, version } = &record.origin;
         let (mut stores, mut confirmed) = (JoinSet::new(), BTreeSet::new());
@@ -341,18 +346,29 @@
         timeout: Duration,
     ) -> Option<Statement> {
         let asked_at = Instant::now();
-        let request = OriginsRequest::FindConfirmed { key, service: service.clone() };
-        match self.links.send_request(holder.address, request, timeout).await {
-            Ok(OriginsAnswer::Stated(statement)) => return Some(statement),
-            Err(PeerCallError::NoAnswer) => {}
-            _ => return None,
+        if !self.is_legacy(holder.node) {
+            let request = OriginsRequest::FindConfirmed { key, service: service.clone() };
+            match self.links.send_request(holder.address, request, timeout).await {
+                Ok(OriginsAnswer::Stated(statement)) => return Some(statement),
+                Err(PeerCallError::NoAnswer) => {}
+                _ => return None,
+            }
         }
         let left = timeout.checked_sub(asked_at.elapsed()).filter(|left| !left.is_zero())?;
         let request = OriginsRequest::Find { key, service: service.clone() };
-        match self.links.send_request(holder.address, request, left).await {
-            Ok(OriginsAnswer::Found(known)) => Some(Statement { known, confirmation: Confirmation::Before }),
-            _ => None,
-        }
+        let Ok(OriginsAnswer::Found(known)) = self.links.send_request(holder.address, request, left).await else {
+            return None;
+        };
+        let now = self.view.clock.now();
+        lock(&self.legacy).entry(holder.node).or_insert(now + LEGACY_PERIOD);
+        Some(Statement { known, confirmation: Confirmation::Before })
+    }
+
+    fn is_legacy(&self, node: NodeId) -> bool {
+        let now = self.view.clock.now();
+        let mut legacy = lock(&self.legacy);
+        legacy.retain(|_, until| *until > now);
+        legacy.contains_key(&node)
     }
 
     fn avoid(&self, holder: Holder) {
--- a/crates/gateway/tests/stream_lookups.rs
+++ b/crates/gateway/tests/stream_lookups.rs
@@ -3,25 +3,30 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use stallmoor_core::identity::NodeId;
+use stallmoor_core::peer_message::{GroupAnswer, GroupAnswerBody, GroupRequestBody, PeerMessage};
 use stallmoor_core::serving::jobs::directory::StorageRecord;
 use stallmoor_core::serving::relay::bounds::WatchBounds;
 use stallmoor_core::serving::relay::item::Revision;
 use stallmoor_core::serving::relay::mirror::MissingKeys;
-use stallmoor_core::serving::stream_origins::message::{OriginRecord, OriginsRequest};
+use stallmoor_core::serving::stream_origins::message::{OriginRecord, OriginsAnswer, OriginsRequest};
 use stallmoor_core::serving::stream_origins::sharing::Sharing;
-use stallmoor_core::serving::stream_origins::{Resumption, StreamKey, StreamOrigin, UnknownOrigin};
+use stallmoor_core::serving::stream_origins::{NodeKnowledge, Resumption, StreamKey, StreamOrigin, UnknownOrigin};
+use stallmoor_core::serving::workers::versions::KnownVersions;
 use stallmoor_core::serving::workers::{SoftwareVersion, WorkerId, WorkerRecord};
 use stallmoor_core::time::Millis;
 use stallmoor_gateway::adapter::metadata::FleetUpdate;
 use stallmoor_gateway::clock::NodeClock;
 use stallmoor_gateway::fleet::fleet_view::FleetView;
 use stallmoor_gateway::fleet::metadata_view::MetadataView;
+use stallmoor_gateway::peers::frames::{read_message, write_frame};
 use stallmoor_gateway::storage::peer_listener::{PeerAnswerers, accept_peers};
 use stallmoor_gateway::streams::StreamOrigins;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use stallmoor_wire::MAX_FRAME_BYTES;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -215,3 +220,54 @@
     let known_for = gateway.fleet.workers().version_known_for(SERVICE, &origin.version, gateway.fleet.clock.now());
     assert!(!Sharing::is_new(known_for), "forwarded after {:?}", began.elapsed());
 }
+
+/// Starts a storage node of an earlier version, which closes the connection on a request that it does not know. Returns its
+/// address and the number of connections that it has accepted.
+async fn start_legacy_node() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let connections = Arc::new(AtomicUsize::new(0));
+    let accepted = connections.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            accepted.fetch_add(1, Ordering::SeqCst);
+            tokio::spawn(async move {
+                let (reader, mut writer) = stream.split();
+                let mut reader = BufReader::new(reader);
+                while let Ok(PeerMessage::GroupRequest(request)) = read_message(&mut reader, MAX_FRAME_BYTES).await {
+                    let GroupRequestBody::Origins(OriginsRequest::Find { .. }) = request.body else { return };
+                    let versions = KnownVersions::Sole { version: SoftwareVersion::new("v1"), lasted: Millis(60_000) };
+                    let known = NodeKnowledge { versions, ..NodeKnowledge::default() };
+                    let result = Ok(GroupAnswerBody::Origins(OriginsAnswer::Found(known)));
+                    let answer = GroupAnswer { id: request.id, group: request.group, result };
+                    let frame = stallmoor_wire::encode(&PeerMessage::GroupAnswer(answer));
+                    if write_frame(&mut writer, &frame).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, connections)
+}
+
+/// Guards against lookups that storage nodes of the previous version can't answer, and against a broken connection for each
+/// of them.
+#[tokio::test]
+async fn storage_nodes_of_the_previous_version_are_asked_as_before() {
+    let gateway = Node::start(NodeId(9)).await;
+    let mut counts = Vec::new();
+    for id in 1..=3 {
+        let (address, connections) = start_legacy_node().await;
+        let name = Arc::from(format!("storage-{id}"));
+        gateway.fleet.storage().upsert(StorageRecord { name, node: NodeId(id), address, zone: Arc::from("a") });
+        counts.push(connections);
+    }
+    let service = Arc::from(SERVICE);
+    for stream in 0..10 {
+        let resolved = gateway.origins.resolve(Some(StreamKey(stream)), &service, LIFETIME, Millis(5_000)).await;
+        assert_eq!(resolved.basis, "quorum", "stream {stream}");
+    }
+    let connections: Vec<usize> = counts.iter().map(|count| count.load(Ordering::SeqCst)).collect();
+    assert!(connections.iter().all(|count| *count <= 3), "{connections:?}");
+}
