Hear a quorum of storage nodes before a record decides

A stream that a worker began after it had come back under its ID with another version could go on at its former version: events of v1.1, then events of v1.

Cause: the origin of the first event is sent to three storage nodes since, but the contradiction, once the worker's new record is read, to two. The lookup ended at the first record that arrived, which may be the third node's.

That this is what failed there is inferred: its logs do not name the informant. stream_lookups, a_record_does_not_decide_before_a_contradiction_must_have_been_heard, shows the cause and failed before: At(lm, v1) by storage_record.

Why it works: a contradiction goes to all nodes that may hold the record, and a lookup ends only once as many nodes have answered as must include one that knows. With fewer answers it goes on to its time-out and decides by what was heard.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -216,13 +216,14 @@
         let mut asked = self.ask(key, service, holder_count, timeout);
         while let Some(answer) = asked.join_next().await {
             let Ok(Some((node, answer))) = answer else { continue };
-            let is_recorded = !answer.known.origin.is_unknown();
             nodes.push(node);
             answers.push(answer);
             decision = resume_rule(service, &statement(), &answers, holder_count, lifetime);
-            // Fewer answers may all lack the record, which may name another service.
-            let is_unrecorded = answers.len() >= lookup_quorum(holder_count);
-            if is_recorded || (is_unrecorded && matches!(decision.resumption, Resumption::At(_))) {
+            // Fewer answers may all lack a record, which may name another service, or one that contradicts those that
+            // arrived.
+            let is_heard = answers.len() >= lookup_quorum(holder_count);
+            let refused = Resumption::Refused(UnknownOrigin::Conflicting);
+            if is_heard && (matches!(decision.resumption, Resumption::At(_)) || decision.resumption == refused) {
                 break;
             }
         }
--- a/crates/gateway/src/streams/holder_calls.rs
+++ b/crates/gateway/src/streams/holder_calls.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use stallmoor_core::identity::NodeId;
-use stallmoor_core::serving::stream_origins::holders::{COPIES, holders, lookup_quorum};
+use stallmoor_core::serving::stream_origins::directory::RecordedOrigin;
+use stallmoor_core::serving::stream_origins::holders::{ASKED, COPIES, holders, lookup_quorum};
 use stallmoor_core::serving::stream_origins::message::{OriginRecord, OriginsAnswer, OriginsRequest};
 use stallmoor_core::serving::stream_origins::sharing::Sharing;
 use stallmoor_core::serving::stream_origins::{Confirmation, Statement, StreamKey, StreamOrigin};
@@ -168,8 +169,12 @@
     /// Groups origins by the storage nodes that store them.
     pub(super) fn by_holder(&self, records: Vec<OriginRecord>) -> BTreeMap<Holder, Vec<OriginRecord>> {
         let mut groups: BTreeMap<Holder, Vec<OriginRecord>> = BTreeMap::new();
+        let now = self.view.clock.now();
         for record in records {
-            for holder in self.responsive_holders(record.key, 1).into_iter().take(COPIES) {
+            let recorded = lock(&self.directory).look_up(record.key, now);
+            // Any node that may have the former record must learn that it is contradicted.
+            let copies = if recorded == Some(RecordedOrigin::Conflicting) { ASKED } else { COPIES };
+            for holder in self.responsive_holders(record.key, copies).into_iter().take(copies) {
                 groups.entry(holder).or_default().push(record.clone());
             }
         }
--- a/crates/gateway/tests/stream_lookups.rs
+++ b/crates/gateway/tests/stream_lookups.rs
@@ -198,6 +198,31 @@
     assert_eq!((resolved.resumption, resolved.basis), (Resumption::At(origin), "storage_record"));
 }
 
+/// Guards against a stream that goes on by the first record that arrives, although the other storage nodes know that it is
+/// contradicted.
+#[tokio::test]
+async fn a_record_does_not_decide_before_a_contradiction_must_have_been_heard() {
+    let gateway = Node::start(NodeId(9)).await;
+    let record = |version: &str| {
+        let origin = StreamOrigin { service: Arc::from(SERVICE), version: SoftwareVersion::new(version) };
+        OriginRecord { key: StreamKey(7), origin }
+    };
+    for id in 1..=3 {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+        let (mut address, node) = (listener.local_addr().expect("an address"), Node::start(NodeId(id)).await);
+        node.origins.answer(OriginsRequest::Store(vec![record("v1")])).await;
+        if id != 1 {
+            node.origins.answer(OriginsRequest::Store(vec![record("v1.1")])).await;
+            address = slow_link(address, Duration::from_millis(50)).await;
+        }
+        let name = Arc::from(format!("storage-{id}"));
+        gateway.fleet.storage().upsert(StorageRecord { name, node: NodeId(id), address, zone: Arc::from("a") });
+        node.serve(listener);
+    }
+    let resolved = gateway.origins.resolve(Some(StreamKey(7)), &Arc::from(SERVICE), LIFETIME, Millis(5_000)).await;
+    assert_eq!(resolved.resumption, Resumption::Refused(UnknownOrigin::Conflicting), "{}", resolved.basis);
+}
+
 /// Guards against a first event of a new version that is forwarded although one storage node alone holds its origin: two that
 /// do not may outvote it.
 #[tokio::test]
