--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //! | module | contents |
 //! |---|---|
 //! | this one | [`Dispatcher`]: the items without a result, in the order in which they run and pause |
+//! | `contributors` | the workers whose records may still contradict the origin of an item's output |
 //! | `run_end` | [`RunEnd`]: the meaning of a worker's answer, or of its absence, for an item |
 //! | `failures` | the failed runs of an item, and when they are enough to give it up |
 //! | `recent_failures` | the workers at which items failed recently |
@@ -16,6 +17,7 @@
 //! Open items come from the job table ([`super::table`]); the caller supplies the time and performs the runs. All state
 //! is rebuilt from the table when a replica becomes the leader.
 
+mod contributors;
 mod failures;
 mod pacing;
 mod proposals;
@@ -28,11 +30,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use contributors::Contributors;
 use failures::Failures;
 pub use pacing::ItemPacing;
 use recent_failures::RecentFailures;
 pub use resumption::{ItemResumption, item_resumption};
-pub use run_end::{EVENT_TIMEOUT, FIRST_EVENT_TIMEOUT, RunEnd};
+pub use run_end::{EVENT_TIMEOUT, FIRST_EVENT_TIMEOUT, RunEnd, SEND_TIMEOUT};
 use run_estimate::RunEstimate;
 pub use start::{ItemStart, StartDecision, decide_start, max_attempts};
 pub use worker_runs::WorkerRuns;
@@ -42,7 +45,7 @@
 use crate::backoff::Backoff;
 use crate::serving::crashes::{ItemWait, WaitReason};
 use crate::serving::stream_origins::StreamOrigin;
-use crate::serving::workers::WorkerId;
+use crate::serving::workers::{WorkerId, WorkerRecord};
 use crate::time::{Millis, Timestamp, UnixMillis};
 
 /// The delay after an unsuccessful run, doubled with each consecutive one. The growth limits the number of runs that
@@ -105,6 +108,17 @@
     is_impossible: bool,
 }
 
+/// An item whose output was discarded, because the record of a worker that produced part of it names another version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ContradictedItem {
+    /// The item.
+    pub key: ItemKey,
+    /// Whether it was running. Its run must be aborted.
+    pub was_running: bool,
+    /// The ID of the last event that was discarded, unless the item was running; 0 for none.
+    pub events: u64,
+}
+
 /// The worker of a failed run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FailedAt {
@@ -131,6 +145,8 @@
     failed: BTreeSet<ItemKey>,
     /// Items whose logged output is discarded by a command that is not proposed yet.
     restarted: BTreeSet<ItemKey>,
+    /// Items whose origin a newer record of a worker may contradict.
+    contributors: BTreeMap<ItemKey, Contributors>,
     recent_failures: RecentFailures,
     verdicts: BTreeMap<ItemKey, Verdict>,
 }
@@ -153,7 +169,7 @@
     /// Adds the items of a job that have no result.
     pub fn add_job(&mut self, job: &Job) {
         let submission = &job.submission;
-        let due = UnixMillis(submission.received_at.0 + submission.due.0);
+        let due = UnixMillis(submission.received_at.0.saturating_add(submission.due.0));
         for item in job.open_items() {
             let key = ItemKey { job: submission.key.clone(), item };
             if self.items.contains_key(&key) {
@@ -195,7 +211,7 @@
             .iter()
             .find(|(due, key)| {
                 let done = self.items.get(key).and_then(|open_item| open_item.output.last_event).unwrap_or(0);
-                wall_time.0 + self.estimate.remaining(done).0 <= due.0
+                wall_time.0.saturating_add(self.estimate.remaining(done).0) <= due.0
             })
             .or_else(|| self.ready.first())
             .cloned()?;
@@ -212,7 +228,7 @@
     pub fn pause_order(&self, running: &mut [RunningItem], wall_time: UnixMillis) {
         let slack = |item: &RunningItem| {
             let due = self.items.get(&item.key).map_or(UnixMillis(0), |open_item| open_item.due);
-            let ends = wall_time.0 + self.estimate.remaining(item.events).0;
+            let ends = wall_time.0.saturating_add(self.estimate.remaining(item.events).0);
             due.0.checked_sub(ends).map(std::cmp::Reverse)
         };
         running.sort_by_cached_key(|item| (slack(item), std::cmp::Reverse(item.run)));
@@ -245,6 +261,55 @@
         }
     }
 
+    /// Records that a run at a worker, which was chosen by a record of the given origin, adds to the item's output.
+    pub fn record_run(&mut self, key: &ItemKey, worker: WorkerId, origin: StreamOrigin, now: Timestamp) {
+        let Some(open_item) = self.items.get_mut(key) else { return };
+        open_item.origin = Some(origin.clone());
+        let contributors = self.contributors.entry(key.clone()).or_default();
+        if open_item.started_after == 0 {
+            *contributors = Contributors::default();
+        }
+        contributors.add(worker, origin, now);
+    }
+
+    /// Discards the output of the items for which the present record of a worker contradicts the origin, and returns them
+    /// to the queue. Results that were proposed stay. `confirmed_at` is the time at which the view that `record_of` reads
+    /// was complete.
+    pub fn restart_contradicted<'a>(
+        &mut self,
+        record_of: impl Fn(&WorkerId) -> Option<&'a WorkerRecord>,
+        confirmed_at: Timestamp,
+    ) -> Vec<ContradictedItem> {
+        let mut contradicted = Vec::new();
+        self.contributors.retain(|key, contributors| {
+            if contributors.is_contradicted(&record_of, confirmed_at) {
+                contradicted.push(key.clone());
+                return false;
+            }
+            !contributors.is_empty()
+        });
+        contradicted.into_iter().filter_map(|key| self.restart_open(key)).collect()
+    }
+
+    /// Discards the output of an item and returns it to the queue, unless it has no output or its result was proposed.
+    fn restart_open(&mut self, key: ItemKey) -> Option<ContradictedItem> {
+        let open_item = self.items.get(&key)?;
+        let was_running = matches!(open_item.phase, Phase::Running);
+        let events = open_item.output.last_event.unwrap_or(0);
+        match open_item.phase {
+            Phase::Running => {}
+            Phase::Ready | Phase::Delayed { .. } if open_item.output.last_event.is_some() => {}
+            Phase::Finished { state: ItemState::Completed } if self.unproposed.contains(&key) => {}
+            Phase::Ready | Phase::Delayed { .. } | Phase::Finished { .. } => return None,
+        }
+        self.restart_item(&key);
+        if was_running || self.finished.remove(&key) {
+            self.unproposed.remove(&key);
+            self.requeue(&key, PartialOutput::default());
+        }
+        Some(ContradictedItem { key, was_running, events })
+    }
+
     /// Discards the output of an item that was taken: no worker can continue it. The logged part has to be discarded by
     /// a command; see [`Dispatcher::restarts_due`].
     pub fn restart_item(&mut self, key: &ItemKey) {
@@ -349,6 +414,7 @@
                 self.delay(key, LARGE_OUTPUT_BACKOFF, now);
                 return false;
             }
+            RunEnd::Unconfirmed => self.restart_item(key),
             RunEnd::BrokenOff | RunEnd::Paused if made_progress => open_item.delays = 0,
             RunEnd::BrokenOff | RunEnd::NotRun | RunEnd::Paused => {}
         }
@@ -446,6 +512,7 @@
             self.unproposed.remove(key);
             self.failed.remove(key);
             self.restarted.remove(key);
+            self.contributors.remove(key);
         }
     }
 
