--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -3,7 +3,7 @@
 //! [`stallmoor_core::serving::stream_origins`] decides which nodes store an origin, when it has to be sent to them, and
 //! whether a stream may be resumed. Gateways send and request origins; storage nodes answer.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::peer_message::{GroupAnswerBody, GroupRequestBody};
 use stallmoor_core::serving::stream_origins::directory::RecordedOrigin;
-use stallmoor_core::serving::stream_origins::holders::{COPIES, holders};
+use stallmoor_core::serving::stream_origins::holders::{COPIES, holders, lookup_quorum};
 use stallmoor_core::serving::stream_origins::message::{OriginRecord, OriginsAnswer, OriginsRequest};
 use stallmoor_core::serving::stream_origins::sharing::{Sharing, is_deducible};
 use stallmoor_core::serving::stream_origins::unconfirmed::{Contradiction, UnconfirmedOrigin, UnconfirmedOrigins};
@@ -39,7 +39,7 @@
 const FIRST_STORE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which storage nodes that did not confirm it in time are tried again.
 const FIRST_STORE_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Time for which a node that did not answer is avoided while others respond.
+/// Time for which a node that did not answer is avoided while enough others respond.
 const AVOIDANCE: Millis = Millis(2_000);
 /// Key by which the storage nodes are chosen for a stream that its client does not name.
 const UNNAMED: StreamKey = StreamKey(0);
@@ -133,53 +133,53 @@
         Sharing::of(&versions, known_for, lifetime)
     }
 
-    /// Stores an origin at as many storage nodes as a lookup relies on. Returns false once other nodes know the version by
+    /// Stores an origin at as many storage nodes as a lookup relies on; the others may follow. Returns false once other nodes know the version by
     /// the records of its workers, or if there are no storage nodes.
     async fn store_first(self: &Arc<Self>, record: &OriginRecord) -> bool {
         let StreamOrigin { service, version } = &record.origin;
+        let (mut stores, mut confirmed) = (JoinSet::new(), BTreeSet::new());
         loop {
-            let copies = COPIES.min(holders(record.key, &self.view.storage()).len());
+            let holders: BTreeSet<NodeId> =
+                holders(record.key, &self.view.storage()).into_iter().map(|holder| holder.node).collect();
+            let copies = COPIES.min(holders.len());
             if copies == 0 {
                 return false;
             }
-            if self.store_copies(record, copies).await {
+            for holder in self.responsive_holders(record.key, copies) {
+                if !confirmed.contains(&holder.node) {
+                    stores.spawn(self.clone().store_copy(holder, record.clone()));
+                }
+            }
+            // Those that confirm it later count for the next attempt.
+            let confirming = async {
+                while confirmed.intersection(&holders).count() < copies {
+                    match stores.join_next().await {
+                        Some(stored) => confirmed.extend(stored.ok().flatten()),
+                        None => return,
+                    }
+                }
+            };
+            let _ = tokio::time::timeout(FIRST_STORE_TIMEOUT, confirming).await;
+            if confirmed.intersection(&holders).count() >= copies {
+                stores.detach_all();
                 return true;
             }
             let known_for = self.view.workers().version_known_for(service, version, self.view.clock.now());
             if !Sharing::is_new(known_for) {
+                stores.detach_all();
                 return false;
             }
             tokio::time::sleep(FIRST_STORE_RETRY_DELAY).await;
         }
     }
 
-    /// Sends an origin to all storage nodes that may store it. Returns whether `copies` of them confirmed it in time; the
-    /// others may follow.
-    async fn store_copies(self: &Arc<Self>, record: &OriginRecord, copies: usize) -> bool {
-        let mut stores = JoinSet::new();
-        for holder in self.responsive_holders(record.key) {
-            let (origins, records) = (self.clone(), vec![record.clone()]);
-            stores.spawn(async move {
-                let is_stored = origins.send(holder, records).await;
-                if !is_stored {
-                    origins.avoid(holder);
-                }
-                is_stored
-            });
+    /// Sends an origin to a storage node. Returns the node once it has confirmed it.
+    async fn store_copy(self: Arc<Self>, holder: Holder, record: OriginRecord) -> Option<NodeId> {
+        let is_stored = self.send(holder, vec![record]).await;
+        if !is_stored {
+            self.avoid(holder);
         }
-        let mut confirmed = 0;
-        let confirming = async {
-            while let Some(stored) = stores.join_next().await {
-                confirmed += usize::from(matches!(stored, Ok(true)));
-                if confirmed >= copies {
-                    return true;
-                }
-            }
-            false
-        };
-        let is_stored = tokio::time::timeout(FIRST_STORE_TIMEOUT, confirming).await.unwrap_or(false);
-        stores.detach_all();
-        is_stored
+        is_stored.then_some(holder.node)
     }
 
     /// Marks the streams as conflicting whose origin is contradicted by the present record of the worker that began them.
@@ -265,20 +265,25 @@
         if !own.known.origin.is_unknown() {
             return self.resolved(decision, &nodes);
         }
-        let timeout = FIND_TIMEOUT.min(Duration::from_millis(remaining.0 / 2));
-        let mut asked = self.ask(key, service, timeout);
+        let (began_at, remaining) = (Instant::now(), Duration::from_millis(remaining.0));
+        let timeout = FIND_TIMEOUT.min(remaining / 2);
+        let mut asked = self.ask(key, service, holder_count, timeout);
         while let Some(answer) = asked.join_next().await {
             let Ok(Some((node, answer))) = answer else { continue };
             let is_recorded = !answer.known.origin.is_unknown();
             nodes.push(node);
             answers.push(answer);
             decision = resume_rule(service, &statement(), &answers, holder_count, lifetime);
-            if is_recorded || matches!(decision.resumption, Resumption::At(_)) {
+            // Fewer answers may all lack the record, which may name another service.
+            let is_unrecorded = answers.len() >= lookup_quorum(holder_count);
+            if is_recorded || (is_unrecorded && matches!(decision.resumption, Resumption::At(_))) {
                 break;
             }
         }
         if decision.resumption == Resumption::Refused(UnknownOrigin::UncertainPast) {
-            let own = self.confirmed_statement(key, service).await;
+            let left = remaining.saturating_sub(began_at.elapsed());
+            let confirmed = tokio::time::timeout(left / 2, self.confirmed_statement(key, service)).await;
+            let own = confirmed.unwrap_or_else(|_| statement());
             decision = resume_rule(service, &own, &answers, holder_count, lifetime);
         }
         if let (Resumption::At(origin), Some(key)) = (&decision.resumption, key) {
@@ -304,15 +309,16 @@
         NodeKnowledge { origin: recorded.into(), versions: self.known_versions(service) }
     }
 
-    /// Asks the storage nodes that may have stored a stream's origin.
+    /// Asks the storage nodes that may have stored a stream's origin, `holder_count` in all.
     fn ask(
         self: &Arc<Self>,
         key: Option<StreamKey>,
         service: &Arc<str>,
+        holder_count: usize,
         timeout: Duration,
     ) -> JoinSet<Option<(NodeId, Statement)>> {
         let mut asked = JoinSet::new();
-        for holder in self.responsive_holders(key.unwrap_or(UNNAMED)) {
+        for holder in self.responsive_holders(key.unwrap_or(UNNAMED), lookup_quorum(holder_count)) {
             let (origins, service) = (self.clone(), service.clone());
             asked.spawn(async move {
                 let statement = origins.ask_holder(holder, key, &service, timeout).await;
@@ -356,15 +362,20 @@
         avoided.insert(holder.node, now + AVOIDANCE);
     }
 
-    fn responsive_holders(&self, key: StreamKey) -> Vec<Holder> {
+    /// Returns the storage nodes that may store a stream's origin, without those that are avoided as long as `needed` others
+    /// remain.
+    fn responsive_holders(&self, key: StreamKey, needed: usize) -> Vec<Holder> {
         let storage = self.view.storage();
         let all = holders(key, &storage);
         let now = self.view.clock.now();
         let avoided = lock(&self.avoided);
         let is_responsive = |node: NodeId| avoided.get(&node).is_none_or(|until| *until <= now);
         let all = all.into_iter().map(|record| Holder { node: record.node, address: record.address });
-        let (responsive, others): (Vec<_>, Vec<_>) = all.partition(|holder| is_responsive(holder.node));
-        if responsive.is_empty() { others } else { responsive }
+        let (mut responsive, others): (Vec<_>, Vec<_>) = all.partition(|holder| is_responsive(holder.node));
+        if responsive.len() < needed {
+            responsive.extend(others);
+        }
+        responsive
     }
 
     /// Sends the origins that others cannot deduce to storage nodes, until the process ends.
@@ -391,7 +402,7 @@
     fn by_holder(&self, records: Vec<OriginRecord>) -> BTreeMap<Holder, Vec<OriginRecord>> {
         let mut groups: BTreeMap<Holder, Vec<OriginRecord>> = BTreeMap::new();
         for record in records {
-            for holder in self.responsive_holders(record.key).into_iter().take(COPIES) {
+            for holder in self.responsive_holders(record.key, 1).into_iter().take(COPIES) {
                 groups.entry(holder).or_default().push(record.clone());
             }
         }
