The record of a machine that is gone no longer replaces that of the next one at its address

What callers see: after all nodes have started again, no job can be read or submitted if the member that nobody can reach any more is needed for a majority. Cause: the directory keeps one machine per address, the one whose record it was given last. While the records arrive as they are written that is the present one. A node that starts reads a list, in the order of the keys, and the record of a machine that was replaced for good stays in the store.

--- a/crates/core/src/serving/jobs/directory.rs
+++ b/crates/core/src/serving/jobs/directory.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::identity::NodeId;
+use crate::serving::relay::item::Revision;
 
 /// The registration record of a storage node. Its key is the machine name, so a machine whose disk was replaced
 /// overwrites its former identity.
@@ -34,6 +35,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StorageDirectory {
     records: BTreeMap<Arc<str>, StorageRecord>,
+    /// The revisions of the records that were read from the store.
+    revisions: BTreeMap<Arc<str>, Revision>,
     founders: BTreeSet<NodeId>,
 }
 
@@ -44,9 +47,25 @@
         self.records.insert(record.name.clone(), record);
     }
 
+    /// Adds a record that was read from the store, unless another machine has taken over its address since: the record of
+    /// a machine that is gone stays in the store, and a list returns it in any order.
+    pub fn upsert_at(&mut self, record: StorageRecord, revision: Revision) {
+        let at_address =
+            self.records.values().filter(|other| other.address == record.address && other.name != record.name);
+        let mut later = at_address.filter_map(|other| self.revisions.get(&other.name));
+        if later.any(|other| *other > revision) {
+            return self.remove(&record.name);
+        }
+        let name = record.name.clone();
+        self.upsert(record);
+        self.revisions.retain(|known, _| self.records.contains_key(known));
+        self.revisions.insert(name, revision);
+    }
+
     /// Removes the record of a machine.
     pub fn remove(&mut self, name: &str) {
         self.records.remove(name);
+        self.revisions.remove(name);
     }
 
     /// Returns all records in the order of machine names.
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -282,7 +282,7 @@
         }
         let fields = [Field::text("machine", name), Field::text("node", stored.node)];
         record(LogEvent::StorageNodeSeen, &fields);
-        self.storage().upsert(stored);
+        self.storage().upsert_at(stored, item.revision);
     }
 }
 
