Storage nodes keep on disk what they last knew of the fleet

Callers saw 0 items done, no read of results answered and no job accepted for as long as the metadata store left two of three storage nodes without an answer after all had lost power, although all of them ran, had sound disks and reached each other. They learned the addresses of their peers from the store alone, and what they knew was gone with the process.

At the start they are in use at once: peers are reached, a leader has a configuration and workers, and while calls of the store fail the peers are asked for a view. Nothing of it is in the mirror, so that it has no age, no revision and is not served to others or deduced from. Members are not changed, no pair's record is written and no group is founded before the first complete view, which replaces all of it, a configuration with a lower version and workers that are gone included.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -52,6 +52,8 @@
     StoreFormatted = 110, Information, "An empty data folder was formatted with a new identity.";
     StoreCorrupted = 111, Error, "The data folder failed its checksum; it was set aside and a new identity was created.";
     StoreWriteFailed = 112, Error, "A write to the data folder failed; the node stops instead of acknowledging it.";
+    StartWaits = 113, Warning, "The start waits for a data folder or an address that another process still has in use; the node goes on once it is free.";
+    StartFailed = 114, Error, "The node can't start, or can't go on, and the process ends.";
     MemberJoined = 200, Information, "A node joined or rejoined the fleet.";
     MemberSuspected = 201, Warning, "A node did not answer probes and is suspected to have failed.";
     MemberDead = 202, Warning, "A node was declared dead.";
@@ -79,6 +81,8 @@
     RelayLeft = 413, Warning, "The relay that this node used is unresponsive or behind; another relay or the metadata store is queried instead.";
     RelayServing = 414, Information, "This node relays changes of the metadata store to other nodes.";
     RecordUnreadable = 415, Warning, "A record in the metadata store cannot be read and is skipped.";
+    KeptViewUsed = 417, Information, "The node starts with what its disk holds of the metadata store, until it obtains a complete view.";
+    ViewNotKept = 418, Warning, "What this node knows of the metadata store could not be written to its disk; the node tries again.";
     ControlTaken = 420, Information, "This node acquired the control lease.";
     ControlLost = 421, Information, "This node lost the control lease.";
     OrderGiven = 422, Information, "A command was sent to an engine.";
--- a/crates/core/src/serving/relay/policy.rs
+++ b/crates/core/src/serving/relay/policy.rs
@@ -17,6 +17,9 @@
 /// Time allowed for a relay's answer beyond the time for which it may hold the request. Tolerates a relay that is in
 /// another zone or busy.
 const RELAY_ANSWER_MARGIN: Millis = Millis(250);
+/// Timeout for the first view from a relay during a backoff after a failed call to the store. Bounds the delay of the next
+/// call by a relay that is down.
+const BACKOFF_RELAY_TIMEOUT: Millis = Millis(500);
 /// Initial backoff after a failed call to the store, before jitter. Doubles with each consecutive failure. Short, so
 /// that a store that refuses once is asked again soon.
 const INITIAL_STORE_BACKOFF: Millis = Millis(50);
@@ -173,8 +176,14 @@
     ) -> WatchStep {
         let step = self.first_view.next(view, self.tier, relays, usable, self.bounds.contact);
         match step {
-            // The backoff applies to the first calls as well.
-            WatchStep::DiscoverRelays | WatchStep::ListStore if matches!(store_step, WatchStep::Wait(_)) => store_step,
+            // The backoff applies to the first calls as well. Meanwhile the known storage nodes are asked, which the store
+            // may answer.
+            WatchStep::DiscoverRelays | WatchStep::ListStore if matches!(store_step, WatchStep::Wait(_)) => {
+                match usable {
+                    Some(relay) => WatchStep::QueryRelay { relay, hold: Millis(0), timeout: BACKOFF_RELAY_TIMEOUT },
+                    None => self.wait_until_usable(view.now, relays, store_step),
+                }
+            }
             step => step,
         }
     }
--- a/crates/gateway/src/fleet/fleet_view.rs
+++ b/crates/gateway/src/fleet/fleet_view.rs
@@ -43,6 +43,8 @@
     /// The region of each zone.
     pub regions: RegionMap,
     configuration: Mutex<Option<Arc<GatewayConfiguration>>>,
+    /// The configuration was kept by a former process, so that any other replaces it.
+    configuration_is_kept: AtomicBool,
     workers: Mutex<WorkerTable>,
     storage: Mutex<StorageDirectory>,
     founding: Mutex<Option<FoundingRecord>>,
@@ -72,6 +74,7 @@
             clock,
             zone,
             configuration: Mutex::default(),
+            configuration_is_kept: AtomicBool::new(false),
             regions: RegionMap::default(),
             workers: Mutex::default(),
             storage: Mutex::default(),
@@ -182,7 +185,10 @@
         match update {
             FleetUpdate::Configuration(configuration) => self.apply_configuration(configuration),
             FleetUpdate::Worker(worker) => {
-                self.record_worker_restart(worker);
+                // Before, records of workers are those that a former process has kept.
+                if self.is_synced() {
+                    self.record_worker_restart(worker);
+                }
                 let change = self.workers().apply_record(worker.clone(), self.clock.now());
                 let details = [Field::text("address", worker.address), Field::text("version", &worker.version)];
                 log_worker_change(change, details);
@@ -218,10 +224,27 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Applies an update that a former process of this node has kept. It serves to find other nodes and to run items until
+    /// the first complete view; whatever decides on members or founds a group must not rest on it.
+    pub fn apply_kept(&self, update: &FleetUpdate) {
+        match update {
+            FleetUpdate::InternalItem(item) if &*item.key == FOUNDING_KEY => {
+                let founding = parse_record::<FoundingRecord>(item);
+                founding.into_iter().for_each(|founding| self.storage().set_founders(founding.voters));
+            }
+            FleetUpdate::Configuration(_) => {
+                self.apply(update);
+                self.configuration_is_kept.store(true, Ordering::Relaxed);
+            }
+            update => self.apply(update),
+        }
+    }
+
     fn apply_configuration(&self, configuration: &Arc<GatewayConfiguration>) {
         let mut current = lock(&self.configuration);
+        let is_kept = self.configuration_is_kept.swap(false, Ordering::Relaxed);
         // A stale read must not restore an older version.
-        if current.as_ref().is_some_and(|current| current.version >= configuration.version) {
+        if !is_kept && current.as_ref().is_some_and(|current| current.version >= configuration.version) {
             return;
         }
         record(LogEvent::ConfigurationInForce, &[Field::number("version", configuration.version)]);
--- a/crates/gateway/src/fleet/metadata_view.rs
+++ b/crates/gateway/src/fleet/metadata_view.rs
@@ -102,6 +102,13 @@
         self.lock().continuity.observed(now)
     }
 
+    /// Returns all items that have a value; `None` before the first read of the store.
+    pub fn present_items(&self) -> Option<Vec<MetadataItem>> {
+        let ChangeSet { mut items, .. } = self.lock().mirror.all_items()?;
+        items.retain(|item| item.value().is_some());
+        Some(items)
+    }
+
     /// Waits until a request from another node arrives.
     pub async fn wait_for_request(&self) {
         self.request_received.notified().await;
--- a/crates/gateway/src/fleet/metadata_watch.rs
+++ b/crates/gateway/src/fleet/metadata_watch.rs
@@ -3,6 +3,7 @@
 //! Performs the calls and logs which relay the node follows. [`WatchPolicy`] decides where to get the next changes from
 //! and how long a call may take.
 
+use std::collections::BTreeSet;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::serving::relay::bounds::WatchBounds;
 use stallmoor_core::serving::relay::confirmation::CONFIRMATION_TIMEOUT;
-use stallmoor_core::serving::relay::item::{MetadataItem, Revision};
+use stallmoor_core::serving::relay::item::{KeyState, MetadataItem, Revision};
 use stallmoor_core::serving::relay::message::{ChangesAnswer, ChangesRequest};
 use stallmoor_core::serving::relay::mirror::MissingKeys;
 use stallmoor_core::serving::relay::outage::{FailedCall, RecordGrace};
@@ -45,6 +46,8 @@
     followed_relay: Option<NodeId>,
     role: WatchRole,
     is_synced: bool,
+    /// Keys that a former process of this node has kept, until the first complete view.
+    kept: Vec<Arc<str>>,
 }
 
 impl MetadataWatch {
@@ -59,7 +62,14 @@
     ) -> Self {
         let (relay_calls, policy) = (RelayCalls::new(id, fleet.clock), WatchPolicy::new(bounds));
         let (followed_relay, role, is_synced) = (None, WatchRole::Standalone, false);
-        Self { id, store, fleet, view, relay_calls, policy, updates, followed_relay, role, is_synced }
+        let kept = Vec::new();
+        Self { id, store, fleet, view, relay_calls, policy, updates, followed_relay, role, is_synced, kept }
+    }
+
+    /// Sets the keys whose values of a former process are in use. Those that the first complete view lacks are removed with
+    /// it.
+    pub fn replacing(self, kept: Vec<Arc<str>>) -> Self {
+        Self { kept, ..self }
     }
 
     /// Sends the store's contents and then each change, until the receiver is dropped.
@@ -241,10 +251,25 @@
     fn report_synced(&mut self) {
         if !self.is_synced {
             self.is_synced = true;
+            self.remove_outdated();
             self.send(FleetUpdate::Synced);
         }
     }
 
+    /// Removes what a former process has kept and the first complete view lacks.
+    fn remove_outdated(&mut self) {
+        let kept = std::mem::take(&mut self.kept);
+        let items = self.view.present_items().unwrap_or_default();
+        let present: BTreeSet<Arc<str>> = items.into_iter().map(|item| item.key).collect();
+        let grace = RecordGrace { removed_usable_until: self.fleet.clock.now(), expired_usable_until: None };
+        for key in kept.into_iter().filter(|key| !present.contains(key)) {
+            let item = MetadataItem { key, state: KeyState::Removed, revision: Revision(0) };
+            if let Some(update) = self.store.interpret(&item, &grace) {
+                self.send(update);
+            }
+        }
+    }
+
     async fn watch_store(&mut self, since: Revision, wait: Millis) {
         let started_at = self.fleet.clock.now();
         measures::count_store_call("watch");
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -51,7 +51,7 @@
     start_metrics(settings)?;
     let id = new_node_id();
     let components = NodeComponents::new(settings, adapter, NodeClock::start(), id);
-    components.follow_metadata(id, settings, adapter, None);
+    components.follow_metadata(id, settings, adapter, None, Vec::new());
     let calls = LeaderCalls::start(&components.view, id, settings, adapter);
     tokio::spawn(exchange_permits(components.workers.clone(), calls.jobs.clone(), id));
     let callers = open_listener(callers)?;
--- a/crates/gateway/src/process/parts.rs
+++ b/crates/gateway/src/process/parts.rs
@@ -62,20 +62,22 @@
         Self { view, metadata, workers }
     }
 
-    /// Starts watching the metadata store and applying its updates. Each update is also forwarded to `subscriber`.
+    /// Starts watching the metadata store and applying its updates. Each update is also forwarded to `subscriber`. `kept` are
+    /// the keys whose values of a former process are in use.
     pub(super) fn follow_metadata(
         &self,
         id: NodeId,
         settings: &ServingSettings,
         adapter: &dyn PlatformAdapter,
         subscriber: Option<mpsc::UnboundedSender<FleetUpdate>>,
+        kept: Vec<Arc<str>>,
     ) {
         // Unbounded: updates are applied in memory, so at most those of one answer of the store or a relay are queued.
         let (updates, received) = mpsc::unbounded_channel();
         let (fleet, view) = (self.view.clone(), self.metadata.clone());
         let bounds = settings.metadata.watch_bounds();
         let watch = MetadataWatch::new(id, adapter.metadata(), fleet, view, bounds, updates);
-        tokio::spawn(watch.run());
+        tokio::spawn(watch.replacing(kept).run());
         tokio::spawn(report_crashes(self.view.clone(), adapter.metadata(), settings.node.name.clone()));
         tokio::spawn(review_periodically(self.view.clone()));
         tokio::spawn(self.workers.origins.clone().share());
--- a/crates/gateway/src/process/storage_node.rs
+++ b/crates/gateway/src/process/storage_node.rs
@@ -26,6 +26,7 @@
 use crate::observe::journal::{Field, record};
 use crate::peers::peer_link::JOBS_GROUP;
 use crate::storage::disk_writer::DiskWriter;
+use crate::storage::kept_view::{ViewKeeper, apply_kept};
 use crate::storage::peer_listener::{PeerAnswerers, accept_peers};
 use crate::storage::registration;
 use crate::storage::service::{OwnRecord, StorageComponents, StorageInputs, StorageService};
@@ -51,7 +52,7 @@
     let replica = OpenReplica::open(folder, settings, clock.now())?;
     let components = NodeComponents::new(settings, adapter, clock, replica.id);
     let (stop, stopping) = watch::channel(false);
-    let service = start_service(replica, components, settings, adapter, stopping)?;
+    let service = start_service(replica, folder, components, settings, adapter, stopping)?;
     log_node_start(settings, "storage");
     let service = StorageService::run(service.components, service.inputs);
     tokio::pin!(service);
@@ -105,6 +106,7 @@
 /// Starts the tasks that feed the service.
 fn start_service(
     replica: OpenReplica,
+    folder: &Path,
     components: NodeComponents,
     settings: &ServingSettings,
     adapter: &dyn PlatformAdapter,
@@ -124,7 +126,12 @@
     tokio::spawn(accept_peers(open_listener(settings.peer_address())?, answerers));
     // Unbounded: the queue holds only the changes of the store since the service last received one, a few per second.
     let (update_sender, updates) = mpsc::unbounded_channel();
-    components.follow_metadata(id, settings, adapter, Some(update_sender));
+    let (view, store) = (components.view.clone(), adapter.metadata());
+    let kept = apply_kept(folder, id, &*store, &view);
+    components.follow_metadata(id, settings, adapter, Some(update_sender), kept);
+    let keeper =
+        ViewKeeper { folder: folder.to_owned(), node: id, fleet: view, view: components.metadata.clone(), store };
+    tokio::spawn(keeper.run());
     let own_record = OwnRecord::new(&settings.node.name);
     let overwritten = own_record.overwritten.clone();
     tokio::spawn(registration::keep_registered(adapter.metadata(), local_record(settings, id), overwritten));
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -396,6 +396,10 @@
 
     /// Executes the membership actions that are due.
     fn maintain_membership(&mut self) {
+        // Kept records of storage nodes don't show whether a member's disk has a new identity.
+        if !self.workers.view.is_synced() {
+            return;
+        }
         let now = self.now();
         let directory = self.workers.view.storage().clone();
         let replica = self.replica.node().replica();
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -11,12 +11,14 @@
 
 mod checked;
 mod error;
+mod kept_view;
 mod record;
 mod replica_folder;
 mod replica_log;
 mod store;
 
 pub use error::StorageError;
+pub use kept_view::KeptView;
 pub use replica_folder::ReplicaFolder;
 pub use replica_log::{OpenedReplica, ReplicaLog, list_groups};
 pub use store::{FolderOwner, OpenedStore, Store, StoreWrite};
