A storage node or gateway waits for its folder and addresses at the start

A storage node ended at its start if the database of its folder was still locked or its peer address still in use, as it may be while the former process is in its last sync after SIGKILL; a gateway if one of its addresses was. Whether and when a supervisor starts it again is not in our hands, and until then the node takes no part. The reason was on standard error alone.

Both now wait, with a line at once and each 5 s (E113: which resource, why, for how long), and a stop signal ends the wait. The peer address is opened before the folder: a process that still writes there holds the address, so that no second one reads the replica meanwhile. An error that waiting can't mend ends the process as before, with a line (E114). A folder of another address remains such an error: it may be a copy, and its identity must not vote twice.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -53,7 +53,7 @@
     StoreCorrupted = 111, Error, "The data folder failed its checksum; it was set aside and a new identity was created.";
     StoreWriteFailed = 112, Error, "A write to the data folder failed; the node stops instead of acknowledging it.";
     StartWaits = 113, Warning, "The start waits for a data folder or an address that another process still has in use; the node goes on once it is free.";
-    StartFailed = 114, Error, "The node can't start, or can't go on, and the process ends.";
+    NodeFailed = 114, Error, "The node can't start or go on, and its process ends.";
     MemberJoined = 200, Information, "A node joined or rejoined the fleet.";
     MemberSuspected = 201, Warning, "A node did not answer probes and is suspected to have failed.";
     MemberDead = 202, Warning, "A node was declared dead.";
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -12,11 +12,12 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
-use super::ProcessError;
-use super::parts::{NodeComponents, log_node_start, new_node_id, open_listener, start_metrics};
-use super::reload::wait_for_stop;
+use super::held::open_listener;
+use super::parts::{NodeComponents, log_node_start, new_node_id, start_metrics};
+use super::reload::{unless_stopped, wait_for_stop};
 use super::settings::ServingSettings;
 use super::signals::ProcessSignals;
+use super::{ProcessError, log_failure};
 use crate::adapter::PlatformAdapter;
 use crate::batch::job_calls::JobCalls;
 use crate::callers::server::CallerServer;
@@ -46,21 +47,28 @@
     adapter: &dyn PlatformAdapter,
     signals: ProcessSignals,
 ) -> Result<(), ProcessError> {
-    let callers = settings.listen.callers.ok_or(ProcessError::MissingSetting { field: "listen.callers" })?;
-    let readiness = settings.listen.readiness.ok_or(ProcessError::MissingSetting { field: "listen.readiness" })?;
-    start_metrics(settings)?;
+    log_failure(serve(settings, settings_path, adapter, signals).await)
+}
+
+async fn serve(
+    settings: &ServingSettings,
+    settings_path: &Path,
+    adapter: &dyn PlatformAdapter,
+    mut signals: ProcessSignals,
+) -> Result<(), ProcessError> {
+    let opening = open_listeners(settings);
+    let Some(listeners) = unless_stopped(&mut signals, settings_path, opening).await else { return Ok(()) };
+    let Listeners { callers, readiness } = listeners?;
     let id = new_node_id();
     let components = NodeComponents::new(settings, adapter, NodeClock::start(), id);
     components.follow_metadata(id, settings, adapter, None, Vec::new());
     let calls = LeaderCalls::start(&components.view, id, settings, adapter);
     tokio::spawn(exchange_permits(components.workers.clone(), calls.jobs.clone(), id));
-    let callers = open_listener(callers)?;
-    let readiness = open_listener(readiness)?;
     let view = components.view.clone();
     let serving = ServingGateway::start(&components, calls, callers, readiness);
     tokio::spawn(close_stale(components.workers));
     log_node_start(settings, "gateway");
-    wait_for_stop(signals, settings_path).await;
+    wait_for_stop(&mut signals, settings_path).await;
     record(LogEvent::NodeStopping, &[]);
     let shutdown = serving.shutdown.clone();
     serving.stop(GatewayStop::within(settings.stop.grace()), view.clock.now()).await;
@@ -69,6 +77,19 @@
     Ok(())
 }
 
+/// Listeners of a gateway, besides the one for metrics.
+struct Listeners {
+    callers: TcpListener,
+    readiness: TcpListener,
+}
+
+async fn open_listeners(settings: &ServingSettings) -> Result<Listeners, ProcessError> {
+    let callers = settings.listen.callers.ok_or(ProcessError::MissingSetting { field: "listen.callers" })?;
+    let readiness = settings.listen.readiness.ok_or(ProcessError::MissingSetting { field: "listen.readiness" })?;
+    start_metrics(settings).await?;
+    Ok(Listeners { callers: open_listener(callers).await?, readiness: open_listener(readiness).await? })
+}
+
 /// Clients for the requests that a gateway sends to the job table's leader.
 struct LeaderCalls {
     jobs: Arc<JobCalls>,
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -8,11 +8,13 @@
 //! | [`settings`] | the settings file |
 //! | [`signals`] | signal handlers |
 //! | `parts` | components common to both kinds of process |
+//! | `held` | waiting for what another process still holds |
 //! | `gateway` | startup and graceful shutdown of a gateway |
 //! | `storage_node` | startup and graceful shutdown of a storage node |
 //! | `reload` | reloading the settings on a signal |
 
 mod gateway;
+mod held;
 mod parts;
 mod reload;
 pub mod settings;
@@ -21,9 +23,12 @@
 
 pub use gateway::run_gateway;
 use snafu::Snafu;
+use stallmoor_core::log_event::LogEvent;
 use stallmoor_storage::StorageError;
 pub use storage_node::run_storage;
 
+use crate::observe::journal::{Field, record};
+
 /// Error that prevents a process from starting or makes it exit.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -52,3 +57,11 @@
     #[snafu(display("job table on disk cannot be decoded by this version"))]
     UnreadableTable,
 }
+
+/// Logs the error that ends a process.
+fn log_failure(ended: Result<(), ProcessError>) -> Result<(), ProcessError> {
+    if let Err(error) = &ended {
+        record(LogEvent::NodeFailed, &[Field::text("detail", error)]);
+    }
+    ended
+}
--- a/crates/gateway/src/process/parts.rs
+++ b/crates/gateway/src/process/parts.rs
@@ -1,19 +1,17 @@
 //! Components common to gateways and storage nodes: the fleet view, the worker client, the metrics endpoint.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use snafu::ResultExt;
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::log_event::LogEvent;
 use stallmoor_core::time::Millis;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+use super::ProcessError;
+use super::held::open_listener;
 use super::settings::ServingSettings;
-use super::{ProcessError, SystemSnafu};
 use crate::adapter::PlatformAdapter;
 use crate::adapter::metadata::FleetUpdate;
 use crate::clock::NodeClock;
@@ -23,7 +21,6 @@
 use crate::fleet::metadata_watch::MetadataWatch;
 use crate::observe::journal::{Field, record};
 use crate::observe::measures;
-use crate::sockets::listen;
 use crate::streams::StreamOrigins;
 use crate::workers::attempt::WorkerClient;
 use crate::workers::connections::ConnectionPool;
@@ -102,19 +99,15 @@
 }
 
 /// Starts the metrics endpoint if the settings specify a port for it.
-pub(super) fn start_metrics(settings: &ServingSettings) -> Result<(), ProcessError> {
+pub(super) async fn start_metrics(settings: &ServingSettings) -> Result<(), ProcessError> {
     if let Some(address) = settings.metrics_address() {
         measures::install_recorder();
-        tokio::spawn(measures::serve(open_listener(address)?));
+        let listener = open_listener(address).await?;
+        tokio::spawn(measures::serve(listener));
     }
     Ok(())
 }
 
-/// Opens a TCP listener on an address from the settings.
-pub(super) fn open_listener(address: SocketAddr) -> Result<TcpListener, ProcessError> {
-    listen(address).context(SystemSnafu { operation: "opening a TCP listener" })
-}
-
 /// Returns a random number seeded from the operating system.
 pub(super) fn random_u64() -> u64 {
     Xoshiro256PlusPlus::from_os_rng().random()
--- a/crates/gateway/src/process/storage_node.rs
+++ b/crates/gateway/src/process/storage_node.rs
@@ -12,15 +12,16 @@
 use stallmoor_core::serving::jobs::node::{JobsNode, replica_settings};
 use stallmoor_core::serving::jobs::table::JobTable;
 use stallmoor_core::serving::stopping::LEADERSHIP_TRANSFER_TIMEOUT;
-use stallmoor_core::time::Timestamp;
-use stallmoor_storage::{FolderOwner, ReplicaFolder, ReplicaLog};
+use stallmoor_storage::{FolderOwner, ReplicaFolder, ReplicaLog, StorageError};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
-use super::parts::{NodeComponents, log_node_start, new_node_id, open_listener, random_u64, start_metrics};
-use super::reload::wait_for_stop;
+use super::held::{open_listener, open_when_free};
+use super::parts::{NodeComponents, log_node_start, new_node_id, random_u64, start_metrics};
+use super::reload::{unless_stopped, wait_for_stop};
 use super::settings::ServingSettings;
 use super::signals::ProcessSignals;
-use super::{DiskSnafu, ProcessError, SystemSnafu};
+use super::{DiskSnafu, ProcessError, SystemSnafu, log_failure};
 use crate::adapter::PlatformAdapter;
 use crate::clock::NodeClock;
 use crate::observe::journal::{Field, record};
@@ -44,21 +45,31 @@
     settings_path: &Path,
     adapter: &dyn PlatformAdapter,
     signals: ProcessSignals,
+) -> Result<(), ProcessError> {
+    log_failure(serve(settings, settings_path, adapter, signals).await)
+}
+
+async fn serve(
+    settings: &ServingSettings,
+    settings_path: &Path,
+    adapter: &dyn PlatformAdapter,
+    mut signals: ProcessSignals,
 ) -> Result<(), ProcessError> {
     let folder =
         settings.node.data_folder.as_deref().ok_or(ProcessError::MissingSetting { field: "node.data_folder" })?;
-    start_metrics(settings)?;
     let clock = NodeClock::start();
-    let replica = OpenReplica::open(folder, settings, clock.now())?;
-    let components = NodeComponents::new(settings, adapter, clock, replica.id);
+    let opening = OpenNode::open(folder, settings, clock);
+    let Some(node) = unless_stopped(&mut signals, settings_path, opening).await else { return Ok(()) };
+    let node = node?;
+    let components = NodeComponents::new(settings, adapter, clock, node.replica.id);
     let (stop, stopping) = watch::channel(false);
-    let service = start_service(replica, folder, components, settings, adapter, stopping)?;
+    let service = start_service(node, folder, components, settings, adapter, stopping)?;
     log_node_start(settings, "storage");
     let service = StorageService::run(service.components, service.inputs);
     tokio::pin!(service);
     tokio::select! {
         ended = service.as_mut() => return ended.context(DiskSnafu),
-        () = wait_for_stop(signals, settings_path) => {}
+        () = wait_for_stop(&mut signals, settings_path) => {}
     }
     record(LogEvent::NodeStopping, &[]);
     // The service owns the receiver until it completes.
@@ -70,6 +81,21 @@
     Ok(())
 }
 
+/// What a node opens before it starts.
+struct OpenNode {
+    peers: TcpListener,
+    replica: OpenReplica,
+}
+
+impl OpenNode {
+    /// Opens the peer address before the data folder: a former process that still writes to the folder holds the address.
+    async fn open(folder: &Path, settings: &ServingSettings, clock: NodeClock) -> Result<Self, ProcessError> {
+        start_metrics(settings).await?;
+        let peers = open_listener(settings.peer_address()).await?;
+        Ok(Self { peers, replica: OpenReplica::open(folder, settings, clock).await? })
+    }
+}
+
 /// This node's replica of the job table, loaded from disk.
 struct OpenReplica {
     id: NodeId,
@@ -78,21 +104,24 @@
 }
 
 impl OpenReplica {
-    /// Opens the data folder, or formats it if it is empty.
-    fn open(folder: &Path, settings: &ServingSettings, now: Timestamp) -> Result<Self, ProcessError> {
+    /// Opens the data folder, or formats it if it is empty. Waits while another process has it open.
+    async fn open(folder: &Path, settings: &ServingSettings, clock: NodeClock) -> Result<Self, ProcessError> {
         let owner = FolderOwner {
             peer_address: settings.peer_address().to_string(),
             adopt: false,
             new_identity: new_node_id(),
         };
         let is_readable = |state: &[u8]| JobTable::decode(state).is_some();
-        let mut opened = ReplicaFolder::open(folder, &owner, is_readable).context(DiskSnafu)?;
+        let open = || ReplicaFolder::open(folder, &owner, is_readable);
+        let is_held = |error: &StorageError| matches!(error, StorageError::Locked { .. });
+        let resource = format!("data folder {}", folder.display());
+        let mut opened = open_when_free(resource, open, is_held).await.context(DiskSnafu)?;
         if opened.formatted {
             record(LogEvent::StoreFormatted, &[Field::text("node", opened.identity)]);
         }
         let log = opened.take(JOBS_GROUP).context(DiskSnafu)?;
         let (id, persisted) = (opened.identity, log.contents().clone());
-        let node = JobsNode::new(id, replica_settings(), persisted, now, random_u64());
+        let node = JobsNode::new(id, replica_settings(), persisted, clock.now(), random_u64());
         Ok(Self { id, node: node.ok_or(ProcessError::UnreadableTable)?, log })
     }
 }
@@ -105,14 +134,14 @@
 
 /// Starts the tasks that feed the service.
 fn start_service(
-    replica: OpenReplica,
+    node: OpenNode,
     folder: &Path,
     components: NodeComponents,
     settings: &ServingSettings,
     adapter: &dyn PlatformAdapter,
     stop: watch::Receiver<bool>,
 ) -> Result<ServiceSetup, ProcessError> {
-    let OpenReplica { id, node, log } = replica;
+    let OpenNode { peers: listener, replica: OpenReplica { id, node, log } } = node;
     // Unbounded: the disk thread sends at most one report for each write of the service.
     let (results, writes) = mpsc::unbounded_channel();
     let disk =
@@ -123,7 +152,7 @@
         metadata: components.metadata.clone(),
         origins: components.workers.origins.clone(),
     };
-    tokio::spawn(accept_peers(open_listener(settings.peer_address())?, answerers));
+    tokio::spawn(accept_peers(listener, answerers));
     // Unbounded: the queue holds only the changes of the store since the service last received one, a few per second.
     let (update_sender, updates) = mpsc::unbounded_channel();
     let (view, store) = (components.view.clone(), adapter.metadata());
