A relay that the store refuses asks the other relays

A storage node that others query watches the store itself and asked no other node. Gateways that rank it first come back after each cooldown, which keeps it in that role, so that one which the store refuses, throttles or silences alone kept its old view for as long as that lasted, and led on it, although the other storage nodes saw everything. One that starts that way had no view at all.

During each backoff after a failed call such a node now asks another relay. Its own calls and their backoff go on, its outage does not end with the answer, and the age of its view is counted from the other's confirmation, so that two relays without the store do not make each other appear current.

a_relay_that_the_store_refuses_receives_changes_from_another_relay, before: the first change is not received within 2 s. After: six changes in a row, each in time. The other side, two relays without the store, is a test of its own.

--- a/crates/core/src/serving/relay/policy.rs
+++ b/crates/core/src/serving/relay/policy.rs
@@ -152,11 +152,13 @@
         let store_step = self.store_step(view, role);
         let relay = self.relays.first_usable(view.now, relays);
         let Some(age) = view.age else { return self.initial_step(view, relays, relay, store_step) };
+        let is_backing_off = matches!(store_step, WatchStep::Wait(_));
         if !matches!(role, WatchRole::Follower | WatchRole::Forwarder) {
-            return store_step;
+            // The store may refuse this node alone, while the other relays see everything.
+            let other = relay.filter(|_| is_backing_off);
+            return other.map_or(store_step, |other| self.query_relay(other, self.bounds.max_age()));
         }
         let remaining = Millis(self.bounds.max_age().0.saturating_sub(age.0));
-        let is_backing_off = matches!(store_step, WatchStep::Wait(_));
         match relay {
             Some(relay) if remaining > Millis(0) => self.query_relay(relay, remaining),
             // The store is failing, so a relay may take its full time.
@@ -233,6 +235,19 @@
         is_fresh
     }
 
+    /// Records the answer of another relay to a node that is a relay itself. Unlike [`Self::record_relay_answer`], this does
+    /// not end the outage: the node's followers rely on its own calls, which go on with their backoff.
+    pub fn record_answer_to_relay(&mut self, relay: NodeId, answer: &ChangesAnswer, now: Timestamp) -> bool {
+        let is_fresh = answer.age < self.bounds.max_relay_age();
+        if is_fresh {
+            self.relays.record_answer(relay);
+            self.must_list = false;
+        } else {
+            self.relays.avoid(relay, self.bounds.stale_relay_cooldown(), now);
+        }
+        is_fresh
+    }
+
     /// Records that a relay did not answer.
     pub fn record_relay_failure(&mut self, relay: NodeId, now: Timestamp) {
         self.relays.record_failure(relay, self.bounds.contact, now);
--- a/crates/core/tests/relay_answers.rs
+++ b/crates/core/tests/relay_answers.rs
@@ -103,3 +103,48 @@
     assert_eq!(waits(WatchRole::Follower, 3_000, 6), [50, 100, 200, 400, 750, 750]);
     assert_eq!(waits(WatchRole::Standalone, 3_600_000, 10)[7..], [6_400, 12_800, 12_800]);
 }
+
+/// A refused call that ended at `now`.
+fn refused(now: Timestamp) -> FailedCall {
+    FailedCall { started_at: now, failed_at: now, timed_out: false }
+}
+
+/// Guards against a storage node that stays without changes because other nodes query it while the store refuses it alone.
+#[test]
+fn a_relay_queries_another_relay_while_it_backs_off_and_calls_the_store_again_after() {
+    let bounds = WatchBounds { change: Millis(2_000), contact: Millis(3_000), heartbeat: Millis(1_200) };
+    let mut policy = WatchPolicy::new(bounds);
+    let view = |millis: u64| ViewState {
+        now: at(millis),
+        at: Some(SINCE),
+        age: Some(Millis(millis)),
+        last_request_at: Some(at(millis)),
+    };
+    assert_eq!(policy.role(view(0), &[RELAY]), WatchRole::Relay);
+    policy.record_store_answer(at(0));
+    assert!(matches!(policy.next(view(0), &[RELAY]), WatchStep::WatchStore { .. }), "the store answers");
+    policy.record_store_failure(WatchRole::Relay, view(10), refused(at(10)), 0.5);
+    assert!(matches!(policy.next(view(20), &[RELAY]), WatchStep::QueryRelay { relay: RELAY, .. }));
+    assert!(policy.record_answer_to_relay(RELAY, &answer(Some(40), 41, &["a"]), at(30)));
+    assert!(matches!(policy.next(view(70), &[RELAY]), WatchStep::WatchStore { .. }), "the backoff is over");
+    // The other relay does not end the outage of this one, which its followers are told.
+    assert_eq!(policy.outage_duration(at(1_010)), Millis(1_000));
+    assert!(!policy.can_confirm(view(70)));
+    policy.record_store_failure(WatchRole::Relay, view(80), refused(at(80)), 0.5);
+    assert!(matches!(policy.next(view(170), &[]), WatchStep::Wait(Millis(10))), "the second backoff is twice as long");
+}
+
+/// Guards against a node that knows storage nodes of a former process and waits for the store alone.
+#[test]
+fn a_node_without_a_view_queries_the_storage_nodes_it_knows_while_the_store_fails() {
+    let bounds = WatchBounds { change: Millis(2_000), contact: Millis(3_000), heartbeat: Millis(1_200) };
+    let mut policy = WatchPolicy::new(bounds);
+    let view = |millis: u64| ViewState { now: at(millis), at: None, age: None, last_request_at: None };
+    assert_eq!(policy.next(view(0), &[RELAY]), WatchStep::DiscoverRelays, "the store is called first");
+    policy.record_store_failure(WatchRole::Follower, view(10), refused(at(10)), 0.5);
+    let step = policy.next(view(20), &[RELAY]);
+    assert_eq!(step, WatchStep::QueryRelay { relay: RELAY, hold: Millis(0), timeout: Millis(500) });
+    policy.record_first_view_failure(RELAY, at(20));
+    assert_eq!(policy.next(view(30), &[RELAY]), WatchStep::Wait(Millis(30)), "no longer than the backoff");
+    assert_eq!(policy.next(view(60), &[RELAY]), WatchStep::DiscoverRelays, "the backoff is over");
+}
--- a/crates/core/tests/relay_simulation/world.rs
+++ b/crates/core/tests/relay_simulation/world.rs
@@ -361,10 +361,13 @@
         let away = self.nodes[relay].policy.outage_duration(at(now));
         let Some(changes) = self.nodes[relay].mirror.changes_since(Revision(since)) else { return false };
         let answer = ChangesAnswer { changes, age, away, held };
-        let view = self.view(node);
+        let (view, role) = (self.view(node), self.role(node));
         let entry = &mut self.nodes[node];
         let grace = entry.policy.record_grace(view);
-        entry.policy.record_relay_answer(id(relay), &answer, at(now));
+        match role {
+            WatchRole::Relay => entry.policy.record_answer_to_relay(id(relay), &answer, at(now)),
+            _ => entry.policy.record_relay_answer(id(relay), &answer, at(now)),
+        };
         let ChangesAnswer { changes, .. } = answer;
         let changed = match changes.base {
             Some(_) => entry.mirror.advance(changes.items, changes.at),
--- a/crates/gateway/src/fleet/metadata_watch.rs
+++ b/crates/gateway/src/fleet/metadata_watch.rs
@@ -195,7 +195,11 @@
 
     fn apply_answer(&mut self, relay: NodeId, answer: ChangesAnswer, requested_at: Timestamp) {
         let grace = self.policy.record_grace(self.view.state());
-        let is_fresh = self.policy.record_relay_answer(relay, &answer, self.fleet.clock.now());
+        let now = self.fleet.clock.now();
+        let is_fresh = match self.role {
+            WatchRole::Relay => self.policy.record_answer_to_relay(relay, &answer, now),
+            _ => self.policy.record_relay_answer(relay, &answer, now),
+        };
         let confirmed = answer.confirmed_at(requested_at);
         let ChangesAnswer { changes, age, away, .. } = answer;
         let changed = match changes.base {
--- a/crates/gateway/tests/metadata_relay.rs
+++ b/crates/gateway/tests/metadata_relay.rs
@@ -7,7 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use peer_answerers::answerers;
 use stallmoor_core::identity::NodeId;
@@ -33,6 +33,7 @@
 const BOUNDS: WatchBounds = WatchBounds { change: Millis(1_000), contact: Millis(1_500), heartbeat: Millis(1_200) };
 const RELAY: NodeId = NodeId(1);
 const FOLLOWER: NodeId = NodeId(2);
+const OTHER_RELAY: NodeId = NodeId(3);
 
 /// The store's contents, shared by all nodes of a test: one key whose value is its revision.
 struct Contents(watch::Sender<u64>);
@@ -209,6 +210,45 @@
     assert!(relay.latest_revision() < 5, "the relay received all changes although its store calls fail");
 }
 
+/// Guards against a storage node that stays without changes because other nodes query it while the store refuses it alone.
+#[tokio::test]
+async fn a_relay_that_the_store_refuses_receives_changes_from_another_relay() {
+    let contents = Arc::new(Contents(watch::Sender::new(1)));
+    let (relay, follower) = relay_and_follower(&contents).await;
+    let other = Node::start(OTHER_RELAY, contents.clone()).await;
+    other.wait_for(2, Duration::from_secs(5)).await;
+    relay.add_storage_node(OTHER_RELAY, other.address);
+    relay.store.is_refused.store(true, Ordering::SeqCst);
+    for revision in 3..9 {
+        contents.write();
+        relay.wait_for(revision, Duration::from_secs(2)).await;
+        follower.wait_for(revision, Duration::from_secs(2)).await;
+    }
+}
+
+/// Guards against two relays that confirm each other's views while the store refuses both.
+#[tokio::test]
+async fn relays_that_the_store_refuses_do_not_make_each_other_appear_current() {
+    let contents = Arc::new(Contents(watch::Sender::new(1)));
+    let (relay, _follower) = relay_and_follower(&contents).await;
+    let other = Node::start(OTHER_RELAY, contents.clone()).await;
+    other.wait_for(2, Duration::from_secs(5)).await;
+    relay.add_storage_node(OTHER_RELAY, other.address);
+    other.add_storage_node(RELAY, relay.address);
+    let refused_at = Instant::now();
+    for node in [&relay, &other] {
+        node.store.is_refused.store(true, Ordering::SeqCst);
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for node in [&relay, &other] {
+        let age = Duration::from_millis(node.view.state().age.expect("a view").0);
+        // A watch that had begun may still have confirmed the view once.
+        let outage = refused_at.elapsed() - Duration::from_millis(BOUNDS.contact.0 + 500);
+        assert!(age >= outage, "a view of {age:?} after {outage:?} without the store");
+        assert!(!confirmation::confirm(&node.fleet, &node.view).await);
+    }
+}
+
 #[tokio::test]
 async fn a_follower_does_not_call_the_store_while_its_relay_serves_it() {
     let contents = Arc::new(Contents(watch::Sender::new(1)));
