--- a/crates/core/src/serving/relay/policy.rs
+++ b/crates/core/src/serving/relay/policy.rs
@@ -17,6 +17,9 @@
 /// Time allowed for a relay's answer beyond the time for which it may hold the request. Tolerates a relay that is in
 /// another zone or busy.
 const RELAY_ANSWER_MARGIN: Millis = Millis(250);
+/// Timeout for the first view from a relay during a backoff after a failed call to the store. Bounds the delay of the next
+/// call by a relay that is down.
+const BACKOFF_RELAY_TIMEOUT: Millis = Millis(500);
 /// Initial backoff after a failed call to the store, before jitter. Doubles with each consecutive failure. Short, so
 /// that a store that refuses once is asked again soon.
 const INITIAL_STORE_BACKOFF: Millis = Millis(50);
@@ -149,11 +152,13 @@
         let store_step = self.store_step(view, role);
         let relay = self.relays.first_usable(view.now, relays);
         let Some(age) = view.age else { return self.initial_step(view, relays, relay, store_step) };
+        let is_backing_off = matches!(store_step, WatchStep::Wait(_));
         if !matches!(role, WatchRole::Follower | WatchRole::Forwarder) {
-            return store_step;
+            // The store may refuse this node alone, while the other relays see everything.
+            let other = relay.filter(|_| is_backing_off);
+            return other.map_or(store_step, |other| self.query_relay(other, self.bounds.max_age()));
         }
         let remaining = Millis(self.bounds.max_age().0.saturating_sub(age.0));
-        let is_backing_off = matches!(store_step, WatchStep::Wait(_));
         match relay {
             Some(relay) if remaining > Millis(0) => self.query_relay(relay, remaining),
             // The store is failing, so a relay may take its full time.
@@ -173,8 +178,14 @@
     ) -> WatchStep {
         let step = self.first_view.next(view, self.tier, relays, usable, self.bounds.contact);
         match step {
-            // The backoff applies to the first calls as well.
-            WatchStep::DiscoverRelays | WatchStep::ListStore if matches!(store_step, WatchStep::Wait(_)) => store_step,
+            // The backoff applies to the first calls as well. Meanwhile the known storage nodes are asked, which the store
+            // may answer.
+            WatchStep::DiscoverRelays | WatchStep::ListStore if matches!(store_step, WatchStep::Wait(_)) => {
+                match usable {
+                    Some(relay) => WatchStep::QueryRelay { relay, hold: Millis(0), timeout: BACKOFF_RELAY_TIMEOUT },
+                    None => self.wait_until_usable(view.now, relays, store_step),
+                }
+            }
             step => step,
         }
     }
@@ -224,6 +235,19 @@
         is_fresh
     }
 
+    /// Records the answer of another relay to a node that is a relay itself. Unlike [`Self::record_relay_answer`], this does
+    /// not end the outage: the node's followers rely on its own calls, which go on with their backoff.
+    pub fn record_answer_to_relay(&mut self, relay: NodeId, answer: &ChangesAnswer, now: Timestamp) -> bool {
+        let is_fresh = answer.age < self.bounds.max_relay_age();
+        if is_fresh {
+            self.relays.record_answer(relay);
+            self.must_list = false;
+        } else {
+            self.relays.avoid(relay, self.bounds.stale_relay_cooldown(), now);
+        }
+        is_fresh
+    }
+
     /// Records that a relay did not answer.
     pub fn record_relay_failure(&mut self, relay: NodeId, now: Timestamp) {
         self.relays.record_failure(relay, self.bounds.contact, now);
