--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -4,14 +4,14 @@
 #
 # Usage: scripts/soak.sh [--seed S] [--seconds N] [--gateways N] [--storage N] [--workers N] [--keep FOLDER]
 #                        [--without others|releases|endless|item-crashes|joins|odd-records|truncation|stops|trickles|
-#                                   late-workers|power]...
+#                                   late-workers|power|closings]...
 #        scripts/soak.sh --kept
 #
 # The seed defaults to a random one, the duration to one minute. --without leaves out releases while all gateways are
 # killed, workers that respond without end, crashes under the same items, versions that join while a gateway is out of
 # step, odd records, responses that stop midway, planned stops of gateways, clients of those that send their requests in
-# halves, a batch service whose workers join late, all processes that lose power at once, or all other faults. --kept reruns the seeds that failed in the past
-# (scripts/soak-seeds.txt). SOAK_BUILD=debug uses the binaries built by `cargo test` instead of building release ones.
+# halves, a batch service whose workers join late, all processes that lose power at once, the
+# same while the fleet is in an odd state, or all other faults. --kept reruns the seeds that failed in the past (scripts/soak-seeds.txt). SOAK_BUILD=debug uses the binaries built by `cargo test` instead of building release ones.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 profile="${SOAK_BUILD:-release}"
