An item that may run elsewhere no longer waits behind one that may not yet

Callers saw batch items late: an item that continues output of a version whose workers are full may run again elsewhere once it has waited for as long as its output took, 0.2 s say, but waited for 4 s behind one of the same version that is due earlier and whose output took 4 s: a closed queue is only tried at its head.

If neither its version nor any other worker has room, it waits with the items that any worker can run, so that a round costs a try for each kind of needs as before.

--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -292,8 +292,7 @@
         now: Timestamp,
     ) {
         let needs = self.needs_of(key, &start, &output);
-        let cause = WaitCause::Worker(needs.clone());
-        if self.dispatcher.is_held(&cause) {
+        if let Some(cause) = self.held_by(key, &start, &needs, output.events(), now) {
             self.dispatcher.wait_for(key, output, &cause, now);
             return;
         }
@@ -468,9 +467,9 @@
         self.active.insert(key.clone(), active);
     }
 
-    /// Lets an item wait for the workers that it prefers.
+    /// Lets an item wait for any of the workers that may run it.
     fn wait_for_worker(&mut self, key: &ItemKey, output: PartialOutput, acceptable: &[WorkerNeeds], now: Timestamp) {
-        match acceptable.first() {
+        match acceptable.last() {
             Some(needs) => self.dispatcher.wait_for(key, output, &WaitCause::Worker(needs.clone()), now),
             None => self.dispatcher.requeue(key, output),
         }
