Simulate the loss of all power during changes of the job table's group

Callers saw batch items that nothing worked on after all machines had lost power. Writes of the pair's record may arrive after their writer has lost power, and a machine may be left out by the store.

--- a/crates/core/tests/support/jobs_world.rs
+++ b/crates/core/tests/support/jobs_world.rs
@@ -64,6 +64,16 @@
     pub queue: VecDeque<JobsEffect>,
     pub syncing: Option<(u64, stallmoor_core::replication::LogWrite)>,
     pub contacted_at: u64,
+    /// The directory as this process has last read it.
+    pub directory: StorageDirectory,
+}
+
+/// A write of the pair's record on its way to the store. It arrives even if the writer loses power.
+pub struct PairWrite {
+    pub arrives_at: u64,
+    pub writer: NodeId,
+    pub record: PairRecord,
+    pub revision: u64,
 }
 
 /// The metadata store: the directory, and the pair's record with its revision.
@@ -108,6 +118,11 @@
     pub tick_ms: u64,
     /// The links that drop messages in one direction, by sender and receiver.
     pub cuts: BTreeSet<(NodeId, NodeId)>,
+    /// The machines that the store does not answer, and until when. They know only what they have read before.
+    pub unanswered_until: BTreeMap<String, u64>,
+    /// The time that a write of the pair's record takes to arrive, in milliseconds; 0 if it is in effect at once.
+    pub pair_write_ms: u64,
+    pub pair_writes: VecDeque<PairWrite>,
 }
 
 pub fn address(id: NodeId) -> SocketAddr {
@@ -164,6 +179,9 @@
             sync_ms: SYNC_MS,
             tick_ms: STEP_MS,
             cuts: BTreeSet::new(),
+            unanswered_until: BTreeMap::new(),
+            pair_write_ms: 0,
+            pair_writes: VecDeque::new(),
         };
         for _ in 0..machine_count {
             world.add_machine();
@@ -223,7 +241,14 @@
         let node = JobsNode::new(machine.id, machine.settings, machine.disk.clone(), now, seed)
             .expect("the disk can be decoded");
         let members = MembershipPlanner::new(machine.id, self.tolerated, now);
-        machine.process = Some(Process { node, members, queue: VecDeque::new(), syncing: None, contacted_at: 0 });
+        machine.process = Some(Process {
+            node,
+            members,
+            queue: VecDeque::new(),
+            syncing: None,
+            contacted_at: 0,
+            directory: StorageDirectory::default(),
+        });
         machine.starts_at = None;
         let record = StorageRecord {
             name: Arc::from(name),
@@ -268,12 +293,27 @@
             self.start(&name);
         }
         self.deliver();
+        self.apply_pair_writes();
         let names: Vec<String> = self.machines.keys().cloned().collect();
         for name in names {
             self.run_process(&name);
         }
     }
 
+    /// Carries out the writes of the pair's record that have arrived.
+    fn apply_pair_writes(&mut self) {
+        let (arrived, pending): (VecDeque<_>, VecDeque<_>) =
+            self.pair_writes.drain(..).partition(|write| write.arrives_at <= self.now);
+        self.pair_writes = pending;
+        for write in arrived {
+            let read = write_pair(&mut self.store, write.record, write.revision);
+            let writer = self.machines.values_mut().find(|machine| machine.id == write.writer);
+            if let Some(process) = writer.and_then(|machine| machine.process.as_mut()) {
+                process.members.finish_pair_write(Some(read));
+            }
+        }
+    }
+
     pub fn deliver(&mut self) {
         let messages: Vec<(u64, ReplicationMessage)> = self.in_flight.drain(..).collect();
         for (at, message) in messages {
@@ -329,8 +369,8 @@
     }
 
     pub fn run_process(&mut self, name: &str) {
-        let store_is_up = self.store.down_until <= self.now;
-        let directory = self.store.directory.clone();
+        let is_answered = self.unanswered_until.get(name).is_none_or(|until| *until <= self.now);
+        let store_is_up = self.store.down_until <= self.now && is_answered;
         let Some(machine) = self.machines.get_mut(name) else { return };
         let now = machine.time(self.now);
         if machine.frozen_until > self.now {
@@ -338,6 +378,10 @@
         }
         let is_partitioned = machine.partitioned_until > self.now;
         let Some(process) = machine.process.as_mut() else { return };
+        if is_answered {
+            process.directory = self.store.directory.clone();
+        }
+        let directory = &process.directory;
         // Processes tick at different times.
         if (self.now + machine.id.0 * STEP_MS).is_multiple_of(self.tick_ms) {
             let effects = process.node.tick(now);
@@ -354,7 +398,7 @@
             }
         }
         let leads = process.node.may_answer(now);
-        let actions = process.members.plan(process.node.replica(), leads, &directory, |_| true, now);
+        let actions = process.members.plan(process.node.replica(), leads, directory, |_| true, now);
         let mut changes = Vec::new();
         for action in actions {
             match action {
@@ -366,6 +410,11 @@
                 MembershipAction::ContinueAlone => process.queue.extend(process.node.become_sole_voter(now)),
                 MembershipAction::WritePair { record, revision } => {
                     let reachable = store_is_up && !is_partitioned;
+                    if reachable && self.pair_write_ms > 0 {
+                        let arrives_at = self.now + self.random.random_range(1..=self.pair_write_ms);
+                        self.pair_writes.push_back(PairWrite { arrives_at, writer: machine.id, record, revision });
+                        continue;
+                    }
                     let read = reachable.then(|| write_pair(&mut self.store, record, revision));
                     process.members.finish_pair_write(read);
                 }
@@ -575,6 +624,7 @@
             machine.stalled_until = 0;
         }
         self.cuts.clear();
+        self.unanswered_until.clear();
         self.store.down_until = 0;
         self.run_for(9_000);
         let leaders = self.leaders();
