A pair knows its record while a learner is added

Callers saw no leader for good: no job read, accepted or ended, after all machines had lost power and one disk with it, while the job table's group was a pair to which a spare was being added.

Cause: adding a learner is a change of members with an index of its own, and a record with a lower index was taken for that of a former pair until the leader had written it anew. A member that was left in between neither found itself in the record nor could replace it, as it said `Whole`.

A whole or survived record counts from the entry that formed the pair, whatever learners came and went since. A voter can only have been added under a record that was dissolved for the latest change, so such a record still counts from there. The survivor writes the index of its latest change, so that a member of the version before recognizes it. The leader still records the pair anew.

--- a/crates/core/src/replication/log.rs
+++ b/crates/core/src/replication/log.rs
@@ -1,5 +1,6 @@
 //! The in-memory log of one replica: a snapshot and the entries that follow it.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -134,13 +135,15 @@
     bytes: usize,
     /// The index of the snapshot's membership, if this process has seen the entry.
     snapshot_membership: Option<LogIndex>,
+    /// The index since which the snapshot's voters are the same, if this process has seen the entry.
+    snapshot_voters: Option<LogIndex>,
 }
 
 impl ReplicatedLog {
     /// Creates a log from persisted state.
     pub fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
         let bytes = entries.iter().map(entry_bytes).sum();
-        Self { snapshot, entries, bytes, snapshot_membership: None }
+        Self { snapshot, entries, bytes, snapshot_membership: None, snapshot_voters: None }
     }
 
     /// Returns the latest snapshot.
@@ -232,6 +235,7 @@
 
     /// Replaces the entries up to the snapshot's index with the snapshot.
     pub fn compact(&mut self, snapshot: Snapshot) {
+        self.snapshot_voters = self.voters_since(&snapshot.membership.voters, snapshot.index);
         let replaced = self.entries.iter().rev().filter(|entry| entry.index <= snapshot.index);
         self.snapshot_membership = replaced
             .filter(|entry| entry.changes_membership())
@@ -248,6 +252,7 @@
         self.entries.clear();
         self.bytes = 0;
         self.snapshot_membership = None;
+        self.snapshot_voters = None;
         self.snapshot = snapshot;
     }
 
@@ -268,6 +273,21 @@
         self.membership_entry().map(|(index, _)| index).or(self.snapshot_membership)
     }
 
+    /// Returns the index since which the voters are the same, whatever learners came and went; `None` if the entry was compacted
+    /// before this process started, or was part of a snapshot from the leader.
+    pub fn known_voters_index(&self) -> Option<LogIndex> {
+        self.voters_since(&self.membership().voters, self.last_index())
+    }
+
+    /// Returns the index since which the group has had these voters, which are those in effect at `index`.
+    fn voters_since(&self, voters: &BTreeSet<NodeId>, index: LogIndex) -> Option<LogIndex> {
+        let changes = || self.membership_entries().filter(|(at, _)| *at <= index);
+        let is_same = |membership: &GroupMembership| membership.voters == *voters;
+        let earliest = changes().take_while(|(_, membership)| is_same(membership)).last().map(|(at, _)| at);
+        let has_other = !is_same(&self.snapshot.membership) || changes().any(|(_, membership)| !is_same(membership));
+        if has_other { earliest } else { self.snapshot_voters }
+    }
+
     /// Returns the membership in effect at `index`.
     pub fn membership_at(&self, index: LogIndex) -> GroupMembership {
         let in_log = self.entries.iter().rev().filter(|entry| entry.index <= index);
@@ -281,7 +301,12 @@
     }
 
     fn membership_entry(&self) -> Option<(LogIndex, &GroupMembership)> {
-        self.entries.iter().rev().find_map(|entry| match &entry.payload {
+        self.membership_entries().next()
+    }
+
+    /// Returns the membership changes in the log, the latest first.
+    fn membership_entries(&self) -> impl Iterator<Item = (LogIndex, &GroupMembership)> {
+        self.entries.iter().rev().filter_map(|entry| match &entry.payload {
             EntryPayload::Membership(membership) => Some((entry.index, membership)),
             _ => None,
         })
--- a/crates/core/src/serving/jobs/members.rs
+++ b/crates/core/src/serving/jobs/members.rs
@@ -300,7 +300,7 @@
         if replica.is_leader() || membership.voters.len() != 2 || !membership.voters.contains(&self.own) {
             return Vec::new();
         }
-        if self.pair.is_survivor(self.own, membership, replica.log().known_membership_index()) {
+        if self.pair.is_survivor(self.own, membership, self.pair.first_index(replica.log(), false)) {
             return vec![MembershipAction::ContinueAlone];
         }
         if !self.is_pair_peer_lost(membership, directory, now) {
@@ -326,7 +326,7 @@
             own: self.own,
             leads: intent.leads,
             membership: replica.membership(),
-            index: replica.log().known_membership_index(),
+            index: self.pair.first_index(replica.log(), intent.leads),
             record_index,
             is_committed: record_index <= replica.commit(),
             other_is_lost: intent.other_is_lost,
--- a/crates/core/src/serving/jobs/pair.rs
+++ b/crates/core/src/serving/jobs/pair.rs
@@ -13,6 +13,11 @@
 //! no record of it. The other member may then record itself as the survivor, unless the member that proposed the change
 //! has dissolved the pair before, in order to withdraw the change. Compare-and-swap admits one of the two.
 //!
+//! The leader records a pair anew for each change of its learners. Until it has done so, the record of before is that of the
+//! same pair still, as its voters are the same: the other member may become the survivor by it, and if it names the survivor,
+//! that one and nobody else continues. The voters are changed only under a record that was dissolved for the latest change, so
+//! a record that was dissolved for an earlier one does not keep a member from becoming the survivor.
+//!
 //! A record belongs to the latest pair of its voters if its index is not below that of the membership. A replica that has
 //! compacted its log may not know that index; the record is then the latest one of these voters all the same, since
 //! the leader writes the record of a pair right after the membership is committed, and both members hold all that was
@@ -23,7 +28,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::identity::NodeId;
-use crate::replication::{GroupMembership, LogIndex};
+use crate::replication::{GroupMembership, LogIndex, ReplicatedLog};
 
 /// The state of a pair.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,7 +70,7 @@
     pub leads: bool,
     /// The membership in the member's log.
     pub membership: &'a GroupMembership,
-    /// The log index of that membership; `None` if the log no longer holds it.
+    /// The log index from which on a record is that of this membership; `None` if the log no longer holds it.
     pub index: Option<LogIndex>,
     /// The index of the record that the member writes if it is the first one: that of the membership, or a later one.
     pub record_index: LogIndex,
@@ -87,6 +92,19 @@
         }
     }
 
+    /// Returns the log index from which on the record is that of the pair in a member's log, if known.
+    pub fn first_index(&self, log: &ReplicatedLog, leads: bool) -> Option<LogIndex> {
+        let latest = log.known_membership_index();
+        match self.record.as_ref().map(|record| record.state) {
+            Some(PairState::Whole) if leads => latest,
+            // Without the entry that formed the pair, any record of its voters is the latest one.
+            Some(PairState::Whole | PairState::Survived(_)) => {
+                latest.map(|_| log.known_voters_index().unwrap_or_default())
+            }
+            Some(PairState::Dissolved) | None => latest,
+        }
+    }
+
     /// Returns the state of the pair in the member's log, or `None` if the record describes another membership.
     /// `index` is the log index of the membership, if known.
     pub fn state_of(&self, membership: &GroupMembership, index: Option<LogIndex>) -> Option<PairState> {
@@ -108,6 +126,12 @@
         // A change of the state keeps the index, so that both members go on reading the record as that of their pair.
         let index = self.current(view.membership, view.index).map_or(view.record_index, |record| record.index);
         let record = |state| Some(PairRecord { index, voters: view.membership.voters.clone(), state });
+        // A member of an earlier version recognizes only a record of the latest change.
+        let latest = if view.index.is_some() { index.max(view.record_index) } else { index };
+        let survived = || {
+            let state = PairState::Survived(view.own);
+            Some(PairRecord { index: latest, voters: view.membership.voters.clone(), state })
+        };
         match self.state_of(view.membership, view.index) {
             _ if view.leads && view.wants_change && !self.allows_change(view.membership, view.index) => {
                 record(PairState::Dissolved)
@@ -122,10 +146,8 @@
                 record(PairState::Whole)
             }
             None if view.wants_withdrawal && self.precedes(view.index) => record(PairState::Dissolved),
-            None if view.other_is_lost && !view.leads && self.precedes(view.index) => {
-                record(PairState::Survived(view.own))
-            }
-            Some(PairState::Whole) if view.other_is_lost && !view.leads => record(PairState::Survived(view.own)),
+            None if view.other_is_lost && !view.leads && self.precedes(view.index) => survived(),
+            Some(PairState::Whole) if view.other_is_lost && !view.leads => survived(),
             _ => None,
         }
     }
--- a/crates/core/tests/power_loss_simulation.rs
+++ b/crates/core/tests/power_loss_simulation.rs
@@ -352,7 +352,7 @@
     play_days(Group { machines: 7, tolerated: 2 }, 5_000);
 }
 
-/// The state of the pair's record at the moment at which all machines lost power, and whether jobs were accepted again.
+/// The state of the pair's record after all machines lost power, and whether jobs were accepted again.
 struct PairLoss {
     state: Option<PairState>,
     result: Result<u64, String>,
@@ -369,7 +369,6 @@
     day.world.run_for(3_000);
     day.take(Step::AddSpare);
     day.world.run_for(after);
-    let state = day.world.store.pair.record.as_ref().map(|record| record.state);
     let before = day.describe();
     day.story.extend(before);
     let lost = members[day.world.random.random_range(0..2)].clone();
@@ -379,6 +378,9 @@
         day.world.lose_power(&name, restart_after);
     }
     let all_back_at = day.world.now + 600;
+    // A write of the record that was on its way arrives.
+    day.world.run_for(40);
+    let state = day.world.store.pair.record.as_ref().map(|record| record.state);
     PairLoss { state, result: day.finish(seed, all_back_at) }
 }
 
