A lone voter promotes a learner that is a moment behind

Callers lost everything that was accepted, and had no leader for good, when a survivor of a pair lost its disk long after the other machine was back.

Cause: a learner was promoted only if it held all that was committed at that moment. A lone voter commits its entries at once, so with entries always on the way its learner is never there: it stayed without a second voter for 17 s, until the disk was lost.

A learner counts as caught up if it holds what was committed at most 500 ms ago. Promoting it is safe at any time; the lag delays the commits after it once.

--- a/crates/core/src/serving/jobs/members.rs
+++ b/crates/core/src/serving/jobs/members.rs
@@ -6,7 +6,7 @@
 
 mod change_safety;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use super::directory::{StorageDirectory, StorageRecord};
@@ -14,7 +14,7 @@
 use crate::hashing::{hash_bytes, rendezvous_weight};
 use crate::identity::NodeId;
 use crate::replication::{
-    GroupMembership, MembershipChange, RepairInput, Replica, ReplicaHealth, StoreCandidate, plan_repair,
+    GroupMembership, LogIndex, MembershipChange, RepairInput, Replica, ReplicaHealth, StoreCandidate, plan_repair,
 };
 use crate::time::{Millis, Timestamp};
 
@@ -28,6 +28,10 @@
 /// the survivor continues alone.
 const PAIR_MEMBER_TIMEOUT: Millis = Millis(3_500);
 
+/// A learner is caught up if it holds what was committed this long ago. A lone voter commits its entries at once, so its learner
+/// always lags by those on the way.
+const LEARNER_LAG: Millis = Millis(500);
+
 /// The interval between two join requests of a ready spare. Bounds how late the leader learns of a spare.
 const JOIN_INTERVAL: Millis = Millis(400);
 /// The number of spares in each zone that send join requests at the short interval.
@@ -117,6 +121,8 @@
     pair_write_in_progress: bool,
     /// The change that is due, and the time since which its voters have to answer.
     wanted_change: Option<(MembershipChange, Timestamp)>,
+    /// What was committed at the plans of the last [`LEARNER_LAG`], while this node led.
+    commits: VecDeque<(Timestamp, LogIndex)>,
 }
 
 impl MembershipPlanner {
@@ -134,6 +140,7 @@
             pair: StoredPair::default(),
             pair_write_in_progress: false,
             wanted_change: None,
+            commits: VecDeque::new(),
         }
     }
 
@@ -187,6 +194,7 @@
             return Vec::new();
         }
         self.planned_at = now;
+        self.record_commit(replica, leads, now);
         if leads {
             self.plan_as_leader(replica, directory, is_eligible, now)
         } else {
@@ -264,7 +272,7 @@
             .map(|node| ReplicaHealth {
                 node,
                 is_lost: is_drained(&node) || self.is_lost(replica, directory, node, now),
-                is_caught_up: self.is_caught_up(replica, node),
+                is_caught_up: self.is_nearly_caught_up(replica, node),
             })
             .collect();
         let input = RepairInput {
@@ -351,6 +359,19 @@
         node == self.own || replica.progress(node).is_some_and(|progress| progress.matched >= replica.commit())
     }
 
+    fn record_commit(&mut self, replica: &Replica, leads: bool, now: Timestamp) {
+        self.commits.retain(|(at, _)| leads && now.since(*at) <= LEARNER_LAG);
+        if leads {
+            self.commits.push_back((now, replica.commit()));
+        }
+    }
+
+    /// Returns whether a member holds what was committed a moment ago.
+    fn is_nearly_caught_up(&self, replica: &Replica, node: NodeId) -> bool {
+        let committed = self.commits.front().map_or(replica.commit(), |(_, commit)| *commit);
+        self.is_caught_up(replica, node) || replica.progress(node).is_some_and(|progress| progress.matched >= committed)
+    }
+
     /// A machine is drained once it hosts no member, the change is committed, and all members have the complete log.
     fn drain_reports(&mut self, replica: &Replica, directory: &StorageDirectory) -> Vec<MembershipAction> {
         let membership = replica.membership();
--- a/crates/core/src/serving/jobs/members/change_safety.rs
+++ b/crates/core/src/serving/jobs/members/change_safety.rs
@@ -31,12 +31,15 @@
     /// committed.
     fn leaves_live_majority(&self, replica: &Replica, change: MembershipChange, wanted_since: Timestamp) -> bool {
         let next = replica.membership().after(change);
-        let is_live = |node: &NodeId| {
+        let has_answered = |node: &NodeId| {
             let acked_send = replica.progress(*node).and_then(|progress| progress.last_acked_send);
-            let has_answered = acked_send.is_some_and(|at| at >= wanted_since);
-            *node == self.own || (has_answered && self.is_caught_up(replica, *node))
+            *node == self.own || acked_send.is_some_and(|at| at >= wanted_since)
         };
-        next.voters.iter().filter(|node| is_live(node)).count() >= next.majority()
+        let is_caught_up = |node: &NodeId| {
+            let is_promoted = change == MembershipChange::Promote(*node);
+            self.is_caught_up(replica, *node) || (is_promoted && self.is_nearly_caught_up(replica, *node))
+        };
+        next.voters.iter().filter(|node| has_answered(node) && is_caught_up(node)).count() >= next.majority()
     }
 
     /// Withdraws a change of this replica that can't be committed. If it forms a pair, the pair is dissolved first, so that
