A drained voter is not removed while others are lost

Callers had no leader for good after a storage machine was gone for good, its replacement joined, another one was drained, and the next disk was lost with all power. The operator had been told that the drained machine could go.

Cause: of {1, 2, 3, 52} with 3 gone and 2 drained, 2 was removed first, since the rest has a majority that answers. {1, 3, 52} tolerates no loss, and without a spare it stays so.

A surplus voter that is lost goes first.

--- a/crates/core/src/serving/jobs/members.rs
+++ b/crates/core/src/serving/jobs/members.rs
@@ -283,15 +283,21 @@
             health: &health,
             candidates: &candidates,
         };
-        // A voter whose identity is gone never votes again. It is removed before others, which still hold the data.
-        let gone_voter =
-            || membership.voters.iter().copied().find(|voter| self.is_gone(replica, directory, *voter, now));
+        // A voter whose identity is gone never votes again. It is removed before others, which still hold the data, and so is
+        // one that is lost: it may not come back.
+        let voter =
+            |is_chosen: &dyn Fn(NodeId) -> bool| membership.voters.iter().copied().find(|voter| is_chosen(*voter));
+        let gone_voter = || voter(&|voter| self.is_gone(replica, directory, voter, now));
+        let lost_voter = || voter(&|voter| self.is_lost(replica, directory, voter, now));
         let has_surplus = membership.voters.len() > input.target_voters;
-        let surplus = gone_voter().filter(|_| has_surplus).map(MembershipChange::Remove);
+        let surplus = gone_voter().or_else(lost_voter).filter(|_| has_surplus).map(MembershipChange::Remove);
         let repair = || plan_repair(&input).map(|step| step.0);
         // Without a spare to replace such a voter or a drained machine, the group shrinks if the remaining voters are enough.
         let may_shrink = tolerates_losses(membership.voters.len().saturating_sub(1), self.tolerated);
-        let drained_voter = || membership.voters.iter().copied().find(|voter| is_drained(voter));
+        let has_lost_others = |drained: NodeId| {
+            membership.voters.iter().any(|voter| *voter != drained && self.is_lost(replica, directory, *voter, now))
+        };
+        let drained_voter = || voter(&|voter| is_drained(&voter)).filter(|drained| !has_lost_others(*drained));
         let shrinks = || may_shrink && membership.learners.is_empty();
         let removal = || gone_voter().or_else(drained_voter).filter(|_| shrinks()).map(MembershipChange::Remove);
         surplus.or_else(repair).or_else(removal)
--- a/crates/core/src/serving/jobs/members/change_safety.rs
+++ b/crates/core/src/serving/jobs/members/change_safety.rs
@@ -28,9 +28,10 @@
 
     /// Returns whether a majority of the voters after a change holds all committed entries, and has answered a message that
     /// was sent since the change is wanted. Otherwise the change, which is in effect as soon as it is appended, might never be
-    /// committed.
+    /// committed. If the change removes a voter that is live, all others have to be.
     fn leaves_live_majority(&self, replica: &Replica, change: MembershipChange, wanted_since: Timestamp) -> bool {
-        let next = replica.membership().after(change);
+        let membership = replica.membership();
+        let next = membership.after(change);
         let has_answered = |node: &NodeId| {
             let acked_send = replica.progress(*node).and_then(|progress| progress.last_acked_send);
             *node == self.own || acked_send.is_some_and(|at| at >= wanted_since)
@@ -39,6 +40,12 @@
             let is_promoted = change == MembershipChange::Promote(*node);
             self.is_caught_up(replica, *node) || (is_promoted && self.is_nearly_caught_up(replica, *node))
         };
+        let is_nearly_live = |node: &NodeId| has_answered(node) && self.is_nearly_caught_up(replica, *node);
+        // A voter that is live is given up only for others that all are.
+        let removes_live_voter = membership.voters.difference(&next.voters).any(has_answered);
+        if removes_live_voter && !next.voters.iter().all(is_nearly_live) {
+            return false;
+        }
         next.voters.iter().filter(|node| has_answered(node) && is_caught_up(node)).count() >= next.majority()
     }
 
