A member of a dissolved pair is elected by the learner

Callers saw no leader for good after all machines had lost power and one disk with it, while a pair was about to grow by a third voter.

Cause: the leader dissolves the record before it promotes a learner. If the other member is lost before the promotion is in the log of the one that is left, that one can't tell whether the lost one and the learner have committed anything, and nothing let it go on.

The member writes the record once more, unchanged, by compare-and-swap, so that no survivor is named by an earlier write, and asks the learner for its vote. The learner refuses it if it holds more; its vote bars entries of earlier terms. The new leader promotes the learner with its first entries, which need both, a majority of the grown group (core/replication/learner_election.rs has the argument). Only if the directory lists another identity for the other member's machine, and the pair has exactly one learner. No stored or sent form is new.

--- a/crates/core/src/replication/election.rs
+++ b/crates/core/src/replication/election.rs
@@ -39,6 +39,10 @@
     }
 
     pub(super) fn count_votes(&mut self, now: Timestamp) {
+        if self.is_elected_by_learner() {
+            self.lead_with_learner(now);
+            return;
+        }
         let membership = self.log.membership();
         let won = |votes: &BTreeSet<NodeId>| votes.intersection(&membership.voters).count() >= membership.majority();
         match &self.role {
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -17,6 +17,7 @@
 mod following;
 mod leader_loss;
 mod leading;
+mod learner_election;
 mod log;
 mod membership;
 mod message;
--- a/crates/core/src/replication/replica.rs
+++ b/crates/core/src/replication/replica.rs
@@ -109,6 +109,8 @@
     pub(super) campaign_start: Option<CampaignStart>,
     /// The latest membership change that this replica proposed, until it acknowledges another leader or candidate.
     pub(super) proposed_change: Option<LogIndex>,
+    /// The learner whose vote counts instead of that of the lost voter, and the term of that campaign.
+    pub(super) learner_elector: Option<(Term, NodeId)>,
     /// The number of consecutive campaigns without a leader.
     pub(super) campaigns: u32,
     pub(super) random: Xoshiro256PlusPlus,
@@ -150,6 +152,7 @@
             ended_leader: None,
             campaign_start: None,
             proposed_change: None,
+            learner_elector: None,
             campaigns: 0,
             random: Xoshiro256PlusPlus::seed_from_u64(seed),
             write: LogWrite::default(),
--- a/crates/core/src/serving/jobs/members.rs
+++ b/crates/core/src/serving/jobs/members.rs
@@ -5,10 +5,12 @@
 //! caller carries them out. `change_safety` decides which changes can be committed.
 
 mod change_safety;
+mod dissolved_pair;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use self::dissolved_pair::DissolvedPair;
 use super::directory::{StorageDirectory, StorageRecord};
 use super::pair::{PairRecord, PairView, StoredPair};
 use crate::hashing::{hash_bytes, rendezvous_weight};
@@ -88,6 +90,8 @@
     WithdrawChange,
     /// Continues as the only voter, as decided by the metadata store.
     ContinueAlone,
+    /// Campaigns for the vote of the only learner of a pair whose other member is gone for good.
+    CampaignWithLearner,
     /// Reports the progress of draining a machine to the operator.
     ReportDrain {
         /// The name of the machine.
@@ -119,6 +123,7 @@
     drains: BTreeMap<Arc<str>, Option<DrainState>>,
     pair: StoredPair,
     pair_write_in_progress: bool,
+    dissolved_pair: DissolvedPair,
     /// The change that is due, and the time since which its voters have to answer.
     wanted_change: Option<(MembershipChange, Timestamp)>,
     /// What was committed at the plans of the last [`LEARNER_LAG`], while this node led.
@@ -139,6 +144,7 @@
             drains: BTreeMap::new(),
             pair: StoredPair::default(),
             pair_write_in_progress: false,
+            dissolved_pair: DissolvedPair::default(),
             wanted_change: None,
             commits: VecDeque::new(),
         }
@@ -162,6 +168,7 @@
     /// Finishes a write of the record of the pair. `read` is the record after the write, if known.
     pub fn finish_pair_write(&mut self, read: Option<StoredPair>) {
         self.pair_write_in_progress = false;
+        self.dissolved_pair.finish_write(read.as_ref());
         if let Some(pair) = read {
             self.pair.update(pair);
         }
@@ -320,6 +327,9 @@
         if !self.is_pair_peer_lost(membership, directory, now) {
             return Vec::new();
         }
+        if let Some(action) = self.plan_learner_election(replica, directory, now) {
+            return vec![action];
+        }
         self.pair_write(&PairIntent { other_is_lost: true, ..PairIntent::default() }, replica).into_iter().collect()
     }
 
--- a/crates/core/src/serving/jobs/node/mod.rs
+++ b/crates/core/src/serving/jobs/node/mod.rs
@@ -204,6 +204,12 @@
         self.collect_effects()
     }
 
+    /// Campaigns for the vote of the only learner of a pair; see [`Replica::campaign_with_learner`] for the conditions.
+    pub fn campaign_with_learner(&mut self, now: Timestamp) -> Vec<JobsEffect> {
+        self.replica.campaign_with_learner(now);
+        self.collect_effects()
+    }
+
     /// Withdraws a membership change that can't be committed.
     pub fn withdraw_membership_change(&mut self) -> Vec<JobsEffect> {
         self.replica.withdraw_membership_change();
--- a/crates/core/src/serving/jobs/pair.rs
+++ b/crates/core/src/serving/jobs/pair.rs
@@ -18,6 +18,10 @@
 //! that one and nobody else continues. The voters are changed only under a record that was dissolved for the latest change, so
 //! a record that was dissolved for an earlier one does not keep a member from becoming the survivor.
 //!
+//! If one member is gone for good while the record is dissolved, the other one can't tell whether the group has grown. It writes the
+//! record once more, unchanged, which shows that no survivor was named and keeps one from being named by an earlier write, and
+//! then asks the learner (`core/replication/learner_election.rs`).
+//!
 //! A record belongs to the latest pair of its voters if its index is not below that of the membership. A replica that has
 //! compacted its log may not know that index; the record is then the latest one of these voters all the same, since
 //! the leader writes the record of a pair right after the membership is committed, and both members hold all that was
@@ -118,6 +122,11 @@
         record.filter(|record| !is_of_former_pair(record))
     }
 
+    /// Returns the record, which is dissolved, for writing it once more; `None` if it is not that of the pair, or not dissolved.
+    pub fn dissolved(&self, membership: &GroupMembership, index: Option<LogIndex>) -> Option<PairRecord> {
+        self.current(membership, index).filter(|record| record.state == PairState::Dissolved).cloned()
+    }
+
     /// Returns the record that the member should write now, if any.
     pub fn next_write(&self, view: &PairView<'_>) -> Option<PairRecord> {
         if view.membership.voters.len() != 2 || !view.membership.voters.contains(&view.own) {
--- a/crates/core/tests/support/jobs_world.rs
+++ b/crates/core/tests/support/jobs_world.rs
@@ -407,6 +407,9 @@
                     process.queue.extend(process.node.transfer_leadership(target, now));
                 }
                 MembershipAction::WithdrawChange => process.queue.extend(process.node.withdraw_membership_change()),
+                MembershipAction::CampaignWithLearner => {
+                    process.queue.extend(process.node.campaign_with_learner(now));
+                }
                 MembershipAction::ContinueAlone => process.queue.extend(process.node.become_sole_voter(now)),
                 MembershipAction::WritePair { record, revision } => {
                     let reachable = store_is_up && !is_partitioned;
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -38,6 +38,7 @@
 use std::sync::Arc;
 
 use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::replication::MembershipChange;
 use stallmoor_core::serving::configuration::GatewayConfiguration;
 use stallmoor_core::serving::jobs::command::{ItemKey, JobCommand, JobKey};
 use stallmoor_core::serving::jobs::directory::StorageRecord;
@@ -423,6 +424,13 @@
                     let effects = self.replica.node_mut().withdraw_membership_change();
                     self.execute_effects(effects);
                 }
+                MembershipAction::CampaignWithLearner => {
+                    let learner = self.replica.node().replica().electing_learner();
+                    let change = learner.map(MembershipChange::Promote);
+                    record(LogEvent::MembershipChanging, &[Field::text("change", format!("{change:?}"))]);
+                    let effects = self.replica.node_mut().campaign_with_learner(now);
+                    self.execute_effects(effects);
+                }
                 MembershipAction::ContinueAlone => {
                     let index = self.replica.node().replica().log().membership_index().0;
                     record(LogEvent::WentOnAlone, &[Field::number("membership", index)]);
