--- a/crates/core/tests/power_loss_simulation.rs
+++ b/crates/core/tests/power_loss_simulation.rs
@@ -455,3 +455,26 @@
         day.finish(seed, all_back_at).expect("jobs are accepted again");
     }
 }
+
+/// Guards against two members of a pair that both continue alone, since one of them has appended a learner that the other one
+/// does not know when they lose each other.
+#[test]
+fn members_of_a_growing_pair_that_lose_each_other_do_not_both_continue() {
+    for number in 0..100 {
+        let mut day = Day::new(Group { machines: 3, tolerated: 1 }, 9_500 + number);
+        day.world.pair_write_ms = 20;
+        day.world.run_for(3_000);
+        day.world.drain_one();
+        let members: Vec<_> = day.running().iter().map(|name| day.world.machines[name].id).collect();
+        day.world.run_for(3_000);
+        day.take(Step::AddSpare);
+        day.world.run_for(8 * number + 200);
+        day.world.cuts.extend([(members[0], members[1]), (members[1], members[0])]);
+        for _ in 0..250 {
+            day.world.run_for(40);
+            let leaders = day.world.leaders();
+            assert!(leaders.len() <= 1, "seed {}: {leaders:?} lead at the same time", 9_500 + number);
+        }
+        day.world.check();
+    }
+}
