--- a/crates/core/src/serving/jobs/members.rs
+++ b/crates/core/src/serving/jobs/members.rs
@@ -5,16 +5,18 @@
 //! caller carries them out. `change_safety` decides which changes can be committed.
 
 mod change_safety;
+mod dissolved_pair;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use self::dissolved_pair::DissolvedPair;
 use super::directory::{StorageDirectory, StorageRecord};
 use super::pair::{PairRecord, PairView, StoredPair};
 use crate::hashing::{hash_bytes, rendezvous_weight};
 use crate::identity::NodeId;
 use crate::replication::{
-    GroupMembership, MembershipChange, RepairInput, Replica, ReplicaHealth, StoreCandidate, plan_repair,
+    GroupMembership, LogIndex, MembershipChange, RepairInput, Replica, ReplicaHealth, StoreCandidate, plan_repair,
 };
 use crate::time::{Millis, Timestamp};
 
@@ -28,6 +30,10 @@
 /// the survivor continues alone.
 const PAIR_MEMBER_TIMEOUT: Millis = Millis(3_500);
 
+/// A learner is caught up if it holds what was committed this long ago. A lone voter commits its entries at once, so its learner
+/// always lags by those on the way.
+const LEARNER_LAG: Millis = Millis(500);
+
 /// The interval between two join requests of a ready spare. Bounds how late the leader learns of a spare.
 const JOIN_INTERVAL: Millis = Millis(400);
 /// The number of spares in each zone that send join requests at the short interval.
@@ -84,6 +90,8 @@
     WithdrawChange,
     /// Continues as the only voter, as decided by the metadata store.
     ContinueAlone,
+    /// Campaigns for the vote of the only learner of a pair whose other member is gone for good.
+    CampaignWithLearner,
     /// Reports the progress of draining a machine to the operator.
     ReportDrain {
         /// The name of the machine.
@@ -115,8 +123,11 @@
     drains: BTreeMap<Arc<str>, Option<DrainState>>,
     pair: StoredPair,
     pair_write_in_progress: bool,
+    dissolved_pair: DissolvedPair,
     /// The change that is due, and the time since which its voters have to answer.
     wanted_change: Option<(MembershipChange, Timestamp)>,
+    /// What was committed at the plans of the last [`LEARNER_LAG`], while this node led.
+    commits: VecDeque<(Timestamp, LogIndex)>,
 }
 
 impl MembershipPlanner {
@@ -133,7 +144,9 @@
             drains: BTreeMap::new(),
             pair: StoredPair::default(),
             pair_write_in_progress: false,
+            dissolved_pair: DissolvedPair::default(),
             wanted_change: None,
+            commits: VecDeque::new(),
         }
     }
 
@@ -155,6 +168,7 @@
     /// Finishes a write of the record of the pair. `read` is the record after the write, if known.
     pub fn finish_pair_write(&mut self, read: Option<StoredPair>) {
         self.pair_write_in_progress = false;
+        self.dissolved_pair.finish_write(read.as_ref());
         if let Some(pair) = read {
             self.pair.update(pair);
         }
@@ -187,6 +201,7 @@
             return Vec::new();
         }
         self.planned_at = now;
+        self.record_commit(replica, leads, now);
         if leads {
             self.plan_as_leader(replica, directory, is_eligible, now)
         } else {
@@ -264,7 +279,7 @@
             .map(|node| ReplicaHealth {
                 node,
                 is_lost: is_drained(&node) || self.is_lost(replica, directory, node, now),
-                is_caught_up: self.is_caught_up(replica, node),
+                is_caught_up: self.is_nearly_caught_up(replica, node),
             })
             .collect();
         let input = RepairInput {
@@ -275,15 +290,21 @@
             health: &health,
             candidates: &candidates,
         };
-        // A voter whose identity is gone never votes again. It is removed before others, which still hold the data.
-        let gone_voter =
-            || membership.voters.iter().copied().find(|voter| self.is_gone(replica, directory, *voter, now));
+        // A voter whose identity is gone never votes again. It is removed before others, which still hold the data, and so is
+        // one that is lost: it may not come back.
+        let voter =
+            |is_chosen: &dyn Fn(NodeId) -> bool| membership.voters.iter().copied().find(|voter| is_chosen(*voter));
+        let gone_voter = || voter(&|voter| self.is_gone(replica, directory, voter, now));
+        let lost_voter = || voter(&|voter| self.is_lost(replica, directory, voter, now));
         let has_surplus = membership.voters.len() > input.target_voters;
-        let surplus = gone_voter().filter(|_| has_surplus).map(MembershipChange::Remove);
+        let surplus = gone_voter().or_else(lost_voter).filter(|_| has_surplus).map(MembershipChange::Remove);
         let repair = || plan_repair(&input).map(|step| step.0);
         // Without a spare to replace such a voter or a drained machine, the group shrinks if the remaining voters are enough.
         let may_shrink = tolerates_losses(membership.voters.len().saturating_sub(1), self.tolerated);
-        let drained_voter = || membership.voters.iter().copied().find(|voter| is_drained(voter));
+        let has_lost_others = |drained: NodeId| {
+            membership.voters.iter().any(|voter| *voter != drained && self.is_lost(replica, directory, *voter, now))
+        };
+        let drained_voter = || voter(&|voter| is_drained(&voter)).filter(|drained| !has_lost_others(*drained));
         let shrinks = || may_shrink && membership.learners.is_empty();
         let removal = || gone_voter().or_else(drained_voter).filter(|_| shrinks()).map(MembershipChange::Remove);
         surplus.or_else(repair).or_else(removal)
@@ -300,12 +321,15 @@
         if replica.is_leader() || membership.voters.len() != 2 || !membership.voters.contains(&self.own) {
             return Vec::new();
         }
-        if self.pair.is_survivor(self.own, membership, replica.log().known_membership_index()) {
+        if self.pair.is_survivor(self.own, membership, self.pair.first_index(replica.log(), false)) {
             return vec![MembershipAction::ContinueAlone];
         }
         if !self.is_pair_peer_lost(membership, directory, now) {
             return Vec::new();
         }
+        if let Some(action) = self.plan_learner_election(replica, directory, now) {
+            return vec![action];
+        }
         self.pair_write(&PairIntent { other_is_lost: true, ..PairIntent::default() }, replica).into_iter().collect()
     }
 
@@ -326,7 +350,7 @@
             own: self.own,
             leads: intent.leads,
             membership: replica.membership(),
-            index: replica.log().known_membership_index(),
+            index: self.pair.first_index(replica.log(), intent.leads),
             record_index,
             is_committed: record_index <= replica.commit(),
             other_is_lost: intent.other_is_lost,
@@ -351,6 +375,19 @@
         node == self.own || replica.progress(node).is_some_and(|progress| progress.matched >= replica.commit())
     }
 
+    fn record_commit(&mut self, replica: &Replica, leads: bool, now: Timestamp) {
+        self.commits.retain(|(at, _)| leads && now.since(*at) <= LEARNER_LAG);
+        if leads {
+            self.commits.push_back((now, replica.commit()));
+        }
+    }
+
+    /// Returns whether a member holds what was committed a moment ago.
+    fn is_nearly_caught_up(&self, replica: &Replica, node: NodeId) -> bool {
+        let committed = self.commits.front().map_or(replica.commit(), |(_, commit)| *commit);
+        self.is_caught_up(replica, node) || replica.progress(node).is_some_and(|progress| progress.matched >= committed)
+    }
+
     /// A machine is drained once it hosts no member, the change is committed, and all members have the complete log.
     fn drain_reports(&mut self, replica: &Replica, directory: &StorageDirectory) -> Vec<MembershipAction> {
         let membership = replica.membership();
--- a/crates/core/tests/power_loss_simulation.rs
+++ b/crates/core/tests/power_loss_simulation.rs
@@ -352,7 +352,7 @@
     play_days(Group { machines: 7, tolerated: 2 }, 5_000);
 }
 
-/// The state of the pair's record at the moment at which all machines lost power, and whether jobs were accepted again.
+/// The state of the pair's record after all machines lost power, and whether jobs were accepted again.
 struct PairLoss {
     state: Option<PairState>,
     result: Result<u64, String>,
@@ -369,7 +369,6 @@
     day.world.run_for(3_000);
     day.take(Step::AddSpare);
     day.world.run_for(after);
-    let state = day.world.store.pair.record.as_ref().map(|record| record.state);
     let before = day.describe();
     day.story.extend(before);
     let lost = members[day.world.random.random_range(0..2)].clone();
@@ -379,6 +378,9 @@
         day.world.lose_power(&name, restart_after);
     }
     let all_back_at = day.world.now + 600;
+    // A write of the record that was on its way arrives.
+    day.world.run_for(40);
+    let state = day.world.store.pair.record.as_ref().map(|record| record.state);
     PairLoss { state, result: day.finish(seed, all_back_at) }
 }
 
@@ -453,3 +455,26 @@
         day.finish(seed, all_back_at).expect("jobs are accepted again");
     }
 }
+
+/// Guards against two members of a pair that both continue alone, since one of them has appended a learner that the other one
+/// does not know when they lose each other.
+#[test]
+fn members_of_a_growing_pair_that_lose_each_other_do_not_both_continue() {
+    for number in 0..100 {
+        let mut day = Day::new(Group { machines: 3, tolerated: 1 }, 9_500 + number);
+        day.world.pair_write_ms = 20;
+        day.world.run_for(3_000);
+        day.world.drain_one();
+        let members: Vec<_> = day.running().iter().map(|name| day.world.machines[name].id).collect();
+        day.world.run_for(3_000);
+        day.take(Step::AddSpare);
+        day.world.run_for(8 * number + 200);
+        day.world.cuts.extend([(members[0], members[1]), (members[1], members[0])]);
+        for _ in 0..250 {
+            day.world.run_for(40);
+            let leaders = day.world.leaders();
+            assert!(leaders.len() <= 1, "seed {}: {leaders:?} lead at the same time", 9_500 + number);
+        }
+        day.world.check();
+    }
+}
