Accepted items that make no progress are reported with their reason, also at gateways

E547, E548, two gauges by cause and /status on the metrics port say so at the leader, at storage nodes that know no leader, and at each gateway. Storage nodes add what they know to their answers to load reports, after the bytes that nodes of former versions read; those leave the rest unread (wire test former_versions_read_loads_with_a_standstill). An aggregator passes on what the leader says. An idle gateway without a leader never turned to an acting aggregator, since its interval was longer than the time between two attempts at the leader; it now does. E314 says what a storage node had on its disk at its start, and E301 how long the commit of the leader's first entry took.

--- a/crates/core/src/log_event.rs
+++ b/crates/core/src/log_event.rs
@@ -70,6 +70,7 @@
     LeaderLost = 311, Warning, "This replica no longer has contact with the leader of its group and campaigns.";
     StepsMeasured = 312, Information, "Processor time of the steps of this node's storage service since the last such line, at the leader.";
     MembershipWithdrawn = 313, Warning, "This replica withdrew a membership change of its own that could not be committed, since voters that it leaves are lost.";
+    ReplicaOpened = 314, Information, "A storage node opened its replica of the job table: what it has on its disk, and how many storage nodes it knows.";
     ConfigurationInForce = 400, Information, "A configuration revision took effect on this node.";
     ConfigurationAccepted = 401, Information, "A configuration change by an operator was accepted.";
     ConfigurationRefused = 402, Warning, "A configuration change by an operator was rejected.";
@@ -120,6 +121,8 @@
     ItemWaits = 544, Information, "A batch item waits for its next trial, because several workers crashed while running it or requests that share a part of its prompt.";
     ItemsBlocked = 545, Warning, "Batch items are ready, and none of those with the same needs has started for some time.";
     ItemsUnblocked = 546, Information, "Batch items that E545 reported start again, or none of them is ready any more.";
+    ItemsStalled = 547, Warning, "Accepted batch items make no progress, as far as this node knows.";
+    ItemsGoOn = 548, Information, "Accepted batch items that E547 reported make progress again, or none of them is left.";
     EmptyingReported = 550, Information, "The drain state of a machine was reported.";
     JobAccepted = 600, Information, "A batch job was accepted.";
     JobCompleted = 601, Information, "All items of a batch job have results.";
--- a/crates/core/src/replication/election.rs
+++ b/crates/core/src/replication/election.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::commit_watch::CommitWatch;
 use super::log::{EntryPayload, HardState, LogIndex, Term};
 use super::message::MessageKind;
 use super::replica::Replica;
@@ -151,10 +152,12 @@
             first_index,
             last_heartbeat: now,
             transfer: None,
+            commit_watch: CommitWatch::default(),
         });
         self.append_as_leader(EntryPayload::Empty);
         self.track_members(now);
         self.broadcast_appends(now);
         self.advance_commit();
+        self.watch_commit(now);
     }
 }
--- a/crates/core/src/replication/leading.rs
+++ b/crates/core/src/replication/leading.rs
@@ -56,6 +56,7 @@
     }
 
     pub(super) fn tick_leader(&mut self, now: Timestamp) {
+        self.watch_commit(now);
         if !self.has_quorum_contact(now) || self.leader_disk_is_stalled(now) {
             self.become_follower(self.hard_state.term, None, now);
             return;
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -11,6 +11,7 @@
 //! * Disk writes are effects. The caller completes each [`Persist`](ReplicaEffect::Persist) effect
 //!   before any later effect, so that no message refers to state that is not yet durable.
 
+mod commit_watch;
 mod compaction;
 mod durability;
 mod election;
@@ -28,6 +29,7 @@
 mod step;
 mod withdrawal;
 
+pub use commit_watch::CommitWatch;
 pub use leader_loss::{CampaignReason, CampaignStart};
 pub use log::{Entry, EntryPayload, HardState, LogIndex, LogWrite, PersistedReplica, ReplicatedLog, Snapshot, Term};
 pub use membership::{GroupMembership, MembershipChange};
--- a/crates/core/src/replication/role.rs
+++ b/crates/core/src/replication/role.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::commit_watch::CommitWatch;
 use super::log::LogIndex;
 use super::progress::Progress;
 use crate::identity::NodeId;
@@ -37,6 +38,7 @@
     pub(super) first_index: LogIndex,
     pub(super) last_heartbeat: Timestamp,
     pub(super) transfer: Option<Transfer>,
+    pub(super) commit_watch: CommitWatch,
 }
 
 /// A leadership transfer in progress.
--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -6,6 +6,7 @@
 //! | `contributors` | the workers whose records may still contradict the origin of an item's output |
 //! | `run_end` | [`RunEnd`]: the meaning of a worker's answer, or of its absence, for an item |
 //! | `failures` | the failed runs of an item, and when they are enough to give it up |
+//! | `idle_items` | the items that have not run for some time, and what they wait for |
 //! | `ready_items` | the items that may run now, by what they lack |
 //! | `item_queue` | items with the same needs, in the order in which they run |
 //! | `rounds` | the rounds in which ready items are tried |
@@ -24,6 +25,7 @@
 
 mod contributors;
 mod failures;
+mod idle_items;
 mod item_queue;
 mod pacing;
 mod proposals;
@@ -42,6 +44,7 @@
 
 use contributors::Contributors;
 use failures::Failures;
+pub use idle_items::{IdleItem, IdleReview};
 pub use pacing::ItemPacing;
 use ready_items::ReadyItems;
 use recent_failures::RecentFailures;
@@ -113,6 +116,8 @@
     waits_for: Option<WaitReason>,
     /// The time since which no worker that can continue the output had room, if so.
     bound_since: Option<Timestamp>,
+    /// The first review of the waits since which the item has not run; `None` while it runs.
+    idle_since: Option<Timestamp>,
 }
 
 /// What the runs at this node showed about an item. Retained after a loss of leadership until the item has a committed
@@ -214,6 +219,7 @@
                 started_after: 0,
                 waits_for: None,
                 bound_since: None,
+                idle_since: None,
             };
             self.items.insert(key.clone(), open_item);
             if verdict.is_impossible {
--- a/crates/core/src/serving/jobs/dispatch/ready_items.rs
+++ b/crates/core/src/serving/jobs/dispatch/ready_items.rs
@@ -94,6 +94,11 @@
         self.places.contains_key(key)
     }
 
+    /// Returns whether it is known what a ready item lacks.
+    pub(super) fn has_known_needs(&self, key: &ItemKey) -> bool {
+        self.places.get(key).is_some_and(|place| place.cause.is_some())
+    }
+
     /// Returns whether there are items to try.
     pub(super) fn has_candidates(&self, now: Timestamp) -> bool {
         let may_open = |(cause, queue): (&Arc<WaitCause>, &WaitQueue)| {
--- a/crates/core/src/serving/jobs/dispatch/rounds.rs
+++ b/crates/core/src/serving/jobs/dispatch/rounds.rs
@@ -71,6 +71,7 @@
         if let Some(open_item) = self.items.get_mut(key) {
             open_item.waits_for = None;
             open_item.bound_since = None;
+            open_item.idle_since = None;
         }
     }
 
--- a/crates/core/src/serving/jobs/members.rs
+++ b/crates/core/src/serving/jobs/members.rs
@@ -142,6 +142,11 @@
         self.last_contact.insert(node, now);
     }
 
+    /// Returns the time since another node was in contact; `None` if it never was.
+    pub fn contact_age(&self, node: NodeId, now: Timestamp) -> Option<Millis> {
+        self.last_contact.get(&node).map(|at| now.since(*at))
+    }
+
     /// Requests that a machine be drained.
     pub fn drain(&mut self, machine: Arc<str>) {
         self.drains.entry(machine).or_insert(None);
--- a/crates/core/src/serving/jobs/mod.rs
+++ b/crates/core/src/serving/jobs/mod.rs
@@ -15,6 +15,7 @@
 //! | [`pair`] | failover of a group with two replicas |
 //! | [`load_aggregator`] | the online requests of all nodes, aggregated at the leader |
 //! | [`outcome_aggregator`] | the failed and served runs of all nodes, aggregated at the leader |
+//! | [`standstill`] | why accepted items make no progress, and when it is reported |
 //! | [`directory`] | the registered storage nodes, and the initial members of the group |
 //!
 //! The table is changed only by commands, in the order of the replicated log ([`crate::replication`]). Applying a
@@ -33,4 +34,5 @@
 pub mod placement;
 pub mod request;
 pub mod retention;
+pub mod standstill;
 pub mod table;
--- a/crates/core/src/serving/leader/load_schedule.rs
+++ b/crates/core/src/serving/leader/load_schedule.rs
@@ -10,6 +10,9 @@
 pub const EXCHANGE_TIMEOUT: Millis = Millis(250);
 /// Interval between exchanges while this node has no load to report. Limits the CPU time spent on the leader.
 const IDLE_INTERVAL: Millis = Millis(600);
+/// Like [`IDLE_INTERVAL`], while the leader does not answer. Shorter than [`LEADER_RETRY_INTERVAL`], so that an idle node
+/// turns to the acting aggregator between two attempts, which tells why there is no leader.
+const IDLE_INTERVAL_WITHOUT_LEADER: Millis = Millis(200);
 /// Interval between attempts to reach the leader while an acting aggregator takes its place.
 const LEADER_RETRY_INTERVAL: Millis = Millis(300);
 /// Timeout for such an attempt. Short, since no loads are exchanged meanwhile.
@@ -121,7 +124,11 @@
 
     /// Returns the delay before the next exchange, after one in which this node reported `own`.
     pub fn wait_after(&self, own: &LoadReport) -> Millis {
-        if own.workers.is_empty() { IDLE_INTERVAL } else { self.interval }
+        match (own.workers.is_empty(), self.leader_retry_at) {
+            (true, Some(_)) => IDLE_INTERVAL_WITHOUT_LEADER,
+            (true, None) => IDLE_INTERVAL,
+            (false, _) => self.interval,
+        }
     }
 }
 
--- a/crates/core/src/serving/workers/load_report.rs
+++ b/crates/core/src/serving/workers/load_report.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::worker::WorkerId;
+use crate::serving::jobs::standstill::Standstill;
 use crate::time::Millis;
 
 /// Minimum number of gateways at which each reports to an aggregator in its zone, which forwards sums to the leader.
@@ -68,6 +69,10 @@
     pub nodes: u32,
     /// Mean age of the underlying reports, weighted by requests placed.
     pub age: Millis,
+    /// In an answer: the batch items that make no progress; `None` if the answering node does not know. Sent beside the
+    /// other fields, which nodes of former versions read alone.
+    #[serde(skip)]
+    pub standstill: Option<Standstill>,
 }
 
 impl LoadReport {
--- a/crates/core/tests/extreme_records.rs
+++ b/crates/core/tests/extreme_records.rs
@@ -140,6 +140,7 @@
         reporters: nodes,
         nodes,
         age: Millis(age),
+        standstill: None,
     })
 }
 
--- a/crates/gateway/src/fleet/metadata_view.rs
+++ b/crates/gateway/src/fleet/metadata_view.rs
@@ -96,6 +96,11 @@
         ViewState { now, at: state.mirror.at(), age: state.mirror.age(now), last_request_at: state.last_request_at }
     }
 
+    /// Returns the age up to which a view is as recent as a node's contact with the store.
+    pub fn contact_bound(&self) -> Millis {
+        self.bounds.contact
+    }
+
     /// Returns for how long this node has observed the store.
     pub fn observation(&self) -> Observation {
         let now = self.clock.now();
--- a/crates/gateway/src/leader/load_exchange.rs
+++ b/crates/gateway/src/leader/load_exchange.rs
@@ -16,6 +16,7 @@
 use crate::fleet::fleet_view::FleetView;
 use crate::leader::log_unexpected;
 use crate::leader::outcome_exchange::ExchangeStatus;
+use crate::leader::stall_watch::StallWatch;
 use crate::peers::peer_link::PeerLinks;
 
 /// Exchanges load reports until the process ends. Publishes to `status` what the exchange of outcomes
@@ -25,6 +26,7 @@
     jobs: Arc<JobCalls>,
     id: NodeId,
     status: watch::Sender<ExchangeStatus>,
+    stalls: Arc<StallWatch>,
 ) {
     let mut rate = PlacementRate::new(view.clock.now());
     let mut schedule = LoadSchedule::default();
@@ -34,8 +36,9 @@
         let partner = schedule.partner(&view.storage(), &view.zone, id, view.clock.now());
         let timeout = schedule.timeout(partner);
         match exchange.exchange(partner, local_load.clone(), timeout).await {
-            Some(loads) => {
+            Some(mut loads) => {
                 let now = view.clock.now();
+                stalls.record_answer(partner, loads.standstill.take(), now);
                 schedule.record_answer(partner, &loads, now);
                 let (has_ejections, reporters) = (loads.has_ejections(), loads.reporters);
                 status.send_replace(ExchangeStatus { partner, has_ejections, reporters });
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -6,6 +6,7 @@
 //! | [`load_exchange`] | reporting this gateway's load and receiving the load of the others |
 //! | [`outcome_exchange`] | reporting this node's evidence on failing workers and receiving that of the others |
 //! | [`rate_limits`] | admitting requests within tenants' limits and reporting admissions |
+//! | [`stall_watch`] | reporting that accepted items make no progress |
 //! | [`storage_reach`] | whether a submission is worth sending |
 //!
 //! Each exchange has a fallback for times without a leader: loads age out, and a gateway applies its share of a
@@ -17,6 +18,7 @@
 pub mod load_exchange;
 pub mod outcome_exchange;
 pub mod rate_limits;
+pub mod stall_watch;
 pub mod storage_reach;
 
 use std::net::SocketAddr;
--- a/crates/gateway/src/observe/measures.rs
+++ b/crates/gateway/src/observe/measures.rs
@@ -16,8 +16,10 @@
 
 use crate::http::answer_body::AnswerBody;
 use crate::http::plain_listener::serve_plain;
+use crate::observe::status;
 
 const PATH: &str = "/metrics";
+const STATUS_PATH: &str = "/status";
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKETS: [f64; 12] = [0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
 
@@ -76,6 +78,8 @@
     LONGEST_STEP = "stallmoor_storage_longest_step_seconds", "gauge", "step", "Processor time of the longest of those steps since the start of the process.";
     OPEN_ITEMS = "stallmoor_storage_open_items", "gauge", "", "Items without a result, at the leader.";
     BLOCKED_ITEMS = "stallmoor_storage_blocked_items", "gauge", "cause", "Ready items of which none with the same needs has started for a second, at the leader, by what they lack.";
+    STALLED_ITEMS = "stallmoor_stalled_items", "gauge", "cause", "Accepted items that have made no progress for a second, by cause, at the leader, at storage nodes that know no leader, and at gateways as far as they know.";
+    STALLED_SECONDS = "stallmoor_stalled_seconds", "gauge", "cause", "How long there has been no progress for this cause; 0 without one.";
     EXHAUSTED_TENANTS = "stallmoor_storage_exhausted_tenants", "gauge", "", "Tenants that have no request left under their limit, at the leader.";
 }
 
@@ -100,16 +104,20 @@
     RECORDER.get().map(PrometheusHandle::render).unwrap_or_default()
 }
 
-/// Serves the metrics over HTTP until the process exits.
+/// Serves the metrics and the status over HTTP until the process exits.
 pub async fn serve(listener: TcpListener) {
     serve_plain(listener, |request: &Request<Incoming>| {
-        if request.uri().path() != PATH {
-            let mut response = Response::new(AnswerBody::full(""));
-            *response.status_mut() = StatusCode::NOT_FOUND;
-            return response;
-        }
-        let mut response = Response::new(AnswerBody::full(render()));
-        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; version=0.0.4"));
+        let (text, kind) = match request.uri().path() {
+            PATH => (render(), "text/plain; version=0.0.4"),
+            STATUS_PATH => (status::render(), "application/json"),
+            _ => {
+                let mut response = Response::new(AnswerBody::full(""));
+                *response.status_mut() = StatusCode::NOT_FOUND;
+                return response;
+            }
+        };
+        let mut response = Response::new(AnswerBody::full(text));
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
         response
     })
     .await;
@@ -205,6 +213,13 @@
     gauge!(BLOCKED_ITEMS, "cause" => cause).set(count as f64);
 }
 
+/// Sets the number of items that make no progress for a cause, and for how long; `None` without any.
+pub fn set_stall(cause: &'static str, stall: Option<(u32, Millis)>) {
+    let (items, span) = stall.unwrap_or_default();
+    gauge!(STALLED_ITEMS, "cause" => cause).set(items);
+    gauge!(STALLED_SECONDS, "cause" => cause).set(seconds(span));
+}
+
 /// Counts a quarantined batch item that begins to wait for this reason.
 pub fn count_item_wait(reason: &'static str) {
     counter!(ITEM_WAITS, "reason" => reason).increment(1);
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -27,6 +27,7 @@
 use crate::leader::load_exchange::exchange_loads;
 use crate::leader::outcome_exchange::{ExchangeStatus, exchange_outcomes};
 use crate::leader::rate_limits::{RateLimits, exchange_limits};
+use crate::leader::stall_watch::{StallWatch, report_periodically};
 use crate::observe::journal::record;
 use crate::shutdown::{Shutdown, StopPhase};
 use crate::workers::attempt::WorkerClient;
@@ -81,7 +82,9 @@
         let client = LeaderClient::new(view.clone(), id);
         let jobs = Arc::new(JobCalls { view: view.clone(), dialect: adapter.dialect(), client });
         let (exchange_status, loads) = watch::channel(ExchangeStatus::default());
-        tokio::spawn(exchange_loads(view.clone(), jobs.clone(), id, exchange_status));
+        let stalls = Arc::new(StallWatch::new(view.clock.now()));
+        tokio::spawn(exchange_loads(view.clone(), jobs.clone(), id, exchange_status, stalls.clone()));
+        tokio::spawn(report_periodically(stalls, view.clone(), jobs.clone(), settings.node.name.clone()));
         tokio::spawn(exchange_outcomes(view.clone(), jobs.clone(), id, loads));
         let limits = Arc::new(RateLimits::new(view.clone(), &settings.node.name));
         tokio::spawn(exchange_limits(limits.clone(), jobs.clone()));
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -12,16 +12,17 @@
 use stallmoor_core::serving::crashes::{ItemAdmission, ItemWait, RequestKeys};
 use stallmoor_core::serving::jobs::command::{ItemFailures, ItemKey, ItemProgress, JobCommand, JobKey, PartialOutput};
 use stallmoor_core::serving::jobs::dispatch::{
-    ContradictedItem, Dispatcher, FailedAt, ItemPacing, ItemStart, RunEnd, RunningItem, StartDecision, WaitCause,
-    WaitingItems, WorkerNeeds, WorkerRuns, decide_start, max_attempts,
+    ContradictedItem, Dispatcher, FailedAt, IdleReview, ItemPacing, ItemStart, RunEnd, RunningItem, StartDecision,
+    WaitCause, WaitingItems, WorkerNeeds, WorkerRuns, decide_start, max_attempts,
 };
+use stallmoor_core::serving::jobs::standstill::{Stall, StallCause};
 use stallmoor_core::serving::jobs::table::{Job, JobTable};
 use stallmoor_core::serving::online::attribution::Attribution;
 use stallmoor_core::serving::request::PrefixBlock;
 use stallmoor_core::serving::stream_origins::StreamOrigin;
 use stallmoor_core::serving::workers::permit_grants::PermitGrants;
 use stallmoor_core::serving::workers::{Choice, WorkerCount, WorkerId};
-use stallmoor_core::time::Timestamp;
+use stallmoor_core::time::{Millis, Timestamp};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::AbortHandle;
 
@@ -324,6 +325,29 @@
         self.blocked_items.review(&waiting, &self.workers.view, now);
     }
 
+    /// Returns the items that have not run for some time and why.
+    pub(super) fn review_idle(&mut self, now: Timestamp) -> IdleReview {
+        let mut review = self.dispatcher.review_idle(now);
+        review.stalls.extend(self.dispatcher.waiting().iter().map(|waiting| Stall::of_waiting(waiting, now)));
+        if let Some(since) = self.unconfigured_since {
+            review.stalls.retain(|stall| stall.cause != StallCause::Untried);
+            let items = self.dispatcher.open_count();
+            let waiting = WaitingItems { cause: WaitCause::AnyConfiguration, items, since };
+            review.stalls.push(Stall::of_waiting(&waiting, now));
+        }
+        review
+    }
+
+    /// Returns the worker at which an item runs.
+    pub(super) fn worker_of(&self, key: &ItemKey) -> Option<String> {
+        self.active.get(key).map(|run| run.worker.to_string())
+    }
+
+    /// Returns the age of the view of the metadata store, and its bound.
+    pub(super) fn view_age(&self) -> (Option<Millis>, Millis) {
+        (self.metadata.state().age, self.metadata.contact_bound())
+    }
+
     /// Decides whether an item may run although workers crashed while they ran it.
     fn admit_after_crashes(&self, start: &ItemStart) -> Admission {
         let view = &self.workers.view;
--- a/crates/gateway/src/storage/service/load_exchange.rs
+++ b/crates/gateway/src/storage/service/load_exchange.rs
@@ -8,6 +8,7 @@
 use stallmoor_core::identity::NodeId;
 use stallmoor_core::serving::jobs::load_aggregator::{GatewayCount, LoadAggregator};
 use stallmoor_core::serving::jobs::request::{JobsAnswer, JobsRequest};
+use stallmoor_core::serving::jobs::standstill::Standstill;
 use stallmoor_core::serving::workers::{LoadReport, WorkerCount};
 use stallmoor_core::time::{Millis, Timestamp};
 use tokio::sync::mpsc;
@@ -18,12 +19,19 @@
 /// Maximum wait for the leader's answer, so that an unresponsive leader does not delay the next exchange.
 const ANSWER_TIMEOUT: Millis = Millis(250);
 
+/// Time for which what the leader said of items that make no progress is passed on. Outlasts a few exchanges.
+const LEADER_STANDSTILL_LIFETIME: Millis = Millis(1_000);
+
 /// Load reports of gateways, and the exchange with the leader.
 pub(super) struct LoadExchange {
     view: Arc<FleetView>,
     aggregator: LoadAggregator,
     /// This node's batch items by worker, as of the last update of its own view.
     batch_loads: Vec<WorkerCount>,
+    /// What this node knows of items that make no progress.
+    standstill: Option<Standstill>,
+    /// What the leader said of them, and when.
+    leader_standstill: Option<(Standstill, Timestamp)>,
     client: Arc<LeaderClient>,
     /// Whether an exchange with the leader is in progress.
     is_in_progress: bool,
@@ -43,6 +51,8 @@
             view,
             aggregator: LoadAggregator::default(),
             batch_loads: Vec::new(),
+            standstill: None,
+            leader_standstill: None,
             client,
             is_in_progress: false,
             due: Timestamp::default(),
@@ -56,6 +66,17 @@
         self.batch_loads.clear();
     }
 
+    /// Sets what this node knows of items that make no progress.
+    pub(super) fn set_standstill(&mut self, standstill: Standstill) {
+        self.standstill = Some(standstill);
+    }
+
+    /// Returns what the leader said of items that make no progress, or else what this node knows.
+    fn passed_standstill(&self, now: Timestamp) -> Option<Standstill> {
+        let recent = self.leader_standstill.as_ref().filter(|(_, at)| now.since(*at) < LEADER_STANDSTILL_LIFETIME);
+        recent.map(|(standstill, at)| standstill.aged(now.since(*at))).or_else(|| self.standstill.clone())
+    }
+
     /// Returns the rate at which all nodes together place online requests, per second.
     pub(super) fn placed_per_s(&mut self, now: Timestamp) -> u32 {
         self.aggregator.placed_per_s(now)
@@ -69,7 +90,7 @@
     /// As the leader, records a report and returns the loads of all other nodes, including this node's batch items.
     pub(super) fn report_to_leader(&mut self, from: NodeId, loads: LoadReport, now: Timestamp) -> LoadReport {
         self.aggregator.record_report(from, loads, now);
-        self.aggregator.report_for(from, &self.batch_loads, now)
+        LoadReport { standstill: self.standstill.clone(), ..self.aggregator.report_for(from, &self.batch_loads, now) }
     }
 
     /// As the leader, applies the loads of all gateways to its own view if due. Returns whether it did.
@@ -84,7 +105,7 @@
     /// As the aggregator of a zone, records a report and returns the loads of all other nodes.
     pub(super) fn report_to_aggregator(&mut self, from: NodeId, loads: LoadReport, now: Timestamp) -> LoadReport {
         self.aggregator.record_report(from, loads, now);
-        self.aggregator.report_for(from, &[], now)
+        LoadReport { standstill: self.passed_standstill(now), ..self.aggregator.report_for(from, &[], now) }
     }
 
     /// As the leader, ejects the workers that several nodes report as failed.
@@ -118,7 +139,8 @@
         let interval = loads.as_ref().map_or(LoadReport::default().interval(), LoadReport::interval);
         self.is_in_progress = false;
         self.due = now + interval;
-        if let Some(loads) = loads.filter(|_| !is_leader) {
+        if let Some(mut loads) = loads.filter(|_| !is_leader) {
+            self.leader_standstill = loads.standstill.take().map(|standstill| (standstill, now));
             self.aggregator.apply_leader_report(loads, now);
         }
     }
--- a/crates/gateway/src/storage/service/membership.rs
+++ b/crates/gateway/src/storage/service/membership.rs
@@ -70,6 +70,11 @@
         Self { id, planner, metadata, initial_membership: None, pair_reads, own_record }
     }
 
+    /// Returns the planner, which knows the contacts of this node.
+    pub(super) fn contacts(&self) -> &MembershipPlanner {
+        &self.planner
+    }
+
     pub(super) fn id(&self) -> NodeId {
         self.id
     }
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -10,6 +10,7 @@
 //! | `requests` | handlers of the requests from other nodes |
 //! | `item_runner` | the items that run while this node is the leader |
 //! | `blocked_items` | reports of ready items that do not start |
+//! | `stalls` | reports of items that make no progress |
 //! | `item_events` | the log events of items |
 //! | `joins` | join requests of a spare to the leader |
 //! | `membership` | bootstrap, members, the pair record, drain reports |
@@ -31,6 +32,7 @@
 mod outcome_exchange;
 mod replica_driver;
 mod requests;
+mod stalls;
 mod startup;
 mod step_times;
 
@@ -66,6 +68,7 @@
 pub use membership::OwnRecord;
 use outcome_exchange::OutcomeExchange;
 use replica_driver::ReplicaDriver;
+use stalls::StallReports;
 use startup::StartedService;
 pub use startup::{StorageComponents, StorageInputs};
 use step_times::{Step, StepTimes};
@@ -86,6 +89,7 @@
     permits: PermitGrants,
     retention: Retention,
     steps: StepTimes,
+    stalls: StallReports,
     /// Whether this node is the leader and has applied everything committed before its term.
     is_leader: bool,
 }
@@ -368,6 +372,8 @@
             self.propose_forget();
             self.steps.log_if_due(now);
         }
+        self.log_opened_once();
+        self.review_stalls();
         self.steps.publish_if_due(now);
         self.workers.connections.close_stale();
     }
@@ -446,7 +452,9 @@
         measures::set_is_leader(is_leader);
         let term = node.replica().term().0;
         if is_leader {
-            record(LogEvent::LeaderElected, &[Field::number("term", term)]);
+            let elected_at = node.replica().elected_at().unwrap_or(now);
+            let fields = [Field::number("term", term), Field::number("first_commit_ms", now.since(elected_at).0)];
+            record(LogEvent::LeaderElected, &fields);
             self.items.on_leadership_gained(node.table());
         } else {
             record(LogEvent::LeaderStoodDown, &[Field::number("term", term)]);
--- a/crates/gateway/src/storage/service/requests.rs
+++ b/crates/gateway/src/storage/service/requests.rs
@@ -81,7 +81,7 @@
         let _ = reply.send(Err(refusal));
     }
 
-    fn is_member(&self) -> bool {
+    pub(super) fn is_member(&self) -> bool {
         self.replica.node().replica().membership().contains(self.membership.id())
     }
 
--- a/crates/gateway/src/storage/service/startup.rs
+++ b/crates/gateway/src/storage/service/startup.rs
@@ -25,6 +25,7 @@
 use super::membership::{Membership, OwnRecord};
 use super::outcome_exchange::OutcomeExchange;
 use super::replica_driver::ReplicaDriver;
+use super::stalls::StallReports;
 use super::step_times::StepTimes;
 use crate::adapter::metadata::{FleetUpdate, MetadataStore};
 use crate::fleet::metadata_view::MetadataView;
@@ -133,6 +134,7 @@
             permits: PermitGrants::default(),
             retention: Retention::new(results_kept, now),
             steps: StepTimes::new(now),
+            stalls: StallReports::default(),
             is_leader: false,
             workers,
         };
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -118,7 +118,7 @@
   id @0 :UInt64;
   group @1 :UInt32;
   result :union {
-    # An outcome or answer in the encoding of the log.
+    # An outcome or answer in the encoding of the log. After loads, the standstill may follow; former versions leave it unread.
     body @2 :Data;
     notLeader @3 :NotLeader;
     busy @4 :Void;
--- a/crates/wire/src/codec/control.rs
+++ b/crates/wire/src/codec/control.rs
@@ -10,9 +10,10 @@
 use stallmoor_core::node::control::DirectoryEntry;
 use stallmoor_core::node::routing::LeavingFact;
 use stallmoor_core::peer_message::{
-    ConfigurationMessage, CreditMessage, GroupAnswer, GroupRefusal, GroupRequest, PeerMessage,
+    ConfigurationMessage, CreditMessage, GroupAnswer, GroupAnswerBody, GroupRefusal, GroupRequest, PeerMessage,
 };
 use stallmoor_core::replication::{LogIndex, Term};
+use stallmoor_core::serving::jobs::request::JobsAnswer;
 use stallmoor_core::time::Millis;
 
 use super::{
@@ -32,6 +33,31 @@
     postcard::from_bytes(bytes).map_err(|_| WireError::InvalidField { field })
 }
 
+/// Encodes the body of an answer. A part of it that former versions don't know follows what they read; they ignore what is
+/// left over.
+fn encode_answer_body(body: &GroupAnswerBody) -> Vec<u8> {
+    let mut bytes = encode_body(body);
+    if let GroupAnswerBody::Jobs(JobsAnswer::Loads(loads)) = body
+        && let Some(standstill) = &loads.standstill
+    {
+        bytes.extend(encode_body(standstill));
+    }
+    bytes
+}
+
+/// Decodes a body encoded by [`encode_answer_body`] of this version, a former or a later one.
+fn decode_answer_body(bytes: &[u8]) -> WireResult<GroupAnswerBody> {
+    let (mut body, rest) =
+        postcard::take_from_bytes(bytes).map_err(|_| WireError::InvalidField { field: "groupAnswer.body" })?;
+    if let GroupAnswerBody::Jobs(JobsAnswer::Loads(loads)) = &mut body
+        && !rest.is_empty()
+    {
+        // The loads are valid without it.
+        loads.standstill = postcard::from_bytes(rest).ok();
+    }
+    Ok(body)
+}
+
 pub(super) fn write_request(mut builder: group_request::Builder<'_>, request: &GroupRequest) {
     builder.set_id(request.id);
     builder.set_from(request.from.0);
@@ -53,7 +79,7 @@
     builder.set_group(answer.group.0);
     let mut result = builder.init_result();
     match &answer.result {
-        Ok(body) => result.set_body(&encode_body(body)),
+        Ok(body) => result.set_body(&encode_answer_body(body)),
         Err(GroupRefusal::Busy) => result.set_busy(()),
         Err(GroupRefusal::NotLeader { term, leader }) => {
             let mut refusal = result.init_not_leader();
@@ -66,7 +92,7 @@
 pub(super) fn read_answer(reader: group_answer::Reader<'_>) -> WireResult<GroupAnswer> {
     use group_answer::result::Which;
     let result = match reader.get_result().which().context(UnknownKindSnafu)? {
-        Which::Body(body) => Ok(decode_body(body.context(MalformedSnafu)?, "groupAnswer.body")?),
+        Which::Body(body) => Ok(decode_answer_body(body.context(MalformedSnafu)?)?),
         Which::Busy(()) => Err(GroupRefusal::Busy),
         Which::NotLeader(refusal) => {
             let refusal = refusal.context(MalformedSnafu)?;
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -8,7 +8,9 @@
 use capnp::serialize_packed;
 use proptest::prelude::*;
 use stallmoor_core::identity::NodeId;
-use stallmoor_core::peer_message::PeerMessage;
+use stallmoor_core::peer_message::{GroupAnswer, GroupAnswerBody, PeerMessage};
+use stallmoor_core::serving::jobs::request::JobsAnswer;
+use stallmoor_core::serving::workers::LoadReport;
 use stallmoor_wire::{WireError, decode, decode_within, encode};
 use support::all_messages;
 
@@ -20,6 +22,31 @@
     }
 }
 
+/// Guards against loads that nodes of former versions can't read because of what was added to them. These nodes read the
+/// body up to the end of the loads.
+#[test]
+fn former_versions_read_loads_with_a_standstill() {
+    let (_, message) =
+        all_messages().into_iter().find(|(name, _)| name.ends_with("loads-standstill")).expect("a sample");
+    let PeerMessage::GroupAnswer(GroupAnswer { result: Ok(GroupAnswerBody::Jobs(JobsAnswer::Loads(loads))), .. }) =
+        &message
+    else {
+        panic!("{message:?} has no loads");
+    };
+    let former = GroupAnswerBody::Jobs(JobsAnswer::Loads(LoadReport { standstill: None, ..loads.clone() }));
+    let former_bytes = postcard::to_stdvec(&former).expect("the body is encoded");
+    let packed = encode(&message);
+    let unpacked = serialize_packed::read_message(&packed[..], ReaderOptions::new()).expect("the message is valid");
+    let segments = unpacked.into_segments();
+    let bytes = segments.get_segment(0).expect("the segment exists");
+    let start =
+        bytes.windows(former_bytes.len()).position(|window| window == former_bytes).expect("the body begins so");
+    assert_eq!(postcard::from_bytes(&bytes[start..]), Ok(former.clone()));
+    let PeerMessage::GroupAnswer(answer) = message else { unreachable!() };
+    let of_former = PeerMessage::GroupAnswer(GroupAnswer { result: Ok(former), ..answer });
+    assert_eq!(decode(&encode(&of_former)).ok(), Some(of_former));
+}
+
 #[test]
 fn a_truncated_message_is_refused() {
     for (_, message) in all_messages() {
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -21,6 +21,7 @@
 use stallmoor_core::serving::configuration::tenant::{CallerIdentity, MilliRequests};
 use stallmoor_core::serving::jobs::command::ItemState;
 use stallmoor_core::serving::jobs::request::{JobsAnswer, JobsRequest};
+use stallmoor_core::serving::jobs::standstill::{Stall, StallCause, Standstill};
 use stallmoor_core::serving::jobs::table::{CommittedResult, ResultPage};
 use stallmoor_core::serving::quota::message::{QuotaLevels, QuotaReport, TenantLevel, TenantUsage};
 use stallmoor_core::serving::relay::contents::ContentsAnswer;
@@ -166,7 +167,12 @@
         batch: 4,
     };
     let workers = vec![worker_report("worker-a", Some(300)), worker_report("worker-b", None)];
-    LoadReport { workers, placed_per_s: 450, reporters: 21, nodes: 20, age: Millis(65) }
+    LoadReport { workers, placed_per_s: 450, reporters: 21, nodes: 20, age: Millis(65), standstill: None }
+}
+
+fn standstill() -> Standstill {
+    let stall = |cause, items| Stall { cause, items, span: Millis(7_000), detail: Arc::from("term 7") };
+    Standstill { open_items: 52, stalls: vec![stall(StallCause::Commit, 52), stall(StallCause::Worker, 3)] }
 }
 
 fn jobs_requests() -> Vec<NamedMessage> {
@@ -264,6 +270,7 @@
         ("unknown-item", JobsAnswer::UnknownItem),
         ("ended", JobsAnswer::Ended),
         ("loads", JobsAnswer::Loads(loads())),
+        ("loads-standstill", JobsAnswer::Loads(LoadReport { standstill: Some(standstill()), ..loads() })),
         ("quota", JobsAnswer::Quota(QuotaLevels { tenants: vec![level], gateways: 20 })),
         ("unsure", JobsAnswer::Indeterminate),
         ("permits", JobsAnswer::Permits(vec![WorkerCount { worker: WorkerId(Arc::from("worker-a")), requests: 1 }])),
