--- a/crates/core/src/serving/leader/load_schedule.rs
+++ b/crates/core/src/serving/leader/load_schedule.rs
@@ -10,9 +10,6 @@
 pub const EXCHANGE_TIMEOUT: Millis = Millis(250);
 /// Interval between exchanges while this node has no load to report. Limits the CPU time spent on the leader.
 const IDLE_INTERVAL: Millis = Millis(600);
-/// Like [`IDLE_INTERVAL`], while the leader does not answer. Shorter than [`LEADER_RETRY_INTERVAL`], so that an idle node
-/// turns to the acting aggregator between two attempts, which tells why there is no leader.
-const IDLE_INTERVAL_WITHOUT_LEADER: Millis = Millis(200);
 /// Interval between attempts to reach the leader while an acting aggregator takes its place.
 const LEADER_RETRY_INTERVAL: Millis = Millis(300);
 /// Timeout for such an attempt. Short, since no loads are exchanged meanwhile.
@@ -122,13 +119,15 @@
         }
     }
 
+    /// Returns whether the next exchange follows a failed one at once: an idle node that did not reach the leader turns to
+    /// an acting aggregator, which tells why there is no leader. After the usual delay it would try the leader again.
+    pub fn follows_at_once(&self, failed: LoadPartner, next: LoadPartner, own: &LoadReport) -> bool {
+        failed == LoadPartner::Leader && matches!(next, LoadPartner::Acting(_)) && own.workers.is_empty()
+    }
+
     /// Returns the delay before the next exchange, after one in which this node reported `own`.
     pub fn wait_after(&self, own: &LoadReport) -> Millis {
-        match (own.workers.is_empty(), self.leader_retry_at) {
-            (true, Some(_)) => IDLE_INTERVAL_WITHOUT_LEADER,
-            (true, None) => IDLE_INTERVAL,
-            (false, _) => self.interval,
-        }
+        if own.workers.is_empty() { IDLE_INTERVAL } else { self.interval }
     }
 }
 
--- a/crates/core/tests/leader_rules.rs
+++ b/crates/core/tests/leader_rules.rs
@@ -306,6 +306,22 @@
     assert_eq!(schedule.wait_after(&LoadReport::default()), Millis(600));
 }
 
+/// Guards against an idle gateway that tries the leader alone, so that no storage node tells it why there is none.
+#[test]
+fn an_idle_node_turns_to_an_acting_aggregator_right_after_the_leader_did_not_answer() {
+    let storage = storage();
+    let mut schedule = LoadSchedule::default();
+    assert_eq!(schedule.partner(&storage, ZONE, GATEWAY, at(0)), LoadPartner::Leader);
+    schedule.record_failure(LoadPartner::Leader, at(0));
+    let next = schedule.partner(&storage, ZONE, GATEWAY, at(0));
+    assert!(matches!(next, LoadPartner::Acting(_)));
+    assert!(schedule.follows_at_once(LoadPartner::Leader, next, &LoadReport::default()));
+    assert!(!schedule.follows_at_once(LoadPartner::Leader, next, &busy()), "its interval is short");
+    schedule.record_failure(next, at(10));
+    let after = schedule.partner(&storage, ZONE, GATEWAY, at(10));
+    assert!(!schedule.follows_at_once(next, after, &LoadReport::default()), "one after the other without a pause");
+}
+
 #[test]
 fn placement_rate_averages_each_sample_with_the_previous_rate() {
     let mut rate = PlacementRate::new(at(0));
--- a/crates/gateway/src/leader/load_exchange.rs
+++ b/crates/gateway/src/leader/load_exchange.rs
@@ -50,7 +50,14 @@
                     view.record_gateway_count(loads.nodes + 1);
                 }
             }
-            None => schedule.record_failure(partner, view.clock.now()),
+            None => {
+                let now = view.clock.now();
+                schedule.record_failure(partner, now);
+                let next = schedule.partner(&view.storage(), &view.zone, id, now);
+                if schedule.follows_at_once(partner, next, &local_load) {
+                    continue;
+                }
+            }
         }
         tokio::time::sleep(Duration::from_millis(schedule.wait_after(&local_load).0)).await;
     }
