--- a/crates/core/tests/support/jobs_world.rs
+++ b/crates/core/tests/support/jobs_world.rs
@@ -108,6 +108,8 @@
     pub tick_ms: u64,
     /// The links that drop messages in one direction, by sender and receiver.
     pub cuts: BTreeSet<(NodeId, NodeId)>,
+    /// The links that drop entries and snapshots in one direction and deliver all else, by sender and receiver.
+    pub entry_cuts: BTreeSet<(NodeId, NodeId)>,
 }
 
 pub fn address(id: NodeId) -> SocketAddr {
@@ -164,6 +166,7 @@
             sync_ms: SYNC_MS,
             tick_ms: STEP_MS,
             cuts: BTreeSet::new(),
+            entry_cuts: BTreeSet::new(),
         };
         for _ in 0..machine_count {
             world.add_machine();
@@ -285,6 +288,9 @@
             if self.is_partitioned(from) || self.is_partitioned(to) || self.cuts.contains(&(from, to)) {
                 continue;
             }
+            if self.entry_cuts.contains(&(from, to)) && carries_state(&message) {
+                continue;
+            }
             if self.machines.values().any(|machine| machine.id == to && machine.frozen_until > self.now) {
                 self.in_flight.push_back((at, message));
                 continue;
@@ -575,6 +581,7 @@
             machine.stalled_until = 0;
         }
         self.cuts.clear();
+        self.entry_cuts.clear();
         self.store.down_until = 0;
         self.run_for(9_000);
         let leaders = self.leaders();
@@ -595,6 +602,14 @@
     }
 }
 
+fn carries_state(message: &ReplicationMessage) -> bool {
+    match &message.kind {
+        MessageKind::Append { entries, .. } => !entries.is_empty(),
+        MessageKind::InstallSnapshot(_) => true,
+        _ => false,
+    }
+}
+
 pub fn write_pair(store: &mut Store, record: PairRecord, revision: u64) -> StoredPair {
     if store.pair.revision == revision {
         store.revision += 1;
