--- a/crates/core/src/serving/leader/load_schedule.rs
+++ b/crates/core/src/serving/leader/load_schedule.rs
@@ -119,6 +119,12 @@
         }
     }
 
+    /// Returns whether the next exchange follows a failed one at once: an idle node that did not reach the leader turns to
+    /// an acting aggregator, which tells why there is no leader. After the usual delay it would try the leader again.
+    pub fn follows_at_once(&self, failed: LoadPartner, next: LoadPartner, own: &LoadReport) -> bool {
+        failed == LoadPartner::Leader && matches!(next, LoadPartner::Acting(_)) && own.workers.is_empty()
+    }
+
     /// Returns the delay before the next exchange, after one in which this node reported `own`.
     pub fn wait_after(&self, own: &LoadReport) -> Millis {
         if own.workers.is_empty() { IDLE_INTERVAL } else { self.interval }
--- a/crates/core/tests/support/jobs_world.rs
+++ b/crates/core/tests/support/jobs_world.rs
@@ -123,6 +123,8 @@
     /// The time that a write of the pair's record takes to arrive, in milliseconds; 0 if it is in effect at once.
     pub pair_write_ms: u64,
     pub pair_writes: VecDeque<PairWrite>,
+    /// The links that drop entries and snapshots in one direction and deliver all else, by sender and receiver.
+    pub entry_cuts: BTreeSet<(NodeId, NodeId)>,
 }
 
 pub fn address(id: NodeId) -> SocketAddr {
@@ -182,6 +184,7 @@
             unanswered_until: BTreeMap::new(),
             pair_write_ms: 0,
             pair_writes: VecDeque::new(),
+            entry_cuts: BTreeSet::new(),
         };
         for _ in 0..machine_count {
             world.add_machine();
@@ -325,6 +328,9 @@
             if self.is_partitioned(from) || self.is_partitioned(to) || self.cuts.contains(&(from, to)) {
                 continue;
             }
+            if self.entry_cuts.contains(&(from, to)) && carries_state(&message) {
+                continue;
+            }
             if self.machines.values().any(|machine| machine.id == to && machine.frozen_until > self.now) {
                 self.in_flight.push_back((at, message));
                 continue;
@@ -628,6 +634,7 @@
         }
         self.cuts.clear();
         self.unanswered_until.clear();
+        self.entry_cuts.clear();
         self.store.down_until = 0;
         self.run_for(9_000);
         let leaders = self.leaders();
@@ -648,6 +655,14 @@
     }
 }
 
+fn carries_state(message: &ReplicationMessage) -> bool {
+    match &message.kind {
+        MessageKind::Append { entries, .. } => !entries.is_empty(),
+        MessageKind::InstallSnapshot(_) => true,
+        _ => false,
+    }
+}
+
 pub fn write_pair(store: &mut Store, record: PairRecord, revision: u64) -> StoredPair {
     if store.pair.revision == revision {
         store.revision += 1;
