--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,7 +2,8 @@
 # Runs gateways and storage nodes as processes, injects faults chosen by a seeded generator, and checks the results seen
 # by callers and workers.
 #
-# Usage: scripts/soak.sh [--seed S] [--seconds N] [--gateways N] [--storage N] [--workers N] [--keep FOLDER]
+# Usage: scripts/soak.sh [--seed S] [--seconds N] [--gateways N] [--storage N] [--workers N] [--left-out N]
+#                        [--keep FOLDER]
 #                        [--without others|releases|endless|item-crashes|joins|odd-records|truncation|stops|trickles|
 #                                   late-workers|power]...
 #        scripts/soak.sh --kept
@@ -11,7 +12,8 @@
 # killed, workers that respond without end, crashes under the same items, versions that join while a gateway is out of
 # step, odd records, responses that stop midway, planned stops of gateways, clients of those that send their requests in
 # halves, a batch service whose workers join late, all processes that lose power at once, or all other faults. --kept reruns the seeds that failed in the past
-# (scripts/soak-seeds.txt). SOAK_BUILD=debug uses the binaries built by `cargo test` instead of building release ones.
+# (scripts/soak-seeds.txt). --left-out keeps N storage nodes from the store from the second loss of power to the end: silent
+# with an even seed, reset with an odd one. SOAK_BUILD=debug uses the binaries built by `cargo test` instead of building release ones.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 profile="${SOAK_BUILD:-release}"
