A gateway keeps the number of open items that was last counted

A gateway without a leader logged E547 with "open":0 although the leader had told it of 8 items: an acting aggregator that still follows the lost leader does not count them, and its answer replaced the number.

--- a/crates/core/src/serving/leader/leader_watch.rs
+++ b/crates/core/src/serving/leader/leader_watch.rs
@@ -24,22 +24,28 @@
     answered_at: Timestamp,
     has_answered: bool,
     told: Option<Told>,
+    /// The number of items without a result, as last told by a node that counts them: the leader, or one without a leader.
+    open_items: u32,
 }
 
 impl LeaderWatch {
     /// Creates the state of a gateway that starts.
     pub fn new(now: Timestamp) -> Self {
-        Self { answered_at: now, has_answered: false, told: None }
+        Self { answered_at: now, has_answered: false, told: None, open_items: 0 }
     }
 
     /// Records an answer to a load report. Storage nodes of former versions send no standstill.
     pub fn record_answer(&mut self, partner: LoadPartner, standstill: Option<Standstill>, now: Timestamp) {
-        if !matches!(partner, LoadPartner::Acting(_)) {
+        let is_acting = matches!(partner, LoadPartner::Acting(_));
+        if !is_acting {
             self.answered_at = now;
             self.has_answered = true;
             self.told = None;
         }
         if let Some(standstill) = standstill {
+            if !is_acting || standstill.of(StallCause::NoLeader).is_some() {
+                self.open_items = standstill.open_items;
+            }
             self.told = Some(Told { standstill, at: now });
         }
     }
@@ -49,7 +55,7 @@
         let told = self.told.as_ref();
         let recent = told.filter(|told| now.since(told.at) < TOLD_LIFETIME);
         let heard = recent.map(|told| told.standstill.aged(now.since(told.at))).unwrap_or_default();
-        let open_items = told.map_or(0, |told| told.standstill.open_items);
+        let open_items = self.open_items;
         let silence = now.since(self.answered_at);
         let told_of_group = heard.of(StallCause::NoLeader).cloned();
         let own = Stall {
--- a/crates/core/tests/standstill.rs
+++ b/crates/core/tests/standstill.rs
@@ -85,6 +85,18 @@
     );
 }
 
+/// Guards against a gateway that forgets how many items are open, as an acting aggregator that still follows the lost leader
+/// does not count them.
+#[test]
+fn a_follower_does_not_change_the_number_of_open_items() {
+    let mut watch = LeaderWatch::new(at(0));
+    watch.record_answer(LoadPartner::Leader, Some(standstill(Vec::new())), at(0));
+    watch.record_answer(LoadPartner::Acting(NodeId(2)), Some(Standstill::default()), at(600));
+    let lost = watch.standstill(None, 3, at(1_500));
+    assert_eq!(lost.open_items, 52);
+    assert_eq!(lost.of(StallCause::NoLeader).map(|stall| stall.items), Some(52));
+}
+
 /// Guards against gateways that don't know why the leader runs no items.
 #[test]
 fn a_gateway_passes_on_what_the_leader_says_until_it_is_old() {
