A leader that can't commit makes way for those that can elect another one

Leases and pre-vote are as before: it answers no read once it stands down, and the others keep their promise to it.

--- a/crates/core/src/replication/leading.rs
+++ b/crates/core/src/replication/leading.rs
@@ -7,6 +7,7 @@
 use super::progress::Progress;
 use super::replica::{ProposalError, Replica};
 use super::role::Role;
+use super::stand_down::StandDownReason;
 use crate::identity::NodeId;
 use crate::time::{Millis, Timestamp};
 
@@ -57,15 +58,15 @@
 
     pub(super) fn tick_leader(&mut self, now: Timestamp) {
         self.watch_commit(now);
-        if !self.has_quorum_contact(now) || self.leader_disk_is_stalled(now) {
-            self.become_follower(self.hard_state.term, None, now);
+        if let Some(reason) = self.reason_to_stand_down(now) {
+            self.stand_down(reason, now);
             return;
         }
         let heartbeat = self.settings.heartbeat_interval;
         let Role::Leader(state) = &mut self.role else { return };
         if state.transfer.is_some_and(|transfer| now >= transfer.deadline) {
             // The target may still start an election at any time, so this leader must not resume normal operation.
-            self.become_follower(self.hard_state.term, None, now);
+            self.stand_down(StandDownReason::TransferTimedOut, now);
             return;
         }
         if now.since(state.last_heartbeat) >= heartbeat {
@@ -76,6 +77,16 @@
         }
     }
 
+    fn reason_to_stand_down(&mut self, now: Timestamp) -> Option<StandDownReason> {
+        if !self.has_quorum_contact(now) {
+            return Some(StandDownReason::NoContact);
+        }
+        if self.leader_disk_is_stalled(now) {
+            return Some(StandDownReason::DiskStalled);
+        }
+        self.should_make_way(now).then_some(StandDownReason::NoCommit)
+    }
+
     /// Returns the time without an answer after which a follower is sent no entries.
     fn unresponsive_timeout(&self) -> Millis {
         Millis(self.settings.answer_time.0 * UNRESPONSIVE_AFTER_ANSWER_TIMES)
@@ -252,6 +263,7 @@
         let Some(majority) = match_indexes.get(membership.majority().saturating_sub(1)).copied() else { return };
         if majority > self.commit && self.log.term_at(majority) == Some(self.hard_state.term) {
             self.commit = majority;
+            self.commitless_leaderships = 0;
             self.step_down_if_removed();
         }
     }
--- a/crates/core/src/replication/replica.rs
+++ b/crates/core/src/replication/replica.rs
@@ -12,6 +12,7 @@
 use super::membership::{GroupMembership, MembershipChange};
 use super::message::{MessageKind, ReplicationMessage};
 use super::role::{Role, Transfer};
+use super::stand_down::StandDownReason;
 use crate::identity::{GroupId, NodeId};
 use crate::time::{Millis, Timestamp};
 
@@ -34,6 +35,9 @@
     /// Time without answers from a majority after which a leader steps down. Longer than the election timeout where that
     /// is short, so that slow disks don't depose a leader.
     pub quorum_timeout: Millis,
+    /// Time for which a leader's entries may wait without any commit before it makes way for a majority of other voters
+    /// that answer; `None` if it never does. Doubles each time that the leader has made way since its last commit.
+    pub commit_timeout: Option<Millis>,
     /// Whether heartbeats and their answers are sent ahead of writes in progress. The caller must then report each
     /// completed write with [`Replica::record_durable`].
     pub heartbeats_bypass_writes: bool,
@@ -56,6 +60,7 @@
             election_jitter: Millis(1_000),
             campaign_retry: Millis(1_000),
             quorum_timeout: Millis(1_000),
+            commit_timeout: None,
             heartbeats_bypass_writes: false,
             answer_time: Millis(150),
             max_append_bytes: 1 << 20,
@@ -111,6 +116,9 @@
     pub(super) proposed_change: Option<LogIndex>,
     /// The number of consecutive campaigns without a leader.
     pub(super) campaigns: u32,
+    /// How often this replica has made way for want of a commit since it last committed an entry as the leader.
+    pub(super) commitless_leaderships: u32,
+    pub(super) stand_down: Option<StandDownReason>,
     pub(super) random: Xoshiro256PlusPlus,
     pub(super) write: LogWrite,
     pub(super) messages: Vec<ReplicationMessage>,
@@ -151,6 +159,8 @@
             campaign_start: None,
             proposed_change: None,
             campaigns: 0,
+            commitless_leaderships: 0,
+            stand_down: None,
             random: Xoshiro256PlusPlus::seed_from_u64(seed),
             write: LogWrite::default(),
             messages: Vec::new(),
--- a/crates/core/src/serving/jobs/node/mod.rs
+++ b/crates/core/src/serving/jobs/node/mod.rs
@@ -23,7 +23,7 @@
 use crate::identity::{GroupId, NodeId};
 use crate::replication::{
     CampaignStart, EntryPayload, GroupMembership, LogIndex, MembershipChange, PersistedReplica, ProposalError, Replica,
-    ReplicaEffect, ReplicaSettings, ReplicationMessage, Snapshot, Term,
+    ReplicaEffect, ReplicaSettings, ReplicationMessage, Snapshot, StandDownReason, Term,
 };
 use crate::time::{Millis, Timestamp};
 
@@ -135,6 +135,11 @@
         self.replica.take_campaign()
     }
 
+    /// Takes the reason for which this replica last stood down as the leader; see [`Replica::take_stand_down`].
+    pub fn take_stand_down(&mut self) -> Option<StandDownReason> {
+        self.replica.take_stand_down()
+    }
+
     /// Records that the oldest [`JobsEffect::Persist`] is durable.
     pub fn record_durable(&mut self) {
         self.replica.record_durable();
--- a/crates/core/tests/leader_commit.rs
+++ b/crates/core/tests/leader_commit.rs
@@ -136,6 +136,29 @@
     }
 }
 
+/// Bounds the price where the disks of a majority write nothing for longer than a leader waits: a leader may make way in vain,
+/// and jobs are accepted again soon after the disks write.
+#[test]
+fn disks_of_a_majority_that_stand_still_cost_few_elections() {
+    for seed in 0..10 {
+        let mut world = world(seed, 3);
+        let (leader, before) = (leader_of(&world), term(&world));
+        let until = world.now + 12_000;
+        for (_, machine) in world.machines.iter_mut().filter(|(name, _)| **name != leader) {
+            machine.stalled_until = until;
+        }
+        while world.now < until {
+            world.run_for(80);
+        }
+        let taken = time_to_acceptance(&mut world, 20_000);
+        let elections = term(&world).0 - before.0;
+        println!("majority stands still, seed {seed}: {elections} elections, accepted {taken:?} ms after its end");
+        assert!(elections <= 4, "seed {seed}: {elections}");
+        assert!(taken.is_some_and(|taken| taken <= 4_000), "seed {seed}: {taken:?}");
+        world.check();
+    }
+}
+
 /// Guards against leaders that make way to and fro where nobody can commit: the disks of a majority write nothing.
 #[test]
 fn leaders_make_way_ever_more_seldom_where_nobody_can_commit() {
--- a/crates/gateway/src/storage/service/mod.rs
+++ b/crates/gateway/src/storage/service/mod.rs
@@ -40,6 +40,7 @@
 use std::sync::Arc;
 
 use stallmoor_core::log_event::LogEvent;
+use stallmoor_core::replication::StandDownReason;
 use stallmoor_core::serving::configuration::GatewayConfiguration;
 use stallmoor_core::serving::jobs::command::{ItemKey, JobCommand, JobKey};
 use stallmoor_core::serving::jobs::directory::StorageRecord;
@@ -457,7 +458,8 @@
             record(LogEvent::LeaderElected, &fields);
             self.items.on_leadership_gained(node.table());
         } else {
-            record(LogEvent::LeaderStoodDown, &[Field::number("term", term)]);
+            let reason = self.replica.node_mut().take_stand_down().map_or("replaced", StandDownReason::name);
+            record(LogEvent::LeaderStoodDown, &[Field::number("term", term), Field::text("reason", reason)]);
             self.items.on_leadership_lost();
         }
         self.loads.clear();
