--- a/crates/gateway/tests/golden_measures.rs
+++ b/crates/gateway/tests/golden_measures.rs
@@ -7,6 +7,7 @@
 
 use stallmoor_core::serving::crashes::{LedgerSize, PartCounts, WaitReason};
 use stallmoor_core::serving::jobs::dispatch::{RunEnd, WaitCause};
+use stallmoor_core::serving::jobs::standstill::StallCause;
 use stallmoor_core::serving::online::answer_limits::AnswerPart;
 use stallmoor_core::serving::online::attempt::AttemptEnd;
 use stallmoor_core::time::Millis;
@@ -106,6 +107,7 @@
     measures::record_steps("tick", 1, Duration::from_micros(250), Duration::from_micros(500));
     measures::set_open_items(3);
     BLOCKED_CAUSES.into_iter().for_each(|cause| measures::set_blocked_items(cause, 2));
+    StallCause::all().into_iter().for_each(|cause| measures::set_stall(cause.name(), Some((2, Millis(1_500)))));
     measures::set_exhausted_tenants(2);
     RATE_REFUSAL_CAUSES.into_iter().for_each(measures::count_rate_refusal_cause);
     measures::set_suspected_workers(4);
