A pair's record is acted on only if this process has written it or read it from the store

What callers could see: two leaders of the job table that both commit, after a member had restarted and read the record of its pair from a relay that has not reached the store for long: it continued alone by a record that names it as the survivor, while the other member, which reads the present record, became the survivor. Read by an independent review; rare, as it needs several faults, but more likely since nodes that the store refuses ask the peers they have kept on disk. Cause: compare-and-swap protected the writes of the record only; continuing alone, changing the voters of a dissolved pair and withdrawing a change rested on the view. Class: a decision on an old view. Change: before each of the three, the process writes the record once more at the revision it knows, unless it has just written it or read it after a write.

--- a/crates/core/src/serving/jobs/members.rs
+++ b/crates/core/src/serving/jobs/members.rs
@@ -123,6 +123,8 @@
     drains: BTreeMap<Arc<str>, Option<DrainState>>,
     pair: StoredPair,
     pair_write_in_progress: bool,
+    /// The revision of the record of the pair that this process last wrote, or read from the store after a write.
+    confirmed_pair: Option<u64>,
     dissolved_pair: DissolvedPair,
     /// The change that is due, and the time since which its voters have to answer.
     wanted_change: Option<(MembershipChange, Timestamp)>,
@@ -144,6 +146,7 @@
             drains: BTreeMap::new(),
             pair: StoredPair::default(),
             pair_write_in_progress: false,
+            confirmed_pair: None,
             dissolved_pair: DissolvedPair::default(),
             wanted_change: None,
             commits: VecDeque::new(),
@@ -175,6 +178,7 @@
         self.pair_write_in_progress = false;
         self.dissolved_pair.finish_write(read.as_ref());
         if let Some(pair) = read {
+            self.confirmed_pair = Some(pair.revision);
             self.pair.update(pair);
         }
     }
@@ -250,13 +254,17 @@
         }
         let mut actions = Vec::new();
         let wanted = self.next_step(replica, directory, &drained, is_eligible, now);
-        let step = self.safe_step(replica, wanted, now);
+        let step = self.safe_step(replica, directory, wanted, now);
         let wants_change = matches!(wanted, Some(MembershipChange::Promote(_) | MembershipChange::Remove(_)));
         let intent = PairIntent { leads: true, wants_change, ..PairIntent::default() };
         actions.extend(self.pair_write(&intent, replica));
         if wants_change && !self.pair.allows_change(membership, replica.log().known_membership_index()) {
             return actions;
         }
+        if wants_change && !self.is_pair_confirmed(membership) {
+            actions.extend(self.confirm_pair(replica));
+            return actions;
+        }
         actions.extend(step.map(MembershipAction::Change));
         actions.extend(self.drain_reports(replica, directory));
         actions
@@ -327,7 +335,12 @@
             return Vec::new();
         }
         if self.pair.is_survivor(self.own, membership, self.pair.first_index(replica.log(), false)) {
-            return vec![MembershipAction::ContinueAlone];
+            let confirmation = self.confirm_pair(replica);
+            return if self.is_pair_confirmed(membership) {
+                vec![MembershipAction::ContinueAlone]
+            } else {
+                confirmation.into_iter().collect()
+            };
         }
         if !self.is_pair_peer_lost(membership, directory, now) {
             return Vec::new();
@@ -346,6 +359,23 @@
         is_replaced || now.since(contact_at) >= PAIR_MEMBER_TIMEOUT
     }
 
+    /// Returns whether the group is not a pair, or its record is known not to have changed since this process wrote or read
+    /// it. The view may be that of a node that has not reached the store for long.
+    fn is_pair_confirmed(&self, membership: &GroupMembership) -> bool {
+        membership.voters.len() != 2 || self.confirmed_pair == Some(self.pair.revision)
+    }
+
+    /// Writes the record of the pair once more, unless it is confirmed or a write is in progress.
+    fn confirm_pair(&mut self, replica: &Replica) -> Option<MembershipAction> {
+        if self.pair_write_in_progress || self.is_pair_confirmed(replica.membership()) {
+            return None;
+        }
+        let record = self.pair.record.clone()?;
+        let index = record.index.max(replica.log().membership_index());
+        self.pair_write_in_progress = true;
+        Some(MembershipAction::WritePair { record: PairRecord { index, ..record }, revision: self.pair.revision })
+    }
+
     fn pair_write(&mut self, intent: &PairIntent, replica: &Replica) -> Option<MembershipAction> {
         if self.pair_write_in_progress {
             return None;
