The learner of a pair elects a member whose log is shorter, unless it has been promoted

What callers see: no leader after all machines have lost power and a member of a pair its disk, while a learner was being added: no job can be read or accepted. Cause: the learner refused its vote to the member that is left because it held one command more than that one, which it had from the lost leader. That command can't have been committed: without a promotion in the learner's log only the pair commits, and the member that is left has all of that. Nobody else could be elected. Change: a learner votes for a member of its pair whose log it extends without a change of members beyond it. Its vote counts in no other campaign. Two campaigns for its vote are 2.5 s apart instead of 1 s, so that a learner that has been promoted, and refuses, comes to campaign itself (found by the review, read).

--- a/crates/core/src/replication/election.rs
+++ b/crates/core/src/replication/election.rs
@@ -90,7 +90,7 @@
         let granted = may_vote
             && is_free
             && matches!(self.role, Role::Follower { leader: None })
-            && self.is_up_to_date(last_index, last_term);
+            && (self.is_up_to_date(last_index, last_term) || self.may_elect_as_learner(from, last_index, last_term));
         if granted {
             self.proposed_change = None;
             self.hard_state.voted_for = Some(from);
--- a/crates/core/src/replication/learner_election.rs
+++ b/crates/core/src/replication/learner_election.rs
@@ -6,7 +6,8 @@
 //! lets C be elected if the promotion is not in its log. A can tell, by its vote:
 //!
 //! * an entry that was committed under {B, C} is in the log of C. One that was committed under {A, B, C} without C is in the log of
-//!   A, and so is the promotion before it; A then refuses its vote, as the log of C is shorter;
+//!   A, and so is the promotion before it; A then refuses its vote, as the log of C lacks the promotion. Without it, what A has
+//!   beyond the log of C was not committed, and A votes for C although that log is shorter;
 //! * if A votes for C, A accepts nothing more of earlier terms, so nothing is committed under {A, B, C} without C afterwards. Nothing is
 //!   committed under {B, C} either, since C has voted for itself;
 //! * the new leader promotes A with its first entries. These need C and A, which is a majority of {A, B, C}, the membership that B
@@ -18,7 +19,7 @@
 
 use std::collections::BTreeSet;
 
-use super::log::{EntryPayload, HardState, Term};
+use super::log::{EntryPayload, HardState, LogIndex, Term};
 use super::membership::MembershipChange;
 use super::message::MessageKind;
 use super::replica::Replica;
@@ -55,6 +56,18 @@
         self.flush();
     }
 
+    /// Returns whether this replica is the only learner of the candidate's pair, and has no change of members beyond the
+    /// candidate's log. The vote of a learner counts in no other campaign.
+    pub(super) fn may_elect_as_learner(&self, candidate: NodeId, last_index: LogIndex, last_term: Term) -> bool {
+        let membership = self.log.membership();
+        let is_member_of_pair = membership.voters.len() == 2 && membership.voters.contains(&candidate);
+        let is_only_learner = membership.learners.len() == 1 && membership.learners.contains(&self.id);
+        let extends_log = self.log.term_at(last_index) == Some(last_term)
+            && self.log.membership_index() <= last_index
+            && self.commit <= last_index;
+        is_member_of_pair && is_only_learner && extends_log
+    }
+
     pub(super) fn is_elected_by_learner(&self) -> bool {
         let elector = self.learner_elector.filter(|(term, _)| *term == self.hard_state.term);
         let Role::Candidate { votes } = &self.role else { return false };
--- a/crates/core/src/serving/jobs/members/change_safety.rs
+++ b/crates/core/src/serving/jobs/members/change_safety.rs
@@ -16,6 +16,7 @@
     pub(super) fn safe_step(
         &mut self,
         replica: &Replica,
+        directory: &StorageDirectory,
         wanted: Option<MembershipChange>,
         now: Timestamp,
     ) -> Option<MembershipChange> {
@@ -23,15 +24,24 @@
             self.wanted_change.filter(|(known, since)| Some(*known) == wanted && now.since(*since) < ANSWER_TIMEOUT);
         self.wanted_change = since.or(wanted.map(|change| (change, now)));
         let (change, since) = self.wanted_change?;
-        self.leaves_live_majority(replica, change, since).then_some(change)
+        // A voter that may be live is given up only for others that all are.
+        let next = replica.membership().after(change);
+        let mut removed = replica.membership().voters.difference(&next.voters);
+        let removes_live_voter = removed.any(|voter| !self.is_lost(replica, directory, *voter, now));
+        self.leaves_live_majority(replica, change, removes_live_voter, since).then_some(change)
     }
 
     /// Returns whether a majority of the voters after a change holds all committed entries, and has answered a message that
     /// was sent since the change is wanted. Otherwise the change, which is in effect as soon as it is appended, might never be
-    /// committed. If the change removes a voter that is live, all others have to be.
-    fn leaves_live_majority(&self, replica: &Replica, change: MembershipChange, wanted_since: Timestamp) -> bool {
-        let membership = replica.membership();
-        let next = membership.after(change);
+    /// committed. If the change removes a voter that may be live, all others have to be.
+    fn leaves_live_majority(
+        &self,
+        replica: &Replica,
+        change: MembershipChange,
+        removes_live_voter: bool,
+        wanted_since: Timestamp,
+    ) -> bool {
+        let next = replica.membership().after(change);
         let has_answered = |node: &NodeId| {
             let acked_send = replica.progress(*node).and_then(|progress| progress.last_acked_send);
             *node == self.own || acked_send.is_some_and(|at| at >= wanted_since)
@@ -41,8 +51,6 @@
             self.is_caught_up(replica, *node) || (is_promoted && self.is_nearly_caught_up(replica, *node))
         };
         let is_nearly_live = |node: &NodeId| has_answered(node) && self.is_nearly_caught_up(replica, *node);
-        // A voter that is live is given up only for others that all are.
-        let removes_live_voter = membership.voters.difference(&next.voters).any(has_answered);
         if removes_live_voter && !next.voters.iter().all(is_nearly_live) {
             return false;
         }
@@ -61,7 +69,9 @@
             return None;
         }
         if self.pair.allows_change(replica.membership(), replica.log().known_membership_index()) {
-            return Some(MembershipAction::WithdrawChange);
+            let confirmation = self.confirm_pair(replica);
+            let is_confirmed = self.is_pair_confirmed(replica.membership());
+            return if is_confirmed { Some(MembershipAction::WithdrawChange) } else { confirmation };
         }
         self.pair_write(&PairIntent { wants_withdrawal: true, ..PairIntent::default() }, replica)
     }
--- a/crates/core/src/serving/jobs/members/dissolved_pair.rs
+++ b/crates/core/src/serving/jobs/members/dissolved_pair.rs
@@ -6,9 +6,9 @@
 use crate::serving::jobs::pair::StoredPair;
 use crate::time::{Millis, Timestamp};
 
-/// The interval between two campaigns for the vote of a learner. A learner that has restarted refuses it for
-/// as long.
-const LEARNER_CAMPAIGN_INTERVAL: Millis = Millis(1_000);
+/// The interval between two campaigns for the vote of a learner. Longer than a learner that has been promoted, and refuses its
+/// vote, waits before it campaigns itself.
+const LEARNER_CAMPAIGN_INTERVAL: Millis = Millis(2_500);
 
 /// What is known of the record of a dissolved pair.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/core/tests/power_loss_simulation.rs
+++ b/crates/core/tests/power_loss_simulation.rs
@@ -495,3 +495,10 @@
 fn member_elected_by_the_learner_and_one_that_is_not_gone_do_not_both_commit() {
     separate_members_of_growing_pair(true);
 }
+
+/// Guards against a member of a pair that nobody elects after the other one is lost: the learner refused its vote, as it held an
+/// entry that the member lacks, although that can't have been committed.
+#[test]
+fn learner_that_holds_more_than_the_member_that_is_left_elects_it() {
+    assert!(play(Group { machines: 3, tolerated: 1 }, 500_186).is_ok());
+}
