--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -58,9 +58,12 @@
     UnreadableTable,
 }
 
-/// Logs the error that ends a process.
+/// Logs the error that ends a process. Settings that are missing are reported like those that can't be read, on standard
+/// error alone.
 fn log_failure(ended: Result<(), ProcessError>) -> Result<(), ProcessError> {
-    if let Err(error) = &ended {
+    if let Err(error) = &ended
+        && !matches!(error, ProcessError::MissingSetting { .. })
+    {
         record(LogEvent::NodeFailed, &[Field::text("detail", error)]);
     }
     ended
