--- a/crates/core/src/serving/jobs/dispatch/mod.rs
+++ b/crates/core/src/serving/jobs/dispatch/mod.rs
@@ -3,7 +3,6 @@
 //! | module | contents |
 //! |---|---|
 //! | this one | [`Dispatcher`]: the items without a result, in the order in which they run and pause |
-//! | `bound_items` | the items that wait for a worker that can continue their output |
 //! | `contributors` | the workers whose records may still contradict the origin of an item's output |
 //! | `run_end` | [`RunEnd`]: the meaning of a worker's answer, or of its absence, for an item |
 //! | `failures` | the failed runs of an item, and when they are enough to give it up |
@@ -24,7 +23,6 @@
 //! Open items come from the job table ([`super::table`]); the caller supplies the time and performs the runs. All state
 //! is rebuilt from the table when a replica becomes the leader.
 
-mod bound_items;
 mod contributors;
 mod failures;
 mod idle_items;
@@ -44,7 +42,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use bound_items::BoundItems;
 use contributors::Contributors;
 use failures::Failures;
 pub use idle_items::{IdleItem, IdleReview};
@@ -161,7 +158,6 @@
     estimate: RunEstimate,
     items: BTreeMap<ItemKey, OpenItem>,
     ready: ReadyItems,
-    bound: BoundItems,
     /// The version of the configuration under which items wait.
     configuration_version: u64,
     delayed: BTreeSet<(Timestamp, ItemKey)>,
@@ -319,7 +315,6 @@
     /// Discards the output of an item that was taken: no worker can continue it. The logged part has to be discarded by
     /// a command; see [`Dispatcher::restarts_due`].
     pub fn restart_item(&mut self, key: &ItemKey) {
-        self.bound.remove(key);
         let Some(open_item) = self.items.get_mut(key) else { return };
         open_item.output = PartialOutput::default();
         open_item.origin = None;
@@ -507,7 +502,6 @@
     pub fn withdraw(&mut self, key: &ItemKey) {
         if let Some(open_item) = self.items.remove(key) {
             self.ready.remove(key);
-            self.bound.remove(key);
             if let Phase::Delayed { until } = open_item.phase {
                 self.delayed.remove(&(until, key.clone()));
             }
--- a/crates/core/src/serving/jobs/dispatch/rounds.rs
+++ b/crates/core/src/serving/jobs/dispatch/rounds.rs
@@ -23,16 +23,10 @@
     }
 
     /// Begins a round under a version of the configuration. Items that waited for want of workers may be tried again once
-    /// the backoff of their service is over, and all items under another version. Items that may run elsewhere by now no
-    /// longer wait with those that may not.
+    /// the backoff of their service is over, and all items under another version.
     pub fn begin_round(&mut self, configuration_version: u64, now: Timestamp) {
         self.update_configuration(configuration_version);
         self.ready.begin_round(now);
-        while let Some(key) = self.bound.take_due(now) {
-            if let Some(open_item) = self.items.get(&key).filter(|_| self.ready.contains(&key)) {
-                self.ready.insert(key, open_item.due, open_item.output.events());
-            }
-        }
     }
 
     /// Takes the most urgent item that may be tried now. `wall_time` is comparable to due times.
@@ -61,11 +55,10 @@
     /// Returns an item that was taken and has not started to the items with the same needs.
     pub fn wait_for(&mut self, key: &ItemKey, output: PartialOutput, cause: &WaitCause, now: Timestamp) {
         let Some(open_item) = self.items.get_mut(key) else { return };
-        let events = output.events();
         if matches!(cause, WaitCause::Worker(needs) if needs.version.is_some()) {
-            let since = *open_item.bound_since.get_or_insert(now);
-            self.bound.insert(key, since + self.estimate.duration_of(events));
+            open_item.bound_since.get_or_insert(now);
         }
+        let events = output.events();
         open_item.output = output;
         open_item.phase = Phase::Ready;
         self.ready.insert_waiting(key.clone(), open_item.due, events, cause, now);
@@ -75,7 +68,6 @@
     /// its output.
     pub fn record_start(&mut self, key: &ItemKey, cause: &WaitCause, now: Timestamp) {
         self.ready.record_start(cause, now);
-        self.bound.remove(key);
         if let Some(open_item) = self.items.get_mut(key) {
             open_item.waits_for = None;
             open_item.bound_since = None;
--- a/crates/core/tests/items_bound_to_a_version.rs
+++ b/crates/core/tests/items_bound_to_a_version.rs
@@ -58,9 +58,9 @@
     WaitCause::Worker(WorkerNeeds { service: Arc::from("lm"), version, regions: AllowedRegions::Any })
 }
 
-/// Runs a round, as the storage service does, while workers of version v1 have `slots` free slots and others have room if
-/// `has_others`. Returns the items that start, and whether they run again from the start.
-fn round(dispatcher: &mut Dispatcher, millis: u64, mut slots: usize, has_others: bool) -> Vec<(ItemKey, bool)> {
+/// Runs a round, as the storage service does, while workers of version v1 are full and others have room. Returns the items
+/// that run again from the start.
+fn restarted(dispatcher: &mut Dispatcher, millis: u64) -> Vec<ItemKey> {
     let now = at(millis);
     let mut started = Vec::new();
     if !dispatcher.has_ready(now) {
@@ -68,94 +68,21 @@
     }
     dispatcher.begin_round(9, now);
     while let Some((key, output)) = dispatcher.take_next(now, UnixMillis(millis)) {
-        let (bound, any) = (needs(Some("v1")), needs(None));
-        let may_restart = dispatcher.may_restart_elsewhere(&key, output.events(), now);
-        let acceptable = if may_restart { vec![bound, any] } else { vec![bound] };
-        let widest = acceptable.last().expect("an item needs something").clone();
-        let mut found = None;
-        for cause in acceptable {
-            if dispatcher.is_held(&cause) {
+        let bound = needs(Some("v1"));
+        if !dispatcher.is_held(&bound) {
+            dispatcher.record_unmet(&bound, now);
+            if dispatcher.may_restart_elsewhere(&key, output.events(), now) {
+                dispatcher.restart_item(&key);
+                dispatcher.record_start(&key, &needs(None), now);
+                started.push(key);
                 continue;
             }
-            let is_bound = cause == needs(Some("v1"));
-            if slots > 0 || (has_others && !is_bound) {
-                slots = slots.saturating_sub(1);
-                found = Some((cause, !is_bound));
-                break;
-            }
-            dispatcher.record_unmet(&cause, now);
-        }
-        let Some((cause, is_restart)) = found else {
-            dispatcher.wait_for(&key, output, &widest, now);
-            continue;
-        };
-        if is_restart {
-            dispatcher.restart_item(&key);
         }
-        dispatcher.record_start(&key, &cause, now);
-        started.push((key, is_restart));
+        dispatcher.wait_for(&key, output, &bound, now);
     }
     started
 }
 
-/// Runs a round while workers of version v1 are full and others have room. Returns the items that run again from the start.
-fn restarted(dispatcher: &mut Dispatcher, millis: u64) -> Vec<ItemKey> {
-    round(dispatcher, millis, 0, true).into_iter().filter(|(_, is_restart)| *is_restart).map(|(key, _)| key).collect()
-}
-
-/// Takes all items and lets their runs break off after a number of events, the last one after `events[0]`.
-fn break_off(dispatcher: &mut Dispatcher, events: impl Fn(usize) -> u64, millis: u64) -> Vec<ItemKey> {
-    dispatcher.begin_round(9, at(0));
-    let taken: Vec<ItemKey> =
-        std::iter::from_fn(|| dispatcher.take_next(at(0), UnixMillis(0))).map(|(key, _)| key).collect();
-    for (number, key) in taken.iter().enumerate() {
-        dispatcher.finish_run(key, &RunEnd::BrokenOff, output_of(events(number)), 3, at(millis));
-    }
-    taken
-}
-
-/// Guards against a free slot of a version that goes to an item that could run elsewhere, while one that is due earlier waits
-/// for it.
-#[test]
-fn a_slot_of_a_version_goes_to_the_item_that_is_due_first() {
-    let mut dispatcher = dispatcher_of(&[("long", 100_000), ("short", 200_000)]);
-    let taken = break_off(&mut dispatcher, |number| [40, 2][number], 4_000);
-    for millis in (4_100..5_000).step_by(STEP_MS) {
-        assert_eq!(round(&mut dispatcher, millis, 0, false), [], "there is no room at all");
-    }
-    assert_eq!(round(&mut dispatcher, 5_015, 1, false), [(taken[0].clone(), false)], "the first one goes on");
-    assert_eq!(round(&mut dispatcher, 5_030, 1, false), [(taken[1].clone(), false)], "so does the second one");
-}
-
-/// Guards against rounds that try all waiting items once they may run elsewhere.
-#[test]
-fn a_round_without_room_costs_the_same_however_many_items_may_run_elsewhere() {
-    const ITEMS: usize = 2_000;
-    let names: Vec<String> = (0..ITEMS).map(|number| format!("job-{number:04}")).collect();
-    let jobs: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 100_000)).collect();
-    let mut dispatcher = dispatcher_of(&jobs);
-    break_off(&mut dispatcher, |_| 2, 200);
-    let mut taken = Vec::new();
-    for millis in (1_000..8_000).step_by(STEP_MS) {
-        let now = at(millis);
-        dispatcher.begin_round(9, now);
-        let mut count = 0;
-        while let Some((key, output)) = dispatcher.take_next(now, UnixMillis(millis)) {
-            count += 1;
-            let may_restart = dispatcher.may_restart_elsewhere(&key, output.events(), now);
-            let widest = needs((!may_restart).then_some("v1"));
-            if !dispatcher.is_held(&widest) {
-                dispatcher.record_unmet(&widest, now);
-            }
-            dispatcher.wait_for(&key, output, &widest, now);
-        }
-        taken.push(count);
-    }
-    let looks: usize = taken.iter().sum();
-    println!("{looks} looks in {} rounds", taken.len());
-    assert!(looks <= 2 * ITEMS + 3 * taken.len(), "each item once as bound and once as not, then one for each kind");
-}
-
 /// Guards against items with little output that wait for as long as an item with much output that is due earlier may.
 #[test]
 fn an_item_with_little_output_runs_elsewhere_before_one_with_much_output_may() {
--- a/crates/gateway/src/storage/service/item_runner.rs
+++ b/crates/gateway/src/storage/service/item_runner.rs
@@ -293,7 +293,8 @@
         now: Timestamp,
     ) {
         let needs = self.needs_of(key, &start, &output);
-        if let Some(cause) = self.held_by(key, &start, &needs, output.events(), now) {
+        let cause = WaitCause::Worker(needs.clone());
+        if self.dispatcher.is_held(&cause) {
             self.dispatcher.wait_for(key, output, &cause, now);
             return;
         }
@@ -491,9 +492,9 @@
         self.active.insert(key.clone(), active);
     }
 
-    /// Lets an item wait for any of the workers that may run it.
+    /// Lets an item wait for the workers that it prefers.
     fn wait_for_worker(&mut self, key: &ItemKey, output: PartialOutput, acceptable: &[WorkerNeeds], now: Timestamp) {
-        match acceptable.last() {
+        match acceptable.first() {
             Some(needs) => self.dispatcher.wait_for(key, output, &WaitCause::Worker(needs.clone()), now),
             None => self.dispatcher.requeue(key, output),
         }
--- a/crates/gateway/src/storage/service/item_runner/placement.rs
+++ b/crates/gateway/src/storage/service/item_runner/placement.rs
@@ -65,27 +65,6 @@
         std::iter::once(needs).chain(may_restart.then_some(from_start)).collect()
     }
 
-    /// Returns what an item has to wait for without a try: the widest needs with which it may run, if other items could not
-    /// start for want of any of them.
-    pub(super) fn held_by(
-        &self,
-        key: &ItemKey,
-        start: &ItemStart,
-        needs: &WorkerNeeds,
-        events: u64,
-        now: Timestamp,
-    ) -> Option<WaitCause> {
-        let preferred = WaitCause::Worker(needs.clone());
-        if !self.dispatcher.is_held(&preferred) {
-            return None;
-        }
-        if needs.version.is_none() || !self.dispatcher.may_restart_elsewhere(key, events, now) {
-            return Some(preferred);
-        }
-        let from_start = WaitCause::Worker(self.needs_without_output(start));
-        self.dispatcher.is_held(&from_start).then_some(from_start)
-    }
-
     /// Returns whether a worker is left that can continue the item's output.
     fn can_continue(&self, needs: &WorkerNeeds, start: &ItemStart, now: Timestamp) -> bool {
         let query = WorkerQuery {
