--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -355,13 +355,10 @@
             return working.result()
         finally:
             self.active -= 1
-            working.cancel()
-            if not closed.done():
-                closed.cancel()
-                try:
-                    await closed
-                except (asyncio.CancelledError, ConnectionError):
-                    pass
+            for task in (working, closed):
+                task.cancel()
+            # What became of either is known by now, or of no use.
+            await asyncio.gather(working, closed, return_exceptions=True)
 
     def answer_headers(self, attempt):
         return [("X-Attempt-Id", attempt), ("X-Instance-Load", f"{self.active},0,{self.slots}"), ("X-Weight-Versions", 1)]
@@ -625,6 +622,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: record.say("note:", context["message"]))
         fleet = Fleet(record)
         try:
             async with asyncio.timeout(112):
