--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -9,6 +9,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -16,7 +17,7 @@
 import time
 import tomllib
 from pathlib import Path
-from urllib.parse import parse_qsl, unquote, urlsplit
+from urllib.parse import parse_qsl, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "front.example"
@@ -612,7 +613,8 @@
                 node.process.kill()
                 await node.process.wait()
         if os.environ.get("KEEP"):
-            os.system(f"rm -rf {os.environ['KEEP']}; cp -r {self.folder} {os.environ['KEEP']}")
+            # Keeps the settings and logs of the processes in a folder that does not exist yet.
+            shutil.copytree(self.folder, os.environ["KEEP"])
         self.temporary.cleanup()
 
 
