--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -461,7 +461,7 @@
         self.ports = ports[:2]
         self.folder = Path(fleet.folder) / self.name
         (self.folder / "data").mkdir(parents=True)
-        self.limits = {"MemoryMb": 260} if role == "gateway" else {"MemoryMb": 290, "DiskMb": 480}
+        self.limits = fleet.limits[role]
         self.store_address = None
         self.process = None
         self.starts = 0
@@ -471,7 +471,7 @@
         fields = {
             "NodeName": self.name, "Zone": self.zone, "Ip": "127.0.0.1", "DataDir": str(self.folder / "data"),
             "PortRange": self.ports, "Bounds": BOUNDS, "HeartbeatMs": 1200, "Zones": ZONES, "Limits": self.limits,
-            "FaultTolerance": {"Machines": 1, "Zones": 0, "Regions": 0},
+            "FaultTolerance": {"Machines": self.fleet.losses, "Zones": 0, "Regions": 0},
             "Platform": {"Address": "%s:%d" % address},
             "Listen": {"Frontend": "%s:%d" % self.callers, "Readiness": "%s:%d" % self.readiness},
         }
@@ -539,7 +539,8 @@
         self.record, self.random = record, random.Random(seed)
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = self.temporary.name
-        self.store = Store()
+        self.store, self.losses = Store(), 1
+        self.limits = {"gateway": {"MemoryMb": 260}, "storage": {"MemoryMb": 290, "DiskMb": 480}}
         self.workers, self.gateways, self.storage, self.tasks = [], [], [], []
 
     async def start(self, workers=4, gateways=2, storage=3, config=None):
