--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -27,6 +27,7 @@
     "LossSlackMs": 200, "ConfigMs": 2000, "RevertSlackMs": 250, "SkewMs": 5000, "RecoveryS": 12, "PassMs": 120,
     "RetryAfterS": 0, "FinishS": 18, "StatusS": 120, "CancelMs": 3000, "SettleMs": 1000, "QuotaExcess": 0.1,
 }
+USED_PORTS = set()
 ZONES = {"cebu-a": "visayas", "mandaue-b": "visayas", "lapu-c": "visayas"}
 
 
@@ -168,9 +169,17 @@
 
 
 def free_port(host="127.0.0.1"):
-    with socket.socket() as listener:
-        listener.bind((host, 0))
-        return listener.getsockname()[1]
+    """Returns a free port below those that the system gives to outgoing connections, so that none of these takes it."""
+    while True:
+        port = random.SystemRandom().randrange(10_000, 32_000)
+        with socket.socket() as listener:
+            try:
+                listener.bind((host, port))
+            except OSError:
+                continue
+            if port not in USED_PORTS:
+                USED_PORTS.add(port)
+                return port
 
 
 # The platform's store
