--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -634,6 +634,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
+        # Told to end, the case ends its processes first.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: record.say("note:", context["message"]))
         fleet = Fleet(record)
         try:
@@ -644,7 +646,7 @@
 
     try:
         breaches = asyncio.run(run())
-    except (CaseError, TimeoutError, OSError) as error:
+    except (CaseError, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.tell("could not run:", repr(error))
         sys.exit(2)
     for breach in breaches:
